Lay out the project: build, linter, interfaces and launchers

Cause: the work needs one build and one set of narrow interfaces, so that the rooms (edge, catalogue and authority, request life, routing, proof) can be built side by side. Change: Maven on JDK 17 with Spotless (Palantir Java format), Error Prone with Palantir's baseline checks as errors, jqwik, ArchUnit; the interfaces of time, platform, target, request, admission, routing and peer; launchers for measurements and the command-line tool. No behaviour yet beyond time and log lines.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Owners' limits, deadlines and bounded queues. */
+package org.dogwoodwinch.admission;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/bytes/package-info.java
@@ -0,0 +1,2 @@
+/** An immutable value for raw bytes. */
+package org.dogwoodwinch.bytes;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/catalogue/Catalogue.java
@@ -0,0 +1,54 @@
+package org.dogwoodwinch.catalogue;
+
+import java.util.Collections;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * One revision of the whole catalogue; immutable.
+ *
+ * @param revision the log offset of the accepted edit that made it; {@link #NO_REVISION} before the first
+ * @param owners the owners by name, not null
+ * @param groups the target groups by name, not null
+ * @param entries the entries by name, not null
+ */
+public record Catalogue(
+        long revision,
+        SortedMap<String, Owner> owners,
+        SortedMap<String, TargetGroup> groups,
+        SortedMap<String, CatalogueEntry> entries) {
+
+    /** The revision of a catalogue that no edit has made yet. */
+    public static final long NO_REVISION = -1;
+
+    /** The catalogue before the first edit. */
+    public static final Catalogue EMPTY = new Catalogue(NO_REVISION, new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
+
+    /** Copies the maps. */
+    public Catalogue {
+        owners = Collections.unmodifiableSortedMap(new TreeMap<>(owners));
+        groups = Collections.unmodifiableSortedMap(new TreeMap<>(groups));
+        entries = Collections.unmodifiableSortedMap(new TreeMap<>(entries));
+    }
+
+    /**
+     * Finds an entry.
+     *
+     * @param name the entry's name, not null
+     * @return the entry, or empty where there is none of that name
+     */
+    public Optional<CatalogueEntry> entry(String name) {
+        return Optional.ofNullable(entries.get(name));
+    }
+
+    /**
+     * Finds a target group.
+     *
+     * @param name the group's name, not null
+     * @return the group, or empty where there is none of that name
+     */
+    public Optional<TargetGroup> group(String name) {
+        return Optional.ofNullable(groups.get(name));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool {@code dogwoodwinchctl}. */
+package org.dogwoodwinch.cli;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines of key=value pairs. */
+package org.dogwoodwinch.logging;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/measure/Measurements.java
@@ -0,0 +1,33 @@
+package org.dogwoodwinch.measure;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The list of all measurements. */
+public final class Measurements {
+
+    private static final List<Measurement> ALL = List.of();
+
+    private Measurements() {}
+
+    /**
+     * Returns all measurements.
+     *
+     * @return the list, in the order in which it is printed
+     */
+    public static List<Measurement> all() {
+        return ALL;
+    }
+
+    /**
+     * Finds a measurement.
+     *
+     * @param name its name, not null
+     * @return the measurement, or empty where there is none of that name
+     */
+    public static Optional<Measurement> find(String name) {
+        return ALL.stream()
+                .filter(measurement -> measurement.name().equals(name))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/PeerItem.java
@@ -0,0 +1,26 @@
+package org.dogwoodwinch.peer;
+
+import java.util.Objects;
+import org.dogwoodwinch.bytes.Bytes;
+
+/**
+ * One thing that one instance tells the others; a higher version replaces a lower one of the same origin, topic and
+ * key.
+ *
+ * @param origin the name of the instance that says it, not null
+ * @param topic what it is about, not null
+ * @param key which one, such as a target's name, not null
+ * @param version grows with each publication by its origin
+ * @param payload the content, in MessagePack, not null
+ * @param ageMillis how old it was on arrival, in milliseconds: what its holders on the way added up
+ */
+public record PeerItem(String origin, PeerTopic topic, String key, long version, Bytes payload, long ageMillis) {
+
+    /** Checks the parts. */
+    public PeerItem {
+        Objects.requireNonNull(origin, "origin");
+        Objects.requireNonNull(topic, "topic");
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(payload, "payload");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -0,0 +1,15 @@
+package org.dogwoodwinch.peer;
+
+/** What instances tell each other about. */
+public enum PeerTopic {
+    /** What an instance sent to targets of late. */
+    LOAD,
+    /** Targets that are leaving. */
+    LEAVING,
+    /** Fingerprints of requests that crash targets. */
+    QUARANTINE,
+    /** Demand of owners, for the shares of their limits. */
+    DEMAND,
+    /** The newest catalogue and the offset it covers. */
+    CATALOGUE
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Exchange between the instances of the system. */
+package org.dogwoodwinch.peer;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/request/package-info.java
@@ -0,0 +1,2 @@
+/** One request's life: attempts, retries, idempotency and truthful refusals. */
+package org.dogwoodwinch.request;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of targets from lagged reports. */
+package org.dogwoodwinch.routing;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/time/package-info.java
@@ -0,0 +1,2 @@
+/** Injected time and timers, real and virtual. */
+package org.dogwoodwinch.time;
