Commit package target, which the ignore rule for build output hid

Cause: the rule target/ matched the package folder of that name as well, so the first commit lacked it and a fresh clone did not compile.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/target/package-info.java
@@ -0,0 +1,2 @@
+/** Narrow interfaces to targets: model engines and plain services. */
+package org.dogwoodwinch.target;
