--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms that the operators' listener shows to Prometheus. */
+package org.dogwoodwinch.metrics;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/settings/AdmissionSettings.java
@@ -0,0 +1,27 @@
+package org.dogwoodwinch.settings;
+
+/**
+ * Queues and floors of admission.
+ *
+ * @param maxQueuedCount requests of one class of work that may wait on this instance
+ * @param maxInFlightCount requests that may run at once through this instance
+ * @param longReadFloorRatio the share of the places that long reads get under any load
+ * @param longReadWaitMillis a long read that waited for so long goes before everything else
+ * @param shareMillis how long an instance's share of an owner's limit is good without news from the others
+ */
+public record AdmissionSettings(
+        int maxQueuedCount,
+        int maxInFlightCount,
+        double longReadFloorRatio,
+        long longReadWaitMillis,
+        long shareMillis) {
+
+    static AdmissionSettings read(SettingsSection section) {
+        return new AdmissionSettings(
+                section.wholeInt("maxQueuedCount", 1, 1_000_000, 2_000),
+                section.wholeInt("maxInFlightCount", 1, 1_000_000, 4_000),
+                section.number("longReadFloorRatio", 0.01, 0.9, 0.1),
+                section.wholeNumber("longReadWaitMillis", 1_000, 86_400_000, 600_000),
+                section.wholeNumber("shareMillis", 500, 600_000, 5_000));
+    }
+}
--- a/src/main/java/org/dogwoodwinch/target/EngineConfiguration.java
+++ b/src/main/java/org/dogwoodwinch/target/EngineConfiguration.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.target;
 
+import java.util.Collections;
 import java.util.Objects;
 import java.util.SortedSet;
 import java.util.TreeSet;
@@ -19,7 +20,7 @@
         Objects.requireNonNull(role, "role");
         Objects.requireNonNull(model, "model");
         Objects.requireNonNull(modelVersion, "modelVersion");
-        adapters = java.util.Collections.unmodifiableSortedSet(new TreeSet<>(adapters));
+        adapters = Collections.unmodifiableSortedSet(new TreeSet<>(adapters));
     }
 
     /**
--- a/src/test/java/org/dogwoodwinch/standin/StandInEngineTest.java
+++ b/src/test/java/org/dogwoodwinch/standin/StandInEngineTest.java
@@ -15,6 +15,7 @@
 import org.dogwoodwinch.target.EngineOrder;
 import org.dogwoodwinch.target.EngineRole;
 import org.dogwoodwinch.target.GenerateCall;
+import org.dogwoodwinch.target.LoadReport;
 import org.dogwoodwinch.target.OrderResult;
 import org.dogwoodwinch.target.TargetFailure;
 import org.dogwoodwinch.target.Usage;
@@ -123,10 +124,7 @@
     }
 
     private long queuedPrefill(StandInEngine engine) {
-        return engine.loadReport()
-                .toCompletableFuture()
-                .join()
-                .match(report -> report.queuedPrefillTokens(), _failure -> -1L);
+        return engine.loadReport().toCompletableFuture().join().match(LoadReport::queuedPrefillTokens, _failure -> -1L);
     }
 
     private static OrderResult result(StandInEngine engine, EngineOrder order) {
