Add the callers' and operators' listeners and the HTTP adapters of targets and platform

Change: http (OpenAI-style paths, pass-through, bearer tokens, problem JSON, pace and size limits, back pressure), target.http (engine streams as lines matched by attempt id, plain services, failures that say whether bytes may have been written) and platform.http (log, instance list, weight store). Not wired yet; tests come with the daemon.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Wires the parts into the daemon {@code dogwoodwinchd}. */
+package org.dogwoodwinch.daemon;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/http/AnswerWriter.java
@@ -0,0 +1,32 @@
+package org.dogwoodwinch.http;
+
+import org.dogwoodwinch.request.Refusal;
+import org.dogwoodwinch.target.AnswerChunk;
+import org.dogwoodwinch.target.Usage;
+
+/** Writes one generated answer in the shape that its caller wants; runs on the connection's event loop alone. */
+interface AnswerWriter {
+
+    /**
+     * Takes a piece.
+     *
+     * @param chunk the piece, not null
+     */
+    void chunk(AnswerChunk chunk);
+
+    /**
+     * Ends the whole answer.
+     *
+     * @param usage what it cost, not null
+     * @param finishReason why it ended, not null
+     */
+    void complete(Usage usage, String finishReason);
+
+    /**
+     * Ends the answer with a refusal.
+     *
+     * @param refusal why, not null
+     * @return true where a part of the answer had gone out, so that the connection cannot be used again
+     */
+    boolean refuse(Refusal refusal);
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/http/CallerExchange.java
@@ -0,0 +1,178 @@
+package org.dogwoodwinch.http;
+
+import io.netty.channel.Channel;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.dogwoodwinch.request.AnswerSink;
+import org.dogwoodwinch.request.CallerRequest;
+import org.dogwoodwinch.request.Refusal;
+import org.dogwoodwinch.request.RequestHandle;
+import org.dogwoodwinch.target.AnswerChunk;
+import org.dogwoodwinch.target.ServiceAnswer;
+import org.dogwoodwinch.target.Usage;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Takes one request's answer to its caller's connection.
+ *
+ * <p>The sink is called from the targets' threads; every call becomes a task of the connection's event loop, also those
+ * that already come on it, so that none overtakes another. A full connection pauses the target: what is on the heap is
+ * bounded by the connection's high-water mark and what the target's connection had already read.
+ */
+final class CallerExchange implements AnswerSink {
+
+    private final Channel channel;
+    private final CallerRequest request;
+    private final AnswerWriter writer;
+    private final ReplyContext reply;
+    private final EdgeObserver observer;
+    private final TimeSource time;
+    private final Consumer<Boolean> whenEnded;
+    private RequestHandle handle;
+    private boolean ended;
+    private boolean paused;
+    private long lastTokenMillis = -1;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param channel the caller's connection, not null
+     * @param request the request, not null
+     * @param writer writes a generated answer, not null
+     * @param reply what the answer carries, not null
+     * @param observer hears what becomes of it, not null
+     * @param time measures how long it takes, not null
+     * @param whenEnded hears on the event loop that the answer is written, and whether the connection must close
+     */
+    CallerExchange(
+            Channel channel,
+            CallerRequest request,
+            AnswerWriter writer,
+            ReplyContext reply,
+            EdgeObserver observer,
+            TimeSource time,
+            Consumer<Boolean> whenEnded) {
+        this.channel = Objects.requireNonNull(channel, "channel");
+        this.request = Objects.requireNonNull(request, "request");
+        this.writer = Objects.requireNonNull(writer, "writer");
+        this.reply = Objects.requireNonNull(reply, "reply");
+        this.observer = Objects.requireNonNull(observer, "observer");
+        this.time = Objects.requireNonNull(time, "time");
+        this.whenEnded = Objects.requireNonNull(whenEnded, "whenEnded");
+    }
+
+    /**
+     * Takes the hold on the request; on the event loop, before any answer is written.
+     *
+     * @param newHandle the hold, not null
+     */
+    void attach(RequestHandle newHandle) {
+        handle = newHandle;
+    }
+
+    /** The connection's room changed; on the event loop. */
+    void writabilityChanged() {
+        if (ended || handle == null) {
+            return;
+        }
+        if (!channel.isWritable() && !paused) {
+            paused = true;
+            handle.pauseReading();
+        } else if (channel.isWritable() && paused) {
+            paused = false;
+            handle.resumeReading();
+        }
+    }
+
+    /** The caller left; on the event loop. */
+    void callerLeft() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        observer.onCallerLeft(request.requestId(), request.entry().name());
+        if (handle != null) {
+            handle.cancel();
+        }
+    }
+
+    /**
+     * Refuses on the edge's own account; on the event loop.
+     *
+     * @param refusal why, not null
+     */
+    void refuseNow(Refusal refusal) {
+        if (ended) {
+            return;
+        }
+        if (handle != null) {
+            handle.cancel();
+        }
+        refuse(refusal);
+    }
+
+    @Override
+    public void onChunk(AnswerChunk chunk) {
+        onLoop(() -> write(chunk));
+    }
+
+    @Override
+    public void onComplete(Usage usage, String finishReason) {
+        onLoop(() -> {
+            writer.complete(usage, finishReason);
+            end(200, usage.completionTokens());
+        });
+    }
+
+    @Override
+    public void onServiceAnswer(ServiceAnswer answer) {
+        onLoop(() -> {
+            byte[] body = answer.body().toByteArray();
+            reply.writeWhole(channel, Replies.of(answer.status(), answer.contentType(), body));
+            end(answer.status(), 0);
+        });
+    }
+
+    @Override
+    public void onRefused(Refusal refusal) {
+        onLoop(() -> refuse(refusal));
+    }
+
+    private void onLoop(Runnable task) {
+        channel.eventLoop().execute(() -> {
+            if (!ended) {
+                task.run();
+            }
+        });
+    }
+
+    private void write(AnswerChunk chunk) {
+        writer.chunk(chunk);
+        observeToken();
+        writabilityChanged();
+    }
+
+    private void observeToken() {
+        long nowMillis = time.monotonicMillis();
+        if (lastTokenMillis < 0) {
+            observer.onFirstToken(request.requestId(), nowMillis - request.arrivedMillis());
+        } else {
+            observer.onNextToken(nowMillis - lastTokenMillis);
+        }
+        lastTokenMillis = nowMillis;
+    }
+
+    private void refuse(Refusal refusal) {
+        ended = true;
+        boolean midStream = writer.refuse(refusal);
+        observer.onRefused(request.requestId(), request.entry().name(), refusal, midStream);
+        whenEnded.accept(midStream || !reply.keepAlive());
+    }
+
+    private void end(int status, long tokens) {
+        ended = true;
+        long elapsedMillis = time.monotonicMillis() - request.arrivedMillis();
+        observer.onAnswered(request.requestId(), request.entry().name(), status, tokens, elapsedMillis);
+        whenEnded.accept(!reply.keepAlive());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/http/package-info.java
@@ -0,0 +1,2 @@
+/** The Netty listeners for callers and operators. */
+package org.dogwoodwinch.http;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/target/http/HttpEngineClient.java
@@ -0,0 +1,154 @@
+package org.dogwoodwinch.target.http;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.ListenableFuture;
+import org.asynchttpclient.Request;
+import org.asynchttpclient.RequestBuilder;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.target.AnswerListener;
+import org.dogwoodwinch.target.AnswerStream;
+import org.dogwoodwinch.target.CacheEvent;
+import org.dogwoodwinch.target.EngineClient;
+import org.dogwoodwinch.target.EngineOrder;
+import org.dogwoodwinch.target.EngineState;
+import org.dogwoodwinch.target.GenerateCall;
+import org.dogwoodwinch.target.KvReference;
+import org.dogwoodwinch.target.LoadReport;
+import org.dogwoodwinch.target.OrderResult;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetFailure;
+import org.dogwoodwinch.target.TargetReply;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * One engine over HTTP.
+ *
+ * <p>Streams are lines of JSON ({@link StreamLine}); see docs/http-api.md for the paths. The callbacks come on the
+ * client's I/O threads, or on the calling thread where nothing could be sent.
+ */
+public final class HttpEngineClient implements EngineClient {
+
+    private static final String ATTEMPTS = "/v1/attempts";
+
+    /** The request's own deadline timer goes first; the exchange's is only there to free what is left over. */
+    private static final long DEADLINE_SLACK_MILLIS = 2_000;
+
+    private final AsyncHttpClient client;
+    private final HttpCaller caller;
+    private final String base;
+    private final TimeSource time;
+    private final TargetTimeouts timeouts;
+
+    /**
+     * Creates a client.
+     *
+     * @param client sends the calls, not null; its owner closes it
+     * @param target the engine, not null
+     * @param time runs the timers, not null
+     * @param timeouts how long calls may take, not null
+     */
+    public HttpEngineClient(AsyncHttpClient client, Target target, TimeSource time, TargetTimeouts timeouts) {
+        this.client = Objects.requireNonNull(client, "client");
+        this.caller = new HttpCaller(client, timeouts.maxAnswerBytes());
+        this.base = "http://" + target.address();
+        this.time = Objects.requireNonNull(time, "time");
+        this.timeouts = timeouts;
+    }
+
+    @Override
+    public AnswerStream generate(GenerateCall call, AnswerListener listener) {
+        Request request = new RequestBuilder("POST", true)
+                .setUrl(base + ATTEMPTS)
+                .setHeader("Content-Type", HttpCaller.JSON)
+                .setBody(TargetJson.write(GenerateBody.of(call)))
+                .setRequestTimeout(Duration.ofMillis(call.remainingMillis() + DEADLINE_SLACK_MILLIS))
+                .build();
+        return stream(request, call.attemptId(), listener);
+    }
+
+    @Override
+    public AnswerStream resume(String attemptId, long fromSequence, AnswerListener listener) {
+        Request request = new RequestBuilder("GET", true)
+                .setUrl(attemptUrl(attemptId) + "?from=" + fromSequence)
+                .setRequestTimeout(Duration.ofMillis(timeouts.resumeMillis()))
+                .build();
+        return stream(request, attemptId, listener);
+    }
+
+    @Override
+    public CompletionStage<TargetReply<LoadReport>> loadReport() {
+        return caller.callJson("GET", base + "/v1/load", Bytes.EMPTY, timeouts.callMillis(), LoadReport.class);
+    }
+
+    @Override
+    public CompletionStage<TargetReply<List<CacheEvent>>> cacheEvents(long afterSequence) {
+        String url = base + "/v1/cache-events?after=" + afterSequence;
+        return caller.call("GET", url, "", Bytes.EMPTY, timeouts.callMillis())
+                .thenApply(reply -> HttpCaller.parse(reply, body -> TargetJson.readList(body, CacheEvent.class)));
+    }
+
+    @Override
+    public CompletionStage<TargetReply<KvReference>> exportKv(String attemptId) {
+        String url = attemptUrl(attemptId) + "/kv";
+        return caller.callJson("POST", url, Bytes.EMPTY, timeouts.callMillis(), KvReference.class);
+    }
+
+    @Override
+    public CompletionStage<OrderResult> order(EngineOrder order) {
+        Bytes body = Bytes.of(TargetJson.write(order));
+        return caller.callJson("POST", base + "/v1/orders", body, timeouts.orderMillis(), OrderReply.class)
+                .thenApply(reply -> reply.match(OrderReply::toResult, HttpEngineClient::failedOrder));
+    }
+
+    @Override
+    public CompletionStage<TargetReply<EngineState>> state() {
+        return caller.callJson("GET", base + "/v1/state", Bytes.EMPTY, timeouts.callMillis(), EngineState.class);
+    }
+
+    private AnswerStream stream(Request request, String attemptId, AnswerListener listener) {
+        EngineStreamHandler handler = new EngineStreamHandler(attemptId, listener);
+        ListenableFuture<Void> exchange;
+        try {
+            exchange = client.executeRequest(request, handler);
+        } catch (RuntimeException e) {
+            // A closed client or a malformed URL: without this, the request would wait for an answer that never comes.
+            handler.onThrowable(e);
+            return new EndedStream();
+        }
+        HttpEngineStream stream = new HttpEngineStream(
+                handler, exchange, () -> cancelOnEngine(attemptId), time, timeouts.silenceMillis());
+        stream.watchSilence();
+        return stream;
+    }
+
+    private void cancelOnEngine(String attemptId) {
+        caller.call("DELETE", attemptUrl(attemptId), "", Bytes.EMPTY, timeouts.callMillis());
+    }
+
+    private String attemptUrl(String attemptId) {
+        return base + ATTEMPTS + "/" + attemptId;
+    }
+
+    private static OrderResult failedOrder(TargetFailure failure) {
+        return failure.provesNotRun()
+                ? new OrderResult.Refused(failure.detail())
+                : new OrderResult.Unknown(failure.detail());
+    }
+
+    /** The handle on a stream that never started. */
+    private static final class EndedStream implements AnswerStream {
+
+        @Override
+        public void pauseReading() {}
+
+        @Override
+        public void resumeReading() {}
+
+        @Override
+        public void cancel() {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/target/http/HttpTargetClients.java
@@ -0,0 +1,43 @@
+package org.dogwoodwinch.target.http;
+
+import java.util.Objects;
+import org.dogwoodwinch.target.EngineClient;
+import org.dogwoodwinch.target.ServiceClient;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetClients;
+import org.dogwoodwinch.time.TimeSource;
+
+/** Makes the clients of targets that speak HTTP. */
+public final class HttpTargetClients implements TargetClients {
+
+    private final HttpClients clients;
+    private final HttpCaller pooledCaller;
+    private final HttpCaller freshCaller;
+    private final TimeSource time;
+    private final TargetTimeouts timeouts;
+
+    /**
+     * Creates the maker.
+     *
+     * @param clients send the calls, not null; their owner closes them
+     * @param time runs the timers, not null
+     * @param timeouts how long calls may take, not null
+     */
+    public HttpTargetClients(HttpClients clients, TimeSource time, TargetTimeouts timeouts) {
+        this.clients = Objects.requireNonNull(clients, "clients");
+        this.time = Objects.requireNonNull(time, "time");
+        this.timeouts = Objects.requireNonNull(timeouts, "timeouts");
+        this.pooledCaller = clients.pooledCaller(timeouts.maxAnswerBytes());
+        this.freshCaller = clients.freshCaller(timeouts.maxAnswerBytes());
+    }
+
+    @Override
+    public EngineClient engine(Target target) {
+        return clients.engine(target, time, timeouts);
+    }
+
+    @Override
+    public ServiceClient service(Target target) {
+        return new HttpServiceClient(pooledCaller, freshCaller, target);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/target/http/TargetJson.java
@@ -0,0 +1,73 @@
+package org.dogwoodwinch.target.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JavaType;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The JSON of targets and platform. Unknown fields are let through, since targets grow fields; a missing number is
+ * malformed, since a zero in its place would be believed.
+ */
+public final class TargetJson {
+
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    private TargetJson() {}
+
+    /**
+     * Reads a value.
+     *
+     * @param json the JSON in UTF-8, not null
+     * @param type the value's type, not null
+     * @param <T> the value's type
+     * @return the value, or empty where the JSON is malformed or null
+     */
+    public static <T> Optional<T> read(byte[] json, Class<T> type) {
+        return read(json, MAPPER.constructType(type));
+    }
+
+    /**
+     * Reads a list.
+     *
+     * @param json the JSON in UTF-8, not null
+     * @param elementType the elements' type, not null
+     * @param <T> the elements' type
+     * @return the list, or empty where the JSON is malformed or null
+     */
+    public static <T> Optional<List<T>> readList(byte[] json, Class<T> elementType) {
+        return read(json, MAPPER.getTypeFactory().constructCollectionType(List.class, elementType));
+    }
+
+    /**
+     * Writes a value.
+     *
+     * @param value the value, not null
+     * @return the JSON in UTF-8
+     * @throws UncheckedIOException if the value has no JSON, which is a fault of this program
+     */
+    public static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static <T> Optional<T> read(byte[] json, JavaType type) {
+        try {
+            return Optional.ofNullable(MAPPER.<T>readValue(json, type));
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/target/http/WholeAnswerHandler.java
@@ -0,0 +1,94 @@
+package org.dogwoodwinch.target.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.target.ServiceAnswer;
+import org.dogwoodwinch.target.TargetFailure;
+import org.dogwoodwinch.target.TargetReply;
+
+/** Collects one bounded answer. */
+final class WholeAnswerHandler implements AsyncHandler<Void> {
+
+    private final SendProgress progress = new SendProgress();
+    private final CompletableFuture<TargetReply<ServiceAnswer>> reply = new CompletableFuture<>();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final int maxBodyBytes;
+    private int status;
+    private String contentType = "";
+
+    /**
+     * Creates a handler.
+     *
+     * @param maxBodyBytes the longest body taken
+     */
+    WholeAnswerHandler(int maxBodyBytes) {
+        this.maxBodyBytes = maxBodyBytes;
+    }
+
+    /**
+     * Returns the outcome.
+     *
+     * @return completes normally, once
+     */
+    CompletableFuture<TargetReply<ServiceAnswer>> reply() {
+        return reply;
+    }
+
+    @Override
+    public void onRequestSend(NettyRequest _request) {
+        progress.beforeWrite();
+    }
+
+    @Override
+    public State onStatusReceived(HttpResponseStatus responseStatus) {
+        status = responseStatus.getStatusCode();
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onHeadersReceived(HttpHeaders headers) {
+        contentType = Objects.requireNonNullElse(headers.get(HttpHeaderNames.CONTENT_TYPE), "");
+        return State.CONTINUE;
+    }
+
+    @Override
+    public State onBodyPartReceived(HttpResponseBodyPart part) {
+        byte[] bytes = part.getBodyPartBytes();
+        if (body.size() + bytes.length > maxBodyBytes) {
+            fail(new TargetFailure.Broken("the answer is longer than " + maxBodyBytes + " bytes"));
+            return State.ABORT;
+        }
+        body.write(bytes, 0, bytes.length);
+        return State.CONTINUE;
+    }
+
+    @Override
+    public void onThrowable(Throwable error) {
+        fail(progress.failureOf(error));
+    }
+
+    @Override
+    public Void onCompleted() {
+        if (status == 0) {
+            fail(new TargetFailure.Broken("no status came"));
+            return null;
+        }
+        reply.complete(RefusalBody.parse(contentType, body.toByteArray())
+                .<TargetReply<ServiceAnswer>>map(TargetReply.Failure::new)
+                .orElseGet(() -> new TargetReply.Answer<>(
+                        new ServiceAnswer(status, contentType, Bytes.of(body.toByteArray())))));
+        return null;
+    }
+
+    private void fail(TargetFailure failure) {
+        reply.complete(new TargetReply.Failure<>(failure));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/target/http/package-info.java
@@ -0,0 +1,2 @@
+/** AsyncHttpClient adapters of the target interfaces. */
+package org.dogwoodwinch.target.http;
