See a request through attempts, retries and a truthful refusal

Cause: a caller must learn truthfully whether its request ran, and get one whole answer whatever targets do. Change: RequestCoordinator with an attempt ledger that alone decides the word of a refusal, a retry policy and budget, streams joined again where they are cut, repeatable requests run again with an equal prefix withheld, and the claim interface. AnswerStream gains detach(), which stops listening without cancelling; the stand-in engine implements it.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/request/CallerAnswer.java
@@ -0,0 +1,48 @@
+package org.dogwoodwinch.request;
+
+import org.dogwoodwinch.target.AnswerChunk;
+import org.dogwoodwinch.target.ServiceAnswer;
+import org.dogwoodwinch.target.Usage;
+
+/** One request's answer on its way to the caller, with the figures that are taken of it. Not thread-safe. */
+final class CallerAnswer {
+
+    private final RequestContext context;
+    private final CallerRequest request;
+    private final AnswerSink sink;
+    private final AnswerProgress progress = new AnswerProgress();
+    private long lastChunkMillis = -1;
+
+    CallerAnswer(RequestContext context, CallerRequest request, AnswerSink sink) {
+        this.context = context;
+        this.request = request;
+        this.sink = sink;
+    }
+
+    AnswerProgress progress() {
+        return progress;
+    }
+
+    void deliver(AnswerChunk chunk) {
+        long nowMillis = context.nowMillis();
+        if (lastChunkMillis < 0) {
+            context.observer().onFirstToken(request, nowMillis - request.arrivedMillis());
+        } else {
+            context.observer().onNextToken(request, nowMillis - lastChunkMillis);
+        }
+        lastChunkMillis = nowMillis;
+        sink.onChunk(chunk);
+    }
+
+    void complete(Usage usage, String finishReason) {
+        sink.onComplete(usage, finishReason);
+    }
+
+    void completeService(ServiceAnswer answer) {
+        sink.onServiceAnswer(answer);
+    }
+
+    void refuse(Refusal refusal) {
+        sink.onRefused(refusal);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/request/RequestContext.java
@@ -0,0 +1,33 @@
+package org.dogwoodwinch.request;
+
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.dogwoodwinch.admission.Admission;
+import org.dogwoodwinch.catalogue.CatalogueEntry;
+import org.dogwoodwinch.routing.Router;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetClients;
+import org.dogwoodwinch.time.TimeSource;
+
+/** What all requests of one instance share; see {@link RequestCoordinator} for the parts. */
+record RequestContext(
+        Admission admission,
+        Router router,
+        TargetClients clients,
+        Function<String, Optional<Target>> targets,
+        Function<CatalogueEntry, String> models,
+        TimeSource time,
+        Supplier<String> attemptIds,
+        ClaimLedger claims,
+        Quarantine quarantine,
+        RequestObserver observer,
+        RequestSettings settings,
+        RequestPolicies policies,
+        RetryBudget budget,
+        JitteredBackoff backoff) {
+
+    long nowMillis() {
+        return time.monotonicMillis();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/request/UnreachableClaims.java
@@ -0,0 +1,37 @@
+package org.dogwoodwinch.request;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Claims where there is no log: each is refused as not run, which is safe and truthful. */
+public final class UnreachableClaims implements ClaimLedger {
+
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    /** Creates the ledger. */
+    public UnreachableClaims() {}
+
+    @Override
+    public void claim(ClaimRequest _claim, Consumer<ClaimOutcome> outcome) {
+        outcome.accept(new ClaimOutcome.Unavailable("there is no log for claims", RETRY_AFTER_MILLIS));
+    }
+
+    @Override
+    public Optional<HeldClaim> held(ClaimRequest _claim) {
+        return Optional.empty();
+    }
+
+    @Override
+    public void moved(String _claimId, StreamPointer _pointer) {}
+
+    @Override
+    public void completed(String _claimId, KeptAnswer _answer) {}
+
+    @Override
+    public void released(String _claimId) {}
+
+    @Override
+    public void read(HeldClaim _claim, Consumer<Optional<KeptAnswer>> answer) {
+        answer.accept(Optional.empty());
+    }
+}
--- a/src/main/java/org/dogwoodwinch/standin/StandInEngine.java
+++ b/src/main/java/org/dogwoodwinch/standin/StandInEngine.java
@@ -94,7 +94,7 @@
         if (refusal.isPresent()) {
             long refusedEpoch = epoch;
             time.schedule(0, () -> listener.onFailure(refusal.get()));
-            return new Handle(null, refusedEpoch);
+            return new Handle(null, refusedEpoch, listener);
         }
         StandInSequence sequence = new StandInSequence(call, listener);
         streams.put(call.attemptId(), sequence);
@@ -111,7 +111,7 @@
         } else {
             enqueue(sequence, epoch);
         }
-        return new Handle(sequence, epoch);
+        return new Handle(sequence, epoch, listener);
     }
 
     @Override
@@ -122,11 +122,11 @@
                     ? new TargetFailure.NotSent("the engine is down")
                     : new TargetFailure.Refused("no such stream", false, false, 0);
             time.schedule(0, () -> listener.onFailure(failure));
-            return new Handle(null, epoch);
+            return new Handle(null, epoch, listener);
         }
         sequence.attach(listener, fromSequence);
         time.schedule(0, () -> deliver(sequence));
-        return new Handle(sequence, epoch);
+        return new Handle(sequence, epoch, listener);
     }
 
     @Override
@@ -475,10 +475,12 @@
 
         private final StandInSequence sequence;
         private final long startEpoch;
+        private final AnswerListener listener;
 
-        Handle(StandInSequence sequence, long startEpoch) {
+        Handle(StandInSequence sequence, long startEpoch, AnswerListener listener) {
             this.sequence = sequence;
             this.startEpoch = startEpoch;
+            this.listener = listener;
         }
 
         @Override
@@ -500,6 +502,16 @@
             }
         }
 
+        @Override
+        public void detach() {
+            synchronized (StandInEngine.this) {
+                // Another connection may have joined the stream since; it is not this one's to close.
+                if (sequence != null && sequence.listener() == listener) {
+                    sequence.detach();
+                }
+            }
+        }
+
         private void setPaused(boolean paused) {
             synchronized (StandInEngine.this) {
                 if (sequence != null) {
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/request/AnswerProgressTest.java
@@ -0,0 +1,46 @@
+package org.dogwoodwinch.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.dogwoodwinch.target.AnswerChunk;
+import org.junit.jupiter.api.Test;
+
+class AnswerProgressTest {
+
+    private final AnswerProgress progress = new AnswerProgress();
+
+    @Test
+    void skipsWhatItHasAndNoticesGaps() {
+        assertEquals(AnswerProgress.Verdict.DELIVER, progress.accept(chunk(0, "a")));
+        assertEquals(AnswerProgress.Verdict.SKIP, progress.accept(chunk(0, "a")));
+        assertEquals(AnswerProgress.Verdict.GAP, progress.accept(chunk(2, "c")));
+        assertEquals(AnswerProgress.Verdict.DELIVER, progress.accept(chunk(1, "b")));
+    }
+
+    /** A second run begins with the same text in other pieces: the caller gets only the rest. */
+    @Test
+    void withholdsAnEqualPrefixWhateverItsPieces() {
+        progress.accept(chunk(0, "ab"));
+        progress.accept(chunk(1, "cd"));
+        progress.startAgain();
+        assertEquals(AnswerProgress.Verdict.SKIP, progress.accept(chunk(0, "abc")));
+        assertEquals(AnswerProgress.Verdict.DELIVER, progress.accept(chunk(1, "def")));
+        assertEquals("ef", progress.pending().text());
+        assertEquals(AnswerProgress.Verdict.DELIVER, progress.accept(chunk(2, "g")));
+        progress.startAgain();
+        assertEquals(AnswerProgress.Verdict.DELIVER, progress.accept(chunk(0, "abcdefgh")));
+        assertEquals("h", progress.pending().text());
+    }
+
+    /** A second run begins with another text: sewn together, the answer would be nobody's. */
+    @Test
+    void noticesADifferentPrefix() {
+        progress.accept(chunk(0, "ab"));
+        progress.startAgain();
+        assertEquals(AnswerProgress.Verdict.DIVERGED, progress.accept(chunk(0, "ax")));
+    }
+
+    private static AnswerChunk chunk(long sequence, String text) {
+        return new AnswerChunk("attempt", sequence, 1, text);
+    }
+}
