Judge histories from the command line

Cause: a run of processes leaves JSON lines in several files, and anyone must be able to judge them.

--- a/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
+++ b/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
@@ -20,7 +20,7 @@
             "3:not known yet: ask again",
             "4:the instance or the platform did not answer"
         },
-        subcommands = {SettingsCommand.class, StatusCommand.class})
+        subcommands = {HistoryCommand.class, SettingsCommand.class, StatusCommand.class})
 public final class ControlCommand implements Runnable {
 
     @Spec
--- a/src/main/java/org/dogwoodwinch/history/History.java
+++ b/src/main/java/org/dogwoodwinch/history/History.java
@@ -30,6 +30,15 @@
         return events.stream().filter(kind::isInstance).map(kind::cast);
     }
 
+    /**
+     * Returns when the first event happened.
+     *
+     * @return milliseconds; zero where there is none
+     */
+    public long startMillis() {
+        return events.isEmpty() ? 0 : events.get(0).atMillis();
+    }
+
     /**
      * Returns when the last event happened.
      *
