--- a/src/main/java/org/dogwoodwinch/measure/Measurements.java
+++ b/src/main/java/org/dogwoodwinch/measure/Measurements.java
@@ -6,7 +6,7 @@
 /** The list of all measurements. */
 public final class Measurements {
 
-    private static final List<Measurement> ALL = List.of();
+    private static final List<Measurement> ALL = List.of(new LineMeasurement(ProjectFolder.find()));
 
     private Measurements() {}
 
