Fold catalogue edits in log order and follow the control stream

Cause: operators race, appends lose their answers, records expire and the log goes out; every instance must still hold the same catalogue and never an older one. Change: packages controllog (LogFollower, one read outstanding, timers only), catalogue (rules, codec that names every faulty field, edits as differences, fold, holder that only goes up) and control (fold of the whole stream, checkpoints with the rule that every later record is at hand, peers' catalogue during an outage, ControlNode, ControlApi and a listener-free ControlEndpoint for the operators' listener). Tests: racing edits, lost answer, outage, start after expiry, start during an outage, copy of the fold goes on alike.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/catalogue/CatalogueChange.java
@@ -0,0 +1,110 @@
+package org.dogwoodwinch.catalogue;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * The difference between two catalogues: what to put in place and what to drop, by name.
+ *
+ * <p>An edit travels as a difference, because at the target size a whole catalogue is hundreds of kilobytes and each
+ * instance would read 2,400 of them a day.
+ *
+ * @param putOwners owners that are new or changed, not null
+ * @param dropOwners names of owners that go, not null
+ * @param putGroups target groups that are new or changed, not null
+ * @param dropGroups names of groups that go, not null
+ * @param putEntries entries that are new or changed, not null
+ * @param dropEntries names of entries that go, not null
+ */
+@JsonInclude(JsonInclude.Include.NON_EMPTY)
+public record CatalogueChange(
+        List<Owner> putOwners,
+        List<String> dropOwners,
+        List<TargetGroup> putGroups,
+        List<String> dropGroups,
+        List<CatalogueEntry> putEntries,
+        List<String> dropEntries) {
+
+    /** Copies the lists; one that is missing is empty. */
+    public CatalogueChange {
+        putOwners = copy(putOwners);
+        dropOwners = copy(dropOwners);
+        putGroups = copy(putGroups);
+        dropGroups = copy(dropGroups);
+        putEntries = copy(putEntries);
+        dropEntries = copy(dropEntries);
+    }
+
+    /**
+     * Finds what turns one catalogue into another; revisions are not compared.
+     *
+     * @param base the catalogue before, not null
+     * @param wanted the catalogue after, not null
+     * @return the difference
+     */
+    public static CatalogueChange between(Catalogue base, Catalogue wanted) {
+        return new CatalogueChange(
+                put(base.owners(), wanted.owners()),
+                dropped(base.owners(), wanted.owners()),
+                put(base.groups(), wanted.groups()),
+                dropped(base.groups(), wanted.groups()),
+                put(base.entries(), wanted.entries()),
+                dropped(base.entries(), wanted.entries()));
+    }
+
+    /**
+     * Makes the catalogue after this change.
+     *
+     * @param base the catalogue that the change was made from, not null
+     * @param revision the new catalogue's revision
+     * @return the new catalogue
+     */
+    public Catalogue applyTo(Catalogue base, long revision) {
+        return new Catalogue(
+                revision,
+                merged(base.owners(), putOwners, dropOwners, Owner::name),
+                merged(base.groups(), putGroups, dropGroups, TargetGroup::name),
+                merged(base.entries(), putEntries, dropEntries, CatalogueEntry::name));
+    }
+
+    /**
+     * Says whether there is no difference.
+     *
+     * @return true where nothing is put and nothing dropped
+     */
+    public boolean changesNothing() {
+        return putOwners.isEmpty()
+                && dropOwners.isEmpty()
+                && putGroups.isEmpty()
+                && dropGroups.isEmpty()
+                && putEntries.isEmpty()
+                && dropEntries.isEmpty();
+    }
+
+    private static <T> List<T> copy(List<T> list) {
+        return list == null ? List.of() : List.copyOf(list);
+    }
+
+    private static <T> List<T> put(Map<String, T> base, Map<String, T> wanted) {
+        return wanted.entrySet().stream()
+                .filter(entry -> !entry.getValue().equals(base.get(entry.getKey())))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
+    private static <T> List<String> dropped(Map<String, T> base, Map<String, T> wanted) {
+        return base.keySet().stream().filter(name -> !wanted.containsKey(name)).toList();
+    }
+
+    private static <T> SortedMap<String, T> merged(
+            Map<String, T> base, List<T> put, List<String> drop, Function<T, String> nameOf) {
+        TreeMap<String, T> result = new TreeMap<>(base);
+        drop.forEach(result::remove);
+        put.forEach(item -> result.put(nameOf.apply(item), item));
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/catalogue/CatalogueCodec.java
@@ -0,0 +1,127 @@
+package org.dogwoodwinch.catalogue;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** Reads and writes catalogues as JSON with comments, naming every fault of what a person wrote. Thread-safe. */
+public final class CatalogueCodec {
+
+    private static final long MOST_MILLIS = 86_400_000L;
+
+    private final ObjectMapper mapper = JsonMapper.builder()
+            .enable(JsonParser.Feature.ALLOW_COMMENTS)
+            .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
+            .build();
+
+    /**
+     * Writes a catalogue for people.
+     *
+     * @param catalogue the catalogue, not null
+     * @return indented JSON that {@link #read(String)} takes back
+     */
+    public String write(Catalogue catalogue) {
+        try {
+            return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(CatalogueDocument.of(catalogue));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a catalogue is always writable", e);
+        }
+    }
+
+    /**
+     * Reads and checks a catalogue; all faults are named, not only the first.
+     *
+     * @param text JSON with comments, not null
+     * @return the catalogue, or its faults
+     */
+    public DraftResult read(String text) {
+        List<CatalogueProblem> problems = new ArrayList<>();
+        JsonNode root;
+        try {
+            root = mapper.readTree(text);
+        } catch (JsonProcessingException e) {
+            String line =
+                    e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr();
+            return new DraftResult.Faulty(List.of(new CatalogueProblem(line, e.getOriginalMessage())));
+        }
+        CatalogueDocument document = readDocument(new FieldReader(root, "", problems));
+        if (problems.isEmpty()) {
+            problems.addAll(CatalogueRules.check(document.toCatalogue()));
+        }
+        return problems.isEmpty() ? new DraftResult.Sound(document.toCatalogue()) : new DraftResult.Faulty(problems);
+    }
+
+    private static CatalogueDocument readDocument(FieldReader root) {
+        root.knows("revision", "owners", "groups", "entries");
+        List<Owner> owners = new ArrayList<>();
+        List<TargetGroup> groups = new ArrayList<>();
+        List<CatalogueEntry> entries = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (FieldReader item : root.items("owners")) {
+            owners.add(readOwner(item));
+            noteDuplicate(names, "owner " + owners.get(owners.size() - 1).name(), item);
+        }
+        for (FieldReader item : root.items("groups")) {
+            groups.add(readGroup(item));
+            noteDuplicate(names, "group " + groups.get(groups.size() - 1).name(), item);
+        }
+        for (FieldReader item : root.items("entries")) {
+            CatalogueEntry entry = readEntry(item);
+            entries.add(entry);
+            noteDuplicate(names, "entry " + entry.name(), item);
+        }
+        long revision = root.number("revision", Catalogue.NO_REVISION, Long.MAX_VALUE);
+        return new CatalogueDocument(revision, owners, groups, entries);
+    }
+
+    private static void noteDuplicate(Set<String> names, String name, FieldReader item) {
+        if (!names.add(name)) {
+            item.problem("name", "there is another " + name);
+        }
+    }
+
+    private static Owner readOwner(FieldReader item) {
+        item.knows("name", "tokenHashes", "limits");
+        return new Owner(item.text("name"), item.texts("tokenHashes"), readLimits(item));
+    }
+
+    private static TargetGroup readGroup(FieldReader item) {
+        item.knows("name", "kind", "model", "checksFencing");
+        return new TargetGroup(
+                item.text("name"),
+                item.choice("kind", TargetGroup.Kind.class),
+                item.text("model", ""),
+                item.flag("checksFencing"));
+    }
+
+    private static CatalogueEntry readEntry(FieldReader item) {
+        item.knows("name", "owner", "workClass", "group", "repeatable", "deadlineMillis", "limits");
+        return new CatalogueEntry(
+                item.text("name"),
+                item.text("owner"),
+                item.choice("workClass", WorkClass.class),
+                item.text("group"),
+                item.flag("repeatable"),
+                item.number("deadlineMillis", 1, MOST_MILLIS),
+                readLimits(item));
+    }
+
+    private static Limits readLimits(FieldReader item) {
+        if (!item.has("limits")) {
+            return Limits.NONE;
+        }
+        FieldReader limits = item.object("limits");
+        limits.knows("maxConcurrent", "tokensPerSecond", "maxPromptTokens", "maxOutputTokens");
+        return new Limits(
+                (int) limits.number("maxConcurrent", 0, Integer.MAX_VALUE, 0),
+                limits.number("tokensPerSecond", 0, Long.MAX_VALUE, 0),
+                limits.number("maxPromptTokens", 0, Long.MAX_VALUE, 0),
+                (int) limits.number("maxOutputTokens", 0, Integer.MAX_VALUE, 0));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/control/ControlEndpoint.java
@@ -0,0 +1,130 @@
+package org.dogwoodwinch.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.dogwoodwinch.catalogue.Catalogue;
+import org.dogwoodwinch.catalogue.CatalogueCodec;
+
+/**
+ * Maps HTTP requests below {@code /control} to {@link ControlApi}; it does no I/O, so any listener can carry it.
+ * Thread-safe.
+ *
+ * <p>Paths: {@code GET /control/status}, {@code GET /control/catalogue}, {@code GET /control/catalogue/history},
+ * {@code POST /control/catalogue/edits} with an {@link EditRequest}, {@code GET /control/catalogue/edits/ID}.
+ */
+public final class ControlEndpoint {
+
+    /** All paths of this endpoint begin so. */
+    public static final String PREFIX = "/control/";
+
+    private static final String CATALOGUE = PREFIX + "catalogue";
+    private static final String EDITS = CATALOGUE + "/edits";
+    private static final int OK = 200;
+    private static final int ACCEPTED_FOR_LATER = 202;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNPROCESSABLE = 422;
+    private static final int UNAVAILABLE = 503;
+
+    private final ControlApi api;
+    private final ObjectMapper mapper = new ObjectMapper();
+    private final CatalogueCodec catalogues = new CatalogueCodec();
+
+    /**
+     * Creates the endpoint.
+     *
+     * @param api does the work, not null
+     */
+    public ControlEndpoint(ControlApi api) {
+        this.api = Objects.requireNonNull(api, "api");
+    }
+
+    /**
+     * Serves one request.
+     *
+     * @param method the HTTP method, not null
+     * @param path the path without its query, not null
+     * @param body the body, empty where there is none, not null
+     * @return completes with the answer, at the latest after the time that the API takes to decide
+     */
+    public CompletionStage<ControlResponse> handle(String method, String path, String body) {
+        if (method.equals("GET")) {
+            return CompletableFuture.completedFuture(get(path));
+        }
+        if (method.equals("POST") && path.equals(EDITS)) {
+            return postEdit(body);
+        }
+        return CompletableFuture.completedFuture(problem(NOT_FOUND, "there is nothing at " + method + " " + path));
+    }
+
+    private ControlResponse get(String path) {
+        if (path.equals(PREFIX + "status")) {
+            return json(OK, api.status());
+        }
+        if (path.equals(CATALOGUE)) {
+            return api.catalogue()
+                    .current()
+                    .map(this::catalogue)
+                    .orElseGet(() -> api.status().caughtUp()
+                            ? catalogue(Catalogue.EMPTY)
+                            : problem(UNAVAILABLE, "this instance has no catalogue yet"));
+        }
+        if (path.equals(CATALOGUE + "/history")) {
+            return json(OK, api.history());
+        }
+        if (path.startsWith(EDITS + "/")) {
+            return applied(api.editStatus(path.substring(EDITS.length() + 1)));
+        }
+        return problem(NOT_FOUND, "there is nothing at GET " + path);
+    }
+
+    private ControlResponse catalogue(Catalogue catalogue) {
+        return new ControlResponse(OK, "application/json", catalogues.write(catalogue));
+    }
+
+    private CompletionStage<ControlResponse> postEdit(String body) {
+        EditRequest request;
+        try {
+            request = mapper.readValue(body, EditRequest.class);
+        } catch (JsonProcessingException e) {
+            return CompletableFuture.completedFuture(problem(BAD_REQUEST, e.getOriginalMessage()));
+        }
+        return api.applyEdit(request).thenApply(this::applied);
+    }
+
+    private ControlResponse applied(ApplyResult result) {
+        ApplyAnswer answer = ApplyAnswer.of(result);
+        return json(statusOf(answer.verdict()), answer);
+    }
+
+    private static int statusOf(ApplyAnswer.Verdict verdict) {
+        return switch (verdict) {
+            case ACCEPTED -> OK;
+            case REJECTED -> CONFLICT;
+            case FAULTY -> UNPROCESSABLE;
+            case UNKNOWN_YET -> ACCEPTED_FOR_LATER;
+        };
+    }
+
+    private ControlResponse problem(int status, String detail) {
+        return new ControlResponse(status, "application/problem+json", write(new Problem("control", status, detail)));
+    }
+
+    private ControlResponse json(int status, Object value) {
+        return new ControlResponse(status, "application/json", write(value));
+    }
+
+    private String write(Object value) {
+        try {
+            return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("control answers are always writable", e);
+        }
+    }
+
+    private record Problem(String title, int status, String detail) {}
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/control/FoldedRecord.java
@@ -0,0 +1,21 @@
+package org.dogwoodwinch.control;
+
+import java.util.Objects;
+import org.dogwoodwinch.controllog.ControlRecord;
+
+/**
+ * What the fold made of one record.
+ *
+ * @param offset the record's place on the log
+ * @param record the record, not null
+ * @param accepted whether it changed the state
+ * @param detail why not, empty where it did, not null
+ */
+public record FoldedRecord(long offset, ControlRecord record, boolean accepted, String detail) {
+
+    /** Checks the parts. */
+    public FoldedRecord {
+        Objects.requireNonNull(record, "record");
+        Objects.requireNonNull(detail, "detail");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/controllog/LogFollower.java
@@ -0,0 +1,145 @@
+package org.dogwoodwinch.controllog;
+
+import java.util.List;
+import java.util.Objects;
+import org.dogwoodwinch.platform.LogRecord;
+import org.dogwoodwinch.platform.LogService;
+import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.time.Cancellable;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Reads one stream of the log from an offset on, for as long as it runs, with one read outstanding at a time.
+ *
+ * <p>It has no thread: reads complete on the log client's threads and timers of the {@link TimeSource} start the next.
+ * Thread-safe.
+ */
+public final class LogFollower {
+
+    private final LogService log;
+    private final FollowerSettings settings;
+    private final TimeSource time;
+    private final FollowerListener listener;
+    private long nextOffset;
+    /** Grows with each read and each stop, so that the answer to a read that was given up is known and dropped. */
+    private long generation;
+
+    private boolean running;
+    /** The first read does not wait, so that a starter learns at once where the log ends. */
+    private boolean waits;
+
+    private Cancellable watchdog = () -> {};
+
+    /**
+     * Creates a follower that does not run yet.
+     *
+     * @param log the log, not null
+     * @param settings what and how to read, not null
+     * @param time runs the timers, not null
+     * @param listener hears the records, not null
+     */
+    public LogFollower(LogService log, FollowerSettings settings, TimeSource time, FollowerListener listener) {
+        this.log = Objects.requireNonNull(log, "log");
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.time = Objects.requireNonNull(time, "time");
+        this.listener = Objects.requireNonNull(listener, "listener");
+    }
+
+    /**
+     * Starts to read, or starts again from another offset; a read that is under way is forgotten.
+     *
+     * @param fromOffset the first offset wanted
+     */
+    public synchronized void start(long fromOffset) {
+        running = true;
+        waits = false;
+        nextOffset = fromOffset;
+        scheduleRead(0);
+    }
+
+    /** Stops; the listener hears nothing more once this returns, and a second call has no effect. */
+    public synchronized void stop() {
+        running = false;
+        generation++;
+        watchdog.cancel();
+    }
+
+    /**
+     * Returns the next offset to be read.
+     *
+     * @return the offset
+     */
+    public synchronized long nextOffset() {
+        return nextOffset;
+    }
+
+    private void scheduleRead(long delayMillis) {
+        long expected = ++generation;
+        watchdog.cancel();
+        time.schedule(delayMillis, () -> read(expected));
+    }
+
+    private synchronized void read(long expected) {
+        if (!running || generation != expected) {
+            return;
+        }
+        long startedMillis = time.monotonicMillis();
+        // A partition can swallow the answer for good; the symptom would be an instance that never hears of an edit
+        // again. Reading twice is harmless, so a read without an answer is simply made anew.
+        watchdog = time.schedule(settings.waitMillis() + settings.answerMillis(), () -> giveUp(expected));
+        log.read(settings.stream(), nextOffset, settings.maxRecords(), waits ? settings.waitMillis() : 0)
+                .whenComplete((result, failure) -> onAnswer(expected, startedMillis, result, failure));
+    }
+
+    private synchronized void giveUp(long expected) {
+        if (running && generation == expected) {
+            listener.onUnavailable("no answer to a read");
+            scheduleRead(settings.retryMillis());
+        }
+    }
+
+    private synchronized void onAnswer(long expected, long startedMillis, ReadResult result, Throwable failure) {
+        if (!running || generation != expected) {
+            return;
+        }
+        if (failure != null) {
+            listener.onUnavailable(failure.toString());
+            scheduleRead(settings.retryMillis());
+            return;
+        }
+        long delayMillis = result.match(
+                records -> onRecords(records, startedMillis),
+                this::onExpired,
+                unavailable -> onUnavailable(unavailable.detail()));
+        // The listener may have stopped this follower, or started it elsewhere.
+        if (running && generation == expected) {
+            scheduleRead(delayMillis);
+        }
+    }
+
+    private long onRecords(ReadResult.Records result, long startedMillis) {
+        List<LogRecord> records = result.records();
+        if (records.isEmpty() && result.endOffset() < nextOffset) {
+            return onUnavailable("the log ends at " + result.endOffset() + ", before what was read of it");
+        }
+        if (!records.isEmpty()) {
+            nextOffset = records.get(records.size() - 1).offset() + 1;
+        }
+        waits = true;
+        listener.onRecords(result);
+        // A service that does not hold reads open answers at once; reading on without a pause would be a busy loop.
+        boolean early = records.isEmpty() && time.monotonicMillis() - startedMillis < settings.retryMillis();
+        return early ? settings.retryMillis() : 0;
+    }
+
+    private long onExpired(ReadResult.Expired expired) {
+        listener.onExpired(expired);
+        nextOffset = Math.max(nextOffset, expired.firstRetainedOffset());
+        return 0;
+    }
+
+    private long onUnavailable(String detail) {
+        listener.onUnavailable(detail);
+        return settings.retryMillis();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/catalogue/CatalogueFoldTest.java
@@ -0,0 +1,69 @@
+package org.dogwoodwinch.catalogue;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class CatalogueFoldTest {
+
+    private final CatalogueFold fold = new CatalogueFold(Catalogue.EMPTY, List.of());
+
+    /** Two operators edit the same revision at once: the one whose edit stands first on the log wins, the other learns who. */
+    @Test
+    void theFirstEditOnABaseWins() {
+        fold.apply(4, edit("first", Catalogue.NO_REVISION, 100));
+        EditOutcome second = fold.apply(5, edit("second", Catalogue.NO_REVISION, 200));
+        assertEquals(new EditOutcome.Outrun("first", "meera", 4), second);
+        assertEquals(100, fold.catalogue().entries().get("booking").deadlineMillis());
+    }
+
+    /** An operator's tool lost the answer and appended the edit again: it counts once, and its outcome stays the same. */
+    @Test
+    void anEditReadTwiceCountsOnce() {
+        EditOutcome first = fold.apply(4, edit("e", Catalogue.NO_REVISION, 100));
+        fold.apply(6, edit("f", 4, 200));
+        assertEquals(first, fold.apply(9, edit("e", Catalogue.NO_REVISION, 100)));
+        assertEquals(6, fold.catalogue().revision());
+    }
+
+    @Test
+    void anEditThatContradictsItselfChangesNothing() {
+        CatalogueChange change = new CatalogueChange(
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                List.copyOf(SampleCatalogues.withDeadline(0, 1).entries().values()),
+                List.of());
+        EditOutcome outcome = fold.apply(1, new CatalogueEdit("e", "meera", 0, Catalogue.NO_REVISION, change));
+        assertTrue(outcome instanceof EditOutcome.Invalid);
+        assertEquals(Catalogue.EMPTY, fold.catalogue());
+    }
+
+    @Property(seed = "41", tries = 300)
+    void aCopyGoesOnLikeTheOriginal(@ForAll @Size(max = 40) List<@IntRange(max = 5) Integer> lags) {
+        CatalogueFold original = new CatalogueFold(Catalogue.EMPTY, List.of());
+        CatalogueFold copy = new CatalogueFold(Catalogue.EMPTY, List.of());
+        long offset = 0;
+        for (int lag : lags) {
+            offset++;
+            CatalogueEdit edit =
+                    edit("e" + offset % 7, Math.max(-1, original.catalogue().revision() - lag / 4), offset);
+            assertEquals(original.apply(offset, edit), copy.apply(offset, edit));
+            copy = new CatalogueFold(copy.catalogue(), copy.history());
+        }
+        assertEquals(original.catalogue(), copy.catalogue());
+    }
+
+    private static CatalogueEdit edit(String id, long base, long deadlineMillis) {
+        CatalogueChange change =
+                CatalogueChange.between(Catalogue.EMPTY, SampleCatalogues.withDeadline(base, deadlineMillis));
+        return new CatalogueEdit(id, "meera", 0, base, change);
+    }
+}
