Lease engine groups, order engines and carry planned changes through by log order

Cause: a lease can lapse while its holder is paused, answers are lost, engines crash and daemons are killed in the middle of a change; no engine may get conflicting orders.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/authority/AuthorityFold.java
@@ -0,0 +1,158 @@
+package org.dogwoodwinch.authority;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Leases, orders and plans as the log makes them, read in offset order. Not thread-safe.
+ *
+ * <p>Whatever a holder writes counts only while the log says that it holds the group, in the epoch that it names. A
+ * holder that wakes up after a successor's claim can therefore append what it likes: all of it is void.
+ */
+public final class AuthorityFold {
+
+    private static final Optional<String> NOT_HELD = Optional.of("the group is not held in that epoch");
+
+    private final LeaseTable leases;
+    private final EngineTable engines;
+    private final PlanTable plans;
+
+    /**
+     * Creates the fold as it was left.
+     *
+     * @param snapshot the state, not null
+     */
+    public AuthorityFold(AuthoritySnapshot snapshot) {
+        this.leases = new LeaseTable(snapshot.leases(), snapshot.renewals());
+        this.engines = new EngineTable(snapshot.engines(), snapshot.loadCount());
+        this.plans = new PlanTable(snapshot.plans(), snapshot.standing(), snapshot.forgottenThrough());
+    }
+
+    /**
+     * Reads one record.
+     *
+     * @param offset its offset
+     * @param record the record, not null
+     * @return why it is void, or empty where it took effect
+     */
+    public Optional<String> apply(long offset, AuthorityRecord record) {
+        if (record instanceof AuthorityRecord.LeaseRenewal renewal) {
+            return leases.apply(offset, renewal);
+        }
+        if (record instanceof AuthorityRecord.LeaseClaim claim) {
+            return leases.apply(offset, claim);
+        }
+        if (record instanceof AuthorityRecord.LeaseRelease release) {
+            return leases.apply(release);
+        }
+        if (record instanceof AuthorityRecord.OrderIntent intent) {
+            return applyIntent(offset, intent);
+        }
+        if (record instanceof AuthorityRecord.OrderSettled settled) {
+            return applySettled(offset, settled);
+        }
+        if (record instanceof AuthorityRecord.PlanRequested request) {
+            return plans.apply(offset, request);
+        }
+        if (record instanceof AuthorityRecord.PlanMoved moved) {
+            return applyMoved(offset, moved);
+        }
+        AuthorityRecord.PlanCancelled cancelled = (AuthorityRecord.PlanCancelled) record;
+        return plans.move(offset, cancelled.planId(), PlanEvent.CANCEL, "cancelled by " + cancelled.author());
+    }
+
+    /**
+     * Returns the leases.
+     *
+     * @return the table; only reading it is meant
+     */
+    public LeaseTable leases() {
+        return leases;
+    }
+
+    /**
+     * Returns the engines' last orders.
+     *
+     * @return the table; only reading it is meant
+     */
+    public EngineTable engines() {
+        return engines;
+    }
+
+    /**
+     * Returns the plans.
+     *
+     * @return the table; only reading it is meant
+     */
+    public PlanTable plans() {
+        return plans;
+    }
+
+    /**
+     * Copies the state.
+     *
+     * @return the copy
+     */
+    public AuthoritySnapshot snapshot() {
+        return new AuthoritySnapshot(
+                leases.leases(),
+                leases.renewals(),
+                engines.engines(),
+                engines.loadCount(),
+                List.copyOf(plans.plans()),
+                plans.standing(),
+                plans.forgottenThrough());
+    }
+
+    private Optional<String> applyIntent(long offset, AuthorityRecord.OrderIntent intent) {
+        if (!leases.isHeld(intent.group(), intent.holder(), intent.epoch())) {
+            return NOT_HELD;
+        }
+        Optional<String> fault = engines.check(intent);
+        if (fault.isPresent()) {
+            return fault;
+        }
+        if (!intent.planId().isEmpty()) {
+            Optional<String> refused = plans.move(offset, intent.planId(), PlanEvent.ORDER, "");
+            if (refused.isPresent()) {
+                return refused;
+            }
+        }
+        engines.apply(offset, intent);
+        return Optional.empty();
+    }
+
+    private Optional<String> applySettled(long offset, AuthorityRecord.OrderSettled settled) {
+        Optional<EngineEntry> open = engines.engine(settled.engine());
+        if (open.isEmpty() || !leases.isHeld(open.get().group(), settled.holder(), settled.epoch())) {
+            return NOT_HELD;
+        }
+        Optional<EngineEntry> entry = engines.apply(settled);
+        if (entry.isEmpty()) {
+            return Optional.of("the order is not open");
+        }
+        String planId = entry.get().planId();
+        plans.plan(planId).ifPresent(plan -> plans.move(offset, planId, eventOf(plan, settled), settled.detail()));
+        return Optional.empty();
+    }
+
+    private Optional<String> applyMoved(long offset, AuthorityRecord.PlanMoved moved) {
+        Optional<PlanRecord> plan = plans.plan(moved.planId());
+        if (plan.isEmpty() || !leases.isHeld(plan.get().change().group(), moved.holder(), moved.epoch())) {
+            return NOT_HELD;
+        }
+        Optional<String> refused = plans.move(offset, moved.planId(), moved.event(), moved.detail());
+        PlannedChange change = plan.get().change();
+        if (refused.isEmpty() && moved.event() == PlanEvent.FINISH && change.kind() != PlannedChange.Kind.DRAIN) {
+            engines.forget(change.engine());
+        }
+        return refused;
+    }
+
+    private static PlanEvent eventOf(PlanRecord plan, AuthorityRecord.OrderSettled settled) {
+        if (!settled.applied()) {
+            return PlanEvent.REFUSED;
+        }
+        return plan.change().kind() == PlannedChange.Kind.REPLACE ? PlanEvent.APPLIED_THEN_RETIRE : PlanEvent.APPLIED;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/control/AuthorityRunner.java
@@ -0,0 +1,144 @@
+package org.dogwoodwinch.control;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.dogwoodwinch.authority.AuthorityAction;
+import org.dogwoodwinch.authority.AuthorityAgent;
+import org.dogwoodwinch.authority.AuthorityFold;
+import org.dogwoodwinch.controllog.ControlRecord;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.target.EngineClient;
+import org.dogwoodwinch.target.EngineState;
+import org.dogwoodwinch.target.OrderResult;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetReply;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Carries out what the {@link AuthorityAgent} decides, and tells it what came of it. Thread-safe. */
+final class AuthorityRunner {
+
+    private static final Logger log = LoggerFactory.getLogger(AuthorityRunner.class);
+
+    private final AuthorityAgent agent;
+    private final ControlServices services;
+    private final TimeSource time;
+    private final Access access;
+    private final Consumer<ControlRecord> append;
+
+    /**
+     * Creates a runner.
+     *
+     * @param agent decides, not null
+     * @param services reaches the engines and the weight store, not null
+     * @param time gives the time, not null
+     * @param access lets the agent and the fold be used, under their owner's lock, not null
+     * @param append puts a record on the control stream, not null
+     */
+    AuthorityRunner(
+            AuthorityAgent agent,
+            ControlServices services,
+            TimeSource time,
+            Access access,
+            Consumer<ControlRecord> append) {
+        this.agent = Objects.requireNonNull(agent, "agent");
+        this.services = Objects.requireNonNull(services, "services");
+        this.time = Objects.requireNonNull(time, "time");
+        this.access = Objects.requireNonNull(access, "access");
+        this.append = Objects.requireNonNull(append, "append");
+    }
+
+    /**
+     * Carries out actions; to be called outside the owner's lock.
+     *
+     * @param actions the actions in order, not null
+     */
+    void run(List<AuthorityAction> actions) {
+        for (AuthorityAction action : actions) {
+            if (action instanceof AuthorityAction.Append wanted) {
+                append.accept(wanted.record());
+            } else if (action instanceof AuthorityAction.SendOrder send) {
+                send(send);
+            } else if (action instanceof AuthorityAction.ReadState read) {
+                readState(read.engine());
+            } else {
+                services.weights()
+                        .allowedLoadsPerMinute()
+                        .whenComplete((allowed, failure) -> access.use(
+                                _fold -> agent.onWeightRate(failure != null ? 0 : allowed, time.monotonicMillis())));
+            }
+        }
+    }
+
+    private void send(AuthorityAction.SendOrder send) {
+        Optional<EngineClient> client = client(send.engine());
+        if (client.isEmpty()) {
+            onResult(send, new OrderResult.Refused("the engine is not in the instance list"));
+            return;
+        }
+        // Asked here and not where it was decided: whatever time went by since, the lease covers the write.
+        if (!access.ask(fold -> agent.maySend(fold, send, time.monotonicMillis()))) {
+            onResult(send, new OrderResult.Refused("the lease has lapsed"));
+            return;
+        }
+        client.get()
+                .order(send.order())
+                .whenComplete((result, failure) ->
+                        onResult(send, failure == null ? result : new OrderResult.Unknown(String.valueOf(failure))));
+    }
+
+    private void onResult(AuthorityAction.SendOrder send, OrderResult result) {
+        LogEvent.of("order_result")
+                .with("engine", send.engine())
+                .with("order", send.order().orderId())
+                .with("token", send.order().fencingToken())
+                .with("result", result.getClass().getSimpleName())
+                .info(log);
+        access.use(_fold -> agent.onOrderResult(send.engine(), send.order().orderId(), result, time.monotonicMillis()));
+    }
+
+    private void readState(String engine) {
+        client(engine)
+                .ifPresent(client -> client.state().whenComplete((reply, failure) -> {
+                    if (failure == null) {
+                        onState(engine, reply);
+                    }
+                }));
+    }
+
+    private void onState(String engine, TargetReply<EngineState> reply) {
+        if (reply instanceof TargetReply.Answer<EngineState> answer) {
+            access.use(_fold -> agent.onEngineState(engine, answer.value(), time.monotonicMillis()));
+        }
+    }
+
+    private Optional<EngineClient> client(String engine) {
+        return services.fleet().engines().stream()
+                .filter(target -> target.name().equals(engine))
+                .findFirst()
+                .map((Target target) -> services.clients().engine(target));
+    }
+
+    /** Lets the agent be used under its owner's lock. */
+    interface Access {
+
+        /**
+         * Tells the agent something; the owner decides anew afterwards.
+         *
+         * @param use takes the state as far as it was read, not null
+         */
+        void use(Consumer<AuthorityFold> use);
+
+        /**
+         * Asks the agent something.
+         *
+         * @param question takes the state as far as it was read, not null
+         * @return its answer
+         */
+        boolean ask(Predicate<AuthorityFold> question);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/control/ControlCodec.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlCodec.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import java.util.Optional;
+import org.dogwoodwinch.authority.AuthorityRecord;
 import org.dogwoodwinch.catalogue.CatalogueEdit;
 import org.dogwoodwinch.controllog.ControlRecord;
 
@@ -15,7 +16,16 @@
     private final ObjectMapper mapper = JsonMapper.builder()
             .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
             .registerSubtypes(new NamedType(CatalogueEdit.class, "catalogue-edit"))
-            .registerSubtypes(new NamedType(Checkpoint.class, "checkpoint"))
+            .registerSubtypes(
+                    new NamedType(Checkpoint.class, "checkpoint"),
+                    new NamedType(AuthorityRecord.LeaseRenewal.class, "lease-renewal"),
+                    new NamedType(AuthorityRecord.LeaseClaim.class, "lease-claim"),
+                    new NamedType(AuthorityRecord.LeaseRelease.class, "lease-release"),
+                    new NamedType(AuthorityRecord.OrderIntent.class, "order-intent"),
+                    new NamedType(AuthorityRecord.OrderSettled.class, "order-settled"),
+                    new NamedType(AuthorityRecord.PlanRequested.class, "plan-requested"),
+                    new NamedType(AuthorityRecord.PlanMoved.class, "plan-moved"),
+                    new NamedType(AuthorityRecord.PlanCancelled.class, "plan-cancelled"))
             .build();
 
     /**
--- a/src/main/java/org/dogwoodwinch/control/ControlEndpoint.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlEndpoint.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import org.dogwoodwinch.catalogue.Catalogue;
 import org.dogwoodwinch.catalogue.CatalogueCodec;
 
@@ -13,7 +14,9 @@
  * Thread-safe.
  *
  * <p>Paths: {@code GET /control/status}, {@code GET /control/catalogue}, {@code GET /control/catalogue/history},
- * {@code POST /control/catalogue/edits} with an {@link EditRequest}, {@code GET /control/catalogue/edits/ID}.
+ * {@code POST /control/catalogue/edits} with an {@link EditRequest}, {@code GET /control/catalogue/edits/ID},
+ * {@code GET /control/plans}, {@code POST /control/plans} with a {@link PlanRequest}, {@code GET /control/plans/ID},
+ * {@code POST /control/plans/ID/cancel} with a {@link CancelRequest}.
  */
 public final class ControlEndpoint {
 
@@ -22,6 +25,8 @@
 
     private static final String CATALOGUE = PREFIX + "catalogue";
     private static final String EDITS = CATALOGUE + "/edits";
+    private static final String PLANS = PREFIX + "plans";
+    private static final String CANCEL = "/cancel";
     private static final int OK = 200;
     private static final int ACCEPTED_FOR_LATER = 202;
     private static final int BAD_REQUEST = 400;
@@ -56,7 +61,19 @@
             return CompletableFuture.completedFuture(get(path));
         }
         if (method.equals("POST") && path.equals(EDITS)) {
-            return postEdit(body);
+            return post(
+                    body, EditRequest.class, request -> api.applyEdit(request).thenApply(this::applied));
+        }
+        if (method.equals("POST") && path.equals(PLANS)) {
+            return post(
+                    body, PlanRequest.class, request -> api.requestPlan(request).thenApply(this::planned));
+        }
+        if (method.equals("POST") && path.startsWith(PLANS + "/") && path.endsWith(CANCEL)) {
+            String planId = path.substring(PLANS.length() + 1, path.length() - CANCEL.length());
+            return post(
+                    body,
+                    CancelRequest.class,
+                    request -> api.cancelPlan(planId, request.author()).thenApply(this::planned));
         }
         return CompletableFuture.completedFuture(problem(NOT_FOUND, "there is nothing at " + method + " " + path));
     }
@@ -79,6 +96,12 @@
         if (path.startsWith(EDITS + "/")) {
             return applied(api.editStatus(path.substring(EDITS.length() + 1)));
         }
+        if (path.equals(PLANS)) {
+            return json(OK, api.plans());
+        }
+        if (path.startsWith(PLANS + "/")) {
+            return planned(api.planStatus(path.substring(PLANS.length() + 1)));
+        }
         return problem(NOT_FOUND, "there is nothing at GET " + path);
     }
 
@@ -86,14 +109,26 @@
         return new ControlResponse(OK, "application/json", catalogues.write(catalogue));
     }
 
-    private CompletionStage<ControlResponse> postEdit(String body) {
-        EditRequest request;
+    private <T> CompletionStage<ControlResponse> post(
+            String body, Class<T> type, Function<T, CompletionStage<ControlResponse>> serve) {
+        T request;
         try {
-            request = mapper.readValue(body, EditRequest.class);
+            request = mapper.readValue(body, type);
         } catch (JsonProcessingException e) {
             return CompletableFuture.completedFuture(problem(BAD_REQUEST, e.getOriginalMessage()));
         }
-        return api.applyEdit(request).thenApply(this::applied);
+        return request == null
+                ? CompletableFuture.completedFuture(problem(BAD_REQUEST, "an object is wanted"))
+                : serve.apply(request);
+    }
+
+    private ControlResponse planned(PlanAnswer answer) {
+        int status = switch (answer.verdict()) {
+            case TAKEN -> OK;
+            case REFUSED -> CONFLICT;
+            case UNKNOWN_YET -> ACCEPTED_FOR_LATER;
+        };
+        return json(status, answer);
     }
 
     private ControlResponse applied(ApplyResult result) {
--- a/src/main/java/org/dogwoodwinch/control/ControlFold.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlFold.java
@@ -1,6 +1,8 @@
 package org.dogwoodwinch.control;
 
 import java.util.Optional;
+import org.dogwoodwinch.authority.AuthorityFold;
+import org.dogwoodwinch.authority.AuthorityRecord;
 import org.dogwoodwinch.catalogue.CatalogueEdit;
 import org.dogwoodwinch.catalogue.CatalogueFold;
 import org.dogwoodwinch.catalogue.EditOutcome;
@@ -18,6 +20,7 @@
     private final ControlCodec codec;
     private final RecentIds recentIds;
     private final CatalogueFold catalogue;
+    private final AuthorityFold authority;
     private long coveredOffset;
 
     /**
@@ -31,6 +34,7 @@
         this.coveredOffset = snapshot.coveredOffset();
         this.recentIds = new RecentIds(snapshot.recentIds());
         this.catalogue = new CatalogueFold(snapshot.catalogue(), snapshot.edits());
+        this.authority = new AuthorityFold(snapshot.authority());
     }
 
     /**
@@ -65,13 +69,23 @@
         return catalogue;
     }
 
+    /**
+     * Returns the part of the state that leases, orders and plans make.
+     *
+     * @return the fold of their records
+     */
+    public AuthorityFold authority() {
+        return authority;
+    }
+
     /**
      * Copies the state.
      *
      * @return the copy
      */
     public ControlSnapshot snapshot() {
-        return new ControlSnapshot(coveredOffset, recentIds.snapshot(), catalogue.catalogue(), catalogue.history());
+        return new ControlSnapshot(
+                coveredOffset, recentIds.snapshot(), catalogue.catalogue(), catalogue.history(), authority.snapshot());
     }
 
     private FoldedRecord fold(long offset, ControlRecord record) {
@@ -90,6 +104,10 @@
                             EditOutcome.Invalid::detail);
             return new FoldedRecord(offset, record, detail.isEmpty(), detail);
         }
+        if (record instanceof AuthorityRecord authorityRecord) {
+            Optional<String> reason = authority.apply(offset, authorityRecord);
+            return new FoldedRecord(offset, record, reason.isEmpty(), reason.orElse(""));
+        }
         return new FoldedRecord(offset, record, false, "unknown kind");
     }
 }
--- a/src/main/java/org/dogwoodwinch/control/ControlNode.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlNode.java
@@ -3,21 +3,28 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.authority.AuthorityAction;
+import org.dogwoodwinch.authority.AuthorityAgent;
+import org.dogwoodwinch.authority.AuthorityFold;
+import org.dogwoodwinch.authority.AuthorityRecord;
+import org.dogwoodwinch.authority.PlanRecord;
 import org.dogwoodwinch.catalogue.Catalogue;
 import org.dogwoodwinch.catalogue.CatalogueHolder;
 import org.dogwoodwinch.catalogue.CatalogueView;
 import org.dogwoodwinch.catalogue.EditRecord;
+import org.dogwoodwinch.catalogue.TargetGroup;
 import org.dogwoodwinch.controllog.ControlRecord;
 import org.dogwoodwinch.controllog.FollowerListener;
 import org.dogwoodwinch.controllog.LogFollower;
 import org.dogwoodwinch.logging.LogEvent;
-import org.dogwoodwinch.peer.PeerBoard;
 import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogService;
 import org.dogwoodwinch.platform.ReadResult;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
@@ -25,7 +32,7 @@
 
 /**
  * This instance's part in the control stream: it follows the log, keeps the fold and the catalogue in force, publishes
- * checkpoints and edits.
+ * edits and checkpoints, and carries out what {@link AuthorityAgent} decides.
  *
  * <p>It has no thread of its own: the log client's completions and timers of the {@link TimeSource} drive it, all under
  * one lock. Thread-safe. Listeners of the catalogue are called under that lock and must not wait.
@@ -33,48 +40,62 @@
 public final class ControlNode implements ControlApi {
 
     private static final Logger log = LoggerFactory.getLogger(ControlNode.class);
-    private static final long ANSWER_MILLIS = 10_000;
+    private static final long ANSWER_MILLIS = 9_500;
+    private static final String NOT_CAUGHT_UP = "this instance has not read the log to its end yet";
 
     private final ControlSettings settings;
-    private final LogService logService;
+    private final ControlServices services;
     private final TimeSource time;
     private final UniformRandomProvider random;
     private final ControlCodec codec = new ControlCodec();
     private final CatalogueHolder holder = new CatalogueHolder();
-    private final EditDesk edits = new EditDesk();
+    private final EditDesk edits = new EditDesk(this::later);
+    private final ReadBacks readBacks = new ReadBacks(this::later);
     private final CheckpointClock checkpoints;
     private final CatalogueExchange exchange;
     private final ControlReader reader;
     private final LogFollower follower;
+    private final AuthorityAgent agent;
+    private final AuthorityRunner runner;
+    private final AtomicLong appendCount = new AtomicLong();
     private boolean running;
+    private boolean stopping;
+    private boolean decisionScheduled;
 
     /**
      * Creates a node that does not run yet.
      *
      * @param settings how it takes part, not null
-     * @param logService the log, not null
+     * @param services what it reaches outside itself, not null
+     * @param policies the rules that keep the stream safe, not null
      * @param time gives the time and runs the timers, not null
-     * @param board carries the catalogue to peers that start during an outage, not null
-     * @param publishesToPeers whether this instance is one of those that tell the others the catalogue, not null
-     * @param random spreads the instances' timers and makes ids, not null
-     * @param rule decides which checkpoints a start may build on, not null
+     * @param random spreads the instances' timers and makes ids, not null; used under this node's lock alone
      */
     public ControlNode(
             ControlSettings settings,
-            LogService logService,
+            ControlServices services,
+            ControlPolicies policies,
             TimeSource time,
-            PeerBoard board,
-            BooleanSupplier publishesToPeers,
-            UniformRandomProvider random,
-            CheckpointRule rule) {
+            UniformRandomProvider random) {
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.logService = Objects.requireNonNull(logService, "logService");
+        this.services = Objects.requireNonNull(services, "services");
         this.time = Objects.requireNonNull(time, "time");
         this.random = Objects.requireNonNull(random, "random");
         this.checkpoints = new CheckpointClock(settings.checkpointMillis(), settings.checkpointRecords(), random);
-        this.exchange = new CatalogueExchange(board, holder, publishesToPeers, settings.peerGatherMillis());
-        this.reader = new ControlReader(codec, rule, this::onFolded);
-        this.follower = new LogFollower(logService, settings.follower(), time, new Feed());
+        this.exchange = new CatalogueExchange(
+                services.board(), holder, services.publishesToPeers(), settings.peerGatherMillis());
+        this.reader = new ControlReader(codec, policies.checkpoints(), this::onFolded);
+        this.follower = new LogFollower(services.log(), settings.follower(), time, new Feed());
+        // A restarted process has forgotten when it sent its renewals, so it must not pass for its predecessor.
+        this.agent = new AuthorityAgent(
+                newId(),
+                policies.leases(),
+                policies.orders(),
+                this::newId,
+                services.fleet(),
+                services.activity(),
+                this::checksFencing);
+        this.runner = new AuthorityRunner(agent, services, time, new AgentAccess(), this::publish);
     }
 
     /** Starts to follow the log; a second call has no effect. */
@@ -89,6 +110,19 @@
         time.schedule(settings.tickMillis(), this::tick);
     }
 
+    /**
+     * Gives the leases back, as far as no order is under way, so that successors need not wait out the term; the node
+     * decides nothing more but still follows the log until {@link #stop()}.
+     */
+    public void release() {
+        Optional<AuthorityRecord> release;
+        synchronized (this) {
+            stopping = true;
+            release = agent.release(reader.fold().authority());
+        }
+        release.ifPresent(this::publish);
+    }
+
     /** Stops; a second call has no effect. */
     public void stop() {
         synchronized (this) {
@@ -104,9 +138,18 @@
 
     @Override
     public CompletionStage<ApplyResult> applyEdit(EditRequest request) {
-        CatalogueEditIntake intake = intake(request);
+        EditDesk.Intake intake;
+        CompletionStage<ApplyResult> answer;
+        synchronized (this) {
+            intake = reader.isCaughtUp()
+                    ? edits.take(request, reader.fold().catalogue(), time.wallMillis())
+                    : EditDesk.Intake.answered(new ApplyResult.UnknownYet(request.editId(), NOT_CAUGHT_UP));
+            answer = intake.answer()
+                    .<CompletionStage<ApplyResult>>map(CompletableFuture::completedFuture)
+                    .orElseGet(() -> edits.await(request.editId(), time.monotonicMillis() + ANSWER_MILLIS));
+        }
         intake.edit().ifPresent(this::publish);
-        return intake.answer();
+        return answer;
     }
 
     @Override
@@ -124,34 +167,97 @@
         return reader.fold().catalogue().history();
     }
 
+    @Override
+    public CompletionStage<PlanAnswer> requestPlan(PlanRequest request) {
+        AuthorityRecord record;
+        synchronized (this) {
+            Optional<PlanRecord> known = reader.fold().authority().plans().plan(request.planId());
+            if (known.isPresent() || !reader.isCaughtUp()) {
+                return CompletableFuture.completedFuture(
+                        known.isPresent()
+                                ? PlanAnswer.of(request.planId(), known)
+                                : PlanAnswer.unknownYet(request.planId(), NOT_CAUGHT_UP));
+            }
+            PlanChecks.Checked checked =
+                    PlanChecks.check(request.change(), services.fleet().engines());
+            if (checked.fault().isPresent()) {
+                return CompletableFuture.completedFuture(
+                        PlanAnswer.refused(request.planId(), checked.fault().get()));
+            }
+            record = new AuthorityRecord.PlanRequested(
+                    request.planId(),
+                    request.author(),
+                    time.wallMillis(),
+                    reader.fold().coveredOffset(),
+                    checked.change().orElseThrow());
+        }
+        return publishAndAwait(record, request.planId());
+    }
+
+    @Override
+    public CompletionStage<PlanAnswer> cancelPlan(String planId, String author) {
+        AuthorityRecord record;
+        synchronized (this) {
+            record = new AuthorityRecord.PlanCancelled(newId(), author, planId);
+        }
+        return publishAndAwait(record, planId);
+    }
+
+    @Override
+    public synchronized PlanAnswer planStatus(String planId) {
+        return PlanAnswer.of(planId, reader.fold().authority().plans().plan(planId));
+    }
+
+    @Override
+    public synchronized List<PlanRecord> plans() {
+        return List.copyOf(reader.fold().authority().plans().plans());
+    }
+
+    @Override
+    public synchronized Set<String> outOfService() {
+        return reader.fold().authority().plans().outOfService();
+    }
+
+    @Override
+    public synchronized List<String> liveGroups() {
+        return agent.liveGroups(reader.fold().authority(), time.monotonicMillis());
+    }
+
     @Override
     public synchronized ControlStatus status() {
         return new ControlStatus(
                 settings.instance(),
-                holder.current().map(Catalogue::revision).orElse(-1L),
+                holder.current().map(Catalogue::revision).orElse(Catalogue.NO_REVISION),
                 reader.fold().coveredOffset(),
                 reader.endOffset(),
                 reader.isCaughtUp(),
-                reader.isLogOut());
+                reader.isLogOut(),
+                appendCount.get());
     }
 
-    private synchronized CatalogueEditIntake intake(EditRequest request) {
-        if (!reader.isCaughtUp()) {
-            return new CatalogueEditIntake(
-                    Optional.empty(),
-                    CompletableFuture.completedFuture(new ApplyResult.UnknownYet(
-                            request.editId(), "this instance has not read the log to its end yet")));
+    /**
+     * Copies the folded state, for support and for comparing instances: two that cover the same offset hold the same.
+     *
+     * @return the copy
+     */
+    public synchronized ControlSnapshot snapshot() {
+        return reader.fold().snapshot();
+    }
+
+    private CompletionStage<PlanAnswer> publishAndAwait(AuthorityRecord record, String planId) {
+        CompletionStage<Optional<FoldedRecord>> readBack;
+        synchronized (this) {
+            readBack = readBacks.await(record.id(), time.monotonicMillis() + ANSWER_MILLIS);
         }
-        EditDesk.Intake intake = edits.take(request, reader.fold().catalogue(), time.wallMillis());
-        return new CatalogueEditIntake(
-                intake.edit().map(ControlRecord.class::cast),
-                intake.answer()
-                        .<CompletionStage<ApplyResult>>map(CompletableFuture::completedFuture)
-                        .orElseGet(() -> edits.await(request.editId(), time.monotonicMillis() + ANSWER_MILLIS)));
+        publish(record);
+        return readBack.thenApply(folded -> folded.isPresent() && !folded.get().accepted()
+                ? PlanAnswer.refused(planId, folded.get().detail())
+                : planStatus(planId));
     }
 
     private void publish(ControlRecord record) {
-        logService
+        appendCount.incrementAndGet();
+        services.log()
                 .append(settings.follower().stream(), codec.encode(record))
                 .whenComplete((result, failure) -> logAppend(record, result, failure));
     }
@@ -162,7 +268,7 @@
                     .with("kind", record.getClass().getSimpleName())
                     .with("id", record.id())
                     .with("detail", failure != null ? failure : result)
-                    .warn(log);
+                    .debug(log);
         }
     }
 
@@ -174,10 +280,12 @@
             }
             long nowMillis = time.monotonicMillis();
             edits.settle(reader.fold().catalogue(), nowMillis);
+            readBacks.expire(nowMillis);
             exchange.tick(reader.isLogOut() || reader.isMissingRecords(), nowMillis);
             due = dueCheckpoint(nowMillis);
         }
         due.ifPresent(this::publish);
+        decide();
         time.schedule(settings.tickMillis(), this::tick);
     }
 
@@ -193,27 +301,62 @@
         return Optional.of(new Checkpoint(newId(), reader.fold().snapshot()));
     }
 
+    private void decide() {
+        List<AuthorityAction> actions;
+        synchronized (this) {
+            decisionScheduled = false;
+            if (!running || stopping || !reader.isCaughtUp()) {
+                return;
+            }
+            actions = agent.decide(reader.fold().authority(), reader.isLogOut(), time.monotonicMillis());
+        }
+        runner.run(actions);
+    }
+
+    /** To be called under the lock. */
+    private void decideSoon() {
+        if (!decisionScheduled && running) {
+            decisionScheduled = true;
+            later(this::decide);
+        }
+    }
+
+    private void later(Runnable task) {
+        time.schedule(0, task);
+    }
+
     private String newId() {
         return settings.instance() + "-" + Long.toHexString(random.nextLong());
     }
 
+    private boolean checksFencing(String group) {
+        return reader.fold()
+                .catalogue()
+                .catalogue()
+                .group(group)
+                .filter(TargetGroup::checksFencing)
+                .isPresent();
+    }
+
     private void onFolded(FoldedRecord folded) {
+        readBacks.onFolded(folded);
         if (folded.record() instanceof Checkpoint checkpoint) {
             checkpoints.onCheckpoint(checkpoint.snapshot().coveredOffset());
+        } else if (folded.record() instanceof AuthorityRecord record) {
+            agent.onFolded(reader.fold().authority(), folded.offset(), record);
         }
     }
 
-    private synchronized void afterRead() {
+    private void afterRead() {
         // While it catches up, a starter passes through old revisions; serving them would show callers a catalogue
         // that has long been replaced.
         if (reader.isCaughtUp()) {
             holder.offer(reader.fold().catalogue().catalogue());
         }
         edits.settle(reader.fold().catalogue(), time.monotonicMillis());
+        decideSoon();
     }
 
-    private record CatalogueEditIntake(Optional<ControlRecord> edit, CompletionStage<ApplyResult> answer) {}
-
     /** Takes the lock around the reader and logs what an operator should see. */
     private final class Feed implements FollowerListener {
 
@@ -246,4 +389,23 @@
             }
         }
     }
+
+    /** Lets the runner use the agent under this node's lock. */
+    private final class AgentAccess implements AuthorityRunner.Access {
+
+        @Override
+        public void use(Consumer<AuthorityFold> use) {
+            synchronized (ControlNode.this) {
+                use.accept(reader.fold().authority());
+                decideSoon();
+            }
+        }
+
+        @Override
+        public boolean ask(Predicate<AuthorityFold> question) {
+            synchronized (ControlNode.this) {
+                return question.test(reader.fold().authority());
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/control/ControlServices.java
@@ -0,0 +1,42 @@
+package org.dogwoodwinch.control;
+
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
+import org.dogwoodwinch.authority.FleetView;
+import org.dogwoodwinch.authority.TargetActivity;
+import org.dogwoodwinch.peer.PeerBoard;
+import org.dogwoodwinch.platform.LogService;
+import org.dogwoodwinch.platform.WeightStore;
+import org.dogwoodwinch.target.TargetClients;
+
+/**
+ * What a {@link ControlNode} reaches outside itself.
+ *
+ * @param log the platform's log, not null
+ * @param weights the platform's weight store, not null
+ * @param board carries the catalogue to peers that start during an outage, not null
+ * @param publishesToPeers whether this instance is one of those that tell the others the catalogue, not null
+ * @param clients makes the clients of engines, not null
+ * @param fleet the engines and instances, not null
+ * @param activity knows what is in flight on targets, not null
+ */
+public record ControlServices(
+        LogService log,
+        WeightStore weights,
+        PeerBoard board,
+        BooleanSupplier publishesToPeers,
+        TargetClients clients,
+        FleetView fleet,
+        TargetActivity activity) {
+
+    /** Checks the parts. */
+    public ControlServices {
+        Objects.requireNonNull(log, "log");
+        Objects.requireNonNull(weights, "weights");
+        Objects.requireNonNull(board, "board");
+        Objects.requireNonNull(publishesToPeers, "publishesToPeers");
+        Objects.requireNonNull(clients, "clients");
+        Objects.requireNonNull(fleet, "fleet");
+        Objects.requireNonNull(activity, "activity");
+    }
+}
--- a/src/main/java/org/dogwoodwinch/control/ControlSnapshot.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlSnapshot.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.dogwoodwinch.authority.AuthoritySnapshot;
 import org.dogwoodwinch.catalogue.Catalogue;
 import org.dogwoodwinch.catalogue.EditRecord;
 
@@ -12,16 +13,24 @@
  * @param recentIds ids of the last records, oldest first, not null
  * @param catalogue the catalogue, not null
  * @param edits the catalogue's history, oldest first, not null
+ * @param authority leases, orders and plans, not null
  */
-public record ControlSnapshot(long coveredOffset, List<String> recentIds, Catalogue catalogue, List<EditRecord> edits) {
+public record ControlSnapshot(
+        long coveredOffset,
+        List<String> recentIds,
+        Catalogue catalogue,
+        List<EditRecord> edits,
+        AuthoritySnapshot authority) {
 
     /** The state before the first record. */
-    public static final ControlSnapshot EMPTY = new ControlSnapshot(-1, List.of(), Catalogue.EMPTY, List.of());
+    public static final ControlSnapshot EMPTY =
+            new ControlSnapshot(-1, List.of(), Catalogue.EMPTY, List.of(), AuthoritySnapshot.EMPTY);
 
     /** Checks and copies the parts. */
     public ControlSnapshot {
         recentIds = List.copyOf(recentIds);
         Objects.requireNonNull(catalogue, "catalogue");
         edits = List.copyOf(edits);
+        Objects.requireNonNull(authority, "authority");
     }
 }
--- a/src/main/java/org/dogwoodwinch/control/ControlStatus.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlStatus.java
@@ -11,9 +11,16 @@
  * @param endOffset where the stream ended at the log's last answer; -1 before the first answer
  * @param caughtUp whether the state has been as new as the log since the start or the last gap
  * @param logOut whether the log did not answer the last read
+ * @param appendCount how many records this instance has tried to append since it started
  */
 public record ControlStatus(
-        String instance, long catalogueRevision, long coveredOffset, long endOffset, boolean caughtUp, boolean logOut) {
+        String instance,
+        long catalogueRevision,
+        long coveredOffset,
+        long endOffset,
+        boolean caughtUp,
+        boolean logOut,
+        long appendCount) {
 
     /** Checks the parts. */
     public ControlStatus {
--- a/src/main/java/org/dogwoodwinch/control/EditDesk.java
+++ b/src/main/java/org/dogwoodwinch/control/EditDesk.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.dogwoodwinch.catalogue.Catalogue;
 import org.dogwoodwinch.catalogue.CatalogueChange;
 import org.dogwoodwinch.catalogue.CatalogueCodec;
@@ -25,6 +26,16 @@
 
     private final CatalogueCodec codec = new CatalogueCodec();
     private final Map<String, Waiting> waiting = new HashMap<>();
+    private final Consumer<Runnable> later;
+
+    /**
+     * Creates a desk.
+     *
+     * @param later runs a task soon and outside the owner's lock, so that those who wait may call back, not null
+     */
+    EditDesk(Consumer<Runnable> later) {
+        this.later = later;
+    }
 
     /**
      * Takes an edit.
@@ -74,16 +85,19 @@
             Optional<EditRecord> line = fold.find(entry.getKey());
             if (line.isPresent()) {
                 each.remove();
-                entry.getValue().answer().complete(result(line.get()));
+                complete(entry.getValue(), result(line.get()));
             } else if (nowMillis >= entry.getValue().untilMillis()) {
                 each.remove();
-                entry.getValue()
-                        .answer()
-                        .complete(new ApplyResult.UnknownYet(entry.getKey(), "not read back from the log yet"));
+                complete(
+                        entry.getValue(), new ApplyResult.UnknownYet(entry.getKey(), "not read back from the log yet"));
             }
         }
     }
 
+    private void complete(Waiting one, ApplyResult result) {
+        later.accept(() -> one.answer().complete(result));
+    }
+
     /**
      * Turns a line of the history into an operator's answer.
      *
--- a/src/test/java/org/dogwoodwinch/control/ControlNodeTest.java
+++ b/src/test/java/org/dogwoodwinch/control/ControlNodeTest.java
@@ -3,22 +3,24 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Consumer;
 import org.apache.commons.rng.simple.RandomSource;
-import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.authority.FleetView;
+import org.dogwoodwinch.authority.TargetActivity;
 import org.dogwoodwinch.catalogue.Catalogue;
 import org.dogwoodwinch.catalogue.CatalogueCodec;
 import org.dogwoodwinch.catalogue.SampleCatalogues;
 import org.dogwoodwinch.controllog.FollowerSettings;
 import org.dogwoodwinch.peer.PeerBoard;
-import org.dogwoodwinch.peer.PeerItem;
-import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.standin.MemoryLog;
 import org.dogwoodwinch.standin.MemoryLogLimits;
+import org.dogwoodwinch.target.EngineClient;
+import org.dogwoodwinch.target.ServiceClient;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetClients;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
 
@@ -126,14 +128,20 @@
     private ControlNode node(String name, PeerBoard itsBoard) {
         ControlSettings settings = new ControlSettings(
                 name, new FollowerSettings("control", 100, 1_000, 100, 1_000), 200, RETENTION_MILLIS / 4, 1_000, 2_000);
-        return new ControlNode(
-                settings,
+        ControlServices services = new ControlServices(
                 log,
-                time,
+                () -> CompletableFuture.completedFuture(6),
                 itsBoard,
                 () -> true,
-                RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()),
-                CheckpointRule.ALL_RECORDS_AT_HAND);
+                new NoTargets(),
+                new EmptyFleet(),
+                _target -> new TargetActivity.InFlight(true, 0, 0));
+        return new ControlNode(
+                settings,
+                services,
+                ControlPolicies.STANDARD,
+                time,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()));
     }
 
     private static EditRequest edit(String id, String author, long base, long deadlineMillis) {
@@ -145,21 +153,31 @@
         return answer.toCompletableFuture().getNow(new ApplyResult.UnknownYet("", "still waiting"));
     }
 
-    /** Delivers every item to every subscriber at once. */
-    private static final class SharedBoard implements PeerBoard {
+    /** A fleet without engines. */
+    private static final class EmptyFleet implements FleetView {
+
+        @Override
+        public List<Target> engines() {
+            return List.of();
+        }
+
+        @Override
+        public int claimRank(String _group) {
+            return 0;
+        }
+    }
 
-        private final List<Consumer<PeerItem>> listeners = new ArrayList<>();
-        private long version;
+    /** Clients that are never asked for, since there are no engines. */
+    private static final class NoTargets implements TargetClients {
 
         @Override
-        public void publish(PeerTopic topic, String key, Bytes payload, long _keepMillis) {
-            PeerItem item = new PeerItem("peer", topic, key, ++version, payload, 0);
-            List.copyOf(listeners).forEach(listener -> listener.accept(item));
+        public EngineClient engine(Target target) {
+            throw new IllegalStateException("no engine " + target);
         }
 
         @Override
-        public void subscribe(PeerTopic _topic, Consumer<PeerItem> listener) {
-            listeners.add(listener);
+        public ServiceClient service(Target target) {
+            throw new IllegalStateException("no service " + target);
         }
     }
 }
