Lay the books of the target size

Change: bin/measure capacity gathers probes; each gives measured points and lines from slope to projected figure, budget and verdict, and a missed budget is a missed bound. The first probe is division alone: KV caches of 6,100 GB/s.

--- a/src/main/java/org/dogwoodwinch/measure/Measurements.java
+++ b/src/main/java/org/dogwoodwinch/measure/Measurements.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.dogwoodwinch.measure.capacity.CapacityProbes;
 
 /** The list of all measurements. */
 public final class Measurements {
 
-    private static final List<Measurement> ALL = List.of(new LineMeasurement(ProjectFolder.find()));
+    private static final List<Measurement> ALL =
+            List.of(new LineMeasurement(ProjectFolder.find()), new CapacityMeasurement(CapacityProbes.all()));
 
     private Measurements() {}
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/CapacityProbes.java
@@ -0,0 +1,18 @@
+package org.dogwoodwinch.measure.capacity;
+
+import java.util.List;
+
+/** The list of all probes. */
+public final class CapacityProbes {
+
+    private CapacityProbes() {}
+
+    /**
+     * Returns all probes.
+     *
+     * @return the probes in the order of the table
+     */
+    public static List<CapacityProbe> all() {
+        return List.of(new KvTrafficProbe());
+    }
+}
