Serve a thin whole path: stand-ins process, daemon process, curl streams an answer

Change: standin.http serves the shared engine and log cores, an instance list, a weight store and plain services; daemon wires listeners, target adapters and a direct handler (least-sent target, one attempt) over a fixed catalogue until the log's fold and the real handler land; SIGTERM drains, a second one ends at once. Conclusion: a daemon process answers curl from a stand-ins process, streamed and whole, and stops with code 0.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -0,0 +1,100 @@
+package org.dogwoodwinch.daemon;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.settings.Settings;
+import org.dogwoodwinch.settings.SettingsLoader;
+import org.dogwoodwinch.settings.SettingsProblem;
+import org.dogwoodwinch.settings.SettingsResult;
+import org.dogwoodwinch.time.SystemTimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** The program {@code dogwoodwinchd}. */
+@Command(
+        name = "dogwoodwinchd",
+        mixinStandardHelpOptions = true,
+        version = "dogwoodwinchd 0.1.0",
+        description = "Serves language-model work for a fixed fleet. SIGTERM stops it without cutting a request.",
+        exitCodeListHeading = "Exit codes:%n",
+        exitCodeList = {
+            "0:stopped, every request finished",
+            "1:the settings are wrong",
+            "2:bad command line",
+            "3:a listener could not be bound",
+            "4:stopped, but requests were cut because the bound was reached or a second signal came"
+        })
+public final class DaemonMain implements Callable<Integer> {
+
+    private static final Logger log = LoggerFactory.getLogger(DaemonMain.class);
+    private static final int EXIT_SETTINGS = 1;
+    private static final int EXIT_BIND = 3;
+    private static final int EXIT_CUT = 4;
+    private static final int TIMER_THREADS = 2;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "The settings file.")
+    private Path settingsFile;
+
+    /**
+     * Runs the daemon until it is stopped.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        int exitCode = new CommandLine(new DaemonMain()).execute(args);
+        System.exit(exitCode);
+    }
+
+    @Override
+    public Integer call() {
+        SettingsResult result = SettingsLoader.load(settingsFile);
+        if (result instanceof SettingsResult.Rejected rejected) {
+            return reject(rejected.problems());
+        }
+        return run(((SettingsResult.Loaded) result).settings());
+    }
+
+    private int reject(List<SettingsProblem> problems) {
+        problems.forEach(problem -> spec.commandLine().getErr().println(problem));
+        return EXIT_SETTINGS;
+    }
+
+    private static int run(Settings settings) {
+        ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
+        EventLoopGroup group = new NioEventLoopGroup();
+        DaemonContext context =
+                new DaemonContext(new SystemTimeSource(timers), group, RandomSource.XO_RO_SHI_RO_128_PP.create());
+        Daemon daemon = new Daemon(settings, context, new DemoCatalogue());
+        try {
+            daemon.start();
+        } catch (IOException e) {
+            LogEvent.of("start_failed").with("error", e.getMessage()).warn(log);
+            return EXIT_BIND;
+        }
+        CompletableFuture<Integer> left = new CompletableFuture<>();
+        new StopSignals(
+                        () -> daemon.stop().thenAccept(left::complete),
+                        () -> Runtime.getRuntime().halt(EXIT_CUT))
+                .install();
+        int unfinished = left.join();
+        daemon.close();
+        return unfinished == 0 ? 0 : EXIT_CUT;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
@@ -0,0 +1,138 @@
+package org.dogwoodwinch.daemon;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Supplier;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.catalogue.Catalogue;
+import org.dogwoodwinch.catalogue.CatalogueView;
+import org.dogwoodwinch.http.InFlightRequests;
+import org.dogwoodwinch.http.OperatorAnswer;
+import org.dogwoodwinch.http.OperatorPage;
+import org.dogwoodwinch.http.ServingState;
+import org.dogwoodwinch.metrics.Metrics;
+import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.settings.InstanceSettings;
+import org.dogwoodwinch.status.InstanceStatus;
+import org.dogwoodwinch.status.PeerStatus;
+import org.dogwoodwinch.status.TargetStatus;
+
+/** What the operators' listener shows. */
+final class OperatorPages {
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final InstanceSettings instance;
+    private final Metrics metrics;
+    private final CatalogueView catalogue;
+    private final TargetDirectory directory;
+    private final InFlightRequests inFlight;
+    private final Supplier<ServingState> serving;
+
+    /**
+     * Creates the pages.
+     *
+     * @param instance who this instance is, not null
+     * @param metrics the counters, not null
+     * @param catalogue the catalogue in force, not null
+     * @param directory knows the targets, not null
+     * @param inFlight counts requests, not null
+     * @param serving whether requests are taken, not null
+     */
+    OperatorPages(
+            InstanceSettings instance,
+            Metrics metrics,
+            CatalogueView catalogue,
+            TargetDirectory directory,
+            InFlightRequests inFlight,
+            Supplier<ServingState> serving) {
+        this.instance = Objects.requireNonNull(instance, "instance");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.catalogue = Objects.requireNonNull(catalogue, "catalogue");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.inFlight = Objects.requireNonNull(inFlight, "inFlight");
+        this.serving = Objects.requireNonNull(serving, "serving");
+    }
+
+    /**
+     * Returns the pages by path.
+     *
+     * @return the map
+     */
+    Map<String, OperatorPage> byPath() {
+        return Map.of(
+                "/metrics", _call -> metricsPage(),
+                "/healthz", _call -> OperatorAnswer.text(OK, "ok"),
+                "/readyz", _call -> readyPage(),
+                "/status", _call -> OperatorAnswer.json(status()));
+    }
+
+    private OperatorAnswer metricsPage() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, metrics.registry().scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return new OperatorAnswer(OK, PrometheusTextFormatWriter.CONTENT_TYPE, Bytes.of(out.toByteArray()));
+    }
+
+    private OperatorAnswer readyPage() {
+        String missing = notReadyReason();
+        return missing.isEmpty() ? OperatorAnswer.text(OK, "ready") : OperatorAnswer.text(UNAVAILABLE, missing);
+    }
+
+    private String notReadyReason() {
+        if (serving.get() != ServingState.SERVING) {
+            return "stopping";
+        }
+        if (catalogue.current().isEmpty()) {
+            return "no catalogue yet";
+        }
+        return directory.hasAnswered() ? "" : "no instance list yet";
+    }
+
+    private InstanceStatus status() {
+        List<TargetStatus> targets = directory.latest().stream()
+                .filter(line -> line.kind() != ListedInstance.Kind.ENTRY)
+                .map(OperatorPages::targetStatus)
+                .toList();
+        List<PeerStatus> peers = directory.latest().stream()
+                .filter(line -> line.kind() == ListedInstance.Kind.ENTRY)
+                .filter(line -> !line.name().equals(instance.name()))
+                .map(line -> new PeerStatus(line.name(), line.dataCentre(), -1))
+                .toList();
+        return new InstanceStatus(
+                instance.name(),
+                instance.dataCentre(),
+                notReadyReason().isEmpty(),
+                serving.get() != ServingState.SERVING,
+                catalogue.current().map(Catalogue::revision).orElse(Catalogue.NO_REVISION),
+                0,
+                true,
+                inFlight.count(),
+                targets,
+                peers,
+                List.of());
+    }
+
+    private static TargetStatus targetStatus(ListedInstance line) {
+        return new TargetStatus(
+                line.name(),
+                line.group(),
+                line.dataCentre(),
+                line.host() + ":" + line.port(),
+                line.leaving() ? "leaving" : "serving",
+                "",
+                0,
+                0,
+                0,
+                -1);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/http/CallerExchange.java
+++ b/src/main/java/org/dogwoodwinch/http/CallerExchange.java
@@ -90,7 +90,7 @@
             return;
         }
         ended = true;
-        observer.onCallerLeft(request.requestId(), request.entry().name());
+        observer.onCallerLeft(request.requestId(), request.entry());
         if (handle != null) {
             handle.cancel();
         }
@@ -165,14 +165,14 @@
     private void refuse(Refusal refusal) {
         ended = true;
         boolean midStream = writer.refuse(refusal);
-        observer.onRefused(request.requestId(), request.entry().name(), refusal, midStream);
+        observer.onRefused(request.requestId(), request.entry(), refusal, midStream);
         whenEnded.accept(midStream || !reply.keepAlive());
     }
 
     private void end(int status, long tokens) {
         ended = true;
         long elapsedMillis = time.monotonicMillis() - request.arrivedMillis();
-        observer.onAnswered(request.requestId(), request.entry().name(), status, tokens, elapsedMillis);
+        observer.onAnswered(request.requestId(), request.entry(), status, tokens, elapsedMillis);
         whenEnded.accept(!reply.keepAlive());
     }
 }
--- a/src/main/java/org/dogwoodwinch/http/CallerHandler.java
+++ b/src/main/java/org/dogwoodwinch/http/CallerHandler.java
@@ -115,7 +115,7 @@
             byte[] json = EdgeJson.write(ModelList.of(models.entries()));
             reply.writeWhole(context.channel(), Replies.of(OK, Replies.JSON, json));
         } else if (outcome instanceof ReadOutcome.Refused refused) {
-            edge.observer().onRefused(reply.requestId(), refused.entryName(), refused.refusal(), false);
+            edge.observer().onRefusedUnread(reply.requestId(), refused.refusal());
             reply.writeWhole(context.channel(), Replies.refusal(refused.refusal(), reply.requestId()));
         }
         afterAnswer(context, !reply.keepAlive());
@@ -131,7 +131,7 @@
                 edge.time(),
                 close -> exchangeEnded(context, close));
         edge.inFlight().started();
-        edge.observer().onAccepted(reply.requestId(), accepted.request().entry().name());
+        edge.observer().onAccepted(reply.requestId(), accepted.request().entry());
         CallerExchange submitted = exchange;
         try {
             submitted.attach(edge.handler().submit(accepted.request(), submitted));
@@ -182,7 +182,7 @@
             return;
         }
         String requestId = edge.requestIds().get();
-        edge.observer().onRefused(requestId, "", refusal, false);
+        edge.observer().onRefusedUnread(requestId, refusal);
         FullHttpResponse response = Replies.refusal(refusal, requestId);
         new ReplyContext(requestId, false, true).writeWhole(context.channel(), response);
         LingeringClose.afterWrites(context, edge.time());
--- a/src/main/java/org/dogwoodwinch/http/CallerRequestReader.java
+++ b/src/main/java/org/dogwoodwinch/http/CallerRequestReader.java
@@ -110,11 +110,11 @@
             FullHttpRequest http, String requestId, AnswerShape.Kind kind, Catalogue current, String owner) {
         Optional<JsonNode> body = EdgeJson.read(ByteBufUtil.getBytes(http.content()));
         if (body.isEmpty()) {
-            return new ReadOutcome.Refused(Refusal.invalidField("", "the body is not well-formed JSON"), "");
+            return new ReadOutcome.Refused(Refusal.invalidField("", "the body is not well-formed JSON"));
         }
         GenerateBodyReader.GenerateFields fields = GenerateBodyReader.read(kind, body.get());
         if (fields.problem().isPresent()) {
-            return new ReadOutcome.Refused(fields.problem().get(), "");
+            return new ReadOutcome.Refused(fields.problem().get());
         }
         Optional<ReadOutcome> refusal = entryRefusal(current, owner, fields.model(), TargetGroup.Kind.ENGINE, "model");
         if (refusal.isPresent()) {
@@ -124,7 +124,7 @@
         long promptTokens = Math.max(1, (fields.prompt().length() + CHARACTERS_PER_TOKEN - 1) / CHARACTERS_PER_TOKEN);
         Optional<Refusal> tooMany = tooManyTokens(entry, promptTokens, fields.maxTokens());
         if (tooMany.isPresent()) {
-            return new ReadOutcome.Refused(tooMany.get(), entry.name());
+            return new ReadOutcome.Refused(tooMany.get());
         }
         int mostTokens = entry.limits().maxOutputTokens();
         int maxTokens = fields.maxTokens()
@@ -169,13 +169,13 @@
             HttpHeaders headers, String requestId, CatalogueEntry entry, Work work, AnswerShape shape) {
         String key = headers.get(EdgeHeaders.IDEMPOTENCY_KEY);
         if (key != null && !isKey(key)) {
-            return invalid(EdgeHeaders.IDEMPOTENCY_KEY, "must be 1 to 255 visible ASCII characters", entry);
+            return invalid(EdgeHeaders.IDEMPOTENCY_KEY, "must be 1 to 255 visible ASCII characters");
         }
         String deadline = headers.get(EdgeHeaders.DEADLINE_MILLIS);
         Optional<Long> wantedMillis = deadline == null ? Optional.of(entry.deadlineMillis()) : parseDeadline(deadline);
         if (wantedMillis.isEmpty()) {
             String detail = "must be a whole number from 1 to " + LONGEST_DEADLINE_MILLIS;
-            return invalid(EdgeHeaders.DEADLINE_MILLIS, detail, entry);
+            return invalid(EdgeHeaders.DEADLINE_MILLIS, detail);
         }
         long nowMillis = time.monotonicMillis();
         CallerRequest request = new CallerRequest(
@@ -195,11 +195,11 @@
         if (entry.isEmpty()) {
             Refusal refusal = new Refusal(
                     RefusalReason.UNKNOWN_ENTRY, RunState.NOT_RUN, "the catalogue has no such entry", field, 0);
-            return Optional.of(new ReadOutcome.Refused(refusal, ""));
+            return Optional.of(new ReadOutcome.Refused(refusal));
         }
         if (!entry.get().owner().equals(owner)) {
             Refusal refusal = Refusal.notRun(RefusalReason.FORBIDDEN, "the entry is another owner's", 0);
-            return Optional.of(new ReadOutcome.Refused(refusal, name));
+            return Optional.of(new ReadOutcome.Refused(refusal));
         }
         return Optional.empty();
     }
@@ -211,11 +211,11 @@
     }
 
     private static ReadOutcome refused(RefusalReason reason, String detail, long retryAfterMillis) {
-        return new ReadOutcome.Refused(Refusal.notRun(reason, detail, retryAfterMillis), "");
+        return new ReadOutcome.Refused(Refusal.notRun(reason, detail, retryAfterMillis));
     }
 
-    private static ReadOutcome invalid(String field, String detail, CatalogueEntry entry) {
-        return new ReadOutcome.Refused(Refusal.invalidField(field, detail), entry.name());
+    private static ReadOutcome invalid(String field, String detail) {
+        return new ReadOutcome.Refused(Refusal.invalidField(field, detail));
     }
 
     private static boolean isKey(String key) {
--- a/src/main/java/org/dogwoodwinch/http/ReadOutcome.java
+++ b/src/main/java/org/dogwoodwinch/http/ReadOutcome.java
@@ -35,7 +35,6 @@
      * It is refused and did not run.
      *
      * @param refusal why
-     * @param entryName the entry it was for; empty where that is not known
      */
-    record Refused(Refusal refusal, String entryName) implements ReadOutcome {}
+    record Refused(Refusal refusal) implements ReadOutcome {}
 }
