Let operators read, edit and plan from the command line

Cause: operators drive the system by editing the catalogue and planning changes; an answer may be lost. A plan's JSON no longer carries a derived field.

--- a/src/main/java/org/dogwoodwinch/authority/PlanRecord.java
+++ b/src/main/java/org/dogwoodwinch/authority/PlanRecord.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.authority;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.Objects;
 
 /**
@@ -38,6 +39,7 @@
      *
      * @return false once it is done, failed or cancelled
      */
+    @JsonIgnore
     public boolean isActive() {
         return state != PlanState.DONE && state != PlanState.FAILED && state != PlanState.CANCELLED;
     }
--- a/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
+++ b/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
@@ -20,7 +20,13 @@
             "3:not known yet: ask again",
             "4:the instance or the platform did not answer"
         },
-        subcommands = {HistoryCommand.class, SettingsCommand.class, StatusCommand.class})
+        subcommands = {
+            CatalogueCommand.class,
+            HistoryCommand.class,
+            PlanCommand.class,
+            SettingsCommand.class,
+            StatusCommand.class
+        })
 public final class ControlCommand implements Runnable {
 
     @Spec
--- a/src/test/java/org/dogwoodwinch/control/ControlNodeTest.java
+++ b/src/test/java/org/dogwoodwinch/control/ControlNodeTest.java
@@ -3,13 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.apache.commons.rng.simple.RandomSource;
-import org.dogwoodwinch.authority.FleetView;
-import org.dogwoodwinch.authority.TargetActivity;
 import org.dogwoodwinch.catalogue.Catalogue;
 import org.dogwoodwinch.catalogue.CatalogueCodec;
 import org.dogwoodwinch.catalogue.SampleCatalogues;
@@ -17,10 +12,6 @@
 import org.dogwoodwinch.peer.PeerBoard;
 import org.dogwoodwinch.standin.MemoryLog;
 import org.dogwoodwinch.standin.MemoryLogLimits;
-import org.dogwoodwinch.target.EngineClient;
-import org.dogwoodwinch.target.ServiceClient;
-import org.dogwoodwinch.target.Target;
-import org.dogwoodwinch.target.TargetClients;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
 
@@ -128,20 +119,7 @@
     private ControlNode node(String name, PeerBoard itsBoard) {
         ControlSettings settings = new ControlSettings(
                 name, new FollowerSettings("control", 100, 1_000, 100, 1_000), 200, RETENTION_MILLIS / 4, 1_000, 2_000);
-        ControlServices services = new ControlServices(
-                log,
-                () -> CompletableFuture.completedFuture(6),
-                itsBoard,
-                () -> true,
-                new NoTargets(),
-                new EmptyFleet(),
-                _target -> new TargetActivity.InFlight(true, 0, 0));
-        return new ControlNode(
-                settings,
-                services,
-                ControlPolicies.STANDARD,
-                time,
-                RandomSource.XO_RO_SHI_RO_128_PP.create(name.hashCode()));
+        return ControlSamples.node(settings, log, itsBoard, time);
     }
 
     private static EditRequest edit(String id, String author, long base, long deadlineMillis) {
@@ -152,32 +130,4 @@
     private static ApplyResult now(CompletionStage<ApplyResult> answer) {
         return answer.toCompletableFuture().getNow(new ApplyResult.UnknownYet("", "still waiting"));
     }
-
-    /** A fleet without engines. */
-    private static final class EmptyFleet implements FleetView {
-
-        @Override
-        public List<Target> engines() {
-            return List.of();
-        }
-
-        @Override
-        public int claimRank(String _group) {
-            return 0;
-        }
-    }
-
-    /** Clients that are never asked for, since there are no engines. */
-    private static final class NoTargets implements TargetClients {
-
-        @Override
-        public EngineClient engine(Target target) {
-            throw new IllegalStateException("no engine " + target);
-        }
-
-        @Override
-        public ServiceClient service(Target target) {
-            throw new IllegalStateException("no service " + target);
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/control/ControlSamples.java
@@ -0,0 +1,82 @@
+package org.dogwoodwinch.control;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.authority.FleetView;
+import org.dogwoodwinch.authority.TargetActivity;
+import org.dogwoodwinch.peer.PeerBoard;
+import org.dogwoodwinch.platform.LogService;
+import org.dogwoodwinch.standin.MemoryLog;
+import org.dogwoodwinch.standin.MemoryLogLimits;
+import org.dogwoodwinch.target.EngineClient;
+import org.dogwoodwinch.target.ServiceClient;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetClients;
+import org.dogwoodwinch.time.TimeSource;
+import org.dogwoodwinch.time.VirtualTimeSource;
+
+/** Control nodes without engines, for tests. */
+public final class ControlSamples {
+
+    private ControlSamples() {}
+
+    /**
+     * Starts a node alone with a log of its own and lets it read the log to its end.
+     *
+     * @param time its clock
+     * @return the node
+     */
+    public static ControlNode startedNode(VirtualTimeSource time) {
+        MemoryLog log = new MemoryLog(time, MemoryLogLimits.STANDARD);
+        ControlNode node = node(ControlSettings.of("entry-1", 3_600_000), log, new SharedBoard(), time);
+        node.start();
+        time.advanceMillis(1_000);
+        return node;
+    }
+
+    static ControlNode node(ControlSettings settings, LogService log, PeerBoard board, TimeSource time) {
+        ControlServices services = new ControlServices(
+                log,
+                () -> CompletableFuture.completedFuture(6),
+                board,
+                () -> true,
+                new NoTargets(),
+                new EmptyFleet(),
+                _target -> new TargetActivity.InFlight(true, 0, 0));
+        return new ControlNode(
+                settings,
+                services,
+                ControlPolicies.STANDARD,
+                time,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(settings.instance().hashCode()));
+    }
+
+    /** A fleet without engines. */
+    private static final class EmptyFleet implements FleetView {
+
+        @Override
+        public List<Target> engines() {
+            return List.of();
+        }
+
+        @Override
+        public int claimRank(String _group) {
+            return 0;
+        }
+    }
+
+    /** Clients that are never asked for, since there are no engines. */
+    private static final class NoTargets implements TargetClients {
+
+        @Override
+        public EngineClient engine(Target target) {
+            throw new IllegalStateException("no engine " + target);
+        }
+
+        @Override
+        public ServiceClient service(Target target) {
+            throw new IllegalStateException("no service " + target);
+        }
+    }
+}
