--- a/src/main/java/org/dogwoodwinch/daemon/Daemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/Daemon.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.dogwoodwinch.catalogue.CatalogueView;
 import org.dogwoodwinch.http.CallerEdge;
 import org.dogwoodwinch.http.CallerListener;
 import org.dogwoodwinch.http.CallerRequestReader;
@@ -23,15 +22,10 @@
 import org.dogwoodwinch.http.TlsContexts;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.metrics.Metrics;
-import org.dogwoodwinch.platform.http.HttpInstanceList;
-import org.dogwoodwinch.request.RequestHandler;
 import org.dogwoodwinch.settings.CallerSettings;
 import org.dogwoodwinch.settings.OperatorSettings;
 import org.dogwoodwinch.settings.Settings;
 import org.dogwoodwinch.settings.TlsSettings;
-import org.dogwoodwinch.target.http.HttpClients;
-import org.dogwoodwinch.target.http.HttpTargetClients;
-import org.dogwoodwinch.target.http.TargetTimeouts;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,17 +34,13 @@
 
     private static final Logger log = LoggerFactory.getLogger(Daemon.class);
     private static final long DRAIN_CHECK_MILLIS = 20;
-    private static final int MAX_PLATFORM_ANSWER_BYTES = 16 << 20;
     private static final int MAX_PATH_BYTES = 8_192;
 
     private final Settings settings;
     private final DaemonContext context;
-    private final CatalogueView catalogue;
     private final Metrics metrics = new Metrics(new PrometheusRegistry());
     private final InFlightRequests inFlight = new InFlightRequests();
-    private final HttpClients clients;
-    private final TargetDirectory directory;
-    private final RequestHandler handler;
+    private final DaemonParts parts;
     private volatile ServingState serving = ServingState.SERVING;
     private HttpListener callers;
     private HttpListener operators;
@@ -60,21 +50,11 @@
      *
      * @param settings its settings, not null
      * @param context what the process gives it, not null
-     * @param catalogue the catalogue in force, not null
      */
-    public Daemon(Settings settings, DaemonContext context, CatalogueView catalogue) {
+    public Daemon(Settings settings, DaemonContext context) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.context = Objects.requireNonNull(context, "context");
-        this.catalogue = Objects.requireNonNull(catalogue, "catalogue");
-        this.clients = new HttpClients(context.group(), (int) settings.targets().connectTimeoutMillis());
-        this.directory = new TargetDirectory(
-                new HttpInstanceList(
-                        clients.pooledCaller(MAX_PLATFORM_ANSWER_BYTES),
-                        settings.platform().instanceListUrl()),
-                context.time(),
-                settings.platform().instanceListPollMillis());
-        HttpTargetClients targets = new HttpTargetClients(clients, context.time(), TargetTimeouts.STANDARD);
-        this.handler = new DirectRequestHandler(directory, targets, catalogue);
+        this.parts = new DaemonParts(settings, context, metrics);
     }
 
     /**
@@ -83,7 +63,7 @@
      * @throws IOException if a listener cannot be bound, or a TLS file cannot be read
      */
     public void start() throws IOException {
-        directory.start();
+        parts.start();
         callers = bindCallers(settings.callers());
         operators = bindOperators(settings.operators());
         LogEvent.of("started")
@@ -91,6 +71,7 @@
                 .with("dataCentre", settings.instance().dataCentre())
                 .with("callersPort", callers.port())
                 .with("operatorsPort", operators.port())
+                .with("peersPort", parts.peersPort())
                 .info(log);
     }
 
@@ -120,6 +101,7 @@
     public CompletionStage<Integer> stop() {
         CompletableFuture<Integer> stopped = new CompletableFuture<>();
         serving = ServingState.LEAVING;
+        parts.release();
         LogEvent.of("leaving").with("inFlight", inFlight.count()).info(log);
         context.time().schedule(settings.stop().notReadyMillis(), () -> drain(stopped));
         return stopped;
@@ -127,10 +109,9 @@
 
     /** Closes listeners and connections at once; requests in flight are cut. */
     public void close() {
-        directory.stop();
         callers.close();
         operators.close();
-        clients.close();
+        parts.stop();
         LogEvent.of("closed").info(log);
     }
 
@@ -161,9 +142,9 @@
                 own.idleTimeoutMillis(),
                 own.writeTimeoutMillis());
         CallerEdge edge = new CallerEdge(
-                new CallerRequestReader(catalogue, () -> serving, context.time()),
-                handler,
-                new RequestIds(settings.instance().name(), context.time(), context.random()),
+                new CallerRequestReader(parts.control().catalogue(), () -> serving, context.time()),
+                parts.handler(),
+                new RequestIds(settings.instance().name(), context.time(), context.newRandom()),
                 () -> serving,
                 new EdgeReport(metrics),
                 inFlight,
@@ -173,8 +154,8 @@
     }
 
     private HttpListener bindOperators(OperatorSettings own) throws IOException {
-        OperatorPages pages =
-                new OperatorPages(settings.instance(), metrics, catalogue, directory, inFlight, () -> serving);
+        OperatorPages pages = new OperatorPages(
+                settings.instance(), metrics, parts.control(), parts.directory(), inFlight, () -> serving);
         return OperatorListener.bind(
                 context.group(), address(own.host(), own.port()), HttpLimits.STANDARD, tls(own.tls()), pages.byPath());
     }
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonContext.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -10,14 +11,23 @@
  *
  * @param time gives the time and runs the timers, not null
  * @param group runs the I/O, not null; the process shuts it down after the daemon
- * @param random gives chance, not null; used while the daemon is made, by one thread
+ * @param randoms makes sources of chance, one for each part that needs one, not null
  */
-public record DaemonContext(TimeSource time, EventLoopGroup group, UniformRandomProvider random) {
+public record DaemonContext(TimeSource time, EventLoopGroup group, Supplier<UniformRandomProvider> randoms) {
 
     /** Checks the parts. */
     public DaemonContext {
         Objects.requireNonNull(time, "time");
         Objects.requireNonNull(group, "group");
-        Objects.requireNonNull(random, "random");
+        Objects.requireNonNull(randoms, "randoms");
+    }
+
+    /**
+     * Makes a source of chance.
+     *
+     * @return the source; not thread-safe, so each part has its own
+     */
+    public UniformRandomProvider newRandom() {
+        return randoms.get();
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -80,8 +80,8 @@
         ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
         EventLoopGroup group = new NioEventLoopGroup();
         DaemonContext context =
-                new DaemonContext(new SystemTimeSource(timers), group, RandomSource.XO_RO_SHI_RO_128_PP.create());
-        Daemon daemon = new Daemon(settings, context, new DemoCatalogue());
+                new DaemonContext(new SystemTimeSource(timers), group, RandomSource.XO_RO_SHI_RO_128_PP::create);
+        Daemon daemon = new Daemon(settings, context);
         try {
             daemon.start();
         } catch (IOException e) {
--- a/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
+++ b/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
@@ -7,10 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
-import org.dogwoodwinch.catalogue.Catalogue;
-import org.dogwoodwinch.catalogue.CatalogueView;
+import org.dogwoodwinch.control.ControlApi;
+import org.dogwoodwinch.control.ControlEndpoint;
+import org.dogwoodwinch.control.ControlResponse;
+import org.dogwoodwinch.control.ControlStatus;
 import org.dogwoodwinch.http.InFlightRequests;
 import org.dogwoodwinch.http.OperatorAnswer;
 import org.dogwoodwinch.http.OperatorPage;
@@ -30,7 +34,7 @@
 
     private final InstanceSettings instance;
     private final Metrics metrics;
-    private final CatalogueView catalogue;
+    private final ControlApi control;
     private final TargetDirectory directory;
     private final InFlightRequests inFlight;
     private final Supplier<ServingState> serving;
@@ -40,7 +44,7 @@
      *
      * @param instance who this instance is, not null
      * @param metrics the counters, not null
-     * @param catalogue the catalogue in force, not null
+     * @param control the control stream, not null
      * @param directory knows the targets, not null
      * @param inFlight counts requests, not null
      * @param serving whether requests are taken, not null
@@ -48,13 +52,13 @@
     OperatorPages(
             InstanceSettings instance,
             Metrics metrics,
-            CatalogueView catalogue,
+            ControlApi control,
             TargetDirectory directory,
             InFlightRequests inFlight,
             Supplier<ServingState> serving) {
         this.instance = Objects.requireNonNull(instance, "instance");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.catalogue = Objects.requireNonNull(catalogue, "catalogue");
+        this.control = Objects.requireNonNull(control, "control");
         this.directory = Objects.requireNonNull(directory, "directory");
         this.inFlight = Objects.requireNonNull(inFlight, "inFlight");
         this.serving = Objects.requireNonNull(serving, "serving");
@@ -66,11 +70,27 @@
      * @return the map
      */
     Map<String, OperatorPage> byPath() {
+        ControlEndpoint endpoint = new ControlEndpoint(control);
         return Map.of(
-                "/metrics", _call -> metricsPage(),
-                "/healthz", _call -> OperatorAnswer.text(OK, "ok"),
-                "/readyz", _call -> readyPage(),
-                "/status", _call -> OperatorAnswer.json(status()));
+                "/metrics",
+                _call -> now(metricsPage()),
+                "/healthz",
+                _call -> now(OperatorAnswer.text(OK, "ok")),
+                "/readyz",
+                _call -> now(readyPage()),
+                "/status",
+                _call -> now(OperatorAnswer.json(status())),
+                ControlEndpoint.PREFIX,
+                call -> endpoint.handle(call.method(), call.path(), call.body().toUtf8())
+                        .thenApply(OperatorPages::toAnswer));
+    }
+
+    private static CompletionStage<OperatorAnswer> now(OperatorAnswer answer) {
+        return CompletableFuture.completedFuture(answer);
+    }
+
+    private static OperatorAnswer toAnswer(ControlResponse response) {
+        return new OperatorAnswer(response.status(), response.contentType(), Bytes.ofUtf8(response.body()));
     }
 
     private OperatorAnswer metricsPage() {
@@ -92,13 +112,14 @@
         if (serving.get() != ServingState.SERVING) {
             return "stopping";
         }
-        if (catalogue.current().isEmpty()) {
+        if (control.catalogue().current().isEmpty()) {
             return "no catalogue yet";
         }
         return directory.hasAnswered() ? "" : "no instance list yet";
     }
 
     private InstanceStatus status() {
+        ControlStatus stream = control.status();
         List<TargetStatus> targets = directory.latest().stream()
                 .filter(line -> line.kind() != ListedInstance.Kind.ENTRY)
                 .map(OperatorPages::targetStatus)
@@ -113,13 +134,13 @@
                 instance.dataCentre(),
                 notReadyReason().isEmpty(),
                 serving.get() != ServingState.SERVING,
-                catalogue.current().map(Catalogue::revision).orElse(Catalogue.NO_REVISION),
-                0,
-                true,
+                stream.catalogueRevision(),
+                stream.coveredOffset() + 1,
+                !stream.logOut(),
                 inFlight.count(),
                 targets,
                 peers,
-                List.of());
+                control.liveGroups());
     }
 
     private static TargetStatus targetStatus(ListedInstance line) {
--- a/src/main/java/org/dogwoodwinch/http/OperatorListener.java
+++ b/src/main/java/org/dogwoodwinch/http/OperatorListener.java
@@ -18,13 +18,15 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.logging.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Binds the operators' listener: a few pages by exact path, apart from callers. */
+/** Binds the operators' listener: a few pages, apart from callers. */
 public final class OperatorListener {
 
     private static final Logger log = LoggerFactory.getLogger(OperatorListener.class);
@@ -32,6 +34,9 @@
     private static final int BAD_REQUEST = 400;
     private static final int INTERNAL_ERROR = 500;
 
+    private static final OperatorPage NO_PAGE =
+            _call -> CompletableFuture.completedFuture(OperatorAnswer.text(NOT_FOUND, "there is no such page"));
+
     private OperatorListener() {}
 
     /**
@@ -41,7 +46,7 @@
      * @param address where to listen; port 0 for any free one, not null
      * @param limits its bounds, not null
      * @param tls encrypts, not null; empty for plain text
-     * @param pages the pages by path, not null
+     * @param pages the pages by path; one whose path ends with a slash serves all paths below it, not null
      * @return the listener
      * @throws IOException if the address cannot be bound
      */
@@ -75,14 +80,10 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest http) {
             boolean keepAlive =
                     HttpUtil.isKeepAlive(http) && http.decoderResult().isSuccess();
-            OperatorAnswer answer = answer(http);
-            FullHttpResponse response = Replies.of(
-                    answer.status(), answer.contentType(), answer.body().toByteArray());
-            Replies.setKeepAlive(response, keepAlive);
-            ChannelFuture written = context.writeAndFlush(response);
-            if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
+            answer(http).whenComplete((answer, failure) -> {
+                OperatorAnswer written = failure == null ? answer : failed(http.uri(), failure);
+                write(context, written, keepAlive);
+            });
         }
 
         @Override
@@ -91,21 +92,44 @@
             Channels.close(context.channel());
         }
 
-        private OperatorAnswer answer(FullHttpRequest http) {
+        private CompletionStage<OperatorAnswer> answer(FullHttpRequest http) {
             if (http.decoderResult().isFailure()) {
-                return OperatorAnswer.text(BAD_REQUEST, "malformed HTTP");
+                return CompletableFuture.completedFuture(OperatorAnswer.text(BAD_REQUEST, "malformed HTTP"));
             }
             QueryStringDecoder uri = new QueryStringDecoder(http.uri());
-            OperatorPage page = pages.get(uri.path());
-            if (page == null) {
-                return OperatorAnswer.text(NOT_FOUND, "there is no such page");
-            }
             Bytes body = Bytes.of(ByteBufUtil.getBytes(http.content()));
+            OperatorCall call = new OperatorCall(http.method().name(), uri.path(), uri.rawQuery(), body);
             try {
-                return page.answer(new OperatorCall(http.method().name(), uri.rawQuery(), body));
+                return pageFor(uri.path()).answer(call);
             } catch (RuntimeException e) {
-                log.error("event=operator_page_failed path={}", uri.path(), e);
-                return OperatorAnswer.text(INTERNAL_ERROR, "the page failed; see the log");
+                return CompletableFuture.failedFuture(e);
+            }
+        }
+
+        private OperatorPage pageFor(String path) {
+            OperatorPage exact = pages.get(path);
+            if (exact != null) {
+                return exact;
+            }
+            return pages.entrySet().stream()
+                    .filter(page -> page.getKey().endsWith("/") && path.startsWith(page.getKey()))
+                    .map(Map.Entry::getValue)
+                    .findFirst()
+                    .orElse(NO_PAGE);
+        }
+
+        private static OperatorAnswer failed(String uri, Throwable failure) {
+            log.error("event=operator_page_failed uri={}", uri, failure);
+            return OperatorAnswer.text(INTERNAL_ERROR, "the page failed; see the log");
+        }
+
+        private static void write(ChannelHandlerContext context, OperatorAnswer answer, boolean keepAlive) {
+            FullHttpResponse response = Replies.of(
+                    answer.status(), answer.contentType(), answer.body().toByteArray());
+            Replies.setKeepAlive(response, keepAlive);
+            ChannelFuture written = context.writeAndFlush(response);
+            if (!keepAlive) {
+                written.addListener(ChannelFutureListener.CLOSE);
             }
         }
     }
--- a/src/main/java/org/dogwoodwinch/http/OperatorPage.java
+++ b/src/main/java/org/dogwoodwinch/http/OperatorPage.java
@@ -1,5 +1,7 @@
 package org.dogwoodwinch.http;
 
+import java.util.concurrent.CompletionStage;
+
 /** One page of the operators' listener; called on I/O threads, so it must not wait. */
 @FunctionalInterface
 public interface OperatorPage {
@@ -8,7 +10,7 @@
      * Answers.
      *
      * @param call what is asked, not null
-     * @return the answer
+     * @return completes with the answer
      */
-    OperatorAnswer answer(OperatorCall call);
+    CompletionStage<OperatorAnswer> answer(OperatorCall call);
 }
