--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/ControlFleet.java
@@ -0,0 +1,148 @@
+package org.dogwoodwinch.measure.capacity;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.authority.FleetView;
+import org.dogwoodwinch.authority.TargetActivity;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.control.ControlNode;
+import org.dogwoodwinch.control.ControlPolicies;
+import org.dogwoodwinch.control.ControlServices;
+import org.dogwoodwinch.control.ControlSettings;
+import org.dogwoodwinch.peer.PeerBoard;
+import org.dogwoodwinch.peer.PeerItem;
+import org.dogwoodwinch.peer.PeerTopic;
+import org.dogwoodwinch.standin.MemoryLog;
+import org.dogwoodwinch.standin.MemoryLogLimits;
+import org.dogwoodwinch.target.EngineClient;
+import org.dogwoodwinch.target.ServiceClient;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetClients;
+import org.dogwoodwinch.time.VirtualTimeSource;
+
+/** Control nodes in one process on virtual time, with a log that takes any number of appends and counts them. */
+final class ControlFleet {
+
+    private static final long RETENTION_MILLIS = 3_600_000;
+    private static final MemoryLogLimits NO_CAP = new MemoryLogLimits(Integer.MAX_VALUE, RETENTION_MILLIS);
+
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final CountingLog log = new CountingLog(new MemoryLog(time, NO_CAP));
+    private final List<Target> engines;
+    private final List<ControlNode> nodes = new ArrayList<>();
+    private final int nodeCount;
+
+    /**
+     * Creates a fleet whose nodes do not run yet.
+     *
+     * @param nodeCount instances of ours
+     * @param groupCount engine groups
+     * @param engineCount engines, spread evenly over the groups
+     */
+    ControlFleet(int nodeCount, int groupCount, int engineCount) {
+        this.nodeCount = nodeCount;
+        this.engines = IntStream.range(0, engineCount)
+                .mapToObj(engine ->
+                        new Target("engine-" + engine, "10.0.0.1", 8_000, "dc-0", "group-" + engine % groupCount))
+                .toList();
+    }
+
+    /** Starts all nodes. */
+    void startAll() {
+        for (int node = 0; node < nodeCount; node++) {
+            nodes.add(startNode(node));
+        }
+    }
+
+    /**
+     * Starts one node.
+     *
+     * @param node its number
+     * @return the node
+     */
+    ControlNode startNode(int node) {
+        ControlNode started = new ControlNode(
+                ControlSettings.of("entry-" + node, RETENTION_MILLIS),
+                services(node),
+                ControlPolicies.STANDARD,
+                time,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(node));
+        started.start();
+        return started;
+    }
+
+    VirtualTimeSource time() {
+        return time;
+    }
+
+    CountingLog log() {
+        return log;
+    }
+
+    private ControlServices services(int node) {
+        return new ControlServices(
+                log,
+                () -> CompletableFuture.completedFuture(0),
+                SilentBoard.INSTANCE,
+                () -> false,
+                NoClients.INSTANCE,
+                new RankedFleet(node),
+                _target -> new TargetActivity.InFlight(true, 0, 0));
+    }
+
+    /** Claims go by rank: each group has a first instance of its own, chosen by a hash, and the others follow. */
+    private final class RankedFleet implements FleetView {
+
+        private final int node;
+
+        RankedFleet(int node) {
+            this.node = node;
+        }
+
+        @Override
+        public List<Target> engines() {
+            return engines;
+        }
+
+        @Override
+        public int claimRank(String group) {
+            int first = Math.floorMod(
+                    Hashing.murmur3_32_fixed()
+                            .hashString(group, StandardCharsets.UTF_8)
+                            .asInt(),
+                    nodeCount);
+            return Math.floorMod(node - first, nodeCount);
+        }
+    }
+
+    private enum SilentBoard implements PeerBoard {
+        INSTANCE;
+
+        @Override
+        public void publish(PeerTopic _topic, String _key, Bytes _payload, long _keepMillis) {}
+
+        @Override
+        public void subscribe(PeerTopic _topic, Consumer<PeerItem> _listener) {}
+    }
+
+    /** Without planned changes no engine is called. */
+    private enum NoClients implements TargetClients {
+        INSTANCE;
+
+        @Override
+        public EngineClient engine(Target target) {
+            throw new IllegalStateException("no engine is called in this measurement: " + target.name());
+        }
+
+        @Override
+        public ServiceClient service(Target target) {
+            throw new IllegalStateException("no service is called in this measurement: " + target.name());
+        }
+    }
+}
