Route by estimated backlog and admit by class with shared owner limits

Cause: load reports lag, several instances decide at once on one stale view, and an owner's limit has to hold over all of them without an agreement between them. Change: EstimatingRouter over a FleetView (report plus own and peers' sends since the report's own time, prefix belief that decays, sampled candidates with jitter, health by outcome, leaving marks, split roles). ClassQueueAdmission (early refusal, bounded queues, floor for long reads) over ShareExchange: every unit of a limit has a home and is lent for a term that the borrower counts from before its own wish.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/admission/WaitingRequest.java
@@ -0,0 +1,80 @@
+package org.dogwoodwinch.admission;
+
+import java.util.function.Consumer;
+import org.dogwoodwinch.catalogue.WorkClass;
+import org.dogwoodwinch.request.CallerRequest;
+import org.dogwoodwinch.request.Work;
+
+/** One request on its way through admission; used under {@link ClassQueueAdmission}'s monitor. */
+final class WaitingRequest {
+
+    private final CallerRequest request;
+    private final Consumer<AdmissionDecision> decision;
+    private final long limitDeadlineMillis;
+    private OwnerLimits.LimitPermit permit;
+    private double workMillis;
+    private boolean done;
+
+    WaitingRequest(CallerRequest request, Consumer<AdmissionDecision> decision, long limitDeadlineMillis) {
+        this.request = request;
+        this.decision = decision;
+        this.limitDeadlineMillis = limitDeadlineMillis;
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    Consumer<AdmissionDecision> decision() {
+        return decision;
+    }
+
+    WorkClass workClass() {
+        return request.entry().workClass();
+    }
+
+    String group() {
+        return request.entry().group();
+    }
+
+    long promptTokens() {
+        return request.work().match(Work.Generate::promptTokens, _service -> 0L);
+    }
+
+    int maxTokens() {
+        return request.work().match(Work.Generate::maxTokens, _service -> 0);
+    }
+
+    long tokens() {
+        return promptTokens() + maxTokens();
+    }
+
+    /** Until when it may wait for its owner's limit. */
+    long limitDeadlineMillis() {
+        return limitDeadlineMillis;
+    }
+
+    OwnerLimits.LimitPermit permit() {
+        return permit;
+    }
+
+    void setPermit(OwnerLimits.LimitPermit newPermit) {
+        permit = newPermit;
+    }
+
+    double workMillis() {
+        return workMillis;
+    }
+
+    void setWorkMillis(double millis) {
+        workMillis = millis;
+    }
+
+    boolean done() {
+        return done;
+    }
+
+    void markDone() {
+        done = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/routing/FleetView.java
@@ -0,0 +1,198 @@
+package org.dogwoodwinch.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.target.EngineRole;
+import org.dogwoodwinch.target.EngineState;
+import org.dogwoodwinch.target.LoadReport;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * What this instance believes of all targets, fed by the instance list, engines' states and reports, and peers.
+ *
+ * <p>Thread-safe: every method holds this object's monitor, and {@link EstimatingRouter} holds it through a decision.
+ */
+public final class FleetView {
+
+    private final TimeSource time;
+    private final Map<String, TargetState> targets = new HashMap<>();
+    private final Map<String, GroupState> groups = new TreeMap<>();
+
+    /**
+     * Creates an empty view.
+     *
+     * @param time the clock, not null
+     */
+    public FleetView(TimeSource time) {
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /**
+     * Takes a whole reading of the platform's instance list; instances of our own are passed over.
+     *
+     * <p>Call this only with an answer: a list that could not be read says nothing about the fleet.
+     *
+     * @param listed the list, not null
+     */
+    public synchronized void onInstanceList(List<ListedInstance> listed) {
+        Set<String> names = new HashSet<>();
+        for (ListedInstance instance : listed) {
+            if (instance.kind() != ListedInstance.Kind.ENTRY) {
+                names.add(instance.name());
+                takeListed(instance);
+            }
+        }
+        List<TargetState> gone = new ArrayList<>();
+        targets.values().stream()
+                .filter(state -> !names.contains(state.target().name()))
+                .forEach(gone::add);
+        gone.forEach(this::remove);
+        groups.values().forEach(GroupState::sort);
+    }
+
+    /**
+     * Marks a target as leaving for a while, on a peer's word or its own refusal, ahead of the instance list.
+     *
+     * @param targetName the target, not null; an unknown one is passed over
+     * @param keepMillis how long the mark holds, in milliseconds; the list renews it or lets it lapse
+     */
+    public synchronized void onLeaving(String targetName, long keepMillis) {
+        TargetState state = targets.get(targetName);
+        if (state != null) {
+            state.markLeavingUntil(time.monotonicMillis() + keepMillis);
+        }
+    }
+
+    /**
+     * Takes back a leaving mark, for a drain that was cancelled; what the instance list says stays.
+     *
+     * @param targetName the target, not null; an unknown one is passed over
+     */
+    public synchronized void onStaying(String targetName) {
+        TargetState state = targets.get(targetName);
+        if (state != null) {
+            state.clearLeavingMark();
+        }
+    }
+
+    /**
+     * Takes an engine's state: its role, and whether it serves.
+     *
+     * @param targetName the engine, not null; an unknown one is passed over
+     * @param engineState what it said, not null
+     */
+    public synchronized void onEngineState(String targetName, EngineState engineState) {
+        TargetState state = targets.get(targetName);
+        if (state != null) {
+            state.setReady(engineState.ready());
+            changeRole(state, engineState.configuration().role());
+        }
+    }
+
+    /**
+     * Takes a load report.
+     *
+     * @param targetName the engine, not null; an unknown one is passed over
+     * @param report the report, not null
+     */
+    public synchronized void onLoadReport(String targetName, LoadReport report) {
+        Objects.requireNonNull(report, "report");
+        TargetState state = targets.get(targetName);
+        if (state != null) {
+            state.takeReport(report);
+        }
+    }
+
+    /**
+     * Returns the targets that this instance knows, for status pages and the role planner.
+     *
+     * @return one summary each, by group and name
+     */
+    public synchronized List<TargetSummary> summaries() {
+        List<TargetSummary> all = new ArrayList<>();
+        groups.values().forEach(group -> group.all().forEach(state -> all.add(summaryOf(state))));
+        return all;
+    }
+
+    /**
+     * Returns the targets of one group that may take new work or will be able to.
+     *
+     * @param groupName the group, not null
+     * @return one summary each
+     */
+    public synchronized List<TargetSummary> summaries(String groupName) {
+        GroupState group = groups.get(groupName);
+        return group == null
+                ? List.of()
+                : group.all().stream().map(this::summaryOf).toList();
+    }
+
+    Optional<GroupState> group(String name) {
+        return Optional.ofNullable(groups.get(name));
+    }
+
+    Optional<TargetState> state(String targetName) {
+        return Optional.ofNullable(targets.get(targetName));
+    }
+
+    Collection<TargetState> states() {
+        return targets.values();
+    }
+
+    private TargetSummary summaryOf(TargetState state) {
+        LoadEstimate estimate = LoadEstimate.of(state, RoutingPolicy.STANDARD, time.wallMillis());
+        long nowMillis = time.monotonicMillis();
+        boolean leaving = state.leaving(nowMillis);
+        return new TargetSummary(
+                state.target(),
+                state.role(),
+                state.ready() && !leaving && state.health().usable(nowMillis),
+                leaving,
+                state.outstandingRequests(),
+                estimate.prefillTokens(),
+                estimate.decodeTokens(),
+                state.health().slowness());
+    }
+
+    private void takeListed(ListedInstance instance) {
+        Target target =
+                new Target(instance.name(), instance.host(), instance.port(), instance.dataCentre(), instance.group());
+        TargetState known = targets.get(instance.name());
+        if (known != null && !known.target().equals(target)) {
+            remove(known);
+            known = null;
+        }
+        if (known == null) {
+            known = new TargetState(target);
+            targets.put(target.name(), known);
+            groups.computeIfAbsent(target.group(), _name -> new GroupState()).add(known);
+        }
+        known.setListedLeaving(instance.leaving());
+    }
+
+    private void remove(TargetState state) {
+        targets.remove(state.target().name());
+        GroupState group = groups.get(state.target().group());
+        group.remove(state);
+    }
+
+    private void changeRole(TargetState state, EngineRole role) {
+        if (state.role() != role) {
+            GroupState group = groups.get(state.target().group());
+            group.remove(state);
+            state.setRole(role);
+            group.add(state);
+            group.sort();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/routing/PeerTotals.java
@@ -0,0 +1,51 @@
+package org.dogwoodwinch.routing;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The running totals last heard from one peer; the targets heard of longest ago are forgotten. */
+final class PeerTotals {
+
+    private static final int MOST_TARGETS = 256;
+
+    private final long incarnation;
+    private final Map<String, SentTotals> byTarget = new LinkedHashMap<>();
+
+    PeerTotals(long incarnation) {
+        this.incarnation = incarnation;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    /** What was last heard of a target; zeros where it was never heard of, as the peer then had not sent to it. */
+    SentTotals last(String target) {
+        SentTotals known = byTarget.get(target);
+        return known == null ? new SentTotals(target, 0, 0, 0, 0) : known;
+    }
+
+    List<String> urgentTargets() {
+        return byTarget.values().stream()
+                .filter(totals -> totals.urgentInFlight() > 0)
+                .map(SentTotals::target)
+                .toList();
+    }
+
+    void replace(List<SentTotals> totals) {
+        for (SentTotals each : totals) {
+            byTarget.remove(each.target());
+            byTarget.put(each.target(), each);
+        }
+        // A target that has left the peer's list has nothing urgent of the peer's in flight any more.
+        byTarget.replaceAll((_target, known) -> totals.contains(known) ? known : withoutUrgent(known));
+        while (byTarget.size() > MOST_TARGETS) {
+            byTarget.remove(byTarget.keySet().iterator().next());
+        }
+    }
+
+    private static SentTotals withoutUrgent(SentTotals totals) {
+        return new SentTotals(totals.target(), totals.prefillTokens(), totals.decodeTokens(), totals.requests(), 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/routing/PrefixIndex.java
@@ -0,0 +1,166 @@
+package org.dogwoodwinch.routing;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Which prompt prefixes are believed cached on which targets; bounded, least recently used blocks go first.
+ *
+ * <p>Belief decays with a time constant for each target, which a hit lengthens and a miss shortens: cache events come
+ * late and with gaps, so an eviction may never be heard of, and without decay a target would be preferred for a cache
+ * that it lost long ago. Not thread-safe; guarded by the {@link FleetView}.
+ */
+final class PrefixIndex {
+
+    private static final int HOLDERS = 4;
+    private static final double FIRST_RETENTION_MILLIS = 120_000;
+    private static final double SHORTEST_RETENTION_MILLIS = 2_000;
+    private static final double LONGEST_RETENTION_MILLIS = 900_000;
+    private static final double HIT_FACTOR = 1.1;
+    private static final double MISS_FACTOR = 0.7;
+    private static final double SMALLEST_BELIEF = 0.1;
+
+    private final Map<Long, Holders> blocks;
+    private final Map<String, Double> retentionMillis = new HashMap<>();
+
+    PrefixIndex(int mostBlocks) {
+        this.blocks = new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, Holders> _eldest) {
+                return size() > mostBlocks;
+            }
+        };
+    }
+
+    /** Notes that a target computed, or is about to compute, a prompt. */
+    void store(long[] chain, String target, long nowMillis) {
+        for (long hash : chain) {
+            blocks.computeIfAbsent(hash, _key -> new Holders()).put(target, nowMillis);
+        }
+    }
+
+    /** Forgets a target's blocks of a chain from a given one on. */
+    void forget(long[] chain, int fromBlock, String target) {
+        for (int i = fromBlock; i < chain.length; i++) {
+            Holders holders = blocks.get(chain[i]);
+            if (holders != null) {
+                holders.remove(target);
+            }
+        }
+    }
+
+    /** The part of the chain believed cached on a target, from zero to one, weighted by belief. */
+    double cachedPart(long[] chain, String target, long nowMillis) {
+        int matched = 0;
+        double belief = 1;
+        for (long hash : chain) {
+            Holders holders = blocks.get(hash);
+            long storedMillis = holders == null ? Long.MIN_VALUE : holders.storedMillis(target);
+            if (storedMillis == Long.MIN_VALUE) {
+                break;
+            }
+            belief = Math.min(belief, belief(target, nowMillis - storedMillis));
+            if (belief < SMALLEST_BELIEF) {
+                break;
+            }
+            matched++;
+        }
+        return chain.length == 0 ? 0 : belief * matched / chain.length;
+    }
+
+    /** The targets that hold the longest known part of the chain; empty where none is known. */
+    String[] holdersOfLongest(long[] chain) {
+        for (int i = chain.length - 1; i >= 0; i--) {
+            Holders holders = blocks.get(chain[i]);
+            if (holders != null && holders.count() > 0) {
+                return holders.targets();
+            }
+        }
+        return new String[0];
+    }
+
+    /** Learns from an answer how long a target really keeps prefixes. */
+    void onOutcome(String target, boolean hit) {
+        double known = retentionMillis.getOrDefault(target, FIRST_RETENTION_MILLIS);
+        double next = known * (hit ? HIT_FACTOR : MISS_FACTOR);
+        retentionMillis.put(target, Math.max(SHORTEST_RETENTION_MILLIS, Math.min(LONGEST_RETENTION_MILLIS, next)));
+    }
+
+    /** Applies one cache event. */
+    void onEvent(String target, long hash, boolean stored, long nowMillis) {
+        if (stored) {
+            blocks.computeIfAbsent(hash, _key -> new Holders()).put(target, nowMillis);
+            return;
+        }
+        Holders holders = blocks.get(hash);
+        if (holders != null) {
+            holders.remove(target);
+        }
+    }
+
+    /** A target restarted, changed its model, or its events had a gap: what it holds is unknown. */
+    void forgetTarget(String target) {
+        blocks.values().forEach(holders -> holders.remove(target));
+        retentionMillis.remove(target);
+    }
+
+    int size() {
+        return blocks.size();
+    }
+
+    private double belief(String target, long ageMillis) {
+        return Math.exp(-ageMillis / retentionMillis.getOrDefault(target, FIRST_RETENTION_MILLIS));
+    }
+
+    /** At most a few targets of one block, the newest first. */
+    private static final class Holders {
+
+        private final String[] names = new String[HOLDERS];
+        private final long[] storedMillis = new long[HOLDERS];
+        private int count;
+
+        void put(String target, long nowMillis) {
+            remove(target);
+            if (count == HOLDERS) {
+                count--;
+            }
+            System.arraycopy(names, 0, names, 1, count);
+            System.arraycopy(storedMillis, 0, storedMillis, 1, count);
+            names[0] = target;
+            storedMillis[0] = nowMillis;
+            count++;
+        }
+
+        void remove(String target) {
+            for (int i = 0; i < count; i++) {
+                if (names[i].equals(target)) {
+                    System.arraycopy(names, i + 1, names, i, count - i - 1);
+                    System.arraycopy(storedMillis, i + 1, storedMillis, i, count - i - 1);
+                    count--;
+                    return;
+                }
+            }
+        }
+
+        long storedMillis(String target) {
+            for (int i = 0; i < count; i++) {
+                if (names[i].equals(target)) {
+                    return storedMillis[i];
+                }
+            }
+            return Long.MIN_VALUE;
+        }
+
+        int count() {
+            return count;
+        }
+
+        String[] targets() {
+            return Arrays.copyOf(names, count);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/routing/EstimatingRouterTest.java
@@ -0,0 +1,231 @@
+package org.dogwoodwinch.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.catalogue.WorkClass;
+import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.target.EngineConfiguration;
+import org.dogwoodwinch.target.EngineRole;
+import org.dogwoodwinch.target.EngineState;
+import org.dogwoodwinch.target.LoadReport;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetFailure;
+import org.dogwoodwinch.target.Usage;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class EstimatingRouterTest {
+
+    private static final String GROUP = "reading";
+    private static final String SHARED_PREFIX = "Censor note, form 7. ".repeat(100);
+
+    private final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
+    private final FleetView fleet = new FleetView(time);
+    private final EstimatingRouter router = newRouter(fleet, 1);
+    private int attempts;
+
+    @Test
+    void aTargetWithAShorterBacklogIsChosen() {
+        list("e1", "e2");
+        report("e1", 100_000, 0);
+        report("e2", 0, 0);
+        assertEquals("e2", chosen(query("p")).target().name());
+    }
+
+    @Test
+    void whatWasSentSinceTheReportCountsUntilANewerReport() {
+        list("e1", "e2");
+        report("e1", 0, 0);
+        report("e2", 3_000, 0);
+        send("e1", 10_000);
+        assertEquals("e2", chosen(query("p")).target().name());
+    }
+
+    @Test
+    void promptsGoToAPrefillTargetAndAnswersToADecodeTargetWhereRolesAreSplit() {
+        list("e1", "e2");
+        role("e1", EngineRole.PREFILL);
+        role("e2", EngineRole.DECODE);
+        Route.Chosen route = chosen(query("p"));
+        assertEquals("e2", route.target().name());
+        assertEquals(Optional.of("e1"), route.prefillTarget().map(Target::name));
+    }
+
+    @Test
+    void aPrefixGoesWhereItIsBelievedCachedUntilTheAnswerSaysOtherwise() {
+        list("e1", "e2", "e3");
+        String attempt = send("e2", SHARED_PREFIX, 600);
+        router.onFirstToken(attempt, 80);
+        router.onCompleted(attempt, new Usage(600, 0, 10));
+        assertEquals("e2", chosen(query(SHARED_PREFIX)).target().name());
+        time.advanceMillis(1_800_000);
+        Map<String, Integer> choices = choices(query(SHARED_PREFIX), 60);
+        assertTrue(choices.size() > 1, "an old belief draws everything: " + choices);
+    }
+
+    /**
+     * Six callers at six instances hit an idle fleet whose last report is five seconds old, and each instance sees the
+     * same report. Sent by score alone, all six would choose the same target; chance spreads them, since each looks at
+     * its own sample and jitters the scores.
+     */
+    @Test
+    void instancesWithOneStaleViewDoNotHerd() {
+        Map<String, Integer> choices = new HashMap<>();
+        for (int instance = 0; instance < 60; instance++) {
+            FleetView view = new FleetView(time);
+            view.onInstanceList(listed("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"));
+            choices.merge(name(newRouter(view, instance + 100L).route(query("p"))), 1, Integer::sum);
+        }
+        int most = choices.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
+        assertTrue(most <= 20, "herding: " + choices);
+    }
+
+    /**
+     * A target fails every attempt at once and reports no load, so by its reports it is the best of all. Callers would
+     * see failure after failure. Its failures hold it back for longer each time, and one probe is let through after
+     * each hold, so only a few of the attempts of a minute reach it.
+     */
+    @Test
+    void aFlappingTargetGetsOnlyProbes() {
+        list("good", "flapping");
+        report("good", 4_000, 0);
+        int failed = 0;
+        for (int i = 0; i < 600; i++) {
+            Route.Chosen route = chosen(query("p"));
+            String attempt = "a" + attempts++;
+            router.onSent(attempt, route.target(), query("p"));
+            if (route.target().name().equals("flapping")) {
+                failed++;
+                router.onFailed(attempt, new TargetFailure.Broken("reset"));
+            } else {
+                router.onFirstToken(attempt, 500);
+                router.onCompleted(attempt, new Usage(10, 0, 1));
+            }
+            time.advanceMillis(100);
+        }
+        assertTrue(failed <= 8, "attempts on the flapping target: " + failed);
+    }
+
+    @Test
+    void aSlowTargetIsAvoidedThoughItsReportsAreGood() {
+        list("fast", "slow");
+        for (int i = 0; i < 20; i++) {
+            router.onFirstToken(send("slow", 100), 3_000);
+            router.onFirstToken(send("fast", 100), 60);
+        }
+        time.advanceMillis(20_000);
+        assertTrue(choices(query("p"), 50).getOrDefault("fast", 0) >= 45);
+    }
+
+    /** The instance list lags: a target's own refusal, or a peer's word, must keep new work away seconds earlier. */
+    @Test
+    void aLeavingTargetGetsNothingNewFromTheFirstSignOn() {
+        list("e1", "e2");
+        router.onFailed(send("e1", 10), new TargetFailure.Refused("leaving", false, true, 0));
+        fleet.onLeaving("e2", 5_000);
+        assertInstanceOf(Route.None.class, router.route(query("p")));
+        time.advanceMillis(5_000);
+        assertEquals("e2", chosen(query("p")).target().name());
+    }
+
+    @Test
+    void aSuspectGoesOnlyWhereNoUrgentWorkRuns() {
+        list("e1", "e2");
+        RouteQuery urgent = query("p");
+        router.onSent("u", target("e1"), urgent);
+        RouteQuery suspect = new RouteQuery(GROUP, WorkClass.STANDARD, "p", 10, 10, 9_000, Set.of(), true);
+        assertEquals(Set.of("e2"), choices(suspect, 20).keySet());
+        router.onSent("v", target("e2"), urgent);
+        assertInstanceOf(Route.None.class, router.route(suspect));
+    }
+
+    @Test
+    void excludedAndUnreadyTargetsAreLeftOut() {
+        list("e1", "e2", "e3");
+        fleet.onEngineState("e2", state(EngineRole.MIXED, false));
+        RouteQuery query = new RouteQuery(GROUP, WorkClass.URGENT, "p", 10, 10, 9_000, Set.of("e1"), false);
+        assertEquals(Set.of("e3"), choices(query, 20).keySet());
+    }
+
+    private static EstimatingRouter newRouter(FleetView fleet, long seed, VirtualTimeSource time) {
+        return new EstimatingRouter(
+                fleet, RoutingPolicy.STANDARD, time, RandomSource.XO_RO_SHI_RO_128_PP.create(seed), "kochi-1");
+    }
+
+    private EstimatingRouter newRouter(FleetView view, long seed) {
+        return newRouter(view, seed, time);
+    }
+
+    private Map<String, Integer> choices(RouteQuery query, int count) {
+        Map<String, Integer> choices = new HashMap<>();
+        for (int i = 0; i < count; i++) {
+            choices.merge(name(router.route(query)), 1, Integer::sum);
+        }
+        return choices;
+    }
+
+    private static String name(Route route) {
+        return ((Route.Chosen) route).target().name();
+    }
+
+    private Route.Chosen chosen(RouteQuery query) {
+        return assertInstanceOf(Route.Chosen.class, router.route(query));
+    }
+
+    private void list(String... names) {
+        fleet.onInstanceList(listed(names));
+    }
+
+    private static List<ListedInstance> listed(String... names) {
+        List<ListedInstance> listed = new ArrayList<>();
+        for (String name : names) {
+            listed.add(
+                    new ListedInstance(name, ListedInstance.Kind.ENGINE, "10.0.0.1", 80, 0, "kochi-1", false, GROUP));
+        }
+        return listed;
+    }
+
+    private static Target target(String name) {
+        return new Target(name, "10.0.0.1", 80, "kochi-1", GROUP);
+    }
+
+    private void report(String name, long prefillTokens, long decodeTokens) {
+        fleet.onLoadReport(
+                name, new LoadReport(time.wallMillis(), prefillTokens, decodeTokens, 0, 0, 0, 1_000_000, 8_000, 1_500));
+    }
+
+    private void role(String name, EngineRole role) {
+        fleet.onEngineState(name, state(role, true));
+    }
+
+    private static EngineState state(EngineRole role, boolean ready) {
+        return new EngineState(new EngineConfiguration(role, "m", "1", new TreeSet<>()), "", -1, ready, 1);
+    }
+
+    private String send(String name, long promptTokens) {
+        return send(name, "p", promptTokens);
+    }
+
+    private String send(String name, String prompt, long promptTokens) {
+        String attempt = "a" + attempts++;
+        router.onSent(
+                attempt,
+                target(name),
+                new RouteQuery(GROUP, WorkClass.URGENT, prompt, promptTokens, 10, 9_000, Set.of(), false));
+        return attempt;
+    }
+
+    private static RouteQuery query(String prompt) {
+        return new RouteQuery(GROUP, WorkClass.URGENT, prompt, 600, 10, 9_000, Set.of(), false);
+    }
+}
