Measure the control stream: bin/measure authority and bin/measure catalogue

Cause: the figures of leases, orders and edits were not reproducible, and claims cost more than they must. Change: AuthorityMeasurement in virtual time (appends at rest by order of claims, bytes of a renewal, 50 planned changes, killed holders, a watcher beside leases) and CatalogueMeasurement with six daemon processes, one killed and restarted. ClaimOrder lets one instance of a data centre hold all its groups; the order of claims is asked for only when a wait is over (it cost a hash per instance, group and decision); weight loads line up by the order of their requests. Left: the daemon does not use ClaimOrder yet.

--- a/src/main/java/org/dogwoodwinch/authority/LeaseKeeper.java
+++ b/src/main/java/org/dogwoodwinch/authority/LeaseKeeper.java
@@ -149,9 +149,7 @@
     private List<AuthorityRecord> claims(LeaseTable table, ToIntFunction<String> rankOf, long nowMillis) {
         Map<String, List<String>> groupsByOwner = new TreeMap<>();
         groups.forEach((group, watched) -> {
-            long waitMillis = watched.owner.isEmpty() ? 0 : policy.claimantMillis();
-            long dueMillis = watched.countedFromMillis + waitMillis + rankOf.applyAsInt(group) * policy.staggerMillis();
-            if (nowMillis >= dueMillis) {
+            if (isOver(watched, group, rankOf, nowMillis)) {
                 fire(watched, LeaseEvent.LEASE_OVER, nowMillis);
             }
             if (watched.state == LeaseState.CLAIMING && nowMillis - watched.claimedMillis >= policy.renewMillis()) {
@@ -167,6 +165,16 @@
         return records;
     }
 
+    /** The place in the order of claims is asked for last: it costs a hash for each instance, and mostly is not wanted. */
+    private boolean isOver(Watched watched, String group, ToIntFunction<String> rankOf, long nowMillis) {
+        if (watched.state != LeaseState.OPEN && watched.state != LeaseState.FOLLOWING) {
+            return false;
+        }
+        long waitMillis = watched.owner.isEmpty() ? 0 : policy.claimantMillis();
+        long waitedMillis = nowMillis - watched.countedFromMillis - waitMillis;
+        return waitedMillis >= 0 && waitedMillis >= rankOf.applyAsInt(group) * policy.staggerMillis();
+    }
+
     private void fire(Watched watched, LeaseEvent event, long nowMillis) {
         CHART.next(watched.state, event).ifPresent(step -> {
             watched.state = step.to();
--- a/src/main/java/org/dogwoodwinch/authority/PlanDesk.java
+++ b/src/main/java/org/dogwoodwinch/authority/PlanDesk.java
@@ -172,13 +172,30 @@
         EngineConfiguration wanted = change.applyTo(base.get());
         boolean loads = loadsWeights(from.get(), wanted);
         boolean waits = held.heldMillis() < policy.successorWaitMillis()
-                || (loads && !budget.allows(fold.engines(), nowMillis));
+                || (loads && (!budget.allows(fold.engines(), nowMillis) || !isNextInLine(fold, plan, nowMillis)));
         if (!waits && takeAppend(plan, nowMillis)) {
             states.forget(engine);
             actions.add(intent(fold, held, engine, plan.id(), wanted, loads));
         }
     }
 
+    /**
+     * When a weight load may begin, holders of many groups want it at once, and the log takes one of them: the others'
+     * appends would be for nothing. So the plan that was asked for first goes first, and one that is behind it waits a
+     * little for each before it, in case that one is held up.
+     */
+    private boolean isNextInLine(AuthorityFold fold, PlanRecord plan, long nowMillis) {
+        long before = fold.plans().plans().stream()
+                .filter(other -> other.state() == PlanState.DRAINING
+                        && other.change().needsOrder()
+                        && other.change().kind() != PlannedChange.Kind.CHANGE_ROLE
+                        && other.requestedOffset() < plan.requestedOffset())
+                .count();
+        String key = plan.id() + "/load-" + fold.engines().loadCount();
+        long sinceMillis = firstSeenMillis.computeIfAbsent(key, _key -> nowMillis);
+        return nowMillis - sinceMillis >= before * policy.retryMillis();
+    }
+
     private Optional<EngineConfiguration> configurationOf(
             AuthorityFold fold, PlanRecord plan, String engine, long nowMillis, List<AuthorityAction> actions) {
         Optional<EngineConfiguration> ordered = fold.engines()
--- a/src/main/java/org/dogwoodwinch/measure/Measurements.java
+++ b/src/main/java/org/dogwoodwinch/measure/Measurements.java
@@ -3,12 +3,17 @@
 import java.util.List;
 import java.util.Optional;
 import org.dogwoodwinch.measure.capacity.CapacityProbes;
+import org.dogwoodwinch.measure.control.AuthorityMeasurement;
+import org.dogwoodwinch.measure.control.CatalogueMeasurement;
 
 /** The list of all measurements. */
 public final class Measurements {
 
-    private static final List<Measurement> ALL =
-            List.of(new LineMeasurement(ProjectFolder.find()), new CapacityMeasurement(CapacityProbes.all()));
+    private static final List<Measurement> ALL = List.of(
+            new LineMeasurement(ProjectFolder.find()),
+            new CapacityMeasurement(CapacityProbes.all()),
+            new AuthorityMeasurement(),
+            new CatalogueMeasurement());
 
     private Measurements() {}
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/measure/control/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the control stream: the catalogue, leases, orders and planned changes. */
+package org.dogwoodwinch.measure.control;
