Try suspects of a crash alone and quarantine the one that crashes its target again

Cause: one request can crash each engine that runs it, while its caller sends it again and again. Change: SuspectBook marks all that was in flight on a crashed target, tries each alone with other work kept away, clears what completes and quarantines what crashes alone; a crash shared by two suspects proves nothing. Notices for the peers. Figures: 50 sends of one poison request to one instance crash 2 engines in the test.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/request/SuspectBook.java
@@ -0,0 +1,219 @@
+package org.dogwoodwinch.request;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Which requests are suspected of crashing targets, which of them are tried alone, and which are in quarantine.
+ *
+ * <p>Everything in flight on a target that crashed is suspect, the guilty request and those that merely stood beside it.
+ * The suspects run alone from then on: what completes is innocent; what crashes its target once more, with no other
+ * suspect beside it, is the cause and goes into quarantine. A crash that two suspects shared proves nothing, and both
+ * stay suspects. Safe to call from many threads.
+ */
+public final class SuspectBook implements Quarantine {
+
+    private static final int MAX_SUSPECTS = 10_000;
+    private static final long TRIAL_MILLIS = 60_000;
+
+    private final TimeSource time;
+    private final long suspectMillis;
+    private final long quarantineMillis;
+    private final Consumer<SuspicionNotice> publisher;
+    private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
+    private final Map<Long, Long> liftedMillis = new LinkedHashMap<>();
+    private final Map<String, Trial> ownTrials = new HashMap<>();
+    private final Map<Long, Trial> peerTrials = new HashMap<>();
+
+    /**
+     * Creates an empty book.
+     *
+     * @param time the clock, not null
+     * @param suspectMillis how long a suspicion lasts, in milliseconds
+     * @param quarantineMillis how long a quarantine lasts, in milliseconds
+     * @param publisher tells the other instances, not null; called under this object's lock, so it must not call back
+     */
+    public SuspectBook(
+            TimeSource time, long suspectMillis, long quarantineMillis, Consumer<SuspicionNotice> publisher) {
+        this.time = Objects.requireNonNull(time, "time");
+        this.suspectMillis = suspectMillis;
+        this.quarantineMillis = quarantineMillis;
+        this.publisher = Objects.requireNonNull(publisher, "publisher");
+    }
+
+    @Override
+    public synchronized Standing standing(long fingerprint) {
+        Suspect suspect = suspects.get(fingerprint);
+        if (suspect == null || suspect.untilMillis() <= time.monotonicMillis()) {
+            suspects.remove(fingerprint);
+            return Standing.CLEAR;
+        }
+        return suspect.quarantined() ? Standing.QUARANTINED : Standing.SUSPECT;
+    }
+
+    @Override
+    public synchronized Set<String> trialTargets() {
+        long nowMillis = time.monotonicMillis();
+        peerTrials.values().removeIf(trial -> trial.untilMillis() <= nowMillis);
+        Set<String> targets = new HashSet<>();
+        ownTrials.values().forEach(trial -> targets.add(trial.target()));
+        peerTrials.values().forEach(trial -> targets.add(trial.target()));
+        return targets;
+    }
+
+    @Override
+    public synchronized void onTrial(long fingerprint, String attemptId, String target) {
+        ownTrials.put(attemptId, new Trial(fingerprint, target, time.monotonicMillis() + TRIAL_MILLIS));
+        publisher.accept(new SuspicionNotice(SuspicionNotice.Kind.TRIAL, fingerprint, target, TRIAL_MILLIS));
+    }
+
+    @Override
+    public synchronized void onCrash(long fingerprint, String attemptId, String target) {
+        Trial trial = ownTrials.remove(attemptId);
+        boolean decisive = trial != null && !sharedWithOther(trial);
+        Suspect before = suspects.get(fingerprint);
+        int crashes = before == null ? 1 : before.crashes() + 1;
+        long forMillis = decisive ? quarantineMillis : suspectMillis;
+        put(fingerprint, new Suspect(crashes, decisive, time.monotonicMillis() + forMillis));
+        SuspicionNotice.Kind kind = decisive ? SuspicionNotice.Kind.QUARANTINED : SuspicionNotice.Kind.SUSPECT;
+        publisher.accept(new SuspicionNotice(kind, fingerprint, target, forMillis));
+        endTrial(trial);
+    }
+
+    @Override
+    public synchronized void onEnded(long fingerprint, String attemptId, boolean completed) {
+        endTrial(ownTrials.remove(attemptId));
+        Suspect suspect = suspects.get(fingerprint);
+        if (completed && suspect != null && !suspect.quarantined()) {
+            suspects.remove(fingerprint);
+            publisher.accept(new SuspicionNotice(SuspicionNotice.Kind.CLEARED, fingerprint, "", suspectMillis));
+        }
+    }
+
+    /**
+     * Hears another instance.
+     *
+     * @param notice what it tells, not null
+     * @param ageMillis how old the notice is, in milliseconds
+     */
+    public synchronized void onPeerNotice(SuspicionNotice notice, long ageMillis) {
+        long toldMillis = time.monotonicMillis() - ageMillis;
+        long untilMillis = toldMillis + notice.remainingMillis();
+        long fingerprint = notice.fingerprint();
+        switch (notice.kind()) {
+            case SUSPECT -> heardOf(fingerprint, toldMillis, untilMillis, false);
+            case QUARANTINED -> heardOf(fingerprint, toldMillis, untilMillis, true);
+            case TRIAL -> peerTrials.put(fingerprint, new Trial(fingerprint, notice.target(), untilMillis));
+            case TRIAL_ENDED -> peerTrials.remove(fingerprint);
+            case CLEARED -> {
+                if (standing(fingerprint) == Standing.SUSPECT) {
+                    suspects.remove(fingerprint);
+                }
+            }
+            case LIFTED -> {
+                suspects.remove(fingerprint);
+                rememberLifted(fingerprint, toldMillis);
+            }
+        }
+    }
+
+    /**
+     * Lists the requests in quarantine.
+     *
+     * @return the list, oldest first
+     */
+    public synchronized List<QuarantinedRequest> list() {
+        long nowMillis = time.monotonicMillis();
+        return suspects.entrySet().stream()
+                .filter(each -> each.getValue().quarantined() && each.getValue().untilMillis() > nowMillis)
+                .map(each -> new QuarantinedRequest(
+                        toHex(each.getKey()),
+                        each.getValue().crashes(),
+                        each.getValue().untilMillis() - nowMillis))
+                .toList();
+    }
+
+    /**
+     * Lifts a quarantine here and, through the peers, everywhere.
+     *
+     * @param fingerprint the request's fingerprint
+     * @return false where it was not in quarantine here
+     */
+    public synchronized boolean lift(long fingerprint) {
+        boolean wasQuarantined = standing(fingerprint) == Standing.QUARANTINED;
+        suspects.remove(fingerprint);
+        rememberLifted(fingerprint, time.monotonicMillis());
+        publisher.accept(new SuspicionNotice(SuspicionNotice.Kind.LIFTED, fingerprint, "", quarantineMillis));
+        return wasQuarantined;
+    }
+
+    /**
+     * Writes a fingerprint as operators see it.
+     *
+     * @param fingerprint the fingerprint
+     * @return sixteen hexadecimal digits
+     */
+    public static String toHex(long fingerprint) {
+        return String.format(Locale.ROOT, "%016x", fingerprint);
+    }
+
+    /** An older word of another instance must not bring back what an operator lifted since. */
+    private void heardOf(long fingerprint, long toldMillis, long untilMillis, boolean quarantined) {
+        Long lifted = liftedMillis.get(fingerprint);
+        if (lifted != null && toldMillis <= lifted) {
+            return;
+        }
+        Suspect before = suspects.get(fingerprint);
+        if (before != null && before.quarantined() && !quarantined) {
+            return;
+        }
+        int crashes = before == null ? 1 : before.crashes() + 1;
+        put(fingerprint, new Suspect(crashes, quarantined, untilMillis));
+    }
+
+    private boolean sharedWithOther(Trial trial) {
+        long nowMillis = time.monotonicMillis();
+        return ownTrials.values().stream().anyMatch(other -> isOther(trial, other, nowMillis))
+                || peerTrials.values().stream().anyMatch(other -> isOther(trial, other, nowMillis));
+    }
+
+    private static boolean isOther(Trial trial, Trial other, long nowMillis) {
+        return other.target().equals(trial.target())
+                && other.fingerprint() != trial.fingerprint()
+                && other.untilMillis() > nowMillis;
+    }
+
+    private void endTrial(Trial trial) {
+        if (trial != null) {
+            publisher.accept(
+                    new SuspicionNotice(SuspicionNotice.Kind.TRIAL_ENDED, trial.fingerprint(), trial.target(), 0));
+        }
+    }
+
+    private void put(long fingerprint, Suspect suspect) {
+        suspects.remove(fingerprint);
+        suspects.put(fingerprint, suspect);
+        if (suspects.size() > MAX_SUSPECTS) {
+            suspects.remove(suspects.keySet().iterator().next());
+        }
+    }
+
+    private void rememberLifted(long fingerprint, long atMillis) {
+        liftedMillis.put(fingerprint, atMillis);
+        if (liftedMillis.size() > MAX_SUSPECTS) {
+            liftedMillis.remove(liftedMillis.keySet().iterator().next());
+        }
+    }
+
+    private record Suspect(int crashes, boolean quarantined, long untilMillis) {}
+
+    private record Trial(long fingerprint, String target, long untilMillis) {}
+}
--- a/src/test/java/org/dogwoodwinch/request/RequestCoordinatorTest.java
+++ b/src/test/java/org/dogwoodwinch/request/RequestCoordinatorTest.java
@@ -142,6 +142,22 @@
         assertEquals(0, coordinator.inFlight());
     }
 
+    /**
+     * One request crashes each engine that runs it, and its caller sends it fifty times. The first crash makes it suspect,
+     * the second, alone, puts it into quarantine: two engines crash in all, and later sends are refused at once.
+     */
+    @Test
+    void quarantinesARequestThatCrashesTargets() {
+        fixture.quarantine = new SuspectBook(fixture.time, 600_000, 3_600_000, _notice -> {});
+        RequestCoordinator coordinator = fixture.coordinator(1);
+        for (int i = 0; i < 50; i++) {
+            coordinator.submit(fixture.generate("[crash]", true, ""), caller);
+            fixture.time.advanceMillis(5_000);
+        }
+        assertEquals(2, fixture.executed.size());
+        assertEquals(RefusalReason.QUARANTINED, caller.refusal.orElseThrow().reason());
+    }
+
     /** The caller leaves: the engine's stream is cancelled, and nothing more goes to the caller. */
     @Test
     void cancelsTheStreamWhenTheCallerLeaves() {
