--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/LeavingTargets.java
@@ -0,0 +1,66 @@
+package org.dogwoodwinch.peer;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import com.github.benmanes.caffeine.cache.Ticker;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Set;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Targets that refused because they are leaving, by this instance's own experience or by another's word.
+ *
+ * <p>The platform's list lags; the first refusal tells all instances within a few rounds. The word expires: a target that
+ * came back is asked again. Thread-safe.
+ */
+public final class LeavingTargets {
+
+    private static final int MAX_TARGETS = 10_000;
+
+    private final PeerBoard board;
+    private final long keepMillis;
+    private final Cache<String, Boolean> leaving;
+
+    /**
+     * Creates the set and listens to the board.
+     *
+     * @param board the notice board, not null
+     * @param time the clock, not null
+     * @param keepMillis how long a target counts as leaving after the last word, in milliseconds
+     */
+    public LeavingTargets(PeerBoard board, TimeSource time, long keepMillis) {
+        this.board = Objects.requireNonNull(board, "board");
+        this.keepMillis = keepMillis;
+        Ticker ticker = time::monotonicNanos;
+        this.leaving = Caffeine.newBuilder()
+                .maximumSize(MAX_TARGETS)
+                .expireAfterWrite(Duration.ofMillis(keepMillis))
+                .ticker(ticker)
+                .executor(Runnable::run)
+                .build();
+        board.subscribe(PeerTopic.LEAVING, item -> leaving.put(item.key(), Boolean.TRUE));
+    }
+
+    /**
+     * A target refused because it is leaving.
+     *
+     * @param target its name, not null
+     */
+    public void onRefused(String target) {
+        if (leaving.getIfPresent(target) == null) {
+            board.publish(PeerTopic.LEAVING, target, Bytes.EMPTY, keepMillis);
+        }
+        leaving.put(target, Boolean.TRUE);
+    }
+
+    /**
+     * Returns the targets that are believed to be leaving.
+     *
+     * @return their names, in a copy
+     */
+    public Set<String> names() {
+        return Set.copyOf(leaving.asMap().keySet());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
@@ -0,0 +1,211 @@
+package org.dogwoodwinch.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
+import java.util.function.Predicate;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.logging.LogEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Messages between instances over TCP: a length of four bytes before each, one connection to each member, kept while it
+ * is used. With a TLS context that asks for client certificates, both ends are authenticated before a byte is read.
+ */
+public final class NettyPeerTransport implements PeerTransport, AutoCloseable {
+
+    private static final Logger log = LoggerFactory.getLogger(NettyPeerTransport.class);
+
+    private static final int LENGTH_BYTES = 4;
+    private static final int IDLE_SECONDS = 60;
+    private static final int CONNECT_MILLIS = 2_000;
+    private static final int MAX_CONNECTIONS_IN = 1_024;
+
+    private final EventLoopGroup eventLoops;
+    private final int maxMessageBytes;
+    private final Optional<SslContext> serverTls;
+    private final Optional<SslContext> clientTls;
+    private final Map<PeerMember, ChannelFuture> connections = new ConcurrentHashMap<>();
+    private final Map<Channel, Boolean> accepted = new ConcurrentHashMap<>();
+    private Optional<Channel> listener = Optional.empty();
+
+    /**
+     * Creates a transport.
+     *
+     * @param eventLoops carries the connections, not null; its owner shuts it down
+     * @param maxMessageBytes the largest message that is sent or taken, in bytes
+     * @param serverTls the TLS of connections from members, empty for none, not null
+     * @param clientTls the TLS of connections to members, empty for none, not null
+     */
+    public NettyPeerTransport(
+            EventLoopGroup eventLoops,
+            int maxMessageBytes,
+            Optional<SslContext> serverTls,
+            Optional<SslContext> clientTls) {
+        this.eventLoops = Objects.requireNonNull(eventLoops, "eventLoops");
+        this.maxMessageBytes = maxMessageBytes;
+        this.serverTls = Objects.requireNonNull(serverTls, "serverTls");
+        this.clientTls = Objects.requireNonNull(clientTls, "clientTls");
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param host the IP number to listen on, not null
+     * @param port the port, zero for any free one
+     * @param receiver takes each message and says whether it was right; where it was not, the connection is closed
+     * @return the port that it listens on
+     */
+    public synchronized int listen(String host, int port, Predicate<Bytes> receiver) {
+        Channel channel = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel accept) {
+                        initAccepted(accept, receiver);
+                    }
+                })
+                .bind(host, port)
+                .syncUninterruptibly()
+                .channel();
+        listener = Optional.of(channel);
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    private void initAccepted(SocketChannel channel, Predicate<Bytes> receiver) {
+        if (accepted.size() >= MAX_CONNECTIONS_IN) {
+            outcomeUnused(channel.close());
+            return;
+        }
+        accepted.put(channel, Boolean.TRUE);
+        outcomeUnused(channel.closeFuture().addListener(_done -> accepted.remove(channel)));
+        serverTls.ifPresent(tls -> channel.pipeline().addLast(tls.newHandler(channel.alloc())));
+        channel.pipeline()
+                .addLast(new IdleStateHandler(2 * IDLE_SECONDS, 0, 0))
+                .addLast(new LengthFieldBasedFrameDecoder(maxMessageBytes, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new Inbound(receiver));
+    }
+
+    @Override
+    public void send(PeerMember member, Bytes message) {
+        if (message.length() > maxMessageBytes) {
+            return;
+        }
+        ChannelFuture connection = connections.computeIfAbsent(member, this::connect);
+        outcomeUnused(connection.addListener(_connected -> {
+            if (!connection.isSuccess()) {
+                connections.remove(member, connection);
+            } else if (connection.channel().isWritable()) {
+                // A member that reads slowly misses a round; queueing for it would only grow the heap.
+                outcomeUnused(connection.channel().writeAndFlush(Unpooled.wrappedBuffer(message.toByteArray())));
+            }
+        }));
+    }
+
+    private ChannelFuture connect(PeerMember member) {
+        ChannelFuture connection = new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        clientTls.ifPresent(tls -> channel.pipeline()
+                                .addLast(tls.newHandler(channel.alloc(), member.host(), member.peerPort())));
+                        channel.pipeline()
+                                .addLast(new IdleStateHandler(0, IDLE_SECONDS, 0))
+                                .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                                .addLast(new Outbound());
+                    }
+                })
+                .connect(member.host(), member.peerPort());
+        outcomeUnused(
+                connection.channel().closeFuture().addListener(_closed -> connections.remove(member, connection)));
+        return connection;
+    }
+
+    @Override
+    public synchronized void close() {
+        listener.ifPresent(channel -> channel.close().syncUninterruptibly());
+        accepted.keySet().forEach(channel -> outcomeUnused(channel.close()));
+        connections
+                .values()
+                .forEach(connection -> outcomeUnused(connection.channel().close()));
+    }
+
+    /** A failed write or close shows as a closed channel, which its own listener sees to. */
+    private static void outcomeUnused(Future<?> future) {
+        Objects.requireNonNull(future, "future");
+    }
+
+    /** Closes a connection that is idle or broken; the next message opens another one. */
+    private static class Outbound extends SimpleChannelInboundHandler<ByteBuf> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf _message) {
+            outcomeUnused(context.close());
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof IdleStateEvent) {
+                outcomeUnused(context.close());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LogEvent.of("peer_connection_failed")
+                    .with("remote", context.channel().remoteAddress())
+                    .with("error", cause.toString())
+                    .debug(log);
+            outcomeUnused(context.close());
+        }
+    }
+
+    private static final class Inbound extends Outbound {
+
+        private final Predicate<Bytes> receiver;
+
+        Inbound(Predicate<Bytes> receiver) {
+            this.receiver = receiver;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf message) {
+            if (!receiver.test(Bytes.of(ByteBufUtil.getBytes(message)))) {
+                LogEvent.of("peer_message_refused")
+                        .with("remote", context.channel().remoteAddress())
+                        .warn(log);
+                outcomeUnused(context.close());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
@@ -0,0 +1,304 @@
+package org.dogwoodwinch.peer;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.time.Cancellable;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * The notice board by exchange: each round sends what is new to a few members drawn by chance, within a budget of bytes.
+ *
+ * <p>Nothing that must be agreed or kept goes this way; that is the log's. Losing all of it costs stale load figures and
+ * a slower word of leaving targets and quarantines, never a wrong order or a second run. Thread-safe.
+ */
+public final class PeerExchange implements PeerBoard {
+
+    /** Beyond so many members load stays within a data centre: the word of each about each would not fit the budget. */
+    private static final int MAX_MEMBERS_FOR_WIDE_LOAD = 24;
+
+    private static final int EXTRA_PASSES = 2;
+    private static final int NEWCOMER_ROUNDS = 3;
+    private static final long MEMBER_MILLIS_PER_MEMBER = 50;
+    private static final int MEMBER_KEPT_PERIODS = 4;
+    private static final long REPLAY_WINDOW_MILLIS = 300_000;
+
+    private final PeerSettings settings;
+    private final TimeSource time;
+    private final UniformRandomProvider random;
+    private final PeerTransport transport;
+    private final Supplier<List<PeerMember>> members;
+    private final PeerObserver observer;
+    private final PeerCodec codec;
+    private final PeerItemStore store = new PeerItemStore();
+    private final Map<PeerTopic, List<Consumer<PeerItem>>> listeners = new EnumMap<>(PeerTopic.class);
+    private final Map<String, long[]> lastNumbers = new HashMap<>();
+    private final long startedMillis;
+    private long nextVersion = 1;
+    private long nextNumber = 1;
+    private int newcomerRounds = NEWCOMER_ROUNDS;
+    private long nextMemberMillis;
+    private Cancellable round = () -> {};
+    private boolean stopped;
+
+    /**
+     * Creates an exchange; {@link #start()} makes it send.
+     *
+     * @param settings what may be set, not null
+     * @param time the clock and timers, not null
+     * @param random draws the members of a round, not null; used under this object's lock
+     * @param transport carries messages, not null
+     * @param members the other instances as the platform lists them, asked for at each round, not null
+     * @param observer hears of traffic, not null
+     */
+    public PeerExchange(
+            PeerSettings settings,
+            TimeSource time,
+            UniformRandomProvider random,
+            PeerTransport transport,
+            Supplier<List<PeerMember>> members,
+            PeerObserver observer) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.time = Objects.requireNonNull(time, "time");
+        this.random = Objects.requireNonNull(random, "random");
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.members = Objects.requireNonNull(members, "members");
+        this.observer = Objects.requireNonNull(observer, "observer");
+        this.codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
+        this.startedMillis = time.wallMillis();
+        for (PeerTopic topic : PeerTopic.values()) {
+            listeners.put(topic, new CopyOnWriteArrayList<>());
+        }
+    }
+
+    /** Starts the rounds. */
+    public void start() {
+        round = time.schedule(settings.roundMillis(), this::runRound);
+    }
+
+    /** Ends the rounds. */
+    public synchronized void stop() {
+        stopped = true;
+        round.cancel();
+    }
+
+    /**
+     * Returns the name of this start of this instance, which the claims stream carries.
+     *
+     * @return the instance's name and the time of its start
+     */
+    public String writer() {
+        return writerOf(settings.instance(), startedMillis);
+    }
+
+    /**
+     * Says whether a start of an instance has been heard of lately.
+     *
+     * @param writer its name as of {@link #writer()}, not null
+     * @return true where its word of being alive has not expired
+     */
+    public synchronized boolean isAlive(String writer) {
+        store.expire(time.monotonicMillis());
+        int separator = writer.lastIndexOf('~');
+        String instance = writer.substring(0, Math.max(0, separator));
+        return writer.equals(writer())
+                || store.find(instance, PeerTopic.MEMBER, instance)
+                        .filter(entry ->
+                                writerOf(entry.origin(), entry.startedMillis()).equals(writer))
+                        .isPresent();
+    }
+
+    private static String writerOf(String instance, long started) {
+        return instance + "~" + Long.toString(started, Character.MAX_RADIX);
+    }
+
+    @Override
+    public synchronized void publish(PeerTopic topic, String key, Bytes payload, long keepMillis) {
+        PeerEntry entry = new PeerEntry(
+                settings.instance(), startedMillis, topic.name(), key, nextVersion++, 0, keepMillis, payload);
+        int passes = topic == PeerTopic.CATALOGUE ? 0 : passes();
+        store.accept(entry, time.monotonicMillis(), passes);
+    }
+
+    @Override
+    public void subscribe(PeerTopic topic, Consumer<PeerItem> listener) {
+        listeners.get(topic).add(listener);
+    }
+
+    /**
+     * Returns how many items are known.
+     *
+     * @return the count
+     */
+    public synchronized int items() {
+        return store.size();
+    }
+
+    private int passes() {
+        int count = members.get().size() + 1;
+        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(count);
+        return Math.min(count - 1, doublings + EXTRA_PASSES);
+    }
+
+    private void runRound() {
+        List<Outgoing> outgoing = new ArrayList<>();
+        synchronized (this) {
+            if (stopped) {
+                return;
+            }
+            store.expire(time.monotonicMillis());
+            publishMember();
+            List<PeerMember> drawn = draw();
+            for (PeerMember member : drawn) {
+                outgoing.add(new Outgoing(member, messageFor(member, drawn.size())));
+            }
+            newcomerRounds = Math.max(0, newcomerRounds - (drawn.isEmpty() ? 0 : 1));
+            round = time.schedule(settings.roundMillis(), this::runRound);
+        }
+        outgoing.forEach(each -> send(each.member(), each.message()));
+    }
+
+    /** The word of being alive comes less often the more members there are, so that its traffic stays within bounds. */
+    private void publishMember() {
+        long nowMillis = time.monotonicMillis();
+        if (nowMillis < nextMemberMillis) {
+            return;
+        }
+        long periodMillis = Math.max(
+                settings.roundMillis(), MEMBER_MILLIS_PER_MEMBER * members.get().size());
+        nextMemberMillis = nowMillis + periodMillis;
+        publish(PeerTopic.MEMBER, settings.instance(), Bytes.EMPTY, MEMBER_KEPT_PERIODS * periodMillis);
+    }
+
+    private List<PeerMember> draw() {
+        List<PeerMember> others = new ArrayList<>(members.get());
+        others.removeIf(member -> member.name().equals(settings.instance()));
+        List<PeerMember> drawn = new ArrayList<>();
+        while (drawn.size() < settings.neighbours() && !others.isEmpty()) {
+            drawn.add(others.remove(random.nextInt(others.size())));
+        }
+        return drawn;
+    }
+
+    private PeerMessage messageFor(PeerMember member, int drawn) {
+        int budgetBytes = (int) (settings.bytesPerSecond() * settings.roundMillis() / 1_000 / drawn);
+        boolean wideLoad = members.get().size() <= MAX_MEMBERS_FOR_WIDE_LOAD;
+        boolean near = member.dataCentre().equals(settings.dataCentre());
+        List<PeerEntry> items = store.take(
+                time.monotonicMillis(),
+                budgetBytes,
+                entry -> !entry.origin().equals(member.name())
+                        && (near || wideLoad || !entry.topic().equals(PeerTopic.LOAD.name())));
+        return message(items, newcomerRounds > 0);
+    }
+
+    private PeerMessage message(List<PeerEntry> items, boolean newcomer) {
+        return new PeerMessage(
+                PeerMessage.VERSION,
+                settings.instance(),
+                startedMillis,
+                nextNumber++,
+                time.wallMillis(),
+                newcomer,
+                items);
+    }
+
+    private void send(PeerMember member, PeerMessage message) {
+        Bytes encoded = codec.encode(message);
+        observer.onSent(encoded.length());
+        transport.send(member, encoded);
+    }
+
+    /**
+     * Takes a message from the transport.
+     *
+     * @param received the message, not null
+     * @return whether it was taken; a connection that brings one that is refused is closed
+     */
+    public boolean receive(Bytes received) {
+        boolean[] taken = new boolean[1];
+        codec.decode(
+                received,
+                message -> {
+                    observer.onReceived(received.length());
+                    taken[0] = take(message);
+                },
+                observer::onRefused);
+        return taken[0];
+    }
+
+    private boolean take(PeerMessage message) {
+        List<PeerItem> news = new ArrayList<>();
+        Optional<Outgoing> answer = Optional.empty();
+        synchronized (this) {
+            if (isReplayed(message)) {
+                observer.onRefused(PeerRefusal.REPLAYED);
+                return false;
+            }
+            message.items().forEach(entry -> accept(entry).ifPresent(news::add));
+            if (message.newcomer() && !message.sender().equals(settings.instance())) {
+                answer = answerNewcomer(message.sender());
+            }
+        }
+        answer.ifPresent(each -> send(each.member(), each.message()));
+        news.forEach(item -> listeners.get(item.topic()).forEach(listener -> listener.accept(item)));
+        return true;
+    }
+
+    /** A recorded message played again could bring back a word that has expired since. */
+    private boolean isReplayed(PeerMessage message) {
+        if (Math.abs(time.wallMillis() - message.sentMillis()) > REPLAY_WINDOW_MILLIS) {
+            return true;
+        }
+        long[] last = lastNumbers.get(message.sender());
+        if (last != null && last[0] == message.startedMillis() && message.number() <= last[1]) {
+            return true;
+        }
+        lastNumbers.put(message.sender(), new long[] {message.startedMillis(), message.number()});
+        return false;
+    }
+
+    private Optional<PeerItem> accept(PeerEntry entry) {
+        Optional<PeerTopic> topic = topicOf(entry.topic());
+        if (topic.isEmpty() || entry.origin().equals(settings.instance())) {
+            return Optional.empty();
+        }
+        // A catalogue is as large as all other news together, and each member publishes its own: it is not passed on.
+        boolean bulk = topic.get() == PeerTopic.CATALOGUE;
+        if (!bulk && !store.accept(entry, time.monotonicMillis(), passes())) {
+            return Optional.empty();
+        }
+        return Optional.of(new PeerItem(
+                entry.origin(), topic.get(), entry.key(), entry.version(), entry.payload(), entry.ageMillis()));
+    }
+
+    /** The answer never asks for an answer: two newcomers would send each other everything without end. */
+    private Optional<Outgoing> answerNewcomer(String sender) {
+        List<PeerEntry> all = store.all(time.monotonicMillis(), settings.maxMessageBytes() / 2);
+        return members.get().stream()
+                .filter(member -> member.name().equals(sender))
+                .findFirst()
+                .map(member -> new Outgoing(member, message(all, false)));
+    }
+
+    /** A topic that a newer version of this program added is passed over. */
+    private static Optional<PeerTopic> topicOf(String name) {
+        for (PeerTopic topic : PeerTopic.values()) {
+            if (topic.name().equals(name)) {
+                return Optional.of(topic);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private record Outgoing(PeerMember member, PeerMessage message) {}
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/PeerMember.java
@@ -0,0 +1,21 @@
+package org.dogwoodwinch.peer;
+
+import java.util.Objects;
+
+/**
+ * Another instance that messages can be sent to.
+ *
+ * @param name its name in the platform's list, not null
+ * @param host its IP number, not null
+ * @param peerPort the port on which it takes messages
+ * @param dataCentre the data centre it stands in, not null
+ */
+public record PeerMember(String name, String host, int peerPort, String dataCentre) {
+
+    /** Checks the parts. */
+    public PeerMember {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/PeerSettings.java
@@ -0,0 +1,53 @@
+package org.dogwoodwinch.peer;
+
+import java.util.Objects;
+
+/**
+ * What may be set of the exchange between instances.
+ *
+ * @param instance this instance's name in the platform's list, not null
+ * @param dataCentre the data centre it stands in, not null
+ * @param secret the secret that all instances share, which authenticates each message; empty where mutual TLS alone
+ *     does, not null
+ * @param roundMillis how often a round is sent, in milliseconds
+ * @param neighbours how many members a round goes to
+ * @param bytesPerSecond how many bytes this instance sends a second, on average
+ * @param maxMessageBytes the largest message that is sent or taken, in bytes
+ */
+public record PeerSettings(
+        String instance,
+        String dataCentre,
+        String secret,
+        long roundMillis,
+        int neighbours,
+        int bytesPerSecond,
+        int maxMessageBytes) {
+
+    private static final int MIN_MESSAGE_BYTES = 1_024;
+
+    /**
+     * Checks the numbers.
+     *
+     * @throws IllegalArgumentException if one is out of range
+     */
+    public PeerSettings {
+        Objects.requireNonNull(instance, "instance");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(secret, "secret");
+        if (roundMillis <= 0 || neighbours <= 0 || bytesPerSecond <= 0 || maxMessageBytes < MIN_MESSAGE_BYTES) {
+            throw new IllegalArgumentException("rounds, neighbours and bytes must be more than zero");
+        }
+    }
+
+    /**
+     * Returns what holds where the settings say nothing: a round a second to three members, 3,400 bytes a second out.
+     *
+     * @param instance this instance's name, not null
+     * @param dataCentre its data centre, not null
+     * @param secret the shared secret, not null
+     * @return the settings
+     */
+    public static PeerSettings defaults(String instance, String dataCentre, String secret) {
+        return new PeerSettings(instance, dataCentre, secret, 1_000, 3, 3_400, 1_048_576);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -10,6 +10,8 @@
     QUARANTINE,
     /** Demand of owners, for the shares of their limits. */
     DEMAND,
-    /** The newest catalogue and the offset it covers. */
-    CATALOGUE
+    /** The newest catalogue and the offset it covers; sent to a member that has just started, not passed on. */
+    CATALOGUE,
+    /** That an instance is alive. */
+    MEMBER
 }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/peer/PeerExchangeTest.java
@@ -0,0 +1,161 @@
+package org.dogwoodwinch.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class PeerExchangeTest {
+
+    private static final int MEMBERS = 12;
+
+    private final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
+    private final List<PeerMember> members = new ArrayList<>();
+    private final List<PeerExchange> exchanges = new ArrayList<>();
+    private final List<PeerRefusal> refusals = new ArrayList<>();
+    private final List<Bytes> sent = new ArrayList<>();
+
+    @Test
+    void newsReachesEveryMemberOnceWithinSeconds() {
+        startAll();
+        int[] heard = new int[MEMBERS];
+        for (int i = 0; i < MEMBERS; i++) {
+            int member = i;
+            exchanges.get(i).subscribe(PeerTopic.QUARANTINE, _item -> heard[member]++);
+        }
+        exchanges.get(0).publish(PeerTopic.QUARANTINE, "key", Bytes.ofUtf8("payload"), 60_000);
+        time.advanceMillis(5_000);
+        for (int i = 1; i < MEMBERS; i++) {
+            assertEquals(1, heard[i], "member " + i);
+        }
+    }
+
+    @Test
+    void ageAddsUpOnTheWayAndOldNewsExpires() {
+        startAll();
+        List<PeerItem> heard = new ArrayList<>();
+        exchanges.get(1).subscribe(PeerTopic.LEAVING, heard::add);
+        exchanges.get(0).publish(PeerTopic.LEAVING, "engine", Bytes.EMPTY, 30_000);
+        time.advanceMillis(10_000);
+        assertTrue(heard.get(0).ageMillis() > 0 && heard.get(0).ageMillis() < 10_000);
+        int before = exchanges.get(1).items();
+        time.advanceMillis(30_000);
+        assertEquals(before - 1, exchanges.get(1).items());
+    }
+
+    /** An instance starts while the log is out: it hears the catalogue from a neighbour, and it hears it at once. */
+    @Test
+    void aNewcomerHearsTheCatalogue() {
+        startAll();
+        exchanges.forEach(each -> each.publish(PeerTopic.CATALOGUE, "catalogue", Bytes.ofUtf8("c"), 3_600_000));
+        time.advanceMillis(10_000);
+        PeerExchange newcomer = start(MEMBERS);
+        List<PeerItem> heard = new ArrayList<>();
+        newcomer.subscribe(PeerTopic.CATALOGUE, heard::add);
+        time.advanceMillis(2_000);
+        assertFalse(heard.isEmpty());
+    }
+
+    @Test
+    void knowsWhoIsAlive() {
+        startAll();
+        time.advanceMillis(5_000);
+        String writer = exchanges.get(1).writer();
+        assertTrue(exchanges.get(0).isAlive(writer));
+        exchanges.get(1).stop();
+        time.advanceMillis(10_000);
+        assertFalse(exchanges.get(0).isAlive(writer));
+    }
+
+    /** A stranger, a damaged, an oversized, a replayed and a meaningless message: each is refused by its own reason. */
+    @Test
+    void refusesWhatIsNotRight() {
+        startAll();
+        time.advanceMillis(1_000);
+        PeerExchange receiver = exchanges.get(0);
+        Bytes good = new PeerCodec("secret", 1_048_576)
+                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 1, time.wallMillis(), false, List.of()));
+        assertTrue(receiver.receive(good));
+        refusals.clear();
+        assertFalse(receiver.receive(good));
+        byte[] damaged = good.toByteArray();
+        damaged[damaged.length - 1] ^= 1;
+        receiver.receive(Bytes.of(damaged));
+        receiver.receive(Bytes.ofUtf8("short"));
+        receiver.receive(Bytes.of(new byte[2_000_000]));
+        receiver.receive(new PeerCodec("other", 1_048_576)
+                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 2, time.wallMillis(), false, List.of())));
+        receiver.receive(new PeerCodec("secret", 1_048_576)
+                .encode(new PeerMessage(99, "x", 1, 3, time.wallMillis(), false, List.of())));
+        receiver.receive(new PeerCodec("secret", 1_048_576)
+                .encode(new PeerMessage(PeerMessage.VERSION, null, 1, 4, time.wallMillis(), false, List.of())));
+        assertEquals(
+                List.of(
+                        PeerRefusal.REPLAYED,
+                        PeerRefusal.UNAUTHENTICATED,
+                        PeerRefusal.UNAUTHENTICATED,
+                        PeerRefusal.TOO_LARGE,
+                        PeerRefusal.UNAUTHENTICATED,
+                        PeerRefusal.WRONG_VERSION,
+                        PeerRefusal.MALFORMED),
+                refusals);
+    }
+
+    /** Far more is published than the budget carries: traffic stays within it, and the urgent word still gets through. */
+    @Test
+    void staysWithinItsBudget() {
+        startAll();
+        List<PeerItem> urgent = new ArrayList<>();
+        exchanges.get(MEMBERS - 1).subscribe(PeerTopic.QUARANTINE, urgent::add);
+        sent.clear();
+        for (int second = 0; second < 20; second++) {
+            for (int i = 0; i < 50; i++) {
+                exchanges.get(0).publish(PeerTopic.LOAD, "engine-" + i, Bytes.of(new byte[500]), 10_000);
+            }
+            if (second == 5) {
+                exchanges.get(0).publish(PeerTopic.QUARANTINE, "key", Bytes.EMPTY, 60_000);
+            }
+            time.advanceMillis(1_000);
+        }
+        long sentBytes = sent.stream().mapToLong(Bytes::length).sum();
+        long budgetBytes = 20L * MEMBERS * 3_400;
+        assertTrue(sentBytes < budgetBytes * 1.2, sentBytes + " bytes");
+        assertEquals(1, urgent.size());
+    }
+
+    private void startAll() {
+        for (int i = 0; i < MEMBERS; i++) {
+            start(i);
+        }
+        time.advanceMillis(5_000);
+    }
+
+    private PeerExchange start(int index) {
+        String name = "entry-" + index;
+        members.add(new PeerMember(name, "127.0.0.1", index, "kakkanad"));
+        PeerExchange exchange = new PeerExchange(
+                PeerSettings.defaults(name, "kakkanad", "secret"),
+                time,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(index),
+                (member, message) -> {
+                    sent.add(message);
+                    time.schedule(1, () -> exchanges.get(member.peerPort()).receive(message));
+                },
+                () -> members,
+                new PeerObserver() {
+                    @Override
+                    public void onRefused(PeerRefusal refusal) {
+                        refusals.add(refusal);
+                    }
+                });
+        exchanges.add(exchange);
+        exchange.start();
+        return exchange;
+    }
+}
