Build again when a source is newer than the last build

Cause: after a pull, bin/demo ran the old classes and failed with a class that could not be found; nothing told why. Change: the launchers compare sources and POM with a stamp of the last build. Conclusion: a fresh clone and a pulled one behave alike.

--- a/bin/java-launcher.sh
+++ b/bin/java-launcher.sh
@@ -2,8 +2,10 @@
 root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
 
 build_if_needed() {
-  if [ ! -d "$root/target/lib" ] || [ ! -d "$root/target/classes/org/dogwoodwinch" ]; then
-    (cd "$root" && mvn -B -ntp -q -Dstyle.color=never process-classes 1>&2)
+  # The stamp is older than a source that was changed or pulled since: old classes would run without a word.
+  local stamp="$root/target/built.stamp"
+  if [ ! -f "$stamp" ] || [ -n "$(find "$root/src/main" "$root/pom.xml" -newer "$stamp" -print -quit)" ]; then
+    (cd "$root" && mvn -B -ntp -q -Dstyle.color=never process-classes 1>&2 && touch "$stamp")
   fi
 }
 
