--- a/src/main/java/org/dogwoodwinch/faultrun/Caller.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/Caller.java
@@ -6,8 +6,8 @@
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicLong;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.BoundRequestBuilder;
@@ -69,7 +69,7 @@
      * @param callersPort where it takes calls
      * @return how it ended; completes normally in every case
      */
-    CompletableFuture<CallResult> call(CallPlan plan, String instance, int callersPort) {
+    CompletionStage<CallResult> call(CallPlan plan, String instance, int callersPort) {
         String callId = "c" + calls.incrementAndGet();
         history.record(new RequestEvent.Invoked(
                 time.wallMillis(),
--- a/src/main/java/org/dogwoodwinch/faultrun/CuttableProxy.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/CuttableProxy.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
@@ -51,10 +52,10 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.AUTO_READ, false)
-                .childHandler(new ChannelInboundHandlerAdapter() {
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
-                    public void channelActive(ChannelHandlerContext context) {
-                        accept(context.channel());
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
                     }
                 })
                 .bind(InetAddress.getLoopbackAddress(), 0)
--- a/src/main/java/org/dogwoodwinch/standin/HistoryEngineObserver.java
+++ b/src/main/java/org/dogwoodwinch/standin/HistoryEngineObserver.java
@@ -63,4 +63,9 @@
     public void onCut(String engine, String attemptId) {
         history.record(new AttemptEvent.Cut(time.wallMillis(), engine, attemptId, AttemptEvent.Cause.PLANNED_CHANGE));
     }
+
+    @Override
+    public void onCrashCut(String engine, String attemptId) {
+        history.record(new AttemptEvent.Cut(time.wallMillis(), engine, attemptId, AttemptEvent.Cause.CRASH));
+    }
 }
--- a/src/main/java/org/dogwoodwinch/standin/StandInEngine.java
+++ b/src/main/java/org/dogwoodwinch/standin/StandInEngine.java
@@ -59,6 +59,7 @@
     private boolean leaving;
     private boolean stepping;
     private double carriedMillis;
+    private long reportLagMillis;
 
     /**
      * Creates an engine that is ready.
@@ -81,6 +82,7 @@
         this.address = Objects.requireNonNull(address, "address");
         this.configuration = Objects.requireNonNull(configuration, "configuration");
         this.options = Objects.requireNonNull(options, "options");
+        this.reportLagMillis = options.reportLagMillis();
         this.time = Objects.requireNonNull(time, "time");
         this.observer = Objects.requireNonNull(observer, "observer");
         this.cache = new PrefixCache(maxBlocks(options.cost()), this::recordStored, this::recordEvicted);
@@ -135,7 +137,7 @@
             return failed();
         }
         recordLoad();
-        return answered(reports.newestAsOldAs(time.wallMillis() - options.reportLagMillis()));
+        return answered(reports.newestAsOldAs(time.wallMillis() - reportLagMillis));
     }
 
     @Override
@@ -200,6 +202,15 @@
         time.schedule(options.restartMillis(), this::restart);
     }
 
+    /**
+     * Changes how old its load reports are.
+     *
+     * @param newReportLagMillis the lag, in milliseconds
+     */
+    public synchronized void setReportLagMillis(long newReportLagMillis) {
+        reportLagMillis = newReportLagMillis;
+    }
+
     /**
      * Marks the engine as leaving or not: a leaving one refuses new requests and finishes those it has.
      *
@@ -392,6 +403,8 @@
         for (StandInSequence sequence : broken) {
             if (byOrder) {
                 observer.onCut(name, sequence.call().attemptId());
+            } else {
+                observer.onCrashCut(name, sequence.call().attemptId());
             }
             AnswerListener listener = sequence.listener();
             sequence.detach();
--- a/src/main/java/org/dogwoodwinch/standin/StandInEngineObserver.java
+++ b/src/main/java/org/dogwoodwinch/standin/StandInEngineObserver.java
@@ -41,4 +41,12 @@
      * @param attemptId the attempt
      */
     void onCut(String engine, String attemptId);
+
+    /**
+     * A crash cut a request that was running.
+     *
+     * @param _engine its name
+     * @param _attemptId the attempt
+     */
+    default void onCrashCut(String _engine, String _attemptId) {}
 }
--- a/src/main/java/org/dogwoodwinch/standin/http/PlainService.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/PlainService.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicLong;
 import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.standin.StandInEngineObserver;
 import org.dogwoodwinch.target.http.RefusalBody;
 
 /**
@@ -16,15 +17,18 @@
     private static final int UNAVAILABLE = 503;
 
     private final String name;
+    private final StandInEngineObserver observer;
     private final AtomicLong runs = new AtomicLong();
 
     /**
      * Creates a service.
      *
      * @param name its name as a target, not null
+     * @param observer hears of each run, not null
      */
-    PlainService(String name) {
+    PlainService(String name, StandInEngineObserver observer) {
         this.name = Objects.requireNonNull(name, "name");
+        this.observer = Objects.requireNonNull(observer, "observer");
     }
 
     /**
@@ -43,7 +47,8 @@
                     new RefusalBody(UNAVAILABLE, RefusalBody.OVERLOADED, RefusalBody.NOT_RUN, "too many calls", 1_000));
             return;
         }
-        runs.incrementAndGet();
+        observer.onExecuted(
+                name, name + "-" + runs.incrementAndGet(), call.body().toUtf8());
         if (call.uri().contains("cut")) {
             reply.cut();
             return;
--- a/src/main/java/org/dogwoodwinch/standin/http/StandInFleet.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/StandInFleet.java
@@ -97,7 +97,7 @@
      * @throws IOException if no port can be bound
      */
     public void addService(String name, String service, String dataCentre) throws IOException {
-        PlainService plain = new PlainService(name);
+        PlainService plain = new PlainService(name, observer);
         services.add(plain);
         list(name, ListedInstance.Kind.SERVICE, bind(plain).port(), dataCentre, service);
     }
--- a/src/test/java/org/dogwoodwinch/faultrun/CuttableProxyTest.java
+++ b/src/test/java/org/dogwoodwinch/faultrun/CuttableProxyTest.java
@@ -52,6 +52,19 @@
         }
     }
 
+    @Test
+    void connectionsDoNotMix() throws IOException {
+        try (Socket first = connect();
+                Socket firstFar = server.accept();
+                Socket second = connect();
+                Socket secondFar = server.accept()) {
+            second.getOutputStream().write(2);
+            firstFar.getOutputStream().write(1);
+            assertEquals(2, secondFar.getInputStream().read());
+            assertEquals(1, first.getInputStream().read());
+        }
+    }
+
     @Test
     void aConnectionMadeWhileItWasCutIsClosedWhenItIsJoined() throws IOException {
         proxy.cut();
