Test the edge, the target adapters and the daemon; pause targets faster than the event loop

Cause: the path had no tests. They showed that pieces wait without bound where a target's thread is faster than the caller's event loop, and that service paths let characters through on which servers differ.

--- a/src/main/java/org/dogwoodwinch/http/CallerExchange.java
+++ b/src/main/java/org/dogwoodwinch/http/CallerExchange.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.Channel;
 import java.util.Objects;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.dogwoodwinch.request.AnswerSink;
 import org.dogwoodwinch.request.CallerRequest;
@@ -16,11 +18,16 @@
  * Takes one request's answer to its caller's connection.
  *
  * <p>The sink is called from the targets' threads; every call becomes a task of the connection's event loop, also those
- * that already come on it, so that none overtakes another. A full connection pauses the target: what is on the heap is
- * bounded by the connection's high-water mark and what the target's connection had already read.
+ * that already come on it, so that none overtakes another.
+ *
+ * <p>Two things would let an answer pile up on the heap: a caller that does not read, and an event loop that is slower
+ * than the target's thread. Either pauses the target, the one at the connection's high-water mark, the other when too
+ * many pieces wait to be written.
  */
 final class CallerExchange implements AnswerSink {
 
+    private static final int MOST_WAITING_CHUNKS = 64;
+
     private final Channel channel;
     private final CallerRequest request;
     private final AnswerWriter writer;
@@ -28,7 +35,9 @@
     private final EdgeObserver observer;
     private final TimeSource time;
     private final Consumer<Boolean> whenEnded;
-    private RequestHandle handle;
+    private final AtomicInteger waitingChunks = new AtomicInteger();
+    private final AtomicBoolean pausedByQueue = new AtomicBoolean();
+    private volatile RequestHandle handle;
     private boolean ended;
     private boolean paused;
     private long lastTokenMillis = -1;
@@ -80,7 +89,9 @@
             handle.pauseReading();
         } else if (channel.isWritable() && paused) {
             paused = false;
-            handle.resumeReading();
+            if (!pausedByQueue.get()) {
+                handle.resumeReading();
+            }
         }
     }
 
@@ -113,7 +124,14 @@
 
     @Override
     public void onChunk(AnswerChunk chunk) {
-        onLoop(() -> write(chunk));
+        boolean tooMany = waitingChunks.incrementAndGet() >= MOST_WAITING_CHUNKS;
+        channel.eventLoop().execute(() -> write(chunk));
+        RequestHandle current = handle;
+        if (tooMany && current != null && pausedByQueue.compareAndSet(false, true)) {
+            current.pauseReading();
+            // Runs after every piece that waits now; being queued after the pause, it cannot overtake it.
+            channel.eventLoop().execute(this::queueDrained);
+        }
     }
 
     @Override
@@ -146,7 +164,18 @@
         });
     }
 
+    private void queueDrained() {
+        pausedByQueue.set(false);
+        if (!ended && !paused) {
+            handle.resumeReading();
+        }
+    }
+
     private void write(AnswerChunk chunk) {
+        waitingChunks.decrementAndGet();
+        if (ended) {
+            return;
+        }
         writer.chunk(chunk);
         observeToken();
         writabilityChanged();
--- a/src/main/java/org/dogwoodwinch/http/CallerRoute.java
+++ b/src/main/java/org/dogwoodwinch/http/CallerRoute.java
@@ -13,6 +13,8 @@
 record CallerRoute(Kind kind, Set<String> methods, String service, String rest) {
 
     private static final String SERVICES = "/services/";
+    private static final String URI_CHARACTERS =
+            "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-._~:/?[]@!$&'()*+,;=%";
     private static final Set<String> SERVICE_METHODS = Set.of("GET", "POST", "PUT", "PATCH", "DELETE");
     private static final CallerRoute CHAT = new CallerRoute(Kind.CHAT, Set.of("POST"), "", "");
     private static final CallerRoute COMPLETION = new CallerRoute(Kind.COMPLETION, Set.of("POST"), "", "");
@@ -56,7 +58,7 @@
         int slash = below.indexOf('/');
         String name = slash < 0 ? below : below.substring(0, slash);
         String rest = slash < 0 ? "/" : below.substring(slash);
-        if (name.isEmpty() || hasDotSegment(rest) || !isPlainAscii(rest + query)) {
+        if (name.isEmpty() || hasDotSegment(rest) || !isUriText(rest + query)) {
             return UNKNOWN;
         }
         return new CallerRoute(Kind.SERVICE, SERVICE_METHODS, name, rest + query);
@@ -75,7 +77,8 @@
                 || path.contains("%5C");
     }
 
-    private static boolean isPlainAscii(String text) {
-        return text.chars().allMatch(character -> character > ' ' && character < 0x7f && character != '#');
+    /** Only characters that RFC 3986 allows: servers differ in what they make of others. */
+    private static boolean isUriText(String text) {
+        return text.chars().allMatch(character -> URI_CHARACTERS.indexOf(character) >= 0);
     }
 }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/DaemonTest.java
@@ -0,0 +1,212 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.base.Splitter;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.settings.Settings;
+import org.dogwoodwinch.settings.SettingsLoader;
+import org.dogwoodwinch.settings.SettingsResult;
+import org.dogwoodwinch.standin.StandInEngineObserver;
+import org.dogwoodwinch.standin.StandInEngineOptions;
+import org.dogwoodwinch.standin.StandInText;
+import org.dogwoodwinch.standin.http.DaemonAddress;
+import org.dogwoodwinch.standin.http.DemoCatalogue;
+import org.dogwoodwinch.standin.http.FleetSetup;
+import org.dogwoodwinch.standin.http.StandInFleet;
+import org.dogwoodwinch.target.EngineRole;
+import org.dogwoodwinch.time.SystemTimeSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole path in one process: callers, a daemon on free ports, and stand-ins behind HTTP. */
+@Timeout(60)
+class DaemonTest {
+
+    private final EventLoopGroup group = new NioEventLoopGroup(4);
+    private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
+    private final HttpClient http = HttpClient.newHttpClient();
+    private StandInFleet fleet;
+    private Daemon daemon;
+    private DaemonAddress address;
+
+    @BeforeEach
+    void start(@TempDir Path folder) throws IOException, InterruptedException {
+        SystemTimeSource time = new SystemTimeSource(timers);
+        fleet = new StandInFleet(group, time, 0, StandInEngineObserver.NONE);
+        for (int i = 1; i <= 2; i++) {
+            fleet.addEngine(
+                    "booking-" + i,
+                    "booking",
+                    "booking-model",
+                    EngineRole.MIXED,
+                    "kakkanad",
+                    StandInEngineOptions.STANDARD);
+        }
+        fleet.addService("script-check-1", DemoCatalogue.SCRIPT_CHECK, "kakkanad");
+        daemon = new Daemon(
+                settings(folder), new DaemonContext(time, group, () -> RandomSource.XO_RO_SHI_RO_128_PP.create(11)));
+        daemon.start();
+        address = new DaemonAddress("malabar-1", "kakkanad", daemon.callersPort(), daemon.operatorsPort(), 0);
+        FleetSetup setup = new FleetSetup(http, fleet.addresses());
+        setup.publish(address, DemoCatalogue.document());
+        setup.awaitReady(address);
+    }
+
+    @AfterEach
+    void stop() {
+        daemon.close();
+        fleet.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        timers.shutdownNow();
+    }
+
+    /**
+     * Forty callers ask at once, each with a prompt of its own. Each gets the text that belongs to its own prompt, byte
+     * for byte, though all the answers come interleaved from the same engines.
+     */
+    @Test
+    void concurrentCallersEachGetTheirOwnWholeAnswer() throws IOException {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            answers.add(http.sendAsync(slot("prompt " + i, i % 2 == 0), BodyHandlers.ofString()));
+        }
+        for (int i = 0; i < 40; i++) {
+            HttpResponse<String> answer = answers.get(i).join();
+            assertEquals(200, answer.statusCode(), answer.body());
+            assertEquals(StandInText.answer("prompt " + i, 1_024), textOf(answer.body()));
+        }
+    }
+
+    @Test
+    void aPlainServiceRunsOnce() throws IOException, InterruptedException {
+        HttpResponse<String> answer = http.send(
+                request("/services/script-check/checks?reel=4", DemoCatalogue.COMPLIANCE_TOKEN, "script"),
+                BodyHandlers.ofString());
+        assertEquals("script-check-1 did POST /checks?reel=4 script", answer.body());
+        assertEquals(1, fleet.serviceRuns());
+    }
+
+    /**
+     * The instance is told to stop while an answer streams. It says that it is not ready, refuses what is new as not
+     * run, and ends only after the answer is whole.
+     */
+    @Test
+    void aStopCutsNoRequest() throws IOException, InterruptedException {
+        CompletableFuture<HttpResponse<String>> running =
+                http.sendAsync(slot("long one [tokens=60]", true), BodyHandlers.ofString());
+        awaitStatus("/status", body -> body.contains("\"inFlightRequests\":1"));
+        CompletableFuture<Integer> stopped = daemon.stop().toCompletableFuture();
+        assertEquals(503, operators("/readyz").statusCode());
+        awaitRefusal();
+        assertEquals(0, stopped.join());
+        assertEquals(
+                StandInText.answer("long one [tokens=60]", 1_024),
+                textOf(running.join().body()));
+    }
+
+    @Test
+    void operatorsSeeTheFleet() throws IOException, InterruptedException {
+        awaitStatus("/status", body -> body.contains("\"name\":\"booking-2\""));
+        String body = operators("/status").body();
+        assertTrue(body.contains("\"ready\":true") && body.contains("\"logReachable\":true"), body);
+        assertEquals(404, operators("/nothing").statusCode());
+        String metrics = operators("/metrics").body();
+        assertTrue(metrics.contains("dogwoodwinch_catalogue_revision "), metrics);
+        assertFalse(metrics.contains("dogwoodwinch_catalogue_revision -1"), metrics);
+    }
+
+    private void awaitRefusal() throws IOException, InterruptedException {
+        HttpResponse<String> answer;
+        do {
+            answer = http.send(slot("late", false), BodyHandlers.ofString());
+        } while (answer.statusCode() == 200);
+        assertEquals(503, answer.statusCode());
+        assertEquals(
+                "stopping", answer.headers().firstValue("Dogwoodwinch-Refusal").orElse(""));
+    }
+
+    private void awaitStatus(String path, java.util.function.Predicate<String> wanted)
+            throws IOException, InterruptedException {
+        while (!wanted.test(operators(path).body())) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private HttpResponse<String> operators(String path) throws IOException, InterruptedException {
+        return http.send(
+                HttpRequest.newBuilder(URI.create(address.operatorsUrl() + path))
+                        .build(),
+                BodyHandlers.ofString());
+    }
+
+    private HttpRequest slot(String prompt, boolean stream) {
+        String body = "{\"model\":\"slot-confirmation\",\"prompt\":\"" + prompt + "\",\"stream\":" + stream + "}";
+        return request("/v1/completions", DemoCatalogue.BOOKING_TOKEN, body);
+    }
+
+    private HttpRequest request(String path, String token, String body) {
+        return HttpRequest.newBuilder(URI.create(address.callersUrl() + path))
+                .header("Authorization", "Bearer " + token)
+                .POST(BodyPublishers.ofString(body))
+                .build();
+    }
+
+    private static String textOf(String body) throws IOException {
+        ObjectMapper mapper = new ObjectMapper();
+        if (!body.startsWith("data: ")) {
+            return text(mapper.readTree(body));
+        }
+        assertTrue(body.endsWith("data: [DONE]\n\n"), body);
+        StringBuilder text = new StringBuilder();
+        for (String event : Splitter.on("\n\n").omitEmptyStrings().split(body)) {
+            String data = event.substring("data: ".length());
+            if (!data.equals("[DONE]")) {
+                text.append(text(mapper.readTree(data)));
+            }
+        }
+        return text.toString();
+    }
+
+    private static String text(JsonNode answer) {
+        return answer.path("choices").path(0).path("text").asText();
+    }
+
+    private Settings settings(Path folder) throws IOException {
+        Path secret = Files.writeString(folder.resolve("secret"), "a secret of the test, long enough to be one");
+        String json = "{\"instance\":{\"name\":\"malabar-1\",\"dataCentre\":\"kakkanad\"},\"callers\":{\"port\":0},"
+                + "\"operators\":{\"port\":0},\"peers\":{\"port\":0,\"secretFile\":\"" + secret + "\"},"
+                + "\"stop\":{\"notReadyMillis\":50,\"drainMillis\":20000},"
+                + "\"platform\":{\"logUrl\":\"" + fleet.addresses().logUrl() + "\",\"instanceListUrl\":\""
+                + fleet.addresses().instanceListUrl() + "\",\"weightStoreUrl\":\""
+                + fleet.addresses().weightStoreUrl() + "\",\"instanceListPollMillis\":50}}";
+        SettingsResult result = SettingsLoader.parse("test", json);
+        return result.match(loaded -> loaded, problems -> {
+            throw new AssertionError(problems);
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/StopSignalsTest.java
@@ -0,0 +1,20 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class StopSignalsTest {
+
+    /** An operator stops the instance, and then, tired of the drain, once more: the second signal ends it at once. */
+    @Test
+    void theFirstSignalDrainsAndTheSecondEnds() {
+        List<String> heard = new ArrayList<>();
+        StopSignals signals = new StopSignals(() -> heard.add("drain"), () -> heard.add("end"));
+        signals.received("SIGTERM");
+        signals.received("SIGINT");
+        assertEquals(List.of("drain", "end"), heard);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/target/http/HttpEngineClientTest.java
@@ -0,0 +1,197 @@
+package org.dogwoodwinch.target.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.target.AnswerChunk;
+import org.dogwoodwinch.target.AnswerListener;
+import org.dogwoodwinch.target.EngineConfiguration;
+import org.dogwoodwinch.target.EngineOrder;
+import org.dogwoodwinch.target.EngineRole;
+import org.dogwoodwinch.target.GenerateCall;
+import org.dogwoodwinch.target.OrderResult;
+import org.dogwoodwinch.target.ServiceAnswer;
+import org.dogwoodwinch.target.ServiceCall;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetFailure;
+import org.dogwoodwinch.target.TargetReply;
+import org.dogwoodwinch.target.Usage;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class HttpEngineClientTest {
+
+    private static final String CHUNK = "{\"attemptId\":\"a-1\",\"sequence\":0,\"tokens\":1,\"text\":\"t \"}";
+    private static final String END = "{\"attemptId\":\"a-1\",\"usage\":{\"promptTokens\":1,\"cachedPromptTokens\":0,"
+            + "\"completionTokens\":1},\"finishReason\":\"stop\"}";
+    private static final String REFUSAL =
+            "{\"status\":503,\"reason\":\"leaving\",\"run\":\"not-run\",\"detail\":\"d\",\"retryAfterMillis\":7}";
+
+    private final EventLoopGroup group = new NioEventLoopGroup(1);
+    private final HttpClients clients = new HttpClients(group, 2_000);
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final HttpTargetClients targets = new HttpTargetClients(clients, time, TargetTimeouts.STANDARD);
+    private final Heard heard = new Heard();
+
+    @AfterEach
+    void stop() {
+        clients.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    @Test
+    void aWholeAnswerIsWholeOnlyByTheEnginesOwnLastLine() throws IOException {
+        assertEquals("whole:t stop", generate(ScriptedServer.stream("", CHUNK, END)));
+    }
+
+    /**
+     * The engine dies in the middle of its answer, and the connection ends as an orderly one does. The request hears of
+     * a cut answer that may have run, not of a whole one.
+     */
+    @Test
+    void aCutAnswerNeverPassesForWhole() throws IOException {
+        assertEquals("Broken:the answer was cut", generate(ScriptedServer.stream(CHUNK)));
+    }
+
+    @Test
+    void aMalformedLineBreaksTheStream() throws IOException {
+        assertEquals("Broken:malformed line", generate(ScriptedServer.stream(CHUNK, "{\"sequence\":")));
+        assertEquals(
+                "Broken:malformed line",
+                generate(ScriptedServer.stream("{\"attemptId\":\"a-1\",\"sequence\":-1,\"tokens\":1,\"text\":\"\"}")));
+    }
+
+    /**
+     * An engine, or something on the way, mixes two answers up. The line of the other attempt ends this one as broken:
+     * its text never reaches this caller.
+     */
+    @Test
+    void aLineOfAnotherAttemptIsNeverBelieved() throws IOException {
+        assertEquals("Broken:a line of attempt a-2", generate(ScriptedServer.stream(CHUNK.replace("a-1", "a-2"), END)));
+    }
+
+    @Test
+    void onlyARefusalThatSaysSoProvesThatNothingRan() throws IOException {
+        assertEquals("Refused:d", generate(ScriptedServer.whole(503, "application/problem+json", REFUSAL)));
+        assertEquals(
+                "Failed:status 503",
+                generate(ScriptedServer.whole(
+                        503, "application/problem+json", REFUSAL.replace("not-run", "may-have-run"))));
+        assertEquals("Failed:status 503", generate(ScriptedServer.whole(503, "text/plain", "overloaded")));
+    }
+
+    @Test
+    void aRefusedConnectionProvesThatNothingWasSent() throws IOException {
+        Target gone;
+        try (ScriptedServer server = new ScriptedServer()) {
+            gone = server.target();
+        }
+        targets.engine(gone).generate(call(), heard);
+        assertTrue(heard.end.join().startsWith("NotSent:"), heard.end.join());
+    }
+
+    /** The engine takes the request and closes without a word: it may have run, whatever the client library thinks. */
+    @Test
+    void aConnectionThatClosesWithoutAnAnswerIsBrokenAndNotTriedAgain() throws IOException {
+        try (ScriptedServer server = new ScriptedServer("", ScriptedServer.stream(CHUNK, END))) {
+            targets.engine(server.target()).generate(call(), heard);
+            assertTrue(heard.end.join().startsWith("Broken:"), heard.end.join());
+            TargetReply<ServiceAnswer> second = targets.service(server.target())
+                    .call(new ServiceCall("a-2", "POST", "/", "", Bytes.EMPTY, 2_000))
+                    .toCompletableFuture()
+                    .join();
+            assertInstanceOf(TargetReply.Answer.class, second);
+        }
+    }
+
+    /**
+     * An engine process is stopped: its connection stays open and nothing comes. Once it was silent for the allowed
+     * time, the attempt ends as timed out and may have run.
+     */
+    @Test
+    void aSilentEngineTimesOut() throws IOException {
+        try (ScriptedServer server = new ScriptedServer()) {
+            targets.engine(server.target()).generate(call(), heard);
+            time.advanceMillis(TargetTimeouts.STANDARD.silenceMillis());
+            assertTrue(heard.end.join().startsWith("TimedOut:"), heard.end.join());
+        }
+    }
+
+    @Test
+    void anOrderWithoutAnAnswerIsUnknownAndOneThatWasNotSentIsRefused() throws IOException {
+        EngineOrder order =
+                new EngineOrder("o", 4, new EngineConfiguration(EngineRole.MIXED, "m", "1", new java.util.TreeSet<>()));
+        Target gone;
+        try (ScriptedServer server = new ScriptedServer(
+                "",
+                ScriptedServer.whole(
+                        200, "application/json", "{\"result\":\"fenced\"," + "\"highestFencingToken\":9}"))) {
+            gone = server.target();
+            assertInstanceOf(OrderResult.Unknown.class, order(gone, order));
+            assertEquals(new OrderResult.Fenced(9), order(gone, order));
+        }
+        assertInstanceOf(OrderResult.Refused.class, order(gone, order));
+    }
+
+    @Test
+    void aLoadReportWithoutANumberIsNotBelieved() throws IOException {
+        try (ScriptedServer server =
+                new ScriptedServer(ScriptedServer.whole(200, "application/json", "{\"reportedAtMillis\":1}"))) {
+            TargetReply<?> reply = targets.engine(server.target())
+                    .loadReport()
+                    .toCompletableFuture()
+                    .join();
+            assertEquals(new TargetReply.Failure<>(new TargetFailure.Broken("malformed answer")), reply);
+        }
+    }
+
+    private OrderResult order(Target target, EngineOrder order) {
+        return targets.engine(target).order(order).toCompletableFuture().join();
+    }
+
+    private String generate(String answer) throws IOException {
+        Heard own = new Heard();
+        try (ScriptedServer server = new ScriptedServer(answer)) {
+            targets.engine(server.target()).generate(call(), own);
+            return own.end.join();
+        }
+    }
+
+    private static GenerateCall call() {
+        return new GenerateCall("a-1", "m", "p", 5, 0, 20_000, false, Optional.empty());
+    }
+
+    private static final class Heard implements AnswerListener {
+
+        private final CompletableFuture<String> end = new CompletableFuture<>();
+        private final List<String> texts = new ArrayList<>();
+
+        @Override
+        public void onChunk(AnswerChunk chunk) {
+            texts.add(chunk.text());
+        }
+
+        @Override
+        public void onComplete(Usage _usage, String finishReason) {
+            end.complete("whole:" + String.join("", texts) + finishReason);
+        }
+
+        @Override
+        public void onFailure(TargetFailure failure) {
+            end.complete(failure.getClass().getSimpleName() + ":" + failure.detail());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/target/http/ScriptedServer.java
@@ -0,0 +1,76 @@
+package org.dogwoodwinch.target.http;
+
+import com.google.errorprone.annotations.MustBeClosed;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.dogwoodwinch.target.Target;
+
+/** Answers each connection's first request with the next of the given texts and closes. */
+final class ScriptedServer implements AutoCloseable {
+
+    private final ServerSocket server;
+
+    @MustBeClosed
+    ScriptedServer(String... answers) throws IOException {
+        server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        Thread thread = new Thread(() -> serve(List.of(answers)), "scripted-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    Target target() {
+        return new Target("t", "127.0.0.1", server.getLocalPort(), "dc", "g");
+    }
+
+    /** Makes an answer of lines whose body ends where the connection does. */
+    static String stream(String... lines) {
+        return "HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\nConnection: close\r\n\r\n"
+                + String.join("\n", lines) + "\n";
+    }
+
+    /** Makes a whole answer. */
+    static String whole(int status, String contentType, String body) {
+        return "HTTP/1.1 " + status + " X\r\nContent-Type: " + contentType + "\r\nContent-Length: " + body.length()
+                + "\r\nConnection: close\r\n\r\n" + body;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+
+    private void serve(List<String> answers) {
+        try {
+            for (String answer : answers) {
+                try (Socket socket = server.accept()) {
+                    readHead(socket.getInputStream());
+                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                    socket.getOutputStream().flush();
+                    socket.shutdownOutput();
+                    socket.getInputStream().readAllBytes();
+                }
+            }
+        } catch (IOException e) {
+            if (!server.isClosed()) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    private static void readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return;
+            }
+            head.append((char) next);
+        }
+    }
+}
