Measure the path as processes; free streams' timers at their end

Change: bin/measure path; a stream cancels its timer at its end; each line of a stream is read with a kept reader.

--- a/src/main/java/org/dogwoodwinch/measure/Measurements.java
+++ b/src/main/java/org/dogwoodwinch/measure/Measurements.java
@@ -13,7 +13,8 @@
             new LineMeasurement(ProjectFolder.find()),
             new CapacityMeasurement(CapacityProbes.all()),
             new AuthorityMeasurement(),
-            new CatalogueMeasurement());
+            new CatalogueMeasurement(),
+            new PathMeasurement());
 
     private Measurements() {}
 
--- a/src/main/java/org/dogwoodwinch/standin/http/StandInMain.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/StandInMain.java
@@ -49,6 +49,12 @@
     @Option(names = "--step-millis", description = "Time of an engine's step.", defaultValue = "12")
     private double stepMillis;
 
+    @Option(
+            names = "--step-per-sequence-millis",
+            description = "Time that each sequence adds to a step.",
+            defaultValue = "0.4")
+    private double stepPerSequenceMillis;
+
     /**
      * Runs the stand-ins until the process is ended.
      *
@@ -78,7 +84,7 @@
         EngineCost cost = new EngineCost(
                 standard.prefillTokensPerSecond(),
                 stepMillis,
-                standard.stepPerSequenceMillis(),
+                stepPerSequenceMillis,
                 standard.prefillChunkTokens(),
                 maxSequences,
                 standard.kvBytesPerToken(),
--- a/src/main/java/org/dogwoodwinch/target/http/EngineStreamHandler.java
+++ b/src/main/java/org/dogwoodwinch/target/http/EngineStreamHandler.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.target.http;
 
+import com.fasterxml.jackson.databind.ObjectReader;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -24,6 +25,7 @@
  */
 final class EngineStreamHandler implements AsyncHandler<Void> {
 
+    private static final ObjectReader LINES = TargetJson.reader(StreamLine.class);
     private static final int OK = 200;
     private static final int MAX_LINE_BYTES = 1 << 20;
     private static final int MAX_REFUSAL_BYTES = 1 << 16;
@@ -35,6 +37,7 @@
     private final LineSplitter splitter = new LineSplitter(MAX_LINE_BYTES);
     private final ByteArrayOutputStream refusal = new ByteArrayOutputStream();
     private final PausableReading reading = new PausableReading();
+    private volatile Runnable whenEnded = () -> {};
     private int status;
     private String contentType = "";
 
@@ -64,7 +67,19 @@
      * @return true where the engine may know of the attempt and has not ended it, so that it must be told
      */
     boolean cancel() {
-        return ended.compareAndSet(false, true) && progress.maybeWritten();
+        return end() && progress.maybeWritten();
+    }
+
+    /**
+     * Sets what is done when the listener has heard its last.
+     *
+     * @param newWhenEnded runs at least once after the end, at once where that has come, not null
+     */
+    void whenEnded(Runnable newWhenEnded) {
+        whenEnded = newWhenEnded;
+        if (ended.get()) {
+            newWhenEnded.run();
+        }
     }
 
     /**
@@ -153,7 +168,7 @@
 
     /** Returns false where the stream is broken. */
     private boolean takeLine(byte[] json) {
-        Optional<StreamLine> parsed = TargetJson.read(json, StreamLine.class);
+        Optional<StreamLine> parsed = TargetJson.read(json, LINES);
         if (parsed.isEmpty()) {
             return !fail(new TargetFailure.Broken("malformed line"));
         }
@@ -172,7 +187,7 @@
             return true;
         }
         if (line.isComplete()) {
-            if (ended.compareAndSet(false, true)) {
+            if (end()) {
                 listener.onComplete(line.usage(), line.finishReason());
             }
             return true;
@@ -185,10 +200,18 @@
     }
 
     private boolean fail(TargetFailure failure) {
-        if (!ended.compareAndSet(false, true)) {
+        if (!end()) {
             return false;
         }
         listener.onFailure(failure);
         return true;
     }
+
+    private boolean end() {
+        if (!ended.compareAndSet(false, true)) {
+            return false;
+        }
+        whenEnded.run();
+        return true;
+    }
 }
--- a/src/main/java/org/dogwoodwinch/target/http/HttpEngineStream.java
+++ b/src/main/java/org/dogwoodwinch/target/http/HttpEngineStream.java
@@ -40,9 +40,9 @@
 
     /** Watches for silence: a stopped engine process keeps its connection open, and no error would ever come. */
     void watchSilence() {
-        if (!handler.hasEnded()) {
-            silenceTimer = time.schedule(silenceMillis, this::checkSilence);
-        }
+        silenceTimer = time.schedule(silenceMillis, this::checkSilence);
+        // A timer that outlives its stream holds the whole request on the heap for as long as it has left to run.
+        handler.whenEnded(this::stopWatching);
     }
 
     @Override
@@ -65,6 +65,10 @@
         }
     }
 
+    private void stopWatching() {
+        silenceTimer.cancel();
+    }
+
     private void checkSilence() {
         if (handler.hasEnded()) {
             return;
--- a/src/main/java/org/dogwoodwinch/target/http/TargetJson.java
+++ b/src/main/java/org/dogwoodwinch/target/http/TargetJson.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JavaType;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -33,7 +33,7 @@
      * @return the value, or empty where the JSON is malformed or null
      */
     public static <T> Optional<T> read(byte[] json, Class<T> type) {
-        return read(json, MAPPER.constructType(type));
+        return read(json, MAPPER.readerFor(type));
     }
 
     /**
@@ -45,7 +45,7 @@
      * @return the list, or empty where the JSON is malformed or null
      */
     public static <T> Optional<List<T>> readList(byte[] json, Class<T> elementType) {
-        return read(json, MAPPER.getTypeFactory().constructCollectionType(List.class, elementType));
+        return read(json, MAPPER.readerForListOf(elementType));
     }
 
     /**
@@ -63,9 +63,27 @@
         }
     }
 
-    private static <T> Optional<T> read(byte[] json, JavaType type) {
+    /**
+     * Makes a reader that is kept and used many times, for what comes once for each token.
+     *
+     * @param type the value's type, not null
+     * @return the reader; thread-safe
+     */
+    static ObjectReader reader(Class<?> type) {
+        return MAPPER.readerFor(type);
+    }
+
+    /**
+     * Reads a value with a kept reader.
+     *
+     * @param json the JSON in UTF-8, not null
+     * @param reader the reader, not null
+     * @param <T> the value's type
+     * @return the value, or empty where the JSON is malformed or null
+     */
+    static <T> Optional<T> read(byte[] json, ObjectReader reader) {
         try {
-            return Optional.ofNullable(MAPPER.<T>readValue(json, type));
+            return Optional.ofNullable(reader.<T>readValue(json));
         } catch (IOException e) {
             return Optional.empty();
         }
