Wire routing, admission, shared limits and claims into the daemon

Cause: their packages have landed; the daemon admitted everything, chose the target sent the least and refused keyed calls. Change: DaemonParts builds EstimatingRouter, ClassQueueAdmission, ShareExchange and LogClaimLedger; EnginePoller reads loads, states and cache events; settings name this instance's place among those that share owners' limits; cancelled timers leave their queue; the edge counts an answer before it writes it, since a test that read the counters right after its refusal found them behind.

--- a/src/main/java/org/dogwoodwinch/daemon/Daemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/Daemon.java
@@ -155,7 +155,13 @@
 
     private HttpListener bindOperators(OperatorSettings own) throws IOException {
         OperatorPages pages = new OperatorPages(
-                settings.instance(), metrics, parts.control(), parts.directory(), inFlight, () -> serving);
+                settings.instance(),
+                metrics,
+                parts.control(),
+                parts.directory(),
+                parts.fleet(),
+                inFlight,
+                () -> serving);
         return OperatorListener.bind(
                 context.group(), address(own.host(), own.port()), HttpLimits.STANDARD, tls(own.tls()), pages.byPath());
     }
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.settings.Settings;
@@ -71,13 +71,22 @@
         return run(((SettingsResult.Loaded) result).settings());
     }
 
+    /** A cancelled deadline timer that stayed queued would hold its whole request on the heap until it is due. */
+    // The executors that factories make have no switch for the removal of cancelled timers.
+    @SuppressWarnings("DangerousThreadPoolExecutorUsage")
+    private static ScheduledExecutorService newTimers() {
+        ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(TIMER_THREADS);
+        timers.setRemoveOnCancelPolicy(true);
+        return timers;
+    }
+
     private int reject(List<SettingsProblem> problems) {
         problems.forEach(problem -> spec.commandLine().getErr().println(problem));
         return EXIT_SETTINGS;
     }
 
     private static int run(Settings settings) {
-        ScheduledExecutorService timers = Executors.newScheduledThreadPool(TIMER_THREADS);
+        ScheduledExecutorService timers = newTimers();
         EventLoopGroup group = new NioEventLoopGroup();
         DaemonContext context =
                 new DaemonContext(new SystemTimeSource(timers), group, RandomSource.XO_RO_SHI_RO_128_PP::create);
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
@@ -2,44 +2,56 @@
 
 import java.util.Objects;
 import java.util.Optional;
-import org.dogwoodwinch.admission.Admission;
+import org.dogwoodwinch.admission.ClassQueueAdmission;
+import org.dogwoodwinch.admission.ShareExchange;
 import org.dogwoodwinch.authority.TargetActivity;
 import org.dogwoodwinch.catalogue.CatalogueEntry;
 import org.dogwoodwinch.catalogue.CatalogueView;
 import org.dogwoodwinch.catalogue.TargetGroup;
 import org.dogwoodwinch.control.ControlApi;
 import org.dogwoodwinch.control.ControlNode;
-import org.dogwoodwinch.control.ControlPolicies;
 import org.dogwoodwinch.control.ControlServices;
 import org.dogwoodwinch.control.ControlSettings;
 import org.dogwoodwinch.metrics.Metrics;
 import org.dogwoodwinch.peer.PeerBoard;
+import org.dogwoodwinch.platform.LogService;
 import org.dogwoodwinch.platform.http.HttpInstanceList;
 import org.dogwoodwinch.platform.http.HttpLogService;
 import org.dogwoodwinch.platform.http.HttpWeightStore;
+import org.dogwoodwinch.request.ClaimFold;
+import org.dogwoodwinch.request.LogClaimLedger;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.request.RequestCoordinator;
 import org.dogwoodwinch.request.RequestHandler;
 import org.dogwoodwinch.request.RequestPolicies;
-import org.dogwoodwinch.request.RequestSettings;
-import org.dogwoodwinch.request.UnreachableClaims;
-import org.dogwoodwinch.routing.Router;
+import org.dogwoodwinch.routing.EstimatingRouter;
+import org.dogwoodwinch.routing.FleetCapacity;
+import org.dogwoodwinch.routing.FleetView;
+import org.dogwoodwinch.routing.PeerLoadExchange;
+import org.dogwoodwinch.routing.RoutingPolicy;
 import org.dogwoodwinch.settings.PlatformSettings;
 import org.dogwoodwinch.settings.Settings;
 import org.dogwoodwinch.target.TargetClients;
 import org.dogwoodwinch.target.http.HttpCaller;
 import org.dogwoodwinch.target.http.HttpClients;
 import org.dogwoodwinch.target.http.HttpTargetClients;
-import org.dogwoodwinch.target.http.TargetTimeouts;
 
 /** Builds the parts of a daemon behind its listeners and connects them. */
 final class DaemonParts {
 
     private static final int MAX_PLATFORM_ANSWER_BYTES = 16 << 20;
+    private static final int MOST_KEYS = 200_000;
+    private static final long LOAD_EXCHANGE_MILLIS = 500;
+    private static final char WRITER_SEPARATOR = '/';
 
     private final HttpClients clients;
     private final TargetDirectory directory;
     private final ControlNode control;
+    private final FleetView fleet;
+    private final PeerLoadExchange loads;
+    private final ShareExchange shares;
+    private final EnginePoller poller;
+    private final LogClaimLedger claims;
     private final RequestHandler handler;
 
     /**
@@ -58,38 +70,70 @@
                 new HttpInstanceList(caller, platform.instanceListUrl()),
                 context.time(),
                 platform.instanceListPollMillis());
-        TargetClients targets = new HttpTargetClients(clients, context.time(), TargetTimeouts.STANDARD);
+        TargetClients targets = new HttpTargetClients(clients, context.time(), PartSettings.timeouts(settings));
         PeerBoard board = new SilentBoard();
         String name = settings.instance().name();
+        LogService log = new HttpLogService(caller, platform.logUrl());
         this.control = new ControlNode(
                 ControlSettings.of(name, platform.logRetentionMillis()),
                 new ControlServices(
-                        new HttpLogService(caller, platform.logUrl()),
+                        log,
                         new HttpWeightStore(caller, platform.weightStoreUrl()),
                         board,
                         () -> false,
                         targets,
                         new ListedFleet(directory, name),
                         _target -> new TargetActivity.InFlight(false, 0, 0)),
-                ControlPolicies.STANDARD,
+                PartSettings.control(settings.leases()),
                 context.time(),
                 context.newRandom());
         CatalogueView catalogue = control.catalogue();
         catalogue.onChange(changed -> metrics.showCatalogueRevision(changed.revision()));
-        Admission admission = new OpenAdmission();
-        Router router = new LeastSentRouter(directory);
+        long incarnation = context.time().wallMillis();
+        this.fleet = new FleetView(context.time());
+        directory.onRead(fleet::onInstanceList);
+        EstimatingRouter router = new EstimatingRouter(
+                fleet,
+                RoutingPolicy.STANDARD,
+                context.time(),
+                context.newRandom(),
+                settings.instance().dataCentre());
+        this.loads = new PeerLoadExchange(fleet, board, context.time(), incarnation, LOAD_EXCHANGE_MILLIS);
+        this.shares = new ShareExchange(PartSettings.shares(settings.admission()), board, context.time(), incarnation);
+        this.poller = new EnginePoller(
+                directory::latest,
+                control::outOfService,
+                targets,
+                fleet,
+                router,
+                context.time(),
+                settings.targets().loadPollMillis());
+        this.claims = new LogClaimLedger(
+                log,
+                context.time(),
+                name + WRITER_SEPARATOR + incarnation,
+                settings.requests().claimTimeoutMillis(),
+                settings.requests().claimBatchMillis(),
+                new ClaimFold(settings.requests().keyMemoryMillis(), MOST_KEYS),
+                writer -> isLive(writer, name));
         this.handler = new RequestCoordinator(
-                admission,
+                new ClassQueueAdmission(
+                        PartSettings.admission(settings.admission()),
+                        catalogue,
+                        shares,
+                        new FleetCapacity(fleet, RoutingPolicy.STANDARD, context.time()),
+                        directory::liveEntries,
+                        context.time()),
                 router,
                 targets,
                 directory::find,
                 entry -> modelOf(catalogue, entry),
                 context.time(),
                 context.newRandom(),
-                new UnreachableClaims(),
+                claims,
                 Quarantine.NONE,
                 new RequestReport(metrics),
-                RequestSettings.DEFAULT,
+                PartSettings.requests(settings),
                 RequestPolicies.STANDARD);
     }
 
@@ -97,6 +141,10 @@
     void start() {
         directory.start();
         control.start();
+        claims.start();
+        loads.start();
+        shares.start();
+        poller.start();
     }
 
     /** Gives the leases back; everything else goes on. */
@@ -106,7 +154,9 @@
 
     /** Stops everything; what is in flight is cut. */
     void stop() {
+        poller.stop();
         directory.stop();
+        claims.stop();
         control.stop();
         clients.close();
     }
@@ -138,6 +188,15 @@
         return directory;
     }
 
+    /**
+     * Returns what is believed of the targets.
+     *
+     * @return the view
+     */
+    FleetView fleet() {
+        return fleet;
+    }
+
     /**
      * Returns what sees requests through.
      *
@@ -147,6 +206,13 @@
         return handler;
     }
 
+    /** An earlier start of this instance is gone, whatever the list says of the name. */
+    private boolean isLive(String writer, String ownName) {
+        int separatorAt = writer.indexOf(WRITER_SEPARATOR);
+        String writerName = separatorAt < 0 ? writer : writer.substring(0, separatorAt);
+        return !writerName.equals(ownName) && directory.listsEntry(writerName);
+    }
+
     private static String modelOf(CatalogueView catalogue, CatalogueEntry entry) {
         Optional<TargetGroup> group = catalogue.current().flatMap(current -> current.group(entry.group()));
         return group.map(TargetGroup::model).orElse("");
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/EnginePoller.java
@@ -0,0 +1,133 @@
+package org.dogwoodwinch.daemon;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.routing.EstimatingRouter;
+import org.dogwoodwinch.routing.FleetView;
+import org.dogwoodwinch.target.CacheEvent;
+import org.dogwoodwinch.target.EngineClient;
+import org.dogwoodwinch.target.EngineState;
+import org.dogwoodwinch.target.LoadReport;
+import org.dogwoodwinch.target.TargetClients;
+import org.dogwoodwinch.target.TargetReply;
+import org.dogwoodwinch.time.Cancellable;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Reads engines' loads, states and cache events again and again and tells the routing. Thread-safe.
+ *
+ * <p>An engine that has not answered the last question is not asked again: a stopped engine would otherwise gather
+ * connections until they run out.
+ */
+final class EnginePoller {
+
+    private static final long STATE_EVERY = 4;
+    private static final long LEAVING_MARKS_KEPT = 4;
+
+    private final Supplier<List<ListedInstance>> listed;
+    private final Supplier<? extends Iterable<String>> outOfService;
+    private final TargetClients clients;
+    private final FleetView fleet;
+    private final EstimatingRouter router;
+    private final TimeSource time;
+    private final long pollMillis;
+    private final Map<String, Long> lastCacheEvents = new ConcurrentHashMap<>();
+    private final Map<String, Long> starts = new ConcurrentHashMap<>();
+    private final Map<String, Boolean> asked = new ConcurrentHashMap<>();
+    private long rounds;
+    private volatile boolean stopped;
+    private volatile Cancellable timer = () -> {};
+
+    /**
+     * Creates a poller.
+     *
+     * @param listed the instance list's last answer, not null
+     * @param outOfService names of targets that planned changes hold back, not null
+     * @param clients reaches the engines, not null
+     * @param fleet takes loads and states, not null
+     * @param router takes cache events, not null
+     * @param time runs the rounds, not null
+     * @param pollMillis time between rounds, in milliseconds
+     */
+    EnginePoller(
+            Supplier<List<ListedInstance>> listed,
+            Supplier<? extends Iterable<String>> outOfService,
+            TargetClients clients,
+            FleetView fleet,
+            EstimatingRouter router,
+            TimeSource time,
+            long pollMillis) {
+        this.listed = Objects.requireNonNull(listed, "listed");
+        this.outOfService = Objects.requireNonNull(outOfService, "outOfService");
+        this.clients = Objects.requireNonNull(clients, "clients");
+        this.fleet = Objects.requireNonNull(fleet, "fleet");
+        this.router = Objects.requireNonNull(router, "router");
+        this.time = Objects.requireNonNull(time, "time");
+        this.pollMillis = pollMillis;
+    }
+
+    /** Polls now and from now on. */
+    void start() {
+        if (stopped) {
+            return;
+        }
+        for (String target : outOfService.get()) {
+            fleet.onLeaving(target, pollMillis * LEAVING_MARKS_KEPT);
+        }
+        boolean withState = rounds++ % STATE_EVERY == 0;
+        for (ListedInstance line : listed.get()) {
+            if (line.kind() == ListedInstance.Kind.ENGINE) {
+                poll(line, withState);
+            }
+        }
+        timer = time.schedule(pollMillis, this::start);
+    }
+
+    /** Ends polling. */
+    void stop() {
+        stopped = true;
+        timer.cancel();
+    }
+
+    private void poll(ListedInstance line, boolean withState) {
+        String name = line.name();
+        if (asked.putIfAbsent(name, Boolean.TRUE) != null) {
+            return;
+        }
+        EngineClient engine = clients.engine(TargetDirectory.toTarget(line));
+        engine.loadReport().whenComplete((load, _error) -> {
+            asked.remove(name);
+            if (load instanceof TargetReply.Answer<LoadReport> answer) {
+                fleet.onLoadReport(name, answer.value());
+            }
+        });
+        if (withState) {
+            engine.state().thenAccept(state -> takeState(name, state));
+            engine.cacheEvents(lastCacheEvents.getOrDefault(name, -1L)).thenAccept(events -> takeEvents(name, events));
+        }
+    }
+
+    private void takeState(String name, TargetReply<EngineState> reply) {
+        if (reply instanceof TargetReply.Answer<EngineState> answer) {
+            fleet.onEngineState(name, answer.value());
+            Long before = starts.put(name, answer.value().startedCount());
+            if (before != null && before != answer.value().startedCount()) {
+                lastCacheEvents.remove(name);
+                router.onCacheLost(name);
+            }
+        }
+    }
+
+    private void takeEvents(String name, TargetReply<List<CacheEvent>> reply) {
+        if (reply instanceof TargetReply.Answer<List<CacheEvent>> answer
+                && !answer.value().isEmpty()) {
+            List<CacheEvent> events = answer.value();
+            lastCacheEvents.put(name, events.get(events.size() - 1).sequence());
+            router.onCacheEvents(name, events);
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
+++ b/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -21,10 +22,13 @@
 import org.dogwoodwinch.http.ServingState;
 import org.dogwoodwinch.metrics.Metrics;
 import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.routing.FleetView;
+import org.dogwoodwinch.routing.TargetSummary;
 import org.dogwoodwinch.settings.InstanceSettings;
 import org.dogwoodwinch.status.InstanceStatus;
 import org.dogwoodwinch.status.PeerStatus;
 import org.dogwoodwinch.status.TargetStatus;
+import org.dogwoodwinch.target.Target;
 
 /** What the operators' listener shows. */
 final class OperatorPages {
@@ -36,6 +40,7 @@
     private final Metrics metrics;
     private final ControlApi control;
     private final TargetDirectory directory;
+    private final FleetView fleet;
     private final InFlightRequests inFlight;
     private final Supplier<ServingState> serving;
 
@@ -46,6 +51,7 @@
      * @param metrics the counters, not null
      * @param control the control stream, not null
      * @param directory knows the targets, not null
+     * @param fleet what is believed of the targets, not null
      * @param inFlight counts requests, not null
      * @param serving whether requests are taken, not null
      */
@@ -54,12 +60,14 @@
             Metrics metrics,
             ControlApi control,
             TargetDirectory directory,
+            FleetView fleet,
             InFlightRequests inFlight,
             Supplier<ServingState> serving) {
         this.instance = Objects.requireNonNull(instance, "instance");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.control = Objects.requireNonNull(control, "control");
         this.directory = Objects.requireNonNull(directory, "directory");
+        this.fleet = Objects.requireNonNull(fleet, "fleet");
         this.inFlight = Objects.requireNonNull(inFlight, "inFlight");
         this.serving = Objects.requireNonNull(serving, "serving");
     }
@@ -120,10 +128,8 @@
 
     private InstanceStatus status() {
         ControlStatus stream = control.status();
-        List<TargetStatus> targets = directory.latest().stream()
-                .filter(line -> line.kind() != ListedInstance.Kind.ENTRY)
-                .map(OperatorPages::targetStatus)
-                .toList();
+        List<TargetStatus> targets =
+                fleet.summaries().stream().map(OperatorPages::targetStatus).toList();
         List<PeerStatus> peers = directory.latest().stream()
                 .filter(line -> line.kind() == ListedInstance.Kind.ENTRY)
                 .filter(line -> !line.name().equals(instance.name()))
@@ -143,17 +149,19 @@
                 control.liveGroups());
     }
 
-    private static TargetStatus targetStatus(ListedInstance line) {
+    private static TargetStatus targetStatus(TargetSummary summary) {
+        Target target = summary.target();
+        String state = summary.leaving() ? "leaving" : summary.usable() ? "serving" : "failing";
         return new TargetStatus(
-                line.name(),
-                line.group(),
-                line.dataCentre(),
-                line.host() + ":" + line.port(),
-                line.leaving() ? "leaving" : "serving",
-                "",
-                0,
-                0,
-                0,
+                target.name(),
+                target.group(),
+                target.dataCentre(),
+                target.address(),
+                state,
+                summary.role().name().toLowerCase(Locale.ROOT),
+                summary.prefillBacklogTokens(),
+                summary.decodeBacklogTokens(),
+                summary.outstandingRequests(),
                 -1);
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetDirectory.java
@@ -105,6 +105,31 @@
                 .findFirst();
     }
 
+    /**
+     * Counts the instances of our own that stay.
+     *
+     * @return the count, one or more: this instance counts itself before the list shows it
+     */
+    int liveEntries() {
+        return (int) Math.max(
+                1,
+                latest.stream()
+                        .filter(line -> line.kind() == ListedInstance.Kind.ENTRY && !line.leaving())
+                        .count());
+    }
+
+    /**
+     * Says whether the list shows an instance of our own.
+     *
+     * @param name its name, not null
+     * @return true where it does
+     */
+    boolean listsEntry(String name) {
+        return latest.stream()
+                .anyMatch(line ->
+                        line.kind() == ListedInstance.Kind.ENTRY && line.name().equals(name));
+    }
+
     /**
      * Makes the target of a line.
      *
--- a/src/main/java/org/dogwoodwinch/http/AnswerWriter.java
+++ b/src/main/java/org/dogwoodwinch/http/AnswerWriter.java
@@ -26,7 +26,13 @@
      * Ends the answer with a refusal.
      *
      * @param refusal why, not null
-     * @return true where a part of the answer had gone out, so that the connection cannot be used again
      */
-    boolean refuse(Refusal refusal);
+    void refuse(Refusal refusal);
+
+    /**
+     * Says whether a part of the answer has gone out.
+     *
+     * @return true where it has: a refusal is then an event of the stream, and the connection cannot be used again
+     */
+    boolean hasStarted();
 }
--- a/src/main/java/org/dogwoodwinch/http/CallerExchange.java
+++ b/src/main/java/org/dogwoodwinch/http/CallerExchange.java
@@ -26,6 +26,7 @@
  */
 final class CallerExchange implements AnswerSink {
 
+    private static final int OK = 200;
     private static final int MOST_WAITING_CHUNKS = 64;
 
     private final Channel channel;
@@ -136,19 +137,12 @@
 
     @Override
     public void onComplete(Usage usage, String finishReason) {
-        onLoop(() -> {
-            writer.complete(usage, finishReason);
-            end(200, usage.completionTokens());
-        });
+        onLoop(() -> end(OK, usage.completionTokens(), () -> writer.complete(usage, finishReason)));
     }
 
     @Override
     public void onServiceAnswer(ServiceAnswer answer) {
-        onLoop(() -> {
-            byte[] body = answer.body().toByteArray();
-            reply.writeWhole(channel, Replies.of(answer.status(), answer.contentType(), body));
-            end(answer.status(), 0);
-        });
+        onLoop(() -> end(answer.status(), 0, () -> write(answer)));
     }
 
     @Override
@@ -191,17 +185,25 @@
         lastTokenMillis = nowMillis;
     }
 
+    private void write(ServiceAnswer answer) {
+        byte[] body = answer.body().toByteArray();
+        reply.writeWhole(channel, Replies.of(answer.status(), answer.contentType(), body));
+    }
+
+    /** Counts before it writes: whoever has read an answer finds it in the counters. */
     private void refuse(Refusal refusal) {
         ended = true;
-        boolean midStream = writer.refuse(refusal);
+        boolean midStream = writer.hasStarted();
         observer.onRefused(request.requestId(), request.entry(), refusal, midStream);
+        writer.refuse(refusal);
         whenEnded.accept(midStream || !reply.keepAlive());
     }
 
-    private void end(int status, long tokens) {
+    private void end(int status, long tokens, Runnable write) {
         ended = true;
         long elapsedMillis = time.monotonicMillis() - request.arrivedMillis();
         observer.onAnswered(request.requestId(), request.entry(), status, tokens, elapsedMillis);
+        write.run();
         whenEnded.accept(!reply.keepAlive());
     }
 }
--- a/src/main/java/org/dogwoodwinch/http/StreamedAnswerWriter.java
+++ b/src/main/java/org/dogwoodwinch/http/StreamedAnswerWriter.java
@@ -71,14 +71,18 @@
     }
 
     @Override
-    public boolean refuse(Refusal refusal) {
+    public void refuse(Refusal refusal) {
         if (!started) {
             reply.writeWhole(channel, Replies.refusal(refusal, reply.requestId()));
-            return false;
+            return;
         }
         writeEvent(ERROR, EdgeJson.write(StreamError.of(Problem.of(refusal, reply.requestId()))));
         Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
-        return true;
+    }
+
+    @Override
+    public boolean hasStarted() {
+        return started;
     }
 
     private void start() {
--- a/src/main/java/org/dogwoodwinch/http/WholeAnswerWriter.java
+++ b/src/main/java/org/dogwoodwinch/http/WholeAnswerWriter.java
@@ -40,8 +40,12 @@
     }
 
     @Override
-    public boolean refuse(Refusal refusal) {
+    public void refuse(Refusal refusal) {
         reply.writeWhole(channel, Replies.refusal(refusal, reply.requestId()));
+    }
+
+    @Override
+    public boolean hasStarted() {
         return false;
     }
 }
--- a/src/main/java/org/dogwoodwinch/settings/AdmissionSettings.java
+++ b/src/main/java/org/dogwoodwinch/settings/AdmissionSettings.java
@@ -8,20 +8,30 @@
  * @param longReadFloorRatio the share of the places that long reads get under any load
  * @param longReadWaitMillis a long read that waited for so long goes before everything else
  * @param shareMillis how long an instance's share of an owner's limit is good without news from the others
+ * @param limitHomeIndex this instance's place among those that share owners' limits, from zero, different for each
+ * @param limitHomesCount how many instances share owners' limits; each starts with its part of every limit
  */
 public record AdmissionSettings(
         int maxQueuedCount,
         int maxInFlightCount,
         double longReadFloorRatio,
         long longReadWaitMillis,
-        long shareMillis) {
+        long shareMillis,
+        int limitHomeIndex,
+        int limitHomesCount) {
 
     static AdmissionSettings read(SettingsSection section) {
-        return new AdmissionSettings(
+        AdmissionSettings settings = new AdmissionSettings(
                 section.wholeInt("maxQueuedCount", 1, 1_000_000, 2_000),
                 section.wholeInt("maxInFlightCount", 1, 1_000_000, 4_000),
                 section.number("longReadFloorRatio", 0.01, 0.9, 0.1),
                 section.wholeNumber("longReadWaitMillis", 1_000, 86_400_000, 600_000),
-                section.wholeNumber("shareMillis", 500, 600_000, 5_000));
+                section.wholeNumber("shareMillis", 500, 600_000, 5_000),
+                section.wholeInt("limitHomeIndex", 0, 9_999, 0),
+                section.wholeInt("limitHomesCount", 1, 10_000, 1));
+        if (settings.limitHomeIndex() >= settings.limitHomesCount()) {
+            section.tell("limitHomeIndex", "must be below limitHomesCount");
+        }
+        return settings;
     }
 }
