Join the instances: peer exchange, suspects, leaving targets and activity in the daemon

Change: PeerParts listens for and speaks to the listed instances, with mutual TLS where the settings name files; the claims ledger asks it which starts are alive; a target that refuses as leaving is told to the peers and marked; planned changes see urgent work of all instances and the engine's own report, and count a target as busy while either is not fresh; /status shows when each peer was heard and the age of each report. FleetView tells whether urgent work is in flight on a target.

--- a/src/main/java/org/dogwoodwinch/daemon/Daemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/Daemon.java
@@ -50,8 +50,9 @@
      *
      * @param settings its settings, not null
      * @param context what the process gives it, not null
+     * @throws IOException if the peers' secret or a TLS file cannot be read
      */
-    public Daemon(Settings settings, DaemonContext context) {
+    public Daemon(Settings settings, DaemonContext context) throws IOException {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.context = Objects.requireNonNull(context, "context");
         this.parts = new DaemonParts(settings, context, metrics);
@@ -154,14 +155,7 @@
     }
 
     private HttpListener bindOperators(OperatorSettings own) throws IOException {
-        OperatorPages pages = new OperatorPages(
-                settings.instance(),
-                metrics,
-                parts.control(),
-                parts.directory(),
-                parts.fleet(),
-                inFlight,
-                () -> serving);
+        OperatorPages pages = new OperatorPages(settings.instance(), metrics, parts, inFlight, () -> serving);
         return OperatorListener.bind(
                 context.group(), address(own.host(), own.port()), HttpLimits.STANDARD, tls(own.tls()), pages.byPath());
     }
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -35,7 +35,7 @@
             "0:stopped, every request finished",
             "1:the settings are wrong",
             "2:bad command line",
-            "3:a listener could not be bound",
+            "3:a listener could not be bound, or the secret or a TLS file not read",
             "4:stopped, but requests were cut because the bound was reached or a second signal came"
         })
 public final class DaemonMain implements Callable<Integer> {
@@ -90,8 +90,9 @@
         EventLoopGroup group = new NioEventLoopGroup();
         DaemonContext context =
                 new DaemonContext(new SystemTimeSource(timers), group, RandomSource.XO_RO_SHI_RO_128_PP::create);
-        Daemon daemon = new Daemon(settings, context);
+        Daemon daemon;
         try {
+            daemon = new Daemon(settings, context);
             daemon.start();
         } catch (IOException e) {
             LogEvent.of("start_failed").with("error", e.getMessage()).warn(log);
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
@@ -1,7 +1,10 @@
 package org.dogwoodwinch.daemon;
 
+import com.google.common.collect.Sets;
+import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.dogwoodwinch.admission.ClassQueueAdmission;
 import org.dogwoodwinch.admission.ShareExchange;
 import org.dogwoodwinch.authority.TargetActivity;
@@ -20,7 +23,6 @@
 import org.dogwoodwinch.platform.http.HttpWeightStore;
 import org.dogwoodwinch.request.ClaimFold;
 import org.dogwoodwinch.request.LogClaimLedger;
-import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.request.RequestCoordinator;
 import org.dogwoodwinch.request.RequestHandler;
 import org.dogwoodwinch.request.RequestPolicies;
@@ -42,7 +44,7 @@
     private static final int MAX_PLATFORM_ANSWER_BYTES = 16 << 20;
     private static final int MOST_KEYS = 200_000;
     private static final long LOAD_EXCHANGE_MILLIS = 500;
-    private static final char WRITER_SEPARATOR = '/';
+    private static final int CATALOGUE_PUBLISHERS = 3;
 
     private final HttpClients clients;
     private final TargetDirectory directory;
@@ -52,6 +54,8 @@
     private final ShareExchange shares;
     private final EnginePoller poller;
     private final LogClaimLedger claims;
+    private final PeerParts peers;
+    private final FleetActivity activity;
     private final RequestHandler handler;
 
     /**
@@ -60,8 +64,9 @@
      * @param settings the daemon's settings, not null
      * @param context what the process gives, not null
      * @param metrics counts, not null
+     * @throws IOException if the peers' secret or a TLS file cannot be read
      */
-    DaemonParts(Settings settings, DaemonContext context, Metrics metrics) {
+    DaemonParts(Settings settings, DaemonContext context, Metrics metrics) throws IOException {
         Objects.requireNonNull(settings, "settings");
         PlatformSettings platform = settings.platform();
         this.clients = new HttpClients(context.group(), (int) settings.targets().connectTimeoutMillis());
@@ -71,7 +76,8 @@
                 context.time(),
                 platform.instanceListPollMillis());
         TargetClients targets = new HttpTargetClients(clients, context.time(), PartSettings.timeouts(settings));
-        PeerBoard board = new SilentBoard();
+        this.peers = new PeerParts(settings, context, directory, metrics);
+        PeerBoard board = peers.board();
         String name = settings.instance().name();
         LogService log = new HttpLogService(caller, platform.logUrl());
         this.control = new ControlNode(
@@ -80,10 +86,10 @@
                         log,
                         new HttpWeightStore(caller, platform.weightStoreUrl()),
                         board,
-                        () -> false,
+                        () -> directory.isAmongFirstEntries(name, CATALOGUE_PUBLISHERS),
                         targets,
                         new ListedFleet(directory, name),
-                        _target -> new TargetActivity.InFlight(false, 0, 0)),
+                        this::inFlightOn),
                 PartSettings.control(settings.leases()),
                 context.time(),
                 context.newRandom());
@@ -102,20 +108,21 @@
         this.shares = new ShareExchange(PartSettings.shares(settings.admission()), board, context.time(), incarnation);
         this.poller = new EnginePoller(
                 directory::latest,
-                control::outOfService,
+                this::heldBack,
                 targets,
                 fleet,
                 router,
                 context.time(),
                 settings.targets().loadPollMillis());
+        this.activity = new FleetActivity(fleet, poller, directory, peers.watch(), name);
         this.claims = new LogClaimLedger(
                 log,
                 context.time(),
-                name + WRITER_SEPARATOR + incarnation,
+                peers.exchange().writer(),
                 settings.requests().claimTimeoutMillis(),
                 settings.requests().claimBatchMillis(),
                 new ClaimFold(settings.requests().keyMemoryMillis(), MOST_KEYS),
-                writer -> isLive(writer, name));
+                peers.exchange()::isAlive);
         this.handler = new RequestCoordinator(
                 new ClassQueueAdmission(
                         PartSettings.admission(settings.admission()),
@@ -124,14 +131,14 @@
                         new FleetCapacity(fleet, RoutingPolicy.STANDARD, context.time()),
                         directory::liveEntries,
                         context.time()),
-                router,
+                new LeavingTellingRouter(router, peers.leaving()::onRefused),
                 targets,
                 directory::find,
                 entry -> modelOf(catalogue, entry),
                 context.time(),
                 context.newRandom(),
                 claims,
-                Quarantine.NONE,
+                peers.suspects(),
                 new RequestReport(metrics),
                 PartSettings.requests(settings),
                 RequestPolicies.STANDARD);
@@ -141,6 +148,7 @@
     void start() {
         directory.start();
         control.start();
+        peers.start();
         claims.start();
         loads.start();
         shares.start();
@@ -157,6 +165,7 @@
         poller.stop();
         directory.stop();
         claims.stop();
+        peers.stop();
         control.stop();
         clients.close();
     }
@@ -164,10 +173,10 @@
     /**
      * Returns where the other instances connect.
      *
-     * @return the port; zero where this instance does not listen for them
+     * @return the port, zero before the start
      */
     int peersPort() {
-        return 0;
+        return peers.port();
     }
 
     /**
@@ -188,6 +197,24 @@
         return directory;
     }
 
+    /**
+     * Returns what knows the other instances.
+     *
+     * @return the parts
+     */
+    PeerParts peers() {
+        return peers;
+    }
+
+    /**
+     * Returns what reads the engines' reports.
+     *
+     * @return the poller
+     */
+    EnginePoller poller() {
+        return poller;
+    }
+
     /**
      * Returns what is believed of the targets.
      *
@@ -206,11 +233,12 @@
         return handler;
     }
 
-    /** An earlier start of this instance is gone, whatever the list says of the name. */
-    private boolean isLive(String writer, String ownName) {
-        int separatorAt = writer.indexOf(WRITER_SEPARATOR);
-        String writerName = separatorAt < 0 ? writer : writer.substring(0, separatorAt);
-        return !writerName.equals(ownName) && directory.listsEntry(writerName);
+    private TargetActivity.InFlight inFlightOn(String target) {
+        return activity.of(target);
+    }
+
+    private Set<String> heldBack() {
+        return Sets.union(control.outOfService(), peers.leaving().names());
     }
 
     private static String modelOf(CatalogueView catalogue, CatalogueEntry entry) {
--- a/src/main/java/org/dogwoodwinch/daemon/EnginePoller.java
+++ b/src/main/java/org/dogwoodwinch/daemon/EnginePoller.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.dogwoodwinch.platform.ListedInstance;
@@ -37,6 +38,7 @@
     private final long pollMillis;
     private final Map<String, Long> lastCacheEvents = new ConcurrentHashMap<>();
     private final Map<String, Long> starts = new ConcurrentHashMap<>();
+    private final Map<String, TimedReport> reports = new ConcurrentHashMap<>();
     private final Map<String, Boolean> asked = new ConcurrentHashMap<>();
     private long rounds;
     private volatile boolean stopped;
@@ -93,6 +95,30 @@
         timer.cancel();
     }
 
+    /**
+     * Returns an engine's last report.
+     *
+     * @param name the engine, not null
+     * @param mostMillis how long ago it may have come, in milliseconds
+     * @return the report, or empty where there is none that new
+     */
+    Optional<LoadReport> freshReport(String name, long mostMillis) {
+        return Optional.ofNullable(reports.get(name))
+                .filter(report -> time.monotonicMillis() - report.atMillis() <= mostMillis)
+                .map(TimedReport::report);
+    }
+
+    /**
+     * Returns the age of an engine's last report.
+     *
+     * @param name the engine, not null
+     * @return milliseconds, -1 where there is no report
+     */
+    long reportAgeMillis(String name) {
+        TimedReport report = reports.get(name);
+        return report == null ? -1 : time.monotonicMillis() - report.atMillis();
+    }
+
     private void poll(ListedInstance line, boolean withState) {
         String name = line.name();
         if (asked.putIfAbsent(name, Boolean.TRUE) != null) {
@@ -103,6 +129,7 @@
             asked.remove(name);
             if (load instanceof TargetReply.Answer<LoadReport> answer) {
                 fleet.onLoadReport(name, answer.value());
+                reports.put(name, new TimedReport(answer.value(), time.monotonicMillis()));
             }
         });
         if (withState) {
@@ -130,4 +157,6 @@
             router.onCacheEvents(name, events);
         }
     }
+
+    private record TimedReport(LoadReport report, long atMillis) {}
 }
--- a/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
+++ b/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
-import org.dogwoodwinch.control.ControlApi;
 import org.dogwoodwinch.control.ControlEndpoint;
 import org.dogwoodwinch.control.ControlResponse;
 import org.dogwoodwinch.control.ControlStatus;
@@ -22,7 +21,6 @@
 import org.dogwoodwinch.http.ServingState;
 import org.dogwoodwinch.metrics.Metrics;
 import org.dogwoodwinch.platform.ListedInstance;
-import org.dogwoodwinch.routing.FleetView;
 import org.dogwoodwinch.routing.TargetSummary;
 import org.dogwoodwinch.settings.InstanceSettings;
 import org.dogwoodwinch.status.InstanceStatus;
@@ -38,9 +36,7 @@
 
     private final InstanceSettings instance;
     private final Metrics metrics;
-    private final ControlApi control;
-    private final TargetDirectory directory;
-    private final FleetView fleet;
+    private final DaemonParts parts;
     private final InFlightRequests inFlight;
     private final Supplier<ServingState> serving;
 
@@ -49,25 +45,19 @@
      *
      * @param instance who this instance is, not null
      * @param metrics the counters, not null
-     * @param control the control stream, not null
-     * @param directory knows the targets, not null
-     * @param fleet what is believed of the targets, not null
+     * @param parts what the pages show, not null
      * @param inFlight counts requests, not null
      * @param serving whether requests are taken, not null
      */
     OperatorPages(
             InstanceSettings instance,
             Metrics metrics,
-            ControlApi control,
-            TargetDirectory directory,
-            FleetView fleet,
+            DaemonParts parts,
             InFlightRequests inFlight,
             Supplier<ServingState> serving) {
         this.instance = Objects.requireNonNull(instance, "instance");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.control = Objects.requireNonNull(control, "control");
-        this.directory = Objects.requireNonNull(directory, "directory");
-        this.fleet = Objects.requireNonNull(fleet, "fleet");
+        this.parts = Objects.requireNonNull(parts, "parts");
         this.inFlight = Objects.requireNonNull(inFlight, "inFlight");
         this.serving = Objects.requireNonNull(serving, "serving");
     }
@@ -78,7 +68,7 @@
      * @return the map
      */
     Map<String, OperatorPage> byPath() {
-        ControlEndpoint endpoint = new ControlEndpoint(control);
+        ControlEndpoint endpoint = new ControlEndpoint(parts.control());
         return Map.of(
                 "/metrics",
                 _call -> now(metricsPage()),
@@ -120,20 +110,21 @@
         if (serving.get() != ServingState.SERVING) {
             return "stopping";
         }
-        if (control.catalogue().current().isEmpty()) {
+        if (parts.control().catalogue().current().isEmpty()) {
             return "no catalogue yet";
         }
-        return directory.hasAnswered() ? "" : "no instance list yet";
+        return parts.directory().hasAnswered() ? "" : "no instance list yet";
     }
 
     private InstanceStatus status() {
-        ControlStatus stream = control.status();
+        ControlStatus stream = parts.control().status();
         List<TargetStatus> targets =
-                fleet.summaries().stream().map(OperatorPages::targetStatus).toList();
-        List<PeerStatus> peers = directory.latest().stream()
+                parts.fleet().summaries().stream().map(this::targetStatus).toList();
+        List<PeerStatus> peers = parts.directory().latest().stream()
                 .filter(line -> line.kind() == ListedInstance.Kind.ENTRY)
                 .filter(line -> !line.name().equals(instance.name()))
-                .map(line -> new PeerStatus(line.name(), line.dataCentre(), -1))
+                .map(line -> new PeerStatus(
+                        line.name(), line.dataCentre(), parts.peers().watch().heardMillis(line.name())))
                 .toList();
         return new InstanceStatus(
                 instance.name(),
@@ -146,10 +137,10 @@
                 inFlight.count(),
                 targets,
                 peers,
-                control.liveGroups());
+                parts.control().liveGroups());
     }
 
-    private static TargetStatus targetStatus(TargetSummary summary) {
+    private TargetStatus targetStatus(TargetSummary summary) {
         Target target = summary.target();
         String state = summary.leaving() ? "leaving" : summary.usable() ? "serving" : "failing";
         return new TargetStatus(
@@ -162,6 +153,6 @@
                 summary.prefillBacklogTokens(),
                 summary.decodeBacklogTokens(),
                 summary.outstandingRequests(),
-                -1);
+                parts.poller().reportAgeMillis(target.name()));
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetDirectory.java
@@ -119,15 +119,19 @@
     }
 
     /**
-     * Says whether the list shows an instance of our own.
+     * Says whether an instance is among the first of our own, in order of name.
      *
      * @param name its name, not null
-     * @return true where it does
+     * @param count how many count as the first
+     * @return true where it is
      */
-    boolean listsEntry(String name) {
+    boolean isAmongFirstEntries(String name, int count) {
         return latest.stream()
-                .anyMatch(line ->
-                        line.kind() == ListedInstance.Kind.ENTRY && line.name().equals(name));
+                .filter(line -> line.kind() == ListedInstance.Kind.ENTRY && !line.leaving())
+                .map(ListedInstance::name)
+                .sorted()
+                .limit(count)
+                .anyMatch(name::equals);
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/routing/FleetView.java
+++ b/src/main/java/org/dogwoodwinch/routing/FleetView.java
@@ -113,6 +113,16 @@
         }
     }
 
+    /**
+     * Says whether urgent work is in flight on a target, by way of this instance or, as far as they told, of others.
+     *
+     * @param targetName the target, not null
+     * @return true where there is some
+     */
+    public synchronized boolean hasUrgentInFlight(String targetName) {
+        return state(targetName).filter(TargetState::servesUrgentWork).isPresent();
+    }
+
     /**
      * Returns the targets that this instance knows, for status pages and the role planner.
      *
