Check generated histories of requests, mutants first

Cause: at most once, truthful refusals and whole answers must hold under any mixture of failures. Change: three instances before three engines and a plain service in virtual time; kills, pauses, cuts from log and engine, lost sends and answers, doubled, reordered and crossed chunks, engine crashes, log outages and lost append answers. Four mutants (retry after bytes were written, send before the claim is read back, match by order, always say "not run") are each noticed within 100 schedules and kept as tests.

--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/request/RequestHistoryTest.java
@@ -0,0 +1,127 @@
+package org.dogwoodwinch.request;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.GenerationMode;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.lifecycle.AfterProperty;
+import org.dogwoodwinch.history.HistoryChecks;
+import org.dogwoodwinch.history.HistoryVerdict;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Callers send keyed, un-keyed and repeatable requests through three instances while processes are killed and paused,
+ * links to engines and log break, answers are lost, doubled, reordered and crossed, engines crash and the log goes out.
+ * Whatever the schedule, a call that may run once runs at most once, "not run" is true, an answer is whole and its own
+ * request's, and each call ends: the attempt ledger, the claims and the sequence numbers see to it.
+ */
+class RequestHistoryTest {
+
+    private static final long CALM_MILLIS = 40_000;
+    private static final long LEAST_AT_STAKE = 1_000;
+
+    private static final long[] AT_STAKE = new long[3];
+
+    @Property(tries = 2_000, seed = "50131", generation = GenerationMode.RANDOMIZED, shrinking = ShrinkingMode.OFF)
+    void holdsUnderGeneratedSchedules(
+            @ForAll("schedules") List<RequestDisturbance> schedule, @ForAll("seeds") long seed) {
+        HistoryVerdict verdict = run(schedule, seed, RequestPolicies.STANDARD);
+        assertTrue(verdict.held(), () -> schedule + " seed " + seed + "\n" + verdict.toText());
+        for (int i = 0; i < AT_STAKE.length; i++) {
+            AT_STAKE[i] += verdict.results().get(i).checked();
+        }
+    }
+
+    /** Schedules in which nothing was refused or sent twice would prove nothing. */
+    @AfterProperty
+    void eachPropertyWasAtStake() {
+        for (long checked : AT_STAKE) {
+            assertTrue(checked >= LEAST_AT_STAKE, () -> "at stake: " + Arrays.toString(AT_STAKE));
+        }
+    }
+
+    /** The first answer of a call that may run once is lost, and the mutant sends it again. */
+    @Test
+    void aRetryAfterBytesWereWrittenIsNoticed() {
+        RetryPolicy retriesAll = (_repeatable, failure) -> RetryPolicy.STANDARD.decide(true, failure);
+        assertNoticed(new RequestPolicies(retriesAll, AttemptLedger::runState, AnswerMatcher.BY_ATTEMPT_ID, true));
+    }
+
+    /** Two instances get one key, and the mutant sends before the log has said which of them was first. */
+    @Test
+    void aSendBeforeTheClaimIsReadBackIsNoticed() {
+        assertNoticed(
+                new RequestPolicies(RetryPolicy.STANDARD, AttemptLedger::runState, AnswerMatcher.BY_ATTEMPT_ID, false));
+    }
+
+    /** Connections cross, and the mutant takes what comes for its own. */
+    @Test
+    void matchingByOrderIsNoticed() {
+        assertNoticed(
+                new RequestPolicies(RetryPolicy.STANDARD, AttemptLedger::runState, (_attemptId, _chunk) -> true, true));
+    }
+
+    /** An answer is lost after the run, and the mutant says "not run" of whatever it refuses. */
+    @Test
+    void alwaysSayingNotRunIsNoticed() {
+        assertNoticed(new RequestPolicies(
+                RetryPolicy.STANDARD, _ledger -> RunState.NOT_RUN, AnswerMatcher.BY_ATTEMPT_ID, true));
+    }
+
+    private void assertNoticed(RequestPolicies mutant) {
+        boolean noticed = schedules()
+                .list()
+                .ofSize(100)
+                .sampleStream()
+                .limit(1)
+                .flatMap(List::stream)
+                .anyMatch(schedule -> !run(schedule, 7, mutant).held());
+        assertTrue(noticed, "the mutant passed a hundred schedules");
+    }
+
+    private static HistoryVerdict run(List<RequestDisturbance> schedule, long seed, RequestPolicies policies) {
+        RequestWorld world = new RequestWorld(seed, policies);
+        int number = 0;
+        for (RequestDisturbance each : schedule) {
+            world.advance(each.afterMillis());
+            each.happen(world, number++);
+        }
+        world.advance(CALM_MILLIS);
+        return HistoryChecks.standard()
+                .judge(
+                        world.history(),
+                        org.dogwoodwinch.history.Property.WHOLE_ANSWER_TO_ITS_CALLER,
+                        org.dogwoodwinch.history.Property.NOT_RUN_IS_TRUE,
+                        org.dogwoodwinch.history.Property.AT_MOST_ONCE);
+    }
+
+    @Provide
+    Arbitrary<Long> seeds() {
+        return Arbitraries.longs().between(1, 1_000_000);
+    }
+
+    @Provide
+    Arbitrary<List<RequestDisturbance>> schedules() {
+        Arbitrary<RequestDisturbance.Kind> kinds = Arbitraries.frequencyOf(
+                Tuple.of(1, Arbitraries.of(RequestDisturbance.Kind.values())),
+                Tuple.of(1, Arbitraries.of(RequestDisturbance.requestKinds())));
+        return Combinators.combine(
+                        kinds,
+                        Arbitraries.longs().between(0, 600),
+                        Arbitraries.integers().between(0, 5),
+                        Arbitraries.integers().between(0, 7))
+                .as(RequestDisturbance::new)
+                .list()
+                .ofMinSize(4)
+                .ofMaxSize(14);
+    }
+}
