List and lift quarantines from the command line

Cause: an operator must see which requests are refused for crashing targets, and be able to let one in again. Change: QuarantineEndpoint answers GET /quarantine and POST /quarantine/lift; dogwoodwinchctl quarantine list|lift. Left: the daemon does not serve the endpoint yet.

--- a/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
+++ b/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
@@ -24,6 +24,7 @@
             CatalogueCommand.class,
             HistoryCommand.class,
             PlanCommand.class,
+            QuarantineCommand.class,
             SettingsCommand.class,
             StatusCommand.class
         })
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/request/QuarantineEndpointTest.java
@@ -0,0 +1,35 @@
+package org.dogwoodwinch.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class QuarantineEndpointTest {
+
+    private static final long FINGERPRINT = -2;
+
+    private final SuspectBook book = new SuspectBook(new VirtualTimeSource(0), 600_000, 60_000, _notice -> {});
+    private final QuarantineEndpoint endpoint = new QuarantineEndpoint(book);
+
+    @Test
+    void listsAndLifts() {
+        book.onTrial(FINGERPRINT, "a", "engine-0");
+        book.onCrash(FINGERPRINT, "a", "engine-0");
+        assertEquals(
+                "[{\"fingerprint\":\"fffffffffffffffe\",\"crashes\":1,\"remainingMillis\":60000}]",
+                endpoint.handle("GET", "/quarantine", "").body());
+        String body = "{\"fingerprint\":\"fffffffffffffffe\"}";
+        assertTrue(endpoint.handle("POST", "/quarantine/lift", body).body().contains("true"));
+        assertTrue(endpoint.handle("POST", "/quarantine/lift", body).body().contains("false"));
+        assertEquals("[]", endpoint.handle("GET", "/quarantine", "").body());
+    }
+
+    @Test
+    void refusesWhatIsMalformed() {
+        assertEquals(400, endpoint.handle("POST", "/quarantine/lift", "{}").status());
+        assertEquals(400, endpoint.handle("POST", "/quarantine/lift", "x").status());
+        assertEquals(404, endpoint.handle("DELETE", "/quarantine", "").status());
+    }
+}
