Measure retries, poison requests, claims and peer exchange

Cause: the request issue's figures must be reproducible. Change: bin/measure requests, in virtual time before stand-ins.

--- a/src/main/java/org/dogwoodwinch/measure/Measurements.java
+++ b/src/main/java/org/dogwoodwinch/measure/Measurements.java
@@ -5,6 +5,7 @@
 import org.dogwoodwinch.measure.capacity.CapacityProbes;
 import org.dogwoodwinch.measure.control.AuthorityMeasurement;
 import org.dogwoodwinch.measure.control.CatalogueMeasurement;
+import org.dogwoodwinch.measure.requests.RequestsMeasurement;
 
 /** The list of all measurements. */
 public final class Measurements {
@@ -14,7 +15,8 @@
             new CapacityMeasurement(CapacityProbes.all()),
             new AuthorityMeasurement(),
             new CatalogueMeasurement(),
-            new PathMeasurement());
+            new PathMeasurement(),
+            new RequestsMeasurement());
 
     private Measurements() {}
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/measure/requests/package-info.java
@@ -0,0 +1,2 @@
+/** Trials behind {@code bin/measure requests}: retries, requests that crash targets, claims and peer exchange. */
+package org.dogwoodwinch.measure.requests;
