End a request with an answer when a part of it throws; a long queue is no stall

Cause: a task that threw left its request's queue stuck, so that its caller never got an end; and a request that waited long in an engine's queue counted as stalled after 30 s, whatever its router had expected. The stall limit before the first token adds three times the expected wait.

--- a/src/main/java/org/dogwoodwinch/request/ClaimJoin.java
+++ b/src/main/java/org/dogwoodwinch/request/ClaimJoin.java
@@ -138,8 +138,8 @@
             lookLater();
             return;
         }
-        EngineAttempt next =
-                new EngineAttempt(context, queue, request, answer.progress(), target.get(), held.pointer(), true, this);
+        EngineAttempt next = new EngineAttempt(
+                context, queue, request, answer.progress(), target.get(), held.pointer(), true, 0, this);
         attempt = Optional.of(next);
         next.setReading(reading);
         next.join();
--- a/src/main/java/org/dogwoodwinch/request/EngineAttempt.java
+++ b/src/main/java/org/dogwoodwinch/request/EngineAttempt.java
@@ -32,6 +32,9 @@
         void onDiverged();
     }
 
+    /** How many times as long as expected the first token may take before it counts as late. */
+    private static final int FIRST_TOKEN_LATENESS = 3;
+
     private final RequestContext context;
     private final SerialQueue queue;
     private final CallerRequest request;
@@ -39,6 +42,7 @@
     private final Target target;
     private final StreamPointer pointer;
     private final boolean shared;
+    private final long firstTokenMillis;
     private final Events events;
 
     private Reader reader;
@@ -54,6 +58,7 @@
      * Creates an attempt.
      *
      * @param shared whether the stream is another request's, which this one must not cancel
+     * @param firstTokenMillis when the first token is expected, in milliseconds from the send: a long queue is no stall
      */
     EngineAttempt(
             RequestContext context,
@@ -63,6 +68,7 @@
             Target target,
             StreamPointer pointer,
             boolean shared,
+            long firstTokenMillis,
             Events events) {
         this.context = context;
         this.queue = queue;
@@ -71,6 +77,7 @@
         this.target = target;
         this.pointer = pointer;
         this.shared = shared;
+        this.firstTokenMillis = firstTokenMillis;
         this.events = events;
     }
 
@@ -136,10 +143,15 @@
     }
 
     private void armStallTimer() {
-        long waitMillis = context.settings().stallMillis() - (context.nowMillis() - lastHeardMillis);
+        long waitMillis = allowedMillis() - (context.nowMillis() - lastHeardMillis);
         stallTimer = context.time().schedule(Math.max(1, waitMillis), () -> queue.execute(this::checkStall));
     }
 
+    private long allowedMillis() {
+        long queueMillis = firstChunkSeen ? 0 : FIRST_TOKEN_LATENESS * firstTokenMillis;
+        return context.settings().stallMillis() + queueMillis;
+    }
+
     private void checkStall() {
         if (over) {
             return;
@@ -147,7 +159,7 @@
         if (!reading) {
             lastHeardMillis = context.nowMillis();
         }
-        if (context.nowMillis() - lastHeardMillis < context.settings().stallMillis()) {
+        if (context.nowMillis() - lastHeardMillis < allowedMillis()) {
             armStallTimer();
             return;
         }
--- a/src/main/java/org/dogwoodwinch/request/RequestObserver.java
+++ b/src/main/java/org/dogwoodwinch/request/RequestObserver.java
@@ -78,4 +78,12 @@
      * @param request the later request, not null
      */
     default void onJoined(CallerRequest request) {}
+
+    /**
+     * A broken invariant ended the request; it is to be logged.
+     *
+     * @param request the request, not null
+     * @param fault what was thrown, not null
+     */
+    default void onFault(CallerRequest request, RuntimeException fault) {}
 }
--- a/src/main/java/org/dogwoodwinch/request/RequestRun.java
+++ b/src/main/java/org/dogwoodwinch/request/RequestRun.java
@@ -26,7 +26,7 @@
     private final CallerRequest request;
     private final CallerAnswer answer;
     private final Runnable onEnd;
-    private final SerialQueue queue = new SerialQueue();
+    private final SerialQueue queue = new SerialQueue(this::onFault);
     private final AttemptLedger ledger = new AttemptLedger();
 
     private Cancellable admissionWait = NOTHING;
@@ -78,6 +78,15 @@
         join.ifPresent(each -> each.setReading(wanted));
     }
 
+    /** A broken invariant ends this request with an answer; the others go on. */
+    private void onFault(RuntimeException fault) {
+        context.observer().onFault(request, fault);
+        if (!over) {
+            stopAttempts();
+            giveUp(RefusalReason.INTERNAL, "an internal fault", 0);
+        }
+    }
+
     private void begin() {
         if (context.quarantine().standing(request.fingerprint()) == Quarantine.Standing.QUARANTINED) {
             refuseQuarantined();
--- a/src/main/java/org/dogwoodwinch/request/RunningAttempt.java
+++ b/src/main/java/org/dogwoodwinch/request/RunningAttempt.java
@@ -147,8 +147,16 @@
         ledger.onSend(attemptId);
         context.observer().onAttempt(request, attemptId, target);
         StreamPointer pointer = new StreamPointer(target.name(), attemptId);
-        EngineAttempt attempt =
-                new EngineAttempt(context, queue, request, answer.progress(), target, pointer, false, this);
+        EngineAttempt attempt = new EngineAttempt(
+                context,
+                queue,
+                request,
+                answer.progress(),
+                target,
+                pointer,
+                false,
+                route.expectedFirstTokenMillis(),
+                this);
         engineAttempt = Optional.of(attempt);
         attempt.setReading(reading);
         String model = context.models().apply(request.entry());
--- a/src/main/java/org/dogwoodwinch/request/SerialQueue.java
+++ b/src/main/java/org/dogwoodwinch/request/SerialQueue.java
@@ -3,6 +3,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 
 /**
  * Runs tasks one at a time, in order, on whichever thread brings one.
@@ -15,6 +16,17 @@
 
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final AtomicInteger pending = new AtomicInteger();
+    private final Consumer<RuntimeException> onFault;
+
+    /**
+     * Creates a queue.
+     *
+     * @param onFault hears what a task throws; the tasks after it still run, or one fault would leave its caller without
+     *     an end for good
+     */
+    SerialQueue(Consumer<RuntimeException> onFault) {
+        this.onFault = onFault;
+    }
 
     void execute(Runnable task) {
         tasks.add(task);
@@ -22,7 +34,15 @@
             return;
         }
         do {
-            tasks.remove().run();
+            runGuarded(tasks.remove());
         } while (pending.decrementAndGet() != 0);
     }
+
+    private void runGuarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            onFault.accept(e);
+        }
+    }
 }
