Let go of an engine's stream without cancelling it

Cause: HttpEngineStream took the default of detach(), which only stops reading: the connection stayed, and a resend of the key had to take the stream over from it. Change: detach() closes the connection and does not tell the engine to cancel. Not covered by a test of its own yet.

--- a/src/main/java/org/dogwoodwinch/target/http/HttpEngineStream.java
+++ b/src/main/java/org/dogwoodwinch/target/http/HttpEngineStream.java
@@ -65,6 +65,14 @@
         }
     }
 
+    /** Closes the connection; the engine is not told to cancel and keeps the stream for one that joins it. */
+    @Override
+    public void detach() {
+        silenceTimer.cancel();
+        handler.cancel();
+        exchange.cancel(true);
+    }
+
     private void stopWatching() {
         silenceTimer.cancel();
     }
