--- a/src/main/java/org/dogwoodwinch/request/ClaimOutbox.java
+++ b/src/main/java/org/dogwoodwinch/request/ClaimOutbox.java
@@ -34,10 +34,6 @@
         return queue.isEmpty();
     }
 
-    int size() {
-        return queue.size();
-    }
-
     /** Takes the next batch; the caller says afterwards what became of it. */
     ClaimBatch next() {
         List<ClaimRecord> records = new ArrayList<>();
