--- a/src/main/java/org/dogwoodwinch/standin/http/StandInMain.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/StandInMain.java
@@ -55,6 +55,12 @@
             defaultValue = "0.4")
     private double stepPerSequenceMillis;
 
+    @Option(
+            names = "--prefill-tokens-per-second",
+            description = "Prompt tokens that an engine computes a second.",
+            defaultValue = "8000")
+    private double prefillTokensPerSecond;
+
     /**
      * Runs the stand-ins until the process is ended.
      *
@@ -82,7 +88,7 @@
     private void addEngines(StandInFleet fleet) throws IOException {
         EngineCost standard = EngineCost.STANDARD;
         EngineCost cost = new EngineCost(
-                standard.prefillTokensPerSecond(),
+                prefillTokensPerSecond,
                 stepMillis,
                 stepPerSequenceMillis,
                 standard.prefillChunkTokens(),
