Wait for the urgent work of all instances before an order, in the daemon

Cause: the daemon counted every target as busy, so planned changes never left draining, and its router did not know of targets out of service; lease settings were read and not used; each group had an order of claims of its own. Left: a daemon whose board is silent hears no other instance, so with more than one instance its drains wait.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/control/SentWork.java
@@ -0,0 +1,101 @@
+package org.dogwoodwinch.control;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.dogwoodwinch.catalogue.WorkClass;
+import org.dogwoodwinch.routing.Route;
+import org.dogwoodwinch.routing.RouteQuery;
+import org.dogwoodwinch.routing.Router;
+import org.dogwoodwinch.target.Target;
+import org.dogwoodwinch.target.TargetFailure;
+import org.dogwoodwinch.target.Usage;
+
+/**
+ * Keeps new work from targets that are out of service, and counts what is in flight on each target by way of this
+ * instance. Thread-safe.
+ */
+public final class SentWork implements Router {
+
+    private final Router router;
+    private final Supplier<Set<String>> outOfService;
+    private final Map<String, Sent> sentByAttempt = new ConcurrentHashMap<>();
+
+    /**
+     * Creates the router around another.
+     *
+     * @param router chooses among the targets in service, not null
+     * @param outOfService the targets that must get no new work, not null
+     */
+    public SentWork(Router router, Supplier<Set<String>> outOfService) {
+        this.router = Objects.requireNonNull(router, "router");
+        this.outOfService = Objects.requireNonNull(outOfService, "outOfService");
+    }
+
+    /**
+     * Counts what is in flight on a target by way of this instance.
+     *
+     * @param target its name, not null
+     * @return the line of a drain report
+     */
+    public DrainReport.Line inFlight(String target) {
+        int urgent = 0;
+        int all = 0;
+        for (Sent sent : sentByAttempt.values()) {
+            if (sent.target().equals(target)) {
+                all++;
+                urgent += sent.urgent() ? 1 : 0;
+            }
+        }
+        return new DrainReport.Line(target, urgent, all);
+    }
+
+    @Override
+    public Route route(RouteQuery query) {
+        Set<String> excluded = new HashSet<>(query.excludedTargets());
+        excluded.addAll(outOfService.get());
+        return router.route(new RouteQuery(
+                query.group(),
+                query.workClass(),
+                query.prompt(),
+                query.promptTokens(),
+                query.maxTokens(),
+                query.remainingMillis(),
+                excluded,
+                query.alone()));
+    }
+
+    @Override
+    public void onSent(String attemptId, Target target, RouteQuery query) {
+        sentByAttempt.put(attemptId, new Sent(target.name(), query.workClass() == WorkClass.URGENT));
+        router.onSent(attemptId, target, query);
+    }
+
+    @Override
+    public void onFirstToken(String attemptId, long elapsedMillis) {
+        router.onFirstToken(attemptId, elapsedMillis);
+    }
+
+    @Override
+    public void onCompleted(String attemptId, Usage usage) {
+        sentByAttempt.remove(attemptId);
+        router.onCompleted(attemptId, usage);
+    }
+
+    @Override
+    public void onFailed(String attemptId, TargetFailure failure) {
+        sentByAttempt.remove(attemptId);
+        router.onFailed(attemptId, failure);
+    }
+
+    @Override
+    public void onCancelled(String attemptId) {
+        sentByAttempt.remove(attemptId);
+        router.onCancelled(attemptId);
+    }
+
+    private record Sent(String target, boolean urgent) {}
+}
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.dogwoodwinch.admission.ClassQueueAdmission;
 import org.dogwoodwinch.admission.ShareExchange;
+import org.dogwoodwinch.authority.ClaimOrder;
 import org.dogwoodwinch.authority.TargetActivity;
 import org.dogwoodwinch.catalogue.CatalogueEntry;
 import org.dogwoodwinch.catalogue.CatalogueView;
@@ -15,6 +16,8 @@
 import org.dogwoodwinch.control.ControlNode;
 import org.dogwoodwinch.control.ControlServices;
 import org.dogwoodwinch.control.ControlSettings;
+import org.dogwoodwinch.control.DrainExchange;
+import org.dogwoodwinch.control.SentWork;
 import org.dogwoodwinch.metrics.Metrics;
 import org.dogwoodwinch.peer.PeerBoard;
 import org.dogwoodwinch.platform.LogService;
@@ -56,6 +59,7 @@
     private final LogClaimLedger claims;
     private final PeerParts peers;
     private final FleetActivity activity;
+    private final DrainExchange drains;
     private final RequestHandler handler;
 
     /**
@@ -88,7 +92,9 @@
                         board,
                         () -> directory.isAmongFirstEntries(name, CATALOGUE_PUBLISHERS),
                         targets,
-                        new ListedFleet(directory, name),
+                        new ListedFleet(
+                                directory,
+                                new ClaimOrder.Member(name, settings.instance().dataCentre())),
                         this::inFlightOn),
                 PartSettings.control(settings.leases()),
                 context.time(),
@@ -115,6 +121,10 @@
                 context.time(),
                 settings.targets().loadPollMillis());
         this.activity = new FleetActivity(fleet, poller, directory, peers.watch(), name);
+        SentWork sent = new SentWork(
+                new LeavingTellingRouter(router, peers.leaving()::onRefused), control::outOfService);
+        this.drains = new DrainExchange(
+                board, sent::inFlight, control::outOfService, () -> directory.otherEntries(name), context.time());
         this.claims = new LogClaimLedger(
                 log,
                 context.time(),
@@ -131,7 +141,7 @@
                         new FleetCapacity(fleet, RoutingPolicy.STANDARD, context.time()),
                         directory::liveEntries,
                         context.time()),
-                new LeavingTellingRouter(router, peers.leaving()::onRefused),
+                sent,
                 targets,
                 directory::find,
                 entry -> modelOf(catalogue, entry),
@@ -148,6 +158,7 @@
     void start() {
         directory.start();
         control.start();
+        drains.start();
         peers.start();
         claims.start();
         loads.start();
@@ -166,6 +177,7 @@
         directory.stop();
         claims.stop();
         peers.stop();
+        drains.stop();
         control.stop();
         clients.close();
     }
@@ -233,8 +245,17 @@
         return handler;
     }
 
+    /**
+     * Load news tell what is in flight; drain reports tell besides that each instance has read that the target is out of
+     * service. An instance that peers hear but that is cut off from the log would otherwise go on sending.
+     */
     private TargetActivity.InFlight inFlightOn(String target) {
-        return activity.of(target);
+        TargetActivity.InFlight load = activity.of(target);
+        TargetActivity.InFlight told = drains.of(target);
+        return new TargetActivity.InFlight(
+                load.known() && told.known(),
+                Math.max(load.urgent(), told.urgent()),
+                Math.max(load.all(), told.all()));
     }
 
     private Set<String> heldBack() {
--- a/src/main/java/org/dogwoodwinch/daemon/ListedFleet.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ListedFleet.java
@@ -1,9 +1,8 @@
 package org.dogwoodwinch.daemon;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Objects;
+import org.dogwoodwinch.authority.ClaimOrder;
 import org.dogwoodwinch.authority.FleetView;
 import org.dogwoodwinch.platform.ListedInstance;
 import org.dogwoodwinch.target.Target;
@@ -12,17 +11,17 @@
 final class ListedFleet implements FleetView {
 
     private final TargetDirectory directory;
-    private final String instance;
+    private final ClaimOrder.Member own;
 
     /**
      * Creates a view.
      *
      * @param directory reads the list, not null
-     * @param instance this instance's name, not null
+     * @param own this instance, not null
      */
-    ListedFleet(TargetDirectory directory, String instance) {
+    ListedFleet(TargetDirectory directory, ClaimOrder.Member own) {
         this.directory = Objects.requireNonNull(directory, "directory");
-        this.instance = Objects.requireNonNull(instance, "instance");
+        this.own = Objects.requireNonNull(own, "own");
     }
 
     @Override
@@ -33,20 +32,12 @@
                 .toList();
     }
 
-    /** Rendezvous hashing: each group has its own order of instances, and one that goes moves no other's place much. */
     @Override
     public int claimRank(String group) {
-        long own = weight(group, instance);
-        return (int) directory.latest().stream()
+        List<ClaimOrder.Member> members = directory.latest().stream()
                 .filter(line -> line.kind() == ListedInstance.Kind.ENTRY && !line.leaving())
-                .filter(line -> !line.name().equals(instance))
-                .filter(line -> weight(group, line.name()) > own)
-                .count();
-    }
-
-    private static long weight(String group, String name) {
-        return Hashing.murmur3_128()
-                .hashString(group + "/" + name, StandardCharsets.UTF_8)
-                .asLong();
+                .map(line -> new ClaimOrder.Member(line.name(), line.dataCentre()))
+                .toList();
+        return ClaimOrder.rank(group, own, members);
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetDirectory.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.platform.InstanceList;
 import org.dogwoodwinch.platform.ListedInstance;
@@ -134,6 +136,20 @@
                 .anyMatch(name::equals);
     }
 
+    /**
+     * Names the other instances of our own, those that leave too.
+     *
+     * @param ownName this instance's name, not null
+     * @return the names
+     */
+    Set<String> otherEntries(String ownName) {
+        return latest.stream()
+                .filter(line -> line.kind() == ListedInstance.Kind.ENTRY)
+                .map(ListedInstance::name)
+                .filter(name -> !name.equals(ownName))
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Makes the target of a line.
      *
--- a/src/main/java/org/dogwoodwinch/peer/PeerItemStore.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerItemStore.java
@@ -22,6 +22,7 @@
     private static final List<String> TOPICS_BY_URGENCY = List.of(
             PeerTopic.QUARANTINE.name(),
             PeerTopic.LEAVING.name(),
+            PeerTopic.DRAIN.name(),
             PeerTopic.CATALOGUE.name(),
             PeerTopic.MEMBER.name(),
             PeerTopic.DEMAND.name(),
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -13,5 +13,7 @@
     /** The newest catalogue and the offset it covers; sent to a member that has just started, not passed on. */
     CATALOGUE,
     /** That an instance is alive. */
-    MEMBER
+    MEMBER,
+    /** What an instance has in flight on targets that are out of service. */
+    DRAIN
 }
--- a/src/main/java/org/dogwoodwinch/settings/LeaseSettings.java
+++ b/src/main/java/org/dogwoodwinch/settings/LeaseSettings.java
@@ -1,5 +1,8 @@
 package org.dogwoodwinch.settings;
 
+import org.dogwoodwinch.authority.LeasePolicy;
+import org.dogwoodwinch.authority.OrderPolicy;
+
 /**
  * Leases and orders.
  *
@@ -12,10 +15,10 @@
 
     static LeaseSettings read(SettingsSection section) {
         LeaseSettings settings = new LeaseSettings(
-                section.wholeNumber("termMillis", 500, 600_000, 9_000),
-                section.wholeNumber("marginMillis", 10, 60_000, 1_000),
-                section.wholeNumber("renewMillis", 50, 300_000, 3_000),
-                section.wholeNumber("orderTimeoutMillis", 10, 60_000, 2_000));
+                section.wholeNumber("termMillis", 500, 600_000, LeasePolicy.STANDARD.termMillis()),
+                section.wholeNumber("marginMillis", 10, 60_000, LeasePolicy.STANDARD.marginMillis()),
+                section.wholeNumber("renewMillis", 50, 300_000, LeasePolicy.STANDARD.renewMillis()),
+                section.wholeNumber("orderTimeoutMillis", 10, 60_000, OrderPolicy.STANDARD.orderTimeoutMillis()));
         if (settings.renewMillis() + settings.marginMillis() >= settings.termMillis()) {
             section.tell("renewMillis", "renewMillis and marginMillis together must be less than termMillis");
         }
