Test the fold of leases, orders and plans; keep the engines' groups between decisions

Cause: decisions are taken several times a second on every instance and sorted all engines into groups each time; at the target size that is 4,400 engines. The fold's rules had no tests of their own beside the generated histories. Change: the groups are made anew only when the list of engines changes, in the agent and in the daemon's view; tests of claims that a renewal voids, late copies, lost epochs, load numbers, forgotten plans and copies of the state.

--- a/src/main/java/org/dogwoodwinch/authority/AuthorityAgent.java
+++ b/src/main/java/org/dogwoodwinch/authority/AuthorityAgent.java
@@ -35,6 +35,8 @@
     private final Map<String, OrderDriver> drivers = new TreeMap<>();
     private final Map<String, HeldSince> heldSince = new HashMap<>();
     private long rateAskedMillis = Long.MIN_VALUE / 2;
+    private List<Target> lastEngines = List.of();
+    private SortedMap<String, List<Target>> lastByGroup = new TreeMap<>();
 
     /**
      * Creates an agent that holds nothing.
@@ -266,12 +268,17 @@
         return Optional.of(new HeldGroup(group, holder, epoch, leaseMillis, nowMillis - since.sinceMillis(), engines));
     }
 
+    /** Decisions come many times a second and the list changes seldom; comparing a list with itself costs nothing. */
     private SortedMap<String, List<Target>> enginesByGroup() {
-        SortedMap<String, List<Target>> result = new TreeMap<>();
-        fleet.engines()
-                .forEach(engine -> result.computeIfAbsent(EngineGroups.keyOf(engine), _key -> new ArrayList<>())
-                        .add(engine));
-        return result;
+        List<Target> engines = fleet.engines();
+        if (!engines.equals(lastEngines)) {
+            SortedMap<String, List<Target>> byGroup = new TreeMap<>();
+            engines.forEach(engine -> byGroup.computeIfAbsent(EngineGroups.keyOf(engine), _key -> new ArrayList<>())
+                    .add(engine));
+            lastEngines = List.copyOf(engines);
+            lastByGroup = byGroup;
+        }
+        return lastByGroup;
     }
 
     private boolean checksFencing(String group) {
--- a/src/main/java/org/dogwoodwinch/daemon/ListedFleet.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ListedFleet.java
@@ -12,6 +12,8 @@
 
     private final TargetDirectory directory;
     private final ClaimOrder.Member own;
+    private List<ListedInstance> lastLines = List.of();
+    private List<Target> lastEngines = List.of();
 
     /**
      * Creates a view.
@@ -24,12 +26,18 @@
         this.own = Objects.requireNonNull(own, "own");
     }
 
+    /** Asked for many times a second; at the target size the list has some five thousand lines and changes seldom. */
     @Override
-    public List<Target> engines() {
-        return directory.latest().stream()
-                .filter(line -> line.kind() == ListedInstance.Kind.ENGINE)
-                .map(TargetDirectory::toTarget)
-                .toList();
+    public synchronized List<Target> engines() {
+        List<ListedInstance> lines = directory.latest();
+        if (!lines.equals(lastLines)) {
+            lastLines = lines;
+            lastEngines = lines.stream()
+                    .filter(line -> line.kind() == ListedInstance.Kind.ENGINE)
+                    .map(TargetDirectory::toTarget)
+                    .toList();
+        }
+        return lastEngines;
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/authority/AuthorityFoldTest.java
@@ -0,0 +1,117 @@
+package org.dogwoodwinch.authority;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.dogwoodwinch.target.EngineConfiguration;
+import org.dogwoodwinch.target.EngineRole;
+import org.junit.jupiter.api.Test;
+
+class AuthorityFoldTest {
+
+    private static final String GROUP = "reading@kochi";
+    private static final EngineConfiguration CONFIGURATION =
+            new EngineConfiguration(EngineRole.PREFILL, "m", "1", new TreeSet<>());
+
+    private final AuthorityFold fold = new AuthorityFold(AuthoritySnapshot.EMPTY);
+    private long offset;
+
+    /** The claimant waited long enough by its clock, but the holder's renewal landed first: the claim is void. */
+    @Test
+    void aRenewalThatLandsBetweenVoidsTheClaim() {
+        accept(claim("c1", "a", "", -1));
+        accept(new AuthorityRecord.LeaseRenewal("r1", "a"));
+        refuse(claim("c2", "b", "a", 0));
+        accept(claim("c3", "b", "a", 1));
+        refuse(new AuthorityRecord.LeaseRenewal("r2", "a"));
+        assertEquals("b", fold.leases().lease(GROUP).orElseThrow().holder());
+    }
+
+    /** A copy of an old release comes when its writer has claimed the group anew: it must not give that back. */
+    @Test
+    void aLateCopyOfAReleaseIsVoid() {
+        accept(claim("c1", "a", "", -1));
+        AuthorityRecord release = new AuthorityRecord.LeaseRelease("x", "a", new TreeMap<>(Map.of(GROUP, 0L)));
+        accept(release);
+        accept(claim("c2", "a", "", -1));
+        refuse(release);
+    }
+
+    /** A holder lost its group while its intent was under way: the intent is void, and so no order is sent for it. */
+    @Test
+    void anIntentOfALostEpochIsVoid() {
+        accept(claim("c1", "a", "", -1));
+        accept(claim("c2", "b", "a", 0));
+        refuse(intent("i1", "a", 0, -1, -1));
+        accept(intent("i2", "b", 1, -1, -1));
+    }
+
+    @Test
+    void oneOrderIsOpenForAnEngineAndACopyOfAnOldIntentIsVoid() {
+        accept(claim("c1", "a", "", -1));
+        accept(intent("i1", "a", 0, -1, -1));
+        refuse(intent("i2", "a", 0, 1, -1));
+        accept(new AuthorityRecord.OrderSettled("s1", "a", 0, "engine-1", 1, true, ""));
+        refuse(intent("i1", "a", 0, -1, -1));
+        refuse(new AuthorityRecord.OrderSettled("s2", "a", 0, "engine-1", 1, false, ""));
+        accept(intent("i3", "a", 0, 1, -1));
+    }
+
+    @Test
+    void eachNumberOfAWeightLoadIsTakenOnce() {
+        accept(claim("c1", "a", "", -1));
+        accept(intent("i1", "a", 0, -1, 0));
+        accept(new AuthorityRecord.OrderSettled("s1", "a", 0, "engine-1", 1, true, ""));
+        refuse(intent("i2", "a", 0, 1, 0));
+        accept(intent("i3", "a", 0, 1, 1));
+    }
+
+    /** Finished plans are forgotten so that the state stays bounded; a copy of a forgotten request starts nothing anew. */
+    @Test
+    void finishedPlansAreForgottenAndTheirCopiesAreVoid() {
+        for (int i = 0; i < 300; i++) {
+            accept(restore("p" + i, offset));
+        }
+        assertEquals(PlanTable.FINISHED_KEPT, fold.plans().plans().size());
+        assertEquals(Optional.empty(), fold.plans().plan("p0"));
+        refuse(restore("p0", 0));
+        accept(restore("p300", offset));
+    }
+
+    @Test
+    void aCopyOfTheStateGoesOnAlike() {
+        accept(claim("c1", "a", "", -1));
+        accept(intent("i1", "a", 0, -1, 0));
+        AuthorityFold copy = new AuthorityFold(fold.snapshot());
+        AuthorityRecord settled = new AuthorityRecord.OrderSettled("s1", "a", 0, "engine-1", 1, true, "");
+        copy.apply(offset, settled);
+        accept(settled);
+        assertEquals(fold.snapshot(), copy.snapshot());
+    }
+
+    private static AuthorityRecord claim(String id, String holder, String previous, long renewal) {
+        return new AuthorityRecord.LeaseClaim(id, holder, previous, renewal, List.of(GROUP));
+    }
+
+    private static AuthorityRecord intent(String id, String holder, long epoch, long previous, long load) {
+        return new AuthorityRecord.OrderIntent(id, holder, GROUP, epoch, "engine-1", previous, load, "", CONFIGURATION);
+    }
+
+    private static AuthorityRecord restore(String id, long readUpTo) {
+        PlannedChange change = PlannedChange.of(PlannedChange.Kind.RESTORE, "engine-1");
+        return new AuthorityRecord.PlanRequested(id, "meera", 0, readUpTo, change);
+    }
+
+    private void accept(AuthorityRecord record) {
+        assertEquals(Optional.empty(), fold.apply(offset++, record));
+    }
+
+    private void refuse(AuthorityRecord record) {
+        assertTrue(fold.apply(offset, record).isPresent(), () -> "taken: " + record);
+    }
+}
