--- a/src/main/java/org/dogwoodwinch/control/ControlNode.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlNode.java
@@ -21,11 +21,9 @@
 import org.dogwoodwinch.catalogue.EditRecord;
 import org.dogwoodwinch.catalogue.TargetGroup;
 import org.dogwoodwinch.controllog.ControlRecord;
-import org.dogwoodwinch.controllog.FollowerListener;
 import org.dogwoodwinch.controllog.LogFollower;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.ReadResult;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -85,7 +83,8 @@
         this.exchange = new CatalogueExchange(
                 services.board(), holder, services.publishesToPeers(), settings.peerGatherMillis());
         this.reader = new ControlReader(codec, policies.checkpoints(), this::onFolded);
-        this.follower = new LogFollower(services.log(), settings.follower(), time, new Feed());
+        this.follower = new LogFollower(
+                services.log(), settings.follower(), time, new LockedReader(this, reader, this::afterRead));
         // A restarted process has forgotten when it sent its renewals, so it must not pass for its predecessor.
         this.agent = new AuthorityAgent(
                 newId(),
@@ -357,39 +356,6 @@
         decideSoon();
     }
 
-    /** Takes the lock around the reader and logs what an operator should see. */
-    private final class Feed implements FollowerListener {
-
-        @Override
-        public void onRecords(ReadResult.Records records) {
-            synchronized (ControlNode.this) {
-                reader.onRecords(records);
-                afterRead();
-            }
-        }
-
-        @Override
-        public void onExpired(ReadResult.Expired expired) {
-            synchronized (ControlNode.this) {
-                LogEvent.of("control_records_expired")
-                        .with("read", reader.fold().coveredOffset())
-                        .with("first_retained", expired.firstRetainedOffset())
-                        .warn(log);
-                reader.onExpired(expired);
-            }
-        }
-
-        @Override
-        public void onUnavailable(String detail) {
-            synchronized (ControlNode.this) {
-                if (!reader.isLogOut()) {
-                    LogEvent.of("control_log_out").with("detail", detail).warn(log);
-                }
-                reader.onUnavailable(detail);
-            }
-        }
-    }
-
     /** Lets the runner use the agent under this node's lock. */
     private final class AgentAccess implements AuthorityRunner.Access {
 
