--- a/src/test/java/org/dogwoodwinch/control/ControlHistoryCheck.java
+++ b/src/test/java/org/dogwoodwinch/control/ControlHistoryCheck.java
@@ -28,8 +28,8 @@
                         Arbitraries.integers().between(0, 9))
                 .as(Disturbance::new)
                 .list()
-                .ofMinSize(4)
-                .ofMaxSize(14);
+                .ofMinSize(6)
+                .ofMaxSize(16);
     }
 
     /** Operators' work comes three times as often as each failure, so that failures meet it. */
@@ -39,7 +39,10 @@
                 Tuple.of(
                         1,
                         Arbitraries.of(
-                                Disturbance.Kind.ROLE_CHANGE, Disturbance.Kind.MODEL_LOAD, Disturbance.Kind.EDIT)));
+                                Disturbance.Kind.ROLE_CHANGE,
+                                Disturbance.Kind.MODEL_LOAD,
+                                Disturbance.Kind.EDIT,
+                                Disturbance.Kind.SLOW_ORDERS)));
     }
 
     static ControlWorld run(List<Disturbance> schedule, ControlPolicies policies) {
@@ -50,6 +53,9 @@
             world.run(each.afterMillis());
             each.happen(world, number++);
         }
+        for (int i = 0; i < world.size(); i++) {
+            world.instance(i).network.setOrderDelays(0, 0);
+        }
         world.run(CALM_MILLIS);
         return world;
     }
--- a/src/test/java/org/dogwoodwinch/control/Disturbance.java
+++ b/src/test/java/org/dogwoodwinch/control/Disturbance.java
@@ -73,7 +73,7 @@
                 one.network.setAppendDelayMillis(forMillis);
                 world.time.schedule(forMillis, () -> one.network.setAppendDelayMillis(0));
             }
-            case SLOW_ORDERS -> one.network.setOrderDelays(forMillis, amount * 50L);
+            case SLOW_ORDERS -> one.network.setOrderDelays(3 * forMillis, amount * 50L);
             case ENGINE_CRASH -> world.engines.get(engine()).crash();
             case WALL_JUMP -> world.time.jumpWallMillis((amount - 5) * 3_600_000L);
         }
@@ -87,8 +87,9 @@
         };
     }
 
+    /** Mostly one engine of each group, so that changes meet on it. */
     private String engine() {
-        return (amount % 2 == 0 ? "checking-" : "ignoring-") + (1 + instance % 2);
+        return (amount % 2 == 0 ? "checking-" : "ignoring-") + (instance == 0 ? 2 : 1);
     }
 
     private static void edit(ControlWorld world, ControlWorld.Instance one, String id, int number) {
