--- a/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonParts.java
@@ -121,8 +121,8 @@
                 context.time(),
                 settings.targets().loadPollMillis());
         this.activity = new FleetActivity(fleet, poller, directory, peers.watch(), name);
-        SentWork sent = new SentWork(
-                new LeavingTellingRouter(router, peers.leaving()::onRefused), control::outOfService);
+        SentWork sent =
+                new SentWork(new LeavingTellingRouter(router, peers.leaving()::onRefused), control::outOfService);
         this.drains = new DrainExchange(
                 board, sent::inFlight, control::outOfService, () -> directory.otherEntries(name), context.time());
         this.claims = new LogClaimLedger(
@@ -253,9 +253,7 @@
         TargetActivity.InFlight load = activity.of(target);
         TargetActivity.InFlight told = drains.of(target);
         return new TargetActivity.InFlight(
-                load.known() && told.known(),
-                Math.max(load.urgent(), told.urgent()),
-                Math.max(load.all(), told.all()));
+                load.known() && told.known(), Math.max(load.urgent(), told.urgent()), Math.max(load.all(), told.all()));
     }
 
     private Set<String> heldBack() {
