Count a request as in flight until its last byte is out

Cause: the count fell when the last piece was handed to the connection; a stop that then closed the listener would have cut the tail of a slow caller's answer, which the counters call whole. Change: the count falls when the connection has written everything. A test leaves the tail in the buffer and reads it late. Conclusion: a stop within its bound waits for slow callers too.

--- a/src/main/java/org/dogwoodwinch/http/CallerHandler.java
+++ b/src/main/java/org/dogwoodwinch/http/CallerHandler.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.http;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -95,7 +96,8 @@
         closing = true;
         if (exchange != null) {
             exchange.callerLeft();
-            forgetExchange();
+            exchange = null;
+            edge.inFlight().ended();
         }
         context.fireChannelInactive();
     }
@@ -154,14 +156,16 @@
                 : new WholeAnswerWriter(channel, json, reply);
     }
 
+    /**
+     * The request counts as in flight until its last byte is out: a stop that closed connections while a slow caller's
+     * tail was still in our buffer would cut an answer that the counters call whole.
+     */
     private void exchangeEnded(ChannelHandlerContext context, boolean close) {
-        forgetExchange();
-        afterAnswer(context, close || closing);
-    }
-
-    private void forgetExchange() {
         exchange = null;
-        edge.inFlight().ended();
+        context.channel()
+                .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                .addListener(_written -> edge.inFlight().ended());
+        afterAnswer(context, close || closing);
     }
 
     private void afterAnswer(ChannelHandlerContext context, boolean close) {
--- a/src/test/java/org/dogwoodwinch/http/CallerHandlerTest.java
+++ b/src/test/java/org/dogwoodwinch/http/CallerHandlerTest.java
@@ -192,6 +192,29 @@
         }
     }
 
+    /**
+     * The answer is whole on our side, but its caller reads slowly and the tail is still in our buffer. The request
+     * counts as in flight until the tail is out, so that a stop waits for it and does not cut it.
+     */
+    @Test
+    void anAnswerIsInFlightUntilItsLastByteIsOut() throws IOException {
+        CompletableFuture<AnswerSink> sink = new CompletableFuture<>();
+        edge.handler().onSubmit(submitted -> sink.complete(submitted.sink()));
+        try (Socket socket = connect()) {
+            String text = "x".repeat(8_000);
+            for (int i = 0; !edge.handler().paused().isDone(); i++) {
+                sink.join().onChunk(new AnswerChunk("a", i, 1, text));
+                edge.settle();
+            }
+            sink.join().onComplete(USAGE, "stop");
+            edge.settle();
+            assertEquals(1, edge.inFlight().count());
+            readToEnd(socket.getInputStream(), new StringBuilder());
+            edge.settle();
+            assertEquals(0, edge.inFlight().count());
+        }
+    }
+
     /**
      * The caller leaves its answer unread for longer than is allowed. Its request is cancelled and its connection
      * closed, so that what it holds is free again.
--- a/src/test/java/org/dogwoodwinch/http/EdgeFixture.java
+++ b/src/test/java/org/dogwoodwinch/http/EdgeFixture.java
@@ -45,6 +45,7 @@
     private final HttpClient http = HttpClient.newHttpClient();
     private final CatalogueHolder catalogue = new CatalogueHolder();
     private final ScriptedHandler handler = new ScriptedHandler();
+    private final InFlightRequests inFlight = new InFlightRequests();
     private volatile ServingState serving = ServingState.SERVING;
 
     /**
@@ -62,7 +63,7 @@
                 () -> "r-" + ids.incrementAndGet(),
                 () -> serving,
                 observer,
-                new InFlightRequests(),
+                inFlight,
                 LIMITS,
                 time);
         try {
@@ -112,6 +113,15 @@
         return handler;
     }
 
+    /**
+     * Returns the count of requests in flight.
+     *
+     * @return the count
+     */
+    public InFlightRequests inFlight() {
+        return inFlight;
+    }
+
     /**
      * Returns the port.
      *
