--- a/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
+++ b/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
@@ -21,6 +21,7 @@
 import org.dogwoodwinch.http.ServingState;
 import org.dogwoodwinch.metrics.Metrics;
 import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.request.QuarantineEndpoint;
 import org.dogwoodwinch.routing.TargetSummary;
 import org.dogwoodwinch.settings.InstanceSettings;
 import org.dogwoodwinch.status.InstanceStatus;
@@ -69,6 +70,9 @@
      */
     Map<String, OperatorPage> byPath() {
         ControlEndpoint endpoint = new ControlEndpoint(parts.control());
+        QuarantineEndpoint quarantine = new QuarantineEndpoint(parts.peers().suspects());
+        OperatorPage quarantinePage = call -> now(toAnswer(
+                quarantine.handle(call.method(), call.path(), call.body().toUtf8())));
         return Map.of(
                 "/metrics",
                 _call -> now(metricsPage()),
@@ -78,11 +82,19 @@
                 _call -> now(readyPage()),
                 "/status",
                 _call -> now(OperatorAnswer.json(status())),
+                QuarantineEndpoint.PREFIX,
+                quarantinePage,
+                QuarantineEndpoint.LIFT_PATH,
+                quarantinePage,
                 ControlEndpoint.PREFIX,
                 call -> endpoint.handle(call.method(), call.path(), call.body().toUtf8())
                         .thenApply(OperatorPages::toAnswer));
     }
 
+    private static OperatorAnswer toAnswer(QuarantineEndpoint.Answer answer) {
+        return new OperatorAnswer(answer.status(), "application/json", Bytes.ofUtf8(answer.body()));
+    }
+
     private static CompletionStage<OperatorAnswer> now(OperatorAnswer answer) {
         return CompletableFuture.completedFuture(answer);
     }
--- a/src/test/java/org/dogwoodwinch/daemon/DaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/DaemonTest.java
@@ -135,6 +135,7 @@
         String body = operators("/status").body();
         assertTrue(body.contains("\"ready\":true") && body.contains("\"logReachable\":true"), body);
         assertEquals(404, operators("/nothing").statusCode());
+        assertEquals("[]", operators("/quarantine").body());
         String metrics = operators("/metrics").body();
         assertTrue(metrics.contains("dogwoodwinch_catalogue_revision "), metrics);
         assertFalse(metrics.contains("dogwoodwinch_catalogue_revision -1"), metrics);
