Let a request that saw one crash run where no target is free for it

Cause: every request in flight on a crashed target was kept for a target without urgent work. EstimatingRouter finds none in a busy booking group, so that the innocent ones were all refused: by reading the router, not by a run of daemons. Change: after one crash a request prefers to run alone, one trial at a time, and else runs as any other; after two crashes it runs alone or not at all.

--- a/src/main/java/org/dogwoodwinch/request/Quarantine.java
+++ b/src/main/java/org/dogwoodwinch/request/Quarantine.java
@@ -31,8 +31,10 @@
     enum Standing {
         /** Nothing is held against it. */
         CLEAR,
-        /** It was in flight on a target that crashed: it runs only alone. */
+        /** It was in flight on a target that crashed: it runs alone where a target is free for it. */
         SUSPECT,
+        /** It was in flight on two targets that crashed: it runs only alone. */
+        REPEATED_SUSPECT,
         /** It crashed targets and is refused. */
         QUARANTINED
     }
--- a/src/main/java/org/dogwoodwinch/request/RequestRun.java
+++ b/src/main/java/org/dogwoodwinch/request/RequestRun.java
@@ -1,11 +1,8 @@
 package org.dogwoodwinch.request;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.dogwoodwinch.admission.AdmissionDecision;
 import org.dogwoodwinch.admission.Permit;
-import org.dogwoodwinch.catalogue.WorkClass;
 import org.dogwoodwinch.routing.Route;
 import org.dogwoodwinch.routing.RouteQuery;
 import org.dogwoodwinch.target.Target;
@@ -124,21 +121,20 @@
         if (over) {
             return;
         }
-        Quarantine.Standing standing = context.quarantine().standing(request.fingerprint());
-        if (standing == Quarantine.Standing.QUARANTINED) {
+        if (context.quarantine().standing(request.fingerprint()) == Quarantine.Standing.QUARANTINED) {
             refuseQuarantined();
             return;
         }
-        boolean alone = standing == Quarantine.Standing.SUSPECT;
-        RouteQuery query = query(alone, true);
-        Route route = context.router().route(query);
-        boolean besideSuspects = !alone && request.entry().workClass() != WorkClass.URGENT;
-        if (route instanceof Route.None && besideSuspects) {
-            // Work that can wait may share a target with a suspect where no other is left; urgent work never does.
-            query = query(false, false);
-            route = context.router().route(query);
+        RouteQuery asked = null;
+        Route route = null;
+        for (RouteQuery query :
+                RouteQueries.of(request, context.quarantine(), ledger.failedTargets(), context.nowMillis())) {
+            if (!(route instanceof Route.Chosen)) {
+                asked = query;
+                route = context.router().route(query);
+            }
         }
-        RouteQuery routed = query;
+        RouteQuery routed = asked;
         route.match(
                 chosen -> {
                     onRoute(chosen, routed);
@@ -150,14 +146,6 @@
                 });
     }
 
-    private RouteQuery query(boolean alone, boolean avoidTrials) {
-        Set<String> excluded = new HashSet<>(ledger.failedTargets());
-        if (avoidTrials) {
-            excluded.addAll(context.quarantine().trialTargets());
-        }
-        return WorkCalls.routeQuery(request, context.nowMillis(), excluded, alone);
-    }
-
     private void onNoRoute(Route.None none) {
         RefusalReason reason = ledger.attempts() == 0 ? RefusalReason.NO_TARGET : RefusalReason.TARGET_FAILED;
         giveUp(reason, none.detail(), none.retryAfterMillis());
--- a/src/main/java/org/dogwoodwinch/request/SuspectBook.java
+++ b/src/main/java/org/dogwoodwinch/request/SuspectBook.java
@@ -56,7 +56,10 @@
             suspects.remove(fingerprint);
             return Standing.CLEAR;
         }
-        return suspect.quarantined() ? Standing.QUARANTINED : Standing.SUSPECT;
+        if (suspect.quarantined()) {
+            return Standing.QUARANTINED;
+        }
+        return suspect.crashes() > 1 ? Standing.REPEATED_SUSPECT : Standing.SUSPECT;
     }
 
     @Override
@@ -114,7 +117,7 @@
             case TRIAL -> peerTrials.put(fingerprint, new Trial(fingerprint, notice.target(), untilMillis));
             case TRIAL_ENDED -> peerTrials.remove(fingerprint);
             case CLEARED -> {
-                if (standing(fingerprint) == Standing.SUSPECT) {
+                if (standing(fingerprint) != Standing.QUARANTINED) {
                     suspects.remove(fingerprint);
                 }
             }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/request/RouteQueriesTest.java
@@ -0,0 +1,42 @@
+package org.dogwoodwinch.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import org.dogwoodwinch.routing.RouteQuery;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class RouteQueriesTest {
+
+    private final SuspectBook book = new SuspectBook(new VirtualTimeSource(0), 600_000, 60_000, _notice -> {});
+    private final CallerRequest request = new RequestFixture(1).generate("prompt", true, "");
+
+    /**
+     * A target of a busy group crashes and twenty innocent requests with it. None of the others is free of urgent work:
+     * they still run, and only a request that was in a second crash is kept for a target of its own.
+     */
+    @Test
+    void onlyASecondCrashBindsARequestToRunAlone() {
+        assertEquals(List.of(false, false), alone());
+        book.onCrash(request.fingerprint(), "a", "engine-0");
+        assertEquals(List.of(true, false, false), alone());
+        book.onCrash(request.fingerprint(), "b", "engine-1");
+        assertEquals(List.of(true), alone());
+    }
+
+    @Test
+    void keepsOffTheTargetOfATrialWhereItCan() {
+        book.onTrial(request.fingerprint() + 1, "a", "engine-0");
+        List<RouteQuery> queries = RouteQueries.of(request, book, Set.of("engine-1"), 0);
+        assertEquals(Set.of("engine-0", "engine-1"), queries.get(0).excludedTargets());
+        assertEquals(Set.of("engine-1"), queries.get(1).excludedTargets());
+    }
+
+    private List<Boolean> alone() {
+        return RouteQueries.of(request, book, Set.of(), 0).stream()
+                .map(RouteQuery::alone)
+                .toList();
+    }
+}
