--- a/src/main/java/org/dogwoodwinch/measure/capacity/CapacityProbes.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/CapacityProbes.java
@@ -13,6 +13,13 @@
      * @return the probes in the order of the table
      */
     public static List<CapacityProbe> all() {
-        return List.of(new CatalogueProbe(), new LeaseProbe(), new StartProbe(), new KvTrafficProbe());
+        return List.of(
+                new PeerProbe(),
+                new TargetProbe(),
+                new InFlightProbe(),
+                new CatalogueProbe(),
+                new LeaseProbe(),
+                new StartProbe(),
+                new KvTrafficProbe());
     }
 }
