Plan roles, replay traces and compare policies with baselines

Cause: goodput through shifts of the mix and the number of role changes are the users' two measures; both need replay against baselines and a hindsight bound. Change: package roles (planner, demand meter, goodput model), package replay (seeded traces, engines counted in tokens by the stand-in's cost formula, real router, admission and planner in virtual time, baselines, Moore-Hodgson bound, plot), subcommands trace, replay and compare, measurements roles and routing.

--- a/src/main/java/org/dogwoodwinch/admission/AdmissionPolicy.java
+++ b/src/main/java/org/dogwoodwinch/admission/AdmissionPolicy.java
@@ -10,6 +10,7 @@
  * @param standardWaitMillis the same for standard requests, in milliseconds
  * @param longReadWaitMillis the same for long reads, in milliseconds
  * @param longReadFloor the part of started work, in tokens, that is kept for waiting long reads, from zero to below one
+ * @param refusalFactor how many times an estimated answer time must fit before the deadline
  * @param limitWaitMillis how long a request may wait for its owner's limit, in milliseconds
  * @param limitQueueLength the most requests that wait for one owner's limits
  * @param sweepMillis the time between looks at the queues while something waits, in milliseconds
@@ -22,13 +23,14 @@
         long standardWaitMillis,
         long longReadWaitMillis,
         double longReadFloor,
+        double refusalFactor,
         long limitWaitMillis,
         int limitQueueLength,
         long sweepMillis) {
 
     /** The policy that daemons use. */
     public static final AdmissionPolicy STANDARD =
-            new AdmissionPolicy(2_000, 1_000, 4_000, 600, 400, 250, 0.15, 1_500, 256, 20);
+            new AdmissionPolicy(2_000, 1_000, 4_000, 600, 400, 250, 0.15, 1.1, 1_500, 256, 20);
 
     /**
      * Checks the numbers.
--- a/src/main/java/org/dogwoodwinch/admission/ClassQueueAdmission.java
+++ b/src/main/java/org/dogwoodwinch/admission/ClassQueueAdmission.java
@@ -157,7 +157,8 @@
             return Optional.of(Refusal.notRun(RefusalReason.NO_TARGET, detail, NO_TARGET_RETRY_MILLIS));
         }
         double waitMillis = queueWaitMillis(workAheadMillis, estimate.get());
-        double neededMillis = waitMillis + estimate.get().completionMillis(waiting.promptTokens(), waiting.maxTokens());
+        double neededMillis = waitMillis
+                + policy.refusalFactor() * estimate.get().completionMillis(waiting.promptTokens(), waiting.maxTokens());
         if (neededMillis <= remainingMillis) {
             return Optional.empty();
         }
--- a/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
+++ b/src/main/java/org/dogwoodwinch/cli/ControlCommand.java
@@ -22,11 +22,14 @@
         },
         subcommands = {
             CatalogueCommand.class,
+            CompareCommand.class,
             HistoryCommand.class,
             PlanCommand.class,
             QuarantineCommand.class,
+            ReplayCommand.class,
             SettingsCommand.class,
-            StatusCommand.class
+            StatusCommand.class,
+            TraceCommand.class
         })
 public final class ControlCommand implements Runnable {
 
--- a/src/main/java/org/dogwoodwinch/measure/Measurements.java
+++ b/src/main/java/org/dogwoodwinch/measure/Measurements.java
@@ -16,7 +16,9 @@
             new AuthorityMeasurement(),
             new CatalogueMeasurement(),
             new PathMeasurement(),
-            new RequestsMeasurement());
+            new RequestsMeasurement(),
+            new RolesMeasurement(),
+            new RoutingMeasurement());
 
     private Measurements() {}
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/roles/DemandMeter.java
@@ -0,0 +1,111 @@
+package org.dogwoodwinch.roles;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.dogwoodwinch.catalogue.WorkClass;
+import org.dogwoodwinch.time.TimeSource;
+
+/** Measures the demand of groups by class over the last minutes, in seconds' buckets. Thread-safe. */
+public final class DemandMeter implements DemandSource {
+
+    private static final long BUCKET_MILLIS = 1_000;
+    private static final int MOST_BUCKETS = 300;
+
+    private final TimeSource time;
+    private final Map<String, Deque<Bucket>> groups = new HashMap<>();
+
+    /**
+     * Creates an empty meter.
+     *
+     * @param time the clock, not null
+     */
+    public DemandMeter(TimeSource time) {
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /**
+     * Counts requests that arrived just now.
+     *
+     * @param group their group, not null
+     * @param workClass their class, not null
+     * @param requests how many
+     * @param promptTokens their prompt tokens together
+     * @param outputTokens their expected output tokens together
+     * @param deadlineMillis their deadlines together, in milliseconds
+     */
+    public synchronized void onArrivals(
+            String group,
+            WorkClass workClass,
+            long requests,
+            double promptTokens,
+            double outputTokens,
+            double deadlineMillis) {
+        long number = time.monotonicMillis() / BUCKET_MILLIS;
+        Deque<Bucket> buckets = groups.computeIfAbsent(group, _group -> new ArrayDeque<>());
+        if (buckets.isEmpty() || buckets.getLast().number != number) {
+            buckets.addLast(new Bucket(number));
+        }
+        if (buckets.size() > MOST_BUCKETS) {
+            buckets.removeFirst();
+        }
+        double[] sums = buckets.getLast().sums(workClass);
+        sums[0] += requests;
+        sums[1] += promptTokens;
+        sums[2] += outputTokens;
+        sums[3] += deadlineMillis;
+    }
+
+    @Override
+    public synchronized List<ClassDemand> demand(String group, long horizonMillis) {
+        long nowMillis = time.monotonicMillis();
+        double seconds = Math.max(1, Math.min(horizonMillis, nowMillis) / 1_000.0);
+        long first = (nowMillis - horizonMillis) / BUCKET_MILLIS;
+        Bucket total = new Bucket(first);
+        for (Bucket bucket : groups.getOrDefault(group, new ArrayDeque<>())) {
+            if (bucket.number > first) {
+                total.add(bucket);
+            }
+        }
+        List<ClassDemand> demand = new ArrayList<>();
+        for (WorkClass workClass : WorkClass.values()) {
+            double[] sum = total.sums(workClass);
+            if (sum[0] > 0) {
+                demand.add(new ClassDemand(
+                        workClass, sum[0] / seconds, sum[1] / sum[0], sum[2] / sum[0], sum[3] / sum[0]));
+            }
+        }
+        return demand;
+    }
+
+    /** One second's sums for each class: requests, prompt tokens, output tokens, deadlines. */
+    private static final class Bucket {
+
+        private static final int FIGURES = 4;
+
+        private final long number;
+        private final Map<WorkClass, double[]> sums = new EnumMap<>(WorkClass.class);
+
+        Bucket(long number) {
+            this.number = number;
+        }
+
+        double[] sums(WorkClass workClass) {
+            return sums.computeIfAbsent(workClass, _class -> new double[FIGURES]);
+        }
+
+        void add(Bucket other) {
+            other.sums.forEach((workClass, more) -> {
+                double[] mine = sums(workClass);
+                for (int i = 0; i < FIGURES; i++) {
+                    mine[i] += more[i];
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/roles/DemandSource.java
@@ -0,0 +1,17 @@
+package org.dogwoodwinch.roles;
+
+import java.util.List;
+
+/** Gives the demand of a group over a horizon that ends now. */
+@FunctionalInterface
+public interface DemandSource {
+
+    /**
+     * Returns the demand.
+     *
+     * @param group the group's name, not null
+     * @param horizonMillis the horizon, in milliseconds
+     * @return the demand by class; empty where there was none
+     */
+    List<ClassDemand> demand(String group, long horizonMillis);
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/roles/RolePlanner.java
@@ -0,0 +1,127 @@
+package org.dogwoodwinch.roles;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.dogwoodwinch.target.EngineRole;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Proposes a role change where the predicted gain over the planning horizon exceeds the price of the seconds away.
+ *
+ * <p>The best split is sought among all, not among the neighbours of the present one: the first prefill engine beside
+ * mixed ones brings nothing until there is a decode engine too. A plan is then carried out one engine at a time, and is
+ * made anew before each. Not thread-safe.
+ */
+public final class RolePlanner implements RolePlanning {
+
+    private final RolePlanSettings settings;
+    private final DemandSource demand;
+    private final RoleChangeRequester requester;
+    private final TimeSource time;
+    private final GoodputModel model;
+    private final Map<String, Long> groupChangedMillis = new HashMap<>();
+    private final Map<String, Long> engineChangedMillis = new HashMap<>();
+
+    /**
+     * Creates a planner.
+     *
+     * @param settings the constants, not null
+     * @param demand what callers ask for, not null
+     * @param requester takes the proposals, not null
+     * @param time the clock, not null
+     */
+    public RolePlanner(RolePlanSettings settings, DemandSource demand, RoleChangeRequester requester, TimeSource time) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.demand = Objects.requireNonNull(demand, "demand");
+        this.requester = Objects.requireNonNull(requester, "requester");
+        this.time = Objects.requireNonNull(time, "time");
+        this.model = new GoodputModel(settings.speed());
+    }
+
+    @Override
+    public void plan(String group, List<EngineView> engines) {
+        boolean changing = engines.stream().anyMatch(engine -> !engine.steady());
+        if (changing || dwells(groupChangedMillis.get(group), settings.groupDwellMillis())) {
+            return;
+        }
+        RoleSplit now = splitOf(engines);
+        List<ClassDemand> recent = demand.demand(group, settings.shortHorizonMillis());
+        List<ClassDemand> lasting = demand.demand(group, settings.longHorizonMillis());
+        RoleSplit best = now;
+        double bestNet = 0;
+        double bestGain = 0;
+        for (RoleSplit split : RoleSplit.all(engines.size())) {
+            double gain = Math.min(gain(now, split, recent), gain(now, split, lasting));
+            double net = gain - cost(now, split, recent, engines.size());
+            if (net > bestNet) {
+                best = split;
+                bestNet = net;
+                bestGain = gain;
+            }
+        }
+        if (!best.equals(now)) {
+            propose(group, engines, now, best, bestGain);
+        }
+    }
+
+    /** A gain counts only where both recent and lasting demand show it, so that a burst alone changes nothing. */
+    private double gain(RoleSplit now, RoleSplit then, List<ClassDemand> classes) {
+        double perSecond = model.predict(then, classes) - model.predict(now, classes);
+        return perSecond * settings.planningHorizonMillis() / 1_000;
+    }
+
+    /** What the engines miss while they drain and change, and the settings' price on top of it. */
+    private double cost(RoleSplit now, RoleSplit then, List<ClassDemand> recent, int engines) {
+        double millisAway = settings.speed().roleChangeMillis() + settings.drainMillis();
+        double secondsAway = now.changesTo(then) * millisAway / 1_000;
+        double missedPerSecond = model.predict(now, recent) / engines;
+        return secondsAway * (missedPerSecond + settings.pricePerSecondAway());
+    }
+
+    private void propose(String group, List<EngineView> engines, RoleSplit now, RoleSplit best, double gain) {
+        Optional<EngineRole> wanted = roleWith(now, best, true);
+        Optional<EngineRole> surplus = roleWith(now, best, false);
+        if (wanted.isEmpty() || surplus.isEmpty()) {
+            return;
+        }
+        engines.stream()
+                .filter(engine -> engine.role() == surplus.get())
+                .filter(engine -> !dwells(engineChangedMillis.get(engine.name()), settings.engineDwellMillis()))
+                .min(Comparator.comparingLong(EngineView::backlogTokens).thenComparing(EngineView::name))
+                .ifPresent(engine -> request(new RoleChange(group, engine.name(), wanted.get(), gain)));
+    }
+
+    private void request(RoleChange change) {
+        if (requester.request(change)) {
+            groupChangedMillis.put(change.group(), time.monotonicMillis());
+            engineChangedMillis.put(change.engine(), time.monotonicMillis());
+        }
+    }
+
+    private boolean dwells(Long changedMillis, long dwellMillis) {
+        return changedMillis != null && time.monotonicMillis() - changedMillis < dwellMillis;
+    }
+
+    /** The role that has most too few, or most too many, engines; decode first, as a prefill engine needs it. */
+    private static Optional<EngineRole> roleWith(RoleSplit now, RoleSplit best, boolean tooFew) {
+        int sign = tooFew ? 1 : -1;
+        return List.of(EngineRole.DECODE, EngineRole.PREFILL, EngineRole.MIXED).stream()
+                .filter(role -> sign * (best.of(role) - now.of(role)) > 0)
+                .max(Comparator.comparingInt(role -> sign * (best.of(role) - now.of(role))));
+    }
+
+    private static RoleSplit splitOf(List<EngineView> engines) {
+        return new RoleSplit(
+                count(engines, EngineRole.PREFILL),
+                count(engines, EngineRole.DECODE),
+                count(engines, EngineRole.MIXED));
+    }
+
+    private static int count(List<EngineView> engines, EngineRole role) {
+        return (int) engines.stream().filter(engine -> engine.role() == role).count();
+    }
+}
--- a/src/main/java/org/dogwoodwinch/routing/EstimatingRouter.java
+++ b/src/main/java/org/dogwoodwinch/routing/EstimatingRouter.java
@@ -190,7 +190,7 @@
         return state.ready()
                 && !state.leaving(clock.monotonicMillis())
                 && !query.excludedTargets().contains(state.target().name())
-                && !(query.alone() && state.servesUrgentWork());
+                && !(query.alone() && state.servesUrgentWork(clock.wallMillis()));
     }
 
     private RouteOption best(GroupState group, RouteQuery query, Predicate<TargetState> usable, RouteClock clock) {
--- a/src/main/java/org/dogwoodwinch/routing/FleetCapacity.java
+++ b/src/main/java/org/dogwoodwinch/routing/FleetCapacity.java
@@ -13,6 +13,7 @@
 public final class FleetCapacity implements CapacityEstimator {
 
     private static final int LARGE_GROUP = 16;
+    private static final double USUAL_TOKENS = 200;
     private static final long LARGE_GROUP_KEEP_MILLIS = 10;
 
     private final FleetView fleet;
@@ -83,21 +84,23 @@
             }
             LoadEstimate load = LoadEstimate.of(state, policy, clock.wallMillis());
             double wait = (prefill ? load.prefillWaitMillis() : 0) + (decode ? load.slotWaitMillis() : 0);
-            best.offer(wait, load);
+            best.offer(wait, wait + USUAL_TOKENS * load.tokenMillis(policy.firstStepMillis()), load);
         }
         return best;
     }
 
-    /** The target with the shortest wait, and how many there are. */
+    /** The target that would answer soonest, and how many there are. */
     private static final class Best {
 
         private int count;
         private double waitMillis = Double.MAX_VALUE;
+        private double answerMillis = Double.MAX_VALUE;
         private LoadEstimate load;
 
-        void offer(double wait, LoadEstimate estimate) {
+        void offer(double wait, double answer, LoadEstimate estimate) {
             count++;
-            if (wait < waitMillis) {
+            if (answer < answerMillis) {
+                answerMillis = answer;
                 waitMillis = wait;
                 load = estimate;
             }
--- a/src/main/java/org/dogwoodwinch/routing/GroupState.java
+++ b/src/main/java/org/dogwoodwinch/routing/GroupState.java
@@ -7,6 +7,7 @@
 /** The targets of one group by what they serve, in lists that a decision samples without a scan. */
 final class GroupState {
 
+    private static final int LANE_PLACES = 16;
     private static final double OUTPUT_WEIGHT = 0.05;
 
     private final List<TargetState> mixed = new ArrayList<>();
@@ -31,6 +32,9 @@
         mixed.sort(byName);
         prefill.sort(byName);
         decode.sort(byName);
+        for (int i = 0; i < mixed.size(); i++) {
+            mixed.get(i).setPlace(i % LANE_PLACES);
+        }
     }
 
     List<TargetState> mixed() {
--- a/src/main/java/org/dogwoodwinch/routing/LoadEstimate.java
+++ b/src/main/java/org/dogwoodwinch/routing/LoadEstimate.java
@@ -28,8 +28,16 @@
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 8;
     private static final double DEFAULT_DECODE_TOKENS_PER_MILLI = 1;
+    /**
+     * What fits a batch until a report shows requests that wait. A report that lags would else let a whole burst onto
+     * engines that are full already.
+     */
+    private static final int ASSUMED_BATCH = 48;
+
+    private static final long UNSEEN_MILLIS = 750;
+    private static final long FRESH_MILLIS = 600;
     private static final long LONGEST_AGE_MILLIS = 15_000;
-    private static final long SHARE_WINDOW_MILLIS = 4_000;
+    private static final long SHARE_WINDOW_MILLIS = 12_000;
     private static final double GREATEST_SHARE = 0.9;
 
     static LoadEstimate of(TargetState state, RoutingPolicy policy, long wallMillis) {
@@ -61,7 +69,26 @@
             decode = Math.max(state.outstandingDecodeTokens() / 2, decode - drainedDecode);
             requests = Math.max(state.outstandingRequests(), requests);
         }
-        int batch = report.waitingRequests() > 0 ? Math.max(1, report.runningRequests()) : Integer.MAX_VALUE;
+        if (policy.countPeerSends() && ageMillis > FRESH_MILLIS) {
+            // What all instances have in flight bounds the load from above, and is younger than a lagged report.
+            PeerFlights.Sum peers = state.peerFlights().sum(wallMillis);
+            prefill = Math.min(prefill, state.outstandingPrefillTokens() + peers.prefillTokens());
+            decode = Math.min(decode, state.outstandingDecodeTokens() + peers.decodeTokens());
+            requests = Math.min(requests, state.outstandingRequests() + peers.requests());
+        }
+        if (policy.countPeerSends()) {
+            // What peers sent since their last word is not known yet; they are taken to do as this instance does.
+            // Without
+            // it, in a burst each instance fills the same gap, and the engines get as many times what fits.
+            long unseenSince = wallMillis - UNSEEN_MILLIS;
+            long peers = state.peerFlights().count();
+            prefill += peers * state.ownSends().prefillSince(unseenSince);
+            decode += peers * state.ownSends().decodeSince(unseenSince);
+            requests += peers * state.ownSends().requestsSince(unseenSince);
+        }
+        int batch = report.waitingRequests() > 0
+                ? Math.max(1, report.runningRequests())
+                : Math.max(ASSUMED_BATCH, report.runningRequests());
         return new LoadEstimate(
                 Math.max(0, prefill),
                 Math.max(0, decode),
--- a/src/main/java/org/dogwoodwinch/routing/PeerLoadExchange.java
+++ b/src/main/java/org/dogwoodwinch/routing/PeerLoadExchange.java
@@ -62,7 +62,7 @@
         synchronized (fleet) {
             long since = time.wallMillis() - RECENT_MILLIS;
             List<SentTotals> totals = fleet.states().stream()
-                    .filter(state -> state.lastSentMillis() > since || state.outstandingUrgent() > 0)
+                    .filter(state -> state.lastSentMillis() > since || state.outstandingRequests() > 0)
                     .sorted(Comparator.comparingLong(TargetState::lastSentMillis)
                             .reversed()
                             .thenComparing(state -> state.target().name()))
@@ -79,7 +79,10 @@
                 state.sentPrefillTokens(),
                 state.sentDecodeTokens(),
                 state.sentRequests(),
-                state.outstandingUrgent());
+                state.outstandingUrgent(),
+                state.outstandingRequests(),
+                state.outstandingPrefillTokens(),
+                state.outstandingDecodeTokens());
     }
 
     private void onItem(PeerItem item) {
@@ -101,9 +104,9 @@
             for (SentTotals totals : load.targets()) {
                 addDifference(totals, known.last(totals.target()), sentMillis);
             }
-            known.urgentTargets().forEach(target -> setUrgent(item.origin(), target, 0));
+            known.busyTargets().forEach(target -> forgetFlight(item.origin(), target));
             known.replace(load.targets());
-            load.targets().forEach(totals -> setUrgent(item.origin(), totals.target(), totals.urgentInFlight()));
+            load.targets().forEach(totals -> setFlight(item.origin(), totals));
         }
     }
 
@@ -117,7 +120,11 @@
                                 (int) (totals.requests() - before.requests())));
     }
 
-    private void setUrgent(String origin, String target, int urgent) {
-        fleet.state(target).ifPresent(state -> state.setPeerUrgent(origin, urgent));
+    private void setFlight(String origin, SentTotals totals) {
+        fleet.state(totals.target()).ifPresent(state -> state.peerFlights().put(origin, totals, time.wallMillis()));
+    }
+
+    private void forgetFlight(String origin, String target) {
+        fleet.state(target).ifPresent(state -> state.peerFlights().remove(origin));
     }
 }
--- a/src/main/java/org/dogwoodwinch/routing/PeerTotals.java
+++ b/src/main/java/org/dogwoodwinch/routing/PeerTotals.java
@@ -23,12 +23,12 @@
     /** What was last heard of a target; zeros where it was never heard of, as the peer then had not sent to it. */
     SentTotals last(String target) {
         SentTotals known = byTarget.get(target);
-        return known == null ? new SentTotals(target, 0, 0, 0, 0) : known;
+        return known == null ? new SentTotals(target, 0, 0, 0, 0, 0, 0, 0) : known;
     }
 
-    List<String> urgentTargets() {
+    List<String> busyTargets() {
         return byTarget.values().stream()
-                .filter(totals -> totals.urgentInFlight() > 0)
+                .filter(totals -> totals.requestsInFlight() > 0)
                 .map(SentTotals::target)
                 .toList();
     }
@@ -38,14 +38,15 @@
             byTarget.remove(each.target());
             byTarget.put(each.target(), each);
         }
-        // A target that has left the peer's list has nothing urgent of the peer's in flight any more.
-        byTarget.replaceAll((_target, known) -> totals.contains(known) ? known : withoutUrgent(known));
+        // A target that has left the peer's list has nothing of the peer's in flight any more.
+        byTarget.replaceAll((_target, known) -> totals.contains(known) ? known : withoutFlight(known));
         while (byTarget.size() > MOST_TARGETS) {
             byTarget.remove(byTarget.keySet().iterator().next());
         }
     }
 
-    private static SentTotals withoutUrgent(SentTotals totals) {
-        return new SentTotals(totals.target(), totals.prefillTokens(), totals.decodeTokens(), totals.requests(), 0);
+    private static SentTotals withoutFlight(SentTotals totals) {
+        return new SentTotals(
+                totals.target(), totals.prefillTokens(), totals.decodeTokens(), totals.requests(), 0, 0, 0, 0);
     }
 }
--- a/src/main/java/org/dogwoodwinch/routing/RouteScorer.java
+++ b/src/main/java/org/dogwoodwinch/routing/RouteScorer.java
@@ -2,11 +2,13 @@
 
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.catalogue.WorkClass;
 
 /** Scores the ways to serve one attempt by expected time to first token and between tokens. */
 final class RouteScorer {
 
     private static final double REQUEST_MILLIS = 1;
+    private static final double PATIENT_PART = 0.25;
     private static final double OTHER_DATA_CENTRE_MILLIS = 2;
     private static final double OTHER_DATA_CENTRE_KV_FACTOR = 2;
 
@@ -27,10 +29,30 @@
         LoadEstimate load = LoadEstimate.of(state, policy, clock.wallMillis());
         double own = ownPrefillMillis(state, load, query, chain, clock);
         double first = load.slotWaitMillis() + load.prefillWaitMillis() + own + farMillis(state);
-        double total = first + outputTokens * load.tokenMillis(policy.firstStepMillis()) + disturbance(load, own);
+        double total = first
+                + outputTokens * load.tokenMillis(policy.firstStepMillis())
+                + disturbance(load, own)
+                + crowding(load, outputTokens);
+        if (isPatient(query, total)) {
+            double inLane = first + state.place() * policy.laneStepMillis();
+            return option(state, Optional.empty(), first, inLane, load);
+        }
         return option(state, Optional.empty(), first, total, load);
     }
 
+    /**
+     * Whether a request has time enough to stand in a lane: patient requests fill the first targets before the next
+     * ones, so that their long prompts slow the answers of few targets down. Spread evenly, a little of every prompt
+     * would stretch every answer, and answers with a tight deadline would all be a little late. Urgent requests never
+     * stand in lanes: instances with one stale view would herd on the first target.
+     */
+    private boolean isPatient(RouteQuery query, double expectedMillis) {
+        if (policy.laneStepMillis() <= 0 || query.workClass() == WorkClass.URGENT) {
+            return false;
+        }
+        return query.workClass() == WorkClass.LONG_READ || expectedMillis < PATIENT_PART * query.remainingMillis();
+    }
+
     /** The cost of computing the prompt on one target of the prefill role. */
     RouteOption prefillLeg(TargetState state, RouteQuery query, long[] chain, RouteClock clock) {
         LoadEstimate load = LoadEstimate.of(state, policy, clock.wallMillis());
@@ -75,6 +97,12 @@
         return policy.disturbance() * ownPrefillMillis * beside;
     }
 
+    /** Each sequence more stretches the steps of all beside it; without this, counts drift apart on stale estimates. */
+    private double crowding(LoadEstimate load, double outputTokens) {
+        double beside = Math.min(load.requests(), load.batchRequests());
+        return policy.crowding() * outputTokens * beside / load.decodeTokensPerMilli() / 2;
+    }
+
     private double farMillis(TargetState state) {
         return state.target().dataCentre().equals(ownDataCentre) ? 0 : OTHER_DATA_CENTRE_MILLIS;
     }
--- a/src/main/java/org/dogwoodwinch/routing/RoutingPolicy.java
+++ b/src/main/java/org/dogwoodwinch/routing/RoutingPolicy.java
@@ -13,6 +13,9 @@
  * @param firstStepMillis the shortest expected time between tokens, in milliseconds
  * @param kvMillisPerToken how long moving the KV cache of one prompt token takes, in milliseconds
  * @param disturbance how much of the delay that a prompt causes to the answers beside it counts in the score
+ * @param crowding how much of the delay that an answer's tokens cause to the answers beside it counts in the score
+ * @param laneStepMillis how much longer a patient request waits on one target before it takes the next, in
+ *     milliseconds; zero spreads patient requests evenly
  */
 public record RoutingPolicy(
         int sampledCandidates,
@@ -24,18 +27,21 @@
         int prefixBlockChars,
         double firstStepMillis,
         double kvMillisPerToken,
-        double disturbance) {
+        double disturbance,
+        double crowding,
+        double laneStepMillis) {
 
     /** The policy that daemons use. */
-    public static final RoutingPolicy STANDARD = new RoutingPolicy(4, 0.1, true, true, true, true, 256, 14, 0.022, 0.2);
+    public static final RoutingPolicy STANDARD =
+            new RoutingPolicy(8, 0.05, true, true, true, true, 256, 14, 0.022, 0.2, 1, 1_500);
 
     /** The first version: lagged reports alone, every target looked at, no chance. */
     public static final RoutingPolicy REPORTS_ONLY =
-            new RoutingPolicy(Integer.MAX_VALUE, 0, false, false, false, false, 256, 14, 0.022, 0);
+            new RoutingPolicy(Integer.MAX_VALUE, 0, false, false, false, false, 256, 14, 0.022, 0, 0, 0);
 
     /** The second version: reports corrected by this instance's own sends. */
     public static final RoutingPolicy OWN_SENDS =
-            new RoutingPolicy(4, 0.1, true, false, false, true, 256, 14, 0.022, 0.2);
+            new RoutingPolicy(4, 0.1, true, false, false, true, 256, 14, 0.022, 0.2, 0, 0);
 
     /**
      * Checks the numbers.
@@ -68,6 +74,8 @@
                 blockChars,
                 firstStepMillis,
                 kvMillisPerToken,
-                disturbance);
+                disturbance,
+                crowding,
+                laneStepMillis);
     }
 }
--- a/src/main/java/org/dogwoodwinch/routing/SentTotals.java
+++ b/src/main/java/org/dogwoodwinch/routing/SentTotals.java
@@ -12,10 +12,30 @@
  * @param decodeTokens tokens to generate, expected
  * @param requests attempts
  * @param urgentInFlight urgent attempts in flight at the moment
+ * @param requestsInFlight attempts in flight at the moment
+ * @param prefillTokensInFlight prompt tokens of those that have no first token yet
+ * @param decodeTokensInFlight tokens expected of those in flight
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"target", "prefillTokens", "decodeTokens", "requests", "urgentInFlight"})
-public record SentTotals(String target, long prefillTokens, long decodeTokens, long requests, int urgentInFlight) {
+@JsonPropertyOrder({
+    "target",
+    "prefillTokens",
+    "decodeTokens",
+    "requests",
+    "urgentInFlight",
+    "requestsInFlight",
+    "prefillTokensInFlight",
+    "decodeTokensInFlight"
+})
+public record SentTotals(
+        String target,
+        long prefillTokens,
+        long decodeTokens,
+        long requests,
+        int urgentInFlight,
+        int requestsInFlight,
+        long prefillTokensInFlight,
+        long decodeTokensInFlight) {
 
     /** Checks the parts. */
     public SentTotals {
--- a/src/main/java/org/dogwoodwinch/routing/TargetState.java
+++ b/src/main/java/org/dogwoodwinch/routing/TargetState.java
@@ -1,7 +1,5 @@
 package org.dogwoodwinch.routing;
 
-import java.util.HashMap;
-import java.util.Map;
 import org.dogwoodwinch.target.EngineRole;
 import org.dogwoodwinch.target.LoadReport;
 import org.dogwoodwinch.target.Target;
@@ -13,8 +11,9 @@
     private final TargetHealth health = new TargetHealth();
     private final TokenRing ownSends = new TokenRing();
     private final TokenRing peerSends = new TokenRing();
-    private final Map<String, Integer> peerUrgent = new HashMap<>();
+    private final PeerFlights peerFlights = new PeerFlights();
     private EngineRole role = EngineRole.MIXED;
+    private int place;
     private boolean ready = true;
     private boolean listedLeaving;
     private long markedLeavingUntilMillis;
@@ -56,6 +55,15 @@
         role = newRole;
     }
 
+    /** Its place in the order in which lanes fill; the same on every instance. */
+    int place() {
+        return place;
+    }
+
+    void setPlace(int newPlace) {
+        place = newPlace;
+    }
+
     boolean ready() {
         return ready;
     }
@@ -131,16 +139,12 @@
         return outstandingUrgent;
     }
 
-    void setPeerUrgent(String origin, int urgent) {
-        if (urgent == 0) {
-            peerUrgent.remove(origin);
-        } else {
-            peerUrgent.put(origin, urgent);
-        }
+    PeerFlights peerFlights() {
+        return peerFlights;
     }
 
-    boolean servesUrgentWork() {
-        return outstandingUrgent > 0 || !peerUrgent.isEmpty();
+    boolean servesUrgentWork(long wallMillis) {
+        return outstandingUrgent > 0 || peerFlights.anyUrgent(wallMillis);
     }
 
     long sentPrefillTokens() {
