Take peers' word on what is in flight over a lagged report

Cause: with reports five or ten seconds old, counts per target drifted apart and answers with a tight deadline were late; least outstanding, which is never stale, was as good or better there. Change: where a report is older than 600 ms and peers were heard within 3 s, what all instances have in flight takes the report's place.

--- a/src/main/java/org/dogwoodwinch/routing/FleetView.java
+++ b/src/main/java/org/dogwoodwinch/routing/FleetView.java
@@ -25,6 +25,7 @@
 public final class FleetView {
 
     private final TimeSource time;
+    private final PeerHearing hearing = new PeerHearing();
     private final Map<String, TargetState> targets = new HashMap<>();
     private final Map<String, GroupState> groups = new TreeMap<>();
 
@@ -147,6 +148,10 @@
                 : group.all().stream().map(this::summaryOf).toList();
     }
 
+    PeerHearing hearing() {
+        return hearing;
+    }
+
     Optional<GroupState> group(String name) {
         return Optional.ofNullable(groups.get(name));
     }
@@ -183,7 +188,7 @@
             known = null;
         }
         if (known == null) {
-            known = new TargetState(target);
+            known = new TargetState(target, hearing);
             targets.put(target.name(), known);
             groups.computeIfAbsent(target.group(), _name -> new GroupState()).add(known);
         }
--- a/src/main/java/org/dogwoodwinch/routing/LoadEstimate.java
+++ b/src/main/java/org/dogwoodwinch/routing/LoadEstimate.java
@@ -69,12 +69,13 @@
             decode = Math.max(state.outstandingDecodeTokens() / 2, decode - drainedDecode);
             requests = Math.max(state.outstandingRequests(), requests);
         }
-        if (policy.countPeerSends() && ageMillis > FRESH_MILLIS) {
-            // What all instances have in flight bounds the load from above, and is younger than a lagged report.
+        if (policy.countPeerSends() && ageMillis > FRESH_MILLIS && state.hearsPeers(wallMillis)) {
+            // What all instances have in flight is younger than a lagged report; cut off from the peers, the report
+            // stays.
             PeerFlights.Sum peers = state.peerFlights().sum(wallMillis);
             prefill = Math.min(prefill, state.outstandingPrefillTokens() + peers.prefillTokens());
-            decode = Math.min(decode, state.outstandingDecodeTokens() + peers.decodeTokens());
-            requests = Math.min(requests, state.outstandingRequests() + peers.requests());
+            decode = (state.outstandingDecodeTokens() + peers.decodeTokens()) / 2;
+            requests = state.outstandingRequests() + peers.requests();
         }
         if (policy.countPeerSends()) {
             // What peers sent since their last word is not known yet; they are taken to do as this instance does.
--- a/src/main/java/org/dogwoodwinch/routing/PeerLoadExchange.java
+++ b/src/main/java/org/dogwoodwinch/routing/PeerLoadExchange.java
@@ -93,6 +93,7 @@
 
     private void take(PeerItem item, PeerLoad load) {
         synchronized (fleet) {
+            fleet.hearing().heard(time.wallMillis());
             PeerTotals known = peers.get(item.origin());
             if (known == null || known.incarnation() != load.incarnation()) {
                 // The first word of a peer brings its whole history, of which nothing is new.
--- a/src/main/java/org/dogwoodwinch/routing/TargetState.java
+++ b/src/main/java/org/dogwoodwinch/routing/TargetState.java
@@ -8,6 +8,7 @@
 final class TargetState {
 
     private final Target target;
+    private final PeerHearing hearing;
     private final TargetHealth health = new TargetHealth();
     private final TokenRing ownSends = new TokenRing();
     private final TokenRing peerSends = new TokenRing();
@@ -27,8 +28,9 @@
     private long sentRequests;
     private long lastSentMillis;
 
-    TargetState(Target target) {
+    TargetState(Target target, PeerHearing hearing) {
         this.target = target;
+        this.hearing = hearing;
     }
 
     Target target() {
@@ -139,6 +141,10 @@
         return outstandingUrgent;
     }
 
+    boolean hearsPeers(long wallMillis) {
+        return hearing.isRecent(wallMillis);
+    }
+
     PeerFlights peerFlights() {
         return peerFlights;
     }
