Pass the refusal factor on in the daemon's settings

Cause: AdmissionPolicy has one constant more than the daemon's settings passed. Change: the standard value is passed on. Conclusion: the daemon builds with the new record.

--- a/src/main/java/org/dogwoodwinch/daemon/PartSettings.java
+++ b/src/main/java/org/dogwoodwinch/daemon/PartSettings.java
@@ -101,6 +101,7 @@
                 standard.standardWaitMillis(),
                 standard.longReadWaitMillis(),
                 own.longReadFloorRatio(),
+                standard.refusalFactor(),
                 standard.limitWaitMillis(),
                 standard.limitQueueLength(),
                 standard.sweepMillis());
