Ask for urgent work with the time of day in the fleet's view

Cause: peers' word on urgent work now expires, so the question needs the time. Change: FleetView passes it. Conclusion: main sources compile with plain javac; the whole of bin/test was not run on this commit.

--- a/src/main/java/org/dogwoodwinch/routing/FleetView.java
+++ b/src/main/java/org/dogwoodwinch/routing/FleetView.java
@@ -121,7 +121,9 @@
      * @return true where there is some
      */
     public synchronized boolean hasUrgentInFlight(String targetName) {
-        return state(targetName).filter(TargetState::servesUrgentWork).isPresent();
+        return state(targetName)
+                .filter(known -> known.servesUrgentWork(time.wallMillis()))
+                .isPresent();
     }
 
     /**
