Ask for the homes of owners' limits instead of assuming one

Cause: admission.limitHomesCount had a default of one home. Six instances that leave it out would each grant an owner the whole limit, and nothing would tell. Conclusion: a limit over all instances holds only where each has its home, so the operator has to say it.

--- a/src/main/java/org/dogwoodwinch/faultrun/DaemonSettings.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/DaemonSettings.java
@@ -18,6 +18,8 @@
  * @param instanceListPort where it reaches the instance list
  * @param weightStorePort where it reaches the weight store
  * @param secretFile the secret that all daemons share, not null
+ * @param homeIndex its place among the homes of owners' limits
+ * @param homesCount how many homes there are
  */
 record DaemonSettings(
         String name,
@@ -28,7 +30,9 @@
         int logPort,
         int instanceListPort,
         int weightStorePort,
-        Path secretFile) {
+        Path secretFile,
+        int homeIndex,
+        int homesCount) {
 
     private static final String LOOPBACK = "http://127.0.0.1:";
     private static final long DRAIN_MILLIS = 15_000;
@@ -47,6 +51,7 @@
         root.putObject("callers").put("port", callersPort);
         root.putObject("operators").put("port", operatorsPort);
         root.putObject("peers").put("port", peersPort).put("secretFile", secretFile.toString());
+        root.putObject("admission").put("limitHomeIndex", homeIndex).put("limitHomesCount", homesCount);
         root.putObject("platform")
                 .put("logUrl", LOOPBACK + logPort)
                 .put("instanceListUrl", LOOPBACK + instanceListPort)
--- a/src/main/java/org/dogwoodwinch/faultrun/FaultRun.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/FaultRun.java
@@ -201,7 +201,13 @@
         List<RunDaemon> daemons = new ArrayList<>();
         for (int i = 1; i <= count; i++) {
             RunDaemon daemon = new RunDaemon(
-                    "entry-" + i, DATA_CENTRES.get(i % DATA_CENTRES.size()), fleet.addresses(), directory, group);
+                    "entry-" + i,
+                    DATA_CENTRES.get(i % DATA_CENTRES.size()),
+                    i - 1,
+                    count,
+                    fleet.addresses(),
+                    directory,
+                    group);
             fleet.instanceList().put(daemon.listed());
             daemons.add(daemon);
         }
--- a/src/main/java/org/dogwoodwinch/faultrun/RunDaemon.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/RunDaemon.java
@@ -24,12 +24,21 @@
      *
      * @param name its instance name, not null
      * @param dataCentre its data centre, not null
+     * @param homeIndex its place among the homes of owners' limits
+     * @param homesCount how many homes there are
      * @param platform where the platform's stand-ins are, not null
      * @param directory takes its settings and output; holds the file {@code secret}, not null
      * @param group runs the connections, not null
      * @throws IOException if there is no free port or the settings cannot be written
      */
-    RunDaemon(String name, String dataCentre, StandInAddresses platform, Path directory, EventLoopGroup group)
+    RunDaemon(
+            String name,
+            String dataCentre,
+            int homeIndex,
+            int homesCount,
+            StandInAddresses platform,
+            Path directory,
+            EventLoopGroup group)
             throws IOException {
         int peersPort = freePort();
         CuttableProxy log = proxy(group, platform.logUrl());
@@ -47,7 +56,9 @@
                 log.port(),
                 list.port(),
                 weights.port(),
-                directory.resolve("secret"));
+                directory.resolve("secret"),
+                homeIndex,
+                homesCount);
         Path file = directory.resolve(name + ".json");
         settings.write(file);
         this.process = new DaemonProcess(name, file, directory.resolve(name + ".log"));
--- a/src/main/java/org/dogwoodwinch/measure/PathProcesses.java
+++ b/src/main/java/org/dogwoodwinch/measure/PathProcesses.java
@@ -151,6 +151,7 @@
                   "instance": {"name": "measured-1", "dataCentre": "kakkanad"},
                   "callers": {"port": 0},
                   "operators": {"port": 0},
+                  "admission": {"limitHomeIndex": 0, "limitHomesCount": 1},
                   "peers": {"port": 0, "secretFile": "%s"},
                   "platform": {"logUrl": "%s", "instanceListUrl": "%s", "weightStoreUrl": "%s"}
                 }
--- a/src/main/java/org/dogwoodwinch/measure/control/DaemonFleet.java
+++ b/src/main/java/org/dogwoodwinch/measure/control/DaemonFleet.java
@@ -54,7 +54,7 @@
                     StandInEngineOptions.STANDARD);
         }
         for (int i = 0; i < count; i++) {
-            addDaemon("entry-" + i, DATA_CENTRES.get(i % DATA_CENTRES.size()));
+            addDaemon("entry-" + i, DATA_CENTRES.get(i % DATA_CENTRES.size()), i, count);
         }
     }
 
@@ -91,7 +91,7 @@
         group.shutdownGracefully().syncUninterruptibly();
     }
 
-    private void addDaemon(String name, String dataCentre) throws IOException {
+    private void addDaemon(String name, String dataCentre, int index, int count) throws IOException {
         int operatorsPort = freePort();
         Path settings = folder.resolve(name + ".json");
         Files.writeString(
@@ -101,12 +101,15 @@
                         { "instance": { "name": "%s", "dataCentre": "%s" },
                           "callers": { "port": 0 },
                           "operators": { "port": %d },
+                          "admission": { "limitHomeIndex": %d, "limitHomesCount": %d },
                           "peers": { "port": 0, "secretFile": "%s" },
                           "platform": { "logUrl": "%s", "instanceListUrl": "%s", "weightStoreUrl": "%s" } }
                         """,
                         name,
                         dataCentre,
                         operatorsPort,
+                        index,
+                        count,
                         folder.resolve("secret.txt"),
                         standIns.addresses().logUrl(),
                         standIns.addresses().instanceListUrl(),
--- a/src/main/java/org/dogwoodwinch/settings/AdmissionSettings.java
+++ b/src/main/java/org/dogwoodwinch/settings/AdmissionSettings.java
@@ -20,6 +20,10 @@
         int limitHomeIndex,
         int limitHomesCount) {
 
+    /**
+     * Neither the place nor the number of homes has a default: with a default of one home, each of six instances would
+     * grant an owner the whole of its limit, and nothing would tell before the owner used six times as much.
+     */
     static AdmissionSettings read(SettingsSection section) {
         AdmissionSettings settings = new AdmissionSettings(
                 section.wholeInt("maxQueuedCount", 1, 1_000_000, 2_000),
@@ -27,8 +31,8 @@
                 section.number("longReadFloorRatio", 0.01, 0.9, 0.1),
                 section.wholeNumber("longReadWaitMillis", 1_000, 86_400_000, 600_000),
                 section.wholeNumber("shareMillis", 500, 600_000, 5_000),
-                section.wholeInt("limitHomeIndex", 0, 9_999, 0),
-                section.wholeInt("limitHomesCount", 1, 10_000, 1));
+                section.requiredInt("limitHomeIndex", 0, 9_999),
+                section.requiredInt("limitHomesCount", 1, 10_000));
         if (settings.limitHomeIndex() >= settings.limitHomesCount()) {
             section.tell("limitHomeIndex", "must be below limitHomesCount");
         }
--- a/src/main/java/org/dogwoodwinch/settings/SettingsSection.java
+++ b/src/main/java/org/dogwoodwinch/settings/SettingsSection.java
@@ -73,6 +73,14 @@
         return (int) wholeNumber(name, least, most, otherwise);
     }
 
+    int requiredInt(String name, int least, int most) {
+        if (!object.fields().containsKey(name)) {
+            known.add(name);
+            tell(name, "is missing");
+        }
+        return wholeInt(name, least, most, least);
+    }
+
     double number(String name, double least, double most, double otherwise) {
         Optional<NumberValue> found = value(name, NumberValue.class, "a number without quotes");
         if (found.isEmpty()) {
--- a/src/test/java/org/dogwoodwinch/daemon/DaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/DaemonTest.java
@@ -200,7 +200,8 @@
     private Settings settings(Path folder) throws IOException {
         Path secret = Files.writeString(folder.resolve("secret"), "a secret of the test, long enough to be one");
         String json = "{\"instance\":{\"name\":\"malabar-1\",\"dataCentre\":\"kakkanad\"},\"callers\":{\"port\":0},"
-                + "\"operators\":{\"port\":0},\"peers\":{\"port\":0,\"secretFile\":\"" + secret + "\"},"
+                + "\"operators\":{\"port\":0},\"admission\":{\"limitHomeIndex\":0,\"limitHomesCount\":1},\"peers\":{\"port\":0,\"secretFile\":\""
+                + secret + "\"},"
                 + "\"stop\":{\"notReadyMillis\":50,\"drainMillis\":20000},"
                 + "\"platform\":{\"logUrl\":\"" + fleet.addresses().logUrl() + "\",\"instanceListUrl\":\""
                 + fleet.addresses().instanceListUrl() + "\",\"weightStoreUrl\":\""
--- a/src/test/java/org/dogwoodwinch/settings/SettingsLoaderTest.java
+++ b/src/test/java/org/dogwoodwinch/settings/SettingsLoaderTest.java
@@ -18,6 +18,7 @@
             {
               // a comment
               "instance": {"name": "a", "dataCentre": "d"},
+              "admission": {"limitHomeIndex": 0, "limitHomesCount": 6},
               "peers": {"secretFile": "s"},
               "platform": {
                 "logUrl": "http://127.0.0.1:1",
@@ -69,6 +70,7 @@
         List<String> problems = problems("{}");
         assertTrue(problems.contains("f:1: instance.name: is missing"));
         assertTrue(problems.contains("f:1: platform.logUrl: is missing"));
+        assertTrue(problems.contains("f:1: admission.limitHomesCount: is missing"));
     }
 
     @Test
