Keep the books with the daemon's order of claims; send pipelined requests at once

Cause: the capacity books spread lease groups by a hash of their own over all nodes, where the daemon gives a data centre's groups to one instance. Change: the probe uses ClaimOrder; starts and checkpoints count its renewals. The test sends both requests in one write, so that they are read in one turn; what it asserts is unchanged.

--- a/src/main/java/org/dogwoodwinch/measure/capacity/CatalogueProbe.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/CatalogueProbe.java
@@ -24,7 +24,7 @@
     private static final int EDITS = 300;
     private static final int QUICK_EDITS = 60;
     private static final long RETENTION_MILLIS = 3_600_000;
-    private static final int RENEWALS_PER_SECOND = TargetSize.NODES / 2;
+    private static final int RENEWALS_PER_SECOND = TargetSize.RENEWALS_PER_SECOND;
 
     private final ControlCodec codec = new ControlCodec();
 
--- a/src/main/java/org/dogwoodwinch/measure/capacity/ControlFleet.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/ControlFleet.java
@@ -1,13 +1,12 @@
 package org.dogwoodwinch.measure.capacity;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.authority.ClaimOrder;
 import org.dogwoodwinch.authority.FleetView;
 import org.dogwoodwinch.authority.TargetActivity;
 import org.dogwoodwinch.bytes.Bytes;
@@ -36,7 +35,7 @@
     private final CountingLog log = new CountingLog(new MemoryLog(time, NO_CAP));
     private final List<Target> engines;
     private final List<ControlNode> nodes = new ArrayList<>();
-    private final int nodeCount;
+    private final List<ClaimOrder.Member> members;
 
     /**
      * Creates a fleet whose nodes do not run yet.
@@ -46,16 +45,22 @@
      * @param engineCount engines, spread evenly over the groups
      */
     ControlFleet(int nodeCount, int groupCount, int engineCount) {
-        this.nodeCount = nodeCount;
+        this.members = IntStream.range(0, nodeCount)
+                .mapToObj(node -> new ClaimOrder.Member("entry-" + node, dataCentre(node)))
+                .toList();
         this.engines = IntStream.range(0, engineCount)
-                .mapToObj(engine ->
-                        new Target("engine-" + engine, "10.0.0.1", 8_000, "dc-0", "group-" + engine % groupCount))
+                .mapToObj(engine -> new Target(
+                        "engine-" + engine,
+                        "10.0.0.1",
+                        8_000,
+                        dataCentre(engine % groupCount),
+                        "model-" + engine % groupCount / TargetSize.DATA_CENTRES))
                 .toList();
     }
 
     /** Starts all nodes. */
     void startAll() {
-        for (int node = 0; node < nodeCount; node++) {
+        for (int node = 0; node < members.size(); node++) {
             nodes.add(startNode(node));
         }
     }
@@ -77,6 +82,10 @@
         return started;
     }
 
+    private static String dataCentre(int number) {
+        return "dc-" + number % TargetSize.DATA_CENTRES;
+    }
+
     VirtualTimeSource time() {
         return time;
     }
@@ -96,13 +105,13 @@
                 _target -> new TargetActivity.InFlight(true, 0, 0));
     }
 
-    /** Claims go by rank: each group has a first instance of its own, chosen by a hash, and the others follow. */
+    /** Claims go in the daemon's own order; nodes and groups are spread evenly over the data centres. */
     private final class RankedFleet implements FleetView {
 
-        private final int node;
+        private final ClaimOrder.Member own;
 
         RankedFleet(int node) {
-            this.node = node;
+            this.own = members.get(node);
         }
 
         @Override
@@ -112,12 +121,7 @@
 
         @Override
         public int claimRank(String group) {
-            int first = Math.floorMod(
-                    Hashing.murmur3_32_fixed()
-                            .hashString(group, StandardCharsets.UTF_8)
-                            .asInt(),
-                    nodeCount);
-            return Math.floorMod(node - first, nodeCount);
+            return ClaimOrder.rank(group, own, members);
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/measure/capacity/LeaseProbe.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/LeaseProbe.java
@@ -50,14 +50,11 @@
     }
 
     private static List<CapacityRow> rows(Point largest) {
-        boolean atSize = largest.nodes() == TargetSize.NODES;
         String where = "measured at " + largest.nodes() + " nodes, " + largest.groups() + " groups";
-        // Holders, and so renewals, grow with the nodes until each group has a holder of its own.
-        double scale = atSize ? 1 : (double) Math.min(TargetSize.NODES, TargetSize.GROUPS) / largest.nodes();
-        double appends = largest.appendsPerSecond() * scale;
-        double readBytes = largest.readBytesPerNode() * scale;
-        String mechanism =
-                "one renewal a holder, whatever it holds; fewer holders, and a stream a region, would cut it";
+        // One instance of each data centre holds all its groups, so more nodes do not make more holders.
+        double appends = largest.appendsPerSecond();
+        double readBytes = largest.readBytesPerNode();
+        String mechanism = "the groups of a data centre fall to one holder, and a renewal names no group";
         return List.of(
                 new CapacityRow(
                         ROLE,
--- a/src/main/java/org/dogwoodwinch/measure/capacity/StartProbe.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/StartProbe.java
@@ -18,7 +18,7 @@
     private static final int[] QUICK_RECORDS = {5_000, 20_000};
     private static final long STEP_MILLIS = 10;
     private static final int RETENTION_SECONDS = 3_600;
-    private static final int RENEWALS_PER_SECOND = TargetSize.NODES / 2;
+    private static final int RENEWALS_PER_SECOND = TargetSize.RENEWALS_PER_SECOND;
     private static final double CATCH_UP_SECONDS = 60;
 
     @Override
--- a/src/main/java/org/dogwoodwinch/measure/capacity/TargetSize.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/TargetSize.java
@@ -27,6 +27,9 @@
     /** Engine groups: each model in each data centre. */
     public static final int GROUPS = MODELS * DATA_CENTRES;
 
+    /** Lease renewals a second, rounded up: one holder for each data centre, each every 2 s; see {@link LeaseProbe}. */
+    public static final int RENEWALS_PER_SECOND = (DATA_CENTRES + 1) / 2;
+
     /** Changes of configuration a day. */
     public static final int EDITS_PER_DAY = 2_400;
 
--- a/src/test/java/org/dogwoodwinch/http/CallerHandlerTest.java
+++ b/src/test/java/org/dogwoodwinch/http/CallerHandlerTest.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.errorprone.annotations.MustBeClosed;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -237,15 +238,14 @@
 
     /**
      * A second request comes on the connection before the first is answered. The first gets its own answer, the second
-     * none: the connection closes, so no answer can be taken for another's.
+     * none: the connection closes, so no answer can be taken for another's. Both are sent in one write, so that the
+     * listener reads them in one turn, before anything can be answered.
      */
     @Test
     void aPipelinedRequestIsDroppedAndTheConnectionClosed() throws IOException {
         CompletableFuture<AnswerSink> sink = new CompletableFuture<>();
         edge.handler().onSubmit(submitted -> sink.complete(submitted.sink()));
-        try (Socket socket = connect()) {
-            sink.join();
-            socket.getOutputStream().write(request("second"));
+        try (Socket socket = connect("p", "second")) {
             answer(sink.join(), "first");
             String all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertEquals(1, all.split("HTTP/1.1 200", -1).length - 1, all);
@@ -256,9 +256,18 @@
 
     @MustBeClosed
     private Socket connect() throws IOException {
+        return connect("p");
+    }
+
+    @MustBeClosed
+    private Socket connect(String... prompts) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), edge.port());
         socket.setSoTimeout(20_000);
-        socket.getOutputStream().write(request("p"));
+        ByteArrayOutputStream sent = new ByteArrayOutputStream();
+        for (String prompt : prompts) {
+            sent.writeBytes(request(prompt));
+        }
+        socket.getOutputStream().write(sent.toByteArray());
         return socket;
     }
 
