--- a/src/main/java/org/dogwoodwinch/cli/SettingsCommand.java
+++ b/src/main/java/org/dogwoodwinch/cli/SettingsCommand.java
@@ -13,7 +13,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
-import org.dogwoodwinch.settings.Settings;
+import org.dogwoodwinch.settings.DaemonSettings;
 import org.dogwoodwinch.settings.SettingsLoader;
 import org.dogwoodwinch.settings.SettingsProblem;
 import org.dogwoodwinch.settings.SettingsResult;
@@ -64,7 +64,7 @@
         out.flush();
     }
 
-    private static String toJson(Settings settings) {
+    private static String toJson(DaemonSettings settings) {
         SimpleModule optionals = new SimpleModule().addSerializer(Optional.class, new OptionalSerializer());
         try {
             return new ObjectMapper()
--- a/src/main/java/org/dogwoodwinch/control/ControlFold.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlFold.java
@@ -7,7 +7,7 @@
 import org.dogwoodwinch.catalogue.CatalogueFold;
 import org.dogwoodwinch.catalogue.EditOutcome;
 import org.dogwoodwinch.controllog.ControlRecord;
-import org.dogwoodwinch.platform.LogRecord;
+import org.dogwoodwinch.external.LogRecord;
 
 /**
  * The state that the control stream makes, read in offset order. Not thread-safe.
--- a/src/main/java/org/dogwoodwinch/control/ControlReader.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlReader.java
@@ -3,8 +3,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwinch.controllog.FollowerListener;
-import org.dogwoodwinch.platform.LogRecord;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.LogRecord;
+import org.dogwoodwinch.external.ReadResult;
 
 /**
  * Keeps the fold up to date with what the follower reads, through starts, gaps and outages. Not thread-safe: its owner
--- a/src/main/java/org/dogwoodwinch/control/ControlServices.java
+++ b/src/main/java/org/dogwoodwinch/control/ControlServices.java
@@ -4,9 +4,9 @@
 import java.util.function.BooleanSupplier;
 import org.dogwoodwinch.authority.FleetView;
 import org.dogwoodwinch.authority.TargetActivity;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.WeightStore;
 import org.dogwoodwinch.peer.PeerBoard;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.WeightStore;
 import org.dogwoodwinch.target.TargetClients;
 
 /**
--- a/src/main/java/org/dogwoodwinch/control/FoldLoader.java
+++ b/src/main/java/org/dogwoodwinch/control/FoldLoader.java
@@ -5,7 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwinch.controllog.ControlRecord;
-import org.dogwoodwinch.platform.LogRecord;
+import org.dogwoodwinch.external.LogRecord;
 
 /**
  * Finds a state to go on from when the first records of the stream have expired. Not thread-safe.
--- a/src/main/java/org/dogwoodwinch/control/LockedReader.java
+++ b/src/main/java/org/dogwoodwinch/control/LockedReader.java
@@ -2,8 +2,8 @@
 
 import java.util.Objects;
 import org.dogwoodwinch.controllog.FollowerListener;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.logging.LogEvent;
-import org.dogwoodwinch.platform.ReadResult;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/dogwoodwinch/controllog/FollowerListener.java
+++ b/src/main/java/org/dogwoodwinch/controllog/FollowerListener.java
@@ -1,6 +1,6 @@
 package org.dogwoodwinch.controllog;
 
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.ReadResult;
 
 /** Hears what a {@link LogFollower} reads; calls come one at a time. */
 public interface FollowerListener {
--- a/src/main/java/org/dogwoodwinch/controllog/LogFollower.java
+++ b/src/main/java/org/dogwoodwinch/controllog/LogFollower.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 import java.util.Objects;
-import org.dogwoodwinch.platform.LogRecord;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.LogRecord;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.time.Cancellable;
 import org.dogwoodwinch.time.TimeSource;
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/ConfigurationReader.java
@@ -0,0 +1,76 @@
+package org.dogwoodwinch.daemon;
+
+import java.io.IOException;
+import java.util.Objects;
+import java.util.Set;
+import org.dogwoodwinch.follow.FollowListener;
+import org.dogwoodwinch.follow.KeyedRecord;
+import org.dogwoodwinch.forwarding.RouteTable;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.platform.ConfigurationDecoder;
+import org.dogwoodwinch.platform.StoreClient;
+import org.dogwoodwinch.relay.ForwardingMetrics;
+import org.dogwoodwinch.relay.ForwardingService;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Puts each newer configuration in force; through an outage the last one stays. */
+final class ConfigurationReader implements FollowListener {
+
+    private static final Logger log = LoggerFactory.getLogger(ConfigurationReader.class);
+
+    private final ForwardingService service;
+    private final ForwardingMetrics metrics;
+
+    ConfigurationReader(ForwardingService service, ForwardingMetrics metrics) {
+        this.service = Objects.requireNonNull(service, "service");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    @Override
+    public void record(KeyedRecord record) {
+        if (!record.key().equals(StoreClient.CONFIGURATION_KEY)
+                || record.value().isEmpty()) {
+            return;
+        }
+        try {
+            RouteTable table = ConfigurationDecoder.decode(record.value().get());
+            boolean inForce = service.configure(table);
+            if (inForce) {
+                metrics.showConfiguration(table.version());
+            }
+            LogEvent.of("configuration_read")
+                    .with("version", table.version())
+                    .with("offset", record.offset())
+                    .with("routes", table.routesCount())
+                    .with("inForce", inForce)
+                    .info(log);
+        } catch (IOException e) {
+            LogEvent.of("configuration_not_understood")
+                    .with("offset", record.offset())
+                    .with("error", e.getMessage())
+                    .warn(log);
+        }
+    }
+
+    /** A configuration is never dropped: the last one serves until a newer one comes. */
+    @Override
+    public void readWhole(Set<String> _keys, long endOffset) {
+        LogEvent.of("configurations_read_whole").with("endOffset", endOffset).info(log);
+    }
+
+    @Override
+    public void regained() {
+        metrics.showStore(true);
+        LogEvent.of("store_regained").with("stream", "configuration").info(log);
+    }
+
+    @Override
+    public void lost(String reason) {
+        metrics.showStore(false);
+        LogEvent.of("store_lost")
+                .with("stream", "configuration")
+                .with("reason", reason)
+                .warn(log);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -7,10 +7,15 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.relay.Transport;
+import org.dogwoodwinch.settings.DaemonSettings;
+import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.Settings;
 import org.dogwoodwinch.settings.SettingsLoader;
 import org.dogwoodwinch.settings.SettingsProblem;
@@ -68,7 +73,8 @@
         if (result instanceof SettingsResult.Rejected rejected) {
             return reject(rejected.problems());
         }
-        return run(((SettingsResult.Loaded) result).settings());
+        DaemonSettings settings = ((SettingsResult.Loaded) result).settings();
+        return settings instanceof ForwardingSettings forwarding ? forward(forwarding) : run((Settings) settings);
     }
 
     /** A cancelled deadline timer that stayed queued would hold its whole request on the heap until it is due. */
@@ -85,6 +91,27 @@
         return EXIT_SETTINGS;
     }
 
+    private static int forward(ForwardingSettings settings) {
+        ForwardingDaemon daemon =
+                new ForwardingDaemon(settings, Transport.start(1), RandomSource.XO_RO_SHI_RO_128_PP.create());
+        try {
+            daemon.start();
+        } catch (IOException e) {
+            LogEvent.of("start_failed").with("error", e.getMessage()).warn(log);
+            return EXIT_BIND;
+        }
+        return untilStopped(daemon::stop) == 0 ? 0 : EXIT_CUT;
+    }
+
+    private static int untilStopped(Supplier<CompletionStage<Integer>> stop) {
+        CompletableFuture<Integer> left = new CompletableFuture<>();
+        new StopSignals(
+                        () -> stop.get().thenAccept(left::complete),
+                        () -> Runtime.getRuntime().halt(EXIT_CUT))
+                .install();
+        return left.join();
+    }
+
     private static int run(Settings settings) {
         ScheduledExecutorService timers = newTimers();
         EventLoopGroup group = new NioEventLoopGroup();
@@ -98,12 +125,7 @@
             LogEvent.of("start_failed").with("error", e.getMessage()).warn(log);
             return EXIT_BIND;
         }
-        CompletableFuture<Integer> left = new CompletableFuture<>();
-        new StopSignals(
-                        () -> daemon.stop().thenAccept(left::complete),
-                        () -> Runtime.getRuntime().halt(EXIT_CUT))
-                .install();
-        int unfinished = left.join();
+        int unfinished = untilStopped(daemon::stop);
         daemon.close();
         return unfinished == 0 ? 0 : EXIT_CUT;
     }
--- a/src/main/java/org/dogwoodwinch/daemon/EnginePoller.java
+++ b/src/main/java/org/dogwoodwinch/daemon/EnginePoller.java
@@ -6,7 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.routing.EstimatingRouter;
 import org.dogwoodwinch.routing.FleetView;
 import org.dogwoodwinch.target.CacheEvent;
--- a/src/main/java/org/dogwoodwinch/daemon/FleetActivity.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetActivity.java
@@ -3,7 +3,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwinch.authority.TargetActivity;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.routing.FleetView;
 import org.dogwoodwinch.target.LoadReport;
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -0,0 +1,180 @@
+package org.dogwoodwinch.daemon;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.follow.FollowPolicy;
+import org.dogwoodwinch.follow.StreamFollower;
+import org.dogwoodwinch.forwarding.LeastLoadedChooser;
+import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.RetryBudget;
+import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.TargetDirectory;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.platform.PlatformHeaders;
+import org.dogwoodwinch.platform.StoreClient;
+import org.dogwoodwinch.relay.Addresses;
+import org.dogwoodwinch.relay.ConnectionPolicy;
+import org.dogwoodwinch.relay.ControlCaller;
+import org.dogwoodwinch.relay.EventLoopTime;
+import org.dogwoodwinch.relay.ForwardingMetrics;
+import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.relay.Transport;
+import org.dogwoodwinch.settings.ForwardingSettings;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One instance that forwards calls by the operator's routes: wires the parts and stops without cutting a request. */
+public final class ForwardingDaemon {
+
+    private static final Logger log = LoggerFactory.getLogger(ForwardingDaemon.class);
+    private static final long DRAIN_CHECK_MILLIS = 20;
+
+    /** Before the platform ends the process by force, what could not finish is closed in order. */
+    private static final long BEFORE_GRACE_MILLIS = 500;
+
+    /** Tries for a connection after which a caller is told to come back: a further one is as likely to fail. */
+    private static final int MAX_FAILED_CONNECTS = 2;
+
+    /** A send with less time than a round trip and a short run is an attempt for nothing. */
+    private static final long LEAST_REMAINING_MILLIS = 30;
+
+    private static final long FIRST_BACKOFF_MILLIS = 50;
+    private static final long MAX_BACKOFF_MILLIS = 500;
+
+    private final ForwardingSettings settings;
+    private final Transport transport;
+    private final TimeSource time;
+    private final ForwardingMetrics metrics = new ForwardingMetrics(new PrometheusRegistry());
+    private final TargetDirectory directory = new TargetDirectory();
+    private final ForwardingService service;
+    private final StreamFollower configuration;
+    private final StreamFollower targets;
+    private final TargetsReader targetsReader;
+    private boolean leaving;
+    private long leftAtMillis;
+
+    /**
+     * Wires a daemon that does not listen yet.
+     *
+     * @param settings its settings, not null
+     * @param transport its sockets, with one event loop, not null
+     * @param random chance, not null
+     */
+    public ForwardingDaemon(ForwardingSettings settings, Transport transport, UniformRandomProvider random) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.time = new EventLoopTime(transport.group().next());
+        ConnectionPolicy connections = new ConnectionPolicy(
+                settings.forwarding().connectTimeoutMillis(),
+                settings.forwarding().unacknowledgedMillis(),
+                settings.forwarding().idleMarginMillis());
+        LoadBook loads = new LoadBook();
+        this.service = new ForwardingService(
+                transport,
+                time,
+                new PlatformHeaders(),
+                random,
+                connections,
+                new ForwardingService.Decisions(
+                        new LeastLoadedChooser(directory, loads, random),
+                        loads,
+                        new RetryPolicy(
+                                MAX_FAILED_CONNECTS,
+                                LEAST_REMAINING_MILLIS,
+                                settings.retries().retryAfterMillis()),
+                        budget(settings),
+                        settings.forwarding().mostInstancesCount()),
+                metrics);
+        StoreClient store = new StoreClient(
+                new ControlCaller(transport, transport.group().next(), time, connections),
+                Addresses.parse(settings.store().address()),
+                settings.store().timeoutMillis());
+        FollowPolicy follow = new FollowPolicy(
+                settings.store().waitMillis(),
+                settings.store().pauseMillis(),
+                FIRST_BACKOFF_MILLIS,
+                MAX_BACKOFF_MILLIS);
+        this.configuration = new StreamFollower(
+                store.keyed(StoreClient.OPERATOR_TOPIC),
+                follow,
+                new ConfigurationReader(service, metrics),
+                time,
+                random);
+        this.targetsReader = new TargetsReader(directory, service, metrics);
+        this.targets = new StreamFollower(store.keyed(StoreClient.TARGETS_TOPIC), follow, targetsReader, time, random);
+    }
+
+    /**
+     * Listens, and begins to read the store.
+     *
+     * @throws IOException if a listener cannot be bound
+     */
+    public void start() throws IOException {
+        ForwardingService.listenReady(transport, address(settings.forwarding().readyListen()), this::ready);
+        ForwardingService.listenMetrics(transport, address(settings.forwarding().metricsListen()), metrics);
+        service.listen(address(settings.forwarding().listen()));
+        transport.group().next().execute(() -> {
+            configuration.start();
+            targets.start();
+        });
+        LogEvent.of("started")
+                .with("instance", settings.instance().name())
+                .with("dataCentre", settings.instance().dataCentre())
+                .with("transport", transport.name())
+                .with("port", service.port())
+                .info(log);
+    }
+
+    /**
+     * Stops gracefully: not ready first, then calls under way finish.
+     *
+     * @return completes with the number of calls that had not finished within the bound
+     */
+    public CompletionStage<Integer> stop() {
+        CompletableFuture<Integer> stopped = new CompletableFuture<>();
+        transport.group().next().execute(() -> {
+            leaving = true;
+            leftAtMillis = time.monotonicMillis();
+            service.leave();
+            service.logState("leaving");
+            waitForCalls(stopped);
+        });
+        return stopped;
+    }
+
+    private boolean ready() {
+        return !leaving && service.configured() && targetsReader.readOnce();
+    }
+
+    private void waitForCalls(CompletableFuture<Integer> stopped) {
+        long sinceMillis = time.monotonicMillis() - leftAtMillis;
+        if (sinceMillis >= settings.stop().notReadyMillis()) {
+            service.closeIdle();
+            boolean late = sinceMillis >= settings.stop().graceMillis() - BEFORE_GRACE_MILLIS;
+            boolean empty = service.openCount() == 0 && service.callersCount() == 0;
+            if (late || empty) {
+                service.logState("stopped");
+                stopped.complete(service.openCount());
+                return;
+            }
+        }
+        time.schedule(DRAIN_CHECK_MILLIS, () -> waitForCalls(stopped));
+    }
+
+    private static RetryBudget budget(ForwardingSettings settings) {
+        return new RetryBudget(
+                settings.retries().ratio(),
+                settings.retries().slackCount() / settings.forwarding().mostInstancesCount(),
+                settings.retries().windowMillis());
+    }
+
+    private static InetSocketAddress address(String text) {
+        return Addresses.parse(text);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/daemon/ListedFleet.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ListedFleet.java
@@ -4,7 +4,7 @@
 import java.util.Objects;
 import org.dogwoodwinch.authority.ClaimOrder;
 import org.dogwoodwinch.authority.FleetView;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.target.Target;
 
 /** The fleet as the platform's instance list shows it, for leases and orders. Thread-safe. */
--- a/src/main/java/org/dogwoodwinch/platform/LogService.java
+++ b/src/main/java/org/dogwoodwinch/external/LogService.java
@@ -1,4 +1,4 @@
-package org.dogwoodwinch.platform;
+package org.dogwoodwinch.external;
 
 import java.util.concurrent.CompletionStage;
 
--- a/src/main/java/org/dogwoodwinch/platform/http/HttpInstanceList.java
+++ b/src/main/java/org/dogwoodwinch/external/http/HttpInstanceList.java
@@ -1,12 +1,12 @@
-package org.dogwoodwinch.platform.http;
+package org.dogwoodwinch.external.http;
 
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
-import org.dogwoodwinch.platform.InstanceList;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.InstanceList;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.target.ServiceAnswer;
 import org.dogwoodwinch.target.http.HttpCaller;
 import org.dogwoodwinch.target.http.TargetJson;
--- a/src/main/java/org/dogwoodwinch/platform/http/HttpLogService.java
+++ b/src/main/java/org/dogwoodwinch/external/http/HttpLogService.java
@@ -1,11 +1,11 @@
-package org.dogwoodwinch.platform.http;
+package org.dogwoodwinch.external.http;
 
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.target.ServiceAnswer;
 import org.dogwoodwinch.target.TargetFailure;
 import org.dogwoodwinch.target.TargetReply;
--- a/src/main/java/org/dogwoodwinch/platform/http/HttpWeightStore.java
+++ b/src/main/java/org/dogwoodwinch/external/http/HttpWeightStore.java
@@ -1,9 +1,9 @@
-package org.dogwoodwinch.platform.http;
+package org.dogwoodwinch.external.http;
 
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
-import org.dogwoodwinch.platform.WeightStore;
+import org.dogwoodwinch.external.WeightStore;
 import org.dogwoodwinch.target.http.HttpCaller;
 
 /** The platform's weight store over HTTP. */
--- a/src/main/java/org/dogwoodwinch/platform/http/LogWire.java
+++ b/src/main/java/org/dogwoodwinch/external/http/LogWire.java
@@ -1,7 +1,7 @@
-package org.dogwoodwinch.platform.http;
+package org.dogwoodwinch.external.http;
 
 import java.util.List;
-import org.dogwoodwinch.platform.LogRecord;
+import org.dogwoodwinch.external.LogRecord;
 
 /** The shapes of the log service's answers. */
 public final class LogWire {
--- a/src/main/java/org/dogwoodwinch/platform/http/package-info.java
+++ b/src/main/java/org/dogwoodwinch/external/http/package-info.java
@@ -1,2 +1,2 @@
 /** AsyncHttpClient adapters of the platform interfaces. */
-package org.dogwoodwinch.platform.http;
+package org.dogwoodwinch.external.http;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/external/package-info.java
@@ -0,0 +1,2 @@
+/** Narrow interfaces to the platform: its log, instance list and weight store. */
+package org.dogwoodwinch.external;
--- a/src/main/java/org/dogwoodwinch/faultrun/LogWitness.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/LogWitness.java
@@ -10,11 +10,11 @@
 import org.dogwoodwinch.controllog.FollowerListener;
 import org.dogwoodwinch.controllog.FollowerSettings;
 import org.dogwoodwinch.controllog.LogFollower;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.history.CatalogueEvent;
 import org.dogwoodwinch.history.HistoryRecorder;
 import org.dogwoodwinch.history.OrderEvent;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
 import org.dogwoodwinch.time.TimeSource;
 
 /** Folds the control stream beside the daemons and writes down what it decided: edits, holders and intents. */
--- a/src/main/java/org/dogwoodwinch/faultrun/RunDaemon.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/RunDaemon.java
@@ -8,7 +8,7 @@
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.List;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.standin.http.StandInAddresses;
 
 /** One daemon of a run: its process, and the connections that can be cut between it and platform and peers. */
--- a/src/main/java/org/dogwoodwinch/faultrun/RunLeaving.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/RunLeaving.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 import java.util.Objects;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.history.FleetEvent;
 import org.dogwoodwinch.history.HistoryRecorder;
-import org.dogwoodwinch.platform.ListedInstance;
 import org.dogwoodwinch.standin.http.StandInFleet;
 import org.dogwoodwinch.time.TimeSource;
 
--- a/src/main/java/org/dogwoodwinch/faultrun/RunOperator.java
+++ b/src/main/java/org/dogwoodwinch/faultrun/RunOperator.java
@@ -17,7 +17,7 @@
 import org.dogwoodwinch.control.ControlCodec;
 import org.dogwoodwinch.controllog.ControlRecord;
 import org.dogwoodwinch.controllog.FollowerSettings;
-import org.dogwoodwinch.platform.LogService;
+import org.dogwoodwinch.external.LogService;
 import org.dogwoodwinch.time.TimeSource;
 
 /** Operators who edit the catalogue and plan changes on the log itself, without waiting for its answers. */
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/follow/StreamFollower.java
@@ -0,0 +1,135 @@
+package org.dogwoodwinch.follow;
+
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Follows one keyed stream for as long as the process runs.
+ *
+ * <p>Each start, and each loss of the records that it would go on from, begins with a full reading in pages; since pages
+ * are no snapshot, it then goes on from the end that the first page told, so that a change between two pages is read
+ * again as a record. Answers and timers must come on one thread.
+ */
+public final class StreamFollower {
+
+    private final KeyedStream stream;
+    private final FollowPolicy policy;
+    private final FollowListener listener;
+    private final TimeSource time;
+    private final UniformRandomProvider random;
+    private Set<String> listed = new HashSet<>();
+    private Optional<String> afterKey = Optional.empty();
+    private long firstPageEnd = -1;
+    private long nextOffset = -1;
+    private int failuresInARow;
+    private boolean stopped;
+
+    /**
+     * Creates a follower that does not read yet.
+     *
+     * @param stream what it reads, not null
+     * @param policy its times, not null
+     * @param listener hears what it reads, not null
+     * @param time schedules the pauses, not null
+     * @param random spreads the pauses after failures, not null
+     */
+    public StreamFollower(
+            KeyedStream stream,
+            FollowPolicy policy,
+            FollowListener listener,
+            TimeSource time,
+            UniformRandomProvider random) {
+        this.stream = Objects.requireNonNull(stream, "stream");
+        this.policy = Objects.requireNonNull(policy, "policy");
+        this.listener = Objects.requireNonNull(listener, "listener");
+        this.time = Objects.requireNonNull(time, "time");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /** Begins with a full reading. */
+    public void start() {
+        readPage();
+    }
+
+    /** Reads no more; an answer under way is dropped. */
+    public void stop() {
+        stopped = true;
+    }
+
+    private void readPage() {
+        stream.newest(afterKey).thenAccept(this::took);
+    }
+
+    private void readOn() {
+        if (nextOffset < 0) {
+            readPage();
+            return;
+        }
+        stream.read(nextOffset, policy.waitMillis()).thenAccept(this::took);
+    }
+
+    private void took(ReadResult result) {
+        if (stopped) {
+            return;
+        }
+        if (result instanceof ReadResult.Unavailable unavailable) {
+            backOff(unavailable.reason());
+            return;
+        }
+        if (failuresInARow > 0) {
+            failuresInARow = 0;
+            listener.regained();
+        }
+        if (result instanceof ReadResult.Page page) {
+            tookPage(page);
+        } else if (result instanceof ReadResult.Batch batch) {
+            batch.records().forEach(listener::record);
+            nextOffset = Math.max(nextOffset, batch.nextOffset());
+            time.schedule(policy.pauseMillis(), this::readOnUnlessStopped);
+        } else {
+            nextOffset = -1;
+            readPage();
+        }
+    }
+
+    private void tookPage(ReadResult.Page page) {
+        if (afterKey.isEmpty()) {
+            firstPageEnd = page.endOffset();
+            listed = new HashSet<>();
+        }
+        for (KeyedRecord record : page.records()) {
+            listed.add(record.key());
+            afterKey = Optional.of(record.key());
+            listener.record(record);
+        }
+        if (page.more() && !page.records().isEmpty()) {
+            readPage();
+            return;
+        }
+        afterKey = Optional.empty();
+        nextOffset = firstPageEnd;
+        listener.readWhole(Set.copyOf(listed), firstPageEnd);
+        readOn();
+    }
+
+    /** Spread, so that instances which lost the platform together do not all come back in one moment. */
+    private void backOff(String reason) {
+        if (failuresInARow == 0) {
+            listener.lost(reason);
+        }
+        long doubled = policy.firstBackoffMillis() << Math.min(failuresInARow, 10);
+        long longest = Math.min(policy.maxBackoffMillis(), doubled);
+        failuresInARow++;
+        time.schedule(longest / 2 + random.nextLong(longest / 2 + 1), this::readOnUnlessStopped);
+    }
+
+    private void readOnUnlessStopped() {
+        if (!stopped) {
+            readOn();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
@@ -0,0 +1,46 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.Objects;
+
+/**
+ * One start of a target. Its address may be another target's after its end, its id never is.
+ *
+ * @param id the id of this start, not null
+ * @param service the service that it belongs to, not null
+ * @param host its IP number, not null
+ * @param port its port
+ * @param dataCentre where it stands, not null
+ * @param slotsCount requests that it runs at once, at least one
+ * @param leaving whether it has said that it leaves
+ * @param stage the part of the work that it takes, not null
+ * @param weightVersion the version of its model's weights; zero where none is stated
+ */
+public record Incarnation(
+        String id,
+        String service,
+        String host,
+        int port,
+        String dataCentre,
+        int slotsCount,
+        boolean leaving,
+        Stage stage,
+        long weightVersion) {
+
+    /** Checks. */
+    public Incarnation {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(dataCentre, "dataCentre");
+        Objects.requireNonNull(stage, "stage");
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return IP number, colon, port
+     */
+    public String address() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -0,0 +1,50 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Chooses the target with the fewest calls from here for each of its slots; any of several by chance. */
+public final class LeastLoadedChooser implements TargetChooser {
+
+    private final TargetDirectory directory;
+    private final LoadBook loads;
+    private final UniformRandomProvider random;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param directory the targets, not null
+     * @param loads what is under way at them, not null
+     * @param random breaks ties, so that instances do not all begin with one target, not null
+     */
+    public LeastLoadedChooser(TargetDirectory directory, LoadBook loads, UniformRandomProvider random) {
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.loads = Objects.requireNonNull(loads, "loads");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    @Override
+    public Optional<Plan> choose(ChoiceQuery query) {
+        List<Incarnation> best = new ArrayList<>();
+        double least = Double.MAX_VALUE;
+        for (Incarnation target : directory.ready(query.service().name())) {
+            if (query.triedIds().contains(target.id()) || target.stage() == Stage.PREFILL) {
+                continue;
+            }
+            double load = loads.callsCount(target.id()) / (double) Math.max(1, target.slotsCount());
+            if (load < least) {
+                least = load;
+                best.clear();
+            }
+            if (load == least) {
+                best.add(target);
+            }
+        }
+        return best.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Plan(best.get(random.nextInt(best.size())), Optional.empty()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
@@ -0,0 +1,105 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/** One version of the operator's configuration; immutable, so that a call is decided by one version alone. */
+public final class RouteTable {
+
+    private final long version;
+    private final Map<String, Map<String, ServiceRoute>> routesByHost;
+    private final Map<String, ServiceEntry> services;
+    private final CallerLimits limits;
+    private final int routesCount;
+
+    /**
+     * Indexes the routes by host and prefix.
+     *
+     * @param version the configuration's version
+     * @param routes its routes, not null; of two with one host and prefix the later counts
+     * @param services its services, not null
+     * @param limits what callers may send, not null
+     */
+    public RouteTable(
+            long version, Collection<ServiceRoute> routes, Collection<ServiceEntry> services, CallerLimits limits) {
+        this.version = version;
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.routesByHost = new HashMap<>();
+        for (ServiceRoute route : routes) {
+            routesByHost.computeIfAbsent(route.host(), _host -> new HashMap<>()).put(route.pathPrefix(), route);
+        }
+        this.services = new HashMap<>();
+        services.forEach(service -> this.services.put(service.name(), service));
+        this.routesCount = routes.size();
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the configuration's version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns what callers may send.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Returns the number of routes.
+     *
+     * @return how many routes the operator listed
+     */
+    public int routesCount() {
+        return routesCount;
+    }
+
+    /**
+     * Returns a service.
+     *
+     * @param name its name, not null
+     * @return the service, or empty where the configuration has none of that name
+     */
+    public Optional<ServiceEntry> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds the route with the longest prefix that begins a path.
+     *
+     * @param host the host that the caller named, with or without a port, in any case, not null
+     * @param target the request's path with or without a query, not null
+     * @return the route, or empty
+     */
+    public Optional<ServiceRoute> find(String host, String target) {
+        Map<String, ServiceRoute> routes = routesByHost.get(withoutPort(host).toLowerCase(Locale.ROOT));
+        if (routes == null) {
+            return Optional.empty();
+        }
+        int query = target.indexOf('?');
+        String path = query < 0 ? target : target.substring(0, query);
+        // Every prefix ends with a slash, so only the beginnings of the path that do can be one.
+        for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
+            ServiceRoute route = routes.get(path.substring(0, end + 1));
+            if (route != null) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon < 0 || host.endsWith("]") ? host : host.substring(0, colon);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -0,0 +1,104 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The targets as the platform's list tells them. Not thread-safe.
+ *
+ * <p>Records are applied by their offset, so that a page read late cannot bring back what a newer record changed.
+ */
+public final class TargetDirectory {
+
+    private final Map<String, Row> rows = new HashMap<>();
+    private Map<String, List<Incarnation>> readyByService = Map.of();
+
+    /**
+     * Applies a record.
+     *
+     * @param id the target's id, not null
+     * @param offset the record's offset
+     * @param incarnation what it states, empty where the entry was removed
+     * @return whether it was news
+     */
+    public boolean apply(String id, long offset, Optional<Incarnation> incarnation) {
+        Row known = rows.get(id);
+        if (known != null && known.offset >= offset) {
+            return false;
+        }
+        rows.put(id, new Row(offset, incarnation));
+        boolean changed = known == null || !known.incarnation.equals(incarnation);
+        if (changed) {
+            index();
+        }
+        return changed;
+    }
+
+    /**
+     * Drops the entries that a full reading did not list though it covers their records.
+     *
+     * @param listed the ids that were listed, not null
+     * @param endOffset the end of the log when the reading began
+     * @return the ids that were dropped
+     */
+    public List<String> retain(Collection<String> listed, long endOffset) {
+        List<String> dropped = new ArrayList<>();
+        rows.forEach((id, row) -> {
+            if (row.offset < endOffset && row.incarnation.isPresent() && !listed.contains(id)) {
+                dropped.add(id);
+            }
+        });
+        dropped.forEach(id -> rows.put(id, new Row(endOffset - 1, Optional.empty())));
+        if (!dropped.isEmpty()) {
+            index();
+        }
+        return dropped;
+    }
+
+    /**
+     * Returns the targets that may get new work.
+     *
+     * @param service the service's name, not null
+     * @return those listed and not leaving
+     */
+    public List<Incarnation> ready(String service) {
+        return readyByService.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Returns a target.
+     *
+     * @param id its id, not null
+     * @return the target where it is listed, leaving or not
+     */
+    public Optional<Incarnation> find(String id) {
+        Row row = rows.get(id);
+        return row == null ? Optional.empty() : row.incarnation;
+    }
+
+    /**
+     * Returns all targets that are listed.
+     *
+     * @return ready and leaving ones
+     */
+    public List<Incarnation> all() {
+        return rows.values().stream().flatMap(row -> row.incarnation.stream()).toList();
+    }
+
+    private void index() {
+        Map<String, List<Incarnation>> fresh = new HashMap<>();
+        for (Row row : rows.values()) {
+            if (row.incarnation.isPresent() && !row.incarnation.get().leaving()) {
+                fresh.computeIfAbsent(row.incarnation.get().service(), _service -> new ArrayList<>())
+                        .add(row.incarnation.get());
+            }
+        }
+        readyByService = fresh;
+    }
+
+    private record Row(long offset, Optional<Incarnation> incarnation) {}
+}
--- a/src/main/java/org/dogwoodwinch/measure/RoutingBenchmark.java
+++ b/src/main/java/org/dogwoodwinch/measure/RoutingBenchmark.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.catalogue.WorkClass;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.routing.EstimatingRouter;
 import org.dogwoodwinch.routing.FleetView;
 import org.dogwoodwinch.routing.Route;
--- a/src/main/java/org/dogwoodwinch/measure/capacity/CatalogueProbe.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/CatalogueProbe.java
@@ -13,8 +13,8 @@
 import org.dogwoodwinch.control.ControlFold;
 import org.dogwoodwinch.control.ControlSettings;
 import org.dogwoodwinch.control.ControlSnapshot;
+import org.dogwoodwinch.external.LogRecord;
 import org.dogwoodwinch.measure.MeasurementTable;
-import org.dogwoodwinch.platform.LogRecord;
 
 /** The catalogue by owners: memory, size of an edit and of a checkpoint, and time to fold an edit in. */
 public final class CatalogueProbe implements CapacityProbe {
--- a/src/main/java/org/dogwoodwinch/measure/capacity/CountingLog.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/CountingLog.java
@@ -3,9 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 
 /** Counts what passes between instances and the log; for runs on one thread. */
 final class CountingLog implements LogService {
--- a/src/main/java/org/dogwoodwinch/measure/capacity/StartProbe.java
+++ b/src/main/java/org/dogwoodwinch/measure/capacity/StartProbe.java
@@ -6,8 +6,8 @@
 import org.dogwoodwinch.authority.AuthorityRecord;
 import org.dogwoodwinch.control.ControlCodec;
 import org.dogwoodwinch.control.ControlNode;
+import org.dogwoodwinch.external.AppendResult;
 import org.dogwoodwinch.measure.MeasurementTable;
-import org.dogwoodwinch.platform.AppendResult;
 
 /** What a start reads of the control stream: one of 720 a day, and all nodes of a data centre that returns at once. */
 public final class StartProbe implements CapacityProbe {
--- a/src/main/java/org/dogwoodwinch/measure/control/CatalogueMeasurement.java
+++ b/src/main/java/org/dogwoodwinch/measure/control/CatalogueMeasurement.java
@@ -29,11 +29,11 @@
 import org.dogwoodwinch.control.ControlFold;
 import org.dogwoodwinch.control.ControlSnapshot;
 import org.dogwoodwinch.control.EditRequest;
+import org.dogwoodwinch.external.LogRecord;
 import org.dogwoodwinch.measure.Measurement;
 import org.dogwoodwinch.measure.MeasurementBound;
 import org.dogwoodwinch.measure.MeasurementReport;
 import org.dogwoodwinch.measure.MeasurementTable;
-import org.dogwoodwinch.platform.LogRecord;
 
 /** Measures how long an accepted edit takes to be in force on the last of six real daemon processes. */
 public final class CatalogueMeasurement implements Measurement {
--- a/src/main/java/org/dogwoodwinch/measure/control/CountingLog.java
+++ b/src/main/java/org/dogwoodwinch/measure/control/CountingLog.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.control.ControlCodec;
 import org.dogwoodwinch.controllog.ControlRecord;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.time.TimeSource;
 
 /** A log that notes what is appended through it. Not thread-safe: for virtual time. */
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
@@ -0,0 +1,108 @@
+package org.dogwoodwinch.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.CallerLimits;
+import org.dogwoodwinch.forwarding.EngineTraits;
+import org.dogwoodwinch.forwarding.RouteKind;
+import org.dogwoodwinch.forwarding.RouteTable;
+import org.dogwoodwinch.forwarding.ServiceEntry;
+import org.dogwoodwinch.forwarding.ServiceRoute;
+import org.dogwoodwinch.forwarding.WeightedService;
+
+/** Decodes the operator's configuration. */
+public final class ConfigurationDecoder {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    private ConfigurationDecoder() {}
+
+    /**
+     * Decodes a configuration.
+     *
+     * @param body what the operator wrote, not null
+     * @return the table
+     * @throws IOException if it is none
+     */
+    public static RouteTable decode(Bytes body) throws IOException {
+        JsonNode root = JSON.readTree(body.toByteArray());
+        try {
+            List<ServiceRoute> routes = new ArrayList<>();
+            root.path("routes").forEach(route -> routes.add(route(route)));
+            List<ServiceEntry> services = new ArrayList<>();
+            root.path("services").forEach(service -> services.add(service(service)));
+            return new RouteTable(root.path("version").asLong(), routes, services, limits(root.path("limits")));
+        } catch (IllegalArgumentException e) {
+            throw new IOException("not a configuration: " + e.getMessage(), e);
+        }
+    }
+
+    private static ServiceRoute route(JsonNode route) {
+        return new ServiceRoute(
+                route.path("name").asText(),
+                route.path("host").asText().toLowerCase(Locale.ROOT),
+                route.path("pathPrefix").asText(),
+                kind(route.path("kind").asText()),
+                route.path("resumable").asBoolean(),
+                route.path("timeoutMs").asLong(),
+                route.path("targetLatencyMs").asLong(),
+                route.path("gapAimMs").asLong(),
+                Math.max(1, route.path("maxAttempts").asInt(1)),
+                // The wire's priority is a rank: zero comes first.
+                route.path("priority").asInt(),
+                services(route));
+    }
+
+    private static RouteKind kind(String word) {
+        return switch (word) {
+            case "safe" -> RouteKind.REPEATABLE;
+            case "streaming" -> RouteKind.STREAM;
+            case "unsafe" -> RouteKind.ONCE;
+            default -> throw new IllegalArgumentException("unknown kind of route: " + word);
+        };
+    }
+
+    private static List<WeightedService> services(JsonNode route) {
+        List<WeightedService> services = new ArrayList<>();
+        route.path("trafficSplit")
+                .forEach(share -> services.add(new WeightedService(
+                        share.path("service").asText(), share.path("weight").asDouble())));
+        if (services.isEmpty()) {
+            services.add(new WeightedService(route.path("service").asText(), 1));
+        }
+        return services;
+    }
+
+    private static ServiceEntry service(JsonNode service) {
+        JsonNode engine = service.path("engine");
+        return new ServiceEntry(
+                service.path("name").asText(),
+                service.path("maxConnections").asInt(1),
+                engine.isObject() ? Optional.of(engine(engine)) : Optional.empty());
+    }
+
+    private static EngineTraits engine(JsonNode engine) {
+        return new EngineTraits(
+                engine.path("slots").asInt(1),
+                engine.path("kvCapacity").asLong(),
+                engine.path("kvTokenBytes").asLong(),
+                engine.path("linkMbps").asDouble(),
+                Math.round(engine.path("handleTtlS").asDouble() * MILLIS_PER_SECOND));
+    }
+
+    private static CallerLimits limits(JsonNode limits) {
+        CallerLimits otherwise = CallerLimits.INITIAL;
+        return new CallerLimits(
+                limits.path("maxHeaderBytes").asInt(otherwise.maxHeaderBytes()),
+                limits.path("maxBodyBytes").asInt(otherwise.maxBodyBytes()),
+                limits.path("headerTimeoutMs").asLong(otherwise.headerTimeoutMillis()),
+                limits.path("idleTimeoutMs").asLong(otherwise.idleTimeoutMillis()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
@@ -0,0 +1,42 @@
+package org.dogwoodwinch.platform;
+
+import io.netty.util.AsciiString;
+
+/** The platform's header names. */
+final class HeaderNames {
+
+    static final AsciiString REQUEST_ID = AsciiString.cached("request-id");
+    static final AsciiString DEADLINE_MILLIS = AsciiString.cached("deadline-ms");
+
+    /** The id of a target's incarnation, not of an instance of this system. */
+    static final AsciiString EXPECTED_INCARNATION = AsciiString.cached("expect-instance");
+
+    static final AsciiString SIGNATURE = AsciiString.cached("server-stamp");
+    static final AsciiString NOT_RUN = AsciiString.cached("not-run");
+    static final AsciiString LAST_EVENT_ID = AsciiString.cached("last-event-id");
+    static final AsciiString MODEL = AsciiString.cached("model");
+
+    /** Two numbers: the tokens of the prompt, and the most that may be generated. */
+    static final AsciiString TOKEN_COUNTS = AsciiString.cached("token-count");
+
+    /** All parts of the prompt, not its beginning alone. */
+    static final AsciiString PROMPT_PARTS = AsciiString.cached("prompt-prefix");
+
+    /** Lower is more urgent. */
+    static final AsciiString URGENCY = AsciiString.cached("request-priority");
+
+    static final AsciiString STAGE = AsciiString.cached("stage");
+
+    /** Where the memory of a read prompt is fetched from: address, slash, handle. */
+    static final AsciiString MEMORY_FROM = AsciiString.cached("kv-from");
+
+    static final AsciiString MEMORY_FETCH = AsciiString.cached("kv-fetch");
+    static final AsciiString MEMORY_BACKUP = AsciiString.cached("kv-backup");
+    static final AsciiString HOLD = AsciiString.cached("kv-hold");
+    static final AsciiString PIN_MILLIS = AsciiString.cached("pin-ms");
+    static final AsciiString EXPECTED_WEIGHTS = AsciiString.cached("expect-version");
+    static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
+    static final AsciiString PROXY_CONNECTION = AsciiString.cached("proxy-connection");
+
+    private HeaderNames() {}
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -0,0 +1,174 @@
+package org.dogwoodwinch.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.QueryStringEncoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.follow.KeyedRecord;
+import org.dogwoodwinch.follow.KeyedStream;
+import org.dogwoodwinch.follow.ReadResult;
+import org.dogwoodwinch.relay.ControlCall;
+import org.dogwoodwinch.relay.ControlCaller;
+import org.dogwoodwinch.relay.ControlReply;
+
+/** Speaks to the platform's store. */
+public final class StoreClient {
+
+    /** Where the operator's configuration lies. */
+    public static final String OPERATOR_TOPIC = "keyed.op";
+
+    /** The key of the operator's configuration. */
+    public static final String CONFIGURATION_KEY = "config";
+
+    /** Where targets register themselves. */
+    public static final String TARGETS_TOPIC = "keyed.servers";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final int LENGTH_BYTES = 4;
+    private static final int READ_HEAD_BYTES = 16;
+
+    private final ControlCaller caller;
+    private final InetSocketAddress address;
+    private final long timeoutMillis;
+
+    /**
+     * Creates a client.
+     *
+     * @param caller makes the calls, not null
+     * @param address the store, not null
+     * @param timeoutMillis how long an answer may take beside the time that the store is asked to wait
+     */
+    public StoreClient(ControlCaller caller, InetSocketAddress address, long timeoutMillis) {
+        this.caller = Objects.requireNonNull(caller, "caller");
+        this.address = Objects.requireNonNull(address, "address");
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    /**
+     * Returns a keyed stream.
+     *
+     * @param topic its name, not null
+     * @return the stream of the topic's only partition
+     */
+    public KeyedStream keyed(String topic) {
+        return new KeyedStream() {
+            @Override
+            public CompletionStage<ReadResult> newest(Optional<String> afterKey) {
+                QueryStringEncoder uri = of("/log-newest", topic);
+                afterKey.ifPresent(key -> uri.addParam("after", key));
+                return get(uri, timeoutMillis).thenApply(StoreClient::page);
+            }
+
+            @Override
+            public CompletionStage<ReadResult> read(long fromOffset, long waitMillis) {
+                QueryStringEncoder uri = of("/log-read", topic);
+                uri.addParam("from", Long.toString(fromOffset));
+                uri.addParam("waitMs", Long.toString(waitMillis));
+                return get(uri, waitMillis + timeoutMillis).thenApply(reply -> batch(reply, fromOffset));
+            }
+        };
+    }
+
+    private static QueryStringEncoder of(String path, String topic) {
+        QueryStringEncoder uri = new QueryStringEncoder(path);
+        uri.addParam("topic", topic);
+        uri.addParam("part", "0");
+        return uri;
+    }
+
+    private CompletionStage<ControlReply> get(QueryStringEncoder uri, long timeout) {
+        return caller.call(
+                address,
+                new ControlCall(HttpMethod.GET, uri.toString(), EmptyHttpHeaders.INSTANCE, Bytes.EMPTY),
+                timeout);
+    }
+
+    private static ReadResult page(ControlReply reply) {
+        if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
+            return unavailable(reply);
+        }
+        try {
+            JsonNode root = JSON.readTree(answered.body().toByteArray());
+            List<KeyedRecord> records = new ArrayList<>();
+            for (JsonNode item : root.path("items")) {
+                Bytes value =
+                        Bytes.of(Base64.getDecoder().decode(item.path("value").asText()));
+                records.add(new KeyedRecord(
+                        item.path("key").asText(),
+                        item.path("offset").asLong(),
+                        value.length() == 0 ? Optional.empty() : Optional.of(value)));
+            }
+            return new ReadResult.Page(
+                    records,
+                    root.path("truncated").asBoolean(),
+                    root.path("end").asLong());
+        } catch (IOException | IllegalArgumentException e) {
+            return new ReadResult.Unavailable("page not understood: " + e.getMessage());
+        }
+    }
+
+    private static ReadResult batch(ControlReply reply, long fromOffset) {
+        if (reply instanceof ControlReply.Answered gone && gone.status() == GONE) {
+            return new ReadResult.Expired();
+        }
+        if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
+            return unavailable(reply);
+        }
+        return records(ByteBuffer.wrap(answered.body().toByteArray()), fromOffset);
+    }
+
+    private static ReadResult records(ByteBuffer raw, long fromOffset) {
+        if (raw.remaining() < READ_HEAD_BYTES) {
+            return new ReadResult.Unavailable("answer too short");
+        }
+        // The end of the partition and the first offset that is kept; where reading goes on follows from the records.
+        raw.getLong();
+        raw.getLong();
+        List<KeyedRecord> records = new ArrayList<>();
+        long offset = fromOffset;
+        while (raw.remaining() >= LENGTH_BYTES) {
+            int length = raw.getInt();
+            if (length < 1 || length > raw.remaining()) {
+                return new ReadResult.Unavailable("record of " + length + " bytes");
+            }
+            byte[] content = new byte[length];
+            raw.get(content);
+            records.add(keyed(content, offset));
+            offset++;
+        }
+        return new ReadResult.Batch(records, offset);
+    }
+
+    private static KeyedRecord keyed(byte[] content, long offset) {
+        int keyLength = Math.min(content[0] & 0xff, content.length - 1);
+        String key = new String(content, 1, keyLength, StandardCharsets.UTF_8);
+        int valueLength = content.length - 1 - keyLength;
+        if (valueLength == 0) {
+            return new KeyedRecord(key, offset, Optional.empty());
+        }
+        byte[] value = new byte[valueLength];
+        System.arraycopy(content, 1 + keyLength, value, 0, valueLength);
+        return new KeyedRecord(key, offset, Optional.of(Bytes.of(value)));
+    }
+
+    private static ReadResult unavailable(ControlReply reply) {
+        if (reply instanceof ControlReply.Answered answered) {
+            return new ReadResult.Unavailable("status " + answered.status());
+        }
+        return new ReadResult.Unavailable(((ControlReply.Lost) reply).reason());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/AnswerFacts.java
@@ -0,0 +1,30 @@
+package org.dogwoodwinch.relay;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a target states in the head of an answer.
+ *
+ * @param status the HTTP status
+ * @param requestId the id of the call that it answers, empty where it names none
+ * @param signed whether it bears the target's signature
+ * @param statesNotRun whether it states that the call did not run
+ * @param encoded whether the body is not the target's own bytes
+ * @param idleMillis how long the target keeps the connection without a call, empty where it does not say
+ */
+public record AnswerFacts(
+        int status,
+        Optional<String> requestId,
+        boolean signed,
+        boolean statesNotRun,
+        boolean encoded,
+        OptionalLong idleMillis) {
+
+    /** Checks. */
+    public AnswerFacts {
+        Objects.requireNonNull(requestId, "requestId");
+        Objects.requireNonNull(idleMillis, "idleMillis");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/AnswerSink.java
@@ -0,0 +1,33 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Takes the answer of one send as it arrives. After {@link #ended} or {@link #lost} nothing more comes. */
+public interface AnswerSink {
+
+    /**
+     * The head arrived, and it answers this call.
+     *
+     * @param facts what it states, not null
+     * @param headers its headers, not null
+     */
+    void head(AnswerFacts facts, HttpHeaders headers);
+
+    /**
+     * A piece of the body arrived.
+     *
+     * @param piece the bytes, not null; valid only during the call unless retained
+     */
+    void body(ByteBuf piece);
+
+    /** The answer is whole: its length was met, its last chunk seen, or its connection closed in order. */
+    void ended();
+
+    /**
+     * The answer will not come, or not its rest.
+     *
+     * @param reason what happened, for logs and counters, not null
+     */
+    void lost(String reason);
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -0,0 +1,434 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.CallProgress;
+import org.dogwoodwinch.forwarding.ChoiceQuery;
+import org.dogwoodwinch.forwarding.NextStep;
+import org.dogwoodwinch.forwarding.Plan;
+import org.dogwoodwinch.forwarding.Prompt;
+import org.dogwoodwinch.forwarding.RouteKind;
+import org.dogwoodwinch.forwarding.SendOutcome;
+import org.dogwoodwinch.forwarding.ServiceEntry;
+import org.dogwoodwinch.forwarding.ServiceRoute;
+import org.dogwoodwinch.time.Cancellable;
+
+/**
+ * The life of one call: sends it, judges what comes back, sends it again where that is safe, and gives the caller
+ * exactly one answer. Used on one event loop alone.
+ */
+final class CallRelay implements AnswerSink, OpenCall {
+
+    /** A plain answer up to this size is held until it is whole, so that a cut one can still become another answer. */
+    private static final int HELD_BODY_BYTES = 262_144;
+
+    private enum State {
+        SENDING,
+        STREAMING,
+        DONE
+    }
+
+    private final RelayParts parts;
+    private final IncomingCall call;
+    private final CallFacts facts;
+    private final ServiceRoute route;
+    private final ServiceEntry service;
+    private final CallerSide caller;
+    private final long limitMillis;
+    private final Runnable onDone;
+    private final Set<String> triedIds = new HashSet<>();
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+    private State state = State.SENDING;
+    private Cancellable limit;
+    private Plan plan;
+    private TargetConnection connection;
+    private boolean inFlight;
+    private AnswerFacts answer;
+    private HttpHeaders answerHeaders;
+    private EventFramer events;
+    private int sendsCount;
+    private int failedConnectsCount;
+    private boolean mayHaveRun;
+    private boolean promptUnread;
+
+    /**
+     * Creates a relay that does nothing yet.
+     *
+     * @param parts what all relays share, not null
+     * @param call the request, not null
+     * @param facts what its headers state, with a request id, not null
+     * @param route its route, not null
+     * @param service the service chosen for it, not null
+     * @param caller gets the answer, not null
+     * @param onDone told once when the call has ended in any way, not null
+     */
+    CallRelay(
+            RelayParts parts,
+            IncomingCall call,
+            CallFacts facts,
+            ServiceRoute route,
+            ServiceEntry service,
+            CallerSide caller,
+            Runnable onDone) {
+        this.parts = Objects.requireNonNull(parts, "parts");
+        this.call = Objects.requireNonNull(call, "call");
+        this.facts = Objects.requireNonNull(facts, "facts");
+        this.route = Objects.requireNonNull(route, "route");
+        this.service = Objects.requireNonNull(service, "service");
+        this.caller = Objects.requireNonNull(caller, "caller");
+        this.onDone = Objects.requireNonNull(onDone, "onDone");
+        this.limitMillis = call.arrivalMillis()
+                + Math.min(route.timeoutMillis(), facts.deadlineMillis().orElse(Long.MAX_VALUE));
+        this.events = new EventFramer(facts.lastEventId());
+    }
+
+    /** Begins. */
+    void start() {
+        parts.budget().countRequest(service.name(), nowMillis());
+        limit = parts.time().schedule(remainingMillis(), this::limitReached);
+        attempt();
+    }
+
+    @Override
+    public void callerGone() {
+        if (state == State.DONE) {
+            return;
+        }
+        parts.report().callerGone(this);
+        done();
+    }
+
+    @Override
+    public void callerReady() {
+        if (inFlight && connection != null) {
+            connection.reading(true);
+        }
+    }
+
+    String requestId() {
+        return facts.requestId().orElse("");
+    }
+
+    ServiceRoute route() {
+        return route;
+    }
+
+    String serviceName() {
+        return service.name();
+    }
+
+    Optional<String> targetId() {
+        return Optional.ofNullable(plan).map(chosen -> chosen.target().id());
+    }
+
+    int sendsCount() {
+        return sendsCount;
+    }
+
+    long ageMillis() {
+        return nowMillis() - call.arrivalMillis();
+    }
+
+    private long nowMillis() {
+        return parts.time().monotonicMillis();
+    }
+
+    private long remainingMillis() {
+        return limitMillis - nowMillis();
+    }
+
+    private void attempt() {
+        Optional<Plan> chosen = parts.chooser()
+                .choose(new ChoiceQuery(service, facts.prompt(), triedIds, remainingMillis(), nowMillis()));
+        if (chosen.isEmpty()) {
+            parts.report().noTarget(this);
+            giveUp("no_target", parts.retryPolicy().retryAfterMillis());
+            return;
+        }
+        plan = chosen.get();
+        parts.connections().take(plan.target(), parts.connectionsPerTarget(service), new TargetConnections.Taker() {
+            @Override
+            public void took(TargetConnection taken) {
+                send(taken);
+            }
+
+            @Override
+            public void failed(String reason) {
+                failedConnectsCount++;
+                triedIds.add(plan.target().id());
+                ended(new SendOutcome.NotSent(reason));
+            }
+        });
+    }
+
+    private void send(TargetConnection taken) {
+        if (state == State.DONE) {
+            parts.connections().giveBack(taken);
+            return;
+        }
+        long remaining = remainingMillis();
+        if (remaining <= 0) {
+            parts.connections().giveBack(taken);
+            limitReached();
+            return;
+        }
+        connection = taken;
+        triedIds.add(plan.target().id());
+        sendsCount++;
+        inFlight = true;
+        answer = null;
+        answerHeaders = null;
+        held.reset();
+        promptUnread = true;
+        parts.loads().sent(plan.target().id(), promptTokens());
+        SendFacts sending = new SendFacts(
+                plan.target(),
+                remaining,
+                facts.prompt().map(_prompt -> route.urgency()),
+                false,
+                Optional.empty(),
+                events.lastEventId());
+        HttpHeaders headers = parts.callHeaders().forSend(call.headers(), sending);
+        taken.send(new OutboundCall(requestId(), call.method(), call.uri(), headers, call.body(), call.framed()), this);
+    }
+
+    private int promptTokens() {
+        return facts.prompt().map(Prompt::inputTokens).orElse(0);
+    }
+
+    @Override
+    public void head(AnswerFacts answerFacts, HttpHeaders headers) {
+        answer = answerFacts;
+        answerHeaders = headers;
+    }
+
+    @Override
+    public void body(ByteBuf piece) {
+        if (state == State.DONE) {
+            return;
+        }
+        promptRead();
+        if (!success()) {
+            hold(piece);
+        } else if (route.kind() == RouteKind.STREAM) {
+            stream(piece);
+        } else if (state == State.STREAMING) {
+            relay(piece.retain());
+        } else {
+            hold(piece);
+            if (held.size() > HELD_BODY_BYTES) {
+                beginAnswer();
+                relay(parts.copy(held.toByteArray()));
+                held.reset();
+            }
+        }
+    }
+
+    private void stream(ByteBuf piece) {
+        if (!route.resumable()) {
+            beginAnswer();
+            relay(piece.retain());
+            return;
+        }
+        // What may be followed by the rest of another run must end with a whole event.
+        byte[] whole = events.take(piece);
+        if (whole.length > 0) {
+            beginAnswer();
+            relay(parts.copy(whole));
+        }
+    }
+
+    private void beginAnswer() {
+        if (state == State.SENDING) {
+            state = State.STREAMING;
+            parts.report().firstByte(this);
+            caller.begin(answer.status(), parts.callHeaders().forCaller(answerHeaders));
+        }
+    }
+
+    private void relay(ByteBuf piece) {
+        caller.piece(piece);
+        if (!caller.ready()) {
+            connection.reading(false);
+        }
+    }
+
+    private void hold(ByteBuf piece) {
+        try {
+            piece.getBytes(piece.readerIndex(), held, piece.readableBytes());
+        } catch (IOException e) {
+            throw new IllegalStateException("memory cannot fail to take bytes", e);
+        }
+        if (held.size() > HELD_BODY_BYTES && !success()) {
+            abandonSend();
+            ended(new SendOutcome.Unknown("failure_too_long"));
+        }
+    }
+
+    @Override
+    public void ended() {
+        sendEnded();
+        if (state == State.DONE) {
+            return;
+        }
+        if (success()) {
+            succeeded();
+        } else {
+            ended(judge());
+        }
+    }
+
+    /** A success counts with the target's signature alone and with the target's own bytes. */
+    private boolean success() {
+        return answer.status() / 100 == 2
+                && answer.signed()
+                && !answer.encoded()
+                && answer.requestId().isPresent();
+    }
+
+    private SendOutcome judge() {
+        if (answer.statesNotRun() || answer.status() == 421) {
+            return new SendOutcome.Rejected(answer.status(), answer.status() == 421);
+        }
+        if (answer.status() / 100 == 2) {
+            return new SendOutcome.Unknown("success_not_proved");
+        }
+        if (answer.status() == 429 || OwnAnswers.promisesNotRun(answer.status())) {
+            // Handed on it would promise the caller what the target did not promise.
+            return new SendOutcome.Unknown("refusal_not_proved");
+        }
+        return new SendOutcome.RanAndFailed(answer.status());
+    }
+
+    private void succeeded() {
+        if (route.kind() == RouteKind.STREAM && route.resumable() && events.partial()) {
+            // An orderly end in the midst of an event: the rest of the event is missing.
+            ended(new SendOutcome.Unknown("cut_event"));
+            return;
+        }
+        parts.report().succeeded(this);
+        if (state == State.STREAMING) {
+            caller.complete();
+        } else {
+            caller.answer(answer.status(), parts.callHeaders().forCaller(answerHeaders), Bytes.of(held.toByteArray()));
+        }
+        done();
+    }
+
+    @Override
+    public void lost(String reason) {
+        sendEnded();
+        if (state != State.DONE) {
+            ended(new SendOutcome.Unknown(reason));
+        }
+    }
+
+    private void ended(SendOutcome outcome) {
+        if (state == State.DONE) {
+            return;
+        }
+        boolean ran = outcome instanceof SendOutcome.Unknown || outcome instanceof SendOutcome.RanAndFailed;
+        mayHaveRun |= ran;
+        if (!(outcome instanceof SendOutcome.NotSent)) {
+            events.dropPartial();
+        }
+        NextStep step = parts.retryPolicy()
+                .after(
+                        outcome,
+                        new CallProgress(
+                                route.idempotent(),
+                                sendsCount,
+                                failedConnectsCount,
+                                route.maxAttemptsCount(),
+                                remainingMillis(),
+                                mayHaveRun),
+                        () -> parts.budget().takeRepeat(service.name(), nowMillis()));
+        parts.report().sendFailed(this, outcome, step);
+        follow(outcome, step);
+    }
+
+    private void follow(SendOutcome outcome, NextStep step) {
+        if (step instanceof NextStep.SendAgain) {
+            attempt();
+        } else if (state == State.STREAMING) {
+            caller.breakOff();
+            done();
+        } else if (step instanceof NextStep.Refuse refuse) {
+            giveUp("not_run", refuse.retryAfterMillis());
+        } else if (step instanceof NextStep.RelayFailure && outcome instanceof SendOutcome.RanAndFailed) {
+            caller.answer(answer.status(), parts.callHeaders().forCaller(answerHeaders), Bytes.of(held.toByteArray()));
+            done();
+        } else {
+            OwnAnswers.write(caller, OwnAnswers.BAD_GATEWAY, "may have run");
+            done();
+        }
+    }
+
+    private void limitReached() {
+        if (state == State.DONE) {
+            return;
+        }
+        boolean unknown = mayHaveRun || inFlight;
+        parts.report().limitReached(this, unknown);
+        if (state == State.STREAMING) {
+            caller.breakOff();
+        } else if (unknown) {
+            OwnAnswers.write(caller, OwnAnswers.GATEWAY_TIMEOUT, "may have run");
+        } else {
+            OwnAnswers.refuse(caller, OwnAnswers.UNAVAILABLE, "not run", 0);
+        }
+        done();
+    }
+
+    /** Ends the call without having been run; after an unknown send nothing may be promised. */
+    private void giveUp(String reason, long retryAfterMillis) {
+        if (state == State.STREAMING) {
+            caller.breakOff();
+        } else if (mayHaveRun) {
+            OwnAnswers.write(caller, OwnAnswers.BAD_GATEWAY, "may have run");
+        } else {
+            OwnAnswers.refuse(caller, OwnAnswers.UNAVAILABLE, reason, retryAfterMillis);
+        }
+        done();
+    }
+
+    private void promptRead() {
+        if (promptUnread) {
+            promptUnread = false;
+            parts.loads().read(plan.target().id(), promptTokens());
+        }
+    }
+
+    private void sendEnded() {
+        if (inFlight) {
+            promptRead();
+            inFlight = false;
+            connection = null;
+            parts.loads().ended(plan.target().id());
+        }
+    }
+
+    private void abandonSend() {
+        if (inFlight) {
+            connection.abort();
+            sendEnded();
+        }
+    }
+
+    private void done() {
+        if (state == State.DONE) {
+            return;
+        }
+        state = State.DONE;
+        limit.cancel();
+        abandonSend();
+        onDone.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/ControlCaller.java
@@ -0,0 +1,222 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.http.Channels;
+import org.dogwoodwinch.time.Cancellable;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * Calls with short answers: to the platform's store and to the control interfaces of targets. Each has a time bound, as
+ * a connection may go silent for good; one that was late is closed and never used again. Used on one event loop alone.
+ */
+public final class ControlCaller {
+
+    private static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+    private final Transport transport;
+    private final EventLoop loop;
+    private final TimeSource time;
+    private final ConnectionPolicy policy;
+    private final Map<InetSocketAddress, Deque<Line>> idle = new HashMap<>();
+
+    /**
+     * Creates a caller without connections.
+     *
+     * @param transport the sockets, not null
+     * @param loop runs everything, not null
+     * @param time bounds the calls, not null
+     * @param policy the connections' times, not null
+     */
+    public ControlCaller(Transport transport, EventLoop loop, TimeSource time, ConnectionPolicy policy) {
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.loop = Objects.requireNonNull(loop, "loop");
+        this.time = Objects.requireNonNull(time, "time");
+        this.policy = Objects.requireNonNull(policy, "policy");
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param address the peer, not null
+     * @param call the call, not null
+     * @param timeoutMillis how long the answer may take, opening a connection included
+     * @return completes on the event loop, never exceptionally
+     */
+    public CompletionStage<ControlReply> call(InetSocketAddress address, ControlCall call, long timeoutMillis) {
+        Exchange exchange = new Exchange(call, time);
+        exchange.bound(timeoutMillis);
+        Line kept = takeIdle(address);
+        if (kept != null) {
+            kept.send(exchange);
+        } else {
+            open(address, exchange);
+        }
+        return exchange.reply;
+    }
+
+    private Line takeIdle(InetSocketAddress address) {
+        Deque<Line> lines = idle.get(address);
+        if (lines == null) {
+            return null;
+        }
+        Line line = lines.pollFirst();
+        while (line != null && !line.channel.isActive()) {
+            line = lines.pollFirst();
+        }
+        if (lines.isEmpty()) {
+            idle.remove(address);
+        }
+        return line;
+    }
+
+    private void open(InetSocketAddress address, Exchange exchange) {
+        Line line = new Line(address);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(transport.channel())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, policy.connectTimeoutMillis())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER_BYTES), line);
+                    }
+                });
+        transport.setUnacknowledgedTimeout(bootstrap, policy.unacknowledgedMillis());
+        ChannelFuture connecting = bootstrap.connect(address);
+        connecting.addListener(_done -> {
+            if (!connecting.isSuccess()) {
+                exchange.end(new ControlReply.Lost("connect_failed"));
+            } else if (exchange.reply.isDone()) {
+                keep(line);
+            } else {
+                line.send(exchange);
+            }
+        });
+    }
+
+    private void keep(Line line) {
+        if (line.channel.isActive()) {
+            idle.computeIfAbsent(line.address, _address -> new ArrayDeque<>()).addFirst(line);
+        }
+    }
+
+    private static final class Exchange {
+        private final ControlCall call;
+        private final TimeSource time;
+        private final CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+        private Line line;
+        private Cancellable bound;
+
+        Exchange(ControlCall call, TimeSource time) {
+            this.call = call;
+            this.time = time;
+        }
+
+        void bound(long timeoutMillis) {
+            bound = time.schedule(timeoutMillis, () -> {
+                if (line != null) {
+                    Channels.close(line.channel);
+                }
+                end(new ControlReply.Lost("timeout"));
+            });
+        }
+
+        void end(ControlReply outcome) {
+            bound.cancel();
+            reply.complete(outcome);
+        }
+    }
+
+    private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final InetSocketAddress address;
+        private Channel channel;
+        private Exchange current;
+
+        Line(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            channel = context.channel();
+        }
+
+        void send(Exchange exchange) {
+            current = exchange;
+            exchange.line = this;
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    exchange.call.method(),
+                    exchange.call.uri(),
+                    Unpooled.wrappedBuffer(exchange.call.body().toByteArray()));
+            request.headers().set(exchange.call.headers());
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+            HttpUtil.setContentLength(request, exchange.call.body().length());
+            Channels.writeAndFlush(channel, request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext _context, FullHttpResponse response) {
+            Exchange done = current;
+            current = null;
+            boolean usable = done != null && response.decoderResult().isSuccess();
+            if (usable && HttpUtil.isKeepAlive(response)) {
+                keep(this);
+            } else {
+                Channels.close(channel);
+            }
+            if (usable) {
+                Bytes body = Bytes.of(ByteBufUtil.getBytes(response.content()));
+                done.end(new ControlReply.Answered(response.status().code(), body));
+            } else if (done != null) {
+                done.end(new ControlReply.Lost("garbled"));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext _context) {
+            lose("connection_closed");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext _context, Throwable cause) {
+            lose("connection_failed: " + cause);
+            Channels.close(channel);
+        }
+
+        private void lose(String reason) {
+            Exchange lost = current;
+            current = null;
+            if (lost != null) {
+                lost.end(new ControlReply.Lost(reason));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/EventFramer.java
@@ -0,0 +1,80 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Cuts a stream of events at their ends and remembers the id of the last whole one.
+ *
+ * <p>Failure: a target crashes in the middle of an event and another goes on after the last whole one; the caller would
+ * get half an event, then a new one. So only whole events are passed on.
+ */
+final class EventFramer {
+
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+    private byte[] pending = new byte[0];
+    private Optional<String> lastEventId;
+
+    EventFramer(Optional<String> lastEventId) {
+        this.lastEventId = Objects.requireNonNull(lastEventId, "lastEventId");
+    }
+
+    /** The id after which another target has to go on; empty before the first event. */
+    Optional<String> lastEventId() {
+        return lastEventId;
+    }
+
+    /** Whether bytes of an event came without its end. */
+    boolean partial() {
+        return pending.length > 0;
+    }
+
+    void dropPartial() {
+        pending = new byte[0];
+    }
+
+    /**
+     * Takes a piece and returns what is whole by now.
+     *
+     * @param piece the next bytes, not null; not consumed
+     * @return whole events, empty where none ended
+     */
+    byte[] take(ByteBuf piece) {
+        byte[] all = Arrays.copyOf(pending, pending.length + piece.readableBytes());
+        piece.getBytes(piece.readerIndex(), all, pending.length, piece.readableBytes());
+        int end = 0;
+        int lineStart = 0;
+        Optional<String> idOfEvent = Optional.empty();
+        for (int i = 0; i < all.length; i++) {
+            if (all[i] != '\n') {
+                continue;
+            }
+            int lineEnd = i > lineStart && all[i - 1] == '\r' ? i - 1 : i;
+            if (lineEnd == lineStart) {
+                end = i + 1;
+                lastEventId = idOfEvent.isPresent() ? idOfEvent : lastEventId;
+                idOfEvent = Optional.empty();
+            } else {
+                Optional<String> id = idIn(all, lineStart, lineEnd);
+                idOfEvent = id.isPresent() ? id : idOfEvent;
+            }
+            lineStart = i + 1;
+        }
+        byte[] whole = Arrays.copyOf(all, end);
+        pending = Arrays.copyOfRange(all, end, all.length);
+        return whole;
+    }
+
+    private static Optional<String> idIn(byte[] all, int start, int end) {
+        if (end - start < ID_FIELD.length
+                || !Arrays.equals(all, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
+            return Optional.empty();
+        }
+        int valueStart = start + ID_FIELD.length;
+        return Optional.of(new String(all, valueStart, end - valueStart, StandardCharsets.UTF_8).strip());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/EventLoopTime.java
@@ -0,0 +1,56 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.time.Cancellable;
+import org.dogwoodwinch.time.SystemTimeSource;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The runtime's clocks, with timers on one event loop: what they touch needs no lock. */
+public final class EventLoopTime implements TimeSource {
+
+    private static final Logger log = LoggerFactory.getLogger(EventLoopTime.class);
+
+    private final EventLoop loop;
+
+    /**
+     * Creates a time source.
+     *
+     * @param loop runs the timers, not null
+     */
+    public EventLoopTime(EventLoop loop) {
+        this.loop = Objects.requireNonNull(loop, "loop");
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return SystemTimeSource.runtimeNanos();
+    }
+
+    @Override
+    public long wallMillis() {
+        return SystemTimeSource.runtimeWallMillis();
+    }
+
+    @Override
+    public Cancellable schedule(long delayMillis, Runnable task) {
+        ScheduledFuture<?> future =
+                loop.schedule(() -> runLogged(task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+        return () -> future.cancel(false);
+    }
+
+    /** A timer whose failure stays in a future that nobody reads would stop its work without a word. */
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            LogEvent.of("timer_failed").with("error", e).warn(log);
+            throw e;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -0,0 +1,148 @@
+package org.dogwoodwinch.relay;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+
+/** Counters and histograms of forwarded calls, on a registry of their own. */
+public final class ForwardingMetrics {
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+    private static final double[] LATENCY_SECONDS = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 15
+    };
+
+    private final PrometheusRegistry registry;
+    private final Counter answers;
+    private final Counter refusals;
+    private final Counter failedSends;
+    private final Counter callersGone;
+    private final Counter connections;
+    private final Gauge configurationVersion;
+    private final Gauge targets;
+    private final Gauge storeReachable;
+    private final Histogram firstByte;
+    private final Histogram whole;
+
+    /**
+     * Registers the metrics.
+     *
+     * @param registry where they are registered, not null; not shared between daemons of one process
+     */
+    public ForwardingMetrics(PrometheusRegistry registry) {
+        this.registry = Objects.requireNonNull(registry, "registry");
+        this.answers =
+                counter("dogwoodwinch_forwarded_answers_total", "Calls answered whole, by kind of route.", "kind");
+        this.refusals = counter(
+                "dogwoodwinch_forwarded_refusals_total",
+                "Calls that ended without a target's answer, by status and reason.",
+                "status",
+                "reason");
+        this.failedSends = counter(
+                "dogwoodwinch_forwarded_sends_failed_total",
+                "Sends that gave no success, by what is known of them, the reason and what followed.",
+                "known",
+                "reason",
+                "next");
+        this.callersGone = counter(
+                "dogwoodwinch_forwarded_callers_gone_total", "Callers that left before their answer's end.", "kind");
+        this.connections = counter("dogwoodwinch_target_connections_opened_total", "Connections opened to targets.");
+        this.configurationVersion =
+                gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
+        this.targets = gauge("dogwoodwinch_targets_ready", "Targets that may get new work.");
+        this.storeReachable = gauge("dogwoodwinch_store_reachable", "1 while the platform's store answers.");
+        this.firstByte = histogram("dogwoodwinch_forwarded_first_byte_seconds", "Arrival to the answer's first byte.");
+        this.whole = histogram("dogwoodwinch_forwarded_whole_seconds", "Arrival to the answer's end.");
+        configurationVersion.set(-1);
+    }
+
+    /**
+     * Writes all metrics as text.
+     *
+     * @return the Prometheus text format
+     */
+    public String text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException("memory cannot fail to take bytes", e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Shows the configuration in force.
+     *
+     * @param version its version
+     */
+    public void showConfiguration(long version) {
+        configurationVersion.set((double) version);
+    }
+
+    /**
+     * Shows how many targets may get new work.
+     *
+     * @param count the targets
+     */
+    public void showTargets(int count) {
+        targets.set(count);
+    }
+
+    /**
+     * Shows whether the store answers.
+     *
+     * @param reachable whether the last call was answered
+     */
+    public void showStore(boolean reachable) {
+        storeReachable.set(reachable ? 1 : 0);
+    }
+
+    void answered(String kind, long millis) {
+        answers.labelValues(kind).inc();
+        whole.observe(millis / MILLIS_PER_SECOND);
+    }
+
+    void firstByte(long millis) {
+        firstByte.observe(millis / MILLIS_PER_SECOND);
+    }
+
+    void refused(int status, String reason) {
+        refusals.labelValues(Integer.toString(status), reason).inc();
+    }
+
+    void sendFailed(String known, String reason, String next) {
+        failedSends.labelValues(known, reason, next).inc();
+    }
+
+    void callerGone(String kind) {
+        callersGone.labelValues(kind).inc();
+    }
+
+    void connectionOpened() {
+        connections.inc();
+    }
+
+    private Counter counter(String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).register(registry);
+    }
+
+    private Histogram histogram(String name, String help) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .classicOnly()
+                .classicUpperBounds(LATENCY_SECONDS)
+                .register(registry);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -0,0 +1,283 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.forwarding.CallerLimits;
+import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.RetryBudget;
+import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.RouteTable;
+import org.dogwoodwinch.forwarding.ServiceEntry;
+import org.dogwoodwinch.forwarding.ServiceRoute;
+import org.dogwoodwinch.forwarding.TargetChooser;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Forwards calls by the configuration in force. Used on one event loop alone. */
+public final class ForwardingService implements CallerIntake {
+
+    private static final Logger log = LoggerFactory.getLogger(ForwardingService.class);
+
+    private final CallHeaders callHeaders;
+    private final UniformRandomProvider random;
+    private final RelayParts parts;
+    private final RelayReport report;
+    private final FrontListener listener;
+    private int openCount;
+    private Optional<RouteTable> table = Optional.empty();
+    private boolean leaving;
+
+    /**
+     * Creates a service that does not listen yet.
+     *
+     * @param transport its sockets, not null
+     * @param time the event loop's clock and timers, not null
+     * @param callHeaders reads and writes headers, not null
+     * @param random chooses among services and targets, not null
+     * @param policy the connections' times, not null
+     * @param decisions what decides, not null
+     * @param metrics counts, not null
+     */
+    public ForwardingService(
+            Transport transport,
+            TimeSource time,
+            CallHeaders callHeaders,
+            UniformRandomProvider random,
+            ConnectionPolicy policy,
+            Decisions decisions,
+            ForwardingMetrics metrics) {
+        this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
+        this.random = Objects.requireNonNull(random, "random");
+        this.report = new LoggingReport(metrics);
+        this.parts = new RelayParts(
+                time,
+                callHeaders,
+                new TargetConnections(
+                        transport, transport.group().next(), callHeaders, time, policy, metrics::connectionOpened),
+                decisions.chooser(),
+                decisions.loads(),
+                decisions.retryPolicy(),
+                decisions.budget(),
+                report,
+                decisions.mostInstancesCount());
+        this.listener = new FrontListener(transport, this, time);
+    }
+
+    /**
+     * What decides about calls.
+     *
+     * @param chooser chooses targets, not null
+     * @param loads what is under way at targets, not null
+     * @param retryPolicy decides what follows on a failed send, not null
+     * @param budget bounds repeats, not null
+     * @param mostInstancesCount the most instances that may share a target's connections
+     */
+    public record Decisions(
+            TargetChooser chooser,
+            LoadBook loads,
+            RetryPolicy retryPolicy,
+            RetryBudget budget,
+            int mostInstancesCount) {}
+
+    /**
+     * Listens for callers.
+     *
+     * @param address where, not null
+     * @throws IOException if the address cannot be bound
+     */
+    public void listen(InetSocketAddress address) throws IOException {
+        listener.bind(address);
+    }
+
+    /**
+     * Returns the port that callers connect to.
+     *
+     * @return the port
+     */
+    public int port() {
+        return listener.port();
+    }
+
+    /**
+     * Listens for short questions such as the balancer's.
+     *
+     * @param transport the sockets, not null
+     * @param address where, not null
+     * @param ready whether the instance is ready, asked each time, not null
+     * @return the listening channel
+     * @throws IOException if the address cannot be bound
+     */
+    public static Channel listenReady(Transport transport, InetSocketAddress address, Supplier<Boolean> ready)
+            throws IOException {
+        return ReadyListener.bind(transport, address, _path -> {
+            boolean now = ready.get();
+            return new ReadyListener.Page(
+                    now ? 200 : OwnAnswers.UNAVAILABLE, "text/plain", now ? "ready" : "not ready");
+        });
+    }
+
+    /**
+     * Shows metrics.
+     *
+     * @param transport the sockets, not null
+     * @param address where, not null
+     * @param metrics what is shown, not null
+     * @return the listening channel
+     * @throws IOException if the address cannot be bound
+     */
+    public static Channel listenMetrics(Transport transport, InetSocketAddress address, ForwardingMetrics metrics)
+            throws IOException {
+        return ReadyListener.bind(
+                transport, address, _path -> new ReadyListener.Page(200, "text/plain; version=0.0.4", metrics.text()));
+    }
+
+    /**
+     * Puts a configuration in force unless it is older than the one in force.
+     *
+     * @param fresh the configuration, not null
+     * @return whether it was put in force
+     */
+    public boolean configure(RouteTable fresh) {
+        if (table.isPresent() && table.get().version() >= fresh.version()) {
+            return false;
+        }
+        table = Optional.of(fresh);
+        return true;
+    }
+
+    /**
+     * Says whether a configuration is in force.
+     *
+     * @return false before the first one
+     */
+    public boolean configured() {
+        return table.isPresent();
+    }
+
+    /**
+     * Closes the kept connections of a target that is gone.
+     *
+     * @param targetId its id, not null
+     */
+    public void forgetTarget(String targetId) {
+        parts.connections().forget(targetId);
+    }
+
+    /** From now on answers ask callers to use other connections. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Takes no more connections and closes those on which nothing is under way. */
+    public void stopAccepting() {
+        listener.stopAccepting();
+        listener.closeIdle();
+    }
+
+    /** Closes the connections on which nothing is under way. */
+    public void closeIdle() {
+        listener.closeIdle();
+    }
+
+    /**
+     * Returns the calls under way.
+     *
+     * @return how many have no complete answer yet
+     */
+    public int openCount() {
+        return openCount;
+    }
+
+    /**
+     * Returns the connections of callers.
+     *
+     * @return how many are open
+     */
+    public int callersCount() {
+        return listener.connectionsCount();
+    }
+
+    @Override
+    public CallerLimits limits() {
+        return table.map(RouteTable::limits).orElse(CallerLimits.INITIAL);
+    }
+
+    @Override
+    public boolean leaving() {
+        return leaving;
+    }
+
+    @Override
+    public void refused(int status, String reason) {
+        report.refusedEarly("", status, reason);
+    }
+
+    @Override
+    public OpenCall take(IncomingCall call, CallerSide caller, Runnable onDone) {
+        CallFacts facts = callHeaders.readCall(call.headers());
+        if (table.isEmpty()) {
+            return refuse(facts, caller, onDone, OwnAnswers.UNAVAILABLE, "no configuration yet");
+        }
+        RouteTable current = table.get();
+        Optional<ServiceRoute> route = current.find(call.headers().get("host"), call.uri());
+        if (route.isEmpty()) {
+            return refuse(facts, caller, onDone, OwnAnswers.NOT_FOUND, "no route");
+        }
+        if (facts.requestId().isEmpty()) {
+            return refuse(facts, caller, onDone, OwnAnswers.BAD_REQUEST, "one request id is needed");
+        }
+        String serviceName = route.get().chooseService(random.nextDouble());
+        Optional<ServiceEntry> service = current.service(serviceName);
+        if (service.isEmpty()) {
+            return refuse(facts, caller, onDone, OwnAnswers.UNAVAILABLE, "unknown service");
+        }
+        return begin(call, facts, route.get(), service.get(), caller, onDone);
+    }
+
+    private OpenCall begin(
+            IncomingCall call,
+            CallFacts facts,
+            ServiceRoute route,
+            ServiceEntry service,
+            CallerSide caller,
+            Runnable onDone) {
+        CallRelay relay = new CallRelay(parts, call, facts, route, service, caller, () -> {
+            openCount--;
+            onDone.run();
+        });
+        openCount++;
+        relay.start();
+        return relay;
+    }
+
+    private OpenCall refuse(CallFacts facts, CallerSide caller, Runnable onDone, int status, String reason) {
+        report.refusedEarly(facts.requestId().orElse(""), status, reason);
+        if (OwnAnswers.promisesNotRun(status)) {
+            OwnAnswers.refuse(caller, status, reason, parts.retryPolicy().retryAfterMillis());
+        } else {
+            OwnAnswers.write(caller, status, reason);
+        }
+        onDone.run();
+        return OpenCall.NONE;
+    }
+
+    /**
+     * Logs what is held.
+     *
+     * @param event the event's name, not null
+     */
+    public void logState(String event) {
+        LogEvent.of(event)
+                .with("open", openCount)
+                .with("callers", listener.connectionsCount())
+                .with("version", table.map(RouteTable::version).orElse(-1L))
+                .info(log);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/FrontListener.java
@@ -0,0 +1,112 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelId;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import org.dogwoodwinch.forwarding.CallerLimits;
+import org.dogwoodwinch.http.Channels;
+import org.dogwoodwinch.time.TimeSource;
+
+/** The listener of forwarded calls. */
+final class FrontListener {
+
+    /** The queue of connections that wait to be accepted: one that is dropped there comes back after a second. */
+    private static final int BACKLOG = 1_024;
+
+    private final Transport transport;
+    private final CallerIntake intake;
+    private final TimeSource time;
+    private final Map<ChannelId, CallerConnection> connections = new HashMap<>();
+    private Channel listener;
+
+    FrontListener(Transport transport, CallerIntake intake, TimeSource time) {
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.intake = Objects.requireNonNull(intake, "intake");
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /**
+     * Binds it.
+     *
+     * @param address where to listen; port 0 for any free one, not null
+     * @throws IOException if the address cannot be bound
+     */
+    void bind(InetSocketAddress address) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(transport.group())
+                .channel(transport.serverChannel())
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accept(channel);
+                    }
+                });
+        ChannelFuture binding = bootstrap.bind(address).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IOException("cannot listen on " + address, binding.cause());
+        }
+        listener = binding.channel();
+    }
+
+    int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    int connectionsCount() {
+        return connections.size();
+    }
+
+    /** Takes no more connections; those open go on. */
+    void stopAccepting() {
+        Channels.close(listener);
+    }
+
+    /** Closes the connections on which nothing is under way. */
+    void closeIdle() {
+        for (CallerConnection connection : List.copyOf(connections.values())) {
+            if (connection.idle()) {
+                connection.close();
+            }
+        }
+    }
+
+    private void accept(Channel channel) {
+        CallerLimits limits = intake.limits();
+        CallerConnection connection = new CallerConnection(intake, time, limits);
+        connections.put(channel.id(), connection);
+        channel.closeFuture().addListener(_closed -> connections.remove(channel.id()));
+        channel.pipeline()
+                .addLast(new ArrivalNote(connection))
+                .addLast(new HttpResponseEncoder(), new StrictRequestDecoder(limits), connection);
+    }
+
+    /** Notes when the first byte of a request arrives: its deadline runs from there, not from the end of its body. */
+    private static final class ArrivalNote extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        ArrivalNote(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            connection.bytesArrived();
+            context.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -0,0 +1,109 @@
+package org.dogwoodwinch.relay;
+
+import java.util.Locale;
+import java.util.Objects;
+import org.dogwoodwinch.forwarding.NextStep;
+import org.dogwoodwinch.forwarding.SendOutcome;
+import org.dogwoodwinch.logging.LogEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Counts every decision about a call and logs those that are no routine success. */
+final class LoggingReport implements RelayReport {
+
+    private static final Logger log = LoggerFactory.getLogger(LoggingReport.class);
+
+    private final ForwardingMetrics metrics;
+
+    LoggingReport(ForwardingMetrics metrics) {
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+    }
+
+    @Override
+    public void refusedEarly(String requestId, int status, String reason) {
+        metrics.refused(status, reason);
+        LogEvent.of("call_refused")
+                .with("request", requestId)
+                .with("status", status)
+                .with("reason", reason)
+                .info(log);
+    }
+
+    @Override
+    public void noTarget(CallRelay call) {
+        metrics.refused(OwnAnswers.UNAVAILABLE, "no_target");
+        about("no_target", call).info(log);
+    }
+
+    @Override
+    public void sendFailed(CallRelay call, SendOutcome outcome, NextStep step) {
+        String known = known(outcome);
+        String reason = reason(outcome);
+        String next = step.getClass().getSimpleName();
+        metrics.sendFailed(known, reason, next);
+        about("send_failed", call)
+                .with("known", known)
+                .with("reason", reason)
+                .with("next", next)
+                .info(log);
+    }
+
+    @Override
+    public void limitReached(CallRelay call, boolean mayHaveRun) {
+        metrics.refused(mayHaveRun ? OwnAnswers.GATEWAY_TIMEOUT : OwnAnswers.UNAVAILABLE, "time_limit");
+        about("time_limit", call).with("mayHaveRun", mayHaveRun).info(log);
+    }
+
+    @Override
+    public void firstByte(CallRelay call) {
+        metrics.firstByte(call.ageMillis());
+    }
+
+    @Override
+    public void succeeded(CallRelay call) {
+        metrics.answered(kind(call), call.ageMillis());
+    }
+
+    @Override
+    public void callerGone(CallRelay call) {
+        metrics.callerGone(kind(call));
+        about("caller_gone", call).info(log);
+    }
+
+    private static LogEvent about(String event, CallRelay call) {
+        return LogEvent.of(event)
+                .with("request", call.requestId())
+                .with("route", call.route().name())
+                .with("service", call.serviceName())
+                .with("target", call.targetId().orElse(""))
+                .with("sends", call.sendsCount())
+                .with("ageMillis", call.ageMillis());
+    }
+
+    private static String kind(CallRelay call) {
+        return call.route().kind().name().toLowerCase(Locale.ROOT);
+    }
+
+    private static String known(SendOutcome outcome) {
+        if (outcome instanceof SendOutcome.NotSent) {
+            return "not_sent";
+        }
+        if (outcome instanceof SendOutcome.Rejected) {
+            return "not_run";
+        }
+        return outcome instanceof SendOutcome.Unknown ? "unknown" : "ran";
+    }
+
+    private static String reason(SendOutcome outcome) {
+        if (outcome instanceof SendOutcome.NotSent notSent) {
+            return notSent.reason();
+        }
+        if (outcome instanceof SendOutcome.Unknown unknown) {
+            return unknown.reason();
+        }
+        if (outcome instanceof SendOutcome.Rejected rejected) {
+            return "status_" + rejected.status();
+        }
+        return "status_" + ((SendOutcome.RanAndFailed) outcome).status();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/OwnAnswers.java
@@ -0,0 +1,45 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
+import org.dogwoodwinch.bytes.Bytes;
+
+/** Answers that this system makes itself. */
+final class OwnAnswers {
+
+    static final int BAD_REQUEST = 400;
+    static final int NOT_FOUND = 404;
+    static final int REQUEST_TIMEOUT = 408;
+    static final int TOO_LARGE = 413;
+    static final int HEADERS_TOO_LARGE = 431;
+    static final int BAD_GATEWAY = 502;
+    static final int UNAVAILABLE = 503;
+    static final int GATEWAY_TIMEOUT = 504;
+
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
+    private OwnAnswers() {}
+
+    /** Says whether a status promises that the call did not run and never will. */
+    static boolean promisesNotRun(int status) {
+        return status == UNAVAILABLE || status == REQUEST_TIMEOUT;
+    }
+
+    static void write(CallerSide caller, int status, String reason) {
+        caller.answer(status, textHeaders(), Bytes.ofUtf8(reason));
+    }
+
+    /** Refuses a call that did not run, and tells when to come back. */
+    static void refuse(CallerSide caller, int status, String reason, long retryAfterMillis) {
+        HttpHeaders headers = textHeaders();
+        headers.set(
+                HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
+        caller.answer(status, headers, Bytes.ofUtf8(reason));
+    }
+
+    private static HttpHeaders textHeaders() {
+        return new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/ReadyListener.java
@@ -0,0 +1,100 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+import org.dogwoodwinch.http.Channels;
+
+/** A listener for short questions without a body, such as the balancer's whether the instance is ready. */
+final class ReadyListener {
+
+    private static final int MAX_BODY_BYTES = 1_024;
+
+    private ReadyListener() {}
+
+    /**
+     * One short answer.
+     *
+     * @param status the HTTP status
+     * @param contentType of the text, not null
+     * @param text the body, not null
+     */
+    record Page(int status, String contentType, String text) {}
+
+    /**
+     * Binds it.
+     *
+     * @param transport its sockets, not null
+     * @param address where to listen, not null
+     * @param pages answers a path, not null
+     * @return the listening channel
+     * @throws IOException if the address cannot be bound
+     */
+    static Channel bind(Transport transport, InetSocketAddress address, Function<String, Page> pages)
+            throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(transport.group())
+                .channel(transport.serverChannel())
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY_BYTES))
+                                .addLast(new PageHandler(pages));
+                    }
+                });
+        ChannelFuture binding = bootstrap.bind(address).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IOException("cannot listen on " + address, binding.cause());
+        }
+        return binding.channel();
+    }
+
+    private static final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Function<String, Page> pages;
+
+        PageHandler(Function<String, Page> pages) {
+            this.pages = pages;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            Page page = pages.apply(request.uri());
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(page.status()),
+                    Unpooled.wrappedBuffer(page.text().getBytes(StandardCharsets.UTF_8)));
+            response.headers().set("content-type", page.contentType());
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            HttpUtil.setKeepAlive(response, keepAlive);
+            ChannelFuture written = context.writeAndFlush(response);
+            if (!keepAlive) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        /** A question that breaks off concerns nobody else; the next one comes on a new connection. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable _cause) {
+            Channels.close(context.channel());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -0,0 +1,61 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.Objects;
+import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.RetryBudget;
+import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.ServiceEntry;
+import org.dogwoodwinch.forwarding.TargetChooser;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * What all relays of a process share.
+ *
+ * @param time the clock and timers of the event loop, not null
+ * @param callHeaders reads and writes headers, not null
+ * @param connections the connections to targets, not null
+ * @param chooser chooses targets, not null
+ * @param loads what is under way at targets, not null
+ * @param retryPolicy decides what follows on a failed send, not null
+ * @param budget bounds repeats, not null
+ * @param report counts and logs, not null
+ * @param mostInstancesCount the most instances that may share a target's connections
+ */
+record RelayParts(
+        TimeSource time,
+        CallHeaders callHeaders,
+        TargetConnections connections,
+        TargetChooser chooser,
+        LoadBook loads,
+        RetryPolicy retryPolicy,
+        RetryBudget budget,
+        RelayReport report,
+        int mostInstancesCount) {
+
+    RelayParts {
+        Objects.requireNonNull(time, "time");
+        Objects.requireNonNull(callHeaders, "callHeaders");
+        Objects.requireNonNull(connections, "connections");
+        Objects.requireNonNull(chooser, "chooser");
+        Objects.requireNonNull(loads, "loads");
+        Objects.requireNonNull(retryPolicy, "retryPolicy");
+        Objects.requireNonNull(budget, "budget");
+        Objects.requireNonNull(report, "report");
+    }
+
+    /**
+     * Returns the connections that one target may get from here.
+     *
+     * <p>Failure: a target resets connections beyond its bound, and the calls on them may have run. Dealt out in equal
+     * shares to all instances that may exist, the sum cannot exceed the bound.
+     */
+    int connectionsPerTarget(ServiceEntry service) {
+        return Math.max(1, service.maxConnectionsCount() / mostInstancesCount);
+    }
+
+    ByteBuf copy(byte[] bytes) {
+        return Unpooled.wrappedBuffer(bytes);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -0,0 +1,29 @@
+package org.dogwoodwinch.relay;
+
+import org.dogwoodwinch.forwarding.NextStep;
+import org.dogwoodwinch.forwarding.SendOutcome;
+
+/** Hears every decision about a call, to count and to log it. */
+interface RelayReport {
+
+    /** A call was refused before it had a route; {@code status} is the answer. */
+    void refusedEarly(String requestId, int status, String reason);
+
+    /** No target may get the call. */
+    void noTarget(CallRelay call);
+
+    /** A send gave no success, and that follows. */
+    void sendFailed(CallRelay call, SendOutcome outcome, NextStep step);
+
+    /** The time limit came before the answer's end. */
+    void limitReached(CallRelay call, boolean mayHaveRun);
+
+    /** The first byte of a streamed answer goes to the caller. */
+    void firstByte(CallRelay call);
+
+    /** The answer is whole. */
+    void succeeded(CallRelay call);
+
+    /** The caller left before the answer's end. */
+    void callerGone(CallRelay call);
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/RequestChecks.java
@@ -0,0 +1,58 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Refuses requests that could be read in two ways, beside what the decoder refuses itself. */
+final class RequestChecks {
+
+    private static final Pattern LENGTH = Pattern.compile("[0-9]{1,18}");
+
+    private RequestChecks() {}
+
+    /**
+     * Checks a request's head.
+     *
+     * @param request the head as decoded, not null
+     * @return whether it has one meaning
+     */
+    static boolean wellFormed(HttpRequest request) {
+        return versionKnown(request) && targetPlain(request) && oneHost(request) && framedOnce(request.headers());
+    }
+
+    private static boolean versionKnown(HttpRequest request) {
+        HttpVersion version = request.protocolVersion();
+        boolean known = version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0);
+        return known && !request.method().equals(HttpMethod.CONNECT);
+    }
+
+    private static boolean targetPlain(HttpRequest request) {
+        String uri = request.uri();
+        if (!uri.startsWith("/")) {
+            return false;
+        }
+        return uri.chars().allMatch(character -> character > ' ' && character < 0x7f);
+    }
+
+    private static boolean oneHost(HttpRequest request) {
+        return request.headers().getAll(HttpHeaderNames.HOST).size() == 1;
+    }
+
+    private static boolean framedOnce(HttpHeaders headers) {
+        List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
+        List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (lengths.size() + encodings.size() > 1) {
+            return false;
+        }
+        if (!lengths.isEmpty()) {
+            return LENGTH.matcher(lengths.get(0)).matches();
+        }
+        return encodings.isEmpty() || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -0,0 +1,276 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Objects;
+import java.util.function.Consumer;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.http.Channels;
+import org.dogwoodwinch.logging.LogEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One connection to a target, with one call at a time. Used on its event loop alone.
+ *
+ * <p>Bytes that come while no call waits belong to no call: the connection is closed. An answer that bears another
+ * call's id is passed over, since a target may give a second answer to an earlier call where the next one is due.
+ */
+final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    private static final Logger log = LoggerFactory.getLogger(TargetConnection.class);
+
+    /** Strangers' answers on one call after which the connection is given up: a target gives one second answer a call. */
+    private static final int MAX_PASSED_OVER = 3;
+
+    private enum State {
+        IDLE,
+        WAITING,
+        RECEIVING,
+        PASSING_OVER,
+        SETTLING,
+        CLOSED
+    }
+
+    private final Incarnation target;
+    private final CallHeaders callHeaders;
+    private final AnswerDecoder decoder;
+    private final Consumer<TargetConnection> onIdle;
+    private final Consumer<TargetConnection> onClosed;
+    private Channel channel;
+    private State state = State.IDLE;
+    private AnswerSink sink;
+    private String requestId = "";
+    private ChannelFuture written;
+    private boolean keepAlive;
+    private boolean broken;
+    private int passedOver;
+    private int callsCount;
+    private long idleLimitMillis = Long.MAX_VALUE;
+    private long idleSinceMillis;
+
+    TargetConnection(
+            Incarnation target,
+            CallHeaders callHeaders,
+            AnswerDecoder decoder,
+            Consumer<TargetConnection> onIdle,
+            Consumer<TargetConnection> onClosed) {
+        this.target = Objects.requireNonNull(target, "target");
+        this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
+        this.decoder = Objects.requireNonNull(decoder, "decoder");
+        this.onIdle = Objects.requireNonNull(onIdle, "onIdle");
+        this.onClosed = Objects.requireNonNull(onClosed, "onClosed");
+    }
+
+    Incarnation target() {
+        return target;
+    }
+
+    boolean open() {
+        return state != State.CLOSED && channel != null && channel.isActive();
+    }
+
+    void idleSince(long nowMillis) {
+        idleSinceMillis = nowMillis;
+    }
+
+    /** Whether the target may have closed it by now, or is about to while a call is under way to it. */
+    boolean stale(long nowMillis, long marginMillis) {
+        return nowMillis - idleSinceMillis > idleLimitMillis - marginMillis;
+    }
+
+    int callsCount() {
+        return callsCount;
+    }
+
+    /**
+     * Writes a call. From here on the target may run it.
+     *
+     * @param call the call, not null
+     * @param answerSink takes its answer, not null
+     */
+    void send(OutboundCall call, AnswerSink answerSink) {
+        if (state != State.IDLE) {
+            throw new IllegalStateException("a call is under way: " + state);
+        }
+        sink = Objects.requireNonNull(answerSink, "answerSink");
+        requestId = call.requestId();
+        passedOver = 0;
+        callsCount++;
+        state = State.WAITING;
+        decoder.expect(call.method().equals(HttpMethod.HEAD));
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                call.method(),
+                call.uri(),
+                Unpooled.wrappedBuffer(call.body().toByteArray()),
+                call.headers(),
+                EmptyHttpHeaders.INSTANCE);
+        if (call.body().length() > 0 || call.lengthStated()) {
+            HttpUtil.setContentLength(request, call.body().length());
+        }
+        written = channel.writeAndFlush(request);
+    }
+
+    /** Gives the call up: the target sees its connection close and drops the work. */
+    void abort() {
+        sink = null;
+        close();
+    }
+
+    void close() {
+        if (channel != null) {
+            Channels.close(channel);
+        }
+    }
+
+    void reading(boolean wanted) {
+        channel.config().setAutoRead(wanted);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext _context, HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            lose("garbled");
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            head(response);
+        }
+        if (message instanceof HttpContent content) {
+            content(content);
+        }
+    }
+
+    private void head(HttpResponse response) {
+        if (state != State.WAITING) {
+            LogEvent.of("stray_answer")
+                    .with("target", target.id())
+                    .with("state", state)
+                    .info(log);
+            lose("stray_bytes");
+            return;
+        }
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        AnswerFacts facts = callHeaders.readAnswer(response);
+        keepAlive = HttpUtil.isKeepAlive(response)
+                && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+        idleLimitMillis = facts.idleMillis().orElse(Long.MAX_VALUE);
+        if (facts.requestId().isPresent() && !facts.requestId().get().equals(requestId)) {
+            passOver(facts);
+            return;
+        }
+        state = State.RECEIVING;
+        sink.head(facts, response.headers());
+    }
+
+    private void passOver(AnswerFacts facts) {
+        passedOver++;
+        LogEvent.of("stranger_answer_passed_over")
+                .with("target", target.id())
+                .with("request", requestId)
+                .with("answers", facts.requestId().orElse(""))
+                .info(log);
+        if (passedOver > MAX_PASSED_OVER || !keepAlive) {
+            lose("answers_of_others");
+            return;
+        }
+        state = State.PASSING_OVER;
+    }
+
+    private void content(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (state == State.PASSING_OVER) {
+            state = last ? State.WAITING : state;
+            return;
+        }
+        if (state != State.RECEIVING || broken) {
+            return;
+        }
+        if (content.content().isReadable()) {
+            sink.body(content.content());
+        }
+        // The sink may have given the call up while it took the piece.
+        if (last && state == State.RECEIVING && sink != null) {
+            end();
+        }
+    }
+
+    /**
+     * A target may answer before it has read a long body. What it reads later must be the rest of that body, so the
+     * connection is only kept where all of it was written.
+     */
+    private void end() {
+        AnswerSink done = sink;
+        sink = null;
+        state = State.SETTLING;
+        boolean reusable = keepAlive && written.isDone() && written.isSuccess();
+        if (!reusable) {
+            close();
+        }
+        done.ended();
+    }
+
+    /** Only after all bytes that had arrived were looked at: some may follow the answer and belong to nobody. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (state == State.SETTLING && channel.isActive() && keepAlive) {
+            state = State.IDLE;
+            channel.config().setAutoRead(true);
+            onIdle.accept(this);
+        }
+        context.fireChannelReadComplete();
+    }
+
+    private void lose(String reason) {
+        AnswerSink waiting = sink;
+        sink = null;
+        broken = true;
+        close();
+        if (waiting != null) {
+            waiting.lost(reason);
+        }
+    }
+
+    /** A reset is no orderly end: an answer without a length that ends so must not look whole. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext _context, Throwable cause) {
+        if (sink != null || state != State.IDLE) {
+            LogEvent.of("target_connection_failed")
+                    .with("target", target.id())
+                    .with("request", requestId)
+                    .with("error", cause)
+                    .info(log);
+        }
+        lose("connection_failed");
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        state = State.CLOSED;
+        lose("connection_closed");
+        onClosed.accept(this);
+        context.fireChannelInactive();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnections.java
@@ -0,0 +1,183 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * The connections to targets, kept between calls. Used on one event loop alone.
+ *
+ * <p>Kept by incarnation, never by address: an address may be another target's after the first one's end.
+ */
+final class TargetConnections {
+
+    /** Takes a connection, or learns that none could be had and that no byte was written. */
+    interface Taker {
+
+        /**
+         * A connection is there, for this call alone.
+         *
+         * @param connection the connection, not null
+         */
+        void took(TargetConnection connection);
+
+        /**
+         * There is none.
+         *
+         * @param reason why, for logs and counters, not null
+         */
+        void failed(String reason);
+    }
+
+    private final Transport transport;
+    private final EventLoop loop;
+    private final CallHeaders callHeaders;
+    private final TimeSource time;
+    private final ConnectionPolicy policy;
+    private final Runnable onOpened;
+    private final Map<String, Lane> lanes = new HashMap<>();
+
+    TargetConnections(
+            Transport transport,
+            EventLoop loop,
+            CallHeaders callHeaders,
+            TimeSource time,
+            ConnectionPolicy policy,
+            Runnable onOpened) {
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.loop = Objects.requireNonNull(loop, "loop");
+        this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
+        this.time = Objects.requireNonNull(time, "time");
+        this.policy = Objects.requireNonNull(policy, "policy");
+        this.onOpened = Objects.requireNonNull(onOpened, "onOpened");
+    }
+
+    /**
+     * Hands out a kept connection, or opens one.
+     *
+     * @param target whose connection, not null
+     * @param mostCount the most connections to it from here
+     * @param taker gets the outcome, at once or later, on the event loop, not null
+     */
+    void take(Incarnation target, int mostCount, Taker taker) {
+        Lane lane = lanes.computeIfAbsent(target.id(), _id -> new Lane());
+        long nowMillis = time.monotonicMillis();
+        TargetConnection kept = lane.idle.pollFirst();
+        while (kept != null) {
+            if (kept.open() && !kept.stale(nowMillis, policy.idleMarginMillis())) {
+                taker.took(kept);
+                return;
+            }
+            kept.close();
+            kept = lane.idle.pollFirst();
+        }
+        if (lane.openCount >= mostCount) {
+            taker.failed("connections_in_use");
+            return;
+        }
+        open(target, lane, taker);
+    }
+
+    /**
+     * Gives back a connection that was taken and not used.
+     *
+     * @param connection the connection, not null
+     */
+    void giveBack(TargetConnection connection) {
+        keep(connection);
+    }
+
+    /**
+     * Closes the kept connections of a target that is gone; calls under way go on.
+     *
+     * @param id the target's id, not null
+     */
+    void forget(String id) {
+        Lane lane = lanes.get(id);
+        if (lane == null) {
+            return;
+        }
+        lane.forgotten = true;
+        lane.idle.forEach(TargetConnection::close);
+        lane.idle.clear();
+        dropIfEmpty(id, lane);
+    }
+
+    private void open(Incarnation target, Lane lane, Taker taker) {
+        lane.openCount++;
+        lane.forgotten = false;
+        AnswerDecoder decoder = new AnswerDecoder();
+        TargetConnection connection =
+                new TargetConnection(target, callHeaders, decoder, this::keep, closed -> closed(closed.target(), lane));
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(transport.channel())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, policy.connectTimeoutMillis())
+                .handler(new Pipeline(decoder, connection));
+        transport.setUnacknowledgedTimeout(bootstrap, policy.unacknowledgedMillis());
+        ChannelFuture connecting = bootstrap.connect(Addresses.of(target.host(), target.port()));
+        connecting.addListener(_done -> {
+            if (connecting.isSuccess()) {
+                onOpened.run();
+                taker.took(connection);
+            } else {
+                closed(target, lane);
+                taker.failed("connect_failed");
+            }
+        });
+    }
+
+    private void keep(TargetConnection connection) {
+        Lane lane = lanes.get(connection.target().id());
+        if (lane == null || lane.forgotten || !connection.open()) {
+            connection.close();
+            return;
+        }
+        connection.idleSince(time.monotonicMillis());
+        lane.idle.addFirst(connection);
+    }
+
+    private void closed(Incarnation target, Lane lane) {
+        lane.openCount--;
+        lane.idle.removeIf(connection -> !connection.open());
+        dropIfEmpty(target.id(), lane);
+    }
+
+    private void dropIfEmpty(String id, Lane lane) {
+        if (lane.openCount <= 0) {
+            lanes.remove(id, lane);
+        }
+    }
+
+    private static final class Lane {
+        private final Deque<TargetConnection> idle = new ArrayDeque<>();
+        private int openCount;
+        private boolean forgotten;
+    }
+
+    private static final class Pipeline extends ChannelInitializer<Channel> {
+        private final AnswerDecoder decoder;
+        private final TargetConnection connection;
+
+        Pipeline(AnswerDecoder decoder, TargetConnection connection) {
+            this.decoder = decoder;
+            this.connection = connection;
+        }
+
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/replay/ReplayFleet.java
+++ b/src/main/java/org/dogwoodwinch/replay/ReplayFleet.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.roles.EngineView;
 import org.dogwoodwinch.roles.RoleChange;
 import org.dogwoodwinch.roles.RoleChangeRequester;
--- a/src/main/java/org/dogwoodwinch/request/LogClaimLedger.java
+++ b/src/main/java/org/dogwoodwinch/request/LogClaimLedger.java
@@ -9,10 +9,10 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogRecord;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.LogRecord;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
--- a/src/main/java/org/dogwoodwinch/routing/FleetView.java
+++ b/src/main/java/org/dogwoodwinch/routing/FleetView.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.target.EngineRole;
 import org.dogwoodwinch.target.EngineState;
 import org.dogwoodwinch.target.LoadReport;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
@@ -0,0 +1,140 @@
+package org.dogwoodwinch.settings;
+
+/**
+ * The settings of a daemon that forwards calls by the operator's routes, with defaults filled in.
+ *
+ * @param instance who this instance is
+ * @param forwarding where it listens and how it treats targets
+ * @param store the platform's store
+ * @param promises the bounds that operators and callers were promised
+ * @param retries the retry budget
+ * @param stop the graceful shutdown
+ */
+public record ForwardingSettings(
+        InstanceSettings instance,
+        ListenSettings forwarding,
+        StoreSettings store,
+        PromiseSettings promises,
+        RetrySettings retries,
+        GraceSettings stop)
+        implements DaemonSettings {
+
+    private static final String ADDRESS = "[0-9.]+:[0-9]{1,5}";
+    private static final int MILLIS_PER_SECOND = 1_000;
+
+    /**
+     * Where the daemon listens and how it connects.
+     *
+     * @param listen where callers connect, as IP number and port
+     * @param readyListen where the balancer asks whether the instance is ready
+     * @param metricsListen where metrics are shown
+     * @param mostInstancesCount the most instances that may share the connections of a target and the retry budget
+     * @param connectTimeoutMillis how long a connection to a target may take to open
+     * @param unacknowledgedMillis how long written bytes may stay without a peer's acknowledgement
+     * @param idleMarginMillis how long before the end of its idle time a target's connection is no longer used
+     */
+    public record ListenSettings(
+            String listen,
+            String readyListen,
+            String metricsListen,
+            int mostInstancesCount,
+            int connectTimeoutMillis,
+            int unacknowledgedMillis,
+            long idleMarginMillis) {}
+
+    /**
+     * The platform's store.
+     *
+     * @param address its IP number and port
+     * @param timeoutMillis how long an answer may take beside the time that the store is asked to wait
+     * @param waitMillis how long the store may hold a reading call while there is nothing new
+     * @param pauseMillis the pause between two reading calls
+     */
+    public record StoreSettings(String address, long timeoutMillis, long waitMillis, long pauseMillis) {}
+
+    /**
+     * What operators and callers were promised.
+     *
+     * @param configurationMillis within which an accepted configuration is in force
+     * @param drainMillis within which a leaving target gets nothing new
+     */
+    public record PromiseSettings(long configurationMillis, long drainMillis) {}
+
+    /**
+     * The retry budget of a service, over all instances.
+     *
+     * @param ratio repeats for each request
+     * @param slackCount repeats in a window beside these
+     * @param windowMillis the window
+     * @param retryAfterMillis when a refused caller is told to come back
+     */
+    public record RetrySettings(double ratio, double slackCount, long windowMillis, long retryAfterMillis) {}
+
+    /**
+     * The graceful shutdown.
+     *
+     * @param graceMillis the time between the signal to stop and the process's end by force
+     * @param notReadyMillis how long the balancer is given to notice that the instance is not ready
+     */
+    public record GraceSettings(long graceMillis, long notReadyMillis) {}
+
+    static ForwardingSettings read(SettingsSection root) {
+        return new ForwardingSettings(
+                root.section("instance", InstanceSettings::read),
+                root.section("forwarding", ForwardingSettings::readListen),
+                root.section("store", ForwardingSettings::readStore),
+                root.section("promises", ForwardingSettings::readPromises),
+                root.section("retries", ForwardingSettings::readRetries),
+                root.section("stop", ForwardingSettings::readStop));
+    }
+
+    private static ListenSettings readListen(SettingsSection section) {
+        return new ListenSettings(
+                address(section, "listen"),
+                address(section, "readyListen"),
+                address(section, "metricsListen"),
+                section.wholeInt("mostInstancesCount", 1, 10_000, 16),
+                section.wholeInt("connectTimeoutMillis", 10, 60_000, 1_000),
+                section.wholeInt("unacknowledgedMillis", 100, 600_000, 3_000),
+                section.wholeNumber("idleMarginMillis", 0, 60_000, 1_000));
+    }
+
+    private static StoreSettings readStore(SettingsSection section) {
+        return new StoreSettings(
+                address(section, "address"),
+                section.wholeNumber("timeoutMillis", 10, 60_000, 700),
+                section.wholeNumber("waitMillis", 0, 30_000, 1_000),
+                section.wholeNumber("pauseMillis", 0, 10_000, 100));
+    }
+
+    private static PromiseSettings readPromises(SettingsSection section) {
+        return new PromiseSettings(
+                section.wholeNumber("configurationMillis", 100, 600_000, 2_000),
+                section.wholeNumber("drainMillis", 100, 600_000, 2_000));
+    }
+
+    private static RetrySettings readRetries(SettingsSection section) {
+        return new RetrySettings(
+                section.number("ratio", 0, 10, 0.2),
+                section.number("slackCount", 0, 1_000_000, 50),
+                seconds(section, "windowSeconds", 10),
+                section.wholeNumber("retryAfterMillis", 0, 60_000, 200));
+    }
+
+    private static GraceSettings readStop(SettingsSection section) {
+        return new GraceSettings(
+                seconds(section, "graceSeconds", 8), section.wholeNumber("notReadyMillis", 0, 60_000, 2_500));
+    }
+
+    private static long seconds(SettingsSection section, String name, double otherwise) {
+        return Math.round(section.number(name, 0.1, 3_600, otherwise) * MILLIS_PER_SECOND);
+    }
+
+    private static String address(SettingsSection section, String name) {
+        String text = section.requiredText(name);
+        if (!text.isEmpty() && !text.matches(ADDRESS)) {
+            section.tell(name, "must be an IP number, a colon and a port, not " + text);
+        }
+        return text;
+    }
+}
--- a/src/main/java/org/dogwoodwinch/settings/Settings.java
+++ b/src/main/java/org/dogwoodwinch/settings/Settings.java
@@ -1,7 +1,7 @@
 package org.dogwoodwinch.settings;
 
 /**
- * All settings of a daemon, with defaults filled in.
+ * All settings of a daemon that serves the callers' API, with defaults filled in.
  *
  * @param instance who this instance is
  * @param callers the callers' listener
@@ -26,7 +26,8 @@
         AdmissionSettings admission,
         LeaseSettings leases,
         RoleSettings roles,
-        StopSettings stop) {
+        StopSettings stop)
+        implements DaemonSettings {
 
     static Settings read(SettingsSection root) {
         Settings settings = new Settings(
--- a/src/main/java/org/dogwoodwinch/settings/SettingsLoader.java
+++ b/src/main/java/org/dogwoodwinch/settings/SettingsLoader.java
@@ -12,6 +12,9 @@
 /** Reads settings files. */
 public final class SettingsLoader {
 
+    /** The section by which a file of the forwarding daemon is told. */
+    private static final String FORWARDING = "forwarding";
+
     private SettingsLoader() {}
 
     /**
@@ -39,11 +42,12 @@
      */
     public static SettingsResult parse(String file, String text) {
         List<SettingsProblem> problems = new ArrayList<>();
-        Optional<Settings> settings = new LocatedJsonReader(file, problems::add)
+        Optional<DaemonSettings> settings = new LocatedJsonReader(file, problems::add)
                 .read(text)
                 .map(root -> {
                     SettingsSection section = new SettingsSection(file, "", root, problems::add);
-                    Settings read = Settings.read(section);
+                    DaemonSettings read =
+                            section.has(FORWARDING) ? ForwardingSettings.read(section) : Settings.read(section);
                     section.close();
                     return read;
                 });
--- a/src/main/java/org/dogwoodwinch/settings/SettingsResult.java
+++ b/src/main/java/org/dogwoodwinch/settings/SettingsResult.java
@@ -11,7 +11,7 @@
      *
      * @param settings the settings, with defaults filled in
      */
-    record Loaded(Settings settings) implements SettingsResult {}
+    record Loaded(DaemonSettings settings) implements SettingsResult {}
 
     /**
      * The file is wrong.
@@ -34,7 +34,7 @@
      * @param <T> what the functions return
      * @return what the function returned
      */
-    default <T> T match(Function<Settings, T> loaded, Function<List<SettingsProblem>, T> rejected) {
+    default <T> T match(Function<DaemonSettings, T> loaded, Function<List<SettingsProblem>, T> rejected) {
         if (this instanceof Loaded value) {
             return loaded.apply(value.settings());
         }
--- a/src/main/java/org/dogwoodwinch/settings/SettingsSection.java
+++ b/src/main/java/org/dogwoodwinch/settings/SettingsSection.java
@@ -36,6 +36,10 @@
         this.problems = problems;
     }
 
+    boolean has(String name) {
+        return object.fields().containsKey(name);
+    }
+
     String requiredText(String name) {
         return value(name, TextValue.class, "a text")
                 .map(TextValue::text)
--- a/src/main/java/org/dogwoodwinch/standin/MemoryLog.java
+++ b/src/main/java/org/dogwoodwinch/standin/MemoryLog.java
@@ -7,9 +7,9 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
--- a/src/main/java/org/dogwoodwinch/standin/MemoryLogStream.java
+++ b/src/main/java/org/dogwoodwinch/standin/MemoryLogStream.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.dogwoodwinch.platform.LogRecord;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.LogRecord;
+import org.dogwoodwinch.external.ReadResult;
 
 /** One stream of a {@link MemoryLog}; its owner guards it. */
 final class MemoryLogStream {
--- a/src/main/java/org/dogwoodwinch/standin/http/FleetSetup.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/FleetSetup.java
@@ -12,7 +12,7 @@
 import java.util.Objects;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.control.EditRequest;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.target.http.TargetJson;
 
 /** Sets daemons up as operators would: lists them, hands the catalogue in and waits until they are ready. */
--- a/src/main/java/org/dogwoodwinch/standin/http/InstanceListService.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/InstanceListService.java
@@ -1,7 +1,7 @@
 package org.dogwoodwinch.standin.http;
 
 import java.util.Objects;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.target.http.TargetJson;
 
 /** Serves a stand-in instance list over HTTP; {@code POST /instances} puts a line in or replaces it by name. */
--- a/src/main/java/org/dogwoodwinch/standin/http/LogHttpService.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/LogHttpService.java
@@ -1,9 +1,9 @@
 package org.dogwoodwinch.standin.http;
 
 import java.util.Objects;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.ReadResult;
-import org.dogwoodwinch.platform.http.LogWire;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.ReadResult;
+import org.dogwoodwinch.external.http.LogWire;
 import org.dogwoodwinch.standin.MemoryLog;
 import org.dogwoodwinch.target.http.HttpCaller;
 import org.dogwoodwinch.target.http.RefusalBody;
--- a/src/main/java/org/dogwoodwinch/standin/http/StandInInstanceList.java
+++ b/src/main/java/org/dogwoodwinch/standin/http/StandInInstanceList.java
@@ -4,7 +4,7 @@
 import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.time.TimeSource;
 
 /** An instance list that shows each change after a lag. Thread-safe. */
--- a/src/main/java/org/dogwoodwinch/time/SystemTimeSource.java
+++ b/src/main/java/org/dogwoodwinch/time/SystemTimeSource.java
@@ -23,14 +23,32 @@
         this.executor = Objects.requireNonNull(executor, "executor");
     }
 
+    /**
+     * Reads the runtime's monotonic clock, for the other time sources of daemons.
+     *
+     * @return nanoseconds since an arbitrary origin of this process
+     */
+    public static long runtimeNanos() {
+        return System.nanoTime();
+    }
+
+    /**
+     * Reads the runtime's time of day, for the other time sources of daemons.
+     *
+     * @return milliseconds since 1970-01-01T00:00:00Z
+     */
+    public static long runtimeWallMillis() {
+        return System.currentTimeMillis();
+    }
+
     @Override
     public long monotonicNanos() {
-        return System.nanoTime();
+        return runtimeNanos();
     }
 
     @Override
     public long wallMillis() {
-        return System.currentTimeMillis();
+        return runtimeWallMillis();
     }
 
     @Override
--- a/src/test/java/org/dogwoodwinch/architecture/DecisionsArePureTest.java
+++ b/src/test/java/org/dogwoodwinch/architecture/DecisionsArePureTest.java
@@ -15,6 +15,8 @@
         "..dogwoodwinch.authority..",
         "..dogwoodwinch.catalogue..",
         "..dogwoodwinch.chart..",
+        "..dogwoodwinch.follow..",
+        "..dogwoodwinch.forwarding..",
         "..dogwoodwinch.request..",
         "..dogwoodwinch.roles..",
         "..dogwoodwinch.routing.."
--- a/src/test/java/org/dogwoodwinch/daemon/DaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/DaemonTest.java
@@ -214,7 +214,7 @@
                 + fleet.addresses().instanceListUrl() + "\",\"weightStoreUrl\":\""
                 + fleet.addresses().weightStoreUrl() + "\",\"instanceListPollMillis\":50}}";
         SettingsResult result = SettingsLoader.parse("test", json);
-        return result.match(loaded -> loaded, problems -> {
+        return result.match(loaded -> (Settings) loaded, problems -> {
             throw new AssertionError(problems);
         });
     }
--- a/src/test/java/org/dogwoodwinch/platform/http/HttpLogServiceTest.java
+++ b/src/test/java/org/dogwoodwinch/external/http/HttpLogServiceTest.java
@@ -1,4 +1,4 @@
-package org.dogwoodwinch.platform.http;
+package org.dogwoodwinch.external.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -12,10 +12,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.ListedInstance;
-import org.dogwoodwinch.platform.LogRecord;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.ListedInstance;
+import org.dogwoodwinch.external.LogRecord;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.standin.MemoryLog;
 import org.dogwoodwinch.standin.StandInEngineObserver;
 import org.dogwoodwinch.standin.http.StandInFleet;
--- a/src/test/java/org/dogwoodwinch/request/FaultyLogLink.java
+++ b/src/test/java/org/dogwoodwinch/request/FaultyLogLink.java
@@ -2,9 +2,9 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogService;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.LogService;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.time.VirtualTimeSource;
 
 /** One instance's way to the log: cut off for a while, or losing answers after the append took effect. */
--- a/src/test/java/org/dogwoodwinch/routing/EstimatingRouterTest.java
+++ b/src/test/java/org/dogwoodwinch/routing/EstimatingRouterTest.java
@@ -13,7 +13,7 @@
 import java.util.TreeSet;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.catalogue.WorkClass;
-import org.dogwoodwinch.platform.ListedInstance;
+import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.target.EngineConfiguration;
 import org.dogwoodwinch.target.EngineRole;
 import org.dogwoodwinch.target.EngineState;
--- a/src/test/java/org/dogwoodwinch/settings/SettingsLoaderTest.java
+++ b/src/test/java/org/dogwoodwinch/settings/SettingsLoaderTest.java
@@ -37,7 +37,7 @@
 
     @Test
     void leftOutFieldsTakeTheirDefaults() {
-        Settings settings = SettingsLoader.parse("f", COMPLETE).match(loaded -> loaded, problems -> {
+        Settings settings = SettingsLoader.parse("f", COMPLETE).match(loaded -> (Settings) loaded, problems -> {
             throw new AssertionError(problems);
         });
         assertEquals(8080, settings.callers().port());
--- a/src/test/java/org/dogwoodwinch/standin/MemoryLogTest.java
+++ b/src/test/java/org/dogwoodwinch/standin/MemoryLogTest.java
@@ -7,9 +7,9 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import org.dogwoodwinch.platform.AppendResult;
-import org.dogwoodwinch.platform.LogRecord;
-import org.dogwoodwinch.platform.ReadResult;
+import org.dogwoodwinch.external.AppendResult;
+import org.dogwoodwinch.external.LogRecord;
+import org.dogwoodwinch.external.ReadResult;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
 
