--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -13,7 +13,7 @@
 import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.logging.LogEvent;
-import org.dogwoodwinch.relay.Transport;
+import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.settings.DaemonSettings;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.Settings;
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -3,27 +3,43 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowPolicy;
 import org.dogwoodwinch.follow.StreamFollower;
+import org.dogwoodwinch.forwarding.EngineChoicePolicy;
+import org.dogwoodwinch.forwarding.EngineChooser;
+import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
 import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.PartIndex;
+import org.dogwoodwinch.forwarding.ReadRates;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.net.Addresses;
+import org.dogwoodwinch.net.EventLoopTime;
+import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.peer.MemberList;
+import org.dogwoodwinch.peer.NettyPeerTransport;
+import org.dogwoodwinch.peer.PeerExchange;
+import org.dogwoodwinch.peer.PeerMember;
+import org.dogwoodwinch.peer.PeerObserver;
+import org.dogwoodwinch.peer.PeerRefusal;
+import org.dogwoodwinch.peer.PeerSettings;
+import org.dogwoodwinch.platform.EngineClient;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.platform.StoreClient;
-import org.dogwoodwinch.relay.Addresses;
+import org.dogwoodwinch.relay.CacheWatch;
 import org.dogwoodwinch.relay.ConnectionPolicy;
 import org.dogwoodwinch.relay.ControlCaller;
-import org.dogwoodwinch.relay.EventLoopTime;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
-import org.dogwoodwinch.relay.Transport;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
@@ -44,6 +60,24 @@
     /** A send with less time than a round trip and a short run is an attempt for nothing. */
     private static final long LEAST_REMAINING_MILLIS = 30;
 
+    /** Targets that refused a call before its caller is told to come back: more are as likely to be full. */
+    private static final int MAX_REJECTIONS = 2;
+
+    /** Assumed until calls were observed: what engines of today's large models read in a millisecond. */
+    private static final double FIRST_TOKENS_PER_MILLI = 30;
+
+    private static final long ENGINE_TIMEOUT_MILLIS = 1_000;
+
+    /** Long enough to be no poll for the engine, short enough that a silent connection is noticed. */
+    private static final long ENGINE_WAIT_MILLIS = 1_000;
+
+    /** Instances come and go rarely; a call that waits long is one call less to pay. */
+    private static final long MEMBERS_WAIT_MILLIS = 8_000;
+
+    private static final int MAX_PEER_MESSAGE_BYTES = 262_144;
+
+    private static final long CACHE_ROUND_MILLIS = 250;
+
     private static final long FIRST_BACKOFF_MILLIS = 50;
     private static final long MAX_BACKOFF_MILLIS = 500;
 
@@ -56,6 +90,12 @@
     private final StreamFollower configuration;
     private final StreamFollower targets;
     private final TargetsReader targetsReader;
+    private final CacheWatch cacheWatch;
+    private final MemberList members;
+    private final StreamFollower membersFollower;
+    private final PeerExchange exchange;
+    private final NettyPeerTransport peerTransport;
+    private final LoadSharing loadSharing;
     private boolean leaving;
     private long leftAtMillis;
 
@@ -75,24 +115,39 @@
                 settings.forwarding().unacknowledgedMillis(),
                 settings.forwarding().idleMarginMillis());
         LoadBook loads = new LoadBook();
+        PartIndex parts = new PartIndex();
+        ReadRates rates = new ReadRates(FIRST_TOKENS_PER_MILLI);
+        ControlCaller caller = new ControlCaller(transport, transport.group().next(), time, connections);
+        EngineClient engines = new EngineClient(caller, ENGINE_TIMEOUT_MILLIS, ENGINE_WAIT_MILLIS);
         this.service = new ForwardingService(
                 transport,
                 time,
                 new PlatformHeaders(),
                 random,
                 connections,
+                engines,
                 new ForwardingService.Decisions(
-                        new LeastLoadedChooser(directory, loads, random),
+                        new EngineChooser(
+                                directory,
+                                loads,
+                                parts,
+                                rates,
+                                EngineChoicePolicy.STANDARD,
+                                new LeastLoadedChooser(directory, loads, random),
+                                settings.instance().dataCentre()),
                         loads,
+                        parts,
+                        rates,
                         new RetryPolicy(
                                 MAX_FAILED_CONNECTS,
+                                MAX_REJECTIONS,
                                 LEAST_REMAINING_MILLIS,
                                 settings.retries().retryAfterMillis()),
                         budget(settings),
                         settings.forwarding().mostInstancesCount()),
                 metrics);
         StoreClient store = new StoreClient(
-                new ControlCaller(transport, transport.group().next(), time, connections),
+                caller,
                 Addresses.parse(settings.store().address()),
                 settings.store().timeoutMillis());
         FollowPolicy follow = new FollowPolicy(
@@ -106,6 +161,40 @@
                 new ConfigurationReader(service, metrics),
                 time,
                 random);
+        InetSocketAddress peerAddress = address(settings.peers().listen());
+        PeerMember self = new PeerMember(
+                settings.instance().name(),
+                peerAddress.getHostString(),
+                peerAddress.getPort(),
+                settings.instance().dataCentre());
+        this.members = new MemberList(
+                self, store.writer(MemberList.TOPIC), time, settings.peers().renewMillis());
+        this.membersFollower = new StreamFollower(
+                store.keyed(MemberList.TOPIC),
+                new FollowPolicy(
+                        MEMBERS_WAIT_MILLIS, MEMBERS_WAIT_MILLIS / 4, FIRST_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS),
+                members,
+                time,
+                random);
+        this.peerTransport =
+                new NettyPeerTransport(transport, MAX_PEER_MESSAGE_BYTES, Optional.empty(), Optional.empty());
+        this.exchange = new PeerExchange(
+                new PeerSettings(
+                        self.name(),
+                        self.dataCentre(),
+                        "",
+                        settings.peers().roundMillis(),
+                        settings.peers().neighboursCount(),
+                        settings.peers().bytesPerSecond(),
+                        MAX_PEER_MESSAGE_BYTES),
+                time,
+                random,
+                peerTransport,
+                members::others,
+                new RefusalLog());
+        this.loadSharing =
+                new LoadSharing(loads, exchange, time, settings.peers().roundMillis());
+        this.cacheWatch = new CacheWatch(engines, parts, this::modelEngines, time, CACHE_ROUND_MILLIS);
         this.targetsReader = new TargetsReader(directory, service, metrics);
         this.targets = new StreamFollower(store.keyed(StoreClient.TARGETS_TOPIC), follow, targetsReader, time, random);
     }
@@ -119,9 +208,16 @@
         ForwardingService.listenReady(transport, address(settings.forwarding().readyListen()), this::ready);
         ForwardingService.listenMetrics(transport, address(settings.forwarding().metricsListen()), metrics);
         service.listen(address(settings.forwarding().listen()));
+        InetSocketAddress peers = address(settings.peers().listen());
+        peerTransport.listen(peers.getHostString(), peers.getPort(), exchange::receive);
         transport.group().next().execute(() -> {
             configuration.start();
             targets.start();
+            cacheWatch.start();
+            members.start();
+            membersFollower.start();
+            exchange.start();
+            loadSharing.start();
         });
         LogEvent.of("started")
                 .with("instance", settings.instance().name())
@@ -142,12 +238,19 @@
             leaving = true;
             leftAtMillis = time.monotonicMillis();
             service.leave();
+            members.leave();
             service.logState("leaving");
             waitForCalls(stopped);
         });
         return stopped;
     }
 
+    private List<Incarnation> modelEngines() {
+        return directory.all().stream()
+                .filter(target -> !target.leaving() && service.servesModel(target.service()))
+                .toList();
+    }
+
     private boolean ready() {
         return !leaving && service.configured() && targetsReader.readOnce();
     }
@@ -177,4 +280,11 @@
     private static InetSocketAddress address(String text) {
         return Addresses.parse(text);
     }
+
+    private static final class RefusalLog implements PeerObserver {
+        @Override
+        public void onRefused(PeerRefusal refusal) {
+            LogEvent.of("peer_message_refused").with("reason", refusal.label()).warn(log);
+        }
+    }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/PeerParts.java
+++ b/src/main/java/org/dogwoodwinch/daemon/PeerParts.java
@@ -10,6 +10,7 @@
 import org.dogwoodwinch.external.ListedInstance;
 import org.dogwoodwinch.http.TlsContexts;
 import org.dogwoodwinch.metrics.Metrics;
+import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.peer.LeavingTargets;
 import org.dogwoodwinch.peer.NettyPeerTransport;
 import org.dogwoodwinch.peer.PeerBoard;
@@ -50,7 +51,7 @@
         this.settings = settings.peers();
         String name = settings.instance().name();
         this.transport = new NettyPeerTransport(
-                context.group(),
+                Transport.ofNio(context.group()),
                 this.settings.maxFrameBytes(),
                 serverTls(this.settings.tls()),
                 clientTls(this.settings.tls()));
--- a/src/main/java/org/dogwoodwinch/forwarding/CallProgress.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CallProgress.java
@@ -4,16 +4,35 @@
  * What was done for a call so far.
  *
  * @param idempotent whether a second run does no harm
- * @param sendsCount targets that got bytes of it
+ * @param runsCount targets that may have run it
+ * @param rejectionsCount targets that got it and stated that they did not run it
  * @param failedConnectsCount tries that ended before a byte was written
- * @param maxSendsCount the most targets that it may be sent to
+ * @param maxRunsCount the most targets that may run it
  * @param remainingMillis time left of its deadline
- * @param mayHaveRun whether an earlier send may have run
  */
 public record CallProgress(
         boolean idempotent,
-        int sendsCount,
+        int runsCount,
+        int rejectionsCount,
         int failedConnectsCount,
-        int maxSendsCount,
-        long remainingMillis,
-        boolean mayHaveRun) {}
+        int maxRunsCount,
+        long remainingMillis) {
+
+    /**
+     * Says whether a promise that it did not run would be false.
+     *
+     * @return whether an earlier send may have run
+     */
+    public boolean mayHaveRun() {
+        return runsCount > 0;
+    }
+
+    /**
+     * Says whether a target got bytes of it.
+     *
+     * @return whether another send would be a repeat
+     */
+    public boolean sent() {
+        return runsCount + rejectionsCount > 0;
+    }
+}
--- a/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -34,7 +34,7 @@
             if (query.triedIds().contains(target.id()) || target.stage() == Stage.PREFILL) {
                 continue;
             }
-            double load = loads.callsCount(target.id()) / (double) Math.max(1, target.slotsCount());
+            double load = loads.at(target.id()).callsCount() / (double) Math.max(1, target.slotsCount());
             if (load < least) {
                 least = load;
                 best.clear();
--- a/src/main/java/org/dogwoodwinch/forwarding/LoadBook.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LoadBook.java
@@ -2,34 +2,41 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
-/** What this instance has under way at each target. Not thread-safe. */
+/**
+ * What is under way at each target: this instance's own sends at once, the other instances' as they tell them. Not
+ * thread-safe.
+ */
 public final class LoadBook {
 
-    private final Map<String, Load> loads = new HashMap<>();
+    private static final TargetLoad NOTHING = new TargetLoad(0, 0);
+
+    private final Map<String, Own> own = new HashMap<>();
+    private final Map<String, Map<String, TargetLoad>> ofPeers = new HashMap<>();
 
     /**
      * A call was sent.
      *
      * @param targetId the target's id, not null
-     * @param promptTokens the tokens that the target has to read before its first event
+     * @param unreadTokens the tokens that the target has to read before its first event
      */
-    public void sent(String targetId, int promptTokens) {
-        Load load = loads.computeIfAbsent(targetId, _id -> new Load());
+    public void sent(String targetId, int unreadTokens) {
+        Own load = own.computeIfAbsent(targetId, _id -> new Own());
         load.callsCount++;
-        load.unreadTokens += promptTokens;
+        load.unreadTokens += unreadTokens;
     }
 
     /**
      * A call's prompt was read.
      *
      * @param targetId the target's id, not null
-     * @param promptTokens as told to {@link #sent}
+     * @param unreadTokens as told to {@link #sent}
      */
-    public void read(String targetId, int promptTokens) {
-        Load load = loads.get(targetId);
+    public void read(String targetId, int unreadTokens) {
+        Own load = own.get(targetId);
         if (load != null) {
-            load.unreadTokens -= promptTokens;
+            load.unreadTokens -= unreadTokens;
         }
     }
 
@@ -39,39 +46,65 @@
      * @param targetId the target's id, not null
      */
     public void ended(String targetId) {
-        Load load = loads.get(targetId);
+        Own load = own.get(targetId);
         if (load == null) {
             return;
         }
         load.callsCount--;
         if (load.callsCount <= 0) {
-            loads.remove(targetId);
+            own.remove(targetId);
         }
     }
 
     /**
-     * Returns the calls under way.
+     * Takes what another instance has under way; it replaces what that instance told before.
      *
-     * @param targetId the target's id, not null
-     * @return how many were sent from here and have not ended
+     * @param peer the instance's name, not null
+     * @param loads by target, not null
+     */
+    public void heard(String peer, Map<String, TargetLoad> loads) {
+        ofPeers.put(peer, Map.copyOf(loads));
+    }
+
+    /**
+     * Forgets instances that are not heard of any more.
+     *
+     * @param alive the names of those that are, not null
      */
-    public int callsCount(String targetId) {
-        Load load = loads.get(targetId);
-        return load == null ? 0 : load.callsCount;
+    public void retainPeers(Set<String> alive) {
+        ofPeers.keySet().retainAll(alive);
     }
 
     /**
-     * Returns the prompt tokens that wait to be read.
+     * Returns what this instance has under way.
+     *
+     * @return loads by target
+     */
+    public Map<String, TargetLoad> own() {
+        Map<String, TargetLoad> loads = new HashMap<>();
+        own.forEach((id, load) -> loads.put(id, new TargetLoad(load.callsCount, load.unreadTokens)));
+        return loads;
+    }
+
+    /**
+     * Returns what all instances have under way at a target, as far as it is known here.
      *
      * @param targetId the target's id, not null
-     * @return the tokens sent from here whose calls show no event yet
+     * @return the sum
      */
-    public long unreadTokens(String targetId) {
-        Load load = loads.get(targetId);
-        return load == null ? 0 : load.unreadTokens;
+    public TargetLoad at(String targetId) {
+        Own mine = own.get(targetId);
+        int calls = mine == null ? 0 : mine.callsCount;
+        long unread = mine == null ? 0 : mine.unreadTokens;
+        for (Map<String, TargetLoad> peer : ofPeers.values()) {
+            TargetLoad told = peer.getOrDefault(targetId, NOTHING);
+            calls += told.callsCount();
+            unread += told.unreadTokens();
+        }
+        return new TargetLoad(calls, unread);
     }
 
-    private static final class Load {
+    private static final class Own {
         private int callsCount;
         private long unreadTokens;
     }
--- a/src/main/java/org/dogwoodwinch/forwarding/RetryPolicy.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RetryPolicy.java
@@ -6,10 +6,15 @@
  * Turns what is known of a send into an answer or another send: the one place where that is decided.
  *
  * @param maxFailedConnectsCount tries without a byte written after which the caller is told to come back
+ * @param maxRejectionsCount targets that may state that they did not run the call before the caller is told to come back
  * @param leastRemainingMillis the time below which another send cannot be answered in time
  * @param retryAfterMillis when a refused caller is told to come back
  */
-public record RetryPolicy(int maxFailedConnectsCount, long leastRemainingMillis, long retryAfterMillis) {
+public record RetryPolicy(
+        int maxFailedConnectsCount, int maxRejectionsCount, long leastRemainingMillis, long retryAfterMillis) {
+
+    /** Callers heed a time to come back up to a third of what they have left; a quarter leaves room for the answer. */
+    private static final int PARTS_OF_REMAINING = 4;
 
     /**
      * Decides what follows.
@@ -21,36 +26,42 @@
      */
     public NextStep after(SendOutcome outcome, CallProgress progress, BooleanSupplier budget) {
         if (outcome instanceof SendOutcome.NotSent) {
-            return afterNotSent(progress, budget);
+            boolean triesLeft = progress.failedConnectsCount() <= maxFailedConnectsCount && timeLeft(progress);
+            return triesLeft && (!progress.sent() || budget.getAsBoolean())
+                    ? new NextStep.SendAgain()
+                    : giveUp(progress);
         }
         if (outcome instanceof SendOutcome.Rejected) {
-            return repeatAllowed(progress) && budget.getAsBoolean() ? new NextStep.SendAgain() : giveUp(progress);
+            boolean triesLeft = progress.rejectionsCount() <= maxRejectionsCount && timeLeft(progress);
+            return triesLeft && runAllowed(progress) && budget.getAsBoolean()
+                    ? new NextStep.SendAgain()
+                    : giveUp(progress);
         }
-        if (outcome instanceof SendOutcome.Unknown) {
-            boolean again = progress.idempotent() && repeatAllowed(progress) && budget.getAsBoolean();
-            return again ? new NextStep.SendAgain() : new NextStep.FailUnknown();
+        boolean repeatable = progress.idempotent() && runAllowed(progress) && timeLeft(progress);
+        if (repeatable && budget.getAsBoolean()) {
+            return new NextStep.SendAgain();
         }
-        boolean again = progress.idempotent() && repeatAllowed(progress) && budget.getAsBoolean();
-        return again ? new NextStep.SendAgain() : new NextStep.RelayFailure();
+        return outcome instanceof SendOutcome.RanAndFailed ? new NextStep.RelayFailure() : new NextStep.FailUnknown();
     }
 
-    /** The first send costs no budget, however often a connection could not be had; a later one is a repeat. */
-    private NextStep afterNotSent(CallProgress progress, BooleanSupplier budget) {
-        if (progress.failedConnectsCount() > maxFailedConnectsCount
-                || progress.remainingMillis() < leastRemainingMillis) {
-            return giveUp(progress);
-        }
-        return progress.sendsCount() == 0 || budget.getAsBoolean() ? new NextStep.SendAgain() : giveUp(progress);
+    /**
+     * Ends a call for which no target can be had.
+     *
+     * @param progress what was done so far, not null
+     * @return a refusal where nothing may have run
+     */
+    public NextStep giveUp(CallProgress progress) {
+        return progress.mayHaveRun()
+                ? new NextStep.FailUnknown()
+                : new NextStep.Refuse(
+                        Math.min(retryAfterMillis, Math.max(0, progress.remainingMillis() / PARTS_OF_REMAINING)));
     }
 
-    private boolean repeatAllowed(CallProgress progress) {
-        return progress.sendsCount() < progress.maxSendsCount() && progress.remainingMillis() >= leastRemainingMillis;
+    private boolean timeLeft(CallProgress progress) {
+        return progress.remainingMillis() >= leastRemainingMillis;
     }
 
-    /** A refusal promises that the call never ran; after an unknown send nothing may be promised. */
-    private NextStep giveUp(CallProgress progress) {
-        return progress.mayHaveRun()
-                ? new NextStep.FailUnknown()
-                : new NextStep.Refuse(Math.min(retryAfterMillis, Math.max(0, progress.remainingMillis() / 4)));
+    private static boolean runAllowed(CallProgress progress) {
+        return progress.runsCount() < progress.maxRunsCount();
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 
 /** Chooses where a call goes. */
-@FunctionalInterface
 public interface TargetChooser {
 
     /**
@@ -13,4 +12,26 @@
      * @return the plan, or empty where no target may get it
      */
     Optional<Plan> choose(ChoiceQuery query);
+
+    /**
+     * Chooses the target that runs a call whose prompt another has read.
+     *
+     * @param query the call, not null
+     * @param reader the target that read, not null
+     * @return the target, or empty where none may get it
+     */
+    default Optional<Incarnation> chooseRunner(ChoiceQuery query, Incarnation reader) {
+        return choose(query).map(Plan::target);
+    }
+
+    /**
+     * Returns how much of a prompt a target would have to read.
+     *
+     * @param target the target, not null
+     * @param prompt the prompt, not null
+     * @return tokens
+     */
+    default int unreadTokens(Incarnation target, Prompt prompt) {
+        return prompt.inputTokens();
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/Addresses.java
+++ b/src/main/java/org/dogwoodwinch/net/Addresses.java
@@ -1,4 +1,4 @@
-package org.dogwoodwinch.relay;
+package org.dogwoodwinch.net;
 
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
--- a/src/main/java/org/dogwoodwinch/relay/EventLoopTime.java
+++ b/src/main/java/org/dogwoodwinch/net/EventLoopTime.java
@@ -1,4 +1,4 @@
-package org.dogwoodwinch.relay;
+package org.dogwoodwinch.net;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
--- a/src/main/java/org/dogwoodwinch/relay/Transport.java
+++ b/src/main/java/org/dogwoodwinch/net/Transport.java
@@ -1,4 +1,4 @@
-package org.dogwoodwinch.relay;
+package org.dogwoodwinch.net;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
@@ -42,6 +42,16 @@
                 : new Transport(false, new NioEventLoopGroup(threadsCount));
     }
 
+    /**
+     * Takes over event loops of the runtime's own kind.
+     *
+     * @param group the event loops, not null; its owner shuts it down
+     * @return the transport
+     */
+    public static Transport ofNio(EventLoopGroup group) {
+        return new Transport(false, group);
+    }
+
     /**
      * Returns the event loops.
      *
@@ -60,16 +70,31 @@
         return nativeEpoll ? "epoll" : "nio";
     }
 
-    Class<? extends ServerSocketChannel> serverChannel() {
+    /**
+     * Returns the kind of listening sockets.
+     *
+     * @return a class for a bootstrap
+     */
+    public Class<? extends ServerSocketChannel> serverChannel() {
         return nativeEpoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
     }
 
-    Class<? extends SocketChannel> channel() {
+    /**
+     * Returns the kind of connections.
+     *
+     * @return a class for a bootstrap
+     */
+    public Class<? extends SocketChannel> channel() {
         return nativeEpoll ? EpollSocketChannel.class : NioSocketChannel.class;
     }
 
-    /** Lets the kernel give a connection up whose written bytes nobody acknowledged for that long. */
-    void setUnacknowledgedTimeout(Bootstrap bootstrap, int millis) {
+    /**
+     * Lets the kernel give a connection up whose written bytes nobody acknowledged for that long.
+     *
+     * @param bootstrap opens the connections, not null
+     * @param millis how long
+     */
+    public void setUnacknowledgedTimeout(Bootstrap bootstrap, int millis) {
         bootstrap.option(ChannelOption.TCP_NODELAY, true);
         if (nativeEpoll) {
             bootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, millis);
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/MemberList.java
@@ -0,0 +1,159 @@
+package org.dogwoodwinch.peer;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.follow.FollowListener;
+import org.dogwoodwinch.follow.KeyedRecord;
+import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.time.TimeSource;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The instances as they announce themselves in a keyed stream of the platform's store. Used on one event loop alone.
+ *
+ * <p>Each writes its record anew now and then, and drops it when it stops; one that was killed is believed in until its
+ * record has not been renewed for several intervals. Believing in it too long costs failed connections, no more.
+ */
+public final class MemberList implements FollowListener {
+
+    /** The stream's name in the store. */
+    public static final String TOPIC = "keyed.instances";
+
+    private static final Logger log = LoggerFactory.getLogger(MemberList.class);
+    private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+    /** Renewals that may be missed: a store that is away for some seconds loses one or two. */
+    private static final int KEPT_INTERVALS = 3;
+
+    private final PeerMember self;
+    private final KeyedWriter writer;
+    private final TimeSource time;
+    private final long renewMillis;
+    private final Map<String, Heard> heard = new HashMap<>();
+    private boolean leaving;
+
+    /**
+     * Creates a list that knows nobody.
+     *
+     * @param self this instance, not null
+     * @param writer writes the stream, not null
+     * @param time the clock and timers, not null
+     * @param renewMillis the time between two records of one instance
+     */
+    public MemberList(PeerMember self, KeyedWriter writer, TimeSource time, long renewMillis) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.writer = Objects.requireNonNull(writer, "writer");
+        this.time = Objects.requireNonNull(time, "time");
+        this.renewMillis = renewMillis;
+    }
+
+    /** Announces this instance from now on. */
+    public void start() {
+        if (leaving) {
+            return;
+        }
+        writer.put(self.name(), Optional.of(encode(self))).thenAccept(written -> {
+            if (!written) {
+                LogEvent.of("member_not_announced").with("member", self.name()).info(log);
+            }
+        });
+        time.schedule(renewMillis, this::start);
+    }
+
+    /** Drops this instance's record, and announces it no more. */
+    public void leave() {
+        leaving = true;
+        writer.put(self.name(), Optional.empty())
+                .thenAccept(written -> LogEvent.of("member_left")
+                        .with("member", self.name())
+                        .with("written", written)
+                        .info(log));
+    }
+
+    /**
+     * Returns the other instances.
+     *
+     * @return those that announced themselves of late
+     */
+    public List<PeerMember> others() {
+        long oldestMillis = time.monotonicMillis() - KEPT_INTERVALS * renewMillis;
+        heard.values().removeIf(member -> member.atMillis < oldestMillis);
+        return heard.values().stream().map(Heard::member).toList();
+    }
+
+    @Override
+    public void record(KeyedRecord record) {
+        if (record.key().equals(self.name())) {
+            return;
+        }
+        Optional<PeerMember> member = record.value().flatMap(value -> decode(record.key(), value));
+        if (member.isEmpty()) {
+            heard.remove(record.key());
+        } else {
+            heard.put(record.key(), new Heard(member.get(), time.monotonicMillis()));
+        }
+        LogEvent.of("member_heard")
+                .with("member", record.key())
+                .with(
+                        "address",
+                        member.map(each -> each.host() + ":" + each.peerPort()).orElse("left"))
+                .with("offset", record.offset())
+                .debug(log);
+    }
+
+    @Override
+    public void readWhole(Set<String> keys, long _endOffset) {
+        heard.keySet().retainAll(keys);
+    }
+
+    @Override
+    public void regained() {
+        LogEvent.of("store_regained").with("stream", TOPIC).info(log);
+    }
+
+    @Override
+    public void lost(String reason) {
+        LogEvent.of("store_lost").with("stream", TOPIC).with("reason", reason).warn(log);
+    }
+
+    private static Bytes encode(PeerMember member) {
+        try {
+            return Bytes.of(
+                    MAPPER.writeValueAsBytes(new Announcement(member.host(), member.peerPort(), member.dataCentre())));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a plain record cannot fail to be written", e);
+        }
+    }
+
+    private static Optional<PeerMember> decode(String name, Bytes value) {
+        try {
+            Announcement said = MAPPER.readValue(value.toByteArray(), Announcement.class);
+            return Optional.of(new PeerMember(name, said.host(), said.port(), said.dataCentre()));
+        } catch (IOException | RuntimeException e) {
+            LogEvent.of("member_not_understood")
+                    .with("member", name)
+                    .with("error", e.getMessage())
+                    .warn(log);
+            return Optional.empty();
+        }
+    }
+
+    private record Heard(PeerMember member, long atMillis) {}
+
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"host", "port", "dataCentre"})
+    private record Announcement(String host, int port, String dataCentre) {}
+}
--- a/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
+++ b/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
@@ -10,11 +10,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.ssl.SslContext;
@@ -29,6 +26,7 @@
 import java.util.function.Predicate;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.net.Transport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,7 +43,7 @@
     private static final int CONNECT_MILLIS = 2_000;
     private static final int MAX_CONNECTIONS_IN = 1_024;
 
-    private final EventLoopGroup eventLoops;
+    private final Transport sockets;
     private final int maxMessageBytes;
     private final Optional<SslContext> serverTls;
     private final Optional<SslContext> clientTls;
@@ -56,17 +54,14 @@
     /**
      * Creates a transport.
      *
-     * @param eventLoops carries the connections, not null; its owner shuts it down
+     * @param sockets carries the connections, not null; its owner shuts it down
      * @param maxMessageBytes the largest message that is sent or taken, in bytes
      * @param serverTls the TLS of connections from members, empty for none, not null
      * @param clientTls the TLS of connections to members, empty for none, not null
      */
     public NettyPeerTransport(
-            EventLoopGroup eventLoops,
-            int maxMessageBytes,
-            Optional<SslContext> serverTls,
-            Optional<SslContext> clientTls) {
-        this.eventLoops = Objects.requireNonNull(eventLoops, "eventLoops");
+            Transport sockets, int maxMessageBytes, Optional<SslContext> serverTls, Optional<SslContext> clientTls) {
+        this.sockets = Objects.requireNonNull(sockets, "sockets");
         this.maxMessageBytes = maxMessageBytes;
         this.serverTls = Objects.requireNonNull(serverTls, "serverTls");
         this.clientTls = Objects.requireNonNull(clientTls, "clientTls");
@@ -82,8 +77,8 @@
      */
     public synchronized int listen(String host, int port, Predicate<Bytes> receiver) {
         Channel channel = new ServerBootstrap()
-                .group(eventLoops)
-                .channel(NioServerSocketChannel.class)
+                .group(sockets.group())
+                .channel(sockets.serverChannel())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -130,8 +125,8 @@
 
     private ChannelFuture connect(PeerMember member) {
         ChannelFuture connection = new Bootstrap()
-                .group(eventLoops)
-                .channel(NioSocketChannel.class)
+                .group(sockets.group())
+                .channel(sockets.channel())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
--- a/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
@@ -149,6 +149,11 @@
         return Math.min(count - 1, doublings + EXTRA_PASSES);
     }
 
+    /** Where a round goes to every member, each hears the origin itself. */
+    private int passesOfOthersWord() {
+        return members.get().size() <= settings.neighbours() ? 0 : passes();
+    }
+
     private void runRound() {
         List<Outgoing> outgoing = new ArrayList<>();
         synchronized (this) {
@@ -274,7 +279,7 @@
         }
         // A catalogue is as large as all other news together, and each member publishes its own: it is not passed on.
         boolean bulk = topic.get() == PeerTopic.CATALOGUE;
-        if (!bulk && !store.accept(entry, time.monotonicMillis(), passes())) {
+        if (!bulk && !store.accept(entry, time.monotonicMillis(), passesOfOthersWord())) {
             return Optional.empty();
         }
         return Optional.of(new PeerItem(
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.QueryStringEncoder;
 import java.io.IOException;
@@ -18,6 +20,7 @@
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
+import org.dogwoodwinch.follow.KeyedWriter;
 import org.dogwoodwinch.follow.ReadResult;
 import org.dogwoodwinch.relay.ControlCall;
 import org.dogwoodwinch.relay.ControlCaller;
@@ -83,6 +86,33 @@
         };
     }
 
+    /**
+     * Returns what writes records of a keyed stream.
+     *
+     * @param topic its name, not null
+     * @return the writer to the topic's only partition
+     */
+    public KeyedWriter writer(String topic) {
+        return (key, value) -> {
+            ControlCall call = new ControlCall(
+                    HttpMethod.POST,
+                    of("/log-append", topic).toString(),
+                    new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
+                    framed(key, value));
+            return caller.call(address, call, timeoutMillis)
+                    .thenApply(reply -> reply instanceof ControlReply.Answered answered && answered.status() == OK);
+        };
+    }
+
+    private static Bytes framed(String key, Optional<Bytes> value) {
+        byte[] name = key.getBytes(StandardCharsets.UTF_8);
+        byte[] content = value.map(Bytes::toByteArray).orElseGet(() -> new byte[0]);
+        ByteBuffer record = ByteBuffer.allocate(LENGTH_BYTES + 1 + name.length + content.length);
+        record.putInt(1 + name.length + content.length);
+        record.put((byte) name.length).put(name).put(content);
+        return Bytes.of(record.array());
+    }
+
     private static QueryStringEncoder of(String path, String topic) {
         QueryStringEncoder uri = new QueryStringEncoder(path);
         uri.addParam("topic", topic);
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -11,9 +11,9 @@
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallProgress;
 import org.dogwoodwinch.forwarding.ChoiceQuery;
+import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Plan;
-import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.RouteKind;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.forwarding.ServiceEntry;
@@ -53,10 +53,17 @@
     private AnswerFacts answer;
     private HttpHeaders answerHeaders;
     private EventFramer events;
-    private int sendsCount;
+    private int runsCount;
+    private int rejectionsCount;
     private int failedConnectsCount;
-    private boolean mayHaveRun;
     private boolean promptUnread;
+    private int unreadTokens;
+    private long aheadTokens;
+    private long sentMillis;
+    private boolean readApart;
+    private Optional<PromptReading> reading = Optional.empty();
+    private Optional<PromptMemory> memory = Optional.empty();
+    private Incarnation memoryReader;
 
     /**
      * Creates a relay that does nothing yet.
@@ -129,7 +136,7 @@
     }
 
     int sendsCount() {
-        return sendsCount;
+        return runsCount + rejectionsCount;
     }
 
     long ageMillis() {
@@ -144,15 +151,54 @@
         return limitMillis - nowMillis();
     }
 
+    private ChoiceQuery query() {
+        return new ChoiceQuery(service, facts.prompt(), triedIds, remainingMillis(), nowMillis());
+    }
+
     private void attempt() {
-        Optional<Plan> chosen = parts.chooser()
-                .choose(new ChoiceQuery(service, facts.prompt(), triedIds, remainingMillis(), nowMillis()));
+        Optional<Plan> chosen = parts.chooser().choose(query());
         if (chosen.isEmpty()) {
-            parts.report().noTarget(this);
-            giveUp("no_target", parts.retryPolicy().retryAfterMillis());
+            noTarget();
             return;
         }
         plan = chosen.get();
+        // Reading apart again would be one more arrival; the second time the target reads the prompt itself.
+        if (plan.prefill().isPresent() && !readApart) {
+            readPrompt(plan.prefill().get());
+        } else {
+            connect();
+        }
+    }
+
+    private void noTarget() {
+        parts.report().noTarget(this);
+        follow(new SendOutcome.NotSent("no_target"), parts.retryPolicy().giveUp(progress()));
+    }
+
+    private void readPrompt(Incarnation reader) {
+        readApart = true;
+        PromptReading started =
+                new PromptReading(parts, service, reader, facts.prompt().orElseThrow(), this::promptWasRead);
+        reading = Optional.of(started);
+        started.start(outbound(reader, true));
+    }
+
+    /** Where nothing came of it, the call has not run: a target that reads the prompt itself gets it. */
+    private void promptWasRead(Optional<PromptMemory> read) {
+        Incarnation reader = reading.orElseThrow().reader();
+        reading = Optional.empty();
+        memory = read;
+        memoryReader = reader;
+        Optional<Incarnation> runner = parts.chooser().chooseRunner(query(), reader);
+        if (runner.isEmpty()) {
+            noTarget();
+            return;
+        }
+        plan = new Plan(runner.get(), Optional.empty());
+        connect();
+    }
+
+    private void connect() {
         parts.connections().take(plan.target(), parts.connectionsPerTarget(service), new TargetConnections.Taker() {
             @Override
             public void took(TargetConnection taken) {
@@ -173,34 +219,43 @@
             parts.connections().giveBack(taken);
             return;
         }
-        long remaining = remainingMillis();
-        if (remaining <= 0) {
+        if (remainingMillis() <= 0) {
             parts.connections().giveBack(taken);
             limitReached();
             return;
         }
         connection = taken;
         triedIds.add(plan.target().id());
-        sendsCount++;
         inFlight = true;
         answer = null;
         answerHeaders = null;
         held.reset();
         promptUnread = true;
-        parts.loads().sent(plan.target().id(), promptTokens());
+        unreadTokens = memory.isPresent()
+                ? 0
+                : facts.prompt()
+                        .map(prompt -> parts.chooser().unreadTokens(plan.target(), prompt))
+                        .orElse(0);
+        aheadTokens = parts.loads().at(plan.target().id()).unreadTokens();
+        sentMillis = nowMillis();
+        parts.loads().sent(plan.target().id(), unreadTokens);
+        parts.report().sent(requestId(), plan.target(), unreadTokens, aheadTokens, false);
+        OutboundCall outbound = outbound(plan.target(), false);
+        // A handle can be taken once.
+        memory = Optional.empty();
+        taken.send(outbound, this);
+    }
+
+    private OutboundCall outbound(Incarnation target, boolean prefillOnly) {
         SendFacts sending = new SendFacts(
-                plan.target(),
-                remaining,
+                target,
+                Math.max(1, remainingMillis()),
                 facts.prompt().map(_prompt -> route.urgency()),
-                false,
-                Optional.empty(),
+                prefillOnly,
+                memory,
                 events.lastEventId());
         HttpHeaders headers = parts.callHeaders().forSend(call.headers(), sending);
-        taken.send(new OutboundCall(requestId(), call.method(), call.uri(), headers, call.body(), call.framed()), this);
-    }
-
-    private int promptTokens() {
-        return facts.prompt().map(Prompt::inputTokens).orElse(0);
+        return new OutboundCall(requestId(), call.method(), call.uri(), headers, call.body(), call.framed());
     }
 
     @Override
@@ -214,6 +269,15 @@
         if (state == State.DONE) {
             return;
         }
+        if (promptUnread && unreadTokens > 0 && success()) {
+            parts.rates()
+                    .observe(
+                            service.name(),
+                            plan.target().stage(),
+                            aheadTokens + unreadTokens,
+                            nowMillis() - sentMillis);
+            parts.parts().read(plan.target().id(), facts.prompt().orElseThrow());
+        }
         promptRead();
         if (!success()) {
             hold(piece);
@@ -334,26 +398,28 @@
         if (state == State.DONE) {
             return;
         }
-        boolean ran = outcome instanceof SendOutcome.Unknown || outcome instanceof SendOutcome.RanAndFailed;
-        mayHaveRun |= ran;
-        if (!(outcome instanceof SendOutcome.NotSent)) {
-            events.dropPartial();
+        if (outcome instanceof SendOutcome.Rejected) {
+            rejectionsCount++;
+        } else if (!(outcome instanceof SendOutcome.NotSent)) {
+            runsCount++;
         }
+        events.dropPartial();
         NextStep step = parts.retryPolicy()
-                .after(
-                        outcome,
-                        new CallProgress(
-                                route.idempotent(),
-                                sendsCount,
-                                failedConnectsCount,
-                                route.maxAttemptsCount(),
-                                remainingMillis(),
-                                mayHaveRun),
-                        () -> parts.budget().takeRepeat(service.name(), nowMillis()));
+                .after(outcome, progress(), () -> parts.budget().takeRepeat(service.name(), nowMillis()));
         parts.report().sendFailed(this, outcome, step);
         follow(outcome, step);
     }
 
+    private CallProgress progress() {
+        return new CallProgress(
+                route.idempotent(),
+                runsCount,
+                rejectionsCount,
+                failedConnectsCount,
+                route.maxAttemptsCount(),
+                remainingMillis());
+    }
+
     private void follow(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.SendAgain) {
             attempt();
@@ -361,7 +427,8 @@
             caller.breakOff();
             done();
         } else if (step instanceof NextStep.Refuse refuse) {
-            giveUp("not_run", refuse.retryAfterMillis());
+            OwnAnswers.refuse(caller, OwnAnswers.UNAVAILABLE, "not run", refuse.retryAfterMillis());
+            done();
         } else if (step instanceof NextStep.RelayFailure && outcome instanceof SendOutcome.RanAndFailed) {
             caller.answer(answer.status(), parts.callHeaders().forCaller(answerHeaders), Bytes.of(held.toByteArray()));
             done();
@@ -375,26 +442,18 @@
         if (state == State.DONE) {
             return;
         }
-        boolean unknown = mayHaveRun || inFlight;
+        boolean unknown = runsCount > 0 || inFlight;
         parts.report().limitReached(this, unknown);
         if (state == State.STREAMING) {
             caller.breakOff();
         } else if (unknown) {
             OwnAnswers.write(caller, OwnAnswers.GATEWAY_TIMEOUT, "may have run");
         } else {
-            OwnAnswers.refuse(caller, OwnAnswers.UNAVAILABLE, "not run", 0);
-        }
-        done();
-    }
-
-    /** Ends the call without having been run; after an unknown send nothing may be promised. */
-    private void giveUp(String reason, long retryAfterMillis) {
-        if (state == State.STREAMING) {
-            caller.breakOff();
-        } else if (mayHaveRun) {
-            OwnAnswers.write(caller, OwnAnswers.BAD_GATEWAY, "may have run");
-        } else {
-            OwnAnswers.refuse(caller, OwnAnswers.UNAVAILABLE, reason, retryAfterMillis);
+            OwnAnswers.refuse(
+                    caller,
+                    OwnAnswers.UNAVAILABLE,
+                    "not run",
+                    parts.retryPolicy().retryAfterMillis());
         }
         done();
     }
@@ -402,7 +461,7 @@
     private void promptRead() {
         if (promptUnread) {
             promptUnread = false;
-            parts.loads().read(plan.target().id(), promptTokens());
+            parts.loads().read(plan.target().id(), unreadTokens);
         }
     }
 
@@ -429,6 +488,9 @@
         state = State.DONE;
         limit.cancel();
         abandonSend();
+        reading.ifPresent(PromptReading::cancel);
+        // Memory that nobody takes would be held until it lapses.
+        memory.ifPresent(untaken -> parts.control().release(memoryReader, untaken));
         onDone.run();
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ControlCaller.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlCaller.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.http.Channels;
+import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.Cancellable;
 import org.dogwoodwinch.time.TimeSource;
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/EngineControl.java
@@ -0,0 +1,36 @@
+package org.dogwoodwinch.relay;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.Incarnation;
+
+/** What is asked of model engines beside running calls. */
+public interface EngineControl {
+
+    /**
+     * Reads the answer to a call of which only the prompt was to be read.
+     *
+     * @param reader the engine that answered, not null
+     * @param body the answer's body, not null
+     * @return where the memory lies, or empty where the answer does not say
+     */
+    Optional<PromptMemory> readMemory(Incarnation reader, Bytes body);
+
+    /**
+     * Lets an engine forget the memory of a read prompt that nobody will take.
+     *
+     * @param reader the engine that keeps it, not null
+     * @param memory the memory, not null
+     */
+    void release(Incarnation reader, PromptMemory memory);
+
+    /**
+     * Asks what changed in an engine's memory of parts.
+     *
+     * @param engine the engine, not null
+     * @param sinceNumber the first event wanted
+     * @return completes with the changes, or empty where there was no usable answer; never exceptionally
+     */
+    CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation engine, long sinceNumber);
+}
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -9,6 +9,8 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.PartIndex;
+import org.dogwoodwinch.forwarding.ReadRates;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.RouteTable;
@@ -16,6 +18,7 @@
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +45,7 @@
      * @param callHeaders reads and writes headers, not null
      * @param random chooses among services and targets, not null
      * @param policy the connections' times, not null
+     * @param control asks engines, not null
      * @param decisions what decides, not null
      * @param metrics counts, not null
      */
@@ -51,6 +55,7 @@
             CallHeaders callHeaders,
             UniformRandomProvider random,
             ConnectionPolicy policy,
+            EngineControl control,
             Decisions decisions,
             ForwardingMetrics metrics) {
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
@@ -62,7 +67,10 @@
                 new TargetConnections(
                         transport, transport.group().next(), callHeaders, time, policy, metrics::connectionOpened),
                 decisions.chooser(),
+                control,
                 decisions.loads(),
+                decisions.parts(),
+                decisions.rates(),
                 decisions.retryPolicy(),
                 decisions.budget(),
                 report,
@@ -75,6 +83,8 @@
      *
      * @param chooser chooses targets, not null
      * @param loads what is under way at targets, not null
+     * @param parts which parts of prompts engines keep, not null
+     * @param rates how fast engines read, not null
      * @param retryPolicy decides what follows on a failed send, not null
      * @param budget bounds repeats, not null
      * @param mostInstancesCount the most instances that may share a target's connections
@@ -82,6 +92,8 @@
     public record Decisions(
             TargetChooser chooser,
             LoadBook loads,
+            PartIndex parts,
+            ReadRates rates,
             RetryPolicy retryPolicy,
             RetryBudget budget,
             int mostInstancesCount) {}
@@ -152,6 +164,18 @@
         return true;
     }
 
+    /**
+     * Says whether a service's targets are model engines.
+     *
+     * @param serviceName the service's name, not null
+     * @return false for plain services and unknown ones
+     */
+    public boolean servesModel(String serviceName) {
+        return table.flatMap(current -> current.service(serviceName))
+                .flatMap(ServiceEntry::engine)
+                .isPresent();
+    }
+
     /**
      * Says whether a configuration is in force.
      *
--- a/src/main/java/org/dogwoodwinch/relay/FrontListener.java
+++ b/src/main/java/org/dogwoodwinch/relay/FrontListener.java
@@ -17,6 +17,7 @@
 import java.util.Objects;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.http.Channels;
+import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.TimeSource;
 
 /** The listener of forwarded calls. */
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.logging.LogEvent;
@@ -35,6 +36,15 @@
         about("no_target", call).info(log);
     }
 
+    @Override
+    public void promptNotRead(Incarnation reader, String reason) {
+        metrics.sendFailed("not_run", "prompt_" + reason, "read_where_run");
+        LogEvent.of("prompt_not_read")
+                .with("target", reader.id())
+                .with("reason", reason)
+                .info(log);
+    }
+
     @Override
     public void sendFailed(CallRelay call, SendOutcome outcome, NextStep step) {
         String known = known(outcome);
@@ -54,9 +64,26 @@
         about("time_limit", call).with("mayHaveRun", mayHaveRun).info(log);
     }
 
+    @Override
+    public void sent(String requestId, Incarnation target, int unreadTokens, long aheadTokens, boolean promptOnly) {
+        if (log.isDebugEnabled()) {
+            LogEvent.of("call_sent")
+                    .with("request", requestId)
+                    .with("target", target.id())
+                    .with("stage", target.stage())
+                    .with("unreadTokens", unreadTokens)
+                    .with("aheadTokens", aheadTokens)
+                    .with("promptOnly", promptOnly)
+                    .debug(log);
+        }
+    }
+
     @Override
     public void firstByte(CallRelay call) {
         metrics.firstByte(call.ageMillis());
+        if (log.isDebugEnabled()) {
+            about("first_byte", call).debug(log);
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -0,0 +1,159 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.Prompt;
+import org.dogwoodwinch.forwarding.ServiceEntry;
+
+/**
+ * Lets one engine read the prompt of a call that another will run. The call does not run here, so whatever goes wrong
+ * leaves it free to run elsewhere. Used on one event loop alone.
+ */
+final class PromptReading implements AnswerSink {
+
+    private static final int MAX_BODY_BYTES = 65_536;
+
+    private final RelayParts parts;
+    private final ServiceEntry service;
+    private final Incarnation reader;
+    private final Prompt prompt;
+    private final Consumer<Optional<PromptMemory>> onEnd;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Optional<TargetConnection> connection = Optional.empty();
+    private AnswerFacts answer;
+    private int unreadTokens;
+    private long aheadTokens;
+    private long sentMillis;
+    private boolean ended;
+
+    /**
+     * Creates a reading that does nothing yet.
+     *
+     * @param parts what all relays share, not null
+     * @param service the engine's service, not null
+     * @param reader the engine, not null
+     * @param prompt the prompt, not null
+     * @param onEnd gets the memory, or nothing where the prompt was not read; not told after {@link #cancel}
+     */
+    PromptReading(
+            RelayParts parts,
+            ServiceEntry service,
+            Incarnation reader,
+            Prompt prompt,
+            Consumer<Optional<PromptMemory>> onEnd) {
+        this.parts = Objects.requireNonNull(parts, "parts");
+        this.service = Objects.requireNonNull(service, "service");
+        this.reader = Objects.requireNonNull(reader, "reader");
+        this.prompt = Objects.requireNonNull(prompt, "prompt");
+        this.onEnd = Objects.requireNonNull(onEnd, "onEnd");
+    }
+
+    Incarnation reader() {
+        return reader;
+    }
+
+    /**
+     * Sends the call.
+     *
+     * @param outbound the call as it is written to the reader, not null
+     */
+    void start(OutboundCall outbound) {
+        parts.connections().take(reader, parts.connectionsPerTarget(service), new TargetConnections.Taker() {
+            @Override
+            public void took(TargetConnection taken) {
+                if (ended) {
+                    parts.connections().giveBack(taken);
+                    return;
+                }
+                connection = Optional.of(taken);
+                sent();
+                parts.report().sent(outbound.requestId(), reader, unreadTokens, aheadTokens, true);
+                taken.send(outbound, PromptReading.this);
+            }
+
+            @Override
+            public void failed(String reason) {
+                end(Optional.empty(), reason);
+            }
+        });
+    }
+
+    private void sent() {
+        unreadTokens = parts.chooser().unreadTokens(reader, prompt);
+        aheadTokens = parts.loads().at(reader.id()).unreadTokens();
+        sentMillis = parts.time().monotonicMillis();
+        parts.loads().sent(reader.id(), unreadTokens);
+    }
+
+    /** The call has ended otherwise: the engine drops the work with its connection. */
+    void cancel() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        connection.ifPresent(open -> {
+            open.abort();
+            settle();
+        });
+    }
+
+    @Override
+    public void head(AnswerFacts facts, HttpHeaders _headers) {
+        answer = facts;
+    }
+
+    @Override
+    public void body(ByteBuf piece) {
+        if (body.size() + piece.readableBytes() <= MAX_BODY_BYTES) {
+            body.writeBytes(ByteBufUtil.getBytes(piece));
+        }
+    }
+
+    @Override
+    public void ended() {
+        settle();
+        if (answer.status() == 200) {
+            long millis = parts.time().monotonicMillis() - sentMillis;
+            parts.rates().observe(service.name(), reader.stage(), aheadTokens + unreadTokens, millis);
+            parts.parts().read(reader.id(), prompt);
+            end(parts.control().readMemory(reader, Bytes.of(body.toByteArray())), "no_handle");
+            return;
+        }
+        if (answer.statesNotRun() || answer.status() == 421) {
+            parts.budget().chargeRepeat(service.name(), parts.time().monotonicMillis());
+        }
+        end(Optional.empty(), "status_" + answer.status());
+    }
+
+    @Override
+    public void lost(String reason) {
+        settle();
+        end(Optional.empty(), reason);
+    }
+
+    private void settle() {
+        if (connection.isPresent()) {
+            connection = Optional.empty();
+            parts.loads().read(reader.id(), unreadTokens);
+            parts.loads().ended(reader.id());
+        }
+    }
+
+    private void end(Optional<PromptMemory> memory, String reason) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (memory.isEmpty()) {
+            parts.report().promptNotRead(reader, reason);
+        }
+        onEnd.accept(memory);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/relay/ReadyListener.java
+++ b/src/main/java/org/dogwoodwinch/relay/ReadyListener.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 import org.dogwoodwinch.http.Channels;
+import org.dogwoodwinch.net.Transport;
 
 /** A listener for short questions without a body, such as the balancer's whether the instance is ready. */
 final class ReadyListener {
--- a/src/main/java/org/dogwoodwinch/relay/RelayParts.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -4,6 +4,8 @@
 import io.netty.buffer.Unpooled;
 import java.util.Objects;
 import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.PartIndex;
+import org.dogwoodwinch.forwarding.ReadRates;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.ServiceEntry;
@@ -17,7 +19,10 @@
  * @param callHeaders reads and writes headers, not null
  * @param connections the connections to targets, not null
  * @param chooser chooses targets, not null
+ * @param control asks engines, not null
  * @param loads what is under way at targets, not null
+ * @param parts which parts of prompts engines keep, not null
+ * @param rates how fast engines read, not null
  * @param retryPolicy decides what follows on a failed send, not null
  * @param budget bounds repeats, not null
  * @param report counts and logs, not null
@@ -28,7 +33,10 @@
         CallHeaders callHeaders,
         TargetConnections connections,
         TargetChooser chooser,
+        EngineControl control,
         LoadBook loads,
+        PartIndex parts,
+        ReadRates rates,
         RetryPolicy retryPolicy,
         RetryBudget budget,
         RelayReport report,
@@ -39,7 +47,10 @@
         Objects.requireNonNull(callHeaders, "callHeaders");
         Objects.requireNonNull(connections, "connections");
         Objects.requireNonNull(chooser, "chooser");
+        Objects.requireNonNull(control, "control");
         Objects.requireNonNull(loads, "loads");
+        Objects.requireNonNull(parts, "parts");
+        Objects.requireNonNull(rates, "rates");
         Objects.requireNonNull(retryPolicy, "retryPolicy");
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(report, "report");
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.relay;
 
+import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.SendOutcome;
 
@@ -12,12 +13,18 @@
     /** No target may get the call. */
     void noTarget(CallRelay call);
 
+    /** An engine did not read a prompt that another would have run. */
+    void promptNotRead(Incarnation reader, String reason);
+
     /** A send gave no success, and that follows. */
     void sendFailed(CallRelay call, SendOutcome outcome, NextStep step);
 
     /** The time limit came before the answer's end. */
     void limitReached(CallRelay call, boolean mayHaveRun);
 
+    /** A call or the reading of its prompt goes to a target that has {@code unreadTokens} of it to read. */
+    void sent(String requestId, Incarnation target, int unreadTokens, long aheadTokens, boolean promptOnly);
+
     /** The first byte of a streamed answer goes to the caller. */
     void firstByte(CallRelay call);
 
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnections.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnections.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Objects;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.net.Addresses;
+import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
--- a/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
+++ b/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
@@ -6,6 +6,7 @@
  * @param instance who this instance is
  * @param forwarding where it listens and how it treats targets
  * @param store the platform's store
+ * @param peers the exchange with the other instances
  * @param promises the bounds that operators and callers were promised
  * @param retries the retry budget
  * @param stop the graceful shutdown
@@ -14,6 +15,7 @@
         InstanceSettings instance,
         ListenSettings forwarding,
         StoreSettings store,
+        ExchangeSettings peers,
         PromiseSettings promises,
         RetrySettings retries,
         GraceSettings stop)
@@ -52,6 +54,18 @@
      */
     public record StoreSettings(String address, long timeoutMillis, long waitMillis, long pauseMillis) {}
 
+    /**
+     * The exchange with the other instances.
+     *
+     * @param listen where they connect, as IP number and port
+     * @param roundMillis the time between two rounds
+     * @param neighboursCount the instances that a round goes to
+     * @param bytesPerSecond what is sent at most, on average
+     * @param renewMillis the time between two announcements of this instance in the store
+     */
+    public record ExchangeSettings(
+            String listen, long roundMillis, int neighboursCount, int bytesPerSecond, long renewMillis) {}
+
     /**
      * What operators and callers were promised.
      *
@@ -83,6 +97,7 @@
                 root.section("instance", InstanceSettings::read),
                 root.section("forwarding", ForwardingSettings::readListen),
                 root.section("store", ForwardingSettings::readStore),
+                root.section("peers", ForwardingSettings::readPeers),
                 root.section("promises", ForwardingSettings::readPromises),
                 root.section("retries", ForwardingSettings::readRetries),
                 root.section("stop", ForwardingSettings::readStop));
@@ -107,6 +122,15 @@
                 section.wholeNumber("pauseMillis", 0, 10_000, 100));
     }
 
+    private static ExchangeSettings readPeers(SettingsSection section) {
+        return new ExchangeSettings(
+                address(section, "listen"),
+                section.wholeNumber("roundMillis", 10, 60_000, 150),
+                section.wholeInt("neighboursCount", 1, 1_000, 8),
+                section.wholeInt("bytesPerSecond", 100, 100_000_000, 14_000),
+                section.wholeNumber("renewMillis", 100, 3_600_000, 15_000));
+    }
+
     private static PromiseSettings readPromises(SettingsSection section) {
         return new PromiseSettings(
                 section.wholeNumber("configurationMillis", 100, 600_000, 2_000),
--- a/src/test/java/org/dogwoodwinch/peer/NettyPeerTransportTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/NettyPeerTransportTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.net.Transport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +20,7 @@
 
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
     private final NettyPeerTransport transport =
-            new NettyPeerTransport(eventLoops, MAX_BYTES, Optional.empty(), Optional.empty());
+            new NettyPeerTransport(Transport.ofNio(eventLoops), MAX_BYTES, Optional.empty(), Optional.empty());
     private final BlockingQueue<Bytes> received = new LinkedBlockingQueue<>();
 
     @AfterEach
