--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -74,7 +74,9 @@
             return reject(rejected.problems());
         }
         DaemonSettings settings = ((SettingsResult.Loaded) result).settings();
-        return settings instanceof ForwardingSettings forwarding ? forward(forwarding) : run((Settings) settings);
+        return settings instanceof ForwardingSettings forwarding
+                ? forward(forwarding, settingsFile)
+                : run((Settings) settings);
     }
 
     /** A cancelled deadline timer that stayed queued would hold its whole request on the heap until it is due. */
@@ -91,7 +93,7 @@
         return EXIT_SETTINGS;
     }
 
-    private static int forward(ForwardingSettings settings) {
+    private static int forward(ForwardingSettings settings, Path file) {
         ForwardingDaemon daemon =
                 new ForwardingDaemon(settings, Transport.start(1), RandomSource.XO_RO_SHI_RO_128_PP.create());
         try {
@@ -100,6 +102,7 @@
             LogEvent.of("start_failed").with("error", e.getMessage()).warn(log);
             return EXIT_BIND;
         }
+        daemon.watch(file);
         return untilStopped(daemon::stop) == 0 ? 0 : EXIT_CUT;
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -32,6 +33,7 @@
 import org.dogwoodwinch.peer.PeerObserver;
 import org.dogwoodwinch.peer.PeerRefusal;
 import org.dogwoodwinch.peer.PeerSettings;
+import org.dogwoodwinch.peer.SuspicionExchange;
 import org.dogwoodwinch.platform.EngineClient;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.platform.StoreClient;
@@ -40,7 +42,10 @@
 import org.dogwoodwinch.relay.ControlCaller;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.relay.SocketConnector;
+import org.dogwoodwinch.request.SuspectBook;
 import org.dogwoodwinch.settings.ForwardingSettings;
+import org.dogwoodwinch.settings.SettingsChange;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -76,12 +81,23 @@
 
     private static final int MAX_PEER_MESSAGE_BYTES = 262_144;
 
+    private static final long SETTINGS_CHECK_MILLIS = 1_000;
+
+    private static final long CLOCK_CHECK_MILLIS = 500;
+
+    /** Well over what clocks drift and timers are late between two checks. */
+    private static final long CLOCK_JUMP_MILLIS = 700;
+
+    /** A suspicion outlives a caller's retries by far. */
+    private static final long SUSPECT_MILLIS = 600_000;
+
+    private static final long QUARANTINE_MILLIS = 600_000;
+
     private static final long CACHE_ROUND_MILLIS = 250;
 
     private static final long FIRST_BACKOFF_MILLIS = 50;
     private static final long MAX_BACKOFF_MILLIS = 500;
 
-    private final ForwardingSettings settings;
     private final Transport transport;
     private final TimeSource time;
     private final ForwardingMetrics metrics = new ForwardingMetrics(new PrometheusRegistry());
@@ -96,6 +112,9 @@
     private final PeerExchange exchange;
     private final NettyPeerTransport peerTransport;
     private final LoadSharing loadSharing;
+    private final ClockWatch clockWatch;
+    private final RetryBudget budget;
+    private ForwardingSettings settings;
     private boolean leaving;
     private long leftAtMillis;
 
@@ -110,6 +129,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.time = new EventLoopTime(transport.group().next());
+        this.budget = budget(settings, time.monotonicMillis());
         ConnectionPolicy connections = new ConnectionPolicy(
                 settings.forwarding().connectTimeoutMillis(),
                 settings.forwarding().unacknowledgedMillis(),
@@ -119,33 +139,6 @@
         ReadRates rates = new ReadRates(FIRST_TOKENS_PER_MILLI);
         ControlCaller caller = new ControlCaller(transport, transport.group().next(), time, connections);
         EngineClient engines = new EngineClient(caller, ENGINE_TIMEOUT_MILLIS, ENGINE_WAIT_MILLIS);
-        this.service = new ForwardingService(
-                transport,
-                time,
-                new PlatformHeaders(),
-                random,
-                connections,
-                engines,
-                new ForwardingService.Decisions(
-                        new EngineChooser(
-                                directory,
-                                loads,
-                                parts,
-                                rates,
-                                EngineChoicePolicy.STANDARD,
-                                new LeastLoadedChooser(directory, loads, random),
-                                settings.instance().dataCentre()),
-                        loads,
-                        parts,
-                        rates,
-                        new RetryPolicy(
-                                MAX_FAILED_CONNECTS,
-                                MAX_REJECTIONS,
-                                LEAST_REMAINING_MILLIS,
-                                settings.retries().retryAfterMillis()),
-                        budget(settings),
-                        settings.forwarding().mostInstancesCount()),
-                metrics);
         StoreClient store = new StoreClient(
                 caller,
                 Addresses.parse(settings.store().address()),
@@ -155,12 +148,6 @@
                 settings.store().pauseMillis(),
                 FIRST_BACKOFF_MILLIS,
                 MAX_BACKOFF_MILLIS);
-        this.configuration = new StreamFollower(
-                store.keyed(StoreClient.OPERATOR_TOPIC),
-                follow,
-                new ConfigurationReader(service, metrics),
-                time,
-                random);
         InetSocketAddress peerAddress = address(settings.peers().listen());
         PeerMember self = new PeerMember(
                 settings.instance().name(),
@@ -192,10 +179,49 @@
                 peerTransport,
                 members::others,
                 new RefusalLog());
+        SuspicionExchange suspicions = new SuspicionExchange(exchange);
+        SuspectBook suspects = new SuspectBook(time, SUSPECT_MILLIS, QUARANTINE_MILLIS, suspicions);
+        suspicions.connect(suspects);
+        this.service = new ForwardingService(
+                new SocketConnector(transport, connections),
+                time,
+                new PlatformHeaders(),
+                random,
+                connections,
+                engines,
+                new ForwardingService.Decisions(
+                        new EngineChooser(
+                                directory,
+                                loads,
+                                parts,
+                                rates,
+                                EngineChoicePolicy.STANDARD,
+                                new LeastLoadedChooser(directory, loads, random),
+                                settings.instance().dataCentre()),
+                        loads,
+                        parts,
+                        rates,
+                        new RetryPolicy(
+                                MAX_FAILED_CONNECTS,
+                                MAX_REJECTIONS,
+                                LEAST_REMAINING_MILLIS,
+                                settings.retries().retryAfterMillis()),
+                        budget,
+                        suspects,
+                        settings.forwarding().mostInstancesCount()),
+                metrics);
+        this.configuration = new StreamFollower(
+                store.keyed(StoreClient.OPERATOR_TOPIC),
+                follow,
+                new ConfigurationReader(service, metrics),
+                time,
+                random);
+        this.clockWatch = new ClockWatch(time, CLOCK_CHECK_MILLIS, CLOCK_JUMP_MILLIS, service::dropKeptConnections);
         this.loadSharing =
                 new LoadSharing(loads, exchange, time, settings.peers().roundMillis());
         this.cacheWatch = new CacheWatch(engines, parts, this::modelEngines, time, CACHE_ROUND_MILLIS);
-        this.targetsReader = new TargetsReader(directory, service, metrics);
+        this.targetsReader = new TargetsReader(
+                directory, service, metrics, time, settings.promises().drainMillis() * 4 / 5);
         this.targets = new StreamFollower(store.keyed(StoreClient.TARGETS_TOPIC), follow, targetsReader, time, random);
     }
 
@@ -207,7 +233,7 @@
     public void start() throws IOException {
         ForwardingService.listenReady(transport, address(settings.forwarding().readyListen()), this::ready);
         ForwardingService.listenMetrics(transport, address(settings.forwarding().metricsListen()), metrics);
-        service.listen(address(settings.forwarding().listen()));
+        service.listen(transport, address(settings.forwarding().listen()));
         InetSocketAddress peers = address(settings.peers().listen());
         peerTransport.listen(peers.getHostString(), peers.getPort(), exchange::receive);
         transport.group().next().execute(() -> {
@@ -218,6 +244,7 @@
             membersFollower.start();
             exchange.start();
             loadSharing.start();
+            clockWatch.start();
         });
         LogEvent.of("started")
                 .with("instance", settings.instance().name())
@@ -227,6 +254,34 @@
                 .info(log);
     }
 
+    /**
+     * Reloads the settings whenever their file changes, and at the signal to do so.
+     *
+     * @param file the settings file, not null
+     */
+    public void watch(Path file) {
+        SettingsWatch watch = new SettingsWatch(file, time, SETTINGS_CHECK_MILLIS, this::reload);
+        transport.group().next().execute(watch::start);
+        Signals.on("HUP", () -> transport.group().next().execute(watch::check));
+    }
+
+    /**
+     * Puts changed settings in force as far as that needs no start, and says what does. Runs on the event loop.
+     *
+     * @param fresh the settings read anew, not null
+     */
+    public void reload(ForwardingSettings fresh) {
+        transport.group().next().execute(() -> {
+            SettingsChange change = SettingsChange.between(settings, fresh);
+            settings = change.inForce();
+            budget.reconfigure(settings.retries().ratio(), slackShare(settings));
+            LogEvent.of("settings_reloaded")
+                    .with("changed", String.join(",", change.taken()))
+                    .with("needRestart", String.join(",", change.needRestart()))
+                    .info(log);
+        });
+    }
+
     /**
      * Stops gracefully: not ready first, then calls under way finish.
      *
@@ -270,11 +325,16 @@
         time.schedule(DRAIN_CHECK_MILLIS, () -> waitForCalls(stopped));
     }
 
-    private static RetryBudget budget(ForwardingSettings settings) {
+    private static RetryBudget budget(ForwardingSettings settings, long startedMillis) {
         return new RetryBudget(
                 settings.retries().ratio(),
-                settings.retries().slackCount() / settings.forwarding().mostInstancesCount(),
-                settings.retries().windowMillis());
+                slackShare(settings),
+                settings.retries().windowMillis(),
+                startedMillis);
+    }
+
+    private static double slackShare(ForwardingSettings settings) {
+        return settings.retries().slackCount() / settings.forwarding().mostInstancesCount();
     }
 
     private static InetSocketAddress address(String text) {
--- a/src/main/java/org/dogwoodwinch/daemon/StopSignals.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StopSignals.java
@@ -1,7 +1,5 @@
 package org.dogwoodwinch.daemon;
 
-import java.lang.reflect.Method;
-import java.lang.reflect.Proxy;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.dogwoodwinch.logging.LogEvent;
@@ -37,25 +35,11 @@
     /**
      * Takes the signals of this process over.
      *
-     * <p>The Java platform has no other interface to signals than {@code sun.misc.Signal} of module {@code
-     * jdk.unsupported}. It is reached by reflection, since javac warns of every other use and warnings are errors here.
-     *
-     * @throws IllegalStateException if this virtual machine has no such interface
+     * @throws IllegalStateException if this virtual machine hands out no signals
      */
-    // The proxy's type is only known at run time for the reason above, and no native image is built.
-    @SuppressWarnings("ProxyNonConstantType")
     void install() {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Method handle = signal.getMethod("handle", signal, handler);
-            Object reaction =
-                    Proxy.newProxyInstance(StopSignals.class.getClassLoader(), new Class<?>[] {handler}, this::invoked);
-            for (String name : NAMES) {
-                handle.invoke(null, signal.getConstructor(String.class).newInstance(name), reaction);
-            }
-        } catch (ReflectiveOperationException e) {
-            throw new IllegalStateException("this virtual machine hands out no signals", e);
+        for (String name : NAMES) {
+            Signals.on(name, () -> received("SIG" + name));
         }
     }
 
@@ -73,11 +57,4 @@
             onSecond.run();
         }
     }
-
-    private Object invoked(Object _proxy, Method method, Object[] arguments) {
-        if (method.getName().equals("handle")) {
-            received(String.valueOf(arguments[0]));
-        }
-        return null;
-    }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.daemon;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -12,10 +13,18 @@
 import org.dogwoodwinch.platform.TargetEntryDecoder;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Keeps the directory of targets as the platform's list tells it. */
+/**
+ * Keeps the directory of targets as the platform's list tells it. Used on one event loop alone.
+ *
+ * <p>Failure: while the store is away, entries of sound targets lapse, as their words do not arrive; on its return all
+ * look gone for a moment and every call would be refused. Such entries come back within about two seconds, so a lapse
+ * that is read just after an outage counts only when it has stood for a while, within the time in which a target that is
+ * really gone has to be left alone.
+ */
 final class TargetsReader implements FollowListener {
 
     private static final Logger log = LoggerFactory.getLogger(TargetsReader.class);
@@ -23,12 +32,24 @@
     private final TargetDirectory directory;
     private final ForwardingService service;
     private final ForwardingMetrics metrics;
+    private final TimeSource time;
+    private final long lapseMillis;
+    private final Set<String> lapsed = new HashSet<>();
+    private long regainedAtMillis = Long.MIN_VALUE / 2;
+    private boolean reachable = true;
     private boolean readOnce;
 
-    TargetsReader(TargetDirectory directory, ForwardingService service, ForwardingMetrics metrics) {
+    TargetsReader(
+            TargetDirectory directory,
+            ForwardingService service,
+            ForwardingMetrics metrics,
+            TimeSource time,
+            long lapseMillis) {
         this.directory = Objects.requireNonNull(directory, "directory");
         this.service = Objects.requireNonNull(service, "service");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.time = Objects.requireNonNull(time, "time");
+        this.lapseMillis = lapseMillis;
     }
 
     /** Whether the list was read whole at least once. */
@@ -39,12 +60,41 @@
     @Override
     public void record(KeyedRecord record) {
         Optional<Incarnation> stated = decode(record);
-        if (!directory.apply(record.key(), record.offset(), stated)) {
+        if (stated.isEmpty() && lapsedInOutage(record.key())) {
+            lapsed.add(record.key());
+            LogEvent.of("target_lapsed_in_outage")
+                    .with("target", record.key())
+                    .with("offset", record.offset())
+                    .info(log);
+            time.schedule(lapseMillis, () -> endLapse(record));
+            return;
+        }
+        lapsed.remove(record.key());
+        apply(record.key(), record.offset(), stated);
+    }
+
+    /** A target that said it leaves is not waited for. */
+    private boolean lapsedInOutage(String id) {
+        boolean justRegained = !reachable || time.monotonicMillis() - regainedAtMillis < lapseMillis;
+        return justRegained
+                && directory.find(id).filter(target -> !target.leaving()).isPresent();
+    }
+
+    private void endLapse(KeyedRecord record) {
+        if (lapsed.remove(record.key())) {
+            apply(record.key(), record.offset(), Optional.empty());
+        }
+    }
+
+    private void apply(String id, long offset, Optional<Incarnation> stated) {
+        boolean wasReady =
+                directory.find(id).filter(target -> !target.leaving()).isPresent();
+        if (!directory.apply(id, offset, stated)) {
             return;
         }
         LogEvent.of("target_listed")
-                .with("target", record.key())
-                .with("offset", record.offset())
+                .with("target", id)
+                .with("offset", offset)
                 .with("service", stated.map(Incarnation::service).orElse(""))
                 .with("address", stated.map(Incarnation::address).orElse(""))
                 .with("stage", stated.map(Incarnation::stage).orElse(null))
@@ -52,13 +102,16 @@
                         "state",
                         stated.map(each -> each.leaving() ? "leaving" : "ready").orElse("gone"))
                 .info(log);
-        changed(record.key(), stated);
+        changed(id, stated, wasReady);
     }
 
-    private void changed(String id, Optional<Incarnation> stated) {
+    private void changed(String id, Optional<Incarnation> stated, boolean wasReady) {
         if (stated.isEmpty() || stated.get().leaving()) {
             service.forgetTarget(id);
         }
+        if (stated.isEmpty() && wasReady) {
+            service.targetFoundGone(id);
+        }
         metrics.showTargets(
                 (int) directory.all().stream().filter(each -> !each.leaving()).count());
     }
@@ -82,19 +135,30 @@
     @Override
     public void readWhole(Set<String> keys, long endOffset) {
         readOnce = true;
+        if (time.monotonicMillis() - regainedAtMillis < lapseMillis) {
+            time.schedule(lapseMillis, () -> retain(keys, endOffset));
+        } else {
+            retain(keys, endOffset);
+        }
+    }
+
+    private void retain(Set<String> keys, long endOffset) {
         for (String id : directory.retain(keys, endOffset)) {
             LogEvent.of("target_not_listed").with("target", id).info(log);
-            changed(id, Optional.empty());
+            changed(id, Optional.empty(), false);
         }
     }
 
     @Override
     public void regained() {
+        reachable = true;
+        regainedAtMillis = time.monotonicMillis();
         LogEvent.of("store_regained").with("stream", "targets").info(log);
     }
 
     @Override
     public void lost(String reason) {
+        reachable = false;
         LogEvent.of("store_lost")
                 .with("stream", "targets")
                 .with("reason", reason)
--- a/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
@@ -8,6 +8,9 @@
  * Bounds repeats for each service without a counter in common: an instance spends a ratio of the requests that it took
  * itself and a fixed share of the slack.
  *
+ * <p>An instance that starts anew has forgotten what it spent, so its share of the slack is its own only a window after
+ * its start; requests and repeats forgotten together keep the ratio.
+ *
  * <p>Failure: a service fails, every instance repeats its calls, and the repeats keep it down. The sum over all
  * instances stays below ratio times requests plus slack, as each instance keeps to its own part and the shares add up
  * to the slack. Counted in slices of the window, so that any window that a slice begins is bounded. Not thread-safe.
@@ -16,8 +19,15 @@
 
     private static final int SLICES = 20;
 
-    private final double ratio;
-    private final double slack;
+    /**
+     * The part of the ratio that is spent. Requests are judged in the span of the repeats, the one before and the one half
+     * a span before; the span that ends with the last repeat can lie between two of these and hold a third more.
+     */
+    private static final double SPENT_PART = 0.75;
+
+    private double ratio;
+    private double slack;
+    private final long slackFromMillis;
     private final long sliceMillis;
     private final Map<String, Ledger> ledgers = new HashMap<>();
 
@@ -27,13 +37,26 @@
      * @param ratio repeats for each request taken here
      * @param slack repeats in a window beside these, the share of this instance alone
      * @param windowMillis the window
+     * @param startedMillis when this instance started, in monotonic milliseconds
      */
-    public RetryBudget(double ratio, double slack, long windowMillis) {
-        this.ratio = ratio;
+    public RetryBudget(double ratio, double slack, long windowMillis, long startedMillis) {
+        this.ratio = ratio * SPENT_PART;
         this.slack = slack;
+        this.slackFromMillis = startedMillis + windowMillis;
         this.sliceMillis = Math.max(1, windowMillis / SLICES);
     }
 
+    /**
+     * Puts other bounds in force; what was spent stays spent.
+     *
+     * @param freshRatio repeats for each request taken here
+     * @param freshSlack repeats in a window beside these, the share of this instance alone
+     */
+    public void reconfigure(double freshRatio, double freshSlack) {
+        ratio = freshRatio * SPENT_PART;
+        slack = freshSlack;
+    }
+
     /**
      * Counts a request that a caller sent for a service.
      *
@@ -56,7 +79,7 @@
     public boolean takeRepeat(String service, long nowMillis) {
         Ledger ledger = ledger(service);
         ledger.turn(nowMillis / sliceMillis);
-        if (sum(ledger.repeats) + 1 > ratio * sum(ledger.requests) + slack) {
+        if (sum(ledger.repeats) + 1 > allowed(ledger, nowMillis)) {
             return false;
         }
         ledger.repeats[ledger.index()]++;
@@ -85,7 +108,11 @@
     public double left(String service, long nowMillis) {
         Ledger ledger = ledger(service);
         ledger.turn(nowMillis / sliceMillis);
-        return Math.max(0, ratio * sum(ledger.requests) + slack - sum(ledger.repeats));
+        return Math.max(0, allowed(ledger, nowMillis) - sum(ledger.repeats));
+    }
+
+    private double allowed(Ledger ledger, long nowMillis) {
+        return ratio * sum(ledger.requests) + (nowMillis < slackFromMillis ? 0 : slack);
     }
 
     private Ledger ledger(String service) {
--- a/src/main/java/org/dogwoodwinch/http/LingeringClose.java
+++ b/src/main/java/org/dogwoodwinch/http/LingeringClose.java
@@ -13,7 +13,7 @@
  * <p>Closing at once while the peer still sends makes the kernel answer with a reset, and the peer loses the refusal that
  * it should have read. So the writing side closes first, and what still comes is thrown away for a moment.
  */
-final class LingeringClose {
+public final class LingeringClose {
 
     private static final long LINGER_MILLIS = 1_000;
 
@@ -25,7 +25,7 @@
      * @param context a context of the connection, not null
      * @param time runs the timer, not null
      */
-    static void afterWrites(ChannelHandlerContext context, TimeSource time) {
+    public static void afterWrites(ChannelHandlerContext context, TimeSource time) {
         Channel channel = context.channel();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(_written -> closeWriting(channel, time));
     }
--- a/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
+++ b/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
@@ -41,6 +41,7 @@
     private static final int LENGTH_BYTES = 4;
     private static final int IDLE_SECONDS = 60;
     private static final int CONNECT_MILLIS = 2_000;
+    private static final int UNACKNOWLEDGED_MILLIS = 3_000;
     private static final int MAX_CONNECTIONS_IN = 1_024;
 
     private final Transport sockets;
@@ -124,7 +125,10 @@
     }
 
     private ChannelFuture connect(PeerMember member) {
-        ChannelFuture connection = new Bootstrap()
+        Bootstrap bootstrap = new Bootstrap();
+        // A connection that went silent would keep a member unheard for as long as bytes are written to it.
+        sockets.setUnacknowledgedTimeout(bootstrap, UNACKNOWLEDGED_MILLIS);
+        ChannelFuture connection = bootstrap
                 .group(sockets.group())
                 .channel(sockets.channel())
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
--- a/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
@@ -33,6 +33,9 @@
      */
     public static RouteTable decode(Bytes body) throws IOException {
         JsonNode root = JSON.readTree(body.toByteArray());
+        if (!root.path("version").isNumber()) {
+            throw new IOException("not a configuration: it has no version");
+        }
         try {
             List<ServiceRoute> routes = new ArrayList<>();
             root.path("routes").forEach(route -> routes.add(route(route)));
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -2,13 +2,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallProgress;
 import org.dogwoodwinch.forwarding.ChoiceQuery;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -42,16 +39,15 @@
     private final ServiceEntry service;
     private final CallerSide caller;
     private final long limitMillis;
+    private final long fingerprint;
     private final Runnable onDone;
     private final Set<String> triedIds = new HashSet<>();
-    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
     private State state = State.SENDING;
     private Cancellable limit;
     private Plan plan;
     private TargetConnection connection;
     private boolean inFlight;
-    private AnswerFacts answer;
-    private HttpHeaders answerHeaders;
+    private ReceivedAnswer answer;
     private EventFramer events;
     private int runsCount;
     private int rejectionsCount;
@@ -94,11 +90,23 @@
         this.limitMillis = call.arrivalMillis()
                 + Math.min(route.timeoutMillis(), facts.deadlineMillis().orElse(Long.MAX_VALUE));
         this.events = new EventFramer(facts.lastEventId());
+        this.fingerprint = Suspicions.fingerprint(call);
     }
 
     /** Begins. */
     void start() {
         parts.budget().countRequest(service.name(), nowMillis());
+        if (parts.suspicions().quarantined(fingerprint)) {
+            parts.report().quarantined(this);
+            OwnAnswers.refuse(
+                    caller,
+                    OwnAnswers.UNAVAILABLE,
+                    "quarantined",
+                    parts.retryPolicy().retryAfterMillis());
+            state = State.DONE;
+            onDone.run();
+            return;
+        }
         limit = parts.time().schedule(remainingMillis(), this::limitReached);
         attempt();
     }
@@ -152,11 +160,26 @@
     }
 
     private ChoiceQuery query() {
-        return new ChoiceQuery(service, facts.prompt(), triedIds, remainingMillis(), nowMillis());
+        return query(triedIds);
+    }
+
+    private ChoiceQuery query(Set<String> avoided) {
+        return new ChoiceQuery(service, facts.prompt(), avoided, remainingMillis(), nowMillis());
+    }
+
+    /** A suspect is kept away from other suspects; where it has no other place, it runs beside them. */
+    private Optional<Plan> choose() {
+        Set<String> suspectsTargets = parts.suspicions().avoided(fingerprint);
+        if (suspectsTargets.isEmpty()) {
+            return parts.chooser().choose(query());
+        }
+        Set<String> avoided = new HashSet<>(triedIds);
+        avoided.addAll(suspectsTargets);
+        return parts.chooser().choose(query(avoided)).or(() -> parts.chooser().choose(query()));
     }
 
     private void attempt() {
-        Optional<Plan> chosen = parts.chooser().choose(query());
+        Optional<Plan> chosen = choose();
         if (chosen.isEmpty()) {
             noTarget();
             return;
@@ -228,8 +251,6 @@
         triedIds.add(plan.target().id());
         inFlight = true;
         answer = null;
-        answerHeaders = null;
-        held.reset();
         promptUnread = true;
         unreadTokens = memory.isPresent()
                 ? 0
@@ -240,6 +261,7 @@
         sentMillis = nowMillis();
         parts.loads().sent(plan.target().id(), unreadTokens);
         parts.report().sent(requestId(), plan.target(), unreadTokens, aheadTokens, false);
+        parts.suspicions().sending(fingerprint, requestId(), plan.target().id());
         OutboundCall outbound = outbound(plan.target(), false);
         // A handle can be taken once.
         memory = Optional.empty();
@@ -260,8 +282,7 @@
 
     @Override
     public void head(AnswerFacts answerFacts, HttpHeaders headers) {
-        answer = answerFacts;
-        answerHeaders = headers;
+        answer = new ReceivedAnswer(answerFacts, headers);
     }
 
     @Override
@@ -269,29 +290,23 @@
         if (state == State.DONE) {
             return;
         }
-        if (promptUnread && unreadTokens > 0 && success()) {
-            parts.rates()
-                    .observe(
-                            service.name(),
-                            plan.target().stage(),
-                            aheadTokens + unreadTokens,
-                            nowMillis() - sentMillis);
-            parts.parts().read(plan.target().id(), facts.prompt().orElseThrow());
-        }
-        promptRead();
-        if (!success()) {
-            hold(piece);
+        promptRead(answer.success());
+        if (!answer.success()) {
+            holdFailure(piece);
         } else if (route.kind() == RouteKind.STREAM) {
             stream(piece);
         } else if (state == State.STREAMING) {
             relay(piece.retain());
-        } else {
-            hold(piece);
-            if (held.size() > HELD_BODY_BYTES) {
-                beginAnswer();
-                relay(parts.copy(held.toByteArray()));
-                held.reset();
-            }
+        } else if (answer.hold(piece) > HELD_BODY_BYTES) {
+            beginAnswer();
+            relay(parts.copy(answer.takeHeld()));
+        }
+    }
+
+    private void holdFailure(ByteBuf piece) {
+        if (answer.hold(piece) > HELD_BODY_BYTES) {
+            abandonSend();
+            ended(new SendOutcome.Unknown("failure_too_long"));
         }
     }
 
@@ -313,7 +328,7 @@
         if (state == State.SENDING) {
             state = State.STREAMING;
             parts.report().firstByte(this);
-            caller.begin(answer.status(), parts.callHeaders().forCaller(answerHeaders));
+            caller.begin(answer.status(), parts.callHeaders().forCaller(answer.headers()));
         }
     }
 
@@ -324,51 +339,18 @@
         }
     }
 
-    private void hold(ByteBuf piece) {
-        try {
-            piece.getBytes(piece.readerIndex(), held, piece.readableBytes());
-        } catch (IOException e) {
-            throw new IllegalStateException("memory cannot fail to take bytes", e);
-        }
-        if (held.size() > HELD_BODY_BYTES && !success()) {
-            abandonSend();
-            ended(new SendOutcome.Unknown("failure_too_long"));
-        }
-    }
-
     @Override
     public void ended() {
         sendEnded();
         if (state == State.DONE) {
             return;
         }
-        if (success()) {
+        if (answer.success()) {
             succeeded();
         } else {
-            ended(judge());
-        }
-    }
-
-    /** A success counts with the target's signature alone and with the target's own bytes. */
-    private boolean success() {
-        return answer.status() / 100 == 2
-                && answer.signed()
-                && !answer.encoded()
-                && answer.requestId().isPresent();
-    }
-
-    private SendOutcome judge() {
-        if (answer.statesNotRun() || answer.status() == 421) {
-            return new SendOutcome.Rejected(answer.status(), answer.status() == 421);
-        }
-        if (answer.status() / 100 == 2) {
-            return new SendOutcome.Unknown("success_not_proved");
+            parts.suspicions().ended(fingerprint, requestId(), false);
+            ended(answer.failure());
         }
-        if (answer.status() == 429 || OwnAnswers.promisesNotRun(answer.status())) {
-            // Handed on it would promise the caller what the target did not promise.
-            return new SendOutcome.Unknown("refusal_not_proved");
-        }
-        return new SendOutcome.RanAndFailed(answer.status());
     }
 
     private void succeeded() {
@@ -377,19 +359,21 @@
             ended(new SendOutcome.Unknown("cut_event"));
             return;
         }
+        parts.suspicions().ended(fingerprint, requestId(), true);
         parts.report().succeeded(this);
         if (state == State.STREAMING) {
             caller.complete();
+            done();
         } else {
-            caller.answer(answer.status(), parts.callHeaders().forCaller(answerHeaders), Bytes.of(held.toByteArray()));
+            relayWhole();
         }
-        done();
     }
 
     @Override
     public void lost(String reason) {
         sendEnded();
         if (state != State.DONE) {
+            parts.suspicions().lost(fingerprint, requestId(), plan.target().id());
             ended(new SendOutcome.Unknown(reason));
         }
     }
@@ -430,14 +414,18 @@
             OwnAnswers.refuse(caller, OwnAnswers.UNAVAILABLE, "not run", refuse.retryAfterMillis());
             done();
         } else if (step instanceof NextStep.RelayFailure && outcome instanceof SendOutcome.RanAndFailed) {
-            caller.answer(answer.status(), parts.callHeaders().forCaller(answerHeaders), Bytes.of(held.toByteArray()));
-            done();
+            relayWhole();
         } else {
             OwnAnswers.write(caller, OwnAnswers.BAD_GATEWAY, "may have run");
             done();
         }
     }
 
+    private void relayWhole() {
+        caller.answer(answer.status(), parts.callHeaders().forCaller(answer.headers()), answer.body());
+        done();
+    }
+
     private void limitReached() {
         if (state == State.DONE) {
             return;
@@ -458,16 +446,27 @@
         done();
     }
 
-    private void promptRead() {
-        if (promptUnread) {
-            promptUnread = false;
-            parts.loads().read(plan.target().id(), unreadTokens);
+    /** The first byte of an answer, or its end, tells that nothing of the prompt is left to read. */
+    private void promptRead(boolean byThisSend) {
+        if (!promptUnread) {
+            return;
+        }
+        promptUnread = false;
+        parts.loads().read(plan.target().id(), unreadTokens);
+        if (byThisSend && unreadTokens > 0) {
+            parts.rates()
+                    .observe(
+                            service.name(),
+                            plan.target().stage(),
+                            aheadTokens + unreadTokens,
+                            nowMillis() - sentMillis);
+            parts.parts().read(plan.target().id(), facts.prompt().orElseThrow());
         }
     }
 
     private void sendEnded() {
         if (inFlight) {
-            promptRead();
+            promptRead(false);
             inFlight = false;
             connection = null;
             parts.loads().ended(plan.target().id());
--- a/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
@@ -3,8 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -33,6 +31,7 @@
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.http.Channels;
+import org.dogwoodwinch.http.LingeringClose;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.time.Cancellable;
 import org.dogwoodwinch.time.TimeSource;
@@ -66,12 +65,14 @@
     private final CallerLimits limits;
     private final Deque<Received> queue = new ArrayDeque<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ChannelHandlerContext context;
     private Channel channel;
     private Cancellable check;
     private HttpRequest reading;
     private long readingSinceMillis = -1;
     private long idleSinceMillis;
     private boolean unreadable;
+    private int heldHere;
     private Received.Whole current;
     private OpenCall open = OpenCall.NONE;
     private boolean closing;
@@ -87,13 +88,21 @@
         return current == null && queue.isEmpty() && readingSinceMillis < 0;
     }
 
+    /** Closes so that an answer on its way arrives. */
     void close() {
-        Channels.close(channel);
+        if (!closing) {
+            closeInOrder();
+        }
     }
 
     @Override
-    public void channelActive(ChannelHandlerContext context) {
-        channel = context.channel();
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+        channel = added.channel();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext _context) {
         idleSinceMillis = time.monotonicMillis();
         check = time.schedule(CHECK_MILLIS, this::checkTimes);
     }
@@ -123,14 +132,14 @@
     }
 
     @Override
-    public void channelReadComplete(ChannelHandlerContext context) {
+    public void channelReadComplete(ChannelHandlerContext _context) {
         // Bytes that were whole requests to their last one leave nothing to wait for.
-        if (reading == null && !unreadable && decoderIdle(context)) {
+        if (reading == null && !unreadable && decoderIdle()) {
             readingSinceMillis = -1;
         }
     }
 
-    private static boolean decoderIdle(ChannelHandlerContext context) {
+    private boolean decoderIdle() {
         StrictRequestDecoder decoder = context.pipeline().get(StrictRequestDecoder.class);
         return decoder == null || !decoder.holdsBytes();
     }
@@ -170,6 +179,11 @@
             unreadable(OwnAnswers.TOO_LARGE, "body too large");
             return;
         }
+        if (!intake.heldBytes().take(bytes.readableBytes())) {
+            unreadable(OwnAnswers.UNAVAILABLE, "too many large requests");
+            return;
+        }
+        heldHere += bytes.readableBytes();
         try {
             bytes.getBytes(bytes.readerIndex(), body, bytes.readableBytes());
         } catch (IOException e) {
@@ -239,12 +253,18 @@
                 Unpooled.wrappedBuffer(Bytes.ofUtf8(problem.reason()).toByteArray()));
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         HttpUtil.setContentLength(response, response.content().readableBytes());
-        ChannelFuture written = channel.writeAndFlush(response);
-        written.addListener(ChannelFutureListener.CLOSE);
+        Channels.write(channel, response);
+        closeInOrder();
+    }
+
+    private void closeInOrder() {
+        closing = true;
+        LingeringClose.afterWrites(context, time);
     }
 
     private void callDone() {
         open = OpenCall.NONE;
+        release(current.call().body().length());
         current = null;
         idleSinceMillis = time.monotonicMillis();
         if (channel.isActive() && !closing) {
@@ -253,6 +273,11 @@
         }
     }
 
+    private void release(int bytes) {
+        heldHere -= bytes;
+        intake.heldBytes().give(bytes);
+    }
+
     private boolean closesAfterAnswer() {
         return !current.keepAlive() || current.http10() || intake.leaving();
     }
@@ -275,10 +300,9 @@
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        ChannelFuture written = channel.writeAndFlush(response);
+        Channels.writeAndFlush(channel, response);
         if (close) {
-            closing = true;
-            written.addListener(ChannelFutureListener.CLOSE);
+            closeInOrder();
         }
     }
 
@@ -303,9 +327,9 @@
 
     @Override
     public void complete() {
-        ChannelFuture written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
         if (closing) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            closeInOrder();
         }
     }
 
@@ -335,6 +359,8 @@
         open = OpenCall.NONE;
         closing = true;
         gone.callerGone();
+        // What the call held was given back as it ended; the rest were requests that waited or were being read.
+        release(heldHere);
     }
 
     @Override
@@ -359,7 +385,7 @@
         if (headLate && !unreadable) {
             unreadable(OwnAnswers.REQUEST_TIMEOUT, "head took too long");
         } else if (idleLate) {
-            Channels.close(channel);
+            close();
         }
         check = time.schedule(CHECK_MILLIS, this::checkTimes);
     }
--- a/src/main/java/org/dogwoodwinch/relay/CallerIntake.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerIntake.java
@@ -19,6 +19,13 @@
      */
     boolean leaving();
 
+    /**
+     * Returns the bound of all bodies held at once.
+     *
+     * @return the bound, the same for all connections
+     */
+    HeldBytes heldBytes();
+
     /**
      * Takes a request.
      *
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -19,6 +19,7 @@
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -28,11 +29,16 @@
 
     private static final Logger log = LoggerFactory.getLogger(ForwardingService.class);
 
+    /** A sixth of the smallest heap that the deploy file gives: a body is there twice while it is sent. */
+    private static final long MAX_HELD_BODY_BYTES = 16_777_216;
+
     private final CallHeaders callHeaders;
     private final UniformRandomProvider random;
+    private final TimeSource time;
     private final RelayParts parts;
     private final RelayReport report;
-    private final FrontListener listener;
+    private Optional<FrontListener> listener = Optional.empty();
+    private final HeldBytes heldBytes = new HeldBytes(MAX_HELD_BODY_BYTES);
     private int openCount;
     private Optional<RouteTable> table = Optional.empty();
     private boolean leaving;
@@ -40,7 +46,7 @@
     /**
      * Creates a service that does not listen yet.
      *
-     * @param transport its sockets, not null
+     * @param connector opens connections to targets, not null
      * @param time the event loop's clock and timers, not null
      * @param callHeaders reads and writes headers, not null
      * @param random chooses among services and targets, not null
@@ -50,7 +56,7 @@
      * @param metrics counts, not null
      */
     public ForwardingService(
-            Transport transport,
+            TargetConnector connector,
             TimeSource time,
             CallHeaders callHeaders,
             UniformRandomProvider random,
@@ -60,12 +66,13 @@
             ForwardingMetrics metrics) {
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.random = Objects.requireNonNull(random, "random");
+        this.time = Objects.requireNonNull(time, "time");
         this.report = new LoggingReport(metrics);
         this.parts = new RelayParts(
                 time,
                 callHeaders,
                 new TargetConnections(
-                        transport, transport.group().next(), callHeaders, time, policy, metrics::connectionOpened),
+                        connector, callHeaders, time, policy, metrics::connectionOpened, this::targetFoundGone),
                 decisions.chooser(),
                 control,
                 decisions.loads(),
@@ -73,9 +80,9 @@
                 decisions.rates(),
                 decisions.retryPolicy(),
                 decisions.budget(),
+                new Suspicions(decisions.quarantine(), time),
                 report,
                 decisions.mostInstancesCount());
-        this.listener = new FrontListener(transport, this, time);
     }
 
     /**
@@ -87,6 +94,7 @@
      * @param rates how fast engines read, not null
      * @param retryPolicy decides what follows on a failed send, not null
      * @param budget bounds repeats, not null
+     * @param quarantine knows the calls that crash targets, not null
      * @param mostInstancesCount the most instances that may share a target's connections
      */
     public record Decisions(
@@ -96,25 +104,29 @@
             ReadRates rates,
             RetryPolicy retryPolicy,
             RetryBudget budget,
+            Quarantine quarantine,
             int mostInstancesCount) {}
 
     /**
      * Listens for callers.
      *
+     * @param transport the sockets, not null
      * @param address where, not null
      * @throws IOException if the address cannot be bound
      */
-    public void listen(InetSocketAddress address) throws IOException {
-        listener.bind(address);
+    public void listen(Transport transport, InetSocketAddress address) throws IOException {
+        FrontListener bound = new FrontListener(transport, this, time);
+        bound.bind(address);
+        listener = Optional.of(bound);
     }
 
     /**
      * Returns the port that callers connect to.
      *
-     * @return the port
+     * @return the port; zero where it does not listen
      */
     public int port() {
-        return listener.port();
+        return listener.map(FrontListener::port).orElse(0);
     }
 
     /**
@@ -185,6 +197,20 @@
         return table.isPresent();
     }
 
+    /**
+     * A target was found gone without having said that it leaves.
+     *
+     * @param targetId its id, not null
+     */
+    public void targetFoundGone(String targetId) {
+        parts.suspicions().foundGone(targetId);
+    }
+
+    /** Closes all kept connections to targets: after a suspension nobody knows how long they were idle. */
+    public void dropKeptConnections() {
+        parts.connections().dropKept();
+    }
+
     /**
      * Closes the kept connections of a target that is gone.
      *
@@ -201,13 +227,13 @@
 
     /** Takes no more connections and closes those on which nothing is under way. */
     public void stopAccepting() {
-        listener.stopAccepting();
-        listener.closeIdle();
+        listener.ifPresent(FrontListener::stopAccepting);
+        closeIdle();
     }
 
     /** Closes the connections on which nothing is under way. */
     public void closeIdle() {
-        listener.closeIdle();
+        listener.ifPresent(FrontListener::closeIdle);
     }
 
     /**
@@ -225,7 +251,7 @@
      * @return how many are open
      */
     public int callersCount() {
-        return listener.connectionsCount();
+        return listener.map(FrontListener::connectionsCount).orElse(0);
     }
 
     @Override
@@ -238,6 +264,11 @@
         return leaving;
     }
 
+    @Override
+    public HeldBytes heldBytes() {
+        return heldBytes;
+    }
+
     @Override
     public void refused(int status, String reason) {
         report.refusedEarly("", status, reason);
@@ -300,7 +331,7 @@
     public void logState(String event) {
         LogEvent.of(event)
                 .with("open", openCount)
-                .with("callers", listener.connectionsCount())
+                .with("callers", callersCount())
                 .with("version", table.map(RouteTable::version).orElse(-1L))
                 .info(log);
     }
--- a/src/main/java/org/dogwoodwinch/relay/FrontListener.java
+++ b/src/main/java/org/dogwoodwinch/relay/FrontListener.java
@@ -3,19 +3,15 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelId;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.http.Channels;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.TimeSource;
@@ -87,27 +83,8 @@
     }
 
     private void accept(Channel channel) {
-        CallerLimits limits = intake.limits();
-        CallerConnection connection = new CallerConnection(intake, time, limits);
+        CallerConnection connection = CallerPipeline.install(channel, intake, time);
         connections.put(channel.id(), connection);
         channel.closeFuture().addListener(_closed -> connections.remove(channel.id()));
-        channel.pipeline()
-                .addLast(new ArrivalNote(connection))
-                .addLast(new HttpResponseEncoder(), new StrictRequestDecoder(limits), connection);
-    }
-
-    /** Notes when the first byte of a request arrives: its deadline runs from there, not from the end of its body. */
-    private static final class ArrivalNote extends ChannelInboundHandlerAdapter {
-        private final CallerConnection connection;
-
-        ArrivalNote(CallerConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            connection.bytesArrived();
-            context.fireChannelRead(message);
-        }
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -30,6 +30,12 @@
                 .info(log);
     }
 
+    @Override
+    public void quarantined(CallRelay call) {
+        metrics.refused(OwnAnswers.UNAVAILABLE, "quarantined");
+        about("call_quarantined", call).info(log);
+    }
+
     @Override
     public void noTarget(CallRelay call) {
         metrics.refused(OwnAnswers.UNAVAILABLE, "no_target");
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/ReceivedAnswer.java
@@ -0,0 +1,76 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.Objects;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.SendOutcome;
+
+/** The answer to one send as far as it has arrived, and what it proves. */
+final class ReceivedAnswer {
+
+    private static final int OK_CLASS = 2;
+    private static final int CLASS_DIVISOR = 100;
+    private static final int MISDIRECTED = 421;
+    private static final int TOO_MANY = 429;
+
+    private final AnswerFacts facts;
+    private final HttpHeaders headers;
+    private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+
+    ReceivedAnswer(AnswerFacts facts, HttpHeaders headers) {
+        this.facts = Objects.requireNonNull(facts, "facts");
+        this.headers = Objects.requireNonNull(headers, "headers");
+    }
+
+    int status() {
+        return facts.status();
+    }
+
+    HttpHeaders headers() {
+        return headers;
+    }
+
+    /** Keeps a piece of the body and returns how much is kept. */
+    int hold(ByteBuf piece) {
+        held.writeBytes(ByteBufUtil.getBytes(piece));
+        return held.size();
+    }
+
+    /** Returns what is kept, which is then kept no more. */
+    byte[] takeHeld() {
+        byte[] body = held.toByteArray();
+        held.reset();
+        return body;
+    }
+
+    Bytes body() {
+        return Bytes.of(held.toByteArray());
+    }
+
+    /** A success counts with the target's signature alone and with the target's own bytes. */
+    boolean success() {
+        return facts.status() / CLASS_DIVISOR == OK_CLASS
+                && facts.signed()
+                && !facts.encoded()
+                && facts.requestId().isPresent();
+    }
+
+    /** What is known of the send, for an answer that is whole and no success. */
+    SendOutcome failure() {
+        int status = facts.status();
+        if (facts.statesNotRun() || status == MISDIRECTED) {
+            return new SendOutcome.Rejected(status, status == MISDIRECTED);
+        }
+        if (status / CLASS_DIVISOR == OK_CLASS) {
+            return new SendOutcome.Unknown("success_not_proved");
+        }
+        if (status == TOO_MANY || OwnAnswers.promisesNotRun(status)) {
+            // Handed on it would promise the caller what the target did not promise.
+            return new SendOutcome.Unknown("refusal_not_proved");
+        }
+        return new SendOutcome.RanAndFailed(status);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/relay/RelayParts.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -25,6 +25,7 @@
  * @param rates how fast engines read, not null
  * @param retryPolicy decides what follows on a failed send, not null
  * @param budget bounds repeats, not null
+ * @param suspicions which calls crash targets, not null
  * @param report counts and logs, not null
  * @param mostInstancesCount the most instances that may share a target's connections
  */
@@ -39,6 +40,7 @@
         ReadRates rates,
         RetryPolicy retryPolicy,
         RetryBudget budget,
+        Suspicions suspicions,
         RelayReport report,
         int mostInstancesCount) {
 
@@ -53,6 +55,7 @@
         Objects.requireNonNull(rates, "rates");
         Objects.requireNonNull(retryPolicy, "retryPolicy");
         Objects.requireNonNull(budget, "budget");
+        Objects.requireNonNull(suspicions, "suspicions");
         Objects.requireNonNull(report, "report");
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -10,6 +10,9 @@
     /** A call was refused before it had a route; {@code status} is the answer. */
     void refusedEarly(String requestId, int status, String reason);
 
+    /** A call that crashes targets was refused. */
+    void quarantined(CallRelay call);
+
     /** No target may get the call. */
     void noTarget(CallRelay call);
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/SocketConnector.java
@@ -0,0 +1,46 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import java.util.Objects;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.net.Addresses;
+import org.dogwoodwinch.net.Transport;
+
+/** Opens connections to targets over TCP. */
+public final class SocketConnector implements TargetConnector {
+
+    private final Transport transport;
+    private final ConnectionPolicy policy;
+
+    /**
+     * Creates a connector.
+     *
+     * @param transport the sockets, not null
+     * @param policy the connections' times, not null
+     */
+    public SocketConnector(Transport transport, ConnectionPolicy policy) {
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.policy = Objects.requireNonNull(policy, "policy");
+    }
+
+    @Override
+    public void connect(Incarnation target, ChannelHandler handler, Outcome outcome) {
+        Bootstrap bootstrap = new Bootstrap()
+                .group(transport.group().next())
+                .channel(transport.channel())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, policy.connectTimeoutMillis())
+                .handler(handler);
+        transport.setUnacknowledgedTimeout(bootstrap, policy.unacknowledgedMillis());
+        ChannelFuture connecting = bootstrap.connect(Addresses.of(target.host(), target.port()));
+        connecting.addListener(_done -> {
+            if (connecting.isSuccess()) {
+                outcome.connected();
+            } else {
+                outcome.failed();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -0,0 +1,87 @@
+package org.dogwoodwinch.relay;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import java.util.Set;
+import org.dogwoodwinch.forwarding.CrashEvidence;
+import org.dogwoodwinch.forwarding.CrashEvidence.LostCall;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.request.Quarantine;
+import org.dogwoodwinch.request.Quarantine.Standing;
+import org.dogwoodwinch.request.SuspectBook;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps a call that crashes targets from crashing more of them. Used on one event loop alone.
+ *
+ * <p>Failure: a call crashes each target that begins to run it, and its caller sends it again through any instance. What
+ * was under way on a target that is found gone is suspect here and, through the peers, everywhere; a suspect runs apart
+ * from other suspects, so that the next crash tells the guilty one, and its end in order clears it.
+ */
+final class Suspicions {
+
+    private static final Logger log = LoggerFactory.getLogger(Suspicions.class);
+
+    /** A target's entry lapses some seconds after its last word; a loss longer ago had another cause. */
+    private static final long EVIDENCE_MILLIS = 6_000;
+
+    private final Quarantine quarantine;
+    private final TimeSource time;
+    private final CrashEvidence evidence = new CrashEvidence(EVIDENCE_MILLIS);
+
+    Suspicions(Quarantine quarantine, TimeSource time) {
+        this.quarantine = Objects.requireNonNull(quarantine, "quarantine");
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /** Tells equal calls from others: method, path and body are the same each time a caller sends one again. */
+    static long fingerprint(IncomingCall call) {
+        Hasher hasher = Hashing.murmur3_128().newHasher();
+        hasher.putString(call.method().name(), StandardCharsets.UTF_8).putByte((byte) 0);
+        hasher.putString(call.uri(), StandardCharsets.UTF_8).putByte((byte) 0);
+        hasher.putBytes(call.body().toByteArray());
+        return hasher.hash().asLong();
+    }
+
+    boolean quarantined(long fingerprint) {
+        return quarantine.standing(fingerprint) == Standing.QUARANTINED;
+    }
+
+    /** The targets that a call should not go to: a suspect not to where another one runs. */
+    Set<String> avoided(long fingerprint) {
+        return quarantine.standing(fingerprint) == Standing.CLEAR ? Set.of() : quarantine.trialTargets();
+    }
+
+    void sending(long fingerprint, String attemptId, String targetId) {
+        if (quarantine.standing(fingerprint) != Standing.CLEAR) {
+            quarantine.onTrial(fingerprint, attemptId, targetId);
+        }
+    }
+
+    void ended(long fingerprint, String attemptId, boolean completed) {
+        quarantine.onEnded(fingerprint, attemptId, completed);
+    }
+
+    /** An answer was lost with its connection: that alone proves nothing of the target. */
+    void lost(long fingerprint, String attemptId, String targetId) {
+        long nowMillis = time.monotonicMillis();
+        evidence.expire(nowMillis);
+        evidence.lost(targetId, new LostCall(fingerprint, attemptId, nowMillis));
+    }
+
+    void foundGone(String targetId) {
+        for (LostCall call : evidence.foundGone(targetId, time.monotonicMillis())) {
+            quarantine.onCrash(call.fingerprint(), call.attemptId(), targetId);
+            LogEvent.of("crash_suspect")
+                    .with("request", call.attemptId())
+                    .with("fingerprint", SuspectBook.toHex(call.fingerprint()))
+                    .with("target", targetId)
+                    .with("standing", quarantine.standing(call.fingerprint()))
+                    .info(log);
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -37,6 +37,9 @@
     /** Strangers' answers on one call after which the connection is given up: a target gives one second answer a call. */
     private static final int MAX_PASSED_OVER = 3;
 
+    private static final int LEAST_STATUS = 100;
+    private static final int MOST_STATUS = 599;
+
     private enum State {
         IDLE,
         WAITING,
@@ -170,6 +173,10 @@
             lose("stray_bytes");
             return;
         }
+        if (response.status().code() < LEAST_STATUS || response.status().code() > MOST_STATUS) {
+            lose("garbled");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
         }
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnections.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnections.java
@@ -1,20 +1,16 @@
 package org.dogwoodwinch.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
-import org.dogwoodwinch.net.Addresses;
-import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
@@ -42,27 +38,27 @@
         void failed(String reason);
     }
 
-    private final Transport transport;
-    private final EventLoop loop;
+    private final TargetConnector connector;
     private final CallHeaders callHeaders;
     private final TimeSource time;
     private final ConnectionPolicy policy;
     private final Runnable onOpened;
+    private final Consumer<String> onUnreachable;
     private final Map<String, Lane> lanes = new HashMap<>();
 
     TargetConnections(
-            Transport transport,
-            EventLoop loop,
+            TargetConnector connector,
             CallHeaders callHeaders,
             TimeSource time,
             ConnectionPolicy policy,
-            Runnable onOpened) {
-        this.transport = Objects.requireNonNull(transport, "transport");
-        this.loop = Objects.requireNonNull(loop, "loop");
+            Runnable onOpened,
+            Consumer<String> onUnreachable) {
+        this.connector = Objects.requireNonNull(connector, "connector");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.time = Objects.requireNonNull(time, "time");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.onOpened = Objects.requireNonNull(onOpened, "onOpened");
+        this.onUnreachable = Objects.requireNonNull(onUnreachable, "onUnreachable");
     }
 
     /**
@@ -111,30 +107,38 @@
             return;
         }
         lane.forgotten = true;
-        lane.idle.forEach(TargetConnection::close);
+        List<TargetConnection> kept = List.copyOf(lane.idle);
         lane.idle.clear();
+        kept.forEach(TargetConnection::close);
         dropIfEmpty(id, lane);
     }
 
+    /** Closes all kept connections; calls under way go on. */
+    void dropKept() {
+        for (Lane lane : List.copyOf(lanes.values())) {
+            List<TargetConnection> kept = List.copyOf(lane.idle);
+            lane.idle.clear();
+            kept.forEach(TargetConnection::close);
+        }
+    }
+
     private void open(Incarnation target, Lane lane, Taker taker) {
         lane.openCount++;
         lane.forgotten = false;
         AnswerDecoder decoder = new AnswerDecoder();
         TargetConnection connection =
                 new TargetConnection(target, callHeaders, decoder, this::keep, closed -> closed(closed.target(), lane));
-        Bootstrap bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(transport.channel())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, policy.connectTimeoutMillis())
-                .handler(new Pipeline(decoder, connection));
-        transport.setUnacknowledgedTimeout(bootstrap, policy.unacknowledgedMillis());
-        ChannelFuture connecting = bootstrap.connect(Addresses.of(target.host(), target.port()));
-        connecting.addListener(_done -> {
-            if (connecting.isSuccess()) {
+        connector.connect(target, new Pipeline(decoder, connection), new TargetConnector.Outcome() {
+            @Override
+            public void connected() {
                 onOpened.run();
                 taker.took(connection);
-            } else {
+            }
+
+            @Override
+            public void failed() {
                 closed(target, lane);
+                onUnreachable.accept(target.id());
                 taker.failed("connect_failed");
             }
         });
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -0,0 +1,180 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.follow.KeyedRecord;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.LeastLoadedChooser;
+import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.PartIndex;
+import org.dogwoodwinch.forwarding.ReadRates;
+import org.dogwoodwinch.forwarding.RetryBudget;
+import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.TargetDirectory;
+import org.dogwoodwinch.platform.PlatformHeaders;
+import org.dogwoodwinch.relay.CacheChanges;
+import org.dogwoodwinch.relay.ConnectionPolicy;
+import org.dogwoodwinch.relay.EngineControl;
+import org.dogwoodwinch.relay.ForwardingMetrics;
+import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.relay.PromptMemory;
+import org.dogwoodwinch.request.Quarantine;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class TargetsReaderTest {
+
+    private static final long LAPSE_MILLIS = 1_600;
+
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final TargetDirectory directory = new TargetDirectory();
+    private final TargetsReader reader = new TargetsReader(
+            directory, service(), new ForwardingMetrics(new PrometheusRegistry()), time, LAPSE_MILLIS);
+    private long offset;
+
+    private ForwardingService service() {
+        LoadBook loads = new LoadBook();
+        return new ForwardingService(
+                (_target, _handler, outcome) -> outcome.failed(),
+                time,
+                new PlatformHeaders(),
+                RandomSource.XO_RO_SHI_RO_128_PP.create(1),
+                new ConnectionPolicy(1, 1, 1),
+                new NoEngines(),
+                new ForwardingService.Decisions(
+                        new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(2)),
+                        loads,
+                        new PartIndex(),
+                        new ReadRates(30),
+                        new RetryPolicy(1, 1, 1, 1),
+                        new RetryBudget(0, 0, 1_000, 0),
+                        Quarantine.NONE,
+                        1),
+                new ForwardingMetrics(new PrometheusRegistry()));
+    }
+
+    private void entry(String id, String state) {
+        String json = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"dc\",\"version\":\"v1\",\"slots\":6,"
+                + "\"state\":\"" + state + "\",\"coldLeftMs\":0,\"seq\":4}";
+        reader.record(new KeyedRecord(id, offset++, Optional.of(Bytes.ofUtf8(json))));
+    }
+
+    private void removed(String id) {
+        reader.record(new KeyedRecord(id, offset++, Optional.empty()));
+    }
+
+    private List<String> ready() {
+        return directory.ready("s").stream().map(Incarnation::id).sorted().toList();
+    }
+
+    @Test
+    void entriesComeLeaveAndGo() {
+        entry("a", "ready");
+        entry("b", "ready");
+        assertEquals(List.of("a", "b"), ready());
+
+        entry("a", "draining");
+        assertEquals(List.of("b"), ready());
+        removed("b");
+        assertEquals(List.of(), ready());
+    }
+
+    /**
+     * The store is away long enough for all entries to lapse, and comes back. For a moment its log tells that every
+     * target is gone; the sound ones register again within two seconds. Calls go on being served by those that are sound,
+     * and one that does not come back is left alone in time.
+     */
+    @Test
+    void whatLapsedInAnOutageIsGoneOnlyWhenItDoesNotComeBack() {
+        entry("a", "ready");
+        entry("b", "ready");
+        reader.lost("timeout");
+        time.advanceMillis(5_000);
+        reader.regained();
+        removed("a");
+        removed("b");
+        assertEquals(List.of("a", "b"), ready());
+
+        time.advanceMillis(1_000);
+        entry("a", "ready");
+        time.advanceMillis(LAPSE_MILLIS);
+
+        assertEquals(List.of("a"), ready());
+    }
+
+    /** The outage ends with a full reading, as the history was dropped: what it does not list may just have lapsed. */
+    @Test
+    void aFullReadingAfterAnOutageIsBelievedAfterAWhile() {
+        entry("a", "ready");
+        entry("b", "ready");
+        reader.lost("timeout");
+        time.advanceMillis(5_000);
+        reader.regained();
+        offset = 20;
+        reader.readWhole(Set.of(), 20);
+        assertEquals(List.of("a", "b"), ready());
+
+        entry("a", "ready");
+        time.advanceMillis(LAPSE_MILLIS);
+
+        assertEquals(List.of("a"), ready());
+    }
+
+    /** A target that said it leaves is not waited for, whatever the store does. */
+    @Test
+    void aLeavingTargetIsGoneAtOnce() {
+        entry("a", "ready");
+        entry("a", "draining");
+        reader.lost("timeout");
+        reader.regained();
+        removed("a");
+
+        assertTrue(directory.find("a").isEmpty());
+    }
+
+    @Test
+    void withoutAnOutageALapseCountsAtOnce() {
+        entry("a", "ready");
+        removed("a");
+
+        assertEquals(List.of(), ready());
+    }
+
+    @Test
+    void aJumpOfTheClocksIsNoticedOnce() {
+        List<String> jumps = new ArrayList<>();
+        new ClockWatch(time, 500, 700, () -> jumps.add("jump")).start();
+        time.advanceMillis(5_000);
+        assertEquals(List.of(), jumps);
+
+        time.jumpWallMillis(4_000);
+        time.advanceMillis(5_000);
+
+        assertEquals(List.of("jump"), jumps);
+    }
+
+    private static final class NoEngines implements EngineControl {
+        @Override
+        public Optional<PromptMemory> readMemory(Incarnation _reader, Bytes _body) {
+            return Optional.empty();
+        }
+
+        @Override
+        public void release(Incarnation _reader, PromptMemory _memory) {}
+
+        @Override
+        public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long _sinceNumber) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/follow/StreamFollowerTest.java
@@ -0,0 +1,158 @@
+package org.dogwoodwinch.follow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class StreamFollowerTest {
+
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final Deque<CompletableFuture<ReadResult>> asked = new ArrayDeque<>();
+    private final List<String> calls = new ArrayList<>();
+    private final List<String> heard = new ArrayList<>();
+    private final StreamFollower follower = new StreamFollower(
+            new KeyedStream() {
+                @Override
+                public CompletionStage<ReadResult> newest(Optional<String> afterKey) {
+                    return ask("newest " + afterKey.orElse(""));
+                }
+
+                @Override
+                public CompletionStage<ReadResult> read(long fromOffset, long _waitMillis) {
+                    return ask("read " + fromOffset);
+                }
+            },
+            new FollowPolicy(1_000, 100, 50, 400),
+            new Listener(),
+            time,
+            RandomSource.XO_RO_SHI_RO_128_PP.create(3));
+
+    private CompletionStage<ReadResult> ask(String call) {
+        calls.add(call);
+        CompletableFuture<ReadResult> reply = new CompletableFuture<>();
+        asked.add(reply);
+        return reply;
+    }
+
+    private void reply(ReadResult result) {
+        asked.remove().complete(result);
+    }
+
+    private static KeyedRecord record(String key, long offset) {
+        return new KeyedRecord(key, offset, Optional.of(Bytes.ofUtf8("v")));
+    }
+
+    /**
+     * Between two pages of the full reading a record is written that neither page shows. Reading goes on from the end
+     * that the first page told, so it is read as a record.
+     */
+    @Test
+    void aChangeBetweenTwoPagesIsReadAsARecord() {
+        follower.start();
+        reply(new ReadResult.Page(List.of(record("a", 3)), true, 5));
+        reply(new ReadResult.Page(List.of(record("b", 4)), false, 7));
+
+        assertEquals(List.of("newest ", "newest a", "read 5"), calls);
+        assertEquals(List.of("a@3", "b@4", "whole [a, b] to 5"), heard);
+    }
+
+    @Test
+    void batchesFollowEachOtherAfterAPause() {
+        follower.start();
+        reply(new ReadResult.Page(List.of(), false, 2));
+        reply(new ReadResult.Batch(List.of(record("a", 2), record("a", 3)), 4));
+        assertEquals("read 2", calls.get(calls.size() - 1));
+
+        time.advanceMillis(100);
+
+        assertEquals("read 4", calls.get(calls.size() - 1));
+        assertEquals(List.of("whole [] to 2", "a@2", "a@3"), heard);
+    }
+
+    /** The records to go on from were dropped: everything is read anew, and nothing is believed gone before that. */
+    @Test
+    void lostHistoryLeadsToAFullReading() {
+        follower.start();
+        reply(new ReadResult.Page(List.of(record("a", 1)), false, 2));
+        reply(new ReadResult.Expired());
+        reply(new ReadResult.Page(List.of(record("b", 8)), false, 9));
+
+        assertEquals(List.of("newest ", "read 2", "newest ", "read 9"), calls);
+        assertEquals(List.of("a@1", "whole [a] to 2", "b@8", "whole [b] to 9"), heard);
+    }
+
+    /**
+     * The store is away. The listener hears so once, questions come further and further apart up to the longest pause,
+     * and what was read before is neither dropped nor read anew.
+     */
+    @Test
+    void throughAnOutageItAsksAgainFromWhereItWas() {
+        follower.start();
+        reply(new ReadResult.Page(List.of(), false, 2));
+        for (int i = 0; i < 6; i++) {
+            reply(new ReadResult.Unavailable("down"));
+            time.advanceMillis(400);
+        }
+        reply(new ReadResult.Batch(List.of(record("a", 2)), 3));
+
+        assertEquals(List.of("whole [] to 2", "lost", "regained", "a@2"), heard);
+        assertEquals(Set.of("newest ", "read 2"), new TreeSet<>(calls));
+    }
+
+    /** A page fails in the middle of a full reading: the reading goes on with that page, not from the beginning. */
+    @Test
+    void aPageThatFailsIsAskedForAgain() {
+        follower.start();
+        reply(new ReadResult.Page(List.of(record("a", 3)), true, 5));
+        reply(new ReadResult.Unavailable("reset"));
+        time.advanceMillis(400);
+        reply(new ReadResult.Page(List.of(record("b", 4)), false, 7));
+
+        assertEquals(List.of("newest ", "newest a", "newest a", "read 5"), calls);
+    }
+
+    @Test
+    void afterStopNothingIsAsked() {
+        follower.start();
+        follower.stop();
+        reply(new ReadResult.Page(List.of(record("a", 3)), false, 5));
+        time.advanceMillis(10_000);
+
+        assertEquals(List.of(), heard);
+        assertEquals(1, calls.size());
+    }
+
+    private final class Listener implements FollowListener {
+        @Override
+        public void record(KeyedRecord record) {
+            heard.add(record.key() + "@" + record.offset());
+        }
+
+        @Override
+        public void readWhole(Set<String> keys, long endOffset) {
+            heard.add("whole " + new TreeSet<>(keys) + " to " + endOffset);
+        }
+
+        @Override
+        public void regained() {
+            heard.add("regained");
+        }
+
+        @Override
+        public void lost(String _reason) {
+            heard.add("lost");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/forwarding/RetryBudgetTest.java
@@ -0,0 +1,103 @@
+package org.dogwoodwinch.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+
+    private static final long WINDOW_MILLIS = 10_000;
+    private static final double RATIO = 0.2;
+    private static final double SLACK = 52;
+
+    /**
+     * Any number of instances, each killed now and then with its counts lost, repeat as much as they may, under bursts
+     * and lulls. In every span of the window, all repeats together stay within the ratio of the requests of that span, or
+     * of the one before or half a span before, and the slack.
+     */
+    @Property(seed = "31", tries = 60)
+    void allInstancesTogetherStayWithinTheBound(
+            @ForAll @IntRange(min = 1, max = 80) int instances, @ForAll @IntRange(min = 1, max = 1_000_000) int seed) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        List<RetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < instances; i++) {
+            budgets.add(fresh(instances, -WINDOW_MILLIS));
+        }
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        double perTick = 1 + random.nextInt(10);
+        for (long now = 0; now < 40_000; now += 50) {
+            boolean lull = (now / 7_000) % 3 == 2;
+            int arrivals = lull ? 0 : random.nextInt((int) (2 * perTick) + 1);
+            for (int i = 0; i < arrivals; i++) {
+                RetryBudget budget = budgets.get(random.nextInt(instances));
+                budget.countRequest("s", now);
+                requests.add(now);
+            }
+            if (random.nextInt(20) == 0) {
+                budgets.set(random.nextInt(instances), fresh(instances, now));
+            }
+            for (RetryBudget budget : budgets) {
+                if (random.nextInt(4) == 0 && budget.takeRepeat("s", now)) {
+                    repeats.add(now);
+                }
+            }
+        }
+        for (long from = 0; from <= 30_000; from += 250) {
+            long start = from;
+            long inWindow = count(repeats, start, start + WINDOW_MILLIS);
+            long most = Math.max(
+                    count(requests, start, start + WINDOW_MILLIS),
+                    Math.max(
+                            count(requests, start - WINDOW_MILLIS, start),
+                            count(requests, start - WINDOW_MILLIS / 2, start + WINDOW_MILLIS / 2)));
+            assertTrue(
+                    inWindow <= RATIO * most + SLACK,
+                    () -> inWindow + " repeats, " + most + " requests from " + start + " at " + instances);
+        }
+    }
+
+    private static RetryBudget fresh(int instances, long startedMillis) {
+        return new RetryBudget(RATIO, SLACK / instances, WINDOW_MILLIS, startedMillis);
+    }
+
+    private static long count(List<Long> times, long from, long to) {
+        return times.stream().filter(at -> at >= from && at < to).count();
+    }
+
+    @Test
+    void aRepeatIsFreeAgainAfterTheWindow() {
+        RetryBudget budget = new RetryBudget(0, 1, WINDOW_MILLIS, -WINDOW_MILLIS);
+        assertTrue(budget.takeRepeat("s", 0));
+        assertFalse(budget.takeRepeat("s", WINDOW_MILLIS - 1));
+
+        assertTrue(budget.takeRepeat("s", WINDOW_MILLIS));
+    }
+
+    /** A process is killed and started again: it does not know what it spent, so it has no slack for one window. */
+    @Test
+    void afterAStartTheSlackIsNotYetThere() {
+        RetryBudget budget = new RetryBudget(0, 5, WINDOW_MILLIS, 1_000);
+
+        assertFalse(budget.takeRepeat("s", 1_000 + WINDOW_MILLIS - 1));
+        assertTrue(budget.takeRepeat("s", 1_000 + WINDOW_MILLIS));
+    }
+
+    @Test
+    void whatWasSpentWithoutAskingIsMissingLater() {
+        RetryBudget budget = new RetryBudget(0, 1, WINDOW_MILLIS, -WINDOW_MILLIS);
+        budget.chargeRepeat("s", 0);
+
+        assertFalse(budget.takeRepeat("s", 1));
+        assertEquals(1, budget.left("other", 1));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/forwarding/RetryPolicyTest.java
@@ -0,0 +1,92 @@
+package org.dogwoodwinch.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class RetryPolicyTest {
+
+    private static final RetryPolicy POLICY = new RetryPolicy(2, 2, 30, 200);
+
+    @Provide
+    Arbitrary<SendOutcome> outcomes() {
+        return Arbitraries.of(
+                new SendOutcome.NotSent("x"),
+                new SendOutcome.Rejected(503, false),
+                new SendOutcome.Rejected(421, true),
+                new SendOutcome.Unknown("x"),
+                new SendOutcome.RanAndFailed(500));
+    }
+
+    @Provide
+    Arbitrary<CallProgress> progresses() {
+        return Combinators.combine(
+                        Arbitraries.of(true, false),
+                        Arbitraries.integers().between(0, 3),
+                        Arbitraries.integers().between(0, 4),
+                        Arbitraries.integers().between(0, 4),
+                        Arbitraries.integers().between(1, 3),
+                        Arbitraries.longs().between(-10, 5_000))
+                .as(CallProgress::new);
+    }
+
+    /** Whatever came before: a call that runs once is never sent again after it may have run, nor refused as not run. */
+    @Property(seed = "17", tries = 2_000)
+    void whatMayHaveRunIsNeitherRepeatedNorDenied(
+            @ForAll("outcomes") SendOutcome outcome, @ForAll("progresses") CallProgress progress) {
+        boolean ran = outcome instanceof SendOutcome.Unknown || outcome instanceof SendOutcome.RanAndFailed;
+        CallProgress with = ran ? oneMoreRun(progress) : progress;
+
+        NextStep step = POLICY.after(outcome, with, () -> true);
+
+        if (with.mayHaveRun()) {
+            assertTrue(!(step instanceof NextStep.Refuse));
+            if (!with.idempotent() && ran) {
+                assertTrue(!(step instanceof NextStep.SendAgain));
+            }
+        }
+        if (with.runsCount() >= with.maxRunsCount()) {
+            assertTrue(!(step instanceof NextStep.SendAgain) || outcome instanceof SendOutcome.NotSent);
+        }
+    }
+
+    /** Every send beyond the first that reached a target is taken from the budget, and none without it. */
+    @Property(seed = "18", tries = 2_000)
+    void eachRepeatIsPaid(@ForAll("outcomes") SendOutcome outcome, @ForAll("progresses") CallProgress progress) {
+        AtomicInteger taken = new AtomicInteger();
+
+        NextStep step = POLICY.after(outcome, progress, () -> taken.incrementAndGet() > 0);
+        NextStep poor = POLICY.after(outcome, progress, () -> false);
+
+        boolean first = outcome instanceof SendOutcome.NotSent && !progress.sent();
+        assertEquals(step instanceof NextStep.SendAgain && !first ? 1 : 0, taken.get());
+        assertTrue(first || !(poor instanceof NextStep.SendAgain));
+    }
+
+    private static CallProgress oneMoreRun(CallProgress progress) {
+        return new CallProgress(
+                progress.idempotent(),
+                progress.runsCount() + 1,
+                progress.rejectionsCount(),
+                progress.failedConnectsCount(),
+                progress.maxRunsCount(),
+                progress.remainingMillis());
+    }
+
+    /** Callers heed a time to come back only up to a third of what they have left. */
+    @Test
+    void theTimeToComeBackLeavesTimeForTheAnswer() {
+        NextStep step = POLICY.giveUp(new CallProgress(false, 0, 0, 0, 1, 400));
+
+        assertEquals(100, assertInstanceOf(NextStep.Refuse.class, step).retryAfterMillis());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
@@ -0,0 +1,78 @@
+package org.dogwoodwinch.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.EngineTraits;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.RouteKind;
+import org.dogwoodwinch.forwarding.RouteTable;
+import org.dogwoodwinch.forwarding.ServiceRoute;
+import org.dogwoodwinch.forwarding.Stage;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationDecoderTest {
+
+    private static final String CONFIGURATION = """
+            {"version":7,"routes":[
+              {"name":"r1","host":"Desk.example","pathPrefix":"/a/","kind":"streaming","timeoutMs":4000,
+               "targetLatencyMs":600,"priority":1,"service":"s","maxAttempts":2,"sticky":true,"resumable":true,
+               "gapAimMs":300,"newField":{"x":1}},
+              {"name":"r2","host":"desk.example","pathPrefix":"/b/","kind":"unsafe","timeoutMs":800,"targetLatencyMs":150,
+               "priority":2,"trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":1}],
+             "services":[
+              {"name":"s","healthPath":"/h","maxConnections":360,"protocol":"h1","tls":false,
+               "engine":{"slots":64,"kvCapacity":440753,"kvTokenBytes":18432,"linkMbps":370000.0,"handleTtlS":5.0}},
+              {"name":"t","healthPath":"/h","maxConnections":96,"protocol":"h1","tls":false}],
+             "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}
+            """;
+
+    @Test
+    void readsRoutesServicesAndLimits() throws IOException {
+        RouteTable table = ConfigurationDecoder.decode(Bytes.ofUtf8(CONFIGURATION));
+
+        ServiceRoute stream = table.find("desk.example", "/a/x").orElseThrow();
+        assertEquals(7, table.version());
+        assertEquals(RouteKind.STREAM, stream.kind());
+        assertTrue(stream.idempotent());
+        assertEquals(4_000, stream.timeoutMillis());
+        assertEquals(2, stream.maxAttemptsCount());
+        ServiceRoute split = table.find("desk.example", "/b/").orElseThrow();
+        assertEquals("t", split.chooseService(0.95));
+        assertEquals(
+                new EngineTraits(64, 440_753, 18_432, 370_000, 5_000),
+                table.service("s").orElseThrow().engine().orElseThrow());
+        assertTrue(table.service("t").orElseThrow().engine().isEmpty());
+        assertEquals(15_000, table.limits().idleTimeoutMillis());
+    }
+
+    @Test
+    void whatIsNoConfigurationIsToldAsSuch() {
+        for (String text : new String[] {
+            "",
+            "{",
+            "{\"routes\":[{\"kind\":\"odd\",\"pathPrefix\":\"/\",\"service\":\"s\"}]}",
+            "{\"routes\":[{\"kind\":\"safe\",\"pathPrefix\":\"x\",\"service\":\"s\"}]}"
+        }) {
+            IOException told =
+                    assertThrows(IOException.class, () -> ConfigurationDecoder.decode(Bytes.ofUtf8(text)), text);
+            assertTrue(told.getMessage() != null);
+        }
+    }
+
+    @Test
+    void readsATargetsEntry() throws IOException {
+        Incarnation target = TargetEntryDecoder.decode(
+                "i-1",
+                Bytes.ofUtf8("{\"service\":\"s\",\"address\":\"10.1.0.9:8080\",\"zone\":\"z\",\"version\":\"v1\","
+                        + "\"slots\":64,\"state\":\"draining\",\"coldLeftMs\":0,\"stage\":\"prefill\","
+                        + "\"models\":[{\"name\":\"m\",\"version\":3,\"adapters\":[]}],\"seq\":4}"));
+
+        assertEquals(new Incarnation("i-1", "s", "10.1.0.9", 8_080, "z", 64, true, Stage.PREFILL, 3), target);
+        assertThrows(IOException.class, () -> TargetEntryDecoder.decode("i", Bytes.ofUtf8("{\"address\":\"x\"}")));
+        assertThrows(IOException.class, () -> TargetEntryDecoder.decode("i", Bytes.ofUtf8("{\"address\":\"x:y\"}")));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -0,0 +1,298 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.CallerLimits;
+import org.dogwoodwinch.forwarding.EngineChoicePolicy;
+import org.dogwoodwinch.forwarding.EngineChooser;
+import org.dogwoodwinch.forwarding.EngineTraits;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.LeastLoadedChooser;
+import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.PartIndex;
+import org.dogwoodwinch.forwarding.ReadRates;
+import org.dogwoodwinch.forwarding.RetryBudget;
+import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.RouteKind;
+import org.dogwoodwinch.forwarding.RouteTable;
+import org.dogwoodwinch.forwarding.ServiceEntry;
+import org.dogwoodwinch.forwarding.ServiceRoute;
+import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.forwarding.TargetDirectory;
+import org.dogwoodwinch.forwarding.WeightedService;
+import org.dogwoodwinch.platform.PlatformHeaders;
+import org.dogwoodwinch.request.SuspectBook;
+import org.dogwoodwinch.time.VirtualTimeSource;
+
+/** The whole way of a call between connections made of memory, on a paused clock. */
+final class RelayFixture {
+
+    static final String HOST = "desk.example";
+    static final CallerLimits LIMITS = new CallerLimits(2_048, 10_000, 3_000, 15_000);
+    static final long TIMEOUT_MILLIS = 800;
+    static final long STREAM_TIMEOUT_MILLIS = 6_000;
+    static final long RETRY_AFTER_MILLIS = 200;
+
+    final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
+    final TargetDirectory directory = new TargetDirectory();
+    final LoadBook loads = new LoadBook();
+    final PartIndex parts = new PartIndex();
+    final List<TargetEnd> opened = new ArrayList<>();
+    final Set<String> unreachable = new HashSet<>();
+    final List<String> released = new ArrayList<>();
+    final SuspectBook suspects = new SuspectBook(time, 600_000, 600_000, _notice -> {});
+    final ForwardingService service;
+    private long nextOffset;
+
+    RelayFixture() {
+        this(50);
+    }
+
+    RelayFixture(double slack) {
+        ReadRates rates = new ReadRates(30);
+        EngineChooser chooser = new EngineChooser(
+                directory,
+                loads,
+                parts,
+                rates,
+                EngineChoicePolicy.STANDARD,
+                new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(7)),
+                "dc-1");
+        service = new ForwardingService(
+                this::connect,
+                time,
+                new PlatformHeaders(),
+                RandomSource.XO_RO_SHI_RO_128_PP.create(8),
+                new ConnectionPolicy(1_000, 3_000, 1_000),
+                new Control(),
+                new ForwardingService.Decisions(
+                        chooser,
+                        loads,
+                        parts,
+                        rates,
+                        new RetryPolicy(2, 2, 30, RETRY_AFTER_MILLIS),
+                        new RetryBudget(0, slack, 10_000, -10_000),
+                        suspects,
+                        1),
+                new ForwardingMetrics(new PrometheusRegistry()));
+    }
+
+    /** Puts routes /safe/, /once/, /stream/ and /resume/ in force, all to one plain service. */
+    RelayFixture configured() {
+        service.configure(new RouteTable(
+                1,
+                List.of(
+                        route("/safe/", RouteKind.REPEATABLE, false, 2, "desk", TIMEOUT_MILLIS),
+                        route("/once/", RouteKind.ONCE, false, 1, "desk", TIMEOUT_MILLIS),
+                        route("/stream/", RouteKind.STREAM, false, 1, "desk", STREAM_TIMEOUT_MILLIS),
+                        route("/resume/", RouteKind.STREAM, true, 2, "desk", STREAM_TIMEOUT_MILLIS),
+                        route("/model/", RouteKind.STREAM, false, 1, "reader", STREAM_TIMEOUT_MILLIS)),
+                List.of(
+                        new ServiceEntry("desk", 96, Optional.empty()),
+                        new ServiceEntry(
+                                "reader", 360, Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000)))),
+                LIMITS));
+        return this;
+    }
+
+    RelayFixture plain(String id) {
+        return listed(new Incarnation(id, "desk", "10.0.0.1", 80, "dc-1", 6, false, Stage.WHOLE, 0));
+    }
+
+    RelayFixture engine(String id, Stage stage) {
+        return listed(new Incarnation(id, "reader", "10.0.0.2", 80, "dc-1", 64, false, stage, 1));
+    }
+
+    RelayFixture listed(Incarnation incarnation) {
+        directory.apply(incarnation.id(), nextOffset++, Optional.of(incarnation));
+        return this;
+    }
+
+    private static ServiceRoute route(
+            String prefix, RouteKind kind, boolean resumable, int attempts, String service, long timeoutMillis) {
+        return new ServiceRoute(
+                "r" + prefix.replace("/", "-"),
+                HOST,
+                prefix,
+                kind,
+                resumable,
+                timeoutMillis,
+                150,
+                300,
+                attempts,
+                1,
+                List.of(new WeightedService(service, 1)));
+    }
+
+    CallerEnd caller() {
+        return new CallerEnd();
+    }
+
+    /** The target's end of the connection opened last. */
+    TargetEnd target() {
+        return opened.get(opened.size() - 1);
+    }
+
+    /** A request without a body. */
+    static String get(String path, String id) {
+        return "GET " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nRequest-Id: " + id + "\r\n\r\n";
+    }
+
+    static String post(String path, String id, String headers, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nRequest-Id: " + id + "\r\n" + headers
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** A whole success of a target. */
+    static String success(String id, String body) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s-" + id + "\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** The head of a streamed success. */
+    static String streamHead(String id) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s-" + id
+                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private void connect(Incarnation target, ChannelHandler handler, TargetConnector.Outcome outcome) {
+        if (unreachable.contains(target.id())) {
+            outcome.failed();
+            return;
+        }
+        opened.add(new TargetEnd(target.id(), new EmbeddedChannel(handler)));
+        outcome.connected();
+    }
+
+    private static String read(EmbeddedChannel channel) {
+        StringBuilder text = new StringBuilder();
+        ByteBuf next = channel.readOutbound();
+        while (next != null) {
+            text.append(next.toString(StandardCharsets.ISO_8859_1));
+            next.release();
+            next = channel.readOutbound();
+        }
+        return text.toString();
+    }
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
+    }
+
+    /** A caller's end of its connection. */
+    final class CallerEnd {
+
+        private final EmbeddedChannel channel = new EmbeddedChannel(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel added) {
+                CallerPipeline.install(added, service, time);
+            }
+        });
+
+        CallerEnd send(String text) {
+            channel.writeInbound(bytes(text));
+            return this;
+        }
+
+        /** What came since the last call. */
+        String received() {
+            channel.runPendingTasks();
+            return read(channel);
+        }
+
+        /** Whether no more bytes can come. */
+        boolean closed() {
+            channel.runPendingTasks();
+            time.advanceMillis(1_000);
+            return !channel.isActive();
+        }
+
+        boolean closedAtOnce() {
+            channel.runPendingTasks();
+            return !channel.isActive();
+        }
+
+        void leave() {
+            channel.close().syncUninterruptibly();
+        }
+    }
+
+    /** A target's end of a connection. */
+    static final class TargetEnd {
+
+        private final String id;
+        private final EmbeddedChannel channel;
+
+        TargetEnd(String id, EmbeddedChannel channel) {
+            this.id = id;
+            this.channel = channel;
+        }
+
+        String id() {
+            return id;
+        }
+
+        /** What came since the last call. */
+        String received() {
+            channel.runPendingTasks();
+            return read(channel);
+        }
+
+        void answer(String text) {
+            channel.writeInbound(bytes(text));
+            channel.runPendingTasks();
+        }
+
+        void close() {
+            channel.close().syncUninterruptibly();
+        }
+
+        void reset() {
+            channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+            channel.close().syncUninterruptibly();
+        }
+
+        boolean open() {
+            channel.runPendingTasks();
+            return channel.isActive();
+        }
+    }
+
+    private final class Control implements EngineControl {
+        @Override
+        public Optional<PromptMemory> readMemory(Incarnation reader, Bytes body) {
+            String text = new String(body.toByteArray(), StandardCharsets.UTF_8);
+            return text.isEmpty() ? Optional.empty() : Optional.of(new PromptMemory(reader.address(), text));
+        }
+
+        @Override
+        public void release(Incarnation reader, PromptMemory memory) {
+            released.add(reader.id() + "/" + memory.handle());
+        }
+
+        @Override
+        public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long _sinceNumber) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+    }
+}
