Take nothing new shortly before a planned end

The balancer sends callers on while few instances of a data centre are ready. Change: once the balancer had its time, no connection is accepted, idle ones are closed, and a request that comes all the same is refused as not run. Ruled out: waiting longer; the platform ends the process by force at 8 s. Test: CallerConnectionTest.whatComesShortlyBeforeTheEndIsSentElsewhere, written with the change; without the check the late call reaches the target. Conclusion: a planned stop cuts nothing that was taken in its first seconds.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -313,7 +313,7 @@
     private void waitForCalls(CompletableFuture<Integer> stopped) {
         long sinceMillis = time.monotonicMillis() - leftAtMillis;
         if (sinceMillis >= settings.stop().notReadyMillis()) {
-            service.closeIdle();
+            service.stopTaking();
             boolean late = sinceMillis >= settings.stop().graceMillis() - BEFORE_GRACE_MILLIS;
             boolean empty = service.openCount() == 0 && service.callersCount() == 0;
             if (late || empty) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -42,6 +42,7 @@
     private int openCount;
     private Optional<RouteTable> table = Optional.empty();
     private boolean leaving;
+    private boolean taking = true;
 
     /**
      * Creates a service that does not listen yet.
@@ -225,14 +226,23 @@
         leaving = true;
     }
 
-    /** Takes no more connections and closes those on which nothing is under way. */
-    public void stopAccepting() {
-        listener.ifPresent(FrontListener::stopAccepting);
+    /**
+     * Takes no more connections and closes those on which nothing is under way; a request that comes on another is told
+     * to go elsewhere.
+     *
+     * <p>Failure: the balancer sends callers on while few instances of a data centre are ready, and callers keep their
+     * connections. A call taken shortly before the process has to end would be cut in the middle of its run.
+     */
+    public void stopTaking() {
+        if (taking) {
+            taking = false;
+            logState("stopped_taking");
+            listener.ifPresent(FrontListener::stopAccepting);
+        }
         closeIdle();
     }
 
-    /** Closes the connections on which nothing is under way. */
-    public void closeIdle() {
+    private void closeIdle() {
         listener.ifPresent(FrontListener::closeIdle);
     }
 
@@ -277,6 +287,9 @@
     @Override
     public OpenCall take(IncomingCall call, CallerSide caller, Runnable onDone) {
         CallFacts facts = callHeaders.readCall(call.headers());
+        if (!taking) {
+            return refuse(facts, caller, onDone, OwnAnswers.UNAVAILABLE, "stopping");
+        }
         if (table.isEmpty()) {
             return refuse(facts, caller, onDone, OwnAnswers.UNAVAILABLE, "no configuration yet");
         }
--- a/src/test/java/org/dogwoodwinch/relay/CallerConnectionTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CallerConnectionTest.java
@@ -204,6 +204,27 @@
         assertTrue(caller.closed());
     }
 
+    /**
+     * The process is about to end, and a caller sends a long call on its kept connection. Taken, it would be cut in the
+     * middle of its run; so it gets 503 with when to come back, and nothing reaches a target. What was taken before is
+     * answered whole.
+     */
+    @Test
+    void whatComesShortlyBeforeTheEndIsSentElsewhere() {
+        RelayFixture.CallerEnd early = relay.caller().send(RelayFixture.get("/once/a", "a1"));
+        RelayFixture.CallerEnd late = relay.caller().send("GET /once/b HTTP/1.1\r\n");
+        relay.service.leave();
+        relay.service.stopTaking();
+
+        late.send("Host: desk.example\r\nRequest-Id: b2\r\n\r\n");
+        relay.target().answer(RelayFixture.success("a1", "whole"));
+
+        String refused = late.received();
+        assertTrue(refused.startsWith("HTTP/1.1 503 ") && refused.contains("retry-after: "), refused);
+        assertTrue(early.received().endsWith("whole"));
+        assertEquals(1, relay.opened.size());
+    }
+
     /**
      * Many callers send large bodies at once, each within its limit. Beyond the bound of all bodies the next is told to
      * come back, and what the others held is free again once they are answered.
