Speak the platform's protocol in stand-ins, and show forwarding in the demo

Cause: the stand-ins spoke the imagined interfaces; nothing but the bench met the daemon over sockets in the platform's protocol. Change: standin.platform has the store (offsets, newest of a key, conditions, epochs, outages, lost answers, forgotten history), engines (stages, slots, parts kept and dropped, events of them, handles, orders with fences, 421, not run, lost, garbled, extra, cut and failed answers) and plain targets.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.daemon;
 
+import io.netty.channel.Channel;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -115,6 +116,7 @@
     private final ClockWatch clockWatch;
     private final RetryBudget budget;
     private ForwardingSettings settings;
+    private Channel readyListener;
     private boolean leaving;
     private long leftAtMillis;
 
@@ -148,14 +150,11 @@
                 settings.store().pauseMillis(),
                 FIRST_BACKOFF_MILLIS,
                 MAX_BACKOFF_MILLIS);
-        InetSocketAddress peerAddress = address(settings.peers().listen());
-        PeerMember self = new PeerMember(
-                settings.instance().name(),
-                peerAddress.getHostString(),
-                peerAddress.getPort(),
-                settings.instance().dataCentre());
         this.members = new MemberList(
-                self, store.writer(MemberList.TOPIC), time, settings.peers().renewMillis());
+                settings.instance().name(),
+                store.writer(MemberList.TOPIC),
+                time,
+                settings.peers().renewMillis());
         this.membersFollower = new StreamFollower(
                 store.keyed(MemberList.TOPIC),
                 new FollowPolicy(
@@ -167,8 +166,8 @@
                 new NettyPeerTransport(transport, MAX_PEER_MESSAGE_BYTES, Optional.empty(), Optional.empty());
         this.exchange = new PeerExchange(
                 new PeerSettings(
-                        self.name(),
-                        self.dataCentre(),
+                        settings.instance().name(),
+                        settings.instance().dataCentre(),
                         "",
                         settings.peers().roundMillis(),
                         settings.peers().neighboursCount(),
@@ -231,16 +230,22 @@
      * @throws IOException if a listener cannot be bound
      */
     public void start() throws IOException {
-        ForwardingService.listenReady(transport, address(settings.forwarding().readyListen()), this::ready);
+        readyListener = ForwardingService.listenReady(
+                transport, address(settings.forwarding().readyListen()), this::ready);
         ForwardingService.listenMetrics(transport, address(settings.forwarding().metricsListen()), metrics);
         service.listen(transport, address(settings.forwarding().listen()));
         InetSocketAddress peers = address(settings.peers().listen());
-        peerTransport.listen(peers.getHostString(), peers.getPort(), exchange::receive);
+        int peerPort = peerTransport.listen(peers.getHostString(), peers.getPort(), exchange::receive);
+        PeerMember self = new PeerMember(
+                settings.instance().name(),
+                peers.getHostString(),
+                peerPort,
+                settings.instance().dataCentre());
         transport.group().next().execute(() -> {
             configuration.start();
             targets.start();
             cacheWatch.start();
-            members.start();
+            members.start(self);
             membersFollower.start();
             exchange.start();
             loadSharing.start();
@@ -251,9 +256,28 @@
                 .with("dataCentre", settings.instance().dataCentre())
                 .with("transport", transport.name())
                 .with("port", service.port())
+                .with("readyPort", readyPort())
                 .info(log);
     }
 
+    /**
+     * Returns where callers connect.
+     *
+     * @return the port
+     */
+    public int port() {
+        return service.port();
+    }
+
+    /**
+     * Returns where the balancer asks whether the instance is ready.
+     *
+     * @return the port
+     */
+    public int readyPort() {
+        return ((InetSocketAddress) readyListener.localAddress()).getPort();
+    }
+
     /**
      * Reloads the settings whenever their file changes, and at the signal to do so.
      *
--- a/src/main/java/org/dogwoodwinch/peer/MemberList.java
+++ b/src/main/java/org/dogwoodwinch/peer/MemberList.java
@@ -38,7 +38,7 @@
     /** Renewals that may be missed: a store that is away for some seconds loses one or two. */
     private static final int KEPT_INTERVALS = 3;
 
-    private final PeerMember self;
+    private final String ownName;
     private final KeyedWriter writer;
     private final TimeSource time;
     private final long renewMillis;
@@ -48,20 +48,24 @@
     /**
      * Creates a list that knows nobody.
      *
-     * @param self this instance, not null
+     * @param ownName this instance's name, not null
      * @param writer writes the stream, not null
      * @param time the clock and timers, not null
      * @param renewMillis the time between two records of one instance
      */
-    public MemberList(PeerMember self, KeyedWriter writer, TimeSource time, long renewMillis) {
-        this.self = Objects.requireNonNull(self, "self");
+    public MemberList(String ownName, KeyedWriter writer, TimeSource time, long renewMillis) {
+        this.ownName = Objects.requireNonNull(ownName, "ownName");
         this.writer = Objects.requireNonNull(writer, "writer");
         this.time = Objects.requireNonNull(time, "time");
         this.renewMillis = renewMillis;
     }
 
-    /** Announces this instance from now on. */
-    public void start() {
+    /**
+     * Announces this instance from now on.
+     *
+     * @param self where the others reach it, not null
+     */
+    public void start(PeerMember self) {
         if (leaving) {
             return;
         }
@@ -70,15 +74,15 @@
                 LogEvent.of("member_not_announced").with("member", self.name()).info(log);
             }
         });
-        time.schedule(renewMillis, this::start);
+        time.schedule(renewMillis, () -> start(self));
     }
 
     /** Drops this instance's record, and announces it no more. */
     public void leave() {
         leaving = true;
-        writer.put(self.name(), Optional.empty())
+        writer.put(ownName, Optional.empty())
                 .thenAccept(written -> LogEvent.of("member_left")
-                        .with("member", self.name())
+                        .with("member", ownName)
                         .with("written", written)
                         .info(log));
     }
@@ -96,7 +100,7 @@
 
     @Override
     public void record(KeyedRecord record) {
-        if (record.key().equals(self.name())) {
+        if (record.key().equals(ownName)) {
             return;
         }
         Optional<PeerMember> member = record.value().flatMap(value -> decode(record.key(), value));
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/standin/platform/ForwardingDemoMain.java
@@ -0,0 +1,129 @@
+package org.dogwoodwinch.standin.platform;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Sends calls of every kind, and with every fault of a target, through running daemons and prints what came. */
+@Command(
+        name = "forwarding-demo",
+        mixinStandardHelpOptions = true,
+        description =
+                "Sends calls through daemons that run in front of the platform's stand-ins; exits with 1 where one "
+                        + "is not answered as it should be.")
+public final class ForwardingDemoMain implements Callable<Integer> {
+
+    private static final Pattern READY_PORT = Pattern.compile("event=started .*\\bport=(\\d+) readyPort=(\\d+)");
+    private static final long START_MILLIS = 30_000;
+    private static final long LOOK_MILLIS = 100;
+    private static final String ANY = "";
+
+    @Option(names = "--daemon-log", required = true, description = "The log of a daemon; one for each.")
+    private List<Path> logs;
+
+    private int wrong;
+
+    /**
+     * Runs the demo.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new ForwardingDemoMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        List<Integer> ports = new ArrayList<>();
+        for (Path log : logs) {
+            ports.add(waitUntilReady(log));
+        }
+        System.out.printf(Locale.ROOT, "%-10s %-13s %-6s %s%n", "route", "fault", "status", "answer");
+        int number = 0;
+        for (String path : List.of("/safe/a", "/once/a", "/stream/a", "/resume/a")) {
+            for (TargetFault fault : TargetFault.values()) {
+                show(ports.get(number % ports.size()), path, fault, "demo-" + number);
+                number++;
+            }
+        }
+        System.out.println(wrong == 0 ? "every call was answered as its kind allows" : wrong + " wrong answers");
+        return wrong == 0 ? 0 : 1;
+    }
+
+    private void show(int port, String path, TargetFault fault, String id) throws IOException {
+        String answer = ask(port, request(path, fault, id));
+        String status = answer.length() < 12 ? "cut" : answer.substring(9, 12);
+        String body = answer.substring(Math.max(0, answer.indexOf("\r\n\r\n") + 4));
+        String shown = body.replaceAll("\\s+", " ");
+        System.out.printf(
+                Locale.ROOT,
+                "%-10s %-13s %-6s %s%n",
+                path,
+                fault.name().toLowerCase(Locale.ROOT),
+                status,
+                shown.substring(0, Math.min(60, shown.length())));
+        if (!allowed(path, fault, status)) {
+            wrong++;
+        }
+    }
+
+    /** A call that may run once is never repeated after it may have run, and never said not to have run then. */
+    private static boolean allowed(String path, TargetFault fault, String status) {
+        boolean stream = path.startsWith("/stream") || path.startsWith("/resume");
+        if (fault == TargetFault.NONE || fault == TargetFault.EXTRA_ANSWER || (fault == TargetFault.CUT && stream)) {
+            return status.equals("200");
+        }
+        if (fault == TargetFault.REJECTED) {
+            return status.equals("503");
+        }
+        return fault == TargetFault.FAILED ? status.equals("500") : status.equals("502");
+    }
+
+    private static String request(String path, TargetFault fault, String id) {
+        return "POST " + path + " HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: " + id
+                + "\r\nx-fault: " + (fault == TargetFault.NONE ? ANY : fault.name())
+                + "\r\nModel: m\r\nToken-Count: 2000,8\r\nPrompt-Prefix: 5c:1500,91:500\r\n"
+                + "Connection: close\r\nContent-Length: 5\r\n\r\nhello";
+    }
+
+    private static String ask(int port, String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static int waitUntilReady(Path log) throws IOException, InterruptedException {
+        for (long waited = 0; waited < START_MILLIS; waited += LOOK_MILLIS) {
+            Optional<Matcher> started = started(log);
+            if (started.isPresent() && ready(Integer.parseInt(started.get().group(2)))) {
+                return Integer.parseInt(started.get().group(1));
+            }
+            Thread.sleep(LOOK_MILLIS);
+        }
+        throw new IOException("not ready: " + log);
+    }
+
+    private static boolean ready(int port) throws IOException {
+        return ask(port, "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                .startsWith("HTTP/1.1 200 ");
+    }
+
+    private static Optional<Matcher> started(Path log) throws IOException {
+        Matcher found = READY_PORT.matcher(Files.exists(log) ? Files.readString(log) : "");
+        return found.find() ? Optional.of(found) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
@@ -0,0 +1,162 @@
+package org.dogwoodwinch.standin.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Function;
+import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.time.TimeSource;
+
+/** A whole small platform on loopback: the store, two prefill engines, three that generate, two plain targets. */
+public final class PlatformStandIn implements AutoCloseable {
+
+    /** The host that the routes are for. */
+    public static final String HOST = "demo.example";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String ENGINES = "reader";
+    private static final String PLAIN = "desk";
+
+    private final Transport transport;
+    private final TimeSource time;
+    private final StoreStandIn store;
+    private final List<StandInListener> listeners = new ArrayList<>();
+    private final List<TargetStandIn> targets = new ArrayList<>();
+    private final StandInListener storeListener;
+
+    /**
+     * Starts it, with a first configuration in force.
+     *
+     * @param transport its sockets, with one event loop, not null
+     * @param time paces it, not null
+     * @param faults what targets do wrong with a request, not null
+     * @throws IOException if no port can be bound
+     */
+    public PlatformStandIn(Transport transport, TimeSource time, Function<StandInRequest, TargetFault> faults)
+            throws IOException {
+        this.transport = Objects.requireNonNull(transport, "transport");
+        this.time = Objects.requireNonNull(time, "time");
+        this.store = new StoreStandIn(time);
+        this.storeListener = StandInListener.bind(transport, store);
+        for (int i = 1; i <= 5; i++) {
+            TargetTraits traits = i <= 2 ? TargetTraits.PREFILL : TargetTraits.DECODE;
+            add("i-e" + i, ENGINES, traits, faults);
+        }
+        add("i-p1", PLAIN, TargetTraits.PLAIN, faults);
+        add("i-p2", PLAIN, TargetTraits.PLAIN, faults);
+        configure(1);
+    }
+
+    /**
+     * Returns where the store is.
+     *
+     * @return IP number, colon, port
+     */
+    public String storeAddress() {
+        return storeListener.address();
+    }
+
+    /**
+     * Returns the store.
+     *
+     * @return the store; touched on its event loop alone
+     */
+    public StoreStandIn store() {
+        return store;
+    }
+
+    /**
+     * Returns the targets.
+     *
+     * @return all that were started
+     */
+    public List<TargetStandIn> targets() {
+        return List.copyOf(targets);
+    }
+
+    /**
+     * Writes a configuration: routes for requests that may repeat, that run once, streams, and streams that resume.
+     *
+     * @param version its version
+     */
+    public void configure(long version) {
+        ObjectNode configuration = JSON.createObjectNode().put("version", version);
+        ArrayNode routes = configuration.putArray("routes");
+        route(routes, "/safe/", "safe", PLAIN, 2, false);
+        route(routes, "/once/", "unsafe", PLAIN, 1, false);
+        route(routes, "/stream/", "streaming", ENGINES, 1, false);
+        route(routes, "/resume/", "streaming", ENGINES, 2, true);
+        ArrayNode services = configuration.putArray("services");
+        services.addObject().put("name", PLAIN).put("maxConnections", 960);
+        ObjectNode engine = services.addObject()
+                .put("name", ENGINES)
+                .put("maxConnections", 3_600)
+                .putObject("engine");
+        engine.put("slots", 64).put("kvCapacity", 400_000).put("kvTokenBytes", 18_432);
+        engine.put("linkMbps", 370_000).put("handleTtlS", 5);
+        configuration
+                .putObject("limits")
+                .put("maxHeaderBytes", 16_384)
+                .put("maxBodyBytes", 4_194_304)
+                .put("headerTimeoutMs", 3_000)
+                .put("idleTimeoutMs", 15_000);
+        store.put("keyed.op", "config", text(configuration));
+    }
+
+    private static void route(
+            ArrayNode routes, String prefix, String kind, String service, int attempts, boolean resumable) {
+        routes.addObject()
+                .put("name", "r" + prefix.replace("/", "-"))
+                .put("host", HOST)
+                .put("pathPrefix", prefix)
+                .put("kind", kind)
+                .put("timeoutMs", 10_000)
+                .put("targetLatencyMs", 500)
+                .put("priority", 1)
+                .put("service", service)
+                .put("maxAttempts", attempts)
+                .put("resumable", resumable);
+    }
+
+    private void add(String id, String service, TargetTraits traits, Function<StandInRequest, TargetFault> faults)
+            throws IOException {
+        TargetStandIn target = new TargetStandIn(id, traits, time, faults);
+        StandInListener listener = StandInListener.bind(transport, target);
+        targets.add(target);
+        listeners.add(listener);
+        register(target, service, traits, listener.address(), "ready");
+    }
+
+    private void register(TargetStandIn target, String service, TargetTraits traits, String address, String state) {
+        ObjectNode entry = JSON.createObjectNode()
+                .put("service", service)
+                .put("address", address)
+                .put("zone", "dc-1")
+                .put("version", "v1")
+                .put("slots", traits.slotsCount())
+                .put("state", state);
+        if (!traits.stage().isEmpty()) {
+            entry.put("stage", traits.stage());
+        }
+        store.put("keyed.servers", target.id(), text(entry));
+    }
+
+    private static String text(ObjectNode node) {
+        try {
+            return JSON.writeValueAsString(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree cannot fail to be written", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        listeners.forEach(StandInListener::close);
+        storeListener.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StandInAnswer.java
@@ -0,0 +1,51 @@
+package org.dogwoodwinch.standin.platform;
+
+import java.util.Map;
+
+/** Writes the answer to one request to a stand-in. */
+public interface StandInAnswer {
+
+    /**
+     * Writes a whole answer.
+     *
+     * @param status the HTTP status
+     * @param headers those beside the length, not null
+     * @param body the body, not null
+     */
+    void whole(int status, Map<String, String> headers, byte[] body);
+
+    /**
+     * Begins an answer in chunks.
+     *
+     * @param status the HTTP status
+     * @param headers those beside the framing, not null
+     */
+    void begin(int status, Map<String, String> headers);
+
+    /**
+     * Writes a chunk.
+     *
+     * @param body its bytes, not null
+     */
+    void chunk(byte[] body);
+
+    /** Writes the end of an answer in chunks. */
+    void end();
+
+    /**
+     * Writes bytes as they are, whatever they are.
+     *
+     * @param bytes the bytes, not null
+     */
+    void raw(byte[] bytes);
+
+    /** Closes the connection. */
+    void close();
+
+    /**
+     * Says whether the one who asked is still there.
+     *
+     * @return false after the connection closed
+     */
+    boolean open();
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetFault.java
@@ -0,0 +1,19 @@
+package org.dogwoodwinch.standin.platform;
+
+/** What a stand-in target does wrong with one request. */
+public enum TargetFault {
+    /** Nothing. */
+    NONE,
+    /** It runs the request and closes the connection without an answer. */
+    ANSWER_LOST,
+    /** It sends bytes that are no answer. */
+    GARBLED,
+    /** It answers, and then once more. */
+    EXTRA_ANSWER,
+    /** It closes in the middle of its answer. */
+    CUT,
+    /** It states that it did not run the request. */
+    REJECTED,
+    /** It fails with a status of its own after it ran. */
+    FAILED
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -0,0 +1,328 @@
+package org.dogwoodwinch.standin.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.dogwoodwinch.time.TimeSource;
+
+/**
+ * One start of a model engine or of a plain service. An engine reads prompts one after another at a fixed rate, but for
+ * the parts that it keeps, and makes an event at a fixed pace; its least recently used parts yield. Used on one event
+ * loop alone.
+ */
+public final class TargetStandIn implements StandInHandler {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Map<String, String> JSON_HEADERS = Map.of("content-type", "application/json");
+    private static final String LOST_TRACE = "HTTP/9 what\r\n\r\n";
+
+    private final String id;
+    private final TargetTraits traits;
+    private final TimeSource time;
+    private final Function<StandInRequest, TargetFault> faults;
+    private final LinkedHashMap<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
+    private final List<CacheEvent> events = new ArrayList<>();
+    private final Set<String> handles = new TreeSet<>();
+    private final Map<String, Integer> runsByRequest = new HashMap<>();
+    private String stage;
+    private long readyAtMillis;
+    private long highestFence = -1;
+    private int ordersCount;
+    private int runningCount;
+    private int nextHandle = 1;
+
+    /**
+     * Starts a target.
+     *
+     * @param id the id of this start, not null
+     * @param traits how it works, not null
+     * @param time paces it, not null
+     * @param faults what it does wrong with a request, not null
+     */
+    public TargetStandIn(
+            String id, TargetTraits traits, TimeSource time, Function<StandInRequest, TargetFault> faults) {
+        this.id = Objects.requireNonNull(id, "id");
+        this.traits = Objects.requireNonNull(traits, "traits");
+        this.time = Objects.requireNonNull(time, "time");
+        this.faults = Objects.requireNonNull(faults, "faults");
+        this.stage = traits.stage();
+    }
+
+    /**
+     * Returns its id.
+     *
+     * @return the id
+     */
+    public String id() {
+        return id;
+    }
+
+    /**
+     * Returns its stage.
+     *
+     * @return the stage's name; empty for a plain service
+     */
+    public String stage() {
+        return stage;
+    }
+
+    /**
+     * Returns how often each request ran.
+     *
+     * @return runs by request id
+     */
+    public Map<String, Integer> runs() {
+        return Map.copyOf(runsByRequest);
+    }
+
+    /**
+     * Returns the memory that was read for others and not taken.
+     *
+     * @return how many handles are kept
+     */
+    public int handlesCount() {
+        return handles.size();
+    }
+
+    @Override
+    public void handle(StandInRequest request, StandInAnswer answer) {
+        String expected = request.header("expect-instance");
+        if (!expected.isEmpty() && !expected.equals(id)) {
+            answer.whole(421, Map.of("instance-id", "i-other"), new byte[0]);
+            return;
+        }
+        switch (request.path()) {
+            case "/healthz" -> answer.whole(200, Map.of("instance-id", id), new byte[0]);
+            case "/report" -> json(answer, report());
+            case "/kv-events" -> json(answer, cacheEvents(request));
+            case "/order" -> order(request, answer);
+            default -> {
+                if (request.method().equals("DELETE") && request.path().startsWith("/kv-handle/")) {
+                    handles.remove(request.path().substring("/kv-handle/".length()));
+                    answer.whole(200, Map.of(), new byte[0]);
+                } else {
+                    run(request, answer);
+                }
+            }
+        }
+    }
+
+    private ObjectNode report() {
+        ObjectNode report = JSON.createObjectNode();
+        report.put("stage", stage).put("busy", time.monotonicMillis() < readyAtMillis);
+        report.put("seq", ordersCount).put("waiting", 0).put("running", runningCount);
+        report.put("kvUsed", 0).put("kvTotal", traits.kvTokens()).put("kvHandles", handles.size());
+        return report;
+    }
+
+    private ObjectNode cacheEvents(StandInRequest request) {
+        int since = (int) request.number("since").orElse(0);
+        ObjectNode reply = JSON.createObjectNode();
+        reply.put("epoch", id).put("nextToken", events.size()).put("lost", false);
+        ArrayNode list = reply.putArray("events");
+        for (int i = Math.min(since, events.size()); i < events.size(); i++) {
+            CacheEvent event = events.get(i);
+            list.addArray()
+                    .add(i)
+                    .add(event.tokens() > 0 ? "+" : "-")
+                    .add("")
+                    .add(event.part())
+                    .add(event.tokens())
+                    .add("m");
+        }
+        return reply;
+    }
+
+    private void order(StandInRequest request, StandInAnswer answer) {
+        try {
+            ObjectNode order = (ObjectNode) JSON.readTree(request.body().toByteArray());
+            if (!order.path("fence").isNumber() || order.path("holder").asText().isEmpty()) {
+                answer.whole(400, Map.of(), new byte[0]);
+                return;
+            }
+            long fence = order.path("fence").asLong();
+            if (fence < highestFence) {
+                answer.whole(412, Map.of(), new byte[0]);
+                return;
+            }
+            highestFence = fence;
+            obey(order, answer);
+        } catch (IOException | ClassCastException e) {
+            answer.whole(400, Map.of(), String.valueOf(e.getMessage()).getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private void obey(ObjectNode order, StandInAnswer answer) {
+        boolean otherState = order.has("expected") && order.path("expected").asInt() != ordersCount;
+        if (otherState || time.monotonicMillis() < readyAtMillis) {
+            answer.whole(409, Map.of(), new byte[0]);
+            return;
+        }
+        String wanted = order.path("stage").asText();
+        if (wanted.equals(stage)) {
+            answer.whole(200, Map.of(), new byte[0]);
+            return;
+        }
+        ordersCount++;
+        stage = wanted;
+        readyAtMillis = time.monotonicMillis() + traits.switchMillis();
+        answer.whole(202, Map.of(), new byte[0]);
+    }
+
+    private void run(StandInRequest request, StandInAnswer answer) {
+        String requestId = request.header("request-id");
+        if (requestId.isEmpty()) {
+            answer.whole(400, Map.of("not-run", "1"), new byte[0]);
+            return;
+        }
+        TargetFault fault = faults.apply(request);
+        boolean away = time.monotonicMillis() < readyAtMillis;
+        if (fault == TargetFault.REJECTED || away || runningCount >= traits.slotsCount()) {
+            answer.whole(503, Map.of("request-id", requestId, "not-run", "1"), new byte[0]);
+            return;
+        }
+        boolean prefill = request.header("stage").equals("prefill");
+        if (!stage.isEmpty() && prefill != stage.equals("prefill")) {
+            answer.whole(421, Map.of("instance-id", id, "not-run", "1"), new byte[0]);
+            return;
+        }
+        String memory = request.header("kv-from");
+        long readMillis = memory.isEmpty() ? read(request) : traits.eventMillis();
+        runningCount++;
+        if (prefill) {
+            time.schedule(readMillis, () -> prefilled(requestId, answer));
+        } else {
+            runsByRequest.merge(requestId, 1, Integer::sum);
+            time.schedule(readMillis, () -> work(request, answer, fault));
+        }
+    }
+
+    private void prefilled(String requestId, StandInAnswer answer) {
+        runningCount--;
+        String handle = id + "-" + nextHandle++;
+        handles.add(handle);
+        ObjectNode reply = JSON.createObjectNode().put("kvHandle", handle).put("version", 1);
+        answer.whole(200, Map.of("request-id", requestId, "content-type", "application/json"), bytes(reply));
+    }
+
+    private void work(StandInRequest request, StandInAnswer answer, TargetFault fault) {
+        String requestId = request.header("request-id");
+        switch (fault) {
+            case ANSWER_LOST -> {
+                runningCount--;
+                answer.close();
+            }
+            case GARBLED -> {
+                runningCount--;
+                answer.raw(LOST_TRACE.getBytes(StandardCharsets.US_ASCII));
+            }
+            case FAILED -> {
+                runningCount--;
+                answer.whole(500, head(requestId), "failed".getBytes(StandardCharsets.US_ASCII));
+            }
+            default -> succeed(request, answer, fault);
+        }
+    }
+
+    private void succeed(StandInRequest request, StandInAnswer answer, TargetFault fault) {
+        String requestId = request.header("request-id");
+        if (stage.isEmpty()) {
+            runningCount--;
+            byte[] body = ("done " + requestId).getBytes(StandardCharsets.US_ASCII);
+            if (fault == TargetFault.CUT) {
+                answer.raw(("HTTP/1.1 200 OK\r\nrequest-id: " + requestId + "\r\nserver-stamp: " + id
+                                + "\r\ncontent-length: 999\r\n\r\nhalf")
+                        .getBytes(StandardCharsets.US_ASCII));
+                answer.close();
+                return;
+            }
+            answer.whole(200, head(requestId), body);
+            if (fault == TargetFault.EXTRA_ANSWER) {
+                answer.whole(200, head(requestId), body);
+            }
+            return;
+        }
+        answer.begin(200, head(requestId));
+        String last = request.header("last-event-id");
+        event(answer, last.isEmpty() ? 1 : Integer.parseInt(last) + 1, fault);
+    }
+
+    private void event(StandInAnswer answer, int number, TargetFault fault) {
+        if (!answer.open()) {
+            runningCount--;
+            return;
+        }
+        if (fault == TargetFault.CUT && number > traits.eventsCount() / 2) {
+            runningCount--;
+            answer.chunk(("id: " + number + "\nda").getBytes(StandardCharsets.US_ASCII));
+            answer.close();
+            return;
+        }
+        answer.chunk(("id: " + number + "\ndata: word" + number + "\n\n").getBytes(StandardCharsets.US_ASCII));
+        if (number >= traits.eventsCount()) {
+            runningCount--;
+            answer.end();
+        } else {
+            time.schedule(traits.eventMillis(), () -> event(answer, number + 1, fault));
+        }
+    }
+
+    /** How long the prompt takes, but for the parts that are kept; after it they all are. */
+    private long read(StandInRequest request) {
+        String parts = request.header("prompt-prefix");
+        if (parts.isEmpty()) {
+            return traits.eventMillis();
+        }
+        long unread = 0;
+        boolean gap = false;
+        for (String entry : parts.split(",", -1)) {
+            String part = entry.substring(0, entry.indexOf(':'));
+            int tokens = Integer.parseInt(entry.substring(entry.indexOf(':') + 1));
+            gap |= !kept.containsKey(part);
+            unread += gap ? tokens : 0;
+            keep(part, tokens);
+        }
+        return traits.eventMillis() + Math.round(unread / traits.tokensPerMilli());
+    }
+
+    private void keep(String part, int tokens) {
+        if (kept.put(part, tokens) == null) {
+            events.add(new CacheEvent(part, tokens));
+        }
+        while (kept.values().stream().mapToLong(Integer::longValue).sum() > traits.kvTokens() && kept.size() > 1) {
+            String oldest = kept.keySet().iterator().next();
+            kept.remove(oldest);
+            events.add(new CacheEvent(oldest, 0));
+        }
+    }
+
+    private Map<String, String> head(String requestId) {
+        return Map.of("request-id", requestId, "server-stamp", id + ".1", "keep-alive", "timeout=5");
+    }
+
+    private static void json(StandInAnswer answer, ObjectNode body) {
+        answer.whole(200, JSON_HEADERS, bytes(body));
+    }
+
+    private static byte[] bytes(ObjectNode body) {
+        try {
+            return JSON.writeValueAsBytes(body);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a tree cannot fail to be written", e);
+        }
+    }
+
+    private record CacheEvent(String part, int tokens) {}
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
@@ -0,0 +1,191 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.net.EventLoopTime;
+import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.settings.ForwardingSettings;
+import org.dogwoodwinch.settings.SettingsLoader;
+import org.dogwoodwinch.standin.platform.PlatformStandIn;
+import org.dogwoodwinch.standin.platform.StandInRequest;
+import org.dogwoodwinch.standin.platform.StoreStandIn;
+import org.dogwoodwinch.standin.platform.TargetFault;
+import org.dogwoodwinch.standin.platform.TargetStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The whole daemon over real sockets, in front of stand-ins that speak the platform's protocol. */
+class ForwardingDaemonTest {
+
+    private static final String FAULT_HEADER = "x-fault";
+    private static final int MOST_QUESTIONS = 20_000;
+
+    private final Transport platformLoop = Transport.start(1);
+    private final Transport daemonLoop = Transport.start(1);
+    private PlatformStandIn platform;
+    private ForwardingDaemon daemon;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = new PlatformStandIn(
+                platformLoop, new EventLoopTime(platformLoop.group().next()), ForwardingDaemonTest::fault);
+        daemon = new ForwardingDaemon(settings(), daemonLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(5));
+        daemon.start();
+        assertTrue(becomesReady());
+    }
+
+    @AfterEach
+    void stop() {
+        daemonLoop.group().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        platform.close();
+        platformLoop.group().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private static TargetFault fault(StandInRequest request) {
+        String wanted = request.header(FAULT_HEADER);
+        return wanted.isEmpty() ? TargetFault.NONE : TargetFault.valueOf(wanted);
+    }
+
+    private ForwardingSettings settings() {
+        String json = "{\"instance\":{\"name\":\"n1\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
+                + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
+                + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
+                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}}";
+        return SettingsLoader.parse("test", json)
+                .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
+                    throw new AssertionError(problems);
+                });
+    }
+
+    private boolean becomesReady() throws IOException {
+        for (int i = 0; i < MOST_QUESTIONS; i++) {
+            if (ask(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    .startsWith("HTTP/1.1 200 ")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static String ask(int port, String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            InputStream in = socket.getInputStream();
+            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private String call(String path, String id, String headers) throws IOException {
+        return ask(
+                daemon.port(),
+                "POST " + path + " HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: " + id + "\r\n"
+                        + headers + "Connection: close\r\nContent-Length: 5\r\n\r\nhello");
+    }
+
+    private static String fault(TargetFault fault) {
+        return FAULT_HEADER + ": " + fault.name() + "\r\n";
+    }
+
+    private int runs(String id) {
+        return platform.targets().stream()
+                .map(TargetStandIn::runs)
+                .mapToInt(runs -> runs.getOrDefault(id, 0))
+                .sum();
+    }
+
+    @Test
+    void eachKindOfCallIsServed() throws IOException {
+        assertTrue(call("/safe/a", "a1", "").endsWith("done a1"));
+        assertTrue(call("/once/a", "b2", "").endsWith("done b2"));
+        for (String path : new String[] {"/stream/a", "/resume/a"}) {
+            String id = "c" + path.charAt(1);
+            String answer = call(path, id, "Model: m\r\nToken-Count: 2000,8\r\nPrompt-Prefix: 5c:1500,91:500\r\n");
+            assertTrue(answer.startsWith("HTTP/1.1 200 "), answer);
+            assertTrue(answer.contains("id: 8\ndata: word8\n\n") && answer.endsWith("0\r\n\r\n"), answer);
+            assertEquals(1, runs(id));
+        }
+        assertTrue(call("/nowhere/", "d4", "").startsWith("HTTP/1.1 404 "));
+    }
+
+    /**
+     * Targets lose answers, garble them, cut them and fail. What runs once runs once and is never said not to have run;
+     * what may repeat is answered by another target where one answers.
+     */
+    @Test
+    void whateverTargetsDoNothingRunsTwiceAndNothingIsDenied() throws IOException {
+        for (TargetFault fault : TargetFault.values()) {
+            String id = "f-" + fault.name();
+            String answer = call("/once/a", id, fault(fault));
+            assertTrue(runs(id) <= 1, fault.name());
+            boolean denied = answer.startsWith("HTTP/1.1 503 ") || answer.startsWith("HTTP/1.1 429 ");
+            assertEquals(fault == TargetFault.REJECTED, denied, answer);
+            boolean success = fault == TargetFault.NONE || fault == TargetFault.EXTRA_ANSWER;
+            assertEquals(success, answer.startsWith("HTTP/1.1 200 "), answer);
+        }
+    }
+
+    /** The store falls silent after the start: calls are served by what was read before. */
+    @Test
+    void withoutTheStoreCallsGoOn() throws Exception {
+        CompletableFuture<Void> silent = new CompletableFuture<>();
+        platformLoop.group().next().execute(() -> {
+            platform.store().mode(StoreStandIn.Mode.SILENT);
+            silent.complete(null);
+        });
+        silent.get(10, TimeUnit.SECONDS);
+
+        for (int i = 0; i < 20; i++) {
+            assertTrue(call("/once/a", "o" + i, "").endsWith("done o" + i));
+        }
+    }
+
+    /** A stop while a stream runs: the stream is whole, the instance is not ready, and nothing was cut. */
+    @Test
+    void aPlannedStopCutsNothing() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), daemon.port())) {
+            socket.getOutputStream()
+                    .write(("GET /stream/a HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: s2\r\n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            byte[] first = socket.getInputStream().readNBytes(20);
+            CompletableFuture<Integer> stopped = daemon.stop().toCompletableFuture();
+
+            String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+            assertTrue(new String(first, StandardCharsets.ISO_8859_1).startsWith("HTTP/1.1 200 "));
+            assertTrue(rest.endsWith("0\r\n\r\n"), rest);
+            assertEquals(0, stopped.get(30, TimeUnit.SECONDS));
+        }
+        assertTrue(ask(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                .startsWith("HTTP/1.1 503 "));
+    }
+
+    @Test
+    void aNewConfigurationComesIntoForce() throws Exception {
+        String before = call("/safe/a", "v1", "").toLowerCase(Locale.ROOT);
+        assertTrue(before.contains("server-stamp"), before);
+        platformLoop
+                .group()
+                .next()
+                .execute(() -> platform.store()
+                        .put("keyed.op", "config", "{\"version\":9,\"routes\":[],\"services\":[],\"limits\":{}}"));
+        String answer = "";
+        for (int i = 0; i < MOST_QUESTIONS && !answer.startsWith("HTTP/1.1 404 "); i++) {
+            answer = call("/safe/a", "w" + i, "");
+        }
+        assertTrue(answer.startsWith("HTTP/1.1 404 "), answer);
+        platformLoop.group().next().execute(() -> platform.configure(3));
+        assertTrue(call("/safe/a", "x1", "").startsWith("HTTP/1.1 404 "), "an older version must not come back");
+    }
+}
