--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -0,0 +1,137 @@
+package org.dogwoodwinch.daemon;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.follow.FollowPolicy;
+import org.dogwoodwinch.follow.KeyedStream;
+import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.StreamFollower;
+import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.peer.MemberList;
+import org.dogwoodwinch.peer.NettyPeerTransport;
+import org.dogwoodwinch.peer.PeerExchange;
+import org.dogwoodwinch.peer.PeerMember;
+import org.dogwoodwinch.peer.PeerObserver;
+import org.dogwoodwinch.peer.PeerRefusal;
+import org.dogwoodwinch.peer.PeerSettings;
+import org.dogwoodwinch.peer.SuspicionExchange;
+import org.dogwoodwinch.request.Quarantine;
+import org.dogwoodwinch.request.SuspectBook;
+import org.dogwoodwinch.settings.ForwardingSettings;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What instances tell each other: who they are, by way of the store; what they have under way and which calls crash
+ * targets, directly. Used on one event loop alone.
+ */
+final class FleetExchange {
+
+    private static final Logger log = LoggerFactory.getLogger(FleetExchange.class);
+
+    /** Instances come and go rarely; a call that waits long is one call less to pay. */
+    private static final long MEMBERS_WAIT_MILLIS = 8_000;
+
+    private static final long MEMBERS_PAUSE_MILLIS = 2_000;
+    private static final int MAX_MESSAGE_BYTES = 262_144;
+
+    /** A suspicion outlives a caller's retries by far. */
+    private static final long SUSPECT_MILLIS = 600_000;
+
+    private static final long QUARANTINE_MILLIS = 600_000;
+
+    private final ForwardingSettings settings;
+    private final MemberList members;
+    private final StreamFollower follower;
+    private final NettyPeerTransport transport;
+    private final PeerExchange exchange;
+    private final LoadSharing loadSharing;
+    private final SuspectBook suspects;
+
+    FleetExchange(
+            ForwardingSettings settings,
+            Transport sockets,
+            TimeSource time,
+            UniformRandomProvider random,
+            KeyedStream stream,
+            KeyedWriter writer,
+            FollowPolicy follow,
+            LoadBook loads) {
+        this.settings = settings;
+        String name = settings.instance().name();
+        this.members = new MemberList(name, writer, time, settings.peers().renewMillis());
+        this.follower = new StreamFollower(
+                stream,
+                new FollowPolicy(
+                        MEMBERS_WAIT_MILLIS,
+                        MEMBERS_PAUSE_MILLIS,
+                        follow.firstBackoffMillis(),
+                        follow.maxBackoffMillis()),
+                members,
+                time,
+                random);
+        this.transport = new NettyPeerTransport(sockets, MAX_MESSAGE_BYTES, Optional.empty(), Optional.empty());
+        this.exchange = new PeerExchange(
+                new PeerSettings(
+                        name,
+                        settings.instance().dataCentre(),
+                        "",
+                        settings.peers().roundMillis(),
+                        settings.peers().neighboursCount(),
+                        settings.peers().bytesPerSecond(),
+                        MAX_MESSAGE_BYTES),
+                time,
+                random,
+                transport,
+                members::others,
+                new RefusalLog());
+        this.loadSharing =
+                new LoadSharing(loads, exchange, time, settings.peers().roundMillis());
+        SuspicionExchange suspicions = new SuspicionExchange(exchange);
+        this.suspects = new SuspectBook(time, SUSPECT_MILLIS, QUARANTINE_MILLIS, suspicions);
+        suspicions.connect(suspects);
+    }
+
+    Quarantine quarantine() {
+        return suspects;
+    }
+
+    /**
+     * Listens for the others.
+     *
+     * @param address where, not null
+     * @return this instance as the others reach it
+     */
+    PeerMember listen(InetSocketAddress address) {
+        int port = transport.listen(address.getHostString(), address.getPort(), exchange::receive);
+        return new PeerMember(
+                settings.instance().name(),
+                address.getHostString(),
+                port,
+                settings.instance().dataCentre());
+    }
+
+    /** Announces this instance, and begins to tell and to hear. */
+    void start(PeerMember self) {
+        members.start(self);
+        follower.start();
+        exchange.start();
+        loadSharing.start();
+    }
+
+    /** Announces this instance no more. */
+    void leave() {
+        members.leave();
+    }
+
+    private static final class RefusalLog implements PeerObserver {
+        @Override
+        public void onRefused(PeerRefusal refusal) {
+            LogEvent.of("peer_message_refused").with("reason", refusal.label()).warn(log);
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -28,13 +27,7 @@
 import org.dogwoodwinch.net.EventLoopTime;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.peer.MemberList;
-import org.dogwoodwinch.peer.NettyPeerTransport;
-import org.dogwoodwinch.peer.PeerExchange;
 import org.dogwoodwinch.peer.PeerMember;
-import org.dogwoodwinch.peer.PeerObserver;
-import org.dogwoodwinch.peer.PeerRefusal;
-import org.dogwoodwinch.peer.PeerSettings;
-import org.dogwoodwinch.peer.SuspicionExchange;
 import org.dogwoodwinch.platform.EngineClient;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.platform.StoreClient;
@@ -44,7 +37,6 @@
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
 import org.dogwoodwinch.relay.SocketConnector;
-import org.dogwoodwinch.request.SuspectBook;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.SettingsChange;
 import org.dogwoodwinch.time.TimeSource;
@@ -77,11 +69,6 @@
     /** Long enough to be no poll for the engine, short enough that a silent connection is noticed. */
     private static final long ENGINE_WAIT_MILLIS = 1_000;
 
-    /** Instances come and go rarely; a call that waits long is one call less to pay. */
-    private static final long MEMBERS_WAIT_MILLIS = 8_000;
-
-    private static final int MAX_PEER_MESSAGE_BYTES = 262_144;
-
     private static final long SETTINGS_CHECK_MILLIS = 1_000;
 
     private static final long CLOCK_CHECK_MILLIS = 500;
@@ -89,11 +76,6 @@
     /** Well over what clocks drift and timers are late between two checks. */
     private static final long CLOCK_JUMP_MILLIS = 700;
 
-    /** A suspicion outlives a caller's retries by far. */
-    private static final long SUSPECT_MILLIS = 600_000;
-
-    private static final long QUARANTINE_MILLIS = 600_000;
-
     private static final long CACHE_ROUND_MILLIS = 250;
 
     private static final long FIRST_BACKOFF_MILLIS = 50;
@@ -108,11 +90,7 @@
     private final StreamFollower targets;
     private final TargetsReader targetsReader;
     private final CacheWatch cacheWatch;
-    private final MemberList members;
-    private final StreamFollower membersFollower;
-    private final PeerExchange exchange;
-    private final NettyPeerTransport peerTransport;
-    private final LoadSharing loadSharing;
+    private final FleetExchange fleet;
     private final ClockWatch clockWatch;
     private final RetryBudget budget;
     private ForwardingSettings settings;
@@ -150,37 +128,15 @@
                 settings.store().pauseMillis(),
                 FIRST_BACKOFF_MILLIS,
                 MAX_BACKOFF_MILLIS);
-        this.members = new MemberList(
-                settings.instance().name(),
-                store.writer(MemberList.TOPIC),
-                time,
-                settings.peers().renewMillis());
-        this.membersFollower = new StreamFollower(
-                store.keyed(MemberList.TOPIC),
-                new FollowPolicy(
-                        MEMBERS_WAIT_MILLIS, MEMBERS_WAIT_MILLIS / 4, FIRST_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS),
-                members,
-                time,
-                random);
-        this.peerTransport =
-                new NettyPeerTransport(transport, MAX_PEER_MESSAGE_BYTES, Optional.empty(), Optional.empty());
-        this.exchange = new PeerExchange(
-                new PeerSettings(
-                        settings.instance().name(),
-                        settings.instance().dataCentre(),
-                        "",
-                        settings.peers().roundMillis(),
-                        settings.peers().neighboursCount(),
-                        settings.peers().bytesPerSecond(),
-                        MAX_PEER_MESSAGE_BYTES),
+        this.fleet = new FleetExchange(
+                settings,
+                transport,
                 time,
                 random,
-                peerTransport,
-                members::others,
-                new RefusalLog());
-        SuspicionExchange suspicions = new SuspicionExchange(exchange);
-        SuspectBook suspects = new SuspectBook(time, SUSPECT_MILLIS, QUARANTINE_MILLIS, suspicions);
-        suspicions.connect(suspects);
+                store.keyed(MemberList.TOPIC),
+                store.writer(MemberList.TOPIC),
+                follow,
+                loads);
         this.service = new ForwardingService(
                 new SocketConnector(transport, connections),
                 time,
@@ -206,7 +162,7 @@
                                 LEAST_REMAINING_MILLIS,
                                 settings.retries().retryAfterMillis()),
                         budget,
-                        suspects,
+                        fleet.quarantine(),
                         settings.forwarding().mostInstancesCount()),
                 metrics);
         this.configuration = new StreamFollower(
@@ -216,8 +172,6 @@
                 time,
                 random);
         this.clockWatch = new ClockWatch(time, CLOCK_CHECK_MILLIS, CLOCK_JUMP_MILLIS, service::dropKeptConnections);
-        this.loadSharing =
-                new LoadSharing(loads, exchange, time, settings.peers().roundMillis());
         this.cacheWatch = new CacheWatch(engines, parts, this::modelEngines, time, CACHE_ROUND_MILLIS);
         this.targetsReader = new TargetsReader(
                 directory, service, metrics, time, settings.promises().drainMillis() * 4 / 5);
@@ -234,21 +188,12 @@
                 transport, address(settings.forwarding().readyListen()), this::ready);
         ForwardingService.listenMetrics(transport, address(settings.forwarding().metricsListen()), metrics);
         service.listen(transport, address(settings.forwarding().listen()));
-        InetSocketAddress peers = address(settings.peers().listen());
-        int peerPort = peerTransport.listen(peers.getHostString(), peers.getPort(), exchange::receive);
-        PeerMember self = new PeerMember(
-                settings.instance().name(),
-                peers.getHostString(),
-                peerPort,
-                settings.instance().dataCentre());
+        PeerMember self = fleet.listen(address(settings.peers().listen()));
         transport.group().next().execute(() -> {
             configuration.start();
             targets.start();
             cacheWatch.start();
-            members.start(self);
-            membersFollower.start();
-            exchange.start();
-            loadSharing.start();
+            fleet.start(self);
             clockWatch.start();
         });
         LogEvent.of("started")
@@ -317,7 +262,7 @@
             leaving = true;
             leftAtMillis = time.monotonicMillis();
             service.leave();
-            members.leave();
+            fleet.leave();
             service.logState("leaving");
             waitForCalls(stopped);
         });
@@ -364,11 +309,4 @@
     private static InetSocketAddress address(String text) {
         return Addresses.parse(text);
     }
-
-    private static final class RefusalLog implements PeerObserver {
-        @Override
-        public void onRefused(PeerRefusal refusal) {
-            LogEvent.of("peer_message_refused").with("reason", refusal.label()).warn(log);
-        }
-    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -46,16 +46,12 @@
     private Cancellable limit;
     private Plan plan;
     private TargetConnection connection;
-    private boolean inFlight;
+    private Optional<SendAccount> account = Optional.empty();
     private ReceivedAnswer answer;
     private EventFramer events;
     private int runsCount;
     private int rejectionsCount;
     private int failedConnectsCount;
-    private boolean promptUnread;
-    private int unreadTokens;
-    private long aheadTokens;
-    private long sentMillis;
     private boolean readApart;
     private Optional<PromptReading> reading = Optional.empty();
     private Optional<PromptMemory> memory = Optional.empty();
@@ -122,7 +118,7 @@
 
     @Override
     public void callerReady() {
-        if (inFlight && connection != null) {
+        if (connection != null) {
             connection.reading(true);
         }
     }
@@ -249,18 +245,11 @@
         }
         connection = taken;
         triedIds.add(plan.target().id());
-        inFlight = true;
         answer = null;
-        promptUnread = true;
-        unreadTokens = memory.isPresent()
-                ? 0
-                : facts.prompt()
-                        .map(prompt -> parts.chooser().unreadTokens(plan.target(), prompt))
-                        .orElse(0);
-        aheadTokens = parts.loads().at(plan.target().id()).unreadTokens();
-        sentMillis = nowMillis();
-        parts.loads().sent(plan.target().id(), unreadTokens);
-        parts.report().sent(requestId(), plan.target(), unreadTokens, aheadTokens, false);
+        SendAccount opened =
+                SendAccount.begin(parts, plan.target(), memory.isPresent() ? Optional.empty() : facts.prompt());
+        account = Optional.of(opened);
+        parts.report().sent(requestId(), plan.target(), opened.unreadTokens(), opened.aheadTokens(), false);
         parts.suspicions().sending(fingerprint, requestId(), plan.target().id());
         OutboundCall outbound = outbound(plan.target(), false);
         // A handle can be taken once.
@@ -290,10 +279,12 @@
         if (state == State.DONE) {
             return;
         }
-        promptRead(answer.success());
         if (!answer.success()) {
             holdFailure(piece);
-        } else if (route.kind() == RouteKind.STREAM) {
+            return;
+        }
+        account.ifPresent(SendAccount::promptRead);
+        if (route.kind() == RouteKind.STREAM) {
             stream(piece);
         } else if (state == State.STREAMING) {
             relay(piece.retain());
@@ -430,7 +421,7 @@
         if (state == State.DONE) {
             return;
         }
-        boolean unknown = runsCount > 0 || inFlight;
+        boolean unknown = runsCount > 0 || account.isPresent();
         parts.report().limitReached(this, unknown);
         if (state == State.STREAMING) {
             caller.breakOff();
@@ -446,35 +437,14 @@
         done();
     }
 
-    /** The first byte of an answer, or its end, tells that nothing of the prompt is left to read. */
-    private void promptRead(boolean byThisSend) {
-        if (!promptUnread) {
-            return;
-        }
-        promptUnread = false;
-        parts.loads().read(plan.target().id(), unreadTokens);
-        if (byThisSend && unreadTokens > 0) {
-            parts.rates()
-                    .observe(
-                            service.name(),
-                            plan.target().stage(),
-                            aheadTokens + unreadTokens,
-                            nowMillis() - sentMillis);
-            parts.parts().read(plan.target().id(), facts.prompt().orElseThrow());
-        }
-    }
-
     private void sendEnded() {
-        if (inFlight) {
-            promptRead(false);
-            inFlight = false;
-            connection = null;
-            parts.loads().ended(plan.target().id());
-        }
+        account.ifPresent(SendAccount::end);
+        account = Optional.empty();
+        connection = null;
     }
 
     private void abandonSend() {
-        if (inFlight) {
+        if (account.isPresent()) {
             connection.abort();
             sendEnded();
         }
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -27,10 +27,8 @@
     private final Consumer<Optional<PromptMemory>> onEnd;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Optional<TargetConnection> connection = Optional.empty();
+    private Optional<SendAccount> account = Optional.empty();
     private AnswerFacts answer;
-    private int unreadTokens;
-    private long aheadTokens;
-    private long sentMillis;
     private boolean ended;
 
     /**
@@ -73,8 +71,9 @@
                     return;
                 }
                 connection = Optional.of(taken);
-                sent();
-                parts.report().sent(outbound.requestId(), reader, unreadTokens, aheadTokens, true);
+                SendAccount opened = SendAccount.begin(parts, reader, Optional.of(prompt));
+                account = Optional.of(opened);
+                parts.report().sent(outbound.requestId(), reader, opened.unreadTokens(), opened.aheadTokens(), true);
                 taken.send(outbound, PromptReading.this);
             }
 
@@ -85,13 +84,6 @@
         });
     }
 
-    private void sent() {
-        unreadTokens = parts.chooser().unreadTokens(reader, prompt);
-        aheadTokens = parts.loads().at(reader.id()).unreadTokens();
-        sentMillis = parts.time().monotonicMillis();
-        parts.loads().sent(reader.id(), unreadTokens);
-    }
-
     /** The call has ended otherwise: the engine drops the work with its connection. */
     void cancel() {
         if (ended) {
@@ -118,11 +110,11 @@
 
     @Override
     public void ended() {
+        if (answer.status() == 200) {
+            account.ifPresent(SendAccount::promptRead);
+        }
         settle();
         if (answer.status() == 200) {
-            long millis = parts.time().monotonicMillis() - sentMillis;
-            parts.rates().observe(service.name(), reader.stage(), aheadTokens + unreadTokens, millis);
-            parts.parts().read(reader.id(), prompt);
             end(parts.control().readMemory(reader, Bytes.of(body.toByteArray())), "no_handle");
             return;
         }
@@ -139,11 +131,9 @@
     }
 
     private void settle() {
-        if (connection.isPresent()) {
-            connection = Optional.empty();
-            parts.loads().read(reader.id(), unreadTokens);
-            parts.loads().ended(reader.id());
-        }
+        connection = Optional.empty();
+        account.ifPresent(SendAccount::end);
+        account = Optional.empty();
     }
 
     private void end(Optional<PromptMemory> memory, String reason) {
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/SendAccount.java
@@ -0,0 +1,86 @@
+package org.dogwoodwinch.relay;
+
+import java.util.Objects;
+import java.util.Optional;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.Prompt;
+
+/** What one send puts on a target, from its first byte until its prompt is read and until it ends. */
+final class SendAccount {
+
+    private final RelayParts parts;
+    private final Incarnation target;
+    private final Optional<Prompt> prompt;
+    private final int unreadTokens;
+    private final long aheadTokens;
+    private final long sentMillis;
+    private boolean unread = true;
+    private boolean open = true;
+
+    private SendAccount(RelayParts parts, Incarnation target, Optional<Prompt> prompt, int unreadTokens) {
+        this.parts = parts;
+        this.target = target;
+        this.prompt = prompt;
+        this.unreadTokens = unreadTokens;
+        this.aheadTokens = parts.loads().at(target.id()).unreadTokens();
+        this.sentMillis = parts.time().monotonicMillis();
+        parts.loads().sent(target.id(), unreadTokens);
+    }
+
+    /**
+     * Begins with a send.
+     *
+     * @param parts what all relays share, not null
+     * @param target where it goes, not null
+     * @param prompt what is to be read there, empty where there is none or its memory is brought along, not null
+     * @return the account
+     */
+    static SendAccount begin(RelayParts parts, Incarnation target, Optional<Prompt> prompt) {
+        Objects.requireNonNull(target, "target");
+        int unreadTokens =
+                prompt.map(read -> parts.chooser().unreadTokens(target, read)).orElse(0);
+        return new SendAccount(parts, target, prompt, unreadTokens);
+    }
+
+    Incarnation target() {
+        return target;
+    }
+
+    int unreadTokens() {
+        return unreadTokens;
+    }
+
+    long aheadTokens() {
+        return aheadTokens;
+    }
+
+    /** The prompt was read: its parts are kept there, and the time that it took tells how fast the target reads. */
+    void promptRead() {
+        if (!unread) {
+            return;
+        }
+        settlePrompt();
+        prompt.ifPresent(read -> {
+            long millis = parts.time().monotonicMillis() - sentMillis;
+            parts.rates().observe(target.service(), target.stage(), aheadTokens + unreadTokens, millis);
+            parts.parts().read(target.id(), read);
+        });
+    }
+
+    /** The send has ended in any way. */
+    void end() {
+        if (!open) {
+            return;
+        }
+        open = false;
+        settlePrompt();
+        parts.loads().ended(target.id());
+    }
+
+    private void settlePrompt() {
+        if (unread) {
+            unread = false;
+            parts.loads().read(target.id(), unreadTokens);
+        }
+    }
+}
