--- a/src/main/java/org/dogwoodwinch/standin/platform/ForwardingDemoMain.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/ForwardingDemoMain.java
@@ -1,9 +1,6 @@
 package org.dogwoodwinch.standin.platform;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,7 +26,6 @@
     private static final Pattern READY_PORT = Pattern.compile("event=started .*\\bport=(\\d+) readyPort=(\\d+)");
     private static final long START_MILLIS = 30_000;
     private static final long LOOK_MILLIS = 100;
-    private static final String ANY = "";
 
     @Option(names = "--daemon-log", required = true, description = "The log of a daemon; one for each.")
     private List<Path> logs;
@@ -64,7 +60,7 @@
     }
 
     private void show(int port, String path, TargetFault fault, String id) throws IOException {
-        String answer = ask(port, request(path, fault, id));
+        String answer = DemoCalls.ask(port, DemoCalls.request(path, fault, id));
         String status = answer.length() < 12 ? "cut" : answer.substring(9, 12);
         String body = answer.substring(Math.max(0, answer.indexOf("\r\n\r\n") + 4));
         String shown = body.replaceAll("\\s+", " ");
@@ -92,24 +88,11 @@
         return fault == TargetFault.FAILED ? status.equals("500") : status.equals("502");
     }
 
-    private static String request(String path, TargetFault fault, String id) {
-        return "POST " + path + " HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: " + id
-                + "\r\nx-fault: " + (fault == TargetFault.NONE ? ANY : fault.name())
-                + "\r\nModel: m\r\nToken-Count: 2000,8\r\nPrompt-Prefix: 5c:1500,91:500\r\n"
-                + "Connection: close\r\nContent-Length: 5\r\n\r\nhello";
-    }
-
-    private static String ask(int port, String request) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
-    }
-
     private static int waitUntilReady(Path log) throws IOException, InterruptedException {
         for (long waited = 0; waited < START_MILLIS; waited += LOOK_MILLIS) {
             Optional<Matcher> started = started(log);
-            if (started.isPresent() && ready(Integer.parseInt(started.get().group(2)))) {
+            if (started.isPresent()
+                    && DemoCalls.ready(Integer.parseInt(started.get().group(2)))) {
                 return Integer.parseInt(started.get().group(1));
             }
             Thread.sleep(LOOK_MILLIS);
@@ -117,11 +100,6 @@
         throw new IOException("not ready: " + log);
     }
 
-    private static boolean ready(int port) throws IOException {
-        return ask(port, "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                .startsWith("HTTP/1.1 200 ");
-    }
-
     private static Optional<Matcher> started(Path log) throws IOException {
         Matcher found = READY_PORT.matcher(Files.exists(log) ? Files.readString(log) : "");
         return found.find() ? Optional.of(found) : Optional.empty();
--- a/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandInMain.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandInMain.java
@@ -38,7 +38,8 @@
         return 0;
     }
 
-    private static TargetFault fault(StandInRequest request) {
+    /** What the header of a request asks its target to do wrong. */
+    static TargetFault fault(StandInRequest request) {
         String wanted = request.header(FAULT_HEADER);
         for (TargetFault fault : TargetFault.values()) {
             if (fault.name().equalsIgnoreCase(wanted)) {
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -199,7 +199,8 @@
             return;
         }
         String memory = request.header("kv-from");
-        long readMillis = memory.isEmpty() ? read(request) : traits.eventMillis();
+        boolean reads = memory.isEmpty() && !stage.isEmpty();
+        long readMillis = reads ? read(request) : traits.eventMillis();
         runningCount++;
         if (prefill) {
             time.schedule(readMillis, () -> prefilled(requestId, answer));
