Ask an engine for its whole list where changes of its memory are lost

Cause: engines keep their newest changes alone and say when older ones are missing; that word was decoded and ignored. A fresh instance never learnt what engines kept, and parts that were dropped unheard were counted on. Change: a gap leads to one question for the whole list, with a pause of five seconds between two of them for one engine; the stand-in keeps 64 changes, tells gaps and lists.

--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -16,6 +16,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.relay.CacheChanges;
+import org.dogwoodwinch.relay.CacheList;
 import org.dogwoodwinch.relay.ControlCall;
 import org.dogwoodwinch.relay.ControlCaller;
 import org.dogwoodwinch.relay.ControlReply;
@@ -37,6 +38,11 @@
 
     private static final int KEPT_COLUMN = 4;
 
+    /** Columns of a row of the whole list: nothing, part, tokens kept, model. */
+    private static final int LISTED_PART_COLUMN = 1;
+
+    private static final int LISTED_KEPT_COLUMN = 2;
+
     private final ControlCaller caller;
     private final long timeoutMillis;
     private final long waitMillis;
@@ -88,6 +94,12 @@
                 .thenApply(EngineClient::changes);
     }
 
+    @Override
+    public CompletionStage<Optional<CacheList>> cacheList(Incarnation engine) {
+        return call(engine, HttpMethod.GET, "/kv-list", timeoutMillis, headers(engine))
+                .thenApply(EngineClient::list);
+    }
+
     private CompletionStage<ControlReply> call(
             Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers) {
         return caller.call(
@@ -102,22 +114,37 @@
     }
 
     private static Optional<CacheChanges> changes(ControlReply reply) {
+        return read(reply)
+                .map(root -> new CacheChanges(
+                        root.path("epoch").asText(),
+                        root.path("nextToken").asLong(),
+                        root.path("lost").asBoolean(),
+                        parts(root.path("events"), PART_COLUMN, KEPT_COLUMN)));
+    }
+
+    private static Optional<CacheList> list(ControlReply reply) {
+        return read(reply)
+                .map(root -> new CacheList(
+                        root.path("epoch").asText(),
+                        root.path("nextToken").asLong(),
+                        parts(root.path("held"), LISTED_PART_COLUMN, LISTED_KEPT_COLUMN)));
+    }
+
+    private static List<CacheChanges.CacheChange> parts(JsonNode rows, int partColumn, int keptColumn) {
+        List<CacheChanges.CacheChange> parts = new ArrayList<>();
+        for (JsonNode row : rows) {
+            parts.add(new CacheChanges.CacheChange(
+                    row.path(partColumn).asText(), row.path(keptColumn).asInt()));
+        }
+        return parts;
+    }
+
+    private static Optional<JsonNode> read(ControlReply reply) {
         if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
             return Optional.empty();
         }
         try {
-            JsonNode root = JSON.readTree(answered.body().toByteArray());
-            List<CacheChanges.CacheChange> changes = new ArrayList<>();
-            for (JsonNode event : root.path("events")) {
-                changes.add(new CacheChanges.CacheChange(
-                        event.path(PART_COLUMN).asText(),
-                        event.path(KEPT_COLUMN).asInt()));
-            }
-            return Optional.of(new CacheChanges(
-                    root.path("epoch").asText(),
-                    root.path("nextToken").asLong(),
-                    root.path("lost").asBoolean(),
-                    changes));
+            return Optional.of(JSON.readTree(answered.body().toByteArray()));
         } catch (IOException e) {
             LogEvent.of("cache_events_not_understood")
                     .with("error", e.getMessage())
--- a/src/main/java/org/dogwoodwinch/relay/CacheWatch.java
+++ b/src/main/java/org/dogwoodwinch/relay/CacheWatch.java
@@ -10,14 +10,29 @@
 import java.util.function.Supplier;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.PartIndex;
+import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Keeps the index of parts by what engines tell of their memory. A question that got no answer is asked again a round
  * later; what is believed meanwhile costs reading time at worst.
+ *
+ * <p>Failure: engines keep their newest changes alone. An instance that starts, or was away for a while, never hears of
+ * the older ones: what engines keep is read a second time, and what they dropped is counted on. The engine says that
+ * changes are missing, and its whole list makes up for them.
  */
 public final class CacheWatch {
 
+    private static final Logger log = LoggerFactory.getLogger(CacheWatch.class);
+
+    /**
+     * The pause between two questions for a whole list of one engine: the list costs a probe and holds up the engine, and
+     * an instance that hears too little of an engine would ask all the time.
+     */
+    private static final long LIST_PAUSE_MILLIS = 5_000;
+
     private final EngineControl control;
     private final PartIndex parts;
     private final Supplier<List<Incarnation>> engines;
@@ -76,22 +91,47 @@
         reading.asking = true;
         control.cacheChanges(engine, reading.nextNumber).thenAccept(changes -> {
             reading.asking = false;
-            changes.ifPresent(told -> take(engine.id(), reading, told));
+            changes.ifPresent(told -> take(engine, reading, told));
         });
     }
 
-    private void take(String engineId, Reading reading, CacheChanges told) {
+    private void take(Incarnation engine, Reading reading, CacheChanges told) {
         if (reading.epoch.isPresent() && !reading.epoch.get().equals(told.epoch())) {
-            parts.forget(engineId);
+            parts.forget(engine.id());
+        }
+        reading.epoch = Optional.of(told.epoch());
+        reading.nextNumber = told.nextNumber();
+        told.changes().forEach(change -> parts.kept(engine.id(), change.partId(), change.keptTokens()));
+        if (told.gap() && time.monotonicMillis() >= reading.listAtMillis) {
+            reading.listAtMillis = time.monotonicMillis() + LIST_PAUSE_MILLIS;
+            askList(engine, reading);
         }
+    }
+
+    /** The next question waits for the list: changes that come after it are told from its number on. */
+    private void askList(Incarnation engine, Reading reading) {
+        reading.asking = true;
+        control.cacheList(engine).thenAccept(list -> {
+            reading.asking = false;
+            LogEvent.of("engine_cache_listed")
+                    .with("target", engine.id())
+                    .with("parts", list.map(told -> told.parts().size()).orElse(-1))
+                    .info(log);
+            list.ifPresent(told -> takeList(engine.id(), reading, told));
+        });
+    }
+
+    private void takeList(String engineId, Reading reading, CacheList told) {
+        parts.forget(engineId);
         reading.epoch = Optional.of(told.epoch());
         reading.nextNumber = told.nextNumber();
-        told.changes().forEach(change -> parts.kept(engineId, change.partId(), change.keptTokens()));
+        told.parts().forEach(part -> parts.kept(engineId, part.partId(), part.keptTokens()));
     }
 
     private static final class Reading {
         private boolean asking;
         private long nextNumber;
+        private long listAtMillis = Long.MIN_VALUE;
         private Optional<String> epoch = Optional.empty();
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/EngineControl.java
+++ b/src/main/java/org/dogwoodwinch/relay/EngineControl.java
@@ -33,4 +33,12 @@
      * @return completes with the changes, or empty where there was no usable answer; never exceptionally
      */
     CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation engine, long sinceNumber);
+
+    /**
+     * Asks for all parts that an engine keeps. The question holds up the engine's work a little and is priced.
+     *
+     * @param engine the engine, not null
+     * @return completes with the list, or empty where there was no usable answer; never exceptionally
+     */
+    CompletionStage<Optional<CacheList>> cacheList(Incarnation engine);
 }
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -28,6 +28,9 @@
     private static final Map<String, String> JSON_HEADERS = Map.of("content-type", "application/json");
     private static final String LOST_TRACE = "HTTP/9 what\r\n\r\n";
 
+    /** Changes of its memory that it still tells; older ones are lost to those who ask late. */
+    private static final int EVENTS_KEPT = 64;
+
     private final String id;
     private final TargetTraits traits;
     private final TimeSource time;
@@ -107,6 +110,7 @@
             case "/healthz" -> answer.whole(200, Map.of("instance-id", id), new byte[0]);
             case "/report" -> json(answer, report());
             case "/kv-events" -> json(answer, cacheEvents(request));
+            case "/kv-list" -> json(answer, cacheList());
             case "/order" -> order(request, answer);
             default -> {
                 if (request.method().equals("DELETE") && request.path().startsWith("/kv-handle/")) {
@@ -129,10 +133,11 @@
 
     private ObjectNode cacheEvents(StandInRequest request) {
         int since = (int) request.number("since").orElse(0);
+        int oldest = Math.max(0, events.size() - EVENTS_KEPT);
         ObjectNode reply = JSON.createObjectNode();
-        reply.put("epoch", id).put("nextToken", events.size()).put("lost", false);
+        reply.put("epoch", id).put("nextToken", events.size()).put("lost", since < oldest);
         ArrayNode list = reply.putArray("events");
-        for (int i = Math.min(since, events.size()); i < events.size(); i++) {
+        for (int i = Math.min(Math.max(since, oldest), events.size()); i < events.size(); i++) {
             CacheEvent event = events.get(i);
             list.addArray()
                     .add(i)
@@ -145,6 +150,15 @@
         return reply;
     }
 
+    private ObjectNode cacheList() {
+        ObjectNode reply = JSON.createObjectNode();
+        reply.put("epoch", id).put("nextToken", events.size());
+        ArrayNode held = reply.putArray("held");
+        kept.forEach((part, tokens) ->
+                held.addArray().add("").add(part).add(tokens.intValue()).add("m"));
+        return reply;
+    }
+
     private void order(StandInRequest request, StandInAnswer answer) {
         try {
             ObjectNode order = (ObjectNode) JSON.readTree(request.body().toByteArray());
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -23,6 +23,7 @@
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.relay.CacheChanges;
+import org.dogwoodwinch.relay.CacheList;
 import org.dogwoodwinch.relay.ConnectionPolicy;
 import org.dogwoodwinch.relay.EngineControl;
 import org.dogwoodwinch.relay.ForwardingMetrics;
@@ -176,5 +177,10 @@
         public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long _sinceNumber) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
+
+        @Override
+        public CompletionStage<Optional<CacheList>> cacheList(Incarnation _engine) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
     }
 }
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -294,5 +294,10 @@
         public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long _sinceNumber) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
+
+        @Override
+        public CompletionStage<Optional<CacheList>> cacheList(Incarnation _engine) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
     }
 }
