Count what waits at engines by urgency, and fetch parts that others keep

A shared part was read at its home only, up to 110,000 tokens queued there. A prompt of 17,000 tokens at an engine that generates held up all others there for 1.2 s, those with memory too. Change: each urgency has two levels in the engines' queues, in time and late; what waits is told by level, and a call expects its own level, those before it and one prompt of the others. Parts that another engine keeps are fetched from it. Log lines tell where a call is. Ruled out: homes at 40 with engines that generate among them (110,000 tokens queued), all tokens of an engine that generates as ahead of all.

--- a/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
@@ -13,6 +13,7 @@
 import java.util.Objects;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.ReadQueue;
 import org.dogwoodwinch.forwarding.TargetLoad;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerBoard;
@@ -78,11 +79,13 @@
             Flight[] flights = MAPPER.readValue(item.payload().toByteArray(), Flight[].class);
             Map<String, TargetLoad> told = new HashMap<>();
             for (Flight flight : flights) {
-                told.put(flight.target(), new TargetLoad(flight.calls(), flight.unreadTokens()));
+                told.put(
+                        flight.target(),
+                        new TargetLoad(flight.calls(), ReadQueue.of(flight.unreadTokens(), flight.unreadPrompts())));
             }
             loads.heard(item.origin(), told);
             heardAtMillis.put(item.origin(), time.monotonicMillis());
-        } catch (IOException e) {
+        } catch (IOException | IllegalArgumentException e) {
             LogEvent.of("peer_loads_not_understood")
                     .with("peer", item.origin())
                     .with("error", e.getMessage())
@@ -92,7 +95,8 @@
 
     private static Bytes encode(Map<String, TargetLoad> own) {
         List<Flight> flights = new ArrayList<>();
-        own.forEach((id, load) -> flights.add(new Flight(id, load.callsCount(), load.unreadTokens())));
+        own.forEach((id, load) -> flights.add(new Flight(
+                id, load.callsCount(), load.unread().tokens(), load.unread().prompts())));
         try {
             return Bytes.of(MAPPER.writeValueAsBytes(flights));
         } catch (JsonProcessingException e) {
@@ -101,6 +105,6 @@
     }
 
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"target", "calls", "unreadTokens"})
-    private record Flight(String target, int calls, long unreadTokens) {}
+    @JsonPropertyOrder({"target", "calls", "unreadTokens", "unreadPrompts"})
+    private record Flight(String target, int calls, List<Long> unreadTokens, List<Integer> unreadPrompts) {}
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/ChoiceQuery.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/ChoiceQuery.java
@@ -9,12 +9,18 @@
  *
  * @param service the service, not null
  * @param prompt the work asked of a model, empty for a plain call
+ * @param urgency the rank of its route, where zero is the most urgent
+ * @param objectiveMillis the time left until its first event earns less; {@link Long#MAX_VALUE} where none is stated
  * @param triedIds targets that got the call already, not null
- * @param remainingMillis the time left of its deadline
- * @param nowMillis monotonic milliseconds
+ * @param readApart whether another engine than the one that runs it may read its prompt
  */
 public record ChoiceQuery(
-        ServiceEntry service, Optional<Prompt> prompt, Set<String> triedIds, long remainingMillis, long nowMillis) {
+        ServiceEntry service,
+        Optional<Prompt> prompt,
+        int urgency,
+        long objectiveMillis,
+        Set<String> triedIds,
+        boolean readApart) {
 
     /** Checks and copies. */
     public ChoiceQuery {
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -17,6 +17,9 @@
     private static final double BITS_PER_BYTE = 8;
     private static final double BITS_PER_MILLI_OF_MEGABIT = 1_000;
 
+    /** Memory takes twice as long between data centres, as the platform states. */
+    private static final double ABROAD_RATIO = 2;
+
     private final TargetDirectory directory;
     private final LoadBook loads;
     private final PartIndex parts;
@@ -60,28 +63,32 @@
         }
         Prompt prompt = query.prompt().get();
         List<Incarnation> ready = directory.ready(query.service().name());
-        String key = homeKey(prompt);
-        String home = home(ready, key);
-        Incarnation best = null;
-        double least = Double.MAX_VALUE;
+        Optional<Kept> most = mostKept(ready, prompt);
+        String home = home(ready, homeKey(prompt));
+        Candidate best = null;
         for (Incarnation engine : ready) {
-            if (query.triedIds().contains(engine.id())) {
+            if (query.triedIds().contains(engine.id()) || (engine.stage() == Stage.PREFILL && !query.readApart())) {
                 continue;
             }
-            double cost = readMillis(engine, prompt, engine.id().equals(home)) + handOverMillis(engine, query, prompt);
-            if (cost < least) {
-                least = cost;
-                best = engine;
+            Candidate candidate =
+                    candidate(engine, query, prompt, most, engine.id().equals(home));
+            if (best == null || candidate.cost < best.cost) {
+                best = candidate;
             }
         }
-        if (best == null) {
-            return Optional.empty();
-        }
-        if (best.stage() != Stage.PREFILL) {
-            return Optional.of(new Plan(best, Optional.empty()));
+        return best == null ? Optional.empty() : plan(query, best);
+    }
+
+    private Optional<Plan> plan(ChoiceQuery query, Candidate best) {
+        int level = best.expectedMillis > query.objectiveMillis()
+                ? QueueLevel.late(query.urgency())
+                : QueueLevel.inTime(query.urgency());
+        Plan.Reading reading = new Plan.Reading(level, best.unreadTokens, best.keeper);
+        if (best.engine.stage() != Stage.PREFILL) {
+            return Optional.of(new Plan(best.engine, Optional.empty(), reading));
         }
-        Incarnation reader = best;
-        return chooseRunner(query, reader).map(runner -> new Plan(runner, Optional.of(reader)));
+        Optional<Incarnation> reader = Optional.of(best.engine);
+        return chooseRunner(query, best.engine).map(runner -> new Plan(runner, reader, reading));
     }
 
     /**
@@ -99,7 +106,7 @@
             if (engine.stage() == Stage.PREFILL || query.triedIds().contains(engine.id())) {
                 continue;
             }
-            double cost = waitMillis(engine) + loads.at(engine.id()).callsCount() * policy.runningCallMillis();
+            double cost = waitMillis(engine, query) + loads.at(engine.id()).callsCount() * policy.runningCallMillis();
             if (!engine.dataCentre().equals(reader.dataCentre())) {
                 cost += policy.borderMillis();
             }
@@ -114,27 +121,62 @@
         return Optional.ofNullable(best);
     }
 
-    /** The tokens that an engine would have to read. */
-    @Override
-    public int unreadTokens(Incarnation engine, Prompt prompt) {
-        return prompt.inputTokens() - parts.keptTokens(engine.id(), prompt);
+    private Candidate candidate(
+            Incarnation engine, ChoiceQuery query, Prompt prompt, Optional<Kept> most, boolean home) {
+        int kept = parts.keptTokens(engine.id(), prompt);
+        int reached = kept;
+        double fetchMillis = 0;
+        Optional<Incarnation> keeper = Optional.empty();
+        if (most.isPresent() && most.get().tokens > kept) {
+            double way = fetchMillis(engine, most.get(), query, kept);
+            if (way < (most.get().tokens - kept) / rate(engine)) {
+                reached = most.get().tokens;
+                fetchMillis = way;
+                keeper = Optional.of(most.get().engine);
+            }
+        }
+        int unread = prompt.inputTokens() - reached;
+        double expected =
+                waitMillis(engine, query) + unread / rate(engine) + fetchMillis + handOverMillis(engine, query, prompt);
+        double border = engine.dataCentre().equals(dataCentre) ? 0 : policy.borderMillis();
+        double price = holdUpMillis(unread / rate(engine)) + (home ? 0 : awayMillis(engine, prompt, unread));
+        return new Candidate(engine, unread, keeper, expected, expected + border + price);
     }
 
-    private double readMillis(Incarnation engine, Prompt prompt, boolean home) {
-        int unread = unreadTokens(engine, prompt);
-        double price = unread;
-        if (!home) {
-            int own = prompt.parts().isEmpty()
-                    ? unread
-                    : prompt.parts().get(prompt.parts().size() - 1).tokens();
-            price += Math.max(0, unread - own) * policy.awayFromHomeRatio();
+    /** What it costs the others: those that arrive while the prompt is read wait half of that time on average. */
+    private double holdUpMillis(double readMillis) {
+        return readMillis * readMillis / (2 * policy.arrivalGapMillis());
+    }
+
+    /** What it costs the others that shared tokens are read in a second place. */
+    private double awayMillis(Incarnation engine, Prompt prompt, int unread) {
+        int own = prompt.parts().isEmpty()
+                ? unread
+                : prompt.parts().get(prompt.parts().size() - 1).tokens();
+        return Math.max(0, unread - own) * policy.awayFromHomeRatio() / rate(engine);
+    }
+
+    private Optional<Kept> mostKept(List<Incarnation> ready, Prompt prompt) {
+        Incarnation keeper = null;
+        int most = 0;
+        for (Incarnation engine : ready) {
+            int kept = parts.keptTokens(engine.id(), prompt);
+            if (kept > most) {
+                most = kept;
+                keeper = engine;
+            }
         }
-        double border = engine.dataCentre().equals(dataCentre) ? 0 : policy.borderMillis();
-        return waitMillis(engine) + price / rate(engine) + border;
+        return keeper == null ? Optional.empty() : Optional.of(new Kept(keeper, most));
     }
 
-    private double waitMillis(Incarnation engine) {
-        return loads.at(engine.id()).unreadTokens() / rate(engine);
+    private double fetchMillis(Incarnation engine, Kept from, ChoiceQuery query, int kept) {
+        double way = transferMillis(query, from.tokens - kept);
+        boolean abroad = !engine.dataCentre().equals(from.engine.dataCentre());
+        return policy.fetchMillis() + (abroad ? ABROAD_RATIO * way : way);
+    }
+
+    private double waitMillis(Incarnation engine, ChoiceQuery query) {
+        return loads.at(engine.id()).unread().aheadOf(QueueLevel.inTime(query.urgency())) / rate(engine);
     }
 
     private double rate(Incarnation engine) {
@@ -145,10 +187,13 @@
         if (engine.stage() != Stage.PREFILL) {
             return loads.at(engine.id()).callsCount() * policy.runningCallMillis();
         }
+        return policy.handOverMillis() + transferMillis(query, prompt.inputTokens());
+    }
+
+    private static double transferMillis(ChoiceQuery query, int tokens) {
         EngineTraits traits = query.service().engine().orElseThrow();
-        double bits = prompt.inputTokens() * (double) traits.kvTokenBytes() * BITS_PER_BYTE;
-        double link = Math.max(1, traits.linkMbitPerSecond() * BITS_PER_MILLI_OF_MEGABIT);
-        return policy.handOverMillis() + bits / link;
+        double bits = tokens * (double) traits.kvTokenBytes() * BITS_PER_BYTE;
+        return bits / Math.max(1, traits.linkMbitPerSecond() * BITS_PER_MILLI_OF_MEGABIT);
     }
 
     /** The last part that other requests share, or the only one. */
@@ -160,17 +205,25 @@
         return prompt.parts().get(Math.max(0, count - 2)).id();
     }
 
-    private String home(List<Incarnation> ready, String key) {
+    /** Engines that only read are homes before those that a long prompt would keep from generating. */
+    private static String home(List<Incarnation> ready, String key) {
         String home = "";
         double highest = -1;
+        boolean readers = ready.stream().anyMatch(engine -> engine.stage() == Stage.PREFILL);
         for (Incarnation engine : ready) {
-            double weight = engine.stage() == Stage.PREFILL ? policy.prefillWeight() : 1;
-            double score = Rendezvous.score(key, engine.id(), weight);
-            if (score > highest) {
+            double score = Rendezvous.score(key, engine.id());
+            boolean candidate = !readers || engine.stage() == Stage.PREFILL;
+            if (candidate && score > highest) {
                 highest = score;
                 home = engine.id();
             }
         }
         return home;
     }
+
+    private record Kept(Incarnation engine, int tokens) {}
+
+    /** Without the prices, {@code expectedMillis} is when the first event comes; {@code cost} is what is weighed. */
+    private record Candidate(
+            Incarnation engine, int unreadTokens, Optional<Incarnation> keeper, double expectedMillis, double cost) {}
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -45,6 +45,6 @@
         }
         return best.isEmpty()
                 ? Optional.empty()
-                : Optional.of(new Plan(best.get(random.nextInt(best.size())), Optional.empty()));
+                : Optional.of(new Plan(best.get(random.nextInt(best.size())), Optional.empty(), Plan.Reading.NONE));
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/LoadBook.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LoadBook.java
@@ -1,59 +1,50 @@
 package org.dogwoodwinch.forwarding;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 
 /**
- * What is under way at each target: this instance's own sends at once, the other instances' as they tell them. Not
- * thread-safe.
+ * What is under way at each target: this instance's own sends at once, the other instances' as they tell them. A look at
+ * a target costs the same however many instances there are. Not thread-safe.
  */
 public final class LoadBook {
 
-    private static final TargetLoad NOTHING = new TargetLoad(0, 0);
-
-    private final Map<String, Own> own = new HashMap<>();
+    private final Map<String, TargetLoad> own = new HashMap<>();
+    private final Map<String, TargetLoad> ofAll = new HashMap<>();
     private final Map<String, Map<String, TargetLoad>> ofPeers = new HashMap<>();
 
     /**
      * A call was sent.
      *
      * @param targetId the target's id, not null
+     * @param level the call's level in the target's queue
      * @param unreadTokens the tokens that the target has to read before its first event
      */
-    public void sent(String targetId, int unreadTokens) {
-        Own load = own.computeIfAbsent(targetId, _id -> new Own());
-        load.callsCount++;
-        load.unreadTokens += unreadTokens;
+    public void sent(String targetId, int level, int unreadTokens) {
+        change(targetId, new TargetLoad(1, ReadQueue.one(level, unreadTokens)));
     }
 
     /**
      * A call's prompt was read.
      *
      * @param targetId the target's id, not null
+     * @param level as told to {@link #sent}
      * @param unreadTokens as told to {@link #sent}
      */
-    public void read(String targetId, int unreadTokens) {
-        Own load = own.get(targetId);
-        if (load != null) {
-            load.unreadTokens -= unreadTokens;
-        }
+    public void read(String targetId, int level, int unreadTokens) {
+        change(targetId, new TargetLoad(0, ReadQueue.EMPTY.minus(ReadQueue.one(level, unreadTokens))));
     }
 
     /**
-     * A call ended.
+     * A call ended, its prompt read or given up before.
      *
      * @param targetId the target's id, not null
      */
     public void ended(String targetId) {
-        Own load = own.get(targetId);
-        if (load == null) {
-            return;
-        }
-        load.callsCount--;
-        if (load.callsCount <= 0) {
-            own.remove(targetId);
-        }
+        change(targetId, new TargetLoad(-1, ReadQueue.EMPTY));
     }
 
     /**
@@ -63,7 +54,10 @@
      * @param loads by target, not null
      */
     public void heard(String peer, Map<String, TargetLoad> loads) {
-        ofPeers.put(peer, Map.copyOf(loads));
+        forget(peer);
+        Map<String, TargetLoad> told = Map.copyOf(loads);
+        ofPeers.put(peer, told);
+        told.forEach((id, load) -> put(ofAll, id, known -> known.plus(load)));
     }
 
     /**
@@ -72,7 +66,9 @@
      * @param alive the names of those that are, not null
      */
     public void retainPeers(Set<String> alive) {
-        ofPeers.keySet().retainAll(alive);
+        Set<String> silent = new HashSet<>(ofPeers.keySet());
+        silent.removeAll(alive);
+        silent.forEach(this::forget);
     }
 
     /**
@@ -81,9 +77,7 @@
      * @return loads by target
      */
     public Map<String, TargetLoad> own() {
-        Map<String, TargetLoad> loads = new HashMap<>();
-        own.forEach((id, load) -> loads.put(id, new TargetLoad(load.callsCount, load.unreadTokens)));
-        return loads;
+        return Map.copyOf(own);
     }
 
     /**
@@ -93,19 +87,27 @@
      * @return the sum
      */
     public TargetLoad at(String targetId) {
-        Own mine = own.get(targetId);
-        int calls = mine == null ? 0 : mine.callsCount;
-        long unread = mine == null ? 0 : mine.unreadTokens;
-        for (Map<String, TargetLoad> peer : ofPeers.values()) {
-            TargetLoad told = peer.getOrDefault(targetId, NOTHING);
-            calls += told.callsCount();
-            unread += told.unreadTokens();
+        return ofAll.getOrDefault(targetId, TargetLoad.NOTHING);
+    }
+
+    private void forget(String peer) {
+        Map<String, TargetLoad> told = ofPeers.remove(peer);
+        if (told != null) {
+            told.forEach((id, load) -> put(ofAll, id, known -> known.minus(load)));
         }
-        return new TargetLoad(calls, unread);
     }
 
-    private static final class Own {
-        private int callsCount;
-        private long unreadTokens;
+    private void change(String targetId, TargetLoad difference) {
+        put(own, targetId, known -> known.plus(difference));
+        put(ofAll, targetId, known -> known.plus(difference));
+    }
+
+    private static void put(Map<String, TargetLoad> loads, String targetId, UnaryOperator<TargetLoad> change) {
+        TargetLoad changed = change.apply(loads.getOrDefault(targetId, TargetLoad.NOTHING));
+        if (changed.equals(TargetLoad.NOTHING)) {
+            loads.remove(targetId);
+        } else {
+            loads.put(targetId, changed);
+        }
     }
 }
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/QueueLevel.java
@@ -0,0 +1,41 @@
+package org.dogwoodwinch.forwarding;
+
+/**
+ * Where a call stands in the queue of an engine: a lower level is admitted before a higher one.
+ *
+ * <p>Each urgency of a route has two levels: one for calls that can still be answered within their objective, and behind
+ * it one for those that are expected late wherever they go.
+ *
+ * <p>Failure: while more is asked than engines read, calls in order of arrival all wait alike and all miss their
+ * objective by a little. Behind those that can make it, the late ones cost nobody else's objective and still come before
+ * all less urgent calls.
+ */
+public final class QueueLevel {
+
+    /** Levels that an engine tells apart. */
+    public static final int COUNT = 10;
+
+    private static final int PER_URGENCY = 2;
+
+    private QueueLevel() {}
+
+    /**
+     * Returns the level of a call that can be answered within its objective.
+     *
+     * @param urgency the route's rank, zero is the most urgent
+     * @return a level from 0 to 9; urgencies beyond the fifth share the last
+     */
+    public static int inTime(int urgency) {
+        return Math.max(0, Math.min(COUNT - PER_URGENCY, urgency * PER_URGENCY));
+    }
+
+    /**
+     * Returns the level of a call that is expected late.
+     *
+     * @param urgency the route's rank, zero is the most urgent
+     * @return the level behind that of calls in time
+     */
+    public static int late(int urgency) {
+        return inTime(urgency) + 1;
+    }
+}
--- a/src/main/java/org/dogwoodwinch/forwarding/Rendezvous.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/Rendezvous.java
@@ -15,10 +15,9 @@
      *
      * @param key the key, not null
      * @param targetId the target's id, not null
-     * @param weight its share of the keys against the other targets' weights
      * @return the score
      */
-    static double score(String key, String targetId, double weight) {
+    static double score(String key, String targetId) {
         long hash = Hashing.murmur3_128()
                 .newHasher()
                 .putString(key, StandardCharsets.UTF_8)
@@ -27,6 +26,6 @@
                 .hash()
                 .asLong();
         double uniform = ((hash >>> 11) + 1) / LARGEST;
-        return -weight / Math.log(uniform);
+        return uniform;
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
@@ -23,15 +23,4 @@
     default Optional<Incarnation> chooseRunner(ChoiceQuery query, Incarnation reader) {
         return choose(query).map(Plan::target);
     }
-
-    /**
-     * Returns how much of a prompt a target would have to read.
-     *
-     * @param target the target, not null
-     * @param prompt the prompt, not null
-     * @return tokens
-     */
-    default int unreadTokens(Incarnation target, Prompt prompt) {
-        return prompt.inputTokens();
-    }
 }
--- a/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
+++ b/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
@@ -22,8 +22,8 @@
     /** All parts of the prompt, not its beginning alone. */
     static final AsciiString PROMPT_PARTS = AsciiString.cached("prompt-prefix");
 
-    /** Lower is more urgent. */
-    static final AsciiString URGENCY = AsciiString.cached("request-priority");
+    /** The order in which the target admits what waits, 0 to 9, the lowest first. */
+    static final AsciiString QUEUE_LEVEL = AsciiString.cached("request-priority");
 
     static final AsciiString STAGE = AsciiString.cached("stage");
 
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -23,7 +23,6 @@
 /** Translates the platform's headers. */
 public final class PlatformHeaders implements CallHeaders {
 
-    private static final int LEAST_URGENT = 9;
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final String PREFILL = "prefill";
 
@@ -45,7 +44,7 @@
     private static final List<AsciiString> OF_THIS_SYSTEM = List.of(
             HeaderNames.DEADLINE_MILLIS,
             HeaderNames.EXPECTED_INCARNATION,
-            HeaderNames.URGENCY,
+            HeaderNames.QUEUE_LEVEL,
             HeaderNames.STAGE,
             HeaderNames.MEMORY_FROM,
             HeaderNames.MEMORY_FETCH,
@@ -72,9 +71,8 @@
         OF_THIS_SYSTEM.forEach(headers::remove);
         headers.set(HeaderNames.DEADLINE_MILLIS, Long.toString(facts.remainingMillis()));
         headers.set(HeaderNames.EXPECTED_INCARNATION, facts.target().id());
-        facts.urgency()
-                .ifPresent(urgency -> headers.set(
-                        HeaderNames.URGENCY, Integer.toString(Math.max(0, Math.min(LEAST_URGENT, urgency)))));
+        facts.level().ifPresent(level -> headers.set(HeaderNames.QUEUE_LEVEL, Integer.toString(level)));
+        facts.keeper().ifPresent(keeper -> headers.set(HeaderNames.MEMORY_FETCH, keeper.address()));
         facts.lastEventId().ifPresent(id -> headers.set(HeaderNames.LAST_EVENT_ID, id));
         facts.memory()
                 .ifPresent(memory -> headers.set(HeaderNames.MEMORY_FROM, memory.address() + "/" + memory.handle()));
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -11,6 +11,7 @@
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Plan;
+import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.RouteKind;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.forwarding.ServiceEntry;
@@ -139,6 +140,22 @@
         return Optional.ofNullable(plan).map(chosen -> chosen.target().id());
     }
 
+    /** Where the call is, for whoever reads the logs. */
+    String stage() {
+        if (reading.isPresent()) {
+            return "prompt_read_by_" + reading.get().reader().id();
+        }
+        if (account.isEmpty()) {
+            return "not_sent";
+        }
+        return state == State.STREAMING ? "answering" : "sent";
+    }
+
+    /** How long the call has been with the target that has it now; -1 where none has it. */
+    long sentMillis() {
+        return account.map(SendAccount::ageMillis).orElse(-1L);
+    }
+
     int sendsCount() {
         return runsCount + rejectionsCount;
     }
@@ -155,12 +172,18 @@
         return limitMillis - nowMillis();
     }
 
+    private long objectiveLeftMillis() {
+        return route.targetLatencyMillis() <= 0
+                ? Long.MAX_VALUE
+                : call.arrivalMillis() + route.targetLatencyMillis() - nowMillis();
+    }
+
     private ChoiceQuery query() {
         return query(triedIds);
     }
 
     private ChoiceQuery query(Set<String> avoided) {
-        return new ChoiceQuery(service, facts.prompt(), avoided, remainingMillis(), nowMillis());
+        return new ChoiceQuery(service, facts.prompt(), route.urgency(), objectiveLeftMillis(), avoided, !readApart);
     }
 
     /** A suspect is kept away from other suspects; where it has no other place, it runs beside them. */
@@ -181,8 +204,7 @@
             return;
         }
         plan = chosen.get();
-        // Reading apart again would be one more arrival; the second time the target reads the prompt itself.
-        if (plan.prefill().isPresent() && !readApart) {
+        if (plan.prefill().isPresent()) {
             readPrompt(plan.prefill().get());
         } else {
             connect();
@@ -194,10 +216,11 @@
         follow(new SendOutcome.NotSent("no_target"), parts.retryPolicy().giveUp(progress()));
     }
 
+    /** Reading apart again would be one more arrival; the second time the target reads the prompt itself. */
     private void readPrompt(Incarnation reader) {
         readApart = true;
-        PromptReading started =
-                new PromptReading(parts, service, reader, facts.prompt().orElseThrow(), this::promptWasRead);
+        PromptReading started = new PromptReading(
+                parts, service, reader, facts.prompt().orElseThrow(), plan.reading(), this::promptWasRead);
         reading = Optional.of(started);
         started.start(outbound(reader, true));
     }
@@ -208,12 +231,16 @@
         reading = Optional.empty();
         memory = read;
         memoryReader = reader;
+        if (read.isEmpty()) {
+            attempt();
+            return;
+        }
         Optional<Incarnation> runner = parts.chooser().chooseRunner(query(), reader);
         if (runner.isEmpty()) {
             noTarget();
             return;
         }
-        plan = new Plan(runner.get(), Optional.empty());
+        plan = new Plan(runner.get(), Optional.empty(), plan.reading().done());
         connect();
     }
 
@@ -246,10 +273,10 @@
         connection = taken;
         triedIds.add(plan.target().id());
         answer = null;
-        SendAccount opened =
-                SendAccount.begin(parts, plan.target(), memory.isPresent() ? Optional.empty() : facts.prompt());
+        Optional<Prompt> unread = memory.isPresent() ? Optional.empty() : facts.prompt();
+        SendAccount opened = SendAccount.begin(parts, plan.target(), unread, plan.reading());
         account = Optional.of(opened);
-        parts.report().sent(requestId(), plan.target(), opened.unreadTokens(), opened.aheadTokens(), false);
+        parts.report().sent(requestId(), plan.target(), plan.reading(), opened.aheadTokens(), false);
         parts.suspicions().sending(fingerprint, requestId(), plan.target().id());
         OutboundCall outbound = outbound(plan.target(), false);
         // A handle can be taken once.
@@ -261,9 +288,10 @@
         SendFacts sending = new SendFacts(
                 target,
                 Math.max(1, remainingMillis()),
-                facts.prompt().map(_prompt -> route.urgency()),
+                facts.prompt().map(_prompt -> plan.reading().level()),
                 prefillOnly,
                 memory,
+                plan.reading().keeper(),
                 events.lastEventId());
         HttpHeaders headers = parts.callHeaders().forSend(call.headers(), sending);
         return new OutboundCall(requestId(), call.method(), call.uri(), headers, call.body(), call.framed());
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
+import org.dogwoodwinch.forwarding.Plan;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.logging.LogEvent;
 import org.slf4j.Logger;
@@ -71,14 +72,16 @@
     }
 
     @Override
-    public void sent(String requestId, Incarnation target, int unreadTokens, long aheadTokens, boolean promptOnly) {
+    public void sent(String requestId, Incarnation target, Plan.Reading reading, long aheadTokens, boolean promptOnly) {
         if (log.isDebugEnabled()) {
             LogEvent.of("call_sent")
                     .with("request", requestId)
                     .with("target", target.id())
                     .with("stage", target.stage())
-                    .with("unreadTokens", unreadTokens)
+                    .with("level", reading.level())
+                    .with("unreadTokens", reading.unreadTokens())
                     .with("aheadTokens", aheadTokens)
+                    .with("keeper", reading.keeper().map(Incarnation::id).orElse(""))
                     .with("promptOnly", promptOnly)
                     .debug(log);
         }
@@ -110,6 +113,8 @@
                 .with("service", call.serviceName())
                 .with("target", call.targetId().orElse(""))
                 .with("sends", call.sendsCount())
+                .with("stage", call.stage())
+                .with("sentMillis", call.sentMillis())
                 .with("ageMillis", call.ageMillis());
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.Plan;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 
@@ -24,6 +25,7 @@
     private final ServiceEntry service;
     private final Incarnation reader;
     private final Prompt prompt;
+    private final Plan.Reading reading;
     private final Consumer<Optional<PromptMemory>> onEnd;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Optional<TargetConnection> connection = Optional.empty();
@@ -38,6 +40,7 @@
      * @param service the engine's service, not null
      * @param reader the engine, not null
      * @param prompt the prompt, not null
+     * @param reading how it is read, not null
      * @param onEnd gets the memory, or nothing where the prompt was not read; not told after {@link #cancel}
      */
     PromptReading(
@@ -45,11 +48,13 @@
             ServiceEntry service,
             Incarnation reader,
             Prompt prompt,
+            Plan.Reading reading,
             Consumer<Optional<PromptMemory>> onEnd) {
         this.parts = Objects.requireNonNull(parts, "parts");
         this.service = Objects.requireNonNull(service, "service");
         this.reader = Objects.requireNonNull(reader, "reader");
         this.prompt = Objects.requireNonNull(prompt, "prompt");
+        this.reading = Objects.requireNonNull(reading, "reading");
         this.onEnd = Objects.requireNonNull(onEnd, "onEnd");
     }
 
@@ -71,9 +76,9 @@
                     return;
                 }
                 connection = Optional.of(taken);
-                SendAccount opened = SendAccount.begin(parts, reader, Optional.of(prompt));
+                SendAccount opened = SendAccount.begin(parts, reader, Optional.of(prompt), reading);
                 account = Optional.of(opened);
-                parts.report().sent(outbound.requestId(), reader, opened.unreadTokens(), opened.aheadTokens(), true);
+                parts.report().sent(outbound.requestId(), reader, reading, opened.aheadTokens(), true);
                 taken.send(outbound, PromptReading.this);
             }
 
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -2,6 +2,7 @@
 
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
+import org.dogwoodwinch.forwarding.Plan;
 import org.dogwoodwinch.forwarding.SendOutcome;
 
 /** Hears every decision about a call, to count and to log it. */
@@ -25,8 +26,8 @@
     /** The time limit came before the answer's end. */
     void limitReached(CallRelay call, boolean mayHaveRun);
 
-    /** A call or the reading of its prompt goes to a target that has {@code unreadTokens} of it to read. */
-    void sent(String requestId, Incarnation target, int unreadTokens, long aheadTokens, boolean promptOnly);
+    /** A call or the reading of its prompt goes to a target. */
+    void sent(String requestId, Incarnation target, Plan.Reading reading, long aheadTokens, boolean promptOnly);
 
     /** The first byte of a streamed answer goes to the caller. */
     void firstByte(CallRelay call);
--- a/src/main/java/org/dogwoodwinch/relay/SendAccount.java
+++ b/src/main/java/org/dogwoodwinch/relay/SendAccount.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.Plan;
 import org.dogwoodwinch.forwarding.Prompt;
 
 /** What one send puts on a target, from its first byte until its prompt is read and until it ends. */
@@ -11,20 +12,20 @@
     private final RelayParts parts;
     private final Incarnation target;
     private final Optional<Prompt> prompt;
-    private final int unreadTokens;
+    private final Plan.Reading reading;
     private final long aheadTokens;
     private final long sentMillis;
     private boolean unread = true;
     private boolean open = true;
 
-    private SendAccount(RelayParts parts, Incarnation target, Optional<Prompt> prompt, int unreadTokens) {
+    private SendAccount(RelayParts parts, Incarnation target, Optional<Prompt> prompt, Plan.Reading reading) {
         this.parts = parts;
         this.target = target;
         this.prompt = prompt;
-        this.unreadTokens = unreadTokens;
-        this.aheadTokens = parts.loads().at(target.id()).unreadTokens();
+        this.reading = reading;
+        this.aheadTokens = parts.loads().at(target.id()).unread().aheadOf(reading.level());
         this.sentMillis = parts.time().monotonicMillis();
-        parts.loads().sent(target.id(), unreadTokens);
+        parts.loads().sent(target.id(), reading.level(), reading.unreadTokens());
     }
 
     /**
@@ -33,21 +34,20 @@
      * @param parts what all relays share, not null
      * @param target where it goes, not null
      * @param prompt what is to be read there, empty where there is none or its memory is brought along, not null
+     * @param reading how it is read, not null
      * @return the account
      */
-    static SendAccount begin(RelayParts parts, Incarnation target, Optional<Prompt> prompt) {
+    static SendAccount begin(RelayParts parts, Incarnation target, Optional<Prompt> prompt, Plan.Reading reading) {
         Objects.requireNonNull(target, "target");
-        int unreadTokens =
-                prompt.map(read -> parts.chooser().unreadTokens(target, read)).orElse(0);
-        return new SendAccount(parts, target, prompt, unreadTokens);
+        return new SendAccount(parts, target, prompt, reading);
     }
 
     Incarnation target() {
         return target;
     }
 
-    int unreadTokens() {
-        return unreadTokens;
+    long ageMillis() {
+        return parts.time().monotonicMillis() - sentMillis;
     }
 
     long aheadTokens() {
@@ -61,8 +61,8 @@
         }
         settlePrompt();
         prompt.ifPresent(read -> {
-            long millis = parts.time().monotonicMillis() - sentMillis;
-            parts.rates().observe(target.service(), target.stage(), aheadTokens + unreadTokens, millis);
+            long millis = ageMillis();
+            parts.rates().observe(target.service(), target.stage(), aheadTokens + reading.unreadTokens(), millis);
             parts.parts().read(target.id(), read);
         });
     }
@@ -80,7 +80,7 @@
     private void settlePrompt() {
         if (unread) {
             unread = false;
-            parts.loads().read(target.id(), unreadTokens);
+            parts.loads().read(target.id(), reading.level(), reading.unreadTokens());
         }
     }
 }
