Call a prompt late by its wait alone, not by its length

A long prompt misses its objective by its own reading and was read behind all others, until its caller left. Change: only what waits ahead makes a call late.

--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -80,7 +80,8 @@
     }
 
     private Optional<Plan> plan(ChoiceQuery query, Candidate best) {
-        int level = best.expectedMillis > query.objectiveMillis()
+        // By the wait alone: a long prompt must not be read last because of its own length.
+        int level = waitMillis(best.engine, query) > query.objectiveMillis()
                 ? QueueLevel.late(query.urgency())
                 : QueueLevel.inTime(query.urgency());
         Plan.Reading reading = new Plan.Reading(level, best.unreadTokens, best.keeper);
@@ -140,7 +141,7 @@
                 waitMillis(engine, query) + unread / rate(engine) + fetchMillis + handOverMillis(engine, query, prompt);
         double border = engine.dataCentre().equals(dataCentre) ? 0 : policy.borderMillis();
         double price = holdUpMillis(unread / rate(engine)) + (home ? 0 : awayMillis(engine, prompt, unread));
-        return new Candidate(engine, unread, keeper, expected, expected + border + price);
+        return new Candidate(engine, unread, keeper, expected + border + price);
     }
 
     /** What it costs the others: those that arrive while the prompt is read wait half of that time on average. */
@@ -223,7 +224,5 @@
 
     private record Kept(Incarnation engine, int tokens) {}
 
-    /** Without the prices, {@code expectedMillis} is when the first event comes; {@code cost} is what is weighed. */
-    private record Candidate(
-            Incarnation engine, int unreadTokens, Optional<Incarnation> keeper, double expectedMillis, double cost) {}
+    private record Candidate(Incarnation engine, int unreadTokens, Optional<Incarnation> keeper, double cost) {}
 }
--- a/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
@@ -155,6 +155,19 @@
                 chooser(1).choose(query("a", "x")).orElseThrow().reading().level());
     }
 
+    /** A prompt that is long to read is not late for that: it would never be read while shorter ones come. */
+    @Test
+    void aLongPromptIsNotLateByItsOwnLength() {
+        Plan plan = chooser(1).choose(longCall(60_000)).orElseThrow();
+
+        assertEquals(QueueLevel.inTime(1), plan.reading().level());
+    }
+
+    private static ChoiceQuery longCall(int tokens) {
+        Prompt prompt = new Prompt("m", tokens, 20, List.of(new PromptPart("x", tokens)));
+        return new ChoiceQuery(SERVICE, Optional.of(prompt), 1, 500, Set.of(), true);
+    }
+
     /** Its prompt was read apart once: whoever runs it now reads it, too. */
     @Test
     void aCallThatMayNotBeReadApartIsReadWhereItRuns() {
