--- a/src/main/java/org/dogwoodwinch/admission/AdmissionPolicy.java
+++ b/src/main/java/org/dogwoodwinch/admission/AdmissionPolicy.java
@@ -13,6 +13,8 @@
  * @param refusalFactor how many times an estimated answer time must fit before the deadline
  * @param limitWaitMillis how long a request may wait for its owner's limit, in milliseconds
  * @param limitQueueLength the most requests that wait for one owner's limits
+ * @param unheardMillis how old the words of the other instances about their starts may be, in milliseconds: a round of
+ *     their exchange
  * @param sweepMillis the time between looks at the queues while something waits, in milliseconds
  */
 public record AdmissionPolicy(
@@ -26,11 +28,12 @@
         double refusalFactor,
         long limitWaitMillis,
         int limitQueueLength,
+        long unheardMillis,
         long sweepMillis) {
 
     /** The policy that daemons use. */
     public static final AdmissionPolicy STANDARD =
-            new AdmissionPolicy(2_000, 1_000, 4_000, 600, 400, 250, 0.15, 1.1, 1_500, 256, 20);
+            new AdmissionPolicy(2_000, 1_000, 4_000, 600, 400, 250, 0.15, 1.1, 1_500, 256, 500, 20);
 
     /**
      * Checks the numbers.
--- a/src/main/java/org/dogwoodwinch/admission/ClassQueueAdmission.java
+++ b/src/main/java/org/dogwoodwinch/admission/ClassQueueAdmission.java
@@ -259,23 +259,27 @@
                 head = queues.head(workClass);
             }
         }
-        startOne(queues);
+        startOne(queues, nowMillis);
     }
 
-    private void startOne(GroupQueues queues) {
+    private void startOne(GroupQueues queues, long nowMillis) {
         if (queues.isEmpty()) {
             return;
         }
         String group = anyOf(queues).group();
         WaitingRequest next = capacity.capacityOf(group)
-                .map(estimate -> queues.next(estimate.waitMillis()))
+                .map(estimate -> queues.next(estimate.waitMillis() + unheardMillis(queues, estimate, nowMillis)))
                 .orElse(null);
         if (next != null) {
-            queues.start(next);
+            queues.start(next, nowMillis);
             grant(next);
         }
     }
 
+    private double unheardMillis(GroupQueues queues, GroupCapacity estimate, long nowMillis) {
+        return queues.unheardMillis(liveInstances.getAsInt(), nowMillis) / Math.max(1, estimate.targets());
+    }
+
     private static WaitingRequest anyOf(GroupQueues queues) {
         for (WorkClass workClass : WorkClass.values()) {
             if (queues.head(workClass) != null) {
--- a/src/main/java/org/dogwoodwinch/admission/GroupQueues.java
+++ b/src/main/java/org/dogwoodwinch/admission/GroupQueues.java
@@ -22,10 +22,12 @@
     private final AdmissionPolicy policy;
     private final Map<WorkClass, Queue<WaitingRequest>> queues = new EnumMap<>(WorkClass.class);
     private final Map<WorkClass, Double> workMillis = new EnumMap<>(WorkClass.class);
+    private final StartedWork started;
     private double longReadCredit;
 
     GroupQueues(AdmissionPolicy policy) {
         this.policy = policy;
+        this.started = new StartedWork(policy.unheardMillis());
         Comparator<WaitingRequest> byDeadline =
                 Comparator.comparingLong(waiting -> waiting.request().deadlineMillis());
         queues.put(WorkClass.URGENT, new PriorityQueue<>(byDeadline));
@@ -91,8 +93,14 @@
         return targetWaitMillis <= policy.longReadWaitMillis() ? longRead : null;
     }
 
-    /** Takes a request out to start it, and keeps the long reads' account. */
-    void start(WaitingRequest waiting) {
+    /** What the other instances have started and nobody has told yet, in milliseconds of one target. */
+    double unheardMillis(int instancesCount, long nowMillis) {
+        return started.unheardOfOthers(instancesCount, nowMillis);
+    }
+
+    /** Takes a request out to start it, and keeps the accounts. */
+    void start(WaitingRequest waiting, long nowMillis) {
+        started.started(waiting.workMillis(), nowMillis);
         if (waiting.workClass() == WorkClass.LONG_READ) {
             longReadCredit = Math.max(0, longReadCredit - waiting.tokens());
         } else if (head(WorkClass.LONG_READ) != null) {
--- a/src/main/java/org/dogwoodwinch/daemon/PartSettings.java
+++ b/src/main/java/org/dogwoodwinch/daemon/PartSettings.java
@@ -104,6 +104,7 @@
                 standard.refusalFactor(),
                 standard.limitWaitMillis(),
                 standard.limitQueueLength(),
+                standard.unheardMillis(),
                 standard.sweepMillis());
     }
 
--- a/src/test/java/org/dogwoodwinch/replay/ReplayTest.java
+++ b/src/test/java/org/dogwoodwinch/replay/ReplayTest.java
@@ -41,9 +41,13 @@
      */
     @Test
     void threeTimesTheLoadDoesNotCollapseGoodput() {
-        double usual = new Replay(trace(5, 0.85), ReplayPolicy.ours(1)).run().goodputPerSecond();
-        double triple = new Replay(trace(5, 2.55), ReplayPolicy.ours(1)).run().goodputPerSecond();
-        assertTrue(triple >= 0.9 * usual, usual + " became " + triple);
+        for (long seed : new long[] {5, 8, 9}) {
+            double usual =
+                    new Replay(trace(seed, 0.85), ReplayPolicy.ours(1)).run().goodputPerSecond();
+            double triple =
+                    new Replay(trace(seed, 2.55), ReplayPolicy.ours(1)).run().goodputPerSecond();
+            assertTrue(triple >= 0.9 * usual, seed + ": " + usual + " became " + triple);
+        }
     }
 
     /** A planned change must not cut what runs: the engine is drained first, whatever the policy asks for. */
