Deal bounds out to the instances that were seen

Cause: connections to a target and the slack of the retry budget were dealt out by a setting of 16; with 58 or 73 instances the sum is three to four times the bound, and while the store is away no record of another instance is renewed. Change: shares are dealt to the most instances seen at once in this process's life, and to no fewer than the setting names; before the first full reading of the list there is no slack. Ruled out: the present count of members, as it falls to one in an outage of the store (test).

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -96,6 +96,18 @@
         suspicions.connect(suspects);
     }
 
+    /** The instances that may share a target's connections: those seen, and no fewer than the settings name. */
+    int sharersCount() {
+        return Math.max(
+                settings.forwarding().mostInstancesCount(),
+                members.mostSeenCount().orElse(1));
+    }
+
+    /** This instance's share of a common bound; nothing while it does not know the others. */
+    double shareOf(double whole) {
+        return members.mostSeenCount().isPresent() ? whole / sharersCount() : 0;
+    }
+
     Quarantine quarantine() {
         return suspects;
     }
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -109,7 +109,6 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.time = new EventLoopTime(transport.group().next());
-        this.budget = budget(settings, time.monotonicMillis());
         ConnectionPolicy connections = new ConnectionPolicy(
                 settings.forwarding().connectTimeoutMillis(),
                 settings.forwarding().unacknowledgedMillis(),
@@ -137,6 +136,11 @@
                 store.writer(MemberList.TOPIC),
                 follow,
                 loads);
+        this.budget = new RetryBudget(
+                settings.retries().ratio(),
+                () -> fleet.shareOf(this.settings.retries().slackCount()),
+                settings.retries().windowMillis(),
+                time.monotonicMillis());
         this.service = new ForwardingService(
                 new SocketConnector(transport, connections),
                 time,
@@ -163,7 +167,7 @@
                                 settings.retries().retryAfterMillis()),
                         budget,
                         fleet.quarantine(),
-                        settings.forwarding().mostInstancesCount()),
+                        fleet::sharersCount),
                 metrics);
         this.configuration = new StreamFollower(
                 store.keyed(StoreClient.OPERATOR_TOPIC),
@@ -243,7 +247,7 @@
         transport.group().next().execute(() -> {
             SettingsChange change = SettingsChange.between(settings, fresh);
             settings = change.inForce();
-            budget.reconfigure(settings.retries().ratio(), slackShare(settings));
+            budget.reconfigure(settings.retries().ratio());
             LogEvent.of("settings_reloaded")
                     .with("changed", String.join(",", change.taken()))
                     .with("needRestart", String.join(",", change.needRestart()))
@@ -294,18 +298,6 @@
         time.schedule(DRAIN_CHECK_MILLIS, () -> waitForCalls(stopped));
     }
 
-    private static RetryBudget budget(ForwardingSettings settings, long startedMillis) {
-        return new RetryBudget(
-                settings.retries().ratio(),
-                slackShare(settings),
-                settings.retries().windowMillis(),
-                startedMillis);
-    }
-
-    private static double slackShare(ForwardingSettings settings) {
-        return settings.retries().slackCount() / settings.forwarding().mostInstancesCount();
-    }
-
     private static InetSocketAddress address(String text) {
         return Addresses.parse(text);
     }
--- a/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
@@ -3,6 +3,8 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
+import java.util.function.DoubleSupplier;
 
 /**
  * Bounds repeats for each service without a counter in common: an instance spends a ratio of the requests that it took
@@ -26,7 +28,7 @@
     private static final double SPENT_PART = 0.75;
 
     private double ratio;
-    private double slack;
+    private final DoubleSupplier slackShare;
     private final long slackFromMillis;
     private final long sliceMillis;
     private final Map<String, Ledger> ledgers = new HashMap<>();
@@ -35,26 +37,25 @@
      * Creates a budget.
      *
      * @param ratio repeats for each request taken here
-     * @param slack repeats in a window beside these, the share of this instance alone
+     * @param slackShare repeats in a window beside these, the share of this instance alone; asked each time, as it falls
+     *     when there are more instances, not null
      * @param windowMillis the window
      * @param startedMillis when this instance started, in monotonic milliseconds
      */
-    public RetryBudget(double ratio, double slack, long windowMillis, long startedMillis) {
+    public RetryBudget(double ratio, DoubleSupplier slackShare, long windowMillis, long startedMillis) {
         this.ratio = ratio * SPENT_PART;
-        this.slack = slack;
+        this.slackShare = Objects.requireNonNull(slackShare, "slackShare");
         this.slackFromMillis = startedMillis + windowMillis;
         this.sliceMillis = Math.max(1, windowMillis / SLICES);
     }
 
     /**
-     * Puts other bounds in force; what was spent stays spent.
+     * Puts another ratio in force; what was spent stays spent.
      *
      * @param freshRatio repeats for each request taken here
-     * @param freshSlack repeats in a window beside these, the share of this instance alone
      */
-    public void reconfigure(double freshRatio, double freshSlack) {
+    public void reconfigure(double freshRatio) {
         ratio = freshRatio * SPENT_PART;
-        slack = freshSlack;
     }
 
     /**
@@ -112,7 +113,7 @@
     }
 
     private double allowed(Ledger ledger, long nowMillis) {
-        return ratio * sum(ledger.requests) + (nowMillis < slackFromMillis ? 0 : slack);
+        return ratio * sum(ledger.requests) + (nowMillis < slackFromMillis ? 0 : slackShare.getAsDouble());
     }
 
     private Ledger ledger(String service) {
--- a/src/main/java/org/dogwoodwinch/peer/MemberList.java
+++ b/src/main/java/org/dogwoodwinch/peer/MemberList.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.FollowListener;
@@ -44,6 +45,8 @@
     private final long renewMillis;
     private final Map<String, Heard> heard = new HashMap<>();
     private boolean leaving;
+    private boolean readOnce;
+    private int mostSeenCount = 1;
 
     /**
      * Creates a list that knows nobody.
@@ -98,6 +101,18 @@
         return heard.values().stream().map(Heard::member).toList();
     }
 
+    /**
+     * Returns how many instances shares of a common bound are dealt out to.
+     *
+     * <p>Failure: while the store is away nobody's record is renewed, and each instance would take itself for the only one
+     * and the whole of each bound for its own. What was seen once is dealt to until this process ends.
+     *
+     * @return the most instances that were believed in at once, this one included; empty before the first full reading
+     */
+    public OptionalInt mostSeenCount() {
+        return readOnce ? OptionalInt.of(mostSeenCount) : OptionalInt.empty();
+    }
+
     @Override
     public void record(KeyedRecord record) {
         if (record.key().equals(ownName)) {
@@ -108,6 +123,7 @@
             heard.remove(record.key());
         } else {
             heard.put(record.key(), new Heard(member.get(), time.monotonicMillis()));
+            mostSeenCount = Math.max(mostSeenCount, heard.size() + 1);
         }
         LogEvent.of("member_heard")
                 .with("member", record.key())
@@ -121,6 +137,7 @@
     @Override
     public void readWhole(Set<String> keys, long _endOffset) {
         heard.keySet().retainAll(keys);
+        readOnce = true;
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.forwarding.CallerLimits;
@@ -83,7 +84,7 @@
                 decisions.budget(),
                 new Suspicions(decisions.quarantine(), time),
                 report,
-                decisions.mostInstancesCount());
+                decisions.sharersCount());
     }
 
     /**
@@ -96,7 +97,7 @@
      * @param retryPolicy decides what follows on a failed send, not null
      * @param budget bounds repeats, not null
      * @param quarantine knows the calls that crash targets, not null
-     * @param mostInstancesCount the most instances that may share a target's connections
+     * @param sharersCount the instances that share a target's connections, asked each time, not null
      */
     public record Decisions(
             TargetChooser chooser,
@@ -106,7 +107,7 @@
             RetryPolicy retryPolicy,
             RetryBudget budget,
             Quarantine quarantine,
-            int mostInstancesCount) {}
+            IntSupplier sharersCount) {}
 
     /**
      * Listens for callers.
--- a/src/main/java/org/dogwoodwinch/relay/RelayParts.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.Objects;
+import java.util.function.IntSupplier;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.forwarding.PartIndex;
 import org.dogwoodwinch.forwarding.ReadRates;
@@ -27,7 +28,7 @@
  * @param budget bounds repeats, not null
  * @param suspicions which calls crash targets, not null
  * @param report counts and logs, not null
- * @param mostInstancesCount the most instances that may share a target's connections
+ * @param sharersCount the instances that share a target's connections, asked each time, not null
  */
 record RelayParts(
         TimeSource time,
@@ -42,7 +43,7 @@
         RetryBudget budget,
         Suspicions suspicions,
         RelayReport report,
-        int mostInstancesCount) {
+        IntSupplier sharersCount) {
 
     RelayParts {
         Objects.requireNonNull(time, "time");
@@ -57,6 +58,7 @@
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(suspicions, "suspicions");
         Objects.requireNonNull(report, "report");
+        Objects.requireNonNull(sharersCount, "sharersCount");
     }
 
     /**
@@ -66,7 +68,7 @@
      * shares to all instances that may exist, the sum cannot exceed the bound.
      */
     int connectionsPerTarget(ServiceEntry service) {
-        return Math.max(1, service.maxConnectionsCount() / mostInstancesCount);
+        return Math.max(1, service.maxConnectionsCount() / sharersCount.getAsInt());
     }
 
     ByteBuf copy(byte[] bytes) {
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -58,9 +58,9 @@
                         new PartIndex(),
                         new ReadRates(30),
                         new RetryPolicy(1, 1, 1, 1),
-                        new RetryBudget(0, 0, 1_000, 0),
+                        new RetryBudget(0, () -> 0, 1_000, 0),
                         Quarantine.NONE,
-                        1),
+                        () -> 1),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
 
--- a/src/test/java/org/dogwoodwinch/forwarding/RetryBudgetTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/RetryBudgetTest.java
@@ -67,7 +67,7 @@
     }
 
     private static RetryBudget fresh(int instances, long startedMillis) {
-        return new RetryBudget(RATIO, SLACK / instances, WINDOW_MILLIS, startedMillis);
+        return new RetryBudget(RATIO, () -> SLACK / instances, WINDOW_MILLIS, startedMillis);
     }
 
     private static long count(List<Long> times, long from, long to) {
@@ -76,7 +76,7 @@
 
     @Test
     void aRepeatIsFreeAgainAfterTheWindow() {
-        RetryBudget budget = new RetryBudget(0, 1, WINDOW_MILLIS, -WINDOW_MILLIS);
+        RetryBudget budget = new RetryBudget(0, () -> 1, WINDOW_MILLIS, -WINDOW_MILLIS);
         assertTrue(budget.takeRepeat("s", 0));
         assertFalse(budget.takeRepeat("s", WINDOW_MILLIS - 1));
 
@@ -86,7 +86,7 @@
     /** A process is killed and started again: it does not know what it spent, so it has no slack for one window. */
     @Test
     void afterAStartTheSlackIsNotYetThere() {
-        RetryBudget budget = new RetryBudget(0, 5, WINDOW_MILLIS, 1_000);
+        RetryBudget budget = new RetryBudget(0, () -> 5, WINDOW_MILLIS, 1_000);
 
         assertFalse(budget.takeRepeat("s", 1_000 + WINDOW_MILLIS - 1));
         assertTrue(budget.takeRepeat("s", 1_000 + WINDOW_MILLIS));
@@ -94,7 +94,7 @@
 
     @Test
     void whatWasSpentWithoutAskingIsMissingLater() {
-        RetryBudget budget = new RetryBudget(0, 1, WINDOW_MILLIS, -WINDOW_MILLIS);
+        RetryBudget budget = new RetryBudget(0, () -> 1, WINDOW_MILLIS, -WINDOW_MILLIS);
         budget.chargeRepeat("s", 0);
 
         assertFalse(budget.takeRepeat("s", 1));
--- a/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
@@ -416,6 +416,23 @@
         assertEquals(0, split.loads.at("p1").unread().totalTokens());
     }
 
+    /**
+     * The target takes 96 connections and 48 instances share it: each may open two. The third call of one instance has not
+     * run and is told to come back. Opened all the same, some connection would be reset with a call on it.
+     */
+    @Test
+    void connectionsAreDealtOutAmongTheInstancesSeen() {
+        RelayFixture shared = new RelayFixture().configured().plain("t1");
+        shared.sharersCount = 48;
+        shared.caller().send(RelayFixture.get("/once/a", "a1"));
+        shared.caller().send(RelayFixture.get("/once/a", "a2"));
+
+        RelayFixture.CallerEnd third = shared.caller().send(RelayFixture.get("/once/a", "a3"));
+
+        assertEquals(2, shared.opened.size());
+        assertTrue(third.received().startsWith("HTTP/1.1 503 "));
+    }
+
     /** Another engine keeps the shared part: the reader is told to fetch it there, and how urgent the call is. */
     @Test
     void theReaderIsToldWhoKeepsThePart() {
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -58,6 +58,7 @@
     final List<String> released = new ArrayList<>();
     final SuspectBook suspects = new SuspectBook(time, 600_000, 600_000, _notice -> {});
     final ForwardingService service;
+    int sharersCount = 1;
     private long nextOffset;
 
     RelayFixture() {
@@ -87,9 +88,9 @@
                         parts,
                         rates,
                         new RetryPolicy(2, 2, 30, RETRY_AFTER_MILLIS),
-                        new RetryBudget(0, slack, 10_000, -10_000),
+                        new RetryBudget(0, () -> slack, 10_000, -10_000),
                         suspects,
-                        1),
+                        () -> sharersCount),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
 
