Drop a setting that promised what nothing kept, and two unused readers

Cause: promises.configurationMillis was read, checked and without effect; how soon a configuration is in force follows from the store's waits and pauses. TargetConnection.callsCount and HeldBytes.heldBytes were read by nothing.

--- a/src/main/java/org/dogwoodwinch/relay/HeldBytes.java
+++ b/src/main/java/org/dogwoodwinch/relay/HeldBytes.java
@@ -27,8 +27,4 @@
     void give(int bytes) {
         heldBytes -= bytes;
     }
-
-    long heldBytes() {
-        return heldBytes;
-    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -62,7 +62,6 @@
     private boolean keepAlive;
     private boolean broken;
     private int passedOver;
-    private int callsCount;
     private long idleLimitMillis = Long.MAX_VALUE;
     private long idleSinceMillis;
 
@@ -96,10 +95,6 @@
         return nowMillis - idleSinceMillis > idleLimitMillis - marginMillis;
     }
 
-    int callsCount() {
-        return callsCount;
-    }
-
     /**
      * Writes a call. From here on the target may run it.
      *
@@ -113,7 +108,6 @@
         sink = Objects.requireNonNull(answerSink, "answerSink");
         requestId = call.requestId();
         passedOver = 0;
-        callsCount++;
         state = State.WAITING;
         decoder.expect(call.method().equals(HttpMethod.HEAD));
         FullHttpRequest request = new DefaultFullHttpRequest(
--- a/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
+++ b/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
@@ -69,10 +69,9 @@
     /**
      * What operators and callers were promised.
      *
-     * @param configurationMillis within which an accepted configuration is in force
      * @param drainMillis within which a leaving target gets nothing new
      */
-    public record PromiseSettings(long configurationMillis, long drainMillis) {}
+    public record PromiseSettings(long drainMillis) {}
 
     /**
      * The retry budget of a service, over all instances.
@@ -132,9 +131,7 @@
     }
 
     private static PromiseSettings readPromises(SettingsSection section) {
-        return new PromiseSettings(
-                section.wholeNumber("configurationMillis", 100, 600_000, 2_000),
-                section.wholeNumber("drainMillis", 100, 600_000, 2_000));
+        return new PromiseSettings(section.wholeNumber("drainMillis", 100, 600_000, 2_000));
     }
 
     private static RetrySettings readRetries(SettingsSection section) {
