Leave a target alone for a while that could not be reached

Change: half a second's pause after the first failure, doubled up to four seconds, ended by any answer; no more than half of a service is left out. A reader that never saw the call is replaced by another one, as that is no further arrival. Log line target_unreachable. Ruled out: connections that end without an answer as a sign: engines that lose answers run calls all the same.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -22,6 +22,7 @@
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.TargetDirectory;
+import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.net.EventLoopTime;
@@ -84,7 +85,7 @@
     private final Transport transport;
     private final TimeSource time;
     private final ForwardingMetrics metrics = new ForwardingMetrics(new PrometheusRegistry());
-    private final TargetDirectory directory = new TargetDirectory();
+    private final TargetDirectory directory;
     private final ForwardingService service;
     private final StreamFollower configuration;
     private final StreamFollower targets;
@@ -113,6 +114,8 @@
                 settings.forwarding().connectTimeoutMillis(),
                 settings.forwarding().unacknowledgedMillis(),
                 settings.forwarding().idleMarginMillis());
+        TargetHealth health = new TargetHealth(time::monotonicMillis);
+        this.directory = new TargetDirectory(health);
         LoadBook loads = new LoadBook();
         PartIndex parts = new PartIndex();
         ReadRates rates = new ReadRates(FIRST_TOKENS_PER_MILLI);
@@ -167,6 +170,7 @@
                                 settings.retries().retryAfterMillis()),
                         budget,
                         fleet.quarantine(),
+                        health,
                         fleet::sharersCount),
                 metrics);
         this.configuration = new StreamFollower(
--- a/src/main/java/org/dogwoodwinch/forwarding/SendOutcome.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/SendOutcome.java
@@ -21,9 +21,8 @@
      * The target stated that it did not run the call and never will.
      *
      * @param status the status that it answered
-     * @param wrongIncarnation whether another target has the address now
      */
-    record Rejected(int status, boolean wrongIncarnation) implements SendOutcome {}
+    record Rejected(int status) implements SendOutcome {}
 
     /**
      * Bytes of the call were written and no whole answer came: it may have run.
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -14,9 +15,19 @@
  */
 public final class TargetDirectory {
 
+    private final TargetHealth health;
     private final Map<String, Row> rows = new HashMap<>();
     private Map<String, List<Incarnation>> readyByService = Map.of();
 
+    /**
+     * Creates a directory without targets.
+     *
+     * @param health which targets cannot be reached from here, not null
+     */
+    public TargetDirectory(TargetHealth health) {
+        this.health = Objects.requireNonNull(health, "health");
+    }
+
     /**
      * Applies a record.
      *
@@ -63,10 +74,10 @@
      * Returns the targets that may get new work.
      *
      * @param service the service's name, not null
-     * @return those listed and not leaving
+     * @return those listed and not leaving, but for what could not be reached of late
      */
     public List<Incarnation> ready(String service) {
-        return readyByService.getOrDefault(service, List.of());
+        return health.usable(readyByService.getOrDefault(service, List.of()));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetHealth.java
@@ -0,0 +1,96 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.LongSupplier;
+
+/**
+ * Which targets this instance could not reach of late, from its own calls alone. Not thread-safe.
+ *
+ * <p>Failure: a target that crashed stays listed for some seconds. Every call whose prompt has its home there tries it
+ * first, and is then read by an engine that it keeps from generating; its caller sees a late first event. Left out after
+ * the first failure, and tried again after a pause that doubles, it costs one call a pause. A judgement that is wrong
+ * for many targets at once, as when this instance's own links are cut, must not empty a service: of its targets no more
+ * than half are left out.
+ */
+public final class TargetHealth {
+
+    /** Less than a target needs to come back, and enough that one in some ten calls tries it. */
+    private static final long FIRST_PAUSE_MILLIS = 500;
+
+    /** A target that is gone leaves the list within some seconds; one that came back waits no longer than this. */
+    private static final long MAX_PAUSE_MILLIS = 4_000;
+
+    private final LongSupplier clockMillis;
+    private final Map<String, Pause> pauses = new HashMap<>();
+
+    /**
+     * Creates a judgement that knows nothing.
+     *
+     * @param clockMillis monotonic milliseconds, not null
+     */
+    public TargetHealth(LongSupplier clockMillis) {
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clockMillis");
+    }
+
+    /**
+     * No connection could be opened, or another target answered at the address.
+     *
+     * @param targetId the target's id, not null
+     * @return the pause until it is tried again, in milliseconds
+     */
+    public long unreachable(String targetId) {
+        long nowMillis = clockMillis.getAsLong();
+        Pause known = pauses.get(targetId);
+        if (known != null && nowMillis < known.untilMillis) {
+            return known.untilMillis - nowMillis;
+        }
+        long lengthMillis = known == null ? FIRST_PAUSE_MILLIS : Math.min(MAX_PAUSE_MILLIS, 2 * known.lengthMillis);
+        pauses.put(targetId, new Pause(lengthMillis, nowMillis + lengthMillis));
+        return lengthMillis;
+    }
+
+    /**
+     * The target answered a call, in whatever way.
+     *
+     * @param targetId the target's id, not null
+     */
+    public void answered(String targetId) {
+        pauses.remove(targetId);
+    }
+
+    /**
+     * A target is listed no more.
+     *
+     * @param targetId the target's id, not null
+     */
+    public void forget(String targetId) {
+        pauses.remove(targetId);
+    }
+
+    /**
+     * Leaves out what cannot be reached.
+     *
+     * @param targets the targets of one service, not null
+     * @return those that may be tried; all of them where more than half would be left out
+     */
+    public List<Incarnation> usable(List<Incarnation> targets) {
+        if (pauses.isEmpty()) {
+            return targets;
+        }
+        long nowMillis = clockMillis.getAsLong();
+        List<Incarnation> usable = targets.stream()
+                .filter(target -> !paused(target.id(), nowMillis))
+                .toList();
+        return 2 * usable.size() < targets.size() ? targets : usable;
+    }
+
+    private boolean paused(String targetId, long nowMillis) {
+        Pause known = pauses.get(targetId);
+        return known != null && nowMillis < known.untilMillis;
+    }
+
+    private record Pause(long lengthMillis, long untilMillis) {}
+}
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -27,6 +27,9 @@
     /** A plain answer up to this size is held until it is whole, so that a cut one can still become another answer. */
     private static final int HELD_BODY_BYTES = 262_144;
 
+    /** Readers that could not be reached before the one that runs the call reads it: each costs a connection's time. */
+    private static final int MOST_UNSENT_READINGS = 2;
+
     private enum State {
         SENDING,
         STREAMING,
@@ -227,11 +230,18 @@
 
     /** Where nothing came of it, the call has not run: a target that reads the prompt itself gets it. */
     private void promptWasRead(Optional<PromptMemory> read) {
-        Incarnation reader = reading.orElseThrow().reader();
+        PromptReading done = reading.orElseThrow();
+        Incarnation reader = done.reader();
         reading = Optional.empty();
         memory = read;
         memoryReader = reader;
         if (read.isEmpty()) {
+            if (done.unsent()) {
+                // The reader never saw it: another one may read it as if it were the first.
+                failedConnectsCount++;
+                triedIds.add(reader.id());
+                readApart = failedConnectsCount > MOST_UNSENT_READINGS;
+            }
             attempt();
             return;
         }
@@ -360,6 +370,7 @@
 
     @Override
     public void ended() {
+        parts.answered(plan.target().id(), answer.misdirected());
         sendEnded();
         if (state == State.DONE) {
             return;
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -18,6 +18,7 @@
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.TargetChooser;
+import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.request.Quarantine;
@@ -38,6 +39,7 @@
     private final TimeSource time;
     private final RelayParts parts;
     private final RelayReport report;
+    private final TargetHealth health;
     private Optional<FrontListener> listener = Optional.empty();
     private final HeldBytes heldBytes = new HeldBytes(MAX_HELD_BODY_BYTES);
     private int openCount;
@@ -70,11 +72,12 @@
         this.random = Objects.requireNonNull(random, "random");
         this.time = Objects.requireNonNull(time, "time");
         this.report = new LoggingReport(metrics);
+        this.health = decisions.health();
         this.parts = new RelayParts(
                 time,
                 callHeaders,
                 new TargetConnections(
-                        connector, callHeaders, time, policy, metrics::connectionOpened, this::targetFoundGone),
+                        connector, callHeaders, time, policy, metrics::connectionOpened, this::targetUnreachable),
                 decisions.chooser(),
                 control,
                 decisions.loads(),
@@ -83,6 +86,7 @@
                 decisions.retryPolicy(),
                 decisions.budget(),
                 new Suspicions(decisions.quarantine(), time),
+                health,
                 report,
                 decisions.sharersCount());
     }
@@ -97,6 +101,7 @@
      * @param retryPolicy decides what follows on a failed send, not null
      * @param budget bounds repeats, not null
      * @param quarantine knows the calls that crash targets, not null
+     * @param health knows the targets that could not be reached of late, not null
      * @param sharersCount the instances that share a target's connections, asked each time, not null
      */
     public record Decisions(
@@ -107,6 +112,7 @@
             RetryPolicy retryPolicy,
             RetryBudget budget,
             Quarantine quarantine,
+            TargetHealth health,
             IntSupplier sharersCount) {}
 
     /**
@@ -205,6 +211,12 @@
      * @param targetId its id, not null
      */
     public void targetFoundGone(String targetId) {
+        health.forget(targetId);
+        parts.suspicions().foundGone(targetId);
+    }
+
+    private void targetUnreachable(String targetId) {
+        report.unreachable(targetId, health.unreachable(targetId), "connect_failed");
         parts.suspicions().foundGone(targetId);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -43,6 +43,15 @@
         about("no_target", call).info(log);
     }
 
+    @Override
+    public void unreachable(String targetId, long pauseMillis, String reason) {
+        LogEvent.of("target_unreachable")
+                .with("target", targetId)
+                .with("reason", reason)
+                .with("pauseMillis", pauseMillis)
+                .info(log);
+    }
+
     @Override
     public void promptNotRead(Incarnation reader, String reason) {
         metrics.sendFailed("not_run", "prompt_" + reason, "read_where_run");
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -21,6 +21,9 @@
 
     private static final int MAX_BODY_BYTES = 65_536;
 
+    /** Another target has the address, or this one is of the wrong stage by now. */
+    private static final int MISDIRECTED = 421;
+
     private final RelayParts parts;
     private final ServiceEntry service;
     private final Incarnation reader;
@@ -31,6 +34,7 @@
     private Optional<TargetConnection> connection = Optional.empty();
     private Optional<SendAccount> account = Optional.empty();
     private AnswerFacts answer;
+    private boolean unsent;
     private boolean ended;
 
     /**
@@ -84,11 +88,17 @@
 
             @Override
             public void failed(String reason) {
+                unsent = true;
                 end(Optional.empty(), reason);
             }
         });
     }
 
+    /** Whether no byte was written: the reader never saw the call. */
+    boolean unsent() {
+        return unsent;
+    }
+
     /** The call has ended otherwise: the engine drops the work with its connection. */
     void cancel() {
         if (ended) {
@@ -115,6 +125,7 @@
 
     @Override
     public void ended() {
+        parts.answered(reader.id(), answer.status() == MISDIRECTED);
         if (answer.status() == 200) {
             account.ifPresent(SendAccount::promptRead);
         }
@@ -123,7 +134,7 @@
             end(parts.control().readMemory(reader, Bytes.of(body.toByteArray())), "no_handle");
             return;
         }
-        if (answer.statesNotRun() || answer.status() == 421) {
+        if (answer.statesNotRun() || answer.status() == MISDIRECTED) {
             parts.budget().chargeRepeat(service.name(), parts.time().monotonicMillis());
         }
         end(Optional.empty(), "status_" + answer.status());
--- a/src/main/java/org/dogwoodwinch/relay/ReceivedAnswer.java
+++ b/src/main/java/org/dogwoodwinch/relay/ReceivedAnswer.java
@@ -58,11 +58,16 @@
                 && facts.requestId().isPresent();
     }
 
+    /** Another target answers at the address. */
+    boolean misdirected() {
+        return facts.status() == MISDIRECTED;
+    }
+
     /** What is known of the send, for an answer that is whole and no success. */
     SendOutcome failure() {
         int status = facts.status();
-        if (facts.statesNotRun() || status == MISDIRECTED) {
-            return new SendOutcome.Rejected(status, status == MISDIRECTED);
+        if (facts.statesNotRun() || misdirected()) {
+            return new SendOutcome.Rejected(status);
         }
         if (status / CLASS_DIVISOR == OK_CLASS) {
             return new SendOutcome.Unknown("success_not_proved");
--- a/src/main/java/org/dogwoodwinch/relay/RelayParts.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -11,6 +11,7 @@
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.TargetChooser;
+import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
@@ -27,6 +28,7 @@
  * @param retryPolicy decides what follows on a failed send, not null
  * @param budget bounds repeats, not null
  * @param suspicions which calls crash targets, not null
+ * @param health which targets could not be reached of late, not null
  * @param report counts and logs, not null
  * @param sharersCount the instances that share a target's connections, asked each time, not null
  */
@@ -42,6 +44,7 @@
         RetryPolicy retryPolicy,
         RetryBudget budget,
         Suspicions suspicions,
+        TargetHealth health,
         RelayReport report,
         IntSupplier sharersCount) {
 
@@ -57,6 +60,7 @@
         Objects.requireNonNull(retryPolicy, "retryPolicy");
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(suspicions, "suspicions");
+        Objects.requireNonNull(health, "health");
         Objects.requireNonNull(report, "report");
         Objects.requireNonNull(sharersCount, "sharersCount");
     }
@@ -71,6 +75,15 @@
         return Math.max(1, service.maxConnectionsCount() / sharersCount.getAsInt());
     }
 
+    /** A target answered: at this address is the one that was meant, or it is not. */
+    void answered(String targetId, boolean otherTargets) {
+        if (otherTargets) {
+            report.unreachable(targetId, health.unreachable(targetId), "other_target_answers");
+        } else {
+            health.answered(targetId);
+        }
+    }
+
     ByteBuf copy(byte[] bytes) {
         return Unpooled.wrappedBuffer(bytes);
     }
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -17,6 +17,9 @@
     /** No target may get the call. */
     void noTarget(CallRelay call);
 
+    /** A target is left out for a while. */
+    void unreachable(String targetId, long pauseMillis, String reason);
+
     /** An engine did not read a prompt that another would have run. */
     void promptNotRead(Incarnation reader, String reason);
 
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -21,6 +21,7 @@
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.TargetDirectory;
+import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.relay.CacheChanges;
 import org.dogwoodwinch.relay.CacheList;
@@ -38,7 +39,7 @@
     private static final long LAPSE_MILLIS = 1_600;
 
     private final VirtualTimeSource time = new VirtualTimeSource(0);
-    private final TargetDirectory directory = new TargetDirectory();
+    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0));
     private final TargetsReader reader = new TargetsReader(
             directory, service(), new ForwardingMetrics(new PrometheusRegistry()), time, LAPSE_MILLIS);
     private long offset;
@@ -60,6 +61,7 @@
                         new RetryPolicy(1, 1, 1, 1),
                         new RetryBudget(0, () -> 0, 1_000, 0),
                         Quarantine.NONE,
+                        new TargetHealth(() -> 0),
                         () -> 1),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
--- a/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
@@ -18,7 +18,7 @@
     private static final ServiceEntry SERVICE =
             new ServiceEntry("s", 360, Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000)));
 
-    private final TargetDirectory directory = new TargetDirectory();
+    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0));
     private final LoadBook loads = new LoadBook();
     private final PartIndex parts = new PartIndex();
 
--- a/src/test/java/org/dogwoodwinch/forwarding/RetryPolicyTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/RetryPolicyTest.java
@@ -21,8 +21,8 @@
     Arbitrary<SendOutcome> outcomes() {
         return Arbitraries.of(
                 new SendOutcome.NotSent("x"),
-                new SendOutcome.Rejected(503, false),
-                new SendOutcome.Rejected(421, true),
+                new SendOutcome.Rejected(503),
+                new SendOutcome.Rejected(421),
                 new SendOutcome.Unknown("x"),
                 new SendOutcome.RanAndFailed(500));
     }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/forwarding/TargetHealthTest.java
@@ -0,0 +1,80 @@
+package org.dogwoodwinch.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class TargetHealthTest {
+
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final TargetHealth health = new TargetHealth(time::monotonicMillis);
+
+    private static List<Incarnation> targets(int count) {
+        List<Incarnation> targets = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            targets.add(new Incarnation("t" + i, "s", "10.0.0.1", 80, "dc", 6, false, Stage.WHOLE, 0));
+        }
+        return targets;
+    }
+
+    private List<String> usable(int count) {
+        return health.usable(targets(count)).stream().map(Incarnation::id).toList();
+    }
+
+    /** A target that is gone is tried by one call a pause, and the pause doubles up to four seconds. */
+    @Test
+    void whatCannotBeReachedIsLeftOutForAPauseThatDoubles() {
+        List<Long> pauses = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            long pauseMillis = health.unreachable("t1");
+            pauses.add(pauseMillis);
+            assertEquals(List.of("t0", "t2"), usable(3));
+            time.advanceMillis(pauseMillis);
+            assertEquals(List.of("t0", "t1", "t2"), usable(3));
+        }
+        assertEquals(List.of(500L, 1_000L, 2_000L, 4_000L, 4_000L, 4_000L), pauses);
+    }
+
+    /** Twenty calls fail at once: that is one failure, not twenty. */
+    @Test
+    void failuresWithinAPauseDoNotLengthenIt() {
+        health.unreachable("t1");
+        time.advanceMillis(100);
+
+        assertEquals(400, health.unreachable("t1"));
+        time.advanceMillis(400);
+        assertEquals(List.of("t0", "t1", "t2"), usable(3));
+    }
+
+    @Test
+    void anAnswerClearsTheTarget() {
+        health.unreachable("t1");
+        health.answered("t1");
+
+        assertEquals(3, usable(3).size());
+        assertEquals(500, health.unreachable("t1"));
+    }
+
+    /** This instance's links are cut: nothing can be reached, and still every target may be tried. */
+    @Test
+    void noMoreThanHalfOfAServiceIsLeftOut() {
+        health.unreachable("t0");
+        health.unreachable("t1");
+        assertEquals(List.of("t2", "t3"), usable(4));
+
+        health.unreachable("t2");
+        assertEquals(4, usable(4).size());
+        assertEquals(1, usable(1).size());
+    }
+
+    @Test
+    void aTargetThatIsListedNoMoreIsForgotten() {
+        health.unreachable("t1");
+        health.forget("t1");
+
+        assertEquals(500, health.unreachable("t1"));
+    }
+}
--- a/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
@@ -433,6 +433,43 @@
         assertTrue(third.received().startsWith("HTTP/1.1 503 "));
     }
 
+    /**
+     * The engine at which the prompt has its home cannot be reached. It never saw the call, so another engine that only
+     * reads gets it; read where it runs, it would hold up all that runs there.
+     */
+    @Test
+    void aReaderThatCannotBeReachedIsReplacedByAnother() {
+        RelayFixture split = model().engine("p2", Stage.PREFILL);
+        split.caller().send(modelCall("a1"));
+        String home = split.target().id();
+        String other = home.equals("p1") ? "p2" : "p1";
+        split.unreachable.add(home);
+
+        split.caller().send(modelCall("a2").replace("91:", "92:"));
+        split.caller().send(modelCall("a3").replace("91:", "93:"));
+
+        assertEquals(other, split.target().id());
+        assertTrue(split.target().received().contains("stage: prefill"));
+        assertEquals(3, split.opened.size());
+    }
+
+    /**
+     * The home crashed, and another target has its address. The first call that hears so leaves it alone for a while;
+     * the next one goes elsewhere at once.
+     */
+    @Test
+    void anAddressWhereAnotherTargetAnswersIsLeftAloneForAWhile() {
+        RelayFixture split = model().engine("p2", Stage.PREFILL);
+        split.caller().send(modelCall("a1"));
+        String home = split.target().id();
+        split.target().answer("HTTP/1.1 421 Misdirected\r\nRequest-Id: a1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+
+        split.caller().send(modelCall("a2"));
+
+        assertFalse(split.target().id().equals(home));
+        assertTrue(split.target().received().contains("stage: prefill"));
+    }
+
     /** Another engine keeps the shared part: the reader is told to fetch it there, and how urgent the call is. */
     @Test
     void theReaderIsToldWhoKeepsThePart() {
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -35,6 +35,7 @@
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.TargetDirectory;
+import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.WeightedService;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.request.SuspectBook;
@@ -50,7 +51,8 @@
     static final long RETRY_AFTER_MILLIS = 200;
 
     final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
-    final TargetDirectory directory = new TargetDirectory();
+    final TargetHealth health = new TargetHealth(time::monotonicMillis);
+    final TargetDirectory directory = new TargetDirectory(health);
     final LoadBook loads = new LoadBook();
     final PartIndex parts = new PartIndex();
     final List<TargetEnd> opened = new ArrayList<>();
@@ -90,6 +92,7 @@
                         new RetryPolicy(2, 2, 30, RETRY_AFTER_MILLIS),
                         new RetryBudget(0, () -> slack, 10_000, -10_000),
                         suspects,
+                        health,
                         () -> sharersCount),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
