Log the budget left after a failed send, and whose prompt was not read

Cause: from the walks of docs/OPERATIONS.md: why a first rejection ended in a refusal could not be told from the logs, nor which call a prompt_not_read belonged to. Change: send_failed bears budgetLeft, prompt_not_read the request's id. Decisions are as they were.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -420,7 +420,7 @@
         events.dropPartial();
         NextStep step = parts.retryPolicy()
                 .after(outcome, progress(), () -> parts.budget().takeRepeat(service.name(), nowMillis()));
-        parts.report().sendFailed(this, outcome, step);
+        parts.report().sendFailed(this, outcome, step, parts.budget().left(service.name(), nowMillis()));
         follow(outcome, step);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -53,16 +53,17 @@
     }
 
     @Override
-    public void promptNotRead(Incarnation reader, String reason) {
+    public void promptNotRead(String requestId, Incarnation reader, String reason) {
         metrics.sendFailed("not_run", "prompt_" + reason, "read_where_run");
         LogEvent.of("prompt_not_read")
+                .with("request", requestId)
                 .with("target", reader.id())
                 .with("reason", reason)
                 .info(log);
     }
 
     @Override
-    public void sendFailed(CallRelay call, SendOutcome outcome, NextStep step) {
+    public void sendFailed(CallRelay call, SendOutcome outcome, NextStep step, double budgetLeft) {
         String known = known(outcome);
         String reason = reason(outcome);
         String next = step.getClass().getSimpleName();
@@ -71,6 +72,7 @@
                 .with("known", known)
                 .with("reason", reason)
                 .with("next", next)
+                .with("budgetLeft", Math.floor(budgetLeft))
                 .info(log);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -34,6 +34,7 @@
     private Optional<TargetConnection> connection = Optional.empty();
     private Optional<SendAccount> account = Optional.empty();
     private AnswerFacts answer;
+    private String requestId = "";
     private boolean unsent;
     private boolean ended;
 
@@ -72,6 +73,7 @@
      * @param outbound the call as it is written to the reader, not null
      */
     void start(OutboundCall outbound) {
+        requestId = outbound.requestId();
         parts.connections().take(reader, parts.connectionsPerTarget(service), new TargetConnections.Taker() {
             @Override
             public void took(TargetConnection taken) {
@@ -158,7 +160,7 @@
         }
         ended = true;
         if (memory.isEmpty()) {
-            parts.report().promptNotRead(reader, reason);
+            parts.report().promptNotRead(requestId, reader, reason);
         }
         onEnd.accept(memory);
     }
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -21,10 +21,10 @@
     void unreachable(String targetId, long pauseMillis, String reason);
 
     /** An engine did not read a prompt that another would have run. */
-    void promptNotRead(Incarnation reader, String reason);
+    void promptNotRead(String requestId, Incarnation reader, String reason);
 
-    /** A send gave no success, and that follows. */
-    void sendFailed(CallRelay call, SendOutcome outcome, NextStep step);
+    /** A send gave no success, and that follows; {@code budgetLeft} repeats could be made after it. */
+    void sendFailed(CallRelay call, SendOutcome outcome, NextStep step, double budgetLeft);
 
     /** The time limit came before the answer's end. */
     void limitReached(CallRelay call, boolean mayHaveRun);
