End the process on whatever the short start throws

Cause: the short form of the command line, read without the parser, let an exception leave the main thread; the event loop's thread would have kept the process alive with nothing but its sockets. The parser used to catch it. Change: it is printed and ends the process with 1, as before.

--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -64,11 +64,27 @@
      * @param args the command line
      */
     public static void main(String[] args) {
-        // The one form that a platform starts daemons by is read here: the parser costs a sixth of a start.
-        int exitCode = args.length == 2 && args[0].equals(SETTINGS_OPTION)
-                ? serve(Path.of(args[1]), new PrintWriter(System.err, true, StandardCharsets.UTF_8))
-                : new CommandLine(new DaemonMain()).execute(args);
-        System.exit(exitCode);
+        System.exit(exitCode(args));
+    }
+
+    /**
+     * Runs the daemon until it is stopped. The one form that a platform starts daemons by is read here: the parser costs a
+     * sixth of a start.
+     *
+     * @param args the command line, not null
+     * @return the exit code, whatever went wrong: a process that threw instead would live on with nothing but its sockets
+     */
+    static int exitCode(String[] args) {
+        if (args.length != 2 || !args[0].equals(SETTINGS_OPTION)) {
+            return new CommandLine(new DaemonMain()).execute(args);
+        }
+        PrintWriter errors = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
+        try {
+            return serve(Path.of(args[1]), errors);
+        } catch (RuntimeException e) {
+            e.printStackTrace(errors);
+            return CommandLine.ExitCode.SOFTWARE;
+        }
     }
 
     @Override
