Read the change again: one place for what stood twice

- What is kept of a prompt was looked up twice for each engine of a choice; engines that cannot be a home were hashed all the same.
- Status 421 was judged in two classes: AnswerFacts says misdirected, rejected.
- Three test doubles of engines repeated each other: SilentEngines.

--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -63,15 +63,17 @@
         }
         Prompt prompt = query.prompt().get();
         List<Incarnation> ready = directory.ready(query.service().name());
-        Optional<Kept> most = mostKept(ready, prompt);
+        int[] kept = keptTokens(ready, prompt);
+        Optional<Kept> most = mostKept(ready, kept);
         String home = home(ready, homeKey(prompt));
         Candidate best = null;
-        for (Incarnation engine : ready) {
+        for (int i = 0; i < kept.length; i++) {
+            Incarnation engine = ready.get(i);
             if (query.triedIds().contains(engine.id()) || (engine.stage() == Stage.PREFILL && !query.readApart())) {
                 continue;
             }
             Candidate candidate =
-                    candidate(engine, query, prompt, most, engine.id().equals(home));
+                    candidate(engine, kept[i], query, prompt, most, engine.id().equals(home));
             if (best == null || candidate.cost < best.cost) {
                 best = candidate;
             }
@@ -123,8 +125,7 @@
     }
 
     private Candidate candidate(
-            Incarnation engine, ChoiceQuery query, Prompt prompt, Optional<Kept> most, boolean home) {
-        int kept = parts.keptTokens(engine.id(), prompt);
+            Incarnation engine, int kept, ChoiceQuery query, Prompt prompt, Optional<Kept> most, boolean home) {
         int reached = kept;
         double fetchMillis = 0;
         Optional<Incarnation> keeper = Optional.empty();
@@ -157,14 +158,19 @@
         return Math.max(0, unread - own) * policy.awayFromHomeRatio() / rate(engine);
     }
 
-    private Optional<Kept> mostKept(List<Incarnation> ready, Prompt prompt) {
+    private int[] keptTokens(List<Incarnation> ready, Prompt prompt) {
+        return ready.stream()
+                .mapToInt(engine -> parts.keptTokens(engine.id(), prompt))
+                .toArray();
+    }
+
+    private static Optional<Kept> mostKept(List<Incarnation> ready, int[] kept) {
         Incarnation keeper = null;
         int most = 0;
-        for (Incarnation engine : ready) {
-            int kept = parts.keptTokens(engine.id(), prompt);
-            if (kept > most) {
-                most = kept;
-                keeper = engine;
+        for (int i = 0; i < kept.length; i++) {
+            if (kept[i] > most) {
+                most = kept[i];
+                keeper = ready.get(i);
             }
         }
         return keeper == null ? Optional.empty() : Optional.of(new Kept(keeper, most));
@@ -212,9 +218,11 @@
         double highest = -1;
         boolean readers = ready.stream().anyMatch(engine -> engine.stage() == Stage.PREFILL);
         for (Incarnation engine : ready) {
+            if (readers && engine.stage() != Stage.PREFILL) {
+                continue;
+            }
             double score = Rendezvous.score(key, engine.id());
-            boolean candidate = !readers || engine.stage() == Stage.PREFILL;
-            if (candidate && score > highest) {
+            if (score > highest) {
                 highest = score;
                 home = engine.id();
             }
--- a/src/main/java/org/dogwoodwinch/logging/LineLayout.java
+++ b/src/main/java/org/dogwoodwinch/logging/LineLayout.java
@@ -24,7 +24,7 @@
         line.append(logger, logger.lastIndexOf('.') + 1, logger.length());
         line.append(' ').append(event.getFormattedMessage()).append('\n');
         if (event.getThrowableProxy() != null) {
-            line.append(ThrowableProxyUtil.asString(event.getThrowableProxy())).append('\n');
+            line.append(ThrowableProxyUtil.asString(event.getThrowableProxy()));
         }
         return line.toString();
     }
--- a/src/main/java/org/dogwoodwinch/relay/AnswerFacts.java
+++ b/src/main/java/org/dogwoodwinch/relay/AnswerFacts.java
@@ -22,9 +22,21 @@
         boolean encoded,
         OptionalLong idleMillis) {
 
+    private static final int MISDIRECTED = 421;
+
     /** Checks. */
     public AnswerFacts {
         Objects.requireNonNull(requestId, "requestId");
         Objects.requireNonNull(idleMillis, "idleMillis");
     }
+
+    /** Whether another target has the address, or this one is of the wrong stage by now. */
+    boolean misdirected() {
+        return status == MISDIRECTED;
+    }
+
+    /** Whether the call has not run and never will. */
+    boolean rejected() {
+        return statesNotRun || misdirected();
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -21,9 +21,6 @@
 
     private static final int MAX_BODY_BYTES = 65_536;
 
-    /** Another target has the address, or this one is of the wrong stage by now. */
-    private static final int MISDIRECTED = 421;
-
     private final RelayParts parts;
     private final ServiceEntry service;
     private final Incarnation reader;
@@ -127,7 +124,7 @@
 
     @Override
     public void ended() {
-        parts.answered(reader.id(), answer.status() == MISDIRECTED);
+        parts.answered(reader.id(), answer.misdirected());
         if (answer.status() == 200) {
             account.ifPresent(SendAccount::promptRead);
         }
@@ -136,7 +133,7 @@
             end(parts.control().readMemory(reader, Bytes.of(body.toByteArray())), "no_handle");
             return;
         }
-        if (answer.statesNotRun() || answer.status() == MISDIRECTED) {
+        if (answer.rejected()) {
             parts.budget().chargeRepeat(service.name(), parts.time().monotonicMillis());
         }
         end(Optional.empty(), "status_" + answer.status());
--- a/src/main/java/org/dogwoodwinch/relay/ReceivedAnswer.java
+++ b/src/main/java/org/dogwoodwinch/relay/ReceivedAnswer.java
@@ -13,7 +13,6 @@
 
     private static final int OK_CLASS = 2;
     private static final int CLASS_DIVISOR = 100;
-    private static final int MISDIRECTED = 421;
     private static final int TOO_MANY = 429;
 
     private final AnswerFacts facts;
@@ -60,13 +59,13 @@
 
     /** Another target answers at the address. */
     boolean misdirected() {
-        return facts.status() == MISDIRECTED;
+        return facts.misdirected();
     }
 
     /** What is known of the send, for an answer that is whole and no success. */
     SendOutcome failure() {
         int status = facts.status();
-        if (facts.statesNotRun() || misdirected()) {
+        if (facts.rejected()) {
             return new SendOutcome.Rejected(status);
         }
         if (status / CLASS_DIVISOR == OK_CLASS) {
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -8,8 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.KeyedRecord;
@@ -23,13 +21,10 @@
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.platform.PlatformHeaders;
-import org.dogwoodwinch.relay.CacheChanges;
-import org.dogwoodwinch.relay.CacheList;
 import org.dogwoodwinch.relay.ConnectionPolicy;
-import org.dogwoodwinch.relay.EngineControl;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
-import org.dogwoodwinch.relay.PromptMemory;
+import org.dogwoodwinch.relay.SilentEngines;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
@@ -52,7 +47,7 @@
                 new PlatformHeaders(),
                 RandomSource.XO_RO_SHI_RO_128_PP.create(1),
                 new ConnectionPolicy(1, 1, 1),
-                new NoEngines(),
+                new SilentEngines(),
                 new ForwardingService.Decisions(
                         new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(2)),
                         loads,
@@ -165,24 +160,4 @@
 
         assertEquals(List.of("jump"), jumps);
     }
-
-    private static final class NoEngines implements EngineControl {
-        @Override
-        public Optional<PromptMemory> readMemory(Incarnation _reader, Bytes _body) {
-            return Optional.empty();
-        }
-
-        @Override
-        public void release(Incarnation _reader, PromptMemory _memory) {}
-
-        @Override
-        public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long _sinceNumber) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-
-        @Override
-        public CompletionStage<Optional<CacheList>> cacheList(Incarnation _engine) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-    }
 }
--- a/src/test/java/org/dogwoodwinch/logging/LineLayoutTest.java
+++ b/src/test/java/org/dogwoodwinch/logging/LineLayoutTest.java
@@ -43,5 +43,6 @@
         String text = new LineLayout().doLayout(event("2026-03-04T05:06:07.008Z", new IllegalStateException("why")));
 
         assertTrue(text.contains("event=x\njava.lang.IllegalStateException: why\n"), text);
+        assertTrue(text.endsWith("\n") && !text.contains("\n\n"), text);
     }
 }
--- a/src/test/java/org/dogwoodwinch/relay/CacheWatchTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CacheWatchTest.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.PartIndex;
 import org.dogwoodwinch.forwarding.Prompt;
@@ -111,7 +110,7 @@
         assertEquals(0, parts.size());
     }
 
-    private static final class Control implements EngineControl {
+    private static final class Control extends SilentEngines {
 
         private final List<Long> asked = new ArrayList<>();
         private final List<CompletableFuture<Optional<CacheList>>> lists = new ArrayList<>();
@@ -122,14 +121,6 @@
             question.complete(Optional.of(changes));
         }
 
-        @Override
-        public Optional<PromptMemory> readMemory(Incarnation _reader, Bytes _body) {
-            return Optional.empty();
-        }
-
-        @Override
-        public void release(Incarnation _reader, PromptMemory _memory) {}
-
         @Override
         public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long sinceNumber) {
             asked.add(sinceNumber);
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -14,8 +14,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallerLimits;
@@ -282,7 +280,7 @@
         }
     }
 
-    private final class Control implements EngineControl {
+    private final class Control extends SilentEngines {
         @Override
         public Optional<PromptMemory> readMemory(Incarnation reader, Bytes body) {
             String text = new String(body.toByteArray(), StandardCharsets.UTF_8);
@@ -293,15 +291,5 @@
         public void release(Incarnation reader, PromptMemory memory) {
             released.add(reader.id() + "/" + memory.handle());
         }
-
-        @Override
-        public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long _sinceNumber) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-
-        @Override
-        public CompletionStage<Optional<CacheList>> cacheList(Incarnation _engine) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
     }
 }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/relay/SilentEngines.java
@@ -0,0 +1,29 @@
+package org.dogwoodwinch.relay;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.Incarnation;
+
+/** Engines that answer no question; tests override what they need. */
+public class SilentEngines implements EngineControl {
+
+    @Override
+    public Optional<PromptMemory> readMemory(Incarnation _reader, Bytes _body) {
+        return Optional.empty();
+    }
+
+    @Override
+    public void release(Incarnation _reader, PromptMemory _memory) {}
+
+    @Override
+    public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation _engine, long _sinceNumber) {
+        return CompletableFuture.completedFuture(Optional.empty());
+    }
+
+    @Override
+    public CompletionStage<Optional<CacheList>> cacheList(Incarnation _engine) {
+        return CompletableFuture.completedFuture(Optional.empty());
+    }
+}
