Keep long prompts from engines that generate, and change stages by order

Cause: contract reviews had their first event after 290 ms (objective 500) and were late all the same: an event holds several tokens, and an engine that generates reads prompts between its tokens, so one long prompt stretches the pauses of all its streams beyond what callers accept. Beside it, prompts waited 400 ms at the engines that only read while the generating ones were 5 to 30% busy; no order was ever sent.

Change: EngineChooser prices a stall for each stream of a generating engine where the reading takes more than half of the pause.

Ruled out: the list's own count as an order's expected one (the engine refused each).

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -18,10 +18,13 @@
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
 import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.forwarding.PartIndex;
 import org.dogwoodwinch.forwarding.ReadRates;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.StagePlanPolicy;
+import org.dogwoodwinch.forwarding.StagePlanner;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.logging.LogEvent;
@@ -80,6 +83,12 @@
 
     private static final long CACHE_ROUND_MILLIS = 250;
 
+    /** Well over a record's way to the store and back; an order is on its way within as long again. */
+    private static final long ORDER_VALID_MILLIS = 1_000;
+
+    /** The time that an order may take to arrive, and as much again for clocks and links. */
+    private static final long ORDER_MARGIN_MILLIS = 2_000;
+
     /** The way of a reading to a platform that is slow, and of a word, on busy instances. */
     private static final long TOLD_MARGIN_MILLIS = 400;
 
@@ -100,6 +109,8 @@
     private final StreamFollower targets;
     private final TargetsReader targetsReader;
     private final CacheWatch cacheWatch;
+    private final StageOrders stageOrders;
+    private final EnginesAway enginesAway;
     private final FleetExchange fleet;
     private final ClockWatch clockWatch;
     private final RetryBudget budget;
@@ -198,6 +209,21 @@
                 new KeptSharing(fleet.exchange(), parts, time),
                 time,
                 CACHE_ROUND_MILLIS);
+        this.enginesAway = new EnginesAway(fleet.exchange(), health);
+        this.stageOrders = new StageOrders(
+                new StageOrders.Parts(
+                        settings.instance().name(),
+                        directory,
+                        loads,
+                        service::modelServices,
+                        service::switchMillis,
+                        _service -> new StagePlanner(StagePlanPolicy.STANDARD, rates),
+                        () -> fleet.exchange().fleetsDutyFallsToOwn(StageOrders.TOPIC),
+                        store.log(StageOrders.TOPIC),
+                        engines,
+                        enginesAway::tell),
+                new OrderLease(ORDER_VALID_MILLIS, settings.promises().holdersApartMillis() + ORDER_MARGIN_MILLIS),
+                time);
         this.targetsReader = new TargetsReader(
                 directory, service, metrics, time, settings.promises().drainMillis() * 4 / 5);
         this.targets = new StreamFollower(
@@ -224,6 +250,8 @@
             configuration.start();
             targets.start();
             cacheWatch.start();
+            enginesAway.start();
+            stageOrders.start();
             fleet.start(self);
             clockWatch.start();
         });
--- a/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
@@ -31,6 +31,8 @@
     private static final Logger log = LoggerFactory.getLogger(LoadSharing.class);
     private static final String KEY = "flight";
     private static final String CENTRE_PREFIX = "centre ";
+    private static final String FLEET = "fleet";
+    private static final int SUM_ROUNDS = 2;
 
     /** Rounds without a word after which an instance's loads are no longer counted. */
     private static final int KEPT_ROUNDS = 10;
@@ -46,9 +48,11 @@
     private final long roundMillis;
     private final Map<String, Long> heardAtMillis = new HashMap<>();
     private final Map<String, LoadWord> heardWords = new HashMap<>();
+    private final Map<String, Map<String, TargetLoad>> heardCentres = new HashMap<>();
     private final Deque<LoadWord> ownWords = new ArrayDeque<>();
     private long nextNumber = 1;
     private boolean toldNothing;
+    private int sumRounds;
 
     LoadSharing(
             LoadBook loads,
@@ -69,6 +73,7 @@
     void start() {
         exchange.subscribe(PeerTopic.LOAD, this::heard);
         exchange.subscribe(PeerTopic.CENTRE_LOAD, this::heardCentre);
+        exchange.subscribe(PeerTopic.FLEET_LOAD, this::heardFleet);
         exchange.eachRound(this::round);
     }
 
@@ -76,6 +81,7 @@
         long oldestMillis = time.monotonicMillis() - KEPT_ROUNDS * roundMillis;
         heardAtMillis.values().removeIf(atMillis -> atMillis < oldestMillis);
         heardWords.keySet().retainAll(heardAtMillis.keySet());
+        heardCentres.keySet().retainAll(heardAtMillis.keySet());
         loads.retainPeers(new HashSet<>(heardAtMillis.keySet()));
         Map<String, TargetLoad> own = loads.own();
         if (exchange.byTellers() && exchange.acting()) {
@@ -96,37 +102,51 @@
         exchange.publish(PeerTopic.LOAD, KEY, word.encode(), KEPT_ROUNDS * roundMillis);
     }
 
+    /** Every other round: each word is read by all instances of the data centre, and costs each of them the same. */
     private void tellSum(Map<String, TargetLoad> own) {
+        if (++sumRounds % SUM_ROUNDS != 0) {
+            return;
+        }
         Map<String, TargetLoad> sum = new HashMap<>(own);
         Map<String, Long> contained = new HashMap<>();
         heardWords.forEach((origin, word) -> {
             contained.put(origin, word.number());
             word.loads().forEach((id, load) -> sum.merge(id, load, TargetLoad::plus));
         });
-        LoadWord word = new LoadWord(nextNumber++, sum, contained);
-        exchange.publish(PeerTopic.CENTRE_LOAD, dataCentre, word.encode(), KEPT_ROUNDS * roundMillis);
+        long keepMillis = KEPT_ROUNDS * roundMillis;
+        exchange.publish(
+                PeerTopic.CENTRE_LOAD, dataCentre, new LoadWord(nextNumber++, sum, Map.of()).encode(), keepMillis);
+        heardCentres.values().forEach(loads -> loads.forEach((id, load) -> sum.merge(id, load, TargetLoad::plus)));
+        exchange.publish(
+                PeerTopic.FLEET_LOAD, dataCentre, new LoadWord(nextNumber++, sum, contained).encode(), keepMillis);
     }
 
     private void heard(PeerItem item) {
         decode(item).ifPresent(word -> {
             heardWords.put(item.origin(), word);
+            heardAtMillis.remove(FLEET);
             heardFrom(item.origin(), word.loads());
         });
     }
 
+    /** Between tellers; whoever is none any more hears no more of them, and forgets what it heard. */
     private void heardCentre(PeerItem item) {
-        if (!item.key().equals(dataCentre)) {
-            decode(item).ifPresent(word -> heardFrom(CENTRE_PREFIX + item.key(), word.loads()));
-            return;
-        }
+        decode(item).ifPresent(word -> {
+            heardCentres.put(CENTRE_PREFIX + item.key(), word.loads());
+            heardFrom(CENTRE_PREFIX + item.key(), word.loads());
+        });
+    }
+
+    private void heardFleet(PeerItem item) {
         if (exchange.acting() || !exchange.before(item.origin())) {
             return;
         }
         decode(item).ifPresent(word -> {
             // The sum has them; each by itself would count twice.
-            heardWords.keySet().forEach(heardAtMillis::remove);
+            heardAtMillis.clear();
             heardWords.clear();
-            heardFrom(CENTRE_PREFIX + dataCentre, withoutOwn(word));
+            heardCentres.clear();
+            heardFrom(FLEET, withoutOwn(word));
         });
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/LoadWord.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LoadWord.java
@@ -48,19 +48,18 @@
     }
 
     private static void writeLoad(MessagePacker packer, TargetLoad load) throws IOException {
-        List<Long> tokens = load.unread().tokens();
-        List<Integer> prompts = load.unread().prompts();
+        ReadQueue unread = load.unread();
         List<Integer> levels = new ArrayList<>();
-        for (int level = 0; level < tokens.size(); level++) {
-            if (tokens.get(level) != 0 || prompts.get(level) != 0) {
+        for (int level = 0; level < QueueLevel.COUNT; level++) {
+            if (unread.tokensAt(level) != 0 || unread.promptsAt(level) != 0) {
                 levels.add(level);
             }
         }
         packer.packInt(load.callsCount());
         Packing.writeAll(packer, levels, (to, level) -> {
             to.packInt(level);
-            to.packLong(tokens.get(level));
-            to.packInt(prompts.get(level));
+            to.packLong(unread.tokensAt(level));
+            to.packInt(unread.promptsAt(level));
         });
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -87,8 +87,8 @@
     }
 
     private void apply(String id, long offset, Optional<Incarnation> stated) {
-        boolean wasReady =
-                directory.find(id).filter(target -> !target.leaving()).isPresent();
+        Optional<Incarnation> before = directory.find(id);
+        boolean wasReady = before.filter(target -> !target.leaving()).isPresent();
         if (!directory.apply(id, offset, stated)) {
             return;
         }
@@ -102,6 +102,9 @@
                         "state",
                         stated.map(each -> each.leaving() ? "leaving" : "ready").orElse("gone"))
                 .info(log);
+        if (before.isPresent() && !before.map(Incarnation::stage).equals(stated.map(Incarnation::stage))) {
+            service.targetChangedStage(id);
+        }
         changed(id, stated, wasReady);
     }
 
--- a/src/main/java/org/dogwoodwinch/forwarding/ChoiceQuery.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/ChoiceQuery.java
@@ -11,6 +11,7 @@
  * @param prompt the work asked of a model, empty for a plain call
  * @param urgency the rank of its route, where zero is the most urgent
  * @param objectiveMillis the time left until its first event earns less; {@link Long#MAX_VALUE} where none is stated
+ * @param pauseMillis the longest pause between two events of its answer that is still on time; zero where none is stated
  * @param triedIds targets that got the call already, not null
  * @param readApart whether another engine than the one that runs it may read its prompt
  */
@@ -19,6 +20,7 @@
         Optional<Prompt> prompt,
         int urgency,
         long objectiveMillis,
+        long pauseMillis,
         Set<String> triedIds,
         boolean readApart) {
 
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChoicePolicy.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChoicePolicy.java
@@ -9,6 +9,7 @@
  * @param arrivalGapMillis the time between two calls at one engine, which wait while it reads a prompt
  * @param runningCallMillis what each call that an engine runs adds to the next one's wait there
  * @param borderMillis what a data centre's border costs
+ * @param stallMillis what it costs that a stream pauses for too long, for each stream that the engine generates
  */
 public record EngineChoicePolicy(
         double awayFromHomeRatio,
@@ -16,8 +17,9 @@
         double fetchMillis,
         double arrivalGapMillis,
         double runningCallMillis,
-        double borderMillis) {
+        double borderMillis,
+        double stallMillis) {
 
     /** In force unless settings state others. */
-    public static final EngineChoicePolicy STANDARD = new EngineChoicePolicy(3, 30, 15, 150, 3, 5);
+    public static final EngineChoicePolicy STANDARD = new EngineChoicePolicy(3, 30, 15, 150, 3, 5, 300);
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -20,6 +20,9 @@
     /** Memory takes twice as long between data centres, as the platform states. */
     private static final double ABROAD_RATIO = 2;
 
+    /** A pause holds the steps of an event's own tokens beside the reading; they take about half of it. */
+    private static final double PAUSE_PART = 2;
+
     private final TargetDirectory directory;
     private final LoadBook loads;
     private final PartIndex parts;
@@ -141,7 +144,9 @@
         double expected =
                 waitMillis(engine, query) + unread / rate(engine) + fetchMillis + handOverMillis(engine, query, prompt);
         double border = engine.dataCentre().equals(dataCentre) ? 0 : policy.borderMillis();
-        double price = holdUpMillis(unread / rate(engine)) + (home ? 0 : awayMillis(engine, prompt, unread));
+        double price = holdUpMillis(unread / rate(engine))
+                + stallMillis(engine, query, unread / rate(engine))
+                + (home ? 0 : awayMillis(engine, prompt, unread));
         return new Candidate(engine, unread, keeper, expected + border + price);
     }
 
@@ -150,6 +155,21 @@
         return readMillis * readMillis / (2 * policy.arrivalGapMillis());
     }
 
+    /**
+     * What it costs the streams that an engine generates.
+     *
+     * <p>Failure: an engine that generates reads a prompt in pieces between its tokens, and an event holds several tokens.
+     * One long prompt stretches the next event of every stream there beyond the pause that its callers accept: all of them
+     * are late, though their first events came in time.
+     */
+    private double stallMillis(Incarnation engine, ChoiceQuery query, double readMillis) {
+        boolean noticed = query.pauseMillis() > 0 && readMillis * PAUSE_PART > query.pauseMillis();
+        if (engine.stage() == Stage.PREFILL || !noticed) {
+            return 0;
+        }
+        return policy.stallMillis() * (1 + loads.at(engine.id()).callsCount());
+    }
+
     /** What it costs the others that shared tokens are read in a second place. */
     private double awayMillis(Incarnation engine, Prompt prompt, int unread) {
         int own = prompt.parts().isEmpty()
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineTraits.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineTraits.java
@@ -8,6 +8,12 @@
  * @param kvTokenBytes the memory of one token
  * @param linkMbitPerSecond the rate at which memory moves between engines
  * @param handleTtlMillis how long a prefilled prompt is kept until it is taken
+ * @param switchMillis how long an engine is away when it changes its stage; zero where none is stated
  */
 public record EngineTraits(
-        int slotsCount, long kvCapacityTokens, long kvTokenBytes, double linkMbitPerSecond, long handleTtlMillis) {}
+        int slotsCount,
+        long kvCapacityTokens,
+        long kvTokenBytes,
+        double linkMbitPerSecond,
+        long handleTtlMillis,
+        long switchMillis) {}
--- a/src/main/java/org/dogwoodwinch/forwarding/ReadQueue.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/ReadQueue.java
@@ -76,6 +76,26 @@
         return Arrays.stream(tokens).sum();
     }
 
+    /**
+     * Returns the tokens of a level.
+     *
+     * @param level the level
+     * @return its tokens
+     */
+    public long tokensAt(int level) {
+        return tokens[level];
+    }
+
+    /**
+     * Returns the prompts of a level.
+     *
+     * @param level the level
+     * @return its prompts
+     */
+    public int promptsAt(int level) {
+        return prompts[level];
+    }
+
     /**
      * Returns the tokens of each level.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** One version of the operator's configuration; immutable, so that a call is decided by one version alone. */
 public final class RouteTable {
@@ -74,6 +76,18 @@
         return Optional.ofNullable(services.get(name));
     }
 
+    /**
+     * Returns the services whose targets are model engines.
+     *
+     * @return their names
+     */
+    public Set<String> modelServices() {
+        return services.values().stream()
+                .filter(service -> service.engine().isPresent())
+                .map(ServiceEntry::name)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Finds the route with the longest prefix that begins a path.
      *
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/StagePlanner.java
@@ -0,0 +1,181 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/**
+ * Plans which engine of a service changes its stage. Not thread-safe.
+ *
+ * <p>Load: the mix of prompt and output shifts within minutes, and the split of engines that was right before leaves
+ * prompts waiting at those that read while those that generate have next to nothing to do, or the other way round. The
+ * planner compares how long a prompt waits at the engines of either stage, over two horizons.
+ */
+public final class StagePlanner {
+
+    private final StagePlanPolicy policy;
+    private final ReadRates rates;
+    private final Pressure reading;
+    private final Pressure generating;
+    private final Pressure busy;
+    private long notBeforeMillis = Long.MIN_VALUE;
+
+    /**
+     * Creates a planner that has seen nothing.
+     *
+     * @param policy the thresholds, not null
+     * @param rates how fast engines read, not null
+     */
+    public StagePlanner(StagePlanPolicy policy, ReadRates rates) {
+        this.policy = Objects.requireNonNull(policy, "policy");
+        this.rates = Objects.requireNonNull(rates, "rates");
+        this.reading = new Pressure(policy);
+        this.generating = new Pressure(policy);
+        this.busy = new Pressure(policy);
+    }
+
+    /**
+     * An engine that is to change.
+     *
+     * @param engine the engine as it is, not null
+     * @param stage the stage that it is to have, not null
+     * @param reason what was seen, for logs, not null
+     */
+    public record Change(Incarnation engine, Stage stage, String reason) {}
+
+    /**
+     * Looks at the loads. Called again and again, whether or not a change is wanted.
+     *
+     * @param ready the engines of the service that take work, not null
+     * @param load what is under way at an engine, by its id, not null
+     * @param eligible whether an engine, by its id, may be changed, not null
+     * @param nowMillis monotonic milliseconds
+     * @return a change that is worth it now
+     */
+    public Optional<Change> plan(
+            List<Incarnation> ready, Function<String, TargetLoad> load, Predicate<String> eligible, long nowMillis) {
+        List<Incarnation> readers = ofStage(ready, Stage.PREFILL);
+        List<Incarnation> generators = ofStage(ready, Stage.DECODE);
+        if (readers.isEmpty() || generators.isEmpty()) {
+            return Optional.empty();
+        }
+        reading.see(waitMillis(readers, load), nowMillis);
+        generating.see(waitMillis(generators, load), nowMillis);
+        busy.see(busyRatio(generators, load), nowMillis);
+        if (nowMillis < notBeforeMillis) {
+            return Optional.empty();
+        }
+        if (wantsReader(generators.size())) {
+            return change(generators, Stage.PREFILL, load, eligible);
+        }
+        if (wantsGenerator(readers.size())) {
+            return change(readers, Stage.DECODE, load, eligible);
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * An order was given.
+     *
+     * @param awayMillis how long the engine is away
+     * @param nowMillis monotonic milliseconds
+     */
+    public void ordered(long awayMillis, long nowMillis) {
+        notBeforeMillis = nowMillis + awayMillis + policy.dwellMillis();
+    }
+
+    private boolean wantsReader(int generatorsCount) {
+        if (generatorsCount <= policy.leastGeneratingCount()) {
+            return false;
+        }
+        double withOneLess = generatorsCount / (generatorsCount - 1.0);
+        return reading.least() >= policy.leastWaitMillis()
+                && reading.least() >= policy.advantageRatio() * withOneLess * generating.most()
+                && busy.most() * withOneLess <= policy.mostBusyRatio();
+    }
+
+    private boolean wantsGenerator(int readersCount) {
+        if (readersCount <= 1) {
+            return false;
+        }
+        double withOneLess = readersCount / (readersCount - 1.0);
+        boolean waits = generating.least() >= policy.leastWaitMillis()
+                && generating.least() >= policy.advantageRatio() * withOneLess * reading.most();
+        boolean full = busy.least() > policy.mostBusyRatio() && reading.most() * withOneLess < policy.leastWaitMillis();
+        return waits || full;
+    }
+
+    private Optional<Change> change(
+            List<Incarnation> from, Stage stage, Function<String, TargetLoad> load, Predicate<String> eligible) {
+        return from.stream()
+                .filter(engine -> eligible.test(engine.id()))
+                .min(Comparator.<Incarnation>comparingInt(
+                                engine -> load.apply(engine.id()).callsCount())
+                        .thenComparing(Incarnation::id))
+                .map(engine -> new Change(engine, stage, toString()));
+    }
+
+    private double waitMillis(List<Incarnation> engines, Function<String, TargetLoad> load) {
+        double sum = 0;
+        for (Incarnation engine : engines) {
+            sum += load.apply(engine.id()).unread().totalTokens()
+                    / rates.tokensPerMilli(engine.service(), engine.stage());
+        }
+        return sum / engines.size();
+    }
+
+    private static double busyRatio(List<Incarnation> engines, Function<String, TargetLoad> load) {
+        double calls = 0;
+        double slots = 0;
+        for (Incarnation engine : engines) {
+            calls += load.apply(engine.id()).callsCount();
+            slots += engine.slotsCount();
+        }
+        return calls / slots;
+    }
+
+    private static List<Incarnation> ofStage(List<Incarnation> ready, Stage stage) {
+        return ready.stream().filter(engine -> engine.stage() == stage).toList();
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                "reading %.0f/%.0f ms, generating %.0f/%.0f ms, busy %.2f/%.2f",
+                reading.recent, reading.lasting, generating.recent, generating.lasting, busy.recent, busy.lasting);
+    }
+
+    /** A figure averaged over both horizons. */
+    private static final class Pressure {
+        private final StagePlanPolicy policy;
+        private double recent;
+        private double lasting;
+        private long seenAtMillis = Long.MIN_VALUE;
+
+        Pressure(StagePlanPolicy policy) {
+            this.policy = policy;
+        }
+
+        void see(double value, long nowMillis) {
+            long sinceMillis = seenAtMillis == Long.MIN_VALUE ? 0 : nowMillis - seenAtMillis;
+            seenAtMillis = nowMillis;
+            recent += (value - recent) * weight(sinceMillis, policy.shortHorizonMillis());
+            lasting += (value - lasting) * weight(sinceMillis, policy.longHorizonMillis());
+        }
+
+        private static double weight(long sinceMillis, long horizonMillis) {
+            return 1 - Math.exp(-sinceMillis / (double) horizonMillis);
+        }
+
+        double least() {
+            return Math.min(recent, lasting);
+        }
+
+        double most() {
+            return Math.max(recent, lasting);
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetHealth.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetHealth.java
@@ -25,6 +25,7 @@
 
     private final LongSupplier clockMillis;
     private final Map<String, Pause> pauses = new HashMap<>();
+    private final Map<String, Long> awayUntilMillis = new HashMap<>();
 
     /**
      * Creates a judgement that knows nothing.
@@ -52,6 +53,36 @@
         return lengthMillis;
     }
 
+    /**
+     * A target changes its stage and takes nothing meanwhile: what has not started there is rejected.
+     *
+     * @param targetId the target's id, not null
+     * @param millis how long it is left out, unless it is back earlier
+     */
+    public void away(String targetId, long millis) {
+        awayUntilMillis.put(targetId, clockMillis.getAsLong() + millis);
+    }
+
+    /**
+     * A target is back from a change of its stage.
+     *
+     * @param targetId the target's id, not null
+     */
+    public void back(String targetId) {
+        awayUntilMillis.remove(targetId);
+    }
+
+    /**
+     * Says whether a target changes its stage.
+     *
+     * @param targetId the target's id, not null
+     * @return whether it is left out for that
+     */
+    public boolean isAway(String targetId) {
+        Long untilMillis = awayUntilMillis.get(targetId);
+        return untilMillis != null && clockMillis.getAsLong() < untilMillis;
+    }
+
     /**
      * The target answered a call, in whatever way.
      *
@@ -68,6 +99,7 @@
      */
     public void forget(String targetId) {
         pauses.remove(targetId);
+        awayUntilMillis.remove(targetId);
     }
 
     /**
@@ -77,12 +109,12 @@
      * @return those that may be tried; all of them where more than half would be left out
      */
     public List<Incarnation> usable(List<Incarnation> targets) {
-        if (pauses.isEmpty()) {
+        if (pauses.isEmpty() && awayUntilMillis.isEmpty()) {
             return targets;
         }
         long nowMillis = clockMillis.getAsLong();
         List<Incarnation> usable = targets.stream()
-                .filter(target -> !paused(target.id(), nowMillis))
+                .filter(target -> !paused(target.id(), nowMillis) && !isAway(target.id()))
                 .toList();
         return 2 * usable.size() < targets.size() ? targets : usable;
     }
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -17,9 +17,12 @@
     /** What an instance has in flight on targets that are out of service. */
     DRAIN,
 
-    /** What all instances of a data centre have under way at targets, as its teller sums it up. */
+    /** What all instances of a data centre have under way at targets, as its teller sums it up for the other tellers. */
     CENTRE_LOAD,
 
+    /** What the whole fleet has under way at targets, as a teller sums it up for its data centre. */
+    FLEET_LOAD,
+
     /** Which parts of prompts an engine keeps. */
     KEPT_PARTS,
 
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -82,6 +82,9 @@
     private long roundsCount;
     private long wordToTellerRound;
     private boolean wasActing;
+    private List<PeerMember> others = List.of();
+    private List<PeerMember> centre = List.of();
+    private int ownRank;
 
     /**
      * Creates an exchange; {@link #start()} makes it send.
@@ -131,7 +134,7 @@
      * @return false while each tells each
      */
     public boolean byTellers() {
-        return members.get().size() > settings.neighbours();
+        return others.size() > settings.neighbours();
     }
 
     /**
@@ -149,7 +152,7 @@
      * @return zero for the first
      */
     public int ownRank() {
-        return succession.ownRank(members.get());
+        return ownRank;
     }
 
     /**
@@ -172,6 +175,21 @@
         return succession.fallsToOwn(key, List.copyOf(alive()));
     }
 
+    /**
+     * Says whether a duty that one instance of the whole fleet does falls to this one: the one of the tellers that ranks
+     * highest for it.
+     *
+     * @param key what the duty is about, not null
+     * @return whether this instance acts as a teller, and no other teller that was heard of late ranks higher
+     */
+    public boolean fleetsDutyFallsToOwn(String key) {
+        List<String> heard = tellers.values().stream()
+                .filter(teller -> recent(teller.atMillis, SILENT_ROUNDS))
+                .map(Teller::name)
+                .toList();
+        return acting() && succession.fallsToOwn(key, heard);
+    }
+
     @Override
     public void publish(PeerTopic topic, String key, Bytes payload, long keepMillis) {
         PeerEntry entry = new PeerEntry(
@@ -184,9 +202,13 @@
         }
         if (topic == PeerTopic.KEPT_PARTS) {
             (acting() || !byTellers() ? toCentre : toOwnTeller).add(entry);
-        } else if (topic == PeerTopic.CENTRE_LOAD || topic == PeerTopic.ALIVE) {
+        } else if (topic == PeerTopic.ALIVE) {
             toCentre.add(entry);
             toTellers.add(entry);
+        } else if (topic == PeerTopic.CENTRE_LOAD) {
+            toTellers.add(entry);
+        } else if (topic == PeerTopic.FLEET_LOAD) {
+            toCentre.add(entry);
         } else if (!byTellers()) {
             toAll.add(entry);
         } else if (!acting()) {
@@ -204,6 +226,7 @@
 
     private void runRound() {
         roundsCount++;
+        lookAtMembers();
         store.expire(time.monotonicMillis());
         heardAtMillis.values().removeIf(atMillis -> !recent(atMillis, ALIVE_ROUNDS));
         onRound.forEach(Runnable::run);
@@ -213,7 +236,7 @@
             LogEvent.of("teller_changed")
                     .with("acting", acts)
                     .with("teller", ownTeller().orElseGet(settings::instance))
-                    .with("rank", ownRank())
+                    .with("rank", ownRank)
                     .info(log);
         }
         if (acts && roundsCount % TELLERS_WORD_ROUNDS == 0) {
@@ -223,15 +246,24 @@
         time.schedule(settings.roundMillis(), this::runRound);
     }
 
+    /** Once a round: the list is asked for several times by each message and call, and changes within seconds. */
+    private void lookAtMembers() {
+        others = List.copyOf(members.get());
+        centre = others.stream()
+                .filter(member -> member.dataCentre().equals(settings.dataCentre()))
+                .toList();
+        ownRank = succession.ownRank(centre);
+    }
+
     private void flush(boolean acts) {
-        sendAndClear(toAll, members.get());
+        sendAndClear(toAll, others);
         sendAndClear(toTellers, tellersOfOthers());
         if (acts && !toOwnTeller.isEmpty()) {
             // It was for a teller that has gone silent since.
             toCentre.addAll(toOwnTeller);
             toOwnTeller.clear();
         }
-        sendAndClear(toCentre, centre());
+        sendAndClear(toCentre, centre);
         boolean wordDue = roundsCount - wordToTellerRound >= OWN_WORD_ROUNDS;
         if (!acts && (wordDue || !toOwnTeller.isEmpty())) {
             wordToTellerRound = roundsCount;
@@ -243,7 +275,7 @@
     }
 
     private void sayWhoIsAlive() {
-        if (centre().isEmpty()) {
+        if (centre.isEmpty()) {
             return;
         }
         Bytes names = NameList.encode(new TreeSet<>(aliveByHearing()));
@@ -260,7 +292,7 @@
 
     private Set<String> aliveByHearing() {
         Set<String> names = new HashSet<>();
-        for (PeerMember member : centre()) {
+        for (PeerMember member : centre) {
             Long atMillis = heardAtMillis.get(member.name());
             if (atMillis != null && recent(atMillis, ALIVE_ROUNDS)) {
                 names.add(member.name());
@@ -274,31 +306,23 @@
         return atMillis != Long.MIN_VALUE && time.monotonicMillis() - atMillis < rounds * settings.roundMillis();
     }
 
-    private List<PeerMember> centre() {
-        return members.get().stream()
-                .filter(member -> member.dataCentre().equals(settings.dataCentre()))
-                .toList();
-    }
-
     /** The instance of this data centre that acts as its teller, where that is another one. */
     private Optional<String> ownTeller() {
         Teller teller = tellers.get(settings.dataCentre());
         if (teller == null || !succession.before(teller.name)) {
             return Optional.empty();
         }
-        int patienceRounds = SILENT_ROUNDS + STAGGER_ROUNDS * Math.min(MOST_STAGGERS, Math.max(0, ownRank() - 1));
+        int patienceRounds = SILENT_ROUNDS + STAGGER_ROUNDS * Math.min(MOST_STAGGERS, Math.max(0, ownRank - 1));
         return recent(teller.atMillis, patienceRounds) ? Optional.of(teller.name) : Optional.empty();
     }
 
     private Optional<PeerMember> member(String name) {
-        return members.get().stream()
-                .filter(member -> member.name().equals(name))
-                .findFirst();
+        return others.stream().filter(member -> member.name().equals(name)).findFirst();
     }
 
     private List<PeerMember> tellersOfOthers() {
         Map<String, List<PeerMember>> centres = new HashMap<>();
-        for (PeerMember member : members.get()) {
+        for (PeerMember member : others) {
             if (!member.dataCentre().equals(settings.dataCentre())) {
                 centres.computeIfAbsent(member.dataCentre(), _name -> new ArrayList<>())
                         .add(member);
@@ -325,7 +349,7 @@
     }
 
     private void sendToCentre(List<PeerEntry> entries) {
-        send(entries, centre());
+        send(entries, centre);
     }
 
     private void send(List<PeerEntry> entries, List<PeerMember> to) {
@@ -407,15 +431,13 @@
         boolean ours = member(sender)
                 .filter(member -> member.dataCentre().equals(settings.dataCentre()))
                 .isPresent();
-        if (topic == PeerTopic.QUARANTINE) {
+        if (topic == PeerTopic.QUARANTINE || topic == PeerTopic.LEAVING) {
             toCentre.add(entry);
             if (ours) {
                 toTellers.add(entry);
             }
         } else if (topic == PeerTopic.KEPT_PARTS && ours) {
             toCentre.add(entry);
-        } else if (topic == PeerTopic.CENTRE_LOAD && !ours) {
-            toCentre.add(entry);
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
@@ -97,7 +97,8 @@
                 engine.path("kvCapacity").asLong(),
                 engine.path("kvTokenBytes").asLong(),
                 engine.path("linkMbps").asDouble(),
-                Math.round(engine.path("handleTtlS").asDouble() * MILLIS_PER_SECOND));
+                Math.round(engine.path("handleTtlS").asDouble() * MILLIS_PER_SECOND),
+                Math.round(engine.path("switchS").asDouble() * MILLIS_PER_SECOND));
     }
 
     private static CallerLimits limits(JsonNode limits) {
--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -2,7 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
@@ -13,6 +16,7 @@
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.relay.CacheChanges;
@@ -21,7 +25,10 @@
 import org.dogwoodwinch.relay.ControlCaller;
 import org.dogwoodwinch.relay.ControlReply;
 import org.dogwoodwinch.relay.EngineControl;
+import org.dogwoodwinch.relay.OrderOutcome;
+import org.dogwoodwinch.relay.OrderState;
 import org.dogwoodwinch.relay.PromptMemory;
+import org.dogwoodwinch.relay.StageOrder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,6 +38,11 @@
     private static final Logger log = LoggerFactory.getLogger(EngineClient.class);
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
+    private static final int PRECONDITION_FAILED = 412;
+    private static final int MISDIRECTED = 421;
     private static final String WAIT_HEADER = "wait-ms";
 
     /** Columns of an event: number, sign, nothing, part, tokens kept, model. */
@@ -100,6 +112,51 @@
                 .thenApply(EngineClient::list);
     }
 
+    @Override
+    public CompletionStage<Optional<OrderState>> orderState(Incarnation engine) {
+        return call(engine, HttpMethod.GET, "/report", timeoutMillis, headers(engine))
+                .thenApply(EngineClient::state);
+    }
+
+    private static Optional<OrderState> state(ControlReply reply) {
+        return read(reply)
+                .filter(root -> root.path("seq").isIntegralNumber()
+                        && root.path("busy").isBoolean()
+                        && root.path("stage").isTextual())
+                .map(root -> new OrderState(
+                        TargetEntryDecoder.stage(root.path("stage").asText()),
+                        root.path("busy").asBoolean(),
+                        root.path("seq").asLong()));
+    }
+
+    @Override
+    public CompletionStage<OrderOutcome> order(Incarnation engine, StageOrder order) {
+        ObjectNode body = JSON.createObjectNode()
+                .put("op", "stage")
+                .put("stage", order.stage() == Stage.PREFILL ? "prefill" : "decode")
+                .put("holder", order.holder())
+                .put("fence", order.fencingToken())
+                .put("expected", order.expectedOrdersCount());
+        HttpHeaders headers = headers(engine).set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+        return caller.call(
+                        Addresses.of(engine.host(), engine.port()),
+                        new ControlCall(HttpMethod.POST, "/order", headers, Bytes.ofUtf8(body.toString())),
+                        timeoutMillis)
+                .thenApply(EngineClient::outcome);
+    }
+
+    private static OrderOutcome outcome(ControlReply reply) {
+        if (!(reply instanceof ControlReply.Answered answered)) {
+            return OrderOutcome.UNKNOWN;
+        }
+        return switch (answered.status()) {
+            case OK, ACCEPTED -> OrderOutcome.TAKEN;
+            case PRECONDITION_FAILED -> OrderOutcome.FENCED;
+            case CONFLICT, BAD_REQUEST, MISDIRECTED -> OrderOutcome.REFUSED;
+            default -> OrderOutcome.UNKNOWN;
+        };
+    }
+
     private CompletionStage<ControlReply> call(
             Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers) {
         return caller.call(
@@ -146,7 +203,7 @@
         try {
             return Optional.of(JSON.readTree(answered.body().toByteArray()));
         } catch (IOException e) {
-            LogEvent.of("cache_events_not_understood")
+            LogEvent.of("engine_answer_not_understood")
                     .with("error", e.getMessage())
                     .warn(log);
             return Optional.empty();
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.follow.ConditionalLog;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
 import org.dogwoodwinch.follow.KeyedWriter;
@@ -41,6 +42,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int OK = 200;
     private static final int GONE = 410;
+    private static final int PRECONDITION_FAILED = 412;
     private static final int LENGTH_BYTES = 4;
     private static final int READ_HEAD_BYTES = 16;
 
@@ -104,6 +106,45 @@
         };
     }
 
+    /**
+     * Returns a log that takes a record only where it ends as expected.
+     *
+     * @param topic its name, not null
+     * @return the log, the topic's only partition
+     */
+    public ConditionalLog log(String topic) {
+        return (content, endOffset) -> {
+            QueryStringEncoder uri = of("/log-append", topic);
+            uri.addParam("at", Long.toString(endOffset));
+            ByteBuffer record = ByteBuffer.allocate(LENGTH_BYTES + content.length());
+            record.putInt(content.length()).put(content.toByteArray());
+            ControlCall call = new ControlCall(
+                    HttpMethod.POST,
+                    uri.toString(),
+                    new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
+                    Bytes.of(record.array()));
+            return caller.call(address, call, timeoutMillis).thenApply(StoreClient::appended);
+        };
+    }
+
+    private static ConditionalLog.Appended appended(ControlReply reply) {
+        if (!(reply instanceof ControlReply.Answered answered)) {
+            return new ConditionalLog.Unknown(((ControlReply.Lost) reply).reason());
+        }
+        try {
+            JsonNode root = JSON.readTree(answered.body().toByteArray());
+            if (answered.status() == OK && root.path("offset").isIntegralNumber()) {
+                return new ConditionalLog.Written(root.path("offset").asLong());
+            }
+            if (answered.status() == PRECONDITION_FAILED && root.path("end").isIntegralNumber()) {
+                return new ConditionalLog.EndsElsewhere(root.path("end").asLong());
+            }
+            return new ConditionalLog.Unknown("status " + answered.status());
+        } catch (IOException e) {
+            return new ConditionalLog.Unknown("answer not understood: " + e.getMessage());
+        }
+    }
+
     private static Bytes framed(String key, Optional<Bytes> value) {
         byte[] name = key.getBytes(StandardCharsets.UTF_8);
         byte[] content = value.map(Bytes::toByteArray).orElseGet(() -> new byte[0]);
--- a/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
@@ -47,7 +47,7 @@
         }
     }
 
-    private static Stage stage(String word) {
+    static Stage stage(String word) {
         return switch (word) {
             case "prefill" -> Stage.PREFILL;
             case "decode" -> Stage.DECODE;
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -186,7 +186,14 @@
     }
 
     private ChoiceQuery query(Set<String> avoided) {
-        return new ChoiceQuery(service, facts.prompt(), route.urgency(), objectiveLeftMillis(), avoided, !readApart);
+        return new ChoiceQuery(
+                service,
+                facts.prompt(),
+                route.urgency(),
+                objectiveLeftMillis(),
+                route.gapAimMillis(),
+                avoided,
+                !readApart);
     }
 
     /** A suspect is kept away from other suspects; where it has no other place, it runs beside them. */
--- a/src/main/java/org/dogwoodwinch/relay/EngineControl.java
+++ b/src/main/java/org/dogwoodwinch/relay/EngineControl.java
@@ -41,4 +41,21 @@
      * @return completes with the list, or empty where there was no usable answer; never exceptionally
      */
     CompletionStage<Optional<CacheList>> cacheList(Incarnation engine);
+
+    /**
+     * Asks how an engine stands to orders.
+     *
+     * @param engine the engine, not null
+     * @return completes with what it tells, or empty where there was no usable answer; never exceptionally
+     */
+    CompletionStage<Optional<OrderState>> orderState(Incarnation engine);
+
+    /**
+     * Orders an engine to change its stage.
+     *
+     * @param engine the engine, not null
+     * @param order the order, not null
+     * @return completes with what became of it; never exceptionally
+     */
+    CompletionStage<OrderOutcome> order(Incarnation engine, StageOrder order);
 }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -5,10 +5,12 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.forwarding.CallerLimits;
+import org.dogwoodwinch.forwarding.EngineTraits;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.forwarding.PartIndex;
 import org.dogwoodwinch.forwarding.ReadRates;
@@ -196,6 +198,28 @@
                 .isPresent();
     }
 
+    /**
+     * Returns the services of model engines.
+     *
+     * @return their names by the configuration in force
+     */
+    public Set<String> modelServices() {
+        return table.map(RouteTable::modelServices).orElseGet(Set::of);
+    }
+
+    /**
+     * Returns how long an engine is away when it changes its stage.
+     *
+     * @param serviceName the service's name, not null
+     * @return milliseconds by the configuration in force; zero where none is stated
+     */
+    public long switchMillis(String serviceName) {
+        return table.flatMap(current -> current.service(serviceName))
+                .flatMap(ServiceEntry::engine)
+                .map(EngineTraits::switchMillis)
+                .orElse(0L);
+    }
+
     /**
      * Says whether a configuration is in force.
      *
@@ -215,6 +239,15 @@
         parts.suspicions().foundGone(targetId);
     }
 
+    /**
+     * A target takes another part of the work than before, and is back for it.
+     *
+     * @param targetId its id, not null
+     */
+    public void targetChangedStage(String targetId) {
+        health.back(targetId);
+    }
+
     private void targetUnreachable(String targetId) {
         report.unreachable(targetId, health.unreachable(targetId), "connect_failed");
         parts.suspicions().foundGone(targetId);
--- a/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
+++ b/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
@@ -70,8 +70,9 @@
      * What operators and callers were promised.
      *
      * @param drainMillis within which a leaving target gets nothing new
+     * @param holdersApartMillis how far apart orders of two instances to one engine have to be
      */
-    public record PromiseSettings(long drainMillis) {}
+    public record PromiseSettings(long drainMillis, long holdersApartMillis) {}
 
     /**
      * The retry budget of a service, over all instances.
@@ -131,7 +132,9 @@
     }
 
     private static PromiseSettings readPromises(SettingsSection section) {
-        return new PromiseSettings(section.wholeNumber("drainMillis", 100, 600_000, 2_000));
+        return new PromiseSettings(
+                section.wholeNumber("drainMillis", 100, 600_000, 2_000),
+                section.wholeNumber("holdersApartMillis", 0, 600_000, 3_000));
     }
 
     private static RetrySettings readRetries(SettingsSection section) {
--- a/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
@@ -16,7 +16,7 @@
 class EngineChooserTest {
 
     private static final ServiceEntry SERVICE =
-            new ServiceEntry("s", 360, Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000)));
+            new ServiceEntry("s", 360, Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000, 3_000)));
 
     private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0));
     private final LoadBook loads = new LoadBook();
@@ -50,7 +50,7 @@
     private static ChoiceQuery query(String shared, String own, String... tried) {
         Prompt prompt =
                 new Prompt("m", 17_000, 20, List.of(new PromptPart(shared, 13_000), new PromptPart(own, 4_000)));
-        return new ChoiceQuery(SERVICE, Optional.of(prompt), 1, 5_000, Set.of(tried), true);
+        return new ChoiceQuery(SERVICE, Optional.of(prompt), 1, 5_000, 0, Set.of(tried), true);
     }
 
     private static String reader(Plan plan) {
@@ -123,7 +123,7 @@
         parts.kept("d3", "short", 200);
 
         Plan plan = chooser(1)
-                .choose(new ChoiceQuery(SERVICE, Optional.of(prompt), 0, 500, Set.of("d3"), true))
+                .choose(new ChoiceQuery(SERVICE, Optional.of(prompt), 0, 500, 0, Set.of("d3"), true))
                 .orElseThrow();
 
         assertEquals(Optional.empty(), plan.reading().keeper());
@@ -165,7 +165,7 @@
 
     private static ChoiceQuery longCall(int tokens) {
         Prompt prompt = new Prompt("m", tokens, 20, List.of(new PromptPart("x", tokens)));
-        return new ChoiceQuery(SERVICE, Optional.of(prompt), 1, 500, Set.of(), true);
+        return new ChoiceQuery(SERVICE, Optional.of(prompt), 1, 500, 0, Set.of(), true);
     }
 
     /** Its prompt was read apart once: whoever runs it now reads it, too. */
@@ -173,7 +173,7 @@
     void aCallThatMayNotBeReadApartIsReadWhereItRuns() {
         ChoiceQuery query = query("part", "x");
         Plan plan = chooser(1)
-                .choose(new ChoiceQuery(SERVICE, query.prompt(), 1, 5_000, Set.of(), false))
+                .choose(new ChoiceQuery(SERVICE, query.prompt(), 1, 5_000, 0, Set.of(), false))
                 .orElseThrow();
 
         assertEquals(Optional.empty(), plan.prefill());
@@ -208,4 +208,34 @@
         assertTrue(
                 chooser(1).choose(query("a", "b", "d0", "d1", "d2", "d3", "d4")).isEmpty());
     }
+
+    /**
+     * The engines that only read have 400 ms of work before them, and the generating ones are free: read there, the prompt
+     * would have its first event sooner. But it would stretch the pauses of each stream there beyond what their callers
+     * accept, and make all of them late.
+     */
+    @Test
+    void aLongPromptIsNotReadBesideStreamsThatWouldPauseTooLong() {
+        for (int i = 0; i < 3; i++) {
+            loads.sent("p" + i, 0, 12_000);
+            parts.kept("d" + i, "shared", 13_000);
+        }
+        for (int i = 0; i < 5; i++) {
+            loads.sent("d" + i, 0, 0);
+        }
+        ChoiceQuery query = query("shared", "own");
+        ChoiceQuery careful = new ChoiceQuery(SERVICE, query.prompt(), 1, 5_000, 150, Set.of(), true);
+
+        assertTrue(chooser(1).choose(query).orElseThrow().prefill().isEmpty());
+        assertTrue(chooser(1).choose(careful).orElseThrow().prefill().isPresent());
+    }
+
+    /** A short prompt is read within a pause, beside streams as well as anywhere. */
+    @Test
+    void aShortPromptIsReadWhereItRuns() {
+        loads.sent("d0", 0, 0);
+        Prompt prompt = new Prompt("m", 400, 5, List.of(new PromptPart("q", 400)));
+        ChoiceQuery query = new ChoiceQuery(SERVICE, Optional.of(prompt), 0, 250, 150, Set.of(), true);
+        assertTrue(chooser(1).choose(query).orElseThrow().prefill().isEmpty());
+    }
 }
--- a/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
@@ -25,7 +25,7 @@
                "priority":2,"trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":1}],
              "services":[
               {"name":"s","healthPath":"/h","maxConnections":360,"protocol":"h1","tls":false,
-               "engine":{"slots":64,"kvCapacity":440753,"kvTokenBytes":18432,"linkMbps":370000.0,"handleTtlS":5.0}},
+               "engine":{"slots":64,"kvCapacity":440753,"kvTokenBytes":18432,"linkMbps":370000.0,"handleTtlS":5.0,"switchS":3.0}},
               {"name":"t","healthPath":"/h","maxConnections":96,"protocol":"h1","tls":false}],
              "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}
             """;
@@ -43,7 +43,7 @@
         ServiceRoute split = table.find("desk.example", "/b/").orElseThrow();
         assertEquals("t", split.chooseService(0.95));
         assertEquals(
-                new EngineTraits(64, 440_753, 18_432, 370_000, 5_000),
+                new EngineTraits(64, 440_753, 18_432, 370_000, 5_000, 3_000),
                 table.service("s").orElseThrow().engine().orElseThrow());
         assertTrue(table.service("t").orElseThrow().engine().isEmpty());
         assertEquals(15_000, table.limits().idleTimeoutMillis());
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -108,7 +108,9 @@
                 List.of(
                         new ServiceEntry("desk", 96, Optional.empty()),
                         new ServiceEntry(
-                                "reader", 360, Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000)))),
+                                "reader",
+                                360,
+                                Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000, 3_000)))),
                 LIMITS));
         return this;
     }
--- a/src/test/java/org/dogwoodwinch/relay/SilentEngines.java
+++ b/src/test/java/org/dogwoodwinch/relay/SilentEngines.java
@@ -26,4 +26,14 @@
     public CompletionStage<Optional<CacheList>> cacheList(Incarnation _engine) {
         return CompletableFuture.completedFuture(Optional.empty());
     }
+
+    @Override
+    public CompletionStage<Optional<OrderState>> orderState(Incarnation _engine) {
+        return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletionStage<OrderOutcome> order(Incarnation _engine, StageOrder _order) {
+        return new CompletableFuture<>();
+    }
 }
