Use only entries that were understood whole, and hear callers before sending on

Cause: an entry without slots, state or service became a target with a zero or an empty text in their place; a row of an engine's changes without a count dropped a part that is kept.

Change: whatever a choice rests on has to be there and in range; unknown words of state or stage, addresses that are none and huge entries name no target. A call older than 100 ms is sent after the sockets were looked at once more; the test of a second send's time gets that turn of the loop, its assertion stays.

--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -119,14 +119,22 @@
     }
 
     private static Optional<OrderState> state(ControlReply reply) {
-        return read(reply)
+        Optional<JsonNode> report = read(reply)
                 .filter(root -> root.path("seq").isIntegralNumber()
                         && root.path("busy").isBoolean()
-                        && root.path("stage").isTextual())
-                .map(root -> new OrderState(
-                        TargetEntryDecoder.stage(root.path("stage").asText()),
-                        root.path("busy").asBoolean(),
-                        root.path("seq").asLong()));
+                        && root.path("stage").isTextual());
+        if (report.isEmpty()) {
+            return Optional.empty();
+        }
+        JsonNode root = report.get();
+        try {
+            Stage stage = TargetEntryDecoder.stage(root.path("stage").asText());
+            return Optional.of(new OrderState(
+                    stage, root.path("busy").asBoolean(), root.path("seq").asLong()));
+        } catch (IOException e) {
+            notUnderstood(e.getMessage());
+            return Optional.empty();
+        }
     }
 
     @Override
@@ -170,8 +178,9 @@
         return new DefaultHttpHeaders().set(HeaderNames.EXPECTED_INCARNATION, engine.id());
     }
 
+    /** Without its number or its epoch an answer cannot be told from an older one, and nothing of it is taken. */
     private static Optional<CacheChanges> changes(ControlReply reply) {
-        return read(reply)
+        return numbered(reply, "events")
                 .map(root -> new CacheChanges(
                         root.path("epoch").asText(),
                         root.path("nextToken").asLong(),
@@ -180,32 +189,57 @@
     }
 
     private static Optional<CacheList> list(ControlReply reply) {
-        return read(reply)
+        return numbered(reply, "held")
                 .map(root -> new CacheList(
                         root.path("epoch").asText(),
                         root.path("nextToken").asLong(),
                         parts(root.path("held"), LISTED_PART_COLUMN, LISTED_KEPT_COLUMN)));
     }
 
+    private static Optional<JsonNode> numbered(ControlReply reply, String rows) {
+        Optional<JsonNode> root = read(reply);
+        Optional<JsonNode> whole = root.filter(node -> node.path("nextToken").canConvertToLong()
+                && node.path("nextToken").isIntegralNumber()
+                && node.path("epoch").isValueNode()
+                && !node.path("epoch").isNull()
+                && node.path(rows).isArray());
+        if (root.isPresent() && whole.isEmpty()) {
+            notUnderstood("no epoch, number or rows");
+        }
+        return whole;
+    }
+
+    /** A row that is half there is passed over: a missing count read as zero would drop a part that is kept. */
     private static List<CacheChanges.CacheChange> parts(JsonNode rows, int partColumn, int keptColumn) {
         List<CacheChanges.CacheChange> parts = new ArrayList<>();
+        int passedOver = 0;
         for (JsonNode row : rows) {
-            parts.add(new CacheChanges.CacheChange(
-                    row.path(partColumn).asText(), row.path(keptColumn).asInt()));
+            JsonNode part = row.path(partColumn);
+            JsonNode kept = row.path(keptColumn);
+            if (part.isTextual() && !part.asText().isEmpty() && kept.isInt() && kept.asInt() >= 0) {
+                parts.add(new CacheChanges.CacheChange(part.asText(), kept.asInt()));
+            } else {
+                passedOver++;
+            }
+        }
+        if (passedOver > 0) {
+            notUnderstood(passedOver + " rows");
         }
         return parts;
     }
 
+    private static void notUnderstood(String error) {
+        LogEvent.of("engine_answer_not_understood").with("error", error).warn(log);
+    }
+
     private static Optional<JsonNode> read(ControlReply reply) {
         if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
             return Optional.empty();
         }
         try {
-            return Optional.of(JSON.readTree(answered.body().toByteArray()));
+            return Optional.ofNullable(JSON.readTree(answered.body().toByteArray()));
         } catch (IOException e) {
-            LogEvent.of("engine_answer_not_understood")
-                    .with("error", e.getMessage())
-                    .warn(log);
+            notUnderstood(e.getMessage());
             return Optional.empty();
         }
     }
--- a/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
@@ -3,15 +3,30 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.regex.Pattern;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Stage;
 
-/** Decodes what a target states of itself in the platform's store. */
+/**
+ * Decodes what a target states of itself in the platform's store.
+ *
+ * <p>Failure: an entry that is half understood, as of another version of a target or of a writer gone wrong, would be
+ * read as a target that is ready, with a zero in place of what is missing. Whatever a choice rests on has to be there and
+ * in range; otherwise the entry names no target to use, and the others hold.
+ */
 public final class TargetEntryDecoder {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Over any entry; a larger one is no entry. */
+    private static final int MAX_BYTES = 65_536;
+
+    private static final int MAX_PORT = 65_535;
+    private static final int MAX_OCTET = 255;
+    private static final int MAX_SLOTS = 1_000_000;
+    private static final Pattern ADDRESS = Pattern.compile("[0-9]{1,3}([.][0-9]{1,3}){3}:[0-9]{1,5}");
+
     private TargetEntryDecoder() {}
 
     /**
@@ -20,38 +35,96 @@
      * @param id the entry's key, which is the incarnation's id and stands nowhere else, not null
      * @param body the entry, not null
      * @return the incarnation
-     * @throws IOException if it is none
+     * @throws IOException if it is none, with the field that is wrong
      */
     public static Incarnation decode(String id, Bytes body) throws IOException {
+        if (body.length() > MAX_BYTES) {
+            throw new IOException("an entry of " + body.length() + " bytes");
+        }
         JsonNode entry = JSON.readTree(body.toByteArray());
-        String address = entry.path("address").asText();
+        if (entry == null || !entry.isObject()) {
+            throw new IOException("not an object");
+        }
+        String address = address(entry);
+        int colon = address.lastIndexOf(':');
+        return new Incarnation(
+                id,
+                text(entry, "service"),
+                address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)),
+                // The wire's zone is a data centre.
+                text(entry, "zone"),
+                slots(entry),
+                leaving(entry),
+                stageOf(entry),
+                // The wire's own version field is that of the software; weights have theirs with each model.
+                entry.path("models").path(0).path("version").asLong());
+    }
+
+    private static String text(JsonNode entry, String field) throws IOException {
+        JsonNode value = entry.path(field);
+        if (!value.isTextual() || value.asText().isEmpty()) {
+            throw new IOException(field + " is no text: " + value);
+        }
+        return value.asText();
+    }
+
+    private static String address(JsonNode entry) throws IOException {
+        String address = text(entry, "address");
+        if (!ADDRESS.matcher(address).matches()) {
+            throw new IOException("address is none: " + address);
+        }
         int colon = address.lastIndexOf(':');
-        if (colon < 0) {
-            throw new IOException("no address: " + address);
+        for (String octet : address.substring(0, colon).split("[.]", -1)) {
+            if (Integer.parseInt(octet) > MAX_OCTET) {
+                throw new IOException("address is none: " + address);
+            }
         }
-        try {
-            return new Incarnation(
-                    id,
-                    entry.path("service").asText(),
-                    address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1)),
-                    // The wire's zone is a data centre.
-                    entry.path("zone").asText(),
-                    Math.max(1, entry.path("slots").asInt(1)),
-                    !entry.path("state").asText().equals("ready"),
-                    stage(entry.path("stage").asText()),
-                    // The wire's own version field is that of the software; weights have theirs with each model.
-                    entry.path("models").path(0).path("version").asLong());
-        } catch (NumberFormatException e) {
-            throw new IOException("no address: " + address, e);
+        int port = Integer.parseInt(address.substring(colon + 1));
+        if (port < 1 || port > MAX_PORT) {
+            throw new IOException("address has no port: " + address);
         }
+        return address;
     }
 
-    static Stage stage(String word) {
+    private static int slots(JsonNode entry) throws IOException {
+        JsonNode slots = entry.path("slots");
+        if (!slots.isInt() || slots.asInt() < 1 || slots.asInt() > MAX_SLOTS) {
+            throw new IOException("slots is out of range: " + slots);
+        }
+        return slots.asInt();
+    }
+
+    private static boolean leaving(JsonNode entry) throws IOException {
+        String state = text(entry, "state");
+        return switch (state) {
+            case "ready" -> false;
+            case "draining" -> true;
+            default -> throw new IOException("state is unknown: " + state);
+        };
+    }
+
+    /** Plain services state none. */
+    private static Stage stageOf(JsonNode entry) throws IOException {
+        JsonNode word = entry.path("stage");
+        boolean none = word.isMissingNode()
+                || word.isNull()
+                || (word.isTextual() && word.asText().isEmpty());
+        return none ? Stage.WHOLE : stage(text(entry, "stage"));
+    }
+
+    /**
+     * Decodes a stage.
+     *
+     * @param word the wire's word, not null
+     * @return the stage
+     * @throws IOException if the word is none
+     */
+    static Stage stage(String word) throws IOException {
         return switch (word) {
             case "prefill" -> Stage.PREFILL;
             case "decode" -> Stage.DECODE;
-            default -> Stage.WHOLE;
+            default -> throw new IOException("stage is unknown: " + word);
         };
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -30,6 +30,15 @@
     /** Readers that could not be reached before the one that runs the call reads it: each costs a connection's time. */
     private static final int MOST_UNSENT_READINGS = 2;
 
+    /**
+     * The age from which a call is sent only after the callers' connections were looked at once more.
+     *
+     * <p>Failure: a busy instance comes to an engine's answer a second late, and its caller's leaving lies unread beside
+     * it: the call was sent on for nobody. What waits on the sockets is read before a task that is put off. Callers leave
+     * after two seconds and more, or where they are in a hurry within half of an objective; a younger call is not delayed.
+     */
+    private static final long HEARD_AGE_MILLIS = 100;
+
     private enum State {
         SENDING,
         STREAMING,
@@ -265,7 +274,11 @@
         parts.connections().take(plan.target(), parts.connectionsPerTarget(service), new TargetConnections.Taker() {
             @Override
             public void took(TargetConnection taken) {
-                send(taken);
+                if (ageMillis() < HEARD_AGE_MILLIS) {
+                    send(taken);
+                } else {
+                    parts.time().schedule(0, () -> send(taken));
+                }
             }
 
             @Override
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/platform/MutatedEntriesTest.java
@@ -0,0 +1,157 @@
+package org.dogwoodwinch.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.RouteTable;
+import org.dogwoodwinch.forwarding.Stage;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Entries of other writers, or of other versions of targets, lie among the sound ones. What is not understood whole
+ * names no target: read as ready, with a zero for what is missing, it would take callers' requests that nobody answers.
+ */
+class MutatedEntriesTest {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int ROUNDS = 20_000;
+    private static final String ENTRY =
+            "{\"service\":\"s\",\"address\":\"10.1.64.9:8080\",\"zone\":\"a\",\"version\":\"v1\","
+                    + "\"slots\":24,\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"decode\","
+                    + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"seq\":4}";
+    private static final String CONFIGURATION =
+            "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/p/\","
+                    + "\"kind\":\"streaming\",\"timeoutMs\":3000,\"targetLatencyMs\":250,\"priority\":0,\"service\":\"s\","
+                    + "\"maxAttempts\":1}],\"services\":[{\"name\":\"s\",\"maxConnections\":210}],\"limits\":{\"maxBodyBytes\":9}}";
+
+    private static Incarnation decode(String entry) throws IOException {
+        return TargetEntryDecoder.decode("i-1", Bytes.ofUtf8(entry));
+    }
+
+    @Test
+    void aSoundEntryIsReadWhole() throws IOException {
+        Incarnation engine = decode(ENTRY);
+        assertEquals("s", engine.service());
+        assertEquals("10.1.64.9:8080", engine.address());
+        assertEquals(24, engine.slotsCount());
+        assertEquals(Stage.DECODE, engine.stage());
+        assertFalse(engine.leaving());
+        assertEquals(
+                Stage.WHOLE, decode(ENTRY.replace("\"stage\":\"decode\",", "")).stage());
+        assertTrue(decode(ENTRY.replace("ready", "draining")).leaving());
+    }
+
+    static Stream<String> foreign() {
+        return Stream.of(
+                "",
+                "null",
+                "[]",
+                "7",
+                "{}",
+                ENTRY.replace("\"service\":\"s\",", ""),
+                ENTRY.replace("\"s\"", "3"),
+                ENTRY.replace("10.1.64.9:8080", "10.1.64.9"),
+                ENTRY.replace("10.1.64.9:8080", "10.1.64.999:80"),
+                ENTRY.replace("10.1.64.9:8080", "10.1.64.9:0"),
+                ENTRY.replace("10.1.64.9:8080", "10.1.64.9:70000"),
+                ENTRY.replace("10.1.64.9:8080", "target.example:80"),
+                ENTRY.replace("\"slots\":24", "\"slots\":\"24\""),
+                ENTRY.replace("\"slots\":24", "\"slots\":0"),
+                ENTRY.replace("\"slots\":24", "\"slots\":99999999999"),
+                ENTRY.replace("\"slots\":24,", ""),
+                ENTRY.replace("\"state\":\"ready\",", ""),
+                ENTRY.replace("ready", "READY"),
+                ENTRY.replace("\"decode\"", "\"encode\""),
+                ENTRY.replace("\"decode\"", "{}"),
+                ENTRY.replace("v1", "x".repeat(70_000)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("foreign")
+    void whatIsNotUnderstoodNamesNoTarget(String entry) {
+        assertThrows(IOException.class, () -> decode(entry));
+    }
+
+    /** Bytes and fields changed at random: each is refused with a reason, or read with everything in range. */
+    @Test
+    void mutatedEntriesAreReadWholeOrNotAtAll() throws IOException {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(18);
+        int refused = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            byte[] mutated = random.nextBoolean() ? mutatedBytes(ENTRY, random) : mutatedFields(random);
+            try {
+                Incarnation engine = TargetEntryDecoder.decode("i-1", Bytes.of(mutated));
+                assertTrue(engine.port() > 0 && engine.slotsCount() > 0, engine::toString);
+                assertFalse(engine.service().isEmpty() || engine.dataCentre().isEmpty(), engine::toString);
+            } catch (IOException e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > ROUNDS / 4, "refused " + refused);
+    }
+
+    /** What is not understood leaves the last configuration in force; nothing but a refusal comes of it. */
+    @Test
+    void mutatedConfigurationsAreReadOrRefused() throws IOException {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(19);
+        int refused = 0;
+        for (int round = 0; round < ROUNDS; round++) {
+            try {
+                RouteTable table = ConfigurationDecoder.decode(Bytes.of(mutatedBytes(CONFIGURATION, random)));
+                assertTrue(table.routesCount() >= 0);
+            } catch (IOException e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > ROUNDS / 4, "refused " + refused);
+    }
+
+    private static byte[] mutatedBytes(String text, UniformRandomProvider random) {
+        byte[] content = Bytes.ofUtf8(text).toByteArray();
+        for (int i = 0; i <= random.nextInt(4); i++) {
+            content[random.nextInt(content.length)] = (byte) random.nextInt(256);
+        }
+        return random.nextInt(5) == 0 ? Arrays.copyOf(content, random.nextInt(content.length)) : content;
+    }
+
+    private static byte[] mutatedFields(UniformRandomProvider random) throws IOException {
+        ObjectNode entry = (ObjectNode) JSON.readTree(ENTRY);
+        List<String> names = new ArrayList<>();
+        entry.fieldNames().forEachRemaining(names::add);
+        String name = names.get(random.nextInt(names.size()));
+        JsonNodeFactory nodes = JsonNodeFactory.instance;
+        List<JsonNode> values = List.of(
+                nodes.nullNode(),
+                nodes.numberNode(-1),
+                nodes.numberNode(1e300),
+                nodes.numberNode(Long.MAX_VALUE),
+                nodes.textNode(""),
+                nodes.textNode("\u0000"),
+                nodes.booleanNode(true),
+                nodes.arrayNode(),
+                nodes.objectNode());
+        if (random.nextInt(4) == 0) {
+            entry.remove(name);
+        } else {
+            entry.set(name, values.get(random.nextInt(values.size())));
+        }
+        return JSON.writeValueAsBytes(entry);
+    }
+}
--- a/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
@@ -308,10 +308,27 @@
         relay.time.advanceMillis(300);
 
         relay.target().close();
+        // What is put off until the sockets were looked at.
+        relay.time.advanceMillis(0);
 
         assertTrue(relay.target().received().contains("deadline-ms: 200"));
     }
 
+    /**
+     * A busy instance comes to a target's rejection late, and the caller's leaving lies unread beside it. The sockets are
+     * read in any order: the call must not go on to the next target before the leaving was read.
+     */
+    @Test
+    void aCallWhoseCallerLeftMeanwhileIsNotSentOn() {
+        RelayFixture.CallerEnd caller = relay.caller().send(RelayFixture.get("/once/a", "a1"));
+        relay.time.advanceMillis(150);
+        relay.target().answer("HTTP/1.1 503 Busy\r\nRequest-Id: a1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        caller.leave();
+        relay.time.advanceMillis(10);
+
+        assertEquals("", relay.target().received());
+    }
+
     /**
      * A target closes its idle connections after five seconds. A call that is sent as it closes may or may not have run,
      * so a connection that is idle for nearly as long is not used any more.
