Deal connections out to the instances that were seen, and change several engines of many

Change: connections are dealt out to the instances seen and a quarter more (four at the most); the retry budget's slack as before. The pause between two orders is shorter by the number of eights among the engines.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -8,6 +8,7 @@
 import org.dogwoodwinch.follow.KeyedWriter;
 import org.dogwoodwinch.follow.StreamFollower;
 import org.dogwoodwinch.follow.ToldPolicy;
+import org.dogwoodwinch.forwarding.ConnectionSharers;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
@@ -114,6 +115,12 @@
                 members.mostSeenCount().orElse(1));
     }
 
+    /** The instances that share a target's connections. */
+    int connectionSharersCount() {
+        return ConnectionSharers.count(
+                members.mostSeenCount(), settings.forwarding().mostInstancesCount());
+    }
+
     /** This instance's share of a common bound; nothing while it does not know the others. */
     double shareOf(double whole) {
         return members.mostSeenCount().isPresent() ? whole / sharersCount() : 0;
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -191,7 +191,7 @@
                         budget,
                         fleet.quarantine(),
                         health,
-                        fleet::sharersCount),
+                        fleet::connectionSharersCount),
                 metrics);
         this.configuration = new StreamFollower(
                 fleet.streams()
--- a/src/main/java/org/dogwoodwinch/forwarding/StagePlanner.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StagePlanner.java
@@ -16,12 +16,15 @@
  */
 public final class StagePlanner {
 
+    private static final int ENGINES_OF_ONE_AWAY = 8;
+
     private final StagePlanPolicy policy;
     private final ReadRates rates;
     private final Pressure reading;
     private final Pressure generating;
     private final Pressure busy;
     private long notBeforeMillis = Long.MIN_VALUE;
+    private int enginesCount;
 
     /**
      * Creates a planner that has seen nothing.
@@ -62,6 +65,7 @@
         if (readers.isEmpty() || generators.isEmpty()) {
             return Optional.empty();
         }
+        enginesCount = readers.size() + generators.size();
         reading.see(waitMillis(readers, load), nowMillis);
         generating.see(waitMillis(generators, load), nowMillis);
         busy.see(busyRatio(generators, load), nowMillis);
@@ -78,13 +82,15 @@
     }
 
     /**
-     * An order was given.
+     * An order was given. Of many engines several may be away at once, one of eight at the most: what one engine brings
+     * does not show there, and a mix that shifts within seconds would be over before one after the other had changed.
      *
      * @param awayMillis how long the engine is away
      * @param nowMillis monotonic milliseconds
      */
     public void ordered(long awayMillis, long nowMillis) {
-        notBeforeMillis = nowMillis + awayMillis + policy.dwellMillis();
+        long pauseMillis = awayMillis + policy.dwellMillis();
+        notBeforeMillis = nowMillis + pauseMillis / Math.max(1, enginesCount / ENGINES_OF_ONE_AWAY);
     }
 
     private boolean wantsReader(int generatorsCount) {
--- a/src/test/java/org/dogwoodwinch/forwarding/StagePlannerTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/StagePlannerTest.java
@@ -107,6 +107,17 @@
         assertTrue(after(1_000).isPresent());
     }
 
+    /** Of forty engines five may be away at once: one after the other, a shift of the mix would be over before. */
+    @Test
+    void ofManyEnginesSeveralAreAway() {
+        engines(14, 26);
+        load(Stage.PREFILL, 4, 12_000);
+        assertTrue(after(3_000).isPresent());
+        planner.ordered(3_000, nowMillis);
+        assertTrue(after(750).isEmpty());
+        assertTrue(after(500).isPresent());
+    }
+
     /** The engine with the least under way is the one that fewest callers wait for. */
     @Test
     void theEngineWithTheLeastUnderWayChanges() {
--- a/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
+++ b/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
@@ -24,10 +24,15 @@
             "daemon/ConfigurationReader.java",
             "daemon/TargetsReader.java",
             "daemon/LoadSharing.java",
+            "daemon/StreamSharing.java",
+            "daemon/KeptSharing.java",
+            "daemon/EnginesAway.java",
+            "daemon/StageOrders.java",
             "daemon/ClockWatch.java",
             "daemon/SettingsWatch.java",
             "daemon/StopSignals.java",
-            "peer/MemberList.java");
+            "peer/MemberList.java",
+            "peer/TellerExchange.java");
     private static final Pattern EVENT = Pattern.compile("(?:LogEvent\\.of|about|logState)\\(\"([a-z_]+)\"");
     private static final Pattern FIELD = Pattern.compile("\\.with\\(\\s*\"([A-Za-z]+)\"");
     private static final Pattern METRIC = Pattern.compile("\"(dogwoodwinch_[a-z_]+)\"");
