Start by neighbours' word where the platform turns an instance away, and tell only what is new

Now a teller tells everything it knows to each instance that it is connected to anew, once more where that one stays silent, and to whoever asks because its own reading failed; it stands for the first reading where it comes first, and the store's records go on from its offset. A data centre that is turned away as a whole lives on the word of another one's reader. A connection to a peer without an acknowledgement is given up after 1 s (3 s).

Cause 2: processor time. Now duties are ranked when somebody comes or goes, renewed entries are left out of a reader's word, a word without news is told twice in the time that it stands, sums go with the teller's sign of life and not when nothing is under way, only tellers plan stages, an index of targets is made when it is asked for, and nobody but the first in order takes itself for the teller at a start.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -147,7 +147,7 @@
      * @return this instance as the others reach it
      */
     PeerMember listen(InetSocketAddress address) {
-        int port = transport.listen(address.getHostString(), address.getPort(), exchange::receive);
+        int port = transport.listen(address, exchange::receive, exchange::connected);
         return new PeerMember(
                 settings.instance().name(),
                 address.getHostString(),
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -218,6 +218,7 @@
                         service::modelServices,
                         service::switchMillis,
                         _service -> new StagePlanner(StagePlanPolicy.STANDARD, rates),
+                        fleet.exchange()::acting,
                         () -> fleet.exchange().fleetsDutyFallsToOwn(StageOrders.TOPIC),
                         store.log(StageOrders.TOPIC),
                         engines,
@@ -228,7 +229,11 @@
                 directory, service, metrics, time, settings.promises().drainMillis() * 4 / 5);
         this.targets = new StreamFollower(
                 fleet.streams()
-                        .share(StoreClient.TARGETS_TOPIC, store.keyed(StoreClient.TARGETS_TOPIC), told(settings)),
+                        .share(
+                                StoreClient.TARGETS_TOPIC,
+                                store.keyed(StoreClient.TARGETS_TOPIC),
+                                told(settings),
+                                TargetsReader::meaning),
                 follow,
                 targetsReader,
                 time,
--- a/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
@@ -32,7 +32,6 @@
     private static final String KEY = "flight";
     private static final String CENTRE_PREFIX = "centre ";
     private static final String FLEET = "fleet";
-    private static final int SUM_ROUNDS = 2;
 
     /** Rounds without a word after which an instance's loads are no longer counted. */
     private static final int KEPT_ROUNDS = 10;
@@ -52,7 +51,8 @@
     private final Deque<LoadWord> ownWords = new ArrayDeque<>();
     private long nextNumber = 1;
     private boolean toldNothing;
-    private int sumRounds;
+    private boolean toldEmptyCentre;
+    private boolean toldEmptyFleet;
 
     LoadSharing(
             LoadBook loads,
@@ -102,9 +102,12 @@
         exchange.publish(PeerTopic.LOAD, KEY, word.encode(), KEPT_ROUNDS * roundMillis);
     }
 
-    /** Every other round: each word is read by all instances of the data centre, and costs each of them the same. */
+    /**
+     * Together with the teller's sign of life: each message is read by all instances of the data centre, and costs each of
+     * them the same. That nothing is under way is told once; what is not told again is forgotten.
+     */
     private void tellSum(Map<String, TargetLoad> own) {
-        if (++sumRounds % SUM_ROUNDS != 0) {
+        if (!exchange.tellersRound()) {
             return;
         }
         Map<String, TargetLoad> sum = new HashMap<>(own);
@@ -114,11 +117,17 @@
             word.loads().forEach((id, load) -> sum.merge(id, load, TargetLoad::plus));
         });
         long keepMillis = KEPT_ROUNDS * roundMillis;
-        exchange.publish(
-                PeerTopic.CENTRE_LOAD, dataCentre, new LoadWord(nextNumber++, sum, Map.of()).encode(), keepMillis);
+        if (!sum.isEmpty() || !toldEmptyCentre) {
+            exchange.publish(
+                    PeerTopic.CENTRE_LOAD, dataCentre, new LoadWord(nextNumber++, sum, Map.of()).encode(), keepMillis);
+        }
+        toldEmptyCentre = sum.isEmpty();
         heardCentres.values().forEach(loads -> loads.forEach((id, load) -> sum.merge(id, load, TargetLoad::plus)));
-        exchange.publish(
-                PeerTopic.FLEET_LOAD, dataCentre, new LoadWord(nextNumber++, sum, contained).encode(), keepMillis);
+        if (!sum.isEmpty() || !toldEmptyFleet) {
+            exchange.publish(
+                    PeerTopic.FLEET_LOAD, dataCentre, new LoadWord(nextNumber++, sum, contained).encode(), keepMillis);
+        }
+        toldEmptyFleet = sum.isEmpty();
     }
 
     private void heard(PeerItem item) {
--- a/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
@@ -28,8 +28,10 @@
 /**
  * Orders engines to change their stage where the planner finds it worth it. Used on one event loop alone.
  *
- * <p>All instances plan, so that whichever becomes the giver of orders knows the loads; one of them orders. Should two
- * take themselves for the giver, the log decides: a record for each order, written only where the log ends as expected.
+ * <p>The tellers of the data centres plan, so that whichever becomes the giver of orders knows the loads; one of them
+ * orders. Should two take themselves for the giver, the log decides: a record for each order, written only where the log
+ * ends as expected. All others plan nothing: a look at all engines four times a second, in each of a hundred instances,
+ * was time that their callers did not get.
  */
 final class StageOrders {
 
@@ -63,6 +65,7 @@
      * @param services the services of model engines, asked each time, not null
      * @param switchMillis how long an engine of a service is away, not null
      * @param planners makes a planner for a service, not null
+     * @param watcher whether the orders may soon fall to this instance, not null
      * @param giver whether the orders fall to this instance, not null
      * @param log decides who may give an order, not null
      * @param control reaches the engines, not null
@@ -75,6 +78,7 @@
             Supplier<Set<String>> services,
             ToLongFunction<String> switchMillis,
             Function<String, StagePlanner> planners,
+            BooleanSupplier watcher,
             BooleanSupplier giver,
             ConditionalLog log,
             EngineControl control,
@@ -103,15 +107,22 @@
     void start() {
         long nowMillis = time.monotonicMillis();
         notBeforeMillis.values().removeIf(until -> until <= nowMillis);
-        for (String service : parts.services().get()) {
-            StagePlanner planner = planners.computeIfAbsent(service, parts.planners());
-            List<Incarnation> ready = parts.directory().ready(service);
-            planner.plan(ready, parts.loads()::at, id -> !notBeforeMillis.containsKey(id), nowMillis)
-                    .ifPresent(change -> consider(planner, change));
+        if (parts.watcher().getAsBoolean()) {
+            parts.services().get().forEach(service -> plan(service, nowMillis));
+        } else {
+            // What was seen before it had the duty is too old to plan by.
+            planners.clear();
         }
         time.schedule(PLAN_EVERY_MILLIS, this::start);
     }
 
+    private void plan(String service, long nowMillis) {
+        StagePlanner planner = planners.computeIfAbsent(service, parts.planners());
+        List<Incarnation> ready = parts.directory().ready(service);
+        planner.plan(ready, parts.loads()::at, id -> !notBeforeMillis.containsKey(id), nowMillis)
+                .ifPresent(change -> consider(planner, change));
+    }
+
     private void consider(StagePlanner planner, StagePlanner.Change change) {
         long nowMillis = time.monotonicMillis();
         notBeforeMillis.values().removeIf(until -> until <= nowMillis);
--- a/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
@@ -1,12 +1,12 @@
 package org.dogwoodwinch.daemon;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Function;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.follow.KeyedRecord;
@@ -40,6 +40,7 @@
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.time = Objects.requireNonNull(time, "time");
         exchange.subscribe(PeerTopic.STREAM, this::heard);
+        exchange.tellNewcomers(PeerTopic.STREAM, this::whole, KEEP_MILLIS);
     }
 
     /**
@@ -51,13 +52,40 @@
      * @return the stream to follow
      */
     ToldStream share(String name, KeyedStream platform, ToldPolicy policy) {
-        ToldStream told = new ToldStream(name, platform, policy, time, exchange::ownRank, this::tell);
+        return share(name, platform, policy, _record -> new Object());
+    }
+
+    /**
+     * Makes a stream one that is told, but for the records that say again what the one before said of its key.
+     *
+     * @param name its name, not null
+     * @param platform reads it from the store, not null
+     * @param policy the times, not null
+     * @param meaning what a record says; two that say the same are equal, not null
+     * @return the stream to follow
+     */
+    ToldStream share(String name, KeyedStream platform, ToldPolicy policy, Function<KeyedRecord, Object> meaning) {
+        ToldStream.Teller teller = new ToldStream.Teller() {
+            @Override
+            public void tell(ToldWord word, boolean ownReading) {
+                exchange.publishAtOnce(PeerTopic.STREAM, word.stream(), encode(word), KEEP_MILLIS, ownReading);
+            }
+
+            @Override
+            public void want() {
+                exchange.wantEverything();
+            }
+        };
+        ToldStream told = new ToldStream(name, platform, policy, time, exchange::ownRank, teller, meaning);
         streams.put(name, told);
         return told;
     }
 
-    private void tell(ToldWord word) {
-        exchange.publish(PeerTopic.STREAM, word.stream(), encode(word), KEEP_MILLIS);
+    /** All that is known here, for an instance that has just been connected to and may know nothing. */
+    private Map<String, Bytes> whole() {
+        Map<String, Bytes> words = new HashMap<>();
+        streams.forEach((name, stream) -> stream.whole().ifPresent(word -> words.put(name, encode(word))));
+        return words;
     }
 
     private void heard(PeerItem item) {
@@ -67,7 +95,12 @@
         }
         try {
             Word word = Packing.unpack(item.payload().toByteArray(), Word::read);
-            stream.heard(word.told(item.key(), Math.max(0, item.ageMillis())), exchange.before(item.origin()));
+            ToldWord told = word.told(item.key(), Math.max(0, item.ageMillis()));
+            if (exchange.ofOwnCentre(item.origin())) {
+                stream.heard(told, exchange.before(item.origin()));
+            } else {
+                stream.heardAbroad(told);
+            }
         } catch (IOException e) {
             LogEvent.of("stream_word_not_understood")
                     .with("peer", item.origin())
@@ -81,46 +114,61 @@
         return Packing.pack(word, Word::write);
     }
 
-    /** A word as a message carries it: the rows fill the offsets up to the next one. */
-    private record Word(long nextOffset, long contactAgeMillis, List<Row> rows) {
+    /** A word as a message carries it. */
+    private record Word(
+            boolean whole, long firstOffset, long nextOffset, long contactAgeMillis, List<KeyedRecord> rows) {
 
         static void write(MessagePacker packer, ToldWord word) throws IOException {
+            packer.packBoolean(word.whole());
+            packer.packLong(word.firstOffset());
             packer.packLong(word.nextOffset());
             packer.packLong(word.contactAgeMillis());
-            Packing.writeAll(packer, word.records(), Row::write);
+            Packing.writeAll(packer, word.records(), Word::writeRow);
         }
 
         static Word read(MessageUnpacker unpacker) throws IOException {
-            Word word = new Word(unpacker.unpackLong(), unpacker.unpackLong(), Packing.readAll(unpacker, Row::read));
-            if (word.nextOffset < word.rows.size()) {
-                throw new IOException("more rows than offsets");
-            }
+            Word word = new Word(
+                    unpacker.unpackBoolean(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong(),
+                    Packing.readAll(unpacker, Word::readRow));
+            word.check();
             return word;
         }
 
         ToldWord told(String stream, long ageMillis) {
-            List<KeyedRecord> records = new ArrayList<>();
-            long firstOffset = nextOffset - rows.size();
-            for (Row row : rows) {
-                records.add(new KeyedRecord(row.key, firstOffset + records.size(), row.value));
-            }
-            return new ToldWord(stream, records, nextOffset, Math.max(0, contactAgeMillis) + ageMillis);
+            return new ToldWord(
+                    stream, whole, rows, firstOffset, nextOffset, Math.max(0, contactAgeMillis) + ageMillis);
         }
-    }
 
-    private record Row(String key, Optional<Bytes> value) {
+        /** Offsets out of order would take whoever believes them back, or let them pass over records. */
+        private void check() throws IOException {
+            if (firstOffset < 0 || firstOffset > nextOffset) {
+                throw new IOException("records from " + firstOffset + " to " + nextOffset);
+            }
+            long leastOffset = whole ? 0 : firstOffset;
+            for (KeyedRecord row : rows) {
+                if (row.offset() < leastOffset || (!whole && row.offset() >= nextOffset)) {
+                    throw new IOException("a record at " + row.offset());
+                }
+                leastOffset = whole ? 0 : row.offset() + 1;
+            }
+        }
 
-        static void write(MessagePacker packer, KeyedRecord record) throws IOException {
+        private static void writeRow(MessagePacker packer, KeyedRecord record) throws IOException {
             packer.packString(record.key());
+            packer.packLong(record.offset());
             packer.packBoolean(record.value().isPresent());
             Packing.writeBytes(packer, record.value().orElse(Bytes.EMPTY));
         }
 
-        static Row read(MessageUnpacker unpacker) throws IOException {
+        private static KeyedRecord readRow(MessageUnpacker unpacker) throws IOException {
             String key = unpacker.unpackString();
+            long offset = unpacker.unpackLong();
             boolean present = unpacker.unpackBoolean();
             Bytes value = Packing.readBytes(unpacker);
-            return new Row(key, present ? Optional.of(value) : Optional.empty());
+            return new KeyedRecord(key, offset, present ? Optional.of(value) : Optional.empty());
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -115,8 +115,17 @@
         if (stated.isEmpty() && wasReady) {
             service.targetFoundGone(id);
         }
-        metrics.showTargets(
-                (int) directory.all().stream().filter(each -> !each.leaving()).count());
+        metrics.showTargets(directory.readyCount());
+    }
+
+    /**
+     * Returns what an entry says of its target, to tell news from an entry that was only renewed.
+     *
+     * @param record the entry, not null
+     * @return the target, empty where it is gone or the entry names none
+     */
+    static Object meaning(KeyedRecord record) {
+        return decode(record);
     }
 
     private static Optional<Incarnation> decode(KeyedRecord record) {
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -17,7 +17,8 @@
 
     private final TargetHealth health;
     private final Map<String, Row> rows = new HashMap<>();
-    private Map<String, List<Incarnation>> readyByService = Map.of();
+    private Optional<Map<String, List<Incarnation>>> readyByService = Optional.empty();
+    private int readyCount;
 
     /**
      * Creates a directory without targets.
@@ -41,11 +42,8 @@
         if (known != null && known.offset >= offset) {
             return false;
         }
-        rows.put(id, new Row(offset, incarnation));
         boolean changed = known == null || !known.incarnation.equals(incarnation);
-        if (changed) {
-            index();
-        }
+        put(id, new Row(offset, incarnation));
         return changed;
     }
 
@@ -63,13 +61,19 @@
                 dropped.add(id);
             }
         });
-        dropped.forEach(id -> rows.put(id, new Row(endOffset - 1, Optional.empty())));
-        if (!dropped.isEmpty()) {
-            index();
-        }
+        dropped.forEach(id -> put(id, new Row(endOffset - 1, Optional.empty())));
         return dropped;
     }
 
+    /**
+     * Returns how many targets are listed and not leaving.
+     *
+     * @return the count over all services
+     */
+    public int readyCount() {
+        return readyCount;
+    }
+
     /**
      * Returns the targets that may get new work.
      *
@@ -77,7 +81,10 @@
      * @return those listed and not leaving, but for what could not be reached of late
      */
     public List<Incarnation> ready(String service) {
-        return health.usable(readyByService.getOrDefault(service, List.of()));
+        if (readyByService.isEmpty()) {
+            readyByService = Optional.of(index());
+        }
+        return health.usable(readyByService.get().getOrDefault(service, List.of()));
     }
 
     /**
@@ -100,16 +107,28 @@
         return rows.values().stream().flatMap(row -> row.incarnation.stream()).toList();
     }
 
-    private void index() {
+    private void put(String id, Row row) {
+        Row known = rows.put(id, row);
+        readyCount += (row.ready() ? 1 : 0) - (known != null && known.ready() ? 1 : 0);
+        readyByService = Optional.empty();
+    }
+
+    /** Made when it is asked for: a first reading brings all targets one after the other. */
+    private Map<String, List<Incarnation>> index() {
         Map<String, List<Incarnation>> fresh = new HashMap<>();
         for (Row row : rows.values()) {
-            if (row.incarnation.isPresent() && !row.incarnation.get().leaving()) {
+            if (row.ready()) {
                 fresh.computeIfAbsent(row.incarnation.get().service(), _service -> new ArrayList<>())
                         .add(row.incarnation.get());
             }
         }
-        readyByService = fresh;
+        return fresh;
     }
 
-    private record Row(long offset, Optional<Incarnation> incarnation) {}
+    private record Row(long offset, Optional<Incarnation> incarnation) {
+
+        boolean ready() {
+            return incarnation.isPresent() && !incarnation.get().leaving();
+        }
+    }
 }
--- a/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
+++ b/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.logging.LogEvent;
@@ -40,8 +41,16 @@
 
     private static final int LENGTH_BYTES = 4;
     private static final int IDLE_SECONDS = 60;
-    private static final int CONNECT_MILLIS = 2_000;
-    private static final int UNACKNOWLEDGED_MILLIS = 3_000;
+    /** Many ways between data centres; a member that was down is reached as soon again after it is back. */
+    private static final int CONNECT_MILLIS = 500;
+
+    /**
+     * Failure: a member loses power and starts again; until the old connection is found dead it hears nothing, and has
+     * nothing to serve by where the platform turns it away. A word is told several times a second, so a second without an
+     * acknowledgement is no slow link.
+     */
+    private static final int UNACKNOWLEDGED_MILLIS = 1_000;
+
     private static final int MAX_CONNECTIONS_IN = 1_024;
 
     private final Transport sockets;
@@ -51,6 +60,7 @@
     private final Map<PeerMember, ChannelFuture> connections = new ConcurrentHashMap<>();
     private final Map<Channel, Boolean> accepted = new ConcurrentHashMap<>();
     private Optional<Channel> listener = Optional.empty();
+    private Consumer<PeerMember> onConnected = _member -> {};
 
     /**
      * Creates a transport.
@@ -94,6 +104,19 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
+    /**
+     * Starts to listen, and says when a connection to a member was opened.
+     *
+     * @param address where to listen, not null
+     * @param receiver takes each message and says whether it was right; where it was not, the connection is closed
+     * @param connected hears of each new connection to a member, on the event loop, not null
+     * @return the port that it listens on
+     */
+    public int listen(InetSocketAddress address, Predicate<Bytes> receiver, Consumer<PeerMember> connected) {
+        onConnected = Objects.requireNonNull(connected, "connected");
+        return listen(address.getHostString(), address.getPort(), receiver);
+    }
+
     private void initAccepted(SocketChannel channel, Predicate<Bytes> receiver) {
         if (accepted.size() >= MAX_CONNECTIONS_IN) {
             outcomeUnused(channel.close());
@@ -147,6 +170,11 @@
                 .connect(member.host(), member.peerPort());
         outcomeUnused(
                 connection.channel().closeFuture().addListener(_closed -> connections.remove(member, connection)));
+        outcomeUnused(connection.addListener(_connected -> {
+            if (connection.isSuccess()) {
+                onConnected.accept(member);
+            }
+        }));
         return connection;
     }
 
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -30,5 +30,8 @@
     STREAM,
 
     /** The instances of a data centre that its teller hears. */
-    ALIVE
+    ALIVE,
+
+    /** That an instance has nothing to serve by, and wants all that its teller knows. */
+    WANT
 }
--- a/src/main/java/org/dogwoodwinch/peer/Succession.java
+++ b/src/main/java/org/dogwoodwinch/peer/Succession.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.peer;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
@@ -80,7 +81,7 @@
      * @param names the instances, this one may be among them or not, not null
      * @return whether no other one ranks higher for the thing
      */
-    public boolean fallsToOwn(String key, List<String> names) {
+    public boolean fallsToOwn(String key, Collection<String> names) {
         double own = score(key, ownName);
         return names.stream().noneMatch(name -> !name.equals(ownName) && score(key, name) > own);
     }
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -54,6 +54,10 @@
     private static final int ALIVE_ROUNDS = 10;
 
     private static final int NEWCOMER_ROUNDS = 3;
+
+    /** An instance that read the platform's list says a word to its teller within three rounds. */
+    private static final int OWED_ROUNDS = 4;
+
     private static final long REPLAY_WINDOW_MILLIS = 300_000;
 
     private final PeerSettings settings;
@@ -62,6 +66,7 @@
     private final Supplier<List<PeerMember>> members;
     private final PeerObserver observer;
     private final Succession succession;
+    private final OwnDuties ownDuties;
     private final PeerCodec codec;
     private final PeerItemStore store = new PeerItemStore();
     private final Map<PeerTopic, List<Consumer<PeerItem>>> listeners = new EnumMap<>(PeerTopic.class);
@@ -74,12 +79,16 @@
     private final List<PeerEntry> toOwnTeller = new ArrayList<>();
     private final List<PeerEntry> toAll = new ArrayList<>();
     private final List<Runnable> onRound = new ArrayList<>();
+    private final Map<PeerTopic, ForNewcomers> forNewcomers = new EnumMap<>(PeerTopic.class);
+    private final Map<String, Owed> owed = new HashMap<>();
     private final long startedMillis;
     private Set<String> toldAlive = Set.of();
     private long toldAliveAtMillis = Long.MIN_VALUE;
     private long nextVersion = 1;
     private long nextNumber = 1;
     private long roundsCount;
+    private int wantsCount;
+    private long firstRoundMillis = Long.MIN_VALUE;
     private long wordToTellerRound;
     private boolean wasActing;
     private List<PeerMember> others = List.of();
@@ -107,6 +116,7 @@
         this.members = Objects.requireNonNull(members, "members");
         this.observer = Objects.requireNonNull(observer, "observer");
         this.succession = new Succession(settings.dataCentre(), settings.instance());
+        this.ownDuties = new OwnDuties(succession);
         this.codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
         this.startedMillis = time.wallMillis();
         for (PeerTopic topic : PeerTopic.values()) {
@@ -146,6 +156,15 @@
         return ownTeller().isEmpty();
     }
 
+    /**
+     * Says whether a teller gives its sign of life in this round: what else is told to all then goes in the same message.
+     *
+     * @return whether this is such a round
+     */
+    public boolean tellersRound() {
+        return roundsCount % TELLERS_WORD_ROUNDS == 0;
+    }
+
     /**
      * Returns this instance's place in the order of succession.
      *
@@ -172,7 +191,7 @@
      * @return whether no other instance that is believed alive ranks higher for it
      */
     public boolean fallsToOwn(String key) {
-        return succession.fallsToOwn(key, List.copyOf(alive()));
+        return ownDuties.fallsToOwn(key);
     }
 
     /**
@@ -190,16 +209,109 @@
         return acting() && succession.fallsToOwn(key, heard);
     }
 
+    /**
+     * Says whether an instance is one of this data centre.
+     *
+     * @param name its name, not null
+     * @return whether it is this one, or is listed in this data centre
+     */
+    public boolean ofOwnCentre(String name) {
+        return name.equals(settings.instance())
+                || centre.stream().anyMatch(member -> member.name().equals(name));
+    }
+
+    /**
+     * Tells everything of a topic to each instance that this one has just been connected to: it may have started anew, and
+     * know nobody that it could ask.
+     *
+     * @param topic the topic, not null
+     * @param all what is to be told by key, asked for each time, not null
+     * @param keepMillis how long it may be of use
+     */
+    public void tellNewcomers(PeerTopic topic, Supplier<Map<String, Bytes>> all, long keepMillis) {
+        forNewcomers.put(topic, new ForNewcomers(all, keepMillis));
+    }
+
+    /**
+     * Hears of a new connection to another instance.
+     *
+     * @param member the instance, not null
+     */
+    public void connected(PeerMember member) {
+        if (acting() || !byTellers()) {
+            owed.put(member.name(), new Owed(member, roundsCount));
+            tellEverything(member);
+        }
+    }
+
+    /**
+     * Asks others for all that they know: the platform turns this instance away, and it has nothing to serve by. The one
+     * that tells it, and of its data centre each time another one, since the teller may be turned away as well.
+     */
+    public void wantEverything() {
+        List<PeerEntry> want = List.of(own(PeerTopic.WANT, settings.instance(), Bytes.EMPTY, 1));
+        send(
+                want,
+                acting()
+                        ? tellersOfOthers()
+                        : ownTeller().flatMap(this::member).stream().toList());
+        if (!centre.isEmpty()) {
+            send(want, List.of(centre.get(wantsCount++ % centre.size())));
+        }
+    }
+
+    /** Returns whether there was anything to tell newcomers. */
+    private boolean tellEverything(PeerMember member) {
+        boolean[] told = new boolean[1];
+        send(store.all(time.monotonicMillis(), settings.maxMessageBytes() / 2), List.of(member));
+        forNewcomers.forEach((topic, kept) -> kept.all.get().forEach((key, payload) -> {
+            told[0] = true;
+            PeerEntry entry = own(topic, key, payload, kept.keepMillis);
+            send(List.of(entry), List.of(member));
+        }));
+        return told[0];
+    }
+
+    /**
+     * Tells everything once more to those that were silent since they were connected to.
+     *
+     * <p>Failure: all instances start at once, and the platform answers some of them. When these connected to the others
+     * they knew nothing yet; those that are turned away know nobody whom they could ask.
+     */
+    private void payOwed() {
+        owed.values().removeIf(each -> heardAtMillis.containsKey(each.member.name()));
+        owed.values()
+                .removeIf(each -> roundsCount - each.sinceRound >= OWED_ROUNDS
+                        && (roundsCount - each.sinceRound) % OWED_ROUNDS == 0
+                        && tellEverything(each.member));
+    }
+
+    /**
+     * Tells the own data centre at once: what the platform's bounds count for may not wait for a round.
+     *
+     * @param topic the topic, not null
+     * @param key what it is about, not null
+     * @param payload what is told, not null
+     * @param keepMillis how long it may be of use
+     * @param abroad whether the tellers of the other data centres are told too
+     */
+    public void publishAtOnce(PeerTopic topic, String key, Bytes payload, long keepMillis, boolean abroad) {
+        List<PeerEntry> entries = List.of(own(topic, key, payload, keepMillis));
+        send(entries, centre);
+        if (abroad && acting()) {
+            send(entries, tellersOfOthers());
+        }
+    }
+
+    private PeerEntry own(PeerTopic topic, String key, Bytes payload, long keepMillis) {
+        return new PeerEntry(
+                settings.instance(), startedMillis, topic.name(), key, nextVersion++, 0, keepMillis, payload);
+    }
+
     @Override
     public void publish(PeerTopic topic, String key, Bytes payload, long keepMillis) {
-        PeerEntry entry = new PeerEntry(
-                settings.instance(), startedMillis, topic.name(), key, nextVersion++, 0, keepMillis, payload);
+        PeerEntry entry = own(topic, key, payload, keepMillis);
         store.accept(entry, time.monotonicMillis(), 0);
-        if (topic == PeerTopic.STREAM) {
-            // Bounds count from the platform's acknowledgement: no round may pass first.
-            sendToCentre(List.of(entry));
-            return;
-        }
         if (topic == PeerTopic.KEPT_PARTS) {
             (acting() || !byTellers() ? toCentre : toOwnTeller).add(entry);
         } else if (topic == PeerTopic.ALIVE) {
@@ -226,10 +338,14 @@
 
     private void runRound() {
         roundsCount++;
+        if (firstRoundMillis == Long.MIN_VALUE && !others.isEmpty()) {
+            firstRoundMillis = time.monotonicMillis();
+        }
         lookAtMembers();
         store.expire(time.monotonicMillis());
         heardAtMillis.values().removeIf(atMillis -> !recent(atMillis, ALIVE_ROUNDS));
         onRound.forEach(Runnable::run);
+        payOwed();
         boolean acts = acting();
         if (acts != wasActing) {
             wasActing = acts;
@@ -239,7 +355,7 @@
                     .with("rank", ownRank)
                     .info(log);
         }
-        if (acts && roundsCount % TELLERS_WORD_ROUNDS == 0) {
+        if (acts && tellersRound()) {
             sayWhoIsAlive();
         }
         flush(acts);
@@ -253,6 +369,7 @@
                 .filter(member -> member.dataCentre().equals(settings.dataCentre()))
                 .toList();
         ownRank = succession.ownRank(centre);
+        ownDuties.among(alive());
     }
 
     private void flush(boolean acts) {
@@ -308,14 +425,28 @@
 
     /** The instance of this data centre that acts as its teller, where that is another one. */
     private Optional<String> ownTeller() {
+        int patienceRounds = SILENT_ROUNDS + STAGGER_ROUNDS * Math.min(MOST_STAGGERS, Math.max(0, ownRank - 1));
         Teller teller = tellers.get(settings.dataCentre());
         if (teller == null || !succession.before(teller.name)) {
-            return Optional.empty();
+            return presumedTeller(patienceRounds);
         }
-        int patienceRounds = SILENT_ROUNDS + STAGGER_ROUNDS * Math.min(MOST_STAGGERS, Math.max(0, ownRank - 1));
         return recent(teller.atMillis, patienceRounds) ? Optional.of(teller.name) : Optional.empty();
     }
 
+    /**
+     * Who is the teller while none was heard yet: the first in order is given as long as one that falls silent.
+     *
+     * <p>Load: a fleet that starts at once. Each instance took itself for the teller until it heard one, and opened a
+     * connection to each other one of its data centre.
+     */
+    private Optional<String> presumedTeller(int patienceRounds) {
+        return byTellers() && recent(firstRoundMillis, patienceRounds)
+                ? Succession.first(settings.dataCentre(), centre)
+                        .map(PeerMember::name)
+                        .filter(succession::before)
+                : Optional.empty();
+    }
+
     private Optional<PeerMember> member(String name) {
         return others.stream().filter(member -> member.name().equals(name)).findFirst();
     }
@@ -348,10 +479,6 @@
         }
     }
 
-    private void sendToCentre(List<PeerEntry> entries) {
-        send(entries, centre);
-    }
-
     private void send(List<PeerEntry> entries, List<PeerMember> to) {
         if (to.isEmpty()) {
             return;
@@ -419,6 +546,10 @@
         if (topic.get() == PeerTopic.ALIVE) {
             heardTeller(entry, sender);
         }
+        if (topic.get() == PeerTopic.WANT) {
+            member(sender).ifPresent(this::tellEverything);
+            return;
+        }
         if (acting() && byTellers()) {
             passOn(entry, topic.get(), sender);
         }
@@ -490,4 +621,8 @@
     }
 
     private record Teller(String name, long atMillis) {}
+
+    private record Owed(PeerMember member, long sinceRound) {}
+
+    private record ForNewcomers(Supplier<Map<String, Bytes>> all, long keepMillis) {}
 }
--- a/src/test/java/org/dogwoodwinch/daemon/StageOrdersTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StageOrdersTest.java
@@ -76,6 +76,7 @@
                                     () -> Set.of("s"),
                                     _service -> 3_000,
                                     _service -> new StagePlanner(StagePlanPolicy.STANDARD, new ReadRates(30)),
+                                    () -> true,
                                     () -> gives,
                                     this::append,
                                     this,
--- a/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -78,9 +79,14 @@
 
         final String name;
         final String dataCentre;
-        final TellerExchange exchange;
+        TellerExchange exchange;
         final Map<Long, Long> appliedAtMillis = new HashMap<>();
-        private final StreamFollower follower;
+        private StreamFollower follower;
+        private int life;
+        private final Set<String> connectedTo = new HashSet<>();
+        /** Whether it knows the addresses of the others without having read or heard them. */
+        boolean knowsOthers = true;
+
         boolean storeCut;
         boolean deaf;
         boolean mute;
@@ -90,12 +96,21 @@
         Member(String name, String dataCentre) {
             this.name = name;
             this.dataCentre = dataCentre;
+            begin();
+        }
+
+        private void begin() {
+            int ownLife = ++life;
             this.exchange = new TellerExchange(
                     new PeerSettings(name, dataCentre, "", ROUND_MILLIS, 8, 14_000, 262_144),
                     time,
-                    this::send,
+                    (to, message) -> {
+                        if (ownLife == life) {
+                            send(to, message);
+                        }
+                    },
                     () -> members.stream()
-                            .filter(other -> other != this)
+                            .filter(other -> other != this && knowsOthers)
                             .map(other -> new PeerMember(other.name, "10.0.0.1", 1, other.dataCentre))
                             .toList(),
                     PeerObserver.NONE);
@@ -109,6 +124,15 @@
             exchange.start();
         }
 
+        /** Loses power and starts anew: it knows nothing, and each connection to it is a new one. */
+        void restart() {
+            appliedAtMillis.clear();
+            connectedTo.clear();
+            members.forEach(other -> other.connectedTo.remove(name));
+            begin();
+            start();
+        }
+
         /** All of it, both ways: as a process that is killed, but for what it believes of itself. */
         void dead(boolean dead) {
             storeCut = dead;
@@ -138,6 +162,9 @@
             if (mute || frozen) {
                 return;
             }
+            if (connectedTo.add(to.name())) {
+                exchange.connected(to);
+            }
             messagesCount++;
             messageBytes += message.length();
             Member receiver = members.stream()
