Tell a target's starts apart by birth, also under one id

Cause: an engine may start again under the id that it had, and then holds and knows nothing of before; it states its birth in all that it says of itself. Nothing read it: what the earlier start kept was believed kept, its connections and its pauses were the later one's, and a late word of the earlier start could replace the later one.

Change: Incarnation has a birth (zero where none is stated). A changed birth makes connections, kept parts, suspicions and pauses go; an entry of an earlier birth changes nothing; changes of memory are asked for from the beginning; a peer's word of kept parts, a report, a list and changes of another birth than the listed one are not used. A birth that is no time makes an entry name no target.

Tests fail with each mechanism off: TargetsReaderTest (two), CacheWatchTest. Not tested by themselves: words of peers and engines' answers of another birth.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -206,7 +206,7 @@
                 parts,
                 this::modelEngines,
                 engineId -> fleet.exchange().fallsToOwn(engineId),
-                new KeptSharing(fleet.exchange(), parts, time),
+                new KeptSharing(fleet.exchange(), parts, this::bornMillis, time),
                 time,
                 CACHE_ROUND_MILLIS);
         this.enginesAway = new EnginesAway(fleet.exchange(), health);
@@ -339,6 +339,10 @@
                 .toList();
     }
 
+    private long bornMillis(String targetId) {
+        return directory.find(targetId).map(Incarnation::bornMillis).orElse(0L);
+    }
+
     private boolean ready() {
         return !leaving && service.configured() && targetsReader.readOnce();
     }
--- a/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.forwarding.PartIndex;
@@ -39,10 +40,12 @@
 
     private final TellerExchange exchange;
     private final PartIndex parts;
+    private final ToLongFunction<String> bornMillis;
     private final TimeSource time;
     private final Map<String, Told> engines = new HashMap<>();
 
-    KeptSharing(TellerExchange exchange, PartIndex parts, TimeSource time) {
+    KeptSharing(TellerExchange exchange, PartIndex parts, ToLongFunction<String> bornMillis, TimeSource time) {
+        this.bornMillis = Objects.requireNonNull(bornMillis, "bornMillis");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.parts = Objects.requireNonNull(parts, "parts");
         this.time = Objects.requireNonNull(time, "time");
@@ -95,6 +98,7 @@
 
     private void tell(String engineId, boolean whole, Map<String, Integer> kept) {
         Bytes word = Packing.pack(kept, (packer, parts) -> {
+            packer.packLong(bornMillis.applyAsLong(engineId));
             packer.packBoolean(whole);
             Packing.writeNumbers(packer, parts);
         });
@@ -109,7 +113,12 @@
         try {
             Word word = Packing.unpack(
                     item.payload().toByteArray(),
-                    unpacker -> new Word(unpacker.unpackBoolean(), Packing.readNumbers(unpacker)));
+                    unpacker ->
+                            new Word(unpacker.unpackLong(), unpacker.unpackBoolean(), Packing.readNumbers(unpacker)));
+            if (word.bornMillis() != bornMillis.applyAsLong(item.key())) {
+                // Of a start that is over here, or not known here yet: the whole list comes again in some seconds.
+                return;
+            }
             if (word.whole()) {
                 parts.forget(item.key());
             }
@@ -129,5 +138,5 @@
         private long wholeAtMillis = Long.MIN_VALUE;
     }
 
-    private record Word(boolean whole, Map<String, Long> tokens) {}
+    private record Word(long bornMillis, boolean whole, Map<String, Long> tokens) {}
 }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -101,13 +101,23 @@
                 .with(
                         "state",
                         stated.map(each -> each.leaving() ? "leaving" : "ready").orElse("gone"))
+                .with("bornMillis", stated.map(Incarnation::bornMillis).orElse(0L))
                 .info(log);
+        if (startedAgain(before, stated)) {
+            service.targetStartedAgain(id);
+        }
         if (before.isPresent() && !before.map(Incarnation::stage).equals(stated.map(Incarnation::stage))) {
             service.targetChangedStage(id);
         }
         changed(id, stated, wasReady);
     }
 
+    private static boolean startedAgain(Optional<Incarnation> before, Optional<Incarnation> stated) {
+        return before.isPresent()
+                && stated.isPresent()
+                && before.get().bornMillis() != stated.get().bornMillis();
+    }
+
     private void changed(String id, Optional<Incarnation> stated, boolean wasReady) {
         if (stated.isEmpty() || stated.get().leaving()) {
             service.forgetTarget(id);
--- a/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
@@ -3,9 +3,10 @@
 import java.util.Objects;
 
 /**
- * One start of a target. Its address may be another target's after its end, its id never is.
+ * One start of a target. Its address may be another target's after its end. Its id may be that of a later start, which
+ * knows nothing of what was before: only id and birth together name a start.
  *
- * @param id the id of this start, not null
+ * @param id the target's id, not null
  * @param service the service that it belongs to, not null
  * @param host its IP number, not null
  * @param port its port
@@ -14,6 +15,7 @@
  * @param leaving whether it has said that it leaves
  * @param stage the part of the work that it takes, not null
  * @param weightVersion the version of its model's weights; zero where none is stated
+ * @param bornMillis when it started, in milliseconds of the platform's time; zero where that is not stated
  */
 public record Incarnation(
         String id,
@@ -24,7 +26,8 @@
         int slotsCount,
         boolean leaving,
         Stage stage,
-        long weightVersion) {
+        long weightVersion,
+        long bornMillis) {
 
     /** Checks. */
     public Incarnation {
@@ -35,6 +38,32 @@
         Objects.requireNonNull(stage, "stage");
     }
 
+    /**
+     * A start whose birth is not stated.
+     *
+     * @param id the target's id, not null
+     * @param service the service that it belongs to, not null
+     * @param host its IP number, not null
+     * @param port its port
+     * @param dataCentre where it stands, not null
+     * @param slotsCount requests that it runs at once, at least one
+     * @param leaving whether it has said that it leaves
+     * @param stage the part of the work that it takes, not null
+     * @param weightVersion the version of its model's weights; zero where none is stated
+     */
+    public Incarnation(
+            String id,
+            String service,
+            String host,
+            int port,
+            String dataCentre,
+            int slotsCount,
+            boolean leaving,
+            Stage stage,
+            long weightVersion) {
+        this(id, service, host, port, dataCentre, slotsCount, leaving, stage, weightVersion, 0);
+    }
+
     /**
      * Compares all parts.
      *
@@ -53,7 +82,8 @@
                 && slotsCount == that.slotsCount
                 && leaving == that.leaving
                 && stage == that.stage
-                && weightVersion == that.weightVersion;
+                && weightVersion == that.weightVersion
+                && bornMillis == that.bornMillis;
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -30,7 +30,8 @@
     }
 
     /**
-     * Applies a record.
+     * Applies a record. One of an earlier start of a target that has started again since is passed over: it was written
+     * late, and would bring back an address and a state that are no more.
      *
      * @param id the target's id, not null
      * @param offset the record's offset
@@ -39,7 +40,7 @@
      */
     public boolean apply(String id, long offset, Optional<Incarnation> incarnation) {
         Row known = rows.get(id);
-        if (known != null && known.offset >= offset) {
+        if (known != null && (known.offset >= offset || known.bornAfter(incarnation))) {
             return false;
         }
         boolean changed = known == null || !known.incarnation.equals(incarnation);
@@ -127,6 +128,13 @@
 
     private record Row(long offset, Optional<Incarnation> incarnation) {
 
+        boolean bornAfter(Optional<Incarnation> other) {
+            return incarnation.isPresent()
+                    && other.isPresent()
+                    && other.get().bornMillis() != 0
+                    && incarnation.get().bornMillis() > other.get().bornMillis();
+        }
+
         boolean ready() {
             return incarnation.isPresent() && !incarnation.get().leaving();
         }
--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -103,23 +103,23 @@
     public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation engine, long sinceNumber) {
         HttpHeaders headers = headers(engine).set(WAIT_HEADER, waitMillis);
         return call(engine, HttpMethod.GET, "/kv-events?since=" + sinceNumber, waitMillis + timeoutMillis, headers)
-                .thenApply(EngineClient::changes);
+                .thenApply(reply -> changes(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<CacheList>> cacheList(Incarnation engine) {
         return call(engine, HttpMethod.GET, "/kv-list", timeoutMillis, headers(engine))
-                .thenApply(EngineClient::list);
+                .thenApply(reply -> list(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<OrderState>> orderState(Incarnation engine) {
         return call(engine, HttpMethod.GET, "/report", timeoutMillis, headers(engine))
-                .thenApply(EngineClient::state);
+                .thenApply(reply -> state(engine, reply));
     }
 
-    private static Optional<OrderState> state(ControlReply reply) {
-        Optional<JsonNode> report = read(reply)
+    private static Optional<OrderState> state(Incarnation engine, ControlReply reply) {
+        Optional<JsonNode> report = read(engine, reply)
                 .filter(root -> root.path("seq").isIntegralNumber()
                         && root.path("busy").isBoolean()
                         && root.path("stage").isTextual());
@@ -180,8 +180,8 @@
     }
 
     /** Without its number or its epoch an answer cannot be told from an older one, and nothing of it is taken. */
-    private static Optional<CacheChanges> changes(ControlReply reply) {
-        return numbered(reply, "events")
+    private static Optional<CacheChanges> changes(Incarnation engine, ControlReply reply) {
+        return numbered(engine, reply, "events")
                 .map(root -> new CacheChanges(
                         root.path("epoch").asText(),
                         root.path("nextToken").asLong(),
@@ -189,16 +189,16 @@
                         parts(root.path("events"), PART_COLUMN, KEPT_COLUMN)));
     }
 
-    private static Optional<CacheList> list(ControlReply reply) {
-        return numbered(reply, "held")
+    private static Optional<CacheList> list(Incarnation engine, ControlReply reply) {
+        return numbered(engine, reply, "held")
                 .map(root -> new CacheList(
                         root.path("epoch").asText(),
                         root.path("nextToken").asLong(),
                         parts(root.path("held"), LISTED_PART_COLUMN, LISTED_KEPT_COLUMN)));
     }
 
-    private static Optional<JsonNode> numbered(ControlReply reply, String rows) {
-        Optional<JsonNode> root = read(reply);
+    private static Optional<JsonNode> numbered(Incarnation engine, ControlReply reply, String rows) {
+        Optional<JsonNode> root = read(engine, reply);
         Optional<JsonNode> whole = root.filter(node -> node.path("nextToken").canConvertToLong()
                 && node.path("nextToken").isIntegralNumber()
                 && node.path("epoch").isValueNode()
@@ -233,12 +233,23 @@
         LogEvent.of("engine_answer_not_understood").with("error", error).warn(log);
     }
 
-    private static Optional<JsonNode> read(ControlReply reply) {
+    /** What another start of the engine says is not of this one; an engine that states no birth is taken at its word. */
+    private static Optional<JsonNode> read(Incarnation engine, ControlReply reply) {
         if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
             return Optional.empty();
         }
         try {
-            return Optional.ofNullable(JsonTrees.read(answered.body().toByteArray()));
+            JsonNode root = JsonTrees.read(answered.body().toByteArray());
+            long bornMillis = TargetEntryDecoder.born(root);
+            if (bornMillis != 0 && engine.bornMillis() != 0 && bornMillis != engine.bornMillis()) {
+                LogEvent.of("engine_of_another_start")
+                        .with("target", engine.id())
+                        .with("bornMillis", bornMillis)
+                        .with("knownMillis", engine.bornMillis())
+                        .info(log);
+                return Optional.empty();
+            }
+            return Optional.of(root);
         } catch (IOException e) {
             notUnderstood(e.getMessage());
             return Optional.empty();
--- a/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
@@ -56,7 +56,26 @@
                 leaving(entry),
                 stageOf(entry),
                 // The wire's own version field is that of the software; weights have theirs with each model.
-                entry.path("models").path(0).path("version").asLong());
+                entry.path("models").path(0).path("version").asLong(),
+                born(entry));
+    }
+
+    /**
+     * Decodes when a target started, from anything that it says of itself.
+     *
+     * @param said the entry or answer, not null
+     * @return milliseconds of the platform's time; zero where it does not state it
+     * @throws IOException if what it states is no time
+     */
+    static long born(JsonNode said) throws IOException {
+        JsonNode born = said.path("born");
+        if (born.isMissingNode()) {
+            return 0;
+        }
+        if (!born.isIntegralNumber() || !born.canConvertToLong() || born.asLong() <= 0) {
+            throw new IOException("born is no time: " + born);
+        }
+        return born.asLong();
     }
 
     private static String text(JsonNode entry, String field) throws IOException {
--- a/src/main/java/org/dogwoodwinch/relay/CacheWatch.java
+++ b/src/main/java/org/dogwoodwinch/relay/CacheWatch.java
@@ -104,7 +104,22 @@
     }
 
     private void ask(Incarnation engine) {
-        Reading reading = readings.computeIfAbsent(engine.id(), _id -> new Reading());
+        Reading reading = readings.get(engine.id());
+        if (reading != null && reading.bornMillis != engine.bornMillis()) {
+            // What an earlier start said, or still says, is of no use; nor is the number it was asked up to.
+            readings.remove(engine.id());
+            parts.forget(engine.id());
+            listener.listed(engine.id());
+            reading = null;
+        }
+        if (reading == null) {
+            reading = new Reading(engine.bornMillis());
+            readings.put(engine.id(), reading);
+        }
+        ask(engine, reading);
+    }
+
+    private void ask(Incarnation engine, Reading reading) {
         if (reading.asking || time.monotonicMillis() < reading.askAtMillis) {
             return;
         }
@@ -171,11 +186,16 @@
     }
 
     private static final class Reading {
+        private final long bornMillis;
         private boolean asking;
         private long nextNumber;
         private long askAtMillis = Long.MIN_VALUE;
         private int failuresInARow;
         private long listAtMillis = Long.MIN_VALUE;
         private Optional<String> epoch = Optional.empty();
+
+        Reading(long bornMillis) {
+            this.bornMillis = bornMillis;
+        }
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -248,6 +248,21 @@
         health.back(targetId);
     }
 
+    /**
+     * A target has started again under its id: it holds and knows nothing of before.
+     *
+     * <p>Failure: what is believed of the earlier start is used at the later one. Calls go where their prompt is thought
+     * to be kept and wait until it is read, connections are those of a process that is gone, and the target is left alone
+     * for what the earlier one did.
+     *
+     * @param targetId its id, not null
+     */
+    public void targetStartedAgain(String targetId) {
+        targetFoundGone(targetId);
+        forgetTarget(targetId);
+        parts.parts().forget(targetId);
+    }
+
     private void targetUnreachable(String targetId) {
         report.unreachable(targetId, health.unreachable(targetId), "connect_failed");
         parts.suspicions().foundGone(targetId);
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -15,6 +15,8 @@
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.forwarding.PartIndex;
+import org.dogwoodwinch.forwarding.Prompt;
+import org.dogwoodwinch.forwarding.PromptPart;
 import org.dogwoodwinch.forwarding.ReadRates;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
@@ -34,6 +36,7 @@
     private static final long LAPSE_MILLIS = 1_600;
 
     private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final PartIndex parts = new PartIndex();
     private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0));
     private final TargetsReader reader = new TargetsReader(
             directory, service(), new ForwardingMetrics(new PrometheusRegistry()), time, LAPSE_MILLIS);
@@ -51,7 +54,7 @@
                 new ForwardingService.Decisions(
                         new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(2)),
                         loads,
-                        new PartIndex(),
+                        parts,
                         new ReadRates(30),
                         new RetryPolicy(1, 1, 1, 1),
                         new RetryBudget(0, () -> 0, 1_000, 0),
@@ -67,6 +70,13 @@
         reader.record(new KeyedRecord(id, offset++, Optional.of(Bytes.ofUtf8(json))));
     }
 
+    private void entryBorn(String id, String address, long bornMillis) {
+        String json =
+                "{\"service\":\"s\",\"address\":\"" + address + "\",\"zone\":\"dc\",\"version\":\"v1\",\"slots\":6,"
+                        + "\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":4,\"born\":" + bornMillis + "}";
+        reader.record(new KeyedRecord(id, offset++, Optional.of(Bytes.ofUtf8(json))));
+    }
+
     private void removed(String id) {
         reader.record(new KeyedRecord(id, offset++, Optional.empty()));
     }
@@ -160,4 +170,38 @@
 
         assertEquals(List.of("jump"), jumps);
     }
+
+    /**
+     * An engine crashes and starts again under its id: it keeps nothing of what it had read. Calls with a long part went on
+     * going there as if it were kept, and their callers waited for all of it to be read.
+     */
+    @Test
+    void whatAnEngineKeptIsForgottenWhenItStartsAgainUnderItsId() {
+        Prompt prompt = new Prompt("m", 900, 9, List.of(new PromptPart("p", 900)));
+        entryBorn("a", "10.0.0.1:80", 1_000);
+        parts.kept("a", "p", 900);
+        entryBorn("a", "10.0.0.1:80", 1_000);
+        assertEquals(900, parts.keptTokens("a", prompt));
+
+        entryBorn("a", "10.0.0.1:80", 2_000);
+        assertEquals(0, parts.keptTokens("a", prompt));
+    }
+
+    /**
+     * A word of the start before is written after the one of the new start, as it was on its way for long. Calls would go
+     * to an address where nobody is, or another engine by now.
+     */
+    @Test
+    void aLateWordOfAnEarlierStartChangesNothing() {
+        entryBorn("a", "10.0.0.2:80", 2_000);
+        entryBorn("a", "10.0.0.1:80", 1_000);
+        assertEquals("10.0.0.2", directory.find("a").orElseThrow().host());
+    }
+
+    /** A time that is none comes from a writer gone wrong: its entry names no engine to use. */
+    @Test
+    void anEntryWhoseBirthIsNoTimeNamesNoTarget() {
+        entryBorn("a", "10.0.0.1:80", -5);
+        assertEquals(List.of(), ready());
+    }
 }
--- a/src/test/java/org/dogwoodwinch/relay/CacheWatchTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CacheWatchTest.java
@@ -47,6 +47,22 @@
         assertEquals(0, control.lists.size());
     }
 
+    /**
+     * An engine starts again under its id while its changes are asked for up to the number of the start before. Its answer
+     * to that question is of nobody any more; it is asked anew from the beginning, and what it kept is forgotten.
+     */
+    @Test
+    void anEngineThatStartedAgainIsAskedFromTheBeginning() {
+        started();
+        control.tell(new CacheChanges("x", 7, false, List.of(new CacheChange("a", 900))));
+        time.advanceMillis(250);
+        engines = List.of(new Incarnation("e1", "s", "10.0.0.1", 80, "dc", 64, false, Stage.DECODE, 1, 2_000));
+        time.advanceMillis(250);
+
+        assertEquals(0, parts.keptTokens("e1", PROMPT));
+        assertEquals(List.of(0L, 7L, 0L), control.asked);
+    }
+
     /**
      * An instance starts while engines hold more than they still tell. The engine says that changes are missing; its list
      * makes up for them. Before, the part was believed unread, and read a second time elsewhere.
