--- a/src/main/java/org/dogwoodwinch/follow/ToldStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ToldStream.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -94,7 +93,7 @@
         this.time = Objects.requireNonNull(time, "time");
         this.ownRank = Objects.requireNonNull(ownRank, "ownRank");
         this.teller = Objects.requireNonNull(teller, "teller");
-        this.repeated = new RepeatedMeaning(meaning);
+        this.repeated = new RepeatedMeaning(meaning, KEPT_RECORDS);
     }
 
     /** Tells other instances, and asks them. */
@@ -385,45 +384,6 @@
         }
     }
 
-    /** Which records of this instance's own readings say the same as the one before of their key. */
-    private static final class RepeatedMeaning {
-        private final Function<KeyedRecord, Object> meaning;
-        private final Map<String, Object> last = new HashMap<>();
-        private final Deque<Long> offsets = new ArrayDeque<>();
-        private long endOffset = -1;
-
-        RepeatedMeaning(Function<KeyedRecord, Object> meaning) {
-            this.meaning = Objects.requireNonNull(meaning, "meaning");
-        }
-
-        /** Returns whether something was new. Behind a gap all is: what stood in the gap may have said otherwise. */
-        boolean read(long fromOffset, long nextOffset, List<KeyedRecord> records) {
-            if (fromOffset != endOffset) {
-                last.clear();
-                offsets.clear();
-            }
-            endOffset = nextOffset;
-            boolean news = false;
-            for (KeyedRecord record : records) {
-                Object said = meaning.apply(record);
-                boolean same = said.equals(last.put(record.key(), said));
-                if (same) {
-                    offsets.addLast(record.offset());
-                } else {
-                    news = true;
-                }
-            }
-            while (offsets.size() > KEPT_RECORDS) {
-                offsets.removeFirst();
-            }
-            return news;
-        }
-
-        boolean contains(long offset) {
-            return offsets.contains(offset);
-        }
-    }
-
     private static final class Waiting {
         private final long fromOffset;
         private final long waitMillis;
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/follow/RepeatedMeaningTest.java
@@ -0,0 +1,62 @@
+package org.dogwoodwinch.follow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.dogwoodwinch.bytes.Bytes;
+import org.junit.jupiter.api.Test;
+
+class RepeatedMeaningTest {
+
+    private final RepeatedMeaning repeated = new RepeatedMeaning(RepeatedMeaningTest::state, 4);
+
+    /** Entries here are a state and a count that grows with each renewal. */
+    private static Object state(KeyedRecord record) {
+        return record.value()
+                .map(value -> new String(value.toByteArray(), java.nio.charset.StandardCharsets.UTF_8).charAt(0))
+                .map(Object.class::cast)
+                .orElse("gone");
+    }
+
+    private static KeyedRecord entry(long offset, String text) {
+        return new KeyedRecord("engine", offset, text.isEmpty() ? Optional.empty() : Optional.of(Bytes.ofUtf8(text)));
+    }
+
+    @Test
+    void aRenewedEntrySaysNothingNewAndAChangedOneDoes() {
+        assertTrue(repeated.read(0, 1, List.of(entry(0, "ready 1"))));
+        assertFalse(repeated.read(1, 2, List.of(entry(1, "ready 2"))));
+        assertTrue(repeated.contains(1));
+        assertTrue(repeated.read(2, 4, List.of(entry(2, "leaving 3"), entry(3, ""))));
+        assertFalse(repeated.contains(2));
+        assertFalse(repeated.contains(3));
+    }
+
+    /**
+     * A reader loses the store, an engine says that it leaves and then that it is ready again, and the reader goes on
+     * behind the first of the two. The others heard of the leaving from somebody else; told that nothing is new, they would
+     * leave the engine alone for good.
+     */
+    @Test
+    void behindAGapEverythingIsNew() {
+        repeated.read(0, 1, List.of(entry(0, "ready 1")));
+        assertTrue(repeated.read(2, 3, List.of(entry(2, "ready 3"))));
+        assertFalse(repeated.contains(2));
+    }
+
+    @Test
+    void onlyTheLatestOffsetsAreRemembered() {
+        repeated.read(0, 1, List.of(entry(0, "ready 0")));
+        for (long offset = 1; offset <= 6; offset++) {
+            repeated.read(offset, offset + 1, List.of(entry(offset, "ready " + offset)));
+        }
+        assertEquals(
+                List.of(3L, 4L, 5L, 6L),
+                List.of(1L, 2L, 3L, 4L, 5L, 6L).stream()
+                        .filter(repeated::contains)
+                        .toList());
+    }
+}
