Show repeats by decision, instances seen, and what peers are told by topic

Sight for the investigation of retries beyond the quota: no log or metric told whether a repeat was asked for, whether a reset connection was new, among how many instances the slack is dealt out, or what fills the links of the instances that tell the others. No decision changes.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.daemon;
 
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowPolicy;
@@ -18,8 +19,10 @@
 import org.dogwoodwinch.peer.PeerObserver;
 import org.dogwoodwinch.peer.PeerRefusal;
 import org.dogwoodwinch.peer.PeerSettings;
+import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.peer.SuspicionExchange;
 import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.request.SuspectBook;
 import org.dogwoodwinch.settings.ForwardingSettings;
@@ -67,7 +70,8 @@
             KeyedStream stream,
             KeyedWriter writer,
             FollowPolicy follow,
-            LoadBook loads) {
+            LoadBook loads,
+            ForwardingMetrics metrics) {
         this.settings = settings;
         String name = settings.instance().name();
         this.members = new MemberList(name, writer, time, settings.peers().renewMillis());
@@ -84,7 +88,8 @@
                 time,
                 transport,
                 members::others,
-                new RefusalLog());
+                new TrafficReport(metrics));
+        exchange.eachRound(() -> metrics.showInstances(sharersCount()));
         this.streams = new StreamSharing(exchange, time);
         this.follower = new StreamFollower(
                 streams.share(MemberList.TOPIC, stream, MEMBERS_TOLD),
@@ -168,7 +173,20 @@
         members.leave();
     }
 
-    private static final class RefusalLog implements PeerObserver {
+    /** Counts what is told by what it is about: on a narrow link that tells what to tell less of. */
+    private static final class TrafficReport implements PeerObserver {
+
+        private final ForwardingMetrics metrics;
+
+        TrafficReport(ForwardingMetrics metrics) {
+            this.metrics = metrics;
+        }
+
+        @Override
+        public void onTold(PeerTopic topic, int wordBytes, int receiversCount) {
+            metrics.toldPeers(topic.name().toLowerCase(Locale.ROOT), (long) wordBytes * receiversCount);
+        }
+
         @Override
         public void onRefused(PeerRefusal refusal) {
             LogEvent.of("peer_message_refused").with("reason", refusal.label()).warn(log);
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -158,7 +158,8 @@
                 store.keyed(MemberList.TOPIC),
                 store.writer(MemberList.TOPIC),
                 follow,
-                loads);
+                loads,
+                metrics);
         this.budget = new RetryBudget(
                 settings.retries().ratio(),
                 () -> fleet.shareOf(this.settings.retries().slackCount()),
--- a/src/main/java/org/dogwoodwinch/peer/PeerObserver.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerObserver.java
@@ -13,6 +13,15 @@
      */
     default void onSent(int messageBytes) {}
 
+    /**
+     * A word was put into a message.
+     *
+     * @param topic what it is about, not null
+     * @param wordBytes its size with what goes before it, in bytes
+     * @param receiversCount the instances that the message goes to
+     */
+    default void onTold(PeerTopic topic, int wordBytes, int receiversCount) {}
+
     /**
      * A message was taken.
      *
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -491,6 +491,9 @@
                 time.wallMillis(),
                 roundsCount <= NEWCOMER_ROUNDS,
                 entries));
+        for (PeerEntry entry : entries) {
+            topicOf(entry.topic()).ifPresent(topic -> observer.onTold(topic, PeerCodec.sizeOf(entry), to.size()));
+        }
         for (PeerMember member : to) {
             observer.onSent(encoded.length());
             transport.send(member, encoded);
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -438,12 +438,17 @@
             runsCount++;
         }
         events.dropPartial();
-        NextStep step = parts.retryPolicy()
-                .after(outcome, progress(), () -> parts.budget().takeRepeat(service.name(), nowMillis()));
+        NextStep step = parts.retryPolicy().after(outcome, progress(), this::takeRepeat);
         parts.report().sendFailed(this, outcome, step, parts.budget().left(service.name(), nowMillis()));
         follow(outcome, step);
     }
 
+    private boolean takeRepeat() {
+        boolean taken = parts.budget().takeRepeat(service.name(), nowMillis());
+        parts.report().repeat(service.name(), taken ? RelayReport.Repeat.TAKEN : RelayReport.Repeat.NOT_GRANTED);
+        return taken;
+    }
+
     private CallProgress progress() {
         return new CallProgress(
                 route.idempotent(),
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -24,6 +24,9 @@
     private final Counter failedSends;
     private final Counter callersGone;
     private final Counter connections;
+    private final Counter repeats;
+    private final Counter peerBytes;
+    private final Gauge instancesSeen;
     private final Gauge configurationVersion;
     private final Gauge targets;
     private final Gauge storeReachable;
@@ -53,6 +56,13 @@
         this.callersGone = counter(
                 "dogwoodwinch_forwarded_callers_gone_total", "Callers that left before their answer's end.", "kind");
         this.connections = counter("dogwoodwinch_target_connections_opened_total", "Connections opened to targets.");
+        this.repeats = counter(
+                "dogwoodwinch_forwarded_repeats_total",
+                "Repeats by service: taken from its quota, charged to it unasked, or not granted.",
+                "service",
+                "decision");
+        this.peerBytes = counter("dogwoodwinch_peer_bytes_sent_total", "Bytes told to other instances.", "topic");
+        this.instancesSeen = gauge("dogwoodwinch_instances_seen", "Instances that common bounds are dealt out to.");
         this.configurationVersion =
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
         this.targets = gauge("dogwoodwinch_targets_ready", "Targets that may get new work.");
@@ -104,6 +114,29 @@
         storeReachable.set(reachable ? 1 : 0);
     }
 
+    /**
+     * Counts what was told to other instances.
+     *
+     * @param topic what it is about, not null
+     * @param bytes its size times the instances that it went to
+     */
+    public void toldPeers(String topic, long bytes) {
+        peerBytes.labelValues(topic).inc((double) bytes);
+    }
+
+    /**
+     * Shows among how many instances common bounds are dealt out.
+     *
+     * @param count the instances
+     */
+    public void showInstances(int count) {
+        instancesSeen.set(count);
+    }
+
+    void repeat(String service, String decision) {
+        repeats.labelValues(service, decision).inc();
+    }
+
     void answered(String kind, long millis) {
         answers.labelValues(kind).inc();
         whole.observe(millis / MILLIS_PER_SECOND);
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -53,15 +53,22 @@
     }
 
     @Override
-    public void promptNotRead(String requestId, Incarnation reader, String reason) {
+    public void promptNotRead(String requestId, Incarnation reader, String reason, boolean arrived, double budgetLeft) {
         metrics.sendFailed("not_run", "prompt_" + reason, "read_where_run");
         LogEvent.of("prompt_not_read")
                 .with("request", requestId)
                 .with("target", reader.id())
                 .with("reason", reason)
+                .with("arrived", arrived)
+                .with("budgetLeft", Math.floor(budgetLeft))
                 .info(log);
     }
 
+    @Override
+    public void repeat(String service, Repeat what) {
+        metrics.repeat(service, what.name().toLowerCase(Locale.ROOT));
+    }
+
     @Override
     public void sendFailed(CallRelay call, SendOutcome outcome, NextStep step, double budgetLeft) {
         String known = known(outcome);
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -135,6 +135,7 @@
         }
         if (answer.rejected()) {
             parts.budget().chargeRepeat(service.name(), parts.time().monotonicMillis());
+            parts.report().repeat(service.name(), RelayReport.Repeat.CHARGED);
         }
         end(Optional.empty(), "status_" + answer.status());
     }
@@ -157,7 +158,8 @@
         }
         ended = true;
         if (memory.isEmpty()) {
-            parts.report().promptNotRead(requestId, reader, reason);
+            double budgetLeft = parts.budget().left(service.name(), parts.time().monotonicMillis());
+            parts.report().promptNotRead(requestId, reader, reason, !unsent, budgetLeft);
         }
         onEnd.accept(memory);
     }
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -20,8 +20,21 @@
     /** A target is left out for a while. */
     void unreachable(String targetId, long pauseMillis, String reason);
 
-    /** An engine did not read a prompt that another would have run. */
-    void promptNotRead(String requestId, Incarnation reader, String reason);
+    /**
+     * An engine did not read a prompt that another would have run; {@code arrived} says whether it got bytes of the call,
+     * {@code budgetLeft} how many repeats could be made then.
+     */
+    void promptNotRead(String requestId, Incarnation reader, String reason, boolean arrived, double budgetLeft);
+
+    /** One repeat was taken from a service's quota, charged to it without asking, or not granted. */
+    void repeat(String service, Repeat what);
+
+    /** What became of a repeat. */
+    enum Repeat {
+        TAKEN,
+        CHARGED,
+        NOT_GRANTED
+    }
 
     /** A send gave no success, and that follows; {@code budgetLeft} repeats could be made after it. */
     void sendFailed(CallRelay call, SendOutcome outcome, NextStep step, double budgetLeft);
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -64,6 +64,7 @@
     private int passedOver;
     private long idleLimitMillis = Long.MAX_VALUE;
     private long idleSinceMillis;
+    private int callsCount;
 
     TargetConnection(
             Incarnation target,
@@ -109,6 +110,7 @@
         requestId = call.requestId();
         passedOver = 0;
         state = State.WAITING;
+        callsCount++;
         decoder.expect(call.method().equals(HttpMethod.HEAD));
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -261,6 +263,7 @@
             LogEvent.of("target_connection_failed")
                     .with("target", target.id())
                     .with("request", requestId)
+                    .with("calls", callsCount)
                     .with("error", cause)
                     .info(log);
         }
