Tell only those kept parts of prompts that other requests may name again

Callers at one instance of each data centre waited a second for connections, and some had left before their call was sent on (1.2 s between a prompt's reading and the next send on such an instance). Two of three parts that engines read are a request's own, which no other request names. Ruled out: streams of the store (8 to 15 KB/s).

Instances know shared parts from the prompts of their own calls: all but the last, and a last one that comes again. They tell each other each such part once, and tell of engines only what is shared. Whole lists go every 15 s instead of 5: a change that was not heard costs the reading of one part.

A word of a broken target is logged only where it is news.

--- a/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
+++ b/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
@@ -126,17 +126,20 @@
     private void apply(PeerItem item, long pauseMillis) {
         String targetId = item.key();
         if (pauseMillis <= 0) {
-            believedBroken.remove(targetId);
             triedFromHere.remove(targetId);
             health.toldSound(targetId);
-            log(item, 0);
+            if (believedBroken.remove(targetId)) {
+                log(item, 0);
+            }
         } else if (!triedFromHere.contains(targetId) || item.origin().compareTo(ownName) < 0) {
-            believedBroken.add(targetId);
+            boolean news = believedBroken.add(targetId);
             triedFromHere.remove(targetId);
             double pauses = HEARERS_PAUSES + SPREAD_PAUSES * random.nextDouble();
             long leftAloneMillis = Math.round(pauses * pauseMillis) - item.ageMillis();
             health.told(targetId, pauseMillis, leftAloneMillis);
-            log(item, leftAloneMillis);
+            if (news) {
+                log(item, leftAloneMillis);
+            }
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -17,12 +18,18 @@
 import org.dogwoodwinch.peer.TellerExchange;
 import org.dogwoodwinch.relay.CacheListener;
 import org.dogwoodwinch.time.TimeSource;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
  * Tells the instances of a data centre which parts of prompts an engine keeps, as the one that watches the engine hears.
  *
+ * <p>Load: two of three parts that engines read are the request's own, and each is told to each instance of the data centre
+ * by one, whose link is as narrow as the others'. Only parts that other requests may name again are told. An engine does
+ * not say which these are; instances know it from the prompts of their calls, and tell each other each such part once.
+ *
  * <p>Changes are told once a round. Words may be lost, and a new watcher may have missed changes: the whole list is told
  * now and then, so that a wrong belief costs some reading and lasts no longer than that.
  */
@@ -33,16 +40,21 @@
     /** Parts that are read within some milliseconds are not worth a word: most calls have such parts of their own. */
     private static final int LEAST_TOKENS = 512;
 
-    /** Between two whole lists of one engine: some hundred parts of twenty bytes, so a kilobyte a second at the most. */
-    private static final long WHOLE_EVERY_MILLIS = 5_000;
+    /**
+     * Between two whole lists of one engine. Many engines' lists share the link of the instance that passes them on, and a
+     * change that was not heard costs the reading of one part at a time.
+     */
+    private static final long WHOLE_EVERY_MILLIS = 15_000;
 
-    private static final long KEEP_MILLIS = 10_000;
+    private static final long KEEP_MILLIS = 30_000;
+    private static final long NEWS_KEEP_MILLIS = 5_000;
 
     private final TellerExchange exchange;
     private final PartIndex parts;
     private final ToLongFunction<String> bornMillis;
     private final TimeSource time;
     private final Map<String, Told> engines = new HashMap<>();
+    private long newsCount;
 
     KeptSharing(TellerExchange exchange, PartIndex parts, ToLongFunction<String> bornMillis, TimeSource time) {
         this.bornMillis = Objects.requireNonNull(bornMillis, "bornMillis");
@@ -50,13 +62,14 @@
         this.parts = Objects.requireNonNull(parts, "parts");
         this.time = Objects.requireNonNull(time, "time");
         exchange.subscribe(PeerTopic.KEPT_PARTS, this::heard);
+        exchange.subscribe(PeerTopic.SHARED_PARTS, this::heardShared);
         exchange.eachRound(this::round);
     }
 
     @Override
     public void changed(String engineId, String partId, int keptTokens) {
         Told told = engines.computeIfAbsent(engineId, _id -> new Told());
-        if (keptTokens >= LEAST_TOKENS) {
+        if (keptTokens >= LEAST_TOKENS && parts.shared().isShared(partId)) {
             told.known.add(partId);
             told.changes.put(partId, keptTokens);
         } else if (told.known.remove(partId)) {
@@ -75,6 +88,7 @@
     }
 
     private void round() {
+        tellShared(parts.shared().takeNews());
         engines.forEach((engineId, told) -> {
             if (time.monotonicMillis() >= told.wholeAtMillis) {
                 tellWhole(engineId, told);
@@ -88,6 +102,7 @@
     private void tellWhole(String engineId, Told told) {
         told.wholeAtMillis = time.monotonicMillis() + WHOLE_EVERY_MILLIS;
         Map<String, Integer> kept = parts.keptAtLeast(engineId, LEAST_TOKENS);
+        kept.keySet().removeIf(partId -> !parts.shared().isShared(partId));
         boolean nothingEver = kept.isEmpty() && told.known.isEmpty();
         told.known.clear();
         told.known.addAll(kept.keySet());
@@ -105,6 +120,41 @@
         exchange.publish(PeerTopic.KEPT_PARTS, engineId, word, KEEP_MILLIS);
     }
 
+    private void tellShared(List<String> news) {
+        if (news.isEmpty()) {
+            return;
+        }
+        news.forEach(this::tellWhereKept);
+        Bytes word = Packing.pack(news, (packer, ids) -> Packing.writeAll(packer, ids, MessagePacker::packString));
+        exchange.publish(PeerTopic.SHARED_PARTS, Long.toString(newsCount++), word, NEWS_KEEP_MILLIS);
+    }
+
+    private void heardShared(PeerItem item) {
+        try {
+            Packing.unpack(
+                            item.payload().toByteArray(),
+                            unpacker -> Packing.readAll(unpacker, MessageUnpacker::unpackString))
+                    .stream()
+                    .filter(parts.shared()::learn)
+                    .forEach(this::tellWhereKept);
+        } catch (IOException e) {
+            LogEvent.of("shared_parts_not_understood")
+                    .with("peer", item.origin())
+                    .with("error", e.getMessage())
+                    .warn(log);
+        }
+    }
+
+    /** An engine that is watched here may have said that it keeps the part before it was known to be shared. */
+    private void tellWhereKept(String partId) {
+        engines.forEach((engineId, told) -> {
+            int tokens = parts.keptOf(engineId, partId);
+            if (tokens >= LEAST_TOKENS && told.known.add(partId)) {
+                told.changes.put(partId, tokens);
+            }
+        });
+    }
+
     private void heard(PeerItem item) {
         if (engines.containsKey(item.key())) {
             // What this instance hears from the engine itself is newer.
@@ -122,7 +172,10 @@
             if (word.whole()) {
                 parts.forget(item.key());
             }
-            word.tokens().forEach((part, tokens) -> parts.kept(item.key(), part, Math.toIntExact(tokens)));
+            word.tokens().forEach((part, tokens) -> {
+                parts.shared().learn(part);
+                parts.kept(item.key(), part, Math.toIntExact(tokens));
+            });
         } catch (IOException | ArithmeticException e) {
             LogEvent.of("kept_parts_not_understood")
                     .with("peer", item.origin())
--- a/src/main/java/org/dogwoodwinch/forwarding/PartIndex.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/PartIndex.java
@@ -13,6 +13,27 @@
 public final class PartIndex {
 
     private final Map<String, Map<String, Integer>> keptByEngine = new HashMap<>();
+    private final SharedParts shared = new SharedParts();
+
+    /**
+     * Returns which parts other requests may name again.
+     *
+     * @return what is known of it, the same each time
+     */
+    public SharedParts shared() {
+        return shared;
+    }
+
+    /**
+     * Returns how much of a part an engine keeps.
+     *
+     * @param engineId the engine's id, not null
+     * @param partId the part, not null
+     * @return its tokens that are believed kept; zero where none are
+     */
+    public int keptOf(String engineId, String partId) {
+        return keptByEngine.getOrDefault(engineId, Map.of()).getOrDefault(partId, 0);
+    }
 
     /**
      * An engine keeps a part, or keeps less of it.
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -28,6 +28,9 @@
     /** Which parts of prompts an engine keeps. */
     KEPT_PARTS,
 
+    /** Parts of prompts that several requests name. */
+    SHARED_PARTS,
+
     /** Records of a stream of the platform's store. */
     STREAM,
 
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -60,6 +60,10 @@
 
     private static final long REPLAY_WINDOW_MILLIS = 300_000;
 
+    /** What tellers pass on to their own data centre and, where it comes from there, to the other tellers. */
+    private static final Set<PeerTopic> TOLD_TO_ALL =
+            Set.of(PeerTopic.QUARANTINE, PeerTopic.LEAVING, PeerTopic.BROKEN_TARGET, PeerTopic.SHARED_PARTS);
+
     private final PeerSettings settings;
     private final TimeSource time;
     private final PeerTransport transport;
@@ -565,7 +569,7 @@
         boolean ours = member(sender)
                 .filter(member -> member.dataCentre().equals(settings.dataCentre()))
                 .isPresent();
-        if (topic == PeerTopic.QUARANTINE || topic == PeerTopic.LEAVING || topic == PeerTopic.BROKEN_TARGET) {
+        if (TOLD_TO_ALL.contains(topic)) {
             toCentre.add(entry);
             if (ours) {
                 toTellers.add(entry);
--- a/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
@@ -87,6 +87,9 @@
         /** Whether it knows the addresses of the others without having read or heard them. */
         boolean knowsOthers = true;
 
+        /** What it sent to the others since the fleet began. */
+        long sentBytes;
+
         boolean storeCut;
         boolean deaf;
         boolean mute;
@@ -167,6 +170,7 @@
             }
             messagesCount++;
             messageBytes += message.length();
+            sentBytes += message.length();
             Member receiver = members.stream()
                     .filter(member -> member.name.equals(to.name()))
                     .findFirst()
