Do not blame a target for a connection that timed out

A new connection whose bytes stay unacknowledged was counted as broken off by its target, and the other instances were told so, though the link of the instance may be full. The test fails without the change: the target is left out.

--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -37,6 +37,7 @@
     /** Strangers' answers on one call after which the connection is given up: a target gives one second answer a call. */
     private static final int MAX_PASSED_OVER = 3;
 
+    private static final String TIMED_OUT = "timed out";
     private static final int LEAST_STATUS = 100;
     private static final int MOST_STATUS = 599;
 
@@ -260,6 +261,11 @@
         }
     }
 
+    /** Silence may be the fault of the link here; transports name it by their message alone. */
+    private static boolean timedOut(Throwable cause) {
+        return cause.getMessage() != null && cause.getMessage().contains(TIMED_OUT);
+    }
+
     private boolean newAndUnanswered() {
         return state == State.WAITING && callsCount == 1;
     }
@@ -275,7 +281,7 @@
                     .with("error", cause)
                     .info(log);
         }
-        lose("connection_failed", newAndUnanswered());
+        lose("connection_failed", newAndUnanswered() && !timedOut(cause));
     }
 
     @Override
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -273,7 +273,15 @@
         }
 
         void reset() {
-            channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+            fail("Connection reset by peer");
+        }
+
+        void timeOut() {
+            fail("Connection timed out");
+        }
+
+        private void fail(String message) {
+            channel.pipeline().fireExceptionCaught(new IOException(message));
             channel.close().syncUninterruptibly();
         }
 
--- a/src/test/java/org/dogwoodwinch/relay/TargetsThatBreakOffTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/TargetsThatBreakOffTest.java
@@ -93,6 +93,17 @@
         assertEquals(2, relay.directory.ready("desk").size());
     }
 
+    /** This instance's link is full, and bytes to a target stay unacknowledged: that is no act of the target. */
+    @Test
+    void aConnectionThatTimesOutSaysNothingOfTheTarget() {
+        RelayFixture relay = new RelayFixture().configured().plain("t1").plain("t2");
+        relay.caller().send(RelayFixture.get("/once/a", "a1"));
+
+        relay.target().timeOut();
+
+        assertEquals(2, relay.directory.ready("desk").size());
+    }
+
     /** Ten engines that only read and two that run; all have work, so that reading apart is sooner. */
     private static RelayFixture manyReaders() {
         RelayFixture split = new RelayFixture(SLACK_COUNT).configured();
