--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/forwarding/SharedPartsTest.java
@@ -0,0 +1,72 @@
+package org.dogwoodwinch.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SharedPartsTest {
+
+    private final SharedParts shared = new SharedParts();
+
+    private static Prompt prompt(String... parts) {
+        return new Prompt(
+                "m",
+                100,
+                10,
+                Arrays.stream(parts).map(id -> new PromptPart(id, 10)).toList());
+    }
+
+    @Test
+    void allButTheLastPartAreSharedAndNewsOnce() {
+        shared.saw(prompt("a", "b", "own1"));
+        shared.saw(prompt("a", "b", "own2"));
+
+        assertTrue(shared.isShared("a") && shared.isShared("b"));
+        assertFalse(shared.isShared("own1"));
+        assertEquals(List.of("a", "b"), shared.takeNews());
+        assertEquals(List.of(), shared.takeNews());
+    }
+
+    /** A session's next request ends with the same part: other requests name it again after all. */
+    @Test
+    void aLastPartThatComesAgainIsASessions() {
+        shared.saw(prompt("a", "s1"));
+        shared.saw(prompt("a", "s1"));
+
+        assertTrue(shared.isShared("s1"));
+        assertEquals(List.of("a", "s1"), shared.takeNews());
+    }
+
+    @Test
+    void whatOthersToldIsNoNewsToTell() {
+        assertTrue(shared.learn("a"));
+        assertFalse(shared.learn("a"));
+
+        shared.saw(prompt("a", "own"));
+
+        assertEquals(List.of(), shared.takeNews());
+    }
+
+    @Test
+    void aPromptWithoutPartsSaysNothing() {
+        shared.saw(prompt());
+
+        assertEquals(List.of(), shared.takeNews());
+    }
+
+    /** Parts are new all day long; what was not named for long makes room. */
+    @Test
+    void whatWasNotNamedForLongIsForgotten() {
+        shared.saw(prompt("old", "own"));
+        for (int i = 0; i < 10_000; i++) {
+            shared.learn("p" + i);
+        }
+
+        assertFalse(shared.isShared("old"));
+        assertTrue(shared.isShared("p9999"));
+    }
+}
--- a/src/test/java/org/dogwoodwinch/forwarding/TargetHealthTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/TargetHealthTest.java
@@ -77,4 +77,56 @@
 
         assertEquals(500, health.unreachable("t1"));
     }
+
+    /**
+     * A target breaks off a part of its calls and answers others. The answer to a call from before the break must not bring
+     * it back at once, or every second call is lost there; the first answer after the pause does.
+     */
+    @Test
+    void anAnswerWithinThePauseOfABrokenOffCallProvesNothing() {
+        assertEquals(500, health.brokeOff("t1"));
+        health.answered("t1");
+        assertEquals(List.of("t0", "t2"), usable(3));
+
+        time.advanceMillis(500);
+        health.answered("t1");
+
+        assertEquals(3, usable(3).size());
+        assertEquals(500, health.brokeOff("t1"));
+    }
+
+    /** All instances share what one finds out, so a trial a second is cheap, and a target that is back is soon found. */
+    @Test
+    void pausesOfBrokenOffCallsEndWithinASecond() {
+        List<Long> pauses = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            pauses.add(health.brokeOff("t1"));
+            time.advanceMillis(1_000);
+        }
+        assertEquals(List.of(500L, 1_000L, 1_000L, 1_000L), pauses);
+    }
+
+    /** What is told lengthens a pause and never shortens it, and the own pauses go on from there. */
+    @Test
+    void whatIsToldLeavesATargetOutAsLongAsIsSaid() {
+        health.told("t1", 1_000, 2_500);
+        health.told("t1", 500, 100);
+        time.advanceMillis(2_400);
+        assertEquals(List.of("t0", "t2"), usable(3));
+
+        time.advanceMillis(100);
+        assertEquals(3, usable(3).size());
+        assertEquals(1_000, health.brokeOff("t1"));
+
+        health.toldSound("t1");
+        assertEquals(3, usable(3).size());
+    }
+
+    /** A word that was too long on its way says nothing any more. */
+    @Test
+    void aWordWhosePauseIsOverLeavesNothingOut() {
+        health.told("t1", 500, 0);
+
+        assertEquals(3, usable(3).size());
+    }
 }
