See a call's prompt once, so that a repeat's own part is no session's

A call that was sent a second time named its own last part again, which passed for the next request of a session: just when calls were repeated, their own parts were told to the data centre after all. The prompt is seen once, when the call begins. The new test fails without the change.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -105,6 +105,8 @@
     /** Begins. */
     void start() {
         parts.budget().countRequest(service.name(), nowMillis());
+        // Once a call: seen again with each send, its own last part would pass for a session's.
+        facts.prompt().ifPresent(parts.parts().shared()::saw);
         if (parts.suspicions().quarantined(fingerprint)) {
             parts.report().quarantined(this);
             OwnAnswers.refuse(
--- a/src/main/java/org/dogwoodwinch/relay/SendAccount.java
+++ b/src/main/java/org/dogwoodwinch/relay/SendAccount.java
@@ -39,7 +39,6 @@
      */
     static SendAccount begin(RelayParts parts, Incarnation target, Optional<Prompt> prompt, Plan.Reading reading) {
         Objects.requireNonNull(target, "target");
-        prompt.ifPresent(parts.parts().shared()::saw);
         return new SendAccount(parts, target, prompt, reading);
     }
 
--- a/src/test/java/org/dogwoodwinch/relay/TargetsThatBreakOffTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/TargetsThatBreakOffTest.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.relay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -45,6 +46,20 @@
         assertEquals(CALLS_COUNT - SLACK_COUNT, refusedCount(), "callers told that nothing ran and when to come back");
     }
 
+    /**
+     * One instance of a data centre tells the others of parts that nobody asks for again. A call that is sent a second time
+     * names its own last part once more, which looked like the next request of a session.
+     */
+    @Test
+    void aRepeatedCallsOwnPartIsNoSessions() {
+        RelayFixture split = manyReaders();
+
+        play(split, "/model/a", (end, _id) -> end.reset());
+
+        assertTrue(split.parts.shared().isShared("s0"));
+        assertFalse(split.parts.shared().isShared("o0"));
+    }
+
     /** The same where the reader rejects the call: that arrival counts too, and what follows is a repeat. */
     @Test
     void whatFollowsOnARejectedReadingStaysWithinTheQuota() {
