--- a/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
@@ -41,12 +41,12 @@
     private static final int LEAST_TOKENS = 512;
 
     /**
-     * Between two whole lists of one engine. Many engines' lists share the link of the instance that passes them on, and a
-     * change that was not heard costs the reading of one part at a time.
+     * Between two whole lists of one engine. Many engines' lists share the link of the instance that passes them on; an
+     * instance that starts among others waits so long at most until it knows where parts are kept.
      */
-    private static final long WHOLE_EVERY_MILLIS = 15_000;
+    private static final long WHOLE_EVERY_MILLIS = 8_000;
 
-    private static final long KEEP_MILLIS = 30_000;
+    private static final long KEEP_MILLIS = 16_000;
     private static final long NEWS_KEEP_MILLIS = 5_000;
 
     private final TellerExchange exchange;
