--- a/src/test/java/org/dogwoodwinch/daemon/BrokenTargetsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/BrokenTargetsTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -18,6 +20,7 @@
     private static final int TARGETS_COUNT = 100;
     private static final int BROKEN_COUNT = 12;
     private static final long BROKEN_MILLIS = 7_000;
+    private static final long BORN_MILLIS = 7;
     private static final long HALF_BACK_MILLIS = 2_000;
     private static final long ALL_BACK_MILLIS = 5_000;
     private static final long CALL_GAP_MILLIS = 3;
@@ -30,10 +33,11 @@
     private final List<Incarnation> targets = new ArrayList<>();
     private final List<TargetHealth> healths = new ArrayList<>();
     private final List<BrokenTargets> shared = new ArrayList<>();
+    private final Map<String, Long> bornMillis = new HashMap<>();
 
     BrokenTargetsTest() {
         for (int i = 0; i < TARGETS_COUNT; i++) {
-            targets.add(new Incarnation("t" + i, "reader", "10.0.0.1", 80, "dc0", 6, false, Stage.WHOLE, 7));
+            targets.add(new Incarnation("t" + i, "reader", "10.0.0.1", 80, "dc0", 6, false, Stage.WHOLE, BORN_MILLIS));
         }
         for (TellerFleet.Member member : fleet.members) {
             TargetHealth health = new TargetHealth(fleet.time::monotonicMillis);
@@ -42,7 +46,7 @@
                     member.name,
                     member.exchange,
                     health,
-                    _id -> 7,
+                    _id -> bornMillis.getOrDefault(member.name, BORN_MILLIS),
                     RandomSource.XO_RO_SHI_RO_128_PP.create(healths.size()));
             broken.start();
             shared.add(broken);
@@ -81,6 +85,18 @@
         }
     }
 
+    /** A target has started again, and a word about its earlier start comes late: it says nothing of the later one. */
+    @Test
+    void aWordAboutAnEarlierStartLeavesNothingOut() {
+        bornMillis.put("i1", BORN_MILLIS + 1);
+
+        shared.get(0).brokeOff("t3");
+        fleet.time.advanceMillis(900);
+
+        assertEquals(TARGETS_COUNT, healths.get(1).usable(targets).size());
+        assertEquals(TARGETS_COUNT - 1, healths.get(2).usable(targets).size());
+    }
+
     /** Calls come one after the other at any instance, and half of them would rather go to a target with nothing to do. */
     private int play(long forMillis, boolean broken) {
         int metCount = 0;
