Look up the counters of what peers are told once

Each word told to other instances lower-cased its topic's name and looked its counter up by label, several hundred times a second at a teller and from the first round of a start on. The counter of a topic is found once and kept; names and values of the metric are the same. No figure was measured.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -1,8 +1,11 @@
 package org.dogwoodwinch.daemon;
 
 import java.net.InetSocketAddress;
+import java.util.EnumMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowPolicy;
 import org.dogwoodwinch.follow.KeyedStream;
@@ -177,6 +180,7 @@
     private static final class TrafficReport implements PeerObserver {
 
         private final ForwardingMetrics metrics;
+        private final Map<PeerTopic, LongConsumer> counters = new EnumMap<>(PeerTopic.class);
 
         TrafficReport(ForwardingMetrics metrics) {
             this.metrics = metrics;
@@ -184,7 +188,9 @@
 
         @Override
         public void onTold(PeerTopic topic, int wordBytes, int receiversCount) {
-            metrics.toldPeers(topic.name().toLowerCase(Locale.ROOT), (long) wordBytes * receiversCount);
+            counters.computeIfAbsent(
+                            topic, each -> metrics.toldPeers(each.name().toLowerCase(Locale.ROOT)))
+                    .accept((long) wordBytes * receiversCount);
         }
 
         @Override
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.relay;
 
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
@@ -10,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
+import java.util.function.LongConsumer;
 
 /** Counters and histograms of forwarded calls, on a registry of their own. */
 public final class ForwardingMetrics {
@@ -115,13 +117,14 @@
     }
 
     /**
-     * Counts what was told to other instances.
+     * Returns the counter of what is told to other instances about a topic. Looked up once: words are told all the time.
      *
      * @param topic what it is about, not null
-     * @param bytes its size times the instances that it went to
+     * @return takes the size of each word in bytes, times the instances that it went to
      */
-    public void toldPeers(String topic, long bytes) {
-        peerBytes.labelValues(topic).inc((double) bytes);
+    public LongConsumer toldPeers(String topic) {
+        CounterDataPoint counter = peerBytes.labelValues(topic);
+        return bytes -> counter.inc((double) bytes);
     }
 
     /**
