Move a judge of broken-off calls that only tests use to the tests

BreakOffs.untold stood in the main code and was called by two test fixtures alone. OwnBreakOffs beside the tests does the same; no assertion changes.

--- a/src/main/java/org/dogwoodwinch/relay/BreakOffs.java
+++ b/src/main/java/org/dogwoodwinch/relay/BreakOffs.java
@@ -1,7 +1,5 @@
 package org.dogwoodwinch.relay;
 
-import org.dogwoodwinch.forwarding.TargetHealth;
-
 /** Judges targets that break off calls on new connections; what it judges may be told to other instances. */
 public interface BreakOffs {
 
@@ -26,29 +24,4 @@
      * @param targetId its id, not null
      */
     void forget(String targetId);
-
-    /**
-     * Judges for this instance alone.
-     *
-     * @param health keeps the judgement, not null
-     * @return a judge that tells nobody
-     */
-    static BreakOffs untold(TargetHealth health) {
-        return new BreakOffs() {
-            @Override
-            public long brokeOff(String targetId) {
-                return health.brokeOff(targetId);
-            }
-
-            @Override
-            public void answered(String targetId) {
-                health.answered(targetId);
-            }
-
-            @Override
-            public void forget(String targetId) {
-                health.forget(targetId);
-            }
-        };
-    }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -23,10 +23,10 @@
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.platform.PlatformHeaders;
-import org.dogwoodwinch.relay.BreakOffs;
 import org.dogwoodwinch.relay.ConnectionPolicy;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.relay.OwnBreakOffs;
 import org.dogwoodwinch.relay.SilentEngines;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -61,7 +61,7 @@
                         new RetryBudget(0, () -> 0, 1_000, 0),
                         Quarantine.NONE,
                         new TargetHealth(() -> 0),
-                        BreakOffs.untold(new TargetHealth(() -> 0)),
+                        new OwnBreakOffs(new TargetHealth(() -> 0)),
                         () -> 1),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/relay/OwnBreakOffs.java
@@ -0,0 +1,22 @@
+package org.dogwoodwinch.relay;
+
+import org.dogwoodwinch.forwarding.TargetHealth;
+
+/** Judges targets that break off calls for one instance alone, and tells nobody. */
+public record OwnBreakOffs(TargetHealth health) implements BreakOffs {
+
+    @Override
+    public long brokeOff(String targetId) {
+        return health.brokeOff(targetId);
+    }
+
+    @Override
+    public void answered(String targetId) {
+        health.answered(targetId);
+    }
+
+    @Override
+    public void forget(String targetId) {
+        health.forget(targetId);
+    }
+}
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -91,7 +91,7 @@
                         new RetryBudget(0, () -> slack, 10_000, -10_000),
                         suspects,
                         health,
-                        BreakOffs.untold(health),
+                        new OwnBreakOffs(health),
                         () -> sharersCount),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
