--- a/src/main/java/org/dogwoodwinch/bytes/JsonTrees.java
+++ b/src/main/java/org/dogwoodwinch/bytes/JsonTrees.java
@@ -14,8 +14,7 @@
  * Reads JSON into trees, by the library's parser and nodes alone.
  *
  * <p>Load: a process that starts beside waiting callers on a small share of a processor. The library's object mapper sets
- * up formats of dates and numbers for types that are never read here: 60 of the 440 ms of processor time of a start,
- * measured by the times at which classes were loaded.
+ * up formats of dates and numbers for types that are never read here, and a start waits for that.
  */
 public final class JsonTrees {
 
--- a/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
+++ b/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
@@ -23,14 +23,14 @@
  * itself by a call that fails, again after each pause, and the fleet would lose as many calls as it has instances.
  *
  * <p>Only what the target itself did is told: that it ended a connection, not that it was silent, which the links of the
- * instance that tells may be the cause of. Who was told waits longer than who found out, so that the next trial is made by
- * one and its outcome, told again, is there before the others try. Of several that found out, the first by name tries.
+ * instance that tells may be the cause of. Who was told waits longer than who found out, so that the next probe is made by
+ * one and its outcome, told again, is there before the others probe. Of several that found out, the first by name probes.
  */
 final class BrokenTargets implements BreakOffs {
 
     private static final Logger log = LoggerFactory.getLogger(BrokenTargets.class);
 
-    /** A word goes by two tellers, a round each; a trial and its word take less than the pause once more. */
+    /** A word goes by two tellers, a round each; a probe and its word take less than the pause once more. */
     private static final int HEARERS_PAUSES = 2;
 
     /** Beside that, up to as long again by chance: hearers whose pauses end at once would all try at once. */
@@ -45,7 +45,7 @@
     private final ToLongFunction<String> bornMillis;
     private final UniformRandomProvider random;
     private final Set<String> believedBroken = new HashSet<>();
-    private final Set<String> triedFromHere = new HashSet<>();
+    private final Set<String> probedFromHere = new HashSet<>();
 
     BrokenTargets(
             String ownName,
@@ -71,18 +71,18 @@
         long pauseMillis = health.brokeOff(targetId);
         if (news) {
             believedBroken.add(targetId);
-            triedFromHere.add(targetId);
+            probedFromHere.add(targetId);
             tell(targetId, pauseMillis);
         }
         return pauseMillis;
     }
 
-    /** After a pause that was a trial, and its outcome is told; within one the answer is to a call from before it. */
+    /** After a pause that was a probe, and its outcome is told; within one the answer is to a call from before it. */
     @Override
     public void answered(String targetId) {
         health.answered(targetId);
         if (!health.isPaused(targetId) && believedBroken.remove(targetId)) {
-            triedFromHere.remove(targetId);
+            probedFromHere.remove(targetId);
             tell(targetId, 0);
         }
     }
@@ -90,7 +90,7 @@
     @Override
     public void forget(String targetId) {
         believedBroken.remove(targetId);
-        triedFromHere.remove(targetId);
+        probedFromHere.remove(targetId);
         health.forget(targetId);
     }
 
@@ -126,14 +126,14 @@
     private void apply(PeerItem item, long pauseMillis) {
         String targetId = item.key();
         if (pauseMillis <= 0) {
-            triedFromHere.remove(targetId);
+            probedFromHere.remove(targetId);
             health.toldSound(targetId);
             if (believedBroken.remove(targetId)) {
                 log(item, 0);
             }
-        } else if (!triedFromHere.contains(targetId) || item.origin().compareTo(ownName) < 0) {
+        } else if (!probedFromHere.contains(targetId) || item.origin().compareTo(ownName) < 0) {
             boolean news = believedBroken.add(targetId);
-            triedFromHere.remove(targetId);
+            probedFromHere.remove(targetId);
             double pauses = HEARERS_PAUSES + SPREAD_PAUSES * random.nextDouble();
             long leftAloneMillis = Math.round(pauses * pauseMillis) - item.ageMillis();
             health.told(targetId, pauseMillis, leftAloneMillis);
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetHealth.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetHealth.java
@@ -27,7 +27,7 @@
     /** A target that is gone leaves the list within some seconds; one that came back waits no longer than this. */
     private static final long MAX_PAUSE_MILLIS = 4_000;
 
-    /** What one instance finds out serves all, so that a trial a second costs the fleet one call. */
+    /** What one instance finds out serves all, so that a probe a second costs the fleet one call. */
     private static final long MAX_SHARED_PAUSE_MILLIS = 1_000;
 
     private final LongSupplier clockMillis;
--- a/src/main/java/org/dogwoodwinch/logging/DaemonLoggingProvider.java
+++ b/src/main/java/org/dogwoodwinch/logging/DaemonLoggingProvider.java
@@ -12,7 +12,7 @@
  * Sets up a daemon's logs at once, where the system property {@code slf4j.provider} names this class.
  *
  * <p>Load: a start on a small share of a processor. The library's own provider looks for files, services and versions
- * first; {@link QueueAppender} has the figures.
+ * first.
  */
 public final class DaemonLoggingProvider implements SLF4JServiceProvider {
 
--- a/src/main/java/org/dogwoodwinch/logging/QueueAppender.java
+++ b/src/main/java/org/dogwoodwinch/logging/QueueAppender.java
@@ -16,8 +16,7 @@
  * <p>Failure: whoever reads the output stops reading. A thread that serves callers must not wait for it.
  *
  * <p>Load: a start on a small share of a processor. The library's own queue joins texts in a way that is linked at the
- * first use: with what its own initialisation joins, 55 of the 440 ms of processor time of a start, measured by the times at
- * which classes were loaded.
+ * first use, as does its own initialisation, and a start waits for that.
  */
 final class QueueAppender extends AppenderBase<ILoggingEvent> {
 
