Show what targets say of their limits, and what sends to them are for

Nothing in logs or metrics told which of the three hypotheses on a target that got more than its limit holds. Added without any change of a decision: the field is decoded, a change of what is believed of a target's limit has a log line (target_limit), and dogwoodwinch_forwarded_sends_total counts sends by purpose (run, repeat, reading) and by whether their target was known to be limited; dogwoodwinch_targets_limited shows how many are.

That an answer names no limit counts only where its call was sent after the limit was known: several instances do not read answers in the order in which they were made.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -27,6 +27,7 @@
 import org.dogwoodwinch.forwarding.StagePlanner;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.net.EventLoopTime;
@@ -195,6 +196,7 @@
                         budget,
                         fleet.quarantine(),
                         health,
+                        new TargetLimits(time::monotonicMillis),
                         brokenTargets,
                         fleet::connectionSharersCount),
                 metrics);
--- a/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
+++ b/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
@@ -13,6 +13,9 @@
 
     static final AsciiString SIGNATURE = AsciiString.cached("server-stamp");
     static final AsciiString NOT_RUN = AsciiString.cached("not-run");
+    /** The calls a second that a target takes from all instances together, a decimal number. */
+    static final AsciiString LIMIT = AsciiString.cached("server-limit");
+
     static final AsciiString LAST_EVENT_ID = AsciiString.cached("last-event-id");
     static final AsciiString MODEL = AsciiString.cached("model");
 
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -10,9 +10,11 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.regex.Pattern;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.PromptPart;
 import org.dogwoodwinch.relay.AnswerFacts;
@@ -25,6 +27,7 @@
 
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final String PREFILL = "prefill";
+    private static final Pattern DECIMAL = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
 
     /** Concern one connection alone. */
     private static final List<AsciiString> OF_ONE_CONNECTION = List.of(
@@ -91,7 +94,8 @@
                 headers.contains(HeaderNames.SIGNATURE),
                 headers.contains(HeaderNames.NOT_RUN),
                 headers.contains(HttpHeaderNames.CONTENT_ENCODING),
-                idleMillis(headers.get(HeaderNames.KEEP_ALIVE)));
+                idleMillis(headers.get(HeaderNames.KEEP_ALIVE)),
+                rate(headers.get(HeaderNames.LIMIT)));
     }
 
     @Override
@@ -169,6 +173,14 @@
         return OptionalLong.empty();
     }
 
+    /** Empty for what is no decimal number from zero on: it then says nothing. */
+    private static OptionalDouble rate(String text) {
+        if (text == null || !DECIMAL.matcher(text).matches()) {
+            return OptionalDouble.empty();
+        }
+        return OptionalDouble.of(Double.parseDouble(text));
+    }
+
     /** Empty for what is no number of at most nine digits: no field of the platform needs more. */
     private static OptionalLong number(String text) {
         if (text == null || text.isEmpty() || text.length() > 9 || !text.chars().allMatch(Character::isDigit)) {
--- a/src/main/java/org/dogwoodwinch/relay/AnswerFacts.java
+++ b/src/main/java/org/dogwoodwinch/relay/AnswerFacts.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -13,6 +14,7 @@
  * @param statesNotRun whether it states that the call did not run
  * @param encoded whether the body is not the target's own bytes
  * @param idleMillis how long the target keeps the connection without a call, empty where it does not say
+ * @param limitPerSecond the calls a second that the target takes from all instances together, empty where it names none
  */
 public record AnswerFacts(
         int status,
@@ -20,7 +22,8 @@
         boolean signed,
         boolean statesNotRun,
         boolean encoded,
-        OptionalLong idleMillis) {
+        OptionalLong idleMillis,
+        OptionalDouble limitPerSecond) {
 
     private static final int MISDIRECTED = 421;
 
@@ -28,6 +31,7 @@
     public AnswerFacts {
         Objects.requireNonNull(requestId, "requestId");
         Objects.requireNonNull(idleMillis, "idleMillis");
+        Objects.requireNonNull(limitPerSecond, "limitPerSecond");
     }
 
     /** Whether another target has the address, or this one is of the wrong stage by now. */
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -330,7 +330,7 @@
         Optional<Prompt> unread = memory.isPresent() ? Optional.empty() : facts.prompt();
         SendAccount opened = SendAccount.begin(parts, plan.target(), unread, plan.reading());
         account = Optional.of(opened);
-        parts.report().sent(requestId(), plan.target(), plan.reading(), opened.aheadTokens(), false);
+        parts.report().sent(requestId(), plan.target(), plan.reading(), opened.aheadTokens(), purpose());
         parts.suspicions().sending(fingerprint, requestId(), plan.target().id());
         OutboundCall outbound = outbound(plan.target(), false);
         // A handle can be taken once.
@@ -338,6 +338,10 @@
         taken.send(outbound, this);
     }
 
+    private SendPurpose purpose() {
+        return sendsCount() > 0 ? SendPurpose.REPEAT : SendPurpose.RUN;
+    }
+
     private OutboundCall outbound(Incarnation target, boolean prefillOnly) {
         SendFacts sending = new SendFacts(
                 target,
@@ -354,6 +358,7 @@
     @Override
     public void head(AnswerFacts answerFacts, HttpHeaders headers) {
         answer = new ReceivedAnswer(answerFacts, headers);
+        account.ifPresent(opened -> opened.answered(answerFacts));
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -27,10 +27,12 @@
     private final Counter callersGone;
     private final Counter connections;
     private final Counter repeats;
+    private final Counter sends;
     private final Counter peerBytes;
     private final Gauge instancesSeen;
     private final Gauge configurationVersion;
     private final Gauge targets;
+    private final Gauge limited;
     private final Gauge storeReachable;
     private final Histogram firstByte;
     private final Histogram whole;
@@ -63,11 +65,17 @@
                 "Repeats by service: taken from its quota, or not granted.",
                 "service",
                 "decision");
+        this.sends = counter(
+                "dogwoodwinch_forwarded_sends_total",
+                "Sends to targets, by what they are for and whether the target was known to be limited.",
+                "purpose",
+                "limited");
         this.peerBytes = counter("dogwoodwinch_peer_bytes_sent_total", "Bytes told to other instances.", "topic");
         this.instancesSeen = gauge("dogwoodwinch_instances_seen", "Instances that common bounds are dealt out to.");
         this.configurationVersion =
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
         this.targets = gauge("dogwoodwinch_targets_ready", "Targets that may get new work.");
+        this.limited = gauge("dogwoodwinch_targets_limited", "Targets that name a limit in their answers.");
         this.storeReachable = gauge("dogwoodwinch_store_reachable", "1 while the platform's store answers.");
         this.firstByte = histogram("dogwoodwinch_forwarded_first_byte_seconds", "Arrival to the answer's first byte.");
         this.whole = histogram("dogwoodwinch_forwarded_whole_seconds", "Arrival to the answer's end.");
@@ -136,6 +144,14 @@
         instancesSeen.set(count);
     }
 
+    void sent(String purpose, boolean limitedTarget) {
+        sends.labelValues(purpose, Boolean.toString(limitedTarget)).inc();
+    }
+
+    void showLimited(int count) {
+        limited.set(count);
+    }
+
     void repeat(String service, String decision) {
         repeats.labelValues(service, decision).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -21,6 +21,7 @@
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.request.Quarantine;
@@ -73,7 +74,7 @@
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.random = Objects.requireNonNull(random, "random");
         this.time = Objects.requireNonNull(time, "time");
-        this.report = new LoggingReport(metrics);
+        this.report = new LoggingReport(metrics, decisions.limits());
         this.health = decisions.health();
         this.parts = new RelayParts(
                 time,
@@ -89,6 +90,7 @@
                 decisions.budget(),
                 new Suspicions(decisions.quarantine(), time),
                 health,
+                decisions.limits(),
                 decisions.breakOffs(),
                 report,
                 decisions.sharersCount());
@@ -105,6 +107,7 @@
      * @param budget bounds repeats, not null
      * @param quarantine knows the calls that crash targets, not null
      * @param health knows the targets that could not be reached of late, not null
+     * @param limits knows the targets that name a limit, not null
      * @param breakOffs judges the targets that break off calls, not null
      * @param sharersCount the instances that share a target's connections, asked each time, not null
      */
@@ -117,6 +120,7 @@
             RetryBudget budget,
             Quarantine quarantine,
             TargetHealth health,
+            TargetLimits limits,
             BreakOffs breakOffs,
             IntSupplier sharersCount) {}
 
@@ -239,6 +243,7 @@
      */
     public void targetFoundGone(String targetId) {
         parts.breakOffs().forget(targetId);
+        parts.limits().forget(targetId);
         parts.suspicions().foundGone(targetId);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -2,10 +2,12 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import java.util.OptionalDouble;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Plan;
 import org.dogwoodwinch.forwarding.SendOutcome;
+import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.logging.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,8 +18,10 @@
     private static final Logger log = LoggerFactory.getLogger(LoggingReport.class);
 
     private final ForwardingMetrics metrics;
+    private final TargetLimits limits;
 
-    LoggingReport(ForwardingMetrics metrics) {
+    LoggingReport(ForwardingMetrics metrics, TargetLimits limits) {
+        this.limits = Objects.requireNonNull(limits, "limits");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
 
@@ -67,7 +71,7 @@
 
     @Override
     public void repeat(String service, Repeat what) {
-        metrics.repeat(service, what.name().toLowerCase(Locale.ROOT));
+        metrics.repeat(service, lower(what));
     }
 
     @Override
@@ -91,7 +95,17 @@
     }
 
     @Override
-    public void sent(String requestId, Incarnation target, Plan.Reading reading, long aheadTokens, boolean promptOnly) {
+    public void limitStated(String targetId, TargetLimits.News news, OptionalDouble perSecond) {
+        metrics.showLimited(limits.count());
+        LogEvent event = LogEvent.of("target_limit").with("target", targetId).with("news", lower(news));
+        perSecond.ifPresent(rate -> event.with("perSecond", rate));
+        event.info(log);
+    }
+
+    @Override
+    public void sent(
+            String requestId, Incarnation target, Plan.Reading reading, long aheadTokens, SendPurpose purpose) {
+        metrics.sent(lower(purpose), limits.isLimited(target.id()));
         if (log.isDebugEnabled()) {
             LogEvent.of("call_sent")
                     .with("request", requestId)
@@ -101,7 +115,7 @@
                     .with("unreadTokens", reading.unreadTokens())
                     .with("aheadTokens", aheadTokens)
                     .with("keeper", reading.keeper().map(Incarnation::id).orElse(""))
-                    .with("promptOnly", promptOnly)
+                    .with("purpose", lower(purpose))
                     .debug(log);
         }
     }
@@ -137,8 +151,12 @@
                 .with("ageMillis", call.ageMillis());
     }
 
+    private static String lower(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
+    }
+
     private static String kind(CallRelay call) {
-        return call.route().kind().name().toLowerCase(Locale.ROOT);
+        return lower(call.route().kind());
     }
 
     private static String known(SendOutcome outcome) {
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -78,7 +78,7 @@
                 connection = Optional.of(taken);
                 SendAccount opened = SendAccount.begin(parts, reader, Optional.of(prompt), reading);
                 account = Optional.of(opened);
-                parts.report().sent(outbound.requestId(), reader, reading, opened.aheadTokens(), true);
+                parts.report().sent(outbound.requestId(), reader, reading, opened.aheadTokens(), SendPurpose.READING);
                 taken.send(outbound, PromptReading.this);
             }
 
@@ -104,6 +104,7 @@
     @Override
     public void head(AnswerFacts facts, HttpHeaders _headers) {
         answer = facts;
+        account.ifPresent(opened -> opened.answered(facts));
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/relay/RelayParts.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -12,6 +12,7 @@
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
@@ -29,6 +30,7 @@
  * @param budget bounds repeats, not null
  * @param suspicions which calls crash targets, not null
  * @param health which targets could not be reached of late, not null
+ * @param limits which targets name a limit, not null
  * @param breakOffs hears of targets that break off calls, not null
  * @param report counts and logs, not null
  * @param sharersCount the instances that share a target's connections, asked each time, not null
@@ -46,6 +48,7 @@
         RetryBudget budget,
         Suspicions suspicions,
         TargetHealth health,
+        TargetLimits limits,
         BreakOffs breakOffs,
         RelayReport report,
         IntSupplier sharersCount) {
@@ -63,6 +66,7 @@
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(suspicions, "suspicions");
         Objects.requireNonNull(health, "health");
+        Objects.requireNonNull(limits, "limits");
         Objects.requireNonNull(breakOffs, "breakOffs");
         Objects.requireNonNull(report, "report");
         Objects.requireNonNull(sharersCount, "sharersCount");
@@ -92,6 +96,17 @@
         report.unreachable(targetId, breakOffs.brokeOff(targetId), "broke_off");
     }
 
+    /** The head of a target's answer came to a call that was sent then; another target at the address says nothing of it. */
+    void limitStated(String targetId, AnswerFacts facts, long sentMillis) {
+        if (facts.misdirected()) {
+            return;
+        }
+        TargetLimits.News news = limits.answered(targetId, facts.limitPerSecond(), sentMillis);
+        if (news != TargetLimits.News.NONE) {
+            report.limitStated(targetId, news, facts.limitPerSecond());
+        }
+    }
+
     ByteBuf copy(byte[] bytes) {
         return Unpooled.wrappedBuffer(bytes);
     }
--- a/src/main/java/org/dogwoodwinch/relay/SendAccount.java
+++ b/src/main/java/org/dogwoodwinch/relay/SendAccount.java
@@ -54,6 +54,11 @@
         return aheadTokens;
     }
 
+    /** The head of the answer came: what it states of the target's limit is believed. */
+    void answered(AnswerFacts facts) {
+        parts.limitStated(target.id(), facts, sentMillis);
+    }
+
     /** The prompt was read: its parts are kept there, and the time that it took tells how fast the target reads. */
     void promptRead() {
         if (!unread) {
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -22,6 +22,7 @@
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.relay.ConnectionPolicy;
 import org.dogwoodwinch.relay.ForwardingMetrics;
@@ -61,6 +62,7 @@
                         new RetryBudget(0, () -> 0, 1_000, 0),
                         Quarantine.NONE,
                         new TargetHealth(() -> 0),
+                        new TargetLimits(() -> 0),
                         new OwnBreakOffs(new TargetHealth(() -> 0)),
                         () -> 1),
                 new ForwardingMetrics(new PrometheusRegistry()));
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -34,6 +34,7 @@
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.forwarding.WeightedService;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.request.SuspectBook;
@@ -91,6 +92,7 @@
                         new RetryBudget(0, () -> slack, 10_000, -10_000),
                         suspects,
                         health,
+                        new TargetLimits(time::monotonicMillis),
                         new OwnBreakOffs(health),
                         () -> sharersCount),
                 new ForwardingMetrics(new PrometheusRegistry()));
