--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -49,15 +49,15 @@
     static final long STREAM_TIMEOUT_MILLIS = 6_000;
     static final long RETRY_AFTER_MILLIS = 200;
 
-    final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
-    final TargetHealth health = new TargetHealth(time::monotonicMillis);
-    final TargetDirectory directory = new TargetDirectory(health);
+    final VirtualTimeSource time;
+    final TargetHealth health;
+    final TargetDirectory directory;
     final LoadBook loads = new LoadBook();
     final PartIndex parts = new PartIndex();
     final List<TargetEnd> opened = new ArrayList<>();
     final Set<String> unreachable = new HashSet<>();
     final List<String> released = new ArrayList<>();
-    final SuspectBook suspects = new SuspectBook(time, 600_000, 600_000, _notice -> {});
+    final SuspectBook suspects;
     final ForwardingService service;
     int sharersCount = 1;
     private long nextOffset;
@@ -67,6 +67,14 @@
     }
 
     RelayFixture(double slack) {
+        this(slack, new VirtualTimeSource(1_000_000));
+    }
+
+    RelayFixture(double slack, VirtualTimeSource time) {
+        this.time = time;
+        this.health = new TargetHealth(time::monotonicMillis);
+        this.directory = new TargetDirectory(health);
+        this.suspects = new SuspectBook(time, 600_000, 600_000, _notice -> {});
         ReadRates rates = new ReadRates(30);
         EngineChooser chooser = new EngineChooser(
                 directory,
