Keep all instances together within the limit that a target names

What callers saw: engines in need fell behind, and long reads with them, as they got three to four times the calls a second that they had named in their answers (24 in 4 s where 19 are allowed, 31 where 18 are).

Cause: nothing in the product knew of a limit that a target states. A choice weighed backlog, stage, kept parts and whether the target can be reached; each instance chose for itself. Class: a statement of a target or of the platform that no decision reads, and a bound in common that nobody keeps in common.

Evidence: arrivals at the two engines stayed at six to eight a second before and after they named their limits, with no rejection there; in six instances played together the tests TargetThatNamesALimitTest sent 27 calls in 4 s where 18 are allowed, 100 where 11 are (readings of 24 instances), 78 where 8 are (a service that rejects).

Mend: each send takes a call from this instance's share of the limit in the one place where all sends get their connections (runs, repeats, readings apart). Two instances, or about as many as the limit has calls a second, share it, ranked alike everywhere; the others leave the target, and the homes of shared parts move from it. News of a limit and of its end goes to all. A call is refused for it only where every target is used up, with the time of the next call.

--- a/src/main/java/org/dogwoodwinch/admission/LimitScope.java
+++ b/src/main/java/org/dogwoodwinch/admission/LimitScope.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.dogwoodwinch.catalogue.Limits;
 import org.dogwoodwinch.request.RefusalReason;
+import org.dogwoodwinch.time.TokenBucket;
 
 /** The limits of one owner or one entry on this instance. Used under the {@link ShareExchange}'s monitor. */
 final class LimitScope {
@@ -10,6 +11,9 @@
     /** A token rate is shared in this many units. */
     static final long RATE_UNITS = 64;
 
+    /** How much of its rate an owner may use at once. */
+    private static final double BUCKET_MILLIS = 2_000;
+
     private static final long RATE_TERM_MILLIS = 10_000;
     private static final long LONGEST_RETRY_MILLIS = 5_000;
     private static final long RETRY_MILLIS = 500;
@@ -101,7 +105,7 @@
     private TokenBucket refreshedBucket(long nowMillis) {
         double perSecond = rate().heldUnits(nowMillis) * (double) limits.tokensPerSecond() / RATE_UNITS;
         if (bucket == null) {
-            bucket = new TokenBucket(perSecond, nowMillis);
+            bucket = TokenBucket.full(perSecond, BUCKET_MILLIS, nowMillis);
         }
         bucket.setRate(perSecond, nowMillis);
         return bucket;
--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowPolicy;
@@ -134,6 +135,11 @@
         return members.mostSeenCount().isPresent() ? whole / sharersCount() : 0;
     }
 
+    /** The instances that count on each other, while this one is sure of it. */
+    Optional<Set<String>> countedOn() {
+        return members.countedOn();
+    }
+
     /** What is told between the instances of a data centre. */
     TellerExchange exchange() {
         return exchange;
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -17,6 +17,7 @@
 import org.dogwoodwinch.forwarding.EngineChooser;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
+import org.dogwoodwinch.forwarding.LimitShares;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.forwarding.PartIndex;
@@ -136,7 +137,6 @@
                 settings.forwarding().unacknowledgedMillis(),
                 settings.forwarding().idleMarginMillis());
         TargetHealth health = new TargetHealth(time::monotonicMillis);
-        this.directory = new TargetDirectory(health);
         LoadBook loads = new LoadBook();
         PartIndex parts = new PartIndex();
         ReadRates rates = new ReadRates(FIRST_TOKENS_PER_MILLI);
@@ -161,9 +161,15 @@
                 follow,
                 loads,
                 metrics);
+        LimitShares limitShares = new LimitShares(settings.instance().name(), fleet::countedOn, time::monotonicMillis);
+        TargetLimits limits = new TargetLimits(time::monotonicMillis, limitShares);
+        this.directory = new TargetDirectory(health, limits);
         BrokenTargets brokenTargets =
                 new BrokenTargets(settings.instance().name(), fleet.exchange(), health, this::bornMillis, random);
         brokenTargets.start();
+        LimitSharing limitSharing = new LimitSharing(fleet.exchange(), limits, limitShares, this::bornMillis, time);
+        limitSharing.start();
+        fleet.exchange().eachRound(() -> metrics.showLimited(limits.count()));
         this.budget = new RetryBudget(
                 settings.retries().ratio(),
                 () -> fleet.shareOf(this.settings.retries().slackCount()),
@@ -196,7 +202,8 @@
                         budget,
                         fleet.quarantine(),
                         health,
-                        new TargetLimits(time::monotonicMillis),
+                        limits,
+                        limitSharing,
                         brokenTargets,
                         fleet::connectionSharersCount),
                 metrics);
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -68,11 +68,12 @@
         List<Incarnation> ready = directory.ready(query.service().name());
         int[] kept = keptTokens(ready, prompt);
         Optional<Kept> most = mostKept(ready, kept);
-        String home = home(ready, homeKey(prompt));
+        String home = home(atEase(ready), homeKey(prompt));
         Candidate best = null;
         for (int i = 0; i < kept.length; i++) {
             Incarnation engine = ready.get(i);
-            if (query.triedIds().contains(engine.id()) || (engine.stage() == Stage.PREFILL && !query.readApart())) {
+            boolean readsOnly = engine.stage() == Stage.PREFILL && !query.readApart();
+            if (readsOnly || !mayGet(engine, query)) {
                 continue;
             }
             Candidate candidate =
@@ -109,7 +110,7 @@
         Incarnation best = null;
         double least = Double.MAX_VALUE;
         for (Incarnation engine : directory.ready(query.service().name())) {
-            if (engine.stage() == Stage.PREFILL || query.triedIds().contains(engine.id())) {
+            if (engine.stage() == Stage.PREFILL || !mayGet(engine, query)) {
                 continue;
             }
             double cost = waitMillis(engine, query) + loads.at(engine.id()).callsCount() * policy.runningCallMillis();
@@ -127,6 +128,22 @@
         return Optional.ofNullable(best);
     }
 
+    private boolean mayGet(Incarnation engine, ChoiceQuery query) {
+        return !query.triedIds().contains(engine.id()) && directory.hasRoom(engine);
+    }
+
+    /** The home of a part moves from an engine that names a limit, on all instances alike, whoever has a share of it. */
+    private List<Incarnation> atEase(List<Incarnation> ready) {
+        List<Incarnation> atEase =
+                ready.stream().filter(engine -> !directory.isLimited(engine)).toList();
+        return atEase.isEmpty() ? ready : atEase;
+    }
+
+    @Override
+    public long roomMillis(ChoiceQuery query) {
+        return directory.roomMillis(query.service().name(), query.triedIds());
+    }
+
     private Candidate candidate(
             Incarnation engine, int kept, ChoiceQuery query, Prompt prompt, Optional<Kept> most, boolean home) {
         int reached = kept;
--- a/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -31,7 +31,9 @@
         List<Incarnation> best = new ArrayList<>();
         double least = Double.MAX_VALUE;
         for (Incarnation target : directory.ready(query.service().name())) {
-            if (query.triedIds().contains(target.id()) || target.stage() == Stage.PREFILL) {
+            if (query.triedIds().contains(target.id())
+                    || target.stage() == Stage.PREFILL
+                    || !directory.hasRoom(target)) {
                 continue;
             }
             double load = loads.at(target.id()).callsCount() / (double) Math.max(1, target.slotsCount());
@@ -47,4 +49,9 @@
                 ? Optional.empty()
                 : Optional.of(new Plan(best.get(random.nextInt(best.size())), Optional.empty(), Plan.Reading.NONE));
     }
+
+    @Override
+    public long roomMillis(ChoiceQuery query) {
+        return directory.roomMillis(query.service().name(), query.triedIds());
+    }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/RetryPolicy.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RetryPolicy.java
@@ -51,10 +51,22 @@
      * @return a refusal where nothing may have run
      */
     public NextStep giveUp(CallProgress progress) {
+        return giveUp(progress, 0);
+    }
+
+    /**
+     * Ends a call for which no target can be had before a time that is known.
+     *
+     * @param progress what was done so far, not null
+     * @param roomMillis when a target may have room
+     * @return a refusal where nothing may have run
+     */
+    public NextStep giveUp(CallProgress progress, long roomMillis) {
+        long comeBackMillis = Math.max(retryAfterMillis, roomMillis);
         return progress.mayHaveRun()
                 ? new NextStep.FailUnknown()
                 : new NextStep.Refuse(
-                        Math.min(retryAfterMillis, Math.max(0, progress.remainingMillis() / PARTS_OF_REMAINING)));
+                        Math.min(comeBackMillis, Math.max(0, progress.remainingMillis() / PARTS_OF_REMAINING)));
     }
 
     private boolean timeLeft(CallProgress progress) {
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
@@ -23,4 +23,12 @@
     default Optional<Incarnation> chooseRunner(ChoiceQuery query, Incarnation reader) {
         return choose(query).map(Plan::target);
     }
+
+    /**
+     * Says when a target may get a call for which none was found.
+     *
+     * @param query the call, not null
+     * @return milliseconds from now, zero where that is not known
+     */
+    long roomMillis(ChoiceQuery query);
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The targets as the platform's list tells them. Not thread-safe.
@@ -16,6 +17,7 @@
 public final class TargetDirectory {
 
     private final TargetHealth health;
+    private final TargetLimits limits;
     private final Map<String, Row> rows = new HashMap<>();
     private Optional<Map<String, List<Incarnation>>> readyByService = Optional.empty();
     private int readyCount;
@@ -24,8 +26,10 @@
      * Creates a directory without targets.
      *
      * @param health which targets cannot be reached from here, not null
+     * @param limits which targets name a limit, and what of it is left here, not null
      */
-    public TargetDirectory(TargetHealth health) {
+    public TargetDirectory(TargetHealth health, TargetLimits limits) {
+        this.limits = Objects.requireNonNull(limits, "limits");
         this.health = Objects.requireNonNull(health, "health");
     }
 
@@ -88,6 +92,41 @@
         return health.usable(readyByService.get().getOrDefault(service, List.of()));
     }
 
+    /**
+     * Says whether a target takes a call from here now.
+     *
+     * @param target the target, not null
+     * @return false where it names a limit and this instance's share of it is used up
+     */
+    public boolean hasRoom(Incarnation target) {
+        return limits.hasRoom(target.id());
+    }
+
+    /**
+     * Says whether a target names a limit: what all instances would send there has to go elsewhere.
+     *
+     * @param target the target, not null
+     * @return whether it is limited
+     */
+    public boolean isLimited(Incarnation target) {
+        return limits.isLimited(target.id());
+    }
+
+    /**
+     * Returns when the first of a service's targets has room again.
+     *
+     * @param service the service's name, not null
+     * @param triedIds targets that do not count, not null
+     * @return milliseconds from now; zero where one has room, or none is left
+     */
+    public long roomMillis(String service, Set<String> triedIds) {
+        return ready(service).stream()
+                .filter(target -> !triedIds.contains(target.id()))
+                .mapToLong(target -> limits.roomMillis(target.id()))
+                .min()
+                .orElse(0);
+    }
+
     /**
      * Returns a target.
      *
--- a/src/main/java/org/dogwoodwinch/peer/MemberList.java
+++ b/src/main/java/org/dogwoodwinch/peer/MemberList.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -35,6 +36,9 @@
     /** Renewals that may be missed: a store that is away for some seconds loses one or two. */
     private static final int KEPT_INTERVALS = 3;
 
+    /** This instance doubts that the others count on it before they cease to: its last record may have come late to them. */
+    private static final int SURE_INTERVALS = 2;
+
     private final String ownName;
     private final KeyedWriter writer;
     private final TimeSource time;
@@ -42,6 +46,11 @@
     private final Map<String, Heard> heard = new HashMap<>();
     private boolean leaving;
     private boolean readOnce;
+    private boolean announcedOnce;
+    private boolean announced;
+    private boolean following = true;
+    private long announcedAtMillis;
+    private long regularSinceMillis;
     private int mostSeenCount = 1;
 
     /**
@@ -68,10 +77,15 @@
         if (leaving) {
             return;
         }
+        long beganMillis = time.monotonicMillis();
         writer.put(self.name(), Optional.of(encode(self))).thenAccept(written -> {
-            if (!written) {
+            if (written) {
+                announcedOnce = true;
+                announcedAtMillis = beganMillis;
+            } else {
                 LogEvent.of("member_not_announced").with("member", self.name()).info(log);
             }
+            regular(written, following);
         });
         time.schedule(renewMillis, () -> start(self));
     }
@@ -93,8 +107,43 @@
      */
     public List<PeerMember> others() {
         long oldestMillis = time.monotonicMillis() - KEPT_INTERVALS * renewMillis;
-        heard.values().removeIf(member -> member.atMillis < oldestMillis);
-        return heard.values().stream().map(Heard::member).toList();
+        return heard.values().stream()
+                .filter(each -> each.atMillis >= oldestMillis)
+                .map(Heard::member)
+                .toList();
+    }
+
+    /**
+     * Returns the instances that a thing which one of them may use alone is dealt to: those that count on each other.
+     *
+     * <p>Failure: while the store is away no record is renewed, all others lapse, and each instance would deal itself
+     * everything. Whoever was heard stays until the store has taken this instance's records and was followed for as long as
+     * an instance is believed in. And an instance whose own records are not taken is given up by the others: it has to know
+     * that before they act on it.
+     *
+     * @return their names, this one's among them; empty where this one cannot be sure that the others count on it
+     */
+    public Optional<Set<String>> countedOn() {
+        long nowMillis = time.monotonicMillis();
+        if (!readOnce || leaving || !announcedOnce || nowMillis - announcedAtMillis >= SURE_INTERVALS * renewMillis) {
+            return Optional.empty();
+        }
+        if (announced && following) {
+            heard.values()
+                    .removeIf(each ->
+                            nowMillis - Math.max(each.atMillis, regularSinceMillis) > KEPT_INTERVALS * renewMillis);
+        }
+        Set<String> names = new HashSet<>(heard.keySet());
+        names.add(ownName);
+        return Optional.of(names);
+    }
+
+    private void regular(boolean nowAnnounced, boolean nowFollowing) {
+        if (nowAnnounced && nowFollowing && !(announced && following)) {
+            regularSinceMillis = time.monotonicMillis();
+        }
+        announced = nowAnnounced;
+        following = nowFollowing;
     }
 
     /**
@@ -119,7 +168,7 @@
             heard.remove(record.key());
         } else {
             heard.put(record.key(), new Heard(member.get(), time.monotonicMillis()));
-            mostSeenCount = Math.max(mostSeenCount, heard.size() + 1);
+            mostSeenCount = Math.max(mostSeenCount, others().size() + 1);
         }
         LogEvent.of("member_heard")
                 .with("member", record.key())
@@ -138,11 +187,13 @@
 
     @Override
     public void regained() {
+        regular(announced, true);
         LogEvent.of("store_regained").with("stream", TOPIC).info(log);
     }
 
     @Override
     public void lost(String reason) {
+        regular(announced, false);
         LogEvent.of("store_lost").with("stream", TOPIC).with("reason", reason).warn(log);
     }
 
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -8,6 +8,8 @@
     LEAVING,
     /** Targets that break off the calls of an instance, or answer again. */
     BROKEN_TARGET,
+    /** Limits that targets name. */
+    TARGET_LIMIT,
     /** Fingerprints of requests that crash targets. */
     QUARANTINE,
     /** Demand of owners, for the shares of their limits. */
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -61,8 +61,12 @@
     private static final long REPLAY_WINDOW_MILLIS = 300_000;
 
     /** What tellers pass on to their own data centre and, where it comes from there, to the other tellers. */
-    private static final Set<PeerTopic> TOLD_TO_ALL =
-            Set.of(PeerTopic.QUARANTINE, PeerTopic.LEAVING, PeerTopic.BROKEN_TARGET, PeerTopic.SHARED_PARTS);
+    private static final Set<PeerTopic> TOLD_TO_ALL = Set.of(
+            PeerTopic.QUARANTINE,
+            PeerTopic.LEAVING,
+            PeerTopic.BROKEN_TARGET,
+            PeerTopic.TARGET_LIMIT,
+            PeerTopic.SHARED_PARTS);
 
     private final PeerSettings settings;
     private final TimeSource time;
--- a/src/main/java/org/dogwoodwinch/relay/AnswerFacts.java
+++ b/src/main/java/org/dogwoodwinch/relay/AnswerFacts.java
@@ -25,6 +25,8 @@
         OptionalLong idleMillis,
         OptionalDouble limitPerSecond) {
 
+    private static final int OK_CLASS = 2;
+    private static final int CLASS_DIVISOR = 100;
     private static final int MISDIRECTED = 421;
 
     /** Checks. */
@@ -39,6 +41,11 @@
         return status == MISDIRECTED;
     }
 
+    /** Whether the status is one of success; what else a success needs is not asked here. */
+    boolean success() {
+        return status / CLASS_DIVISOR == OK_CLASS;
+    }
+
     /** Whether the call has not run and never will. */
     boolean rejected() {
         return statesNotRun || misdirected();
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -234,7 +234,8 @@
 
     private void noTarget() {
         parts.report().noTarget(this);
-        follow(new SendOutcome.NotSent("no_target"), parts.retryPolicy().giveUp(progress()));
+        long roomMillis = parts.chooser().roomMillis(query());
+        follow(new SendOutcome.NotSent("no_target"), parts.retryPolicy().giveUp(progress(), roomMillis));
     }
 
     /** Reading apart again would be one more arrival; the second time the target reads the prompt itself. */
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -144,12 +144,17 @@
         instancesSeen.set(count);
     }
 
-    void sent(String purpose, boolean limitedTarget) {
-        sends.labelValues(purpose, Boolean.toString(limitedTarget)).inc();
+    /**
+     * Shows how many targets name a limit.
+     *
+     * @param count the targets
+     */
+    public void showLimited(int count) {
+        limited.set(count);
     }
 
-    void showLimited(int count) {
-        limited.set(count);
+    void sent(String purpose, boolean limitedTarget) {
+        sends.labelValues(purpose, Boolean.toString(limitedTarget)).inc();
     }
 
     void repeat(String service, String decision) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -80,7 +80,13 @@
                 time,
                 callHeaders,
                 new TargetConnections(
-                        connector, callHeaders, time, policy, metrics::connectionOpened, this::targetUnreachable),
+                        connector,
+                        callHeaders,
+                        time,
+                        policy,
+                        decisions.limits()::take,
+                        metrics::connectionOpened,
+                        this::targetUnreachable),
                 decisions.chooser(),
                 control,
                 decisions.loads(),
@@ -90,7 +96,7 @@
                 decisions.budget(),
                 new Suspicions(decisions.quarantine(), time),
                 health,
-                decisions.limits(),
+                decisions.statedLimits(),
                 decisions.breakOffs(),
                 report,
                 decisions.sharersCount());
@@ -108,6 +114,7 @@
      * @param quarantine knows the calls that crash targets, not null
      * @param health knows the targets that could not be reached of late, not null
      * @param limits knows the targets that name a limit, not null
+     * @param statedLimits hears of them, not null
      * @param breakOffs judges the targets that break off calls, not null
      * @param sharersCount the instances that share a target's connections, asked each time, not null
      */
@@ -121,6 +128,7 @@
             Quarantine quarantine,
             TargetHealth health,
             TargetLimits limits,
+            StatedLimits statedLimits,
             BreakOffs breakOffs,
             IntSupplier sharersCount) {}
 
@@ -243,7 +251,7 @@
      */
     public void targetFoundGone(String targetId) {
         parts.breakOffs().forget(targetId);
-        parts.limits().forget(targetId);
+        parts.statedLimits().forget(targetId);
         parts.suspicions().foundGone(targetId);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -2,7 +2,6 @@
 
 import java.util.Locale;
 import java.util.Objects;
-import java.util.OptionalDouble;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Plan;
@@ -44,7 +43,7 @@
     @Override
     public void noTarget(CallRelay call) {
         metrics.refused(OwnAnswers.UNAVAILABLE, "no_target");
-        about("no_target", call).info(log);
+        about("no_target", call).with("limitUsedUp", limits.usedUp()).info(log);
     }
 
     @Override
@@ -94,14 +93,6 @@
         about("time_limit", call).with("mayHaveRun", mayHaveRun).info(log);
     }
 
-    @Override
-    public void limitStated(String targetId, TargetLimits.News news, OptionalDouble perSecond) {
-        metrics.showLimited(limits.count());
-        LogEvent event = LogEvent.of("target_limit").with("target", targetId).with("news", lower(news));
-        perSecond.ifPresent(rate -> event.with("perSecond", rate));
-        event.info(log);
-    }
-
     @Override
     public void sent(
             String requestId, Incarnation target, Plan.Reading reading, long aheadTokens, SendPurpose purpose) {
@@ -116,6 +107,7 @@
                     .with("aheadTokens", aheadTokens)
                     .with("keeper", reading.keeper().map(Incarnation::id).orElse(""))
                     .with("purpose", lower(purpose))
+                    .with("limitUsedUp", limits.usedUp())
                     .debug(log);
         }
     }
--- a/src/main/java/org/dogwoodwinch/relay/ReceivedAnswer.java
+++ b/src/main/java/org/dogwoodwinch/relay/ReceivedAnswer.java
@@ -11,8 +11,6 @@
 /** The answer to one send as far as it has arrived, and what it proves. */
 final class ReceivedAnswer {
 
-    private static final int OK_CLASS = 2;
-    private static final int CLASS_DIVISOR = 100;
     private static final int TOO_MANY = 429;
 
     private final AnswerFacts facts;
@@ -51,7 +49,7 @@
 
     /** A success counts with the target's signature alone and with the target's own bytes. */
     boolean success() {
-        return facts.status() / CLASS_DIVISOR == OK_CLASS
+        return facts.success()
                 && facts.signed()
                 && !facts.encoded()
                 && facts.requestId().isPresent();
@@ -68,7 +66,7 @@
         if (facts.rejected()) {
             return new SendOutcome.Rejected(status);
         }
-        if (status / CLASS_DIVISOR == OK_CLASS) {
+        if (facts.success()) {
             return new SendOutcome.Unknown("success_not_proved");
         }
         if (status == TOO_MANY || OwnAnswers.promisesNotRun(status)) {
--- a/src/main/java/org/dogwoodwinch/relay/RelayParts.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.util.Objects;
 import java.util.function.IntSupplier;
+import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.forwarding.PartIndex;
 import org.dogwoodwinch.forwarding.ReadRates;
@@ -12,7 +13,6 @@
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
-import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
@@ -30,7 +30,7 @@
  * @param budget bounds repeats, not null
  * @param suspicions which calls crash targets, not null
  * @param health which targets could not be reached of late, not null
- * @param limits which targets name a limit, not null
+ * @param statedLimits hears of the limits that targets name, not null
  * @param breakOffs hears of targets that break off calls, not null
  * @param report counts and logs, not null
  * @param sharersCount the instances that share a target's connections, asked each time, not null
@@ -48,7 +48,7 @@
         RetryBudget budget,
         Suspicions suspicions,
         TargetHealth health,
-        TargetLimits limits,
+        StatedLimits statedLimits,
         BreakOffs breakOffs,
         RelayReport report,
         IntSupplier sharersCount) {
@@ -66,7 +66,7 @@
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(suspicions, "suspicions");
         Objects.requireNonNull(health, "health");
-        Objects.requireNonNull(limits, "limits");
+        Objects.requireNonNull(statedLimits, "statedLimits");
         Objects.requireNonNull(breakOffs, "breakOffs");
         Objects.requireNonNull(report, "report");
         Objects.requireNonNull(sharersCount, "sharersCount");
@@ -96,14 +96,13 @@
         report.unreachable(targetId, breakOffs.brokeOff(targetId), "broke_off");
     }
 
-    /** The head of a target's answer came to a call that was sent then; another target at the address says nothing of it. */
-    void limitStated(String targetId, AnswerFacts facts, long sentMillis) {
-        if (facts.misdirected()) {
-            return;
-        }
-        TargetLimits.News news = limits.answered(targetId, facts.limitPerSecond(), sentMillis);
-        if (news != TargetLimits.News.NONE) {
-            report.limitStated(targetId, news, facts.limitPerSecond());
+    /**
+     * The head of a target's answer came to a call that was sent then. Another target at its address says nothing of it, and
+     * that it names no limit counts in a success alone.
+     */
+    void answerBegan(Incarnation target, AnswerFacts facts, long sentMillis) {
+        if (!facts.misdirected() && (facts.limitPerSecond().isPresent() || facts.success())) {
+            statedLimits.answered(target, facts.limitPerSecond(), sentMillis);
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -1,11 +1,9 @@
 package org.dogwoodwinch.relay;
 
-import java.util.OptionalDouble;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Plan;
 import org.dogwoodwinch.forwarding.SendOutcome;
-import org.dogwoodwinch.forwarding.TargetLimits;
 
 /** Hears every decision about a call, to count and to log it. */
 interface RelayReport {
@@ -43,9 +41,6 @@
     /** A call or the reading of its prompt goes to a target. */
     void sent(String requestId, Incarnation target, Plan.Reading reading, long aheadTokens, SendPurpose purpose);
 
-    /** An answer changed what is believed of a target's limit; {@code perSecond} is empty where it names none any more. */
-    void limitStated(String targetId, TargetLimits.News news, OptionalDouble perSecond);
-
     /** The first byte of a streamed answer goes to the caller. */
     void firstByte(CallRelay call);
 
--- a/src/main/java/org/dogwoodwinch/relay/SendAccount.java
+++ b/src/main/java/org/dogwoodwinch/relay/SendAccount.java
@@ -54,9 +54,9 @@
         return aheadTokens;
     }
 
-    /** The head of the answer came: what it states of the target's limit is believed. */
+    /** The head of the answer came: what it states of the target is believed. */
     void answered(AnswerFacts facts) {
-        parts.limitStated(target.id(), facts, sentMillis);
+        parts.answerBegan(target, facts, sentMillis);
     }
 
     /** The prompt was read: its parts are kept there, and the time that it took tells how fast the target reads. */
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnections.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnections.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -42,6 +44,7 @@
     private final CallHeaders callHeaders;
     private final TimeSource time;
     private final ConnectionPolicy policy;
+    private final Predicate<String> mayArrive;
     private final Runnable onOpened;
     private final Consumer<String> onUnreachable;
     private final Map<String, Lane> lanes = new HashMap<>();
@@ -51,18 +54,20 @@
             CallHeaders callHeaders,
             TimeSource time,
             ConnectionPolicy policy,
+            Predicate<String> mayArrive,
             Runnable onOpened,
             Consumer<String> onUnreachable) {
         this.connector = Objects.requireNonNull(connector, "connector");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.time = Objects.requireNonNull(time, "time");
         this.policy = Objects.requireNonNull(policy, "policy");
+        this.mayArrive = Objects.requireNonNull(mayArrive, "mayArrive");
         this.onOpened = Objects.requireNonNull(onOpened, "onOpened");
         this.onUnreachable = Objects.requireNonNull(onUnreachable, "onUnreachable");
     }
 
     /**
-     * Hands out a kept connection, or opens one.
+     * Hands out a kept connection, or opens one. Whatever is sent to a target passes here, and is asked for here once.
      *
      * @param target whose connection, not null
      * @param mostCount the most connections to it from here
@@ -70,21 +75,28 @@
      */
     void take(Incarnation target, int mostCount, Taker taker) {
         Lane lane = lanes.computeIfAbsent(target.id(), _id -> new Lane());
+        Optional<TargetConnection> kept = kept(lane);
+        if (kept.isEmpty() && lane.openCount >= mostCount) {
+            taker.failed("connections_in_use");
+        } else if (!mayArrive.test(target.id())) {
+            kept.ifPresent(lane.idle::addFirst);
+            dropIfEmpty(target.id(), lane);
+            taker.failed("limit_used_up");
+        } else if (kept.isPresent()) {
+            taker.took(kept.get());
+        } else {
+            open(target, lane, taker);
+        }
+    }
+
+    private Optional<TargetConnection> kept(Lane lane) {
         long nowMillis = time.monotonicMillis();
         TargetConnection kept = lane.idle.pollFirst();
-        while (kept != null) {
-            if (kept.open() && !kept.stale(nowMillis, policy.idleMarginMillis())) {
-                taker.took(kept);
-                return;
-            }
+        while (kept != null && (!kept.open() || kept.stale(nowMillis, policy.idleMarginMillis()))) {
             kept.close();
             kept = lane.idle.pollFirst();
         }
-        if (lane.openCount >= mostCount) {
-            taker.failed("connections_in_use");
-            return;
-        }
-        open(target, lane, taker);
+        return Optional.ofNullable(kept);
     }
 
     /**
--- a/src/test/java/org/dogwoodwinch/daemon/StageOrdersTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StageOrdersTest.java
@@ -16,6 +16,7 @@
 import org.dogwoodwinch.follow.ConditionalLog;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.NoLimits;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.forwarding.ReadRates;
 import org.dogwoodwinch.forwarding.Stage;
@@ -51,7 +52,8 @@
     private final class Giver implements EngineControl {
 
         private final LoadBook loads = new LoadBook();
-        private final TargetDirectory directory = new TargetDirectory(new TargetHealth(time::monotonicMillis));
+        private final TargetDirectory directory =
+                new TargetDirectory(new TargetHealth(time::monotonicMillis), NoLimits.book());
         private boolean gives;
         private boolean storeLosesAnswers;
         private long storeMillis = 4;
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -14,6 +14,7 @@
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
 import org.dogwoodwinch.forwarding.LoadBook;
+import org.dogwoodwinch.forwarding.NoLimits;
 import org.dogwoodwinch.forwarding.PartIndex;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.PromptPart;
@@ -22,12 +23,12 @@
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
-import org.dogwoodwinch.forwarding.TargetLimits;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.relay.ConnectionPolicy;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
 import org.dogwoodwinch.relay.OwnBreakOffs;
+import org.dogwoodwinch.relay.OwnLimits;
 import org.dogwoodwinch.relay.SilentEngines;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -39,7 +40,7 @@
 
     private final VirtualTimeSource time = new VirtualTimeSource(0);
     private final PartIndex parts = new PartIndex();
-    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0));
+    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), NoLimits.book());
     private final TargetsReader reader = new TargetsReader(
             directory, service(), new ForwardingMetrics(new PrometheusRegistry()), time, LAPSE_MILLIS);
     private long offset;
@@ -62,7 +63,8 @@
                         new RetryBudget(0, () -> 0, 1_000, 0),
                         Quarantine.NONE,
                         new TargetHealth(() -> 0),
-                        new TargetLimits(() -> 0),
+                        NoLimits.book(),
+                        new OwnLimits(NoLimits.book()),
                         new OwnBreakOffs(new TargetHealth(() -> 0)),
                         () -> 1),
                 new ForwardingMetrics(new PrometheusRegistry()));
--- a/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
@@ -18,7 +20,8 @@
     private static final ServiceEntry SERVICE =
             new ServiceEntry("s", 360, Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000, 3_000)));
 
-    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0));
+    private final TargetLimits limits = NoLimits.book();
+    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), limits);
     private final LoadBook loads = new LoadBook();
     private final PartIndex parts = new PartIndex();
 
@@ -238,4 +241,44 @@
         ChoiceQuery query = new ChoiceQuery(SERVICE, Optional.of(prompt), 0, 250, 150, Set.of(), true);
         assertTrue(chooser(1).choose(query).orElseThrow().prefill().isEmpty());
     }
+
+    /** The home moves with all its calls, not with those alone that find no share left. */
+    @Test
+    void aPartsHomeMovesFromAnEngineThatNamesALimit() {
+        String home = reader(chooser(1).choose(query("part", "x")).orElseThrow());
+
+        limits.answered(home, OptionalDouble.of(1_000), 0);
+        String other = reader(chooser(1).choose(query("part", "x")).orElseThrow());
+
+        assertNotEquals(home, other);
+        for (int i = 0; i < 50; i++) {
+            assertEquals(other, reader(chooser(i).choose(query("part", "y" + i)).orElseThrow()));
+        }
+    }
+
+    /** What a limited engine keeps is fetched: that is no call to it. */
+    @Test
+    void whatALimitedEngineKeepsIsFetchedFromIt() {
+        parts.read(
+                "p0", new Prompt("m", 17_000, 20, List.of(new PromptPart("part", 13_000), new PromptPart("o", 4_000))));
+        limits.answered("p0", OptionalDouble.of(2), 0);
+
+        Plan plan = chooser(1).choose(query("part", "x")).orElseThrow();
+
+        assertNotEquals("p0", reader(plan));
+        assertEquals("p0", plan.reading().keeper().orElseThrow().id());
+    }
+
+    @Test
+    void whereAllEnginesThatGenerateAreUsedUpThereIsNoTargetBeforeTheNextCallOfTheirs() {
+        for (int i = 0; i < 5; i++) {
+            limits.answered("d" + i, OptionalDouble.of(4 + i), 0);
+        }
+        for (int i = 0; i < 3; i++) {
+            limits.answered("p" + i, OptionalDouble.of(5), 0);
+        }
+
+        assertEquals(Optional.empty(), chooser(1).choose(query("part", "x")));
+        assertEquals(125, chooser(1).roomMillis(query("part", "x")));
+    }
 }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/forwarding/LimitSharesTest.java
@@ -0,0 +1,124 @@
+package org.dogwoodwinch.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class LimitSharesTest {
+
+    private final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
+    private Optional<Set<String>> countedOn = Optional.of(names(95));
+
+    @Test
+    void aLimitIsDealtOutToAFewInstancesInSharesOfAboutACallASecond() {
+        for (double limit : new double[] {1, 2.3, 3.5, 20, 90}) {
+            List<Double> held = shares(names(95)).stream()
+                    .map(each -> each.perSecond("t1", limit))
+                    .filter(share -> share > 0)
+                    .toList();
+
+            assertEquals(limit, held.stream().mapToDouble(share -> share).sum(), 1e-9);
+            assertTrue(held.size() <= Math.max(2, limit + 1), held.size() + " holders of " + limit);
+        }
+    }
+
+    @Test
+    void aTargetThatTakesNothingIsAskedNowAndThen() {
+        double sum = shares(names(95)).stream()
+                .mapToDouble(each -> each.perSecond("t1", 0))
+                .sum();
+
+        assertTrue(sum > 0 && sum < 1, "calls a second: " + sum);
+    }
+
+    /** Just started, it may be one of many; after several announcements of the others it is not. */
+    @Test
+    void anInstanceAloneHasTheWholeLimitAfterAWhile() {
+        LimitShares alone = shares(Set.of("i0")).get(0);
+        assertEquals(2, alone.perSecond("t1", 8));
+
+        time.advanceMillis(60_000);
+
+        assertEquals(8, alone.perSecond("t1", 8));
+    }
+
+    @Test
+    void differentTargetsAreDealtToDifferentInstances() {
+        List<LimitShares> all = shares(names(6));
+        long withNone = all.stream()
+                .filter(each -> IntStream.range(0, 8).allMatch(t -> each.perSecond("t" + t, 2) == 0))
+                .count();
+
+        assertTrue(withNone <= 1, withNone + " of six instances have no share of any of eight targets");
+    }
+
+    @Test
+    void whoIsNotSureOfTheFleetHasNoShare() {
+        LimitShares shares = new LimitShares("i0", () -> countedOn, time::monotonicMillis);
+        countedOn = Optional.of(Set.of("i0"));
+        shares.look();
+        time.advanceMillis(2_001);
+        shares.look();
+        assertEquals(1, shares.perSecond("t1", 2));
+
+        countedOn = Optional.empty();
+        shares.look();
+
+        assertEquals(0, shares.perSecond("t1", 2));
+    }
+
+    /** The holders before it go on until they have heard of it. */
+    @Test
+    void whoComesToRankAmongTheHoldersWaits() {
+        LimitShares shares = new LimitShares("i0", () -> countedOn, time::monotonicMillis);
+        String target = IntStream.range(0, 1_000)
+                .mapToObj(i -> "t" + i)
+                .filter(id -> names(95).stream()
+                                .filter(name -> Rendezvous.score(id, name) > Rendezvous.score(id, "i0"))
+                                .count()
+                        == 2)
+                .findFirst()
+                .orElseThrow();
+        shares.look();
+        time.advanceMillis(2_001);
+        shares.look();
+        assertEquals(0, shares.perSecond(target, 2));
+
+        Set<String> fewer = names(95);
+        fewer.remove(fewer.stream()
+                .filter(name -> Rendezvous.score(target, name) > Rendezvous.score(target, "i0"))
+                .findFirst()
+                .orElseThrow());
+        countedOn = Optional.of(fewer);
+        shares.look();
+        assertEquals(0, shares.perSecond(target, 2));
+        time.advanceMillis(2_001);
+        shares.look();
+
+        assertEquals(1, shares.perSecond(target, 2));
+    }
+
+    private List<LimitShares> shares(Set<String> names) {
+        List<LimitShares> all = new ArrayList<>();
+        for (String name : names) {
+            LimitShares shares = new LimitShares(name, () -> Optional.of(names), time::monotonicMillis);
+            shares.look();
+            all.add(shares);
+        }
+        time.advanceMillis(2_001);
+        all.forEach(LimitShares::look);
+        return all;
+    }
+
+    private static Set<String> names(int count) {
+        return IntStream.range(0, count).mapToObj(i -> "i" + i).collect(Collectors.toSet());
+    }
+}
--- a/src/test/java/org/dogwoodwinch/forwarding/RetryPolicyTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/RetryPolicyTest.java
@@ -89,4 +89,16 @@
 
         assertEquals(100, assertInstanceOf(NextStep.Refuse.class, step).retryAfterMillis());
     }
+
+    /** A caller is told when there is room, but never so late that it cannot come back. */
+    @Test
+    void aRefusalNamesTheTimeAtWhichThereIsRoom() {
+        assertEquals(new NextStep.Refuse(200), POLICY.giveUp(progress(4_000), 50));
+        assertEquals(new NextStep.Refuse(700), POLICY.giveUp(progress(4_000), 700));
+        assertEquals(new NextStep.Refuse(1_000), POLICY.giveUp(progress(4_000), 9_000));
+    }
+
+    private static CallProgress progress(long remainingMillis) {
+        return new CallProgress(false, 0, 0, 0, 1, remainingMillis);
+    }
 }
--- a/src/test/java/org/dogwoodwinch/forwarding/TargetDirectoryTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/TargetDirectoryTest.java
@@ -11,7 +11,7 @@
 
 class TargetDirectoryTest {
 
-    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0));
+    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), NoLimits.book());
 
     private static Optional<Incarnation> target(String id, boolean leaving) {
         return Optional.of(new Incarnation(id, "s", "10.0.0.1", 80, "dc", 1, leaving, Stage.WHOLE, 0));
--- a/src/test/java/org/dogwoodwinch/forwarding/TargetLimitsTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/TargetLimitsTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
 
@@ -13,7 +16,8 @@
     private static final OptionalDouble TWO = OptionalDouble.of(2);
 
     private final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
-    private final TargetLimits limits = new TargetLimits(time::monotonicMillis);
+    private final LimitShares shares = new LimitShares("i0", () -> Optional.of(Set.of("i0")), time::monotonicMillis);
+    private final TargetLimits limits = new TargetLimits(time::monotonicMillis, shares);
 
     @Test
     void aLimitIsNamedChangedAndEnded() {
@@ -48,6 +52,52 @@
         assertEquals(0, limits.count());
     }
 
+    /** Whatever is sent takes from the share, and a share that was not used is not saved up. */
+    @Test
+    void aShareIsUsedUpAndFillsAgain() {
+        settle();
+        limits.answered("t1", TWO, now());
+        assertFalse(limits.take("t1"));
+
+        time.advanceMillis(30_000);
+        assertTrue(limits.take("t1"));
+        assertFalse(limits.hasRoom("t1"));
+        assertEquals(List.of("t1"), limits.usedUp());
+        assertEquals(500, limits.roomMillis("t1"));
+
+        time.advanceMillis(500);
+        assertTrue(limits.take("t1"));
+        assertTrue(limits.take("t2"), "names no limit");
+    }
+
+    @Test
+    void aLateWordReplacesNoNewerOne() {
+        limits.told("t1", TWO, now() - 10);
+        assertEquals(TargetLimits.News.NONE, limits.told("t1", OptionalDouble.of(9), now() - 20));
+        assertEquals(TargetLimits.News.NONE, limits.told("t1", OptionalDouble.empty(), now() - 20));
+        assertEquals(TargetLimits.News.ENDED, limits.told("t1", OptionalDouble.empty(), now() - 5));
+        assertEquals(TargetLimits.News.NONE, limits.told("t1", TWO, now() - 7));
+        assertEquals(TargetLimits.News.NAMED, limits.told("t1", TWO, now()));
+    }
+
+    /** Where this instance has no share, another one's call is the next. */
+    @Test
+    void theNextCallOfAnotherInstanceIsWhenThereIsRoom() {
+        TargetLimits others =
+                new TargetLimits(time::monotonicMillis, new LimitShares("i0", Optional::empty, time::monotonicMillis));
+        others.answered("t1", TWO, now());
+
+        assertFalse(others.hasRoom("t1"));
+        assertEquals(500, others.roomMillis("t1"));
+        assertEquals(0, others.roomMillis("t2"));
+    }
+
+    private void settle() {
+        shares.look();
+        time.advanceMillis(2_001);
+        shares.look();
+    }
+
     private long now() {
         return time.monotonicMillis();
     }
--- a/src/test/java/org/dogwoodwinch/peer/MemberListTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/MemberListTest.java
@@ -92,14 +92,71 @@
         assertEquals(OptionalInt.of(58), members.mostSeenCount());
     }
 
+    /** The store is away for a minute: no record is renewed, and nobody may take itself for the only one. */
+    @Test
+    void throughAnOutageOfTheStoreTheSameInstancesAreCountedOn() {
+        begin("i1", "i2");
+
+        written.taken = false;
+        members.lost("timeout");
+        time.advanceMillis(29_999 - RENEW_MILLIS);
+        assertEquals(Optional.of(Set.of("i0", "i1", "i2")), members.countedOn());
+        time.advanceMillis(45_000);
+        assertEquals(Optional.empty(), members.countedOn(), "the others have ceased to count on it");
+
+        written.taken = true;
+        members.regained();
+        time.advanceMillis(RENEW_MILLIS);
+        assertEquals(Optional.of(Set.of("i0", "i1", "i2")), members.countedOn());
+    }
+
+    @Test
+    void whoIsNotRenewedWhileTheStoreIsThereIsCountedOnNoMore() {
+        begin("i1", "i2");
+        for (int i = 0; i < 4; i++) {
+            time.advanceMillis(RENEW_MILLIS);
+            hear("i1");
+        }
+
+        assertEquals(Optional.of(Set.of("i0", "i1")), members.countedOn());
+    }
+
+    @Test
+    void whoLeavesCountsOnNobody() {
+        begin("i1");
+        members.leave();
+
+        assertEquals(Optional.empty(), members.countedOn());
+    }
+
+    @Test
+    void beforeItsOwnRecordIsTakenAnInstanceCountsOnNobody() {
+        written.taken = false;
+        begin("i1");
+        assertEquals(Optional.empty(), members.countedOn());
+
+        written.taken = true;
+        time.advanceMillis(RENEW_MILLIS);
+        assertEquals(Optional.of(Set.of("i0", "i1")), members.countedOn());
+    }
+
+    private void begin(String... others) {
+        for (String other : others) {
+            hear(other);
+        }
+        members.readWhole(Set.of(others), nextOffset);
+        members.start(new PeerMember("i0", "10.0.0.1", 7_000, "dc"));
+    }
+
     private static final class Written implements KeyedWriter {
 
         private Optional<Bytes> last = Optional.empty();
+        private boolean taken = true;
 
         @Override
         public CompletionStage<Boolean> put(String _key, Optional<Bytes> value) {
             last = value;
-            return CompletableFuture.completedFuture(true);
+            return CompletableFuture.completedFuture(taken);
         }
     }
 }
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -22,6 +22,7 @@
 import org.dogwoodwinch.forwarding.EngineTraits;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
+import org.dogwoodwinch.forwarding.LimitShares;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.forwarding.PartIndex;
 import org.dogwoodwinch.forwarding.ReadRates;
@@ -51,6 +52,8 @@
 
     final VirtualTimeSource time;
     final TargetHealth health;
+    final LimitShares shares;
+    final TargetLimits limits;
     final TargetDirectory directory;
     final LoadBook loads = new LoadBook();
     final PartIndex parts = new PartIndex();
@@ -67,13 +70,15 @@
     }
 
     RelayFixture(double slack) {
-        this(slack, new VirtualTimeSource(1_000_000));
+        this(slack, new VirtualTimeSource(1_000_000), "i0", Set.of("i0"));
     }
 
-    RelayFixture(double slack, VirtualTimeSource time) {
+    RelayFixture(double slack, VirtualTimeSource time, String instance, Set<String> instances) {
         this.time = time;
         this.health = new TargetHealth(time::monotonicMillis);
-        this.directory = new TargetDirectory(health);
+        this.shares = new LimitShares(instance, () -> Optional.of(instances), time::monotonicMillis);
+        this.limits = new TargetLimits(time::monotonicMillis, shares);
+        this.directory = new TargetDirectory(health, limits);
         this.suspects = new SuspectBook(time, 600_000, 600_000, _notice -> {});
         ReadRates rates = new ReadRates(30);
         EngineChooser chooser = new EngineChooser(
@@ -100,7 +105,8 @@
                         new RetryBudget(0, () -> slack, 10_000, -10_000),
                         suspects,
                         health,
-                        new TargetLimits(time::monotonicMillis),
+                        limits,
+                        new OwnLimits(limits),
                         new OwnBreakOffs(health),
                         () -> sharersCount),
                 new ForwardingMetrics(new PrometheusRegistry()));
--- a/src/test/java/org/dogwoodwinch/relay/TargetThatNamesALimitTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/TargetThatNamesALimitTest.java
@@ -7,9 +7,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.forwarding.Stage;
@@ -85,8 +88,9 @@
     }
 
     private void fleet(int count, Function<RelayFixture, RelayFixture> targets) {
+        Set<String> names = IntStream.range(0, count).mapToObj(i -> "i" + i).collect(Collectors.toSet());
         for (int i = 0; i < count; i++) {
-            instances.add(targets.apply(new RelayFixture(50, time).configured()));
+            instances.add(targets.apply(new RelayFixture(50, time, "i" + i, names).configured()));
         }
     }
 
@@ -105,6 +109,7 @@
             }
             instances.forEach(this::takeArrivals);
             time.advanceMillis(STEP_MILLIS);
+            instances.forEach(each -> each.shares.look());
             tellLoads();
         }
     }
