Plan stages without the engines that name a limit

Cause: the planner counted an engine that takes two calls a second as a whole one. Where all that generate name limits, nothing waits at them, so no need shows, while everything read has nowhere to run; and with nothing under way they looked like the ones to change.

Change: limited engines count neither for waits nor for slots and are not the ones that change; where a stage has none left, one of the other stage is ordered there at once. An engine that was ordered counts for neither stage until it is listed with the new one.

The tests of StagePlannerTest on limited engines fail without the change.

--- a/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
@@ -119,7 +119,12 @@
     private void plan(String service, long nowMillis) {
         StagePlanner planner = planners.computeIfAbsent(service, parts.planners());
         List<Incarnation> ready = parts.directory().ready(service);
-        planner.plan(ready, parts.loads()::at, id -> !notBeforeMillis.containsKey(id), nowMillis)
+        planner.plan(
+                        ready,
+                        parts.directory()::isLimited,
+                        parts.loads()::at,
+                        id -> !notBeforeMillis.containsKey(id),
+                        nowMillis)
                 .ifPresent(change -> consider(planner, change));
     }
 
@@ -180,12 +185,15 @@
         Incarnation engine = change.engine();
         long awayMillis = parts.switchMillis().applyAsLong(engine.service());
         ordering = true;
-        planner.ordered(awayMillis, time.monotonicMillis());
+        planner.ordered(change, awayMillis, time.monotonicMillis());
         parts.away().tell(engine.id(), awayMillis);
         StageOrder order = new StageOrder(change.stage(), parts.ownName(), token, ordersCount);
         parts.control().order(engine, order).thenAccept(outcome -> {
             ordering = false;
             took(engine, outcome);
+            if (outcome != OrderOutcome.TAKEN) {
+                planner.notTaken(change);
+            }
             LogEvent.of("stage_ordered")
                     .with("service", engine.service())
                     .with("target", engine.id())
--- a/src/main/java/org/dogwoodwinch/forwarding/StagePlanner.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StagePlanner.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.forwarding;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
@@ -18,11 +19,15 @@
 
     private static final int ENGINES_OF_ONE_AWAY = 8;
 
+    /** An engine finishes what it runs before it changes; one that has not changed by then is not waited for. */
+    private static final long LONGEST_CHANGE_MILLIS = 15_000;
+
     private final StagePlanPolicy policy;
     private final ReadRates rates;
     private final Pressure reading;
     private final Pressure generating;
     private final Pressure busy;
+    private final List<UnderWay> underWay = new ArrayList<>();
     private long notBeforeMillis = Long.MIN_VALUE;
     private int enginesCount;
 
@@ -53,15 +58,30 @@
      * Looks at the loads. Called again and again, whether or not a change is wanted.
      *
      * @param ready the engines of the service that take work, not null
+     * @param limited whether an engine takes no more than the few calls that it names, not null
      * @param load what is under way at an engine, by its id, not null
      * @param eligible whether an engine, by its id, may be changed, not null
      * @param nowMillis monotonic milliseconds
      * @return a change that is worth it now
      */
     public Optional<Change> plan(
-            List<Incarnation> ready, Function<String, TargetLoad> load, Predicate<String> eligible, long nowMillis) {
-        List<Incarnation> readers = ofStage(ready, Stage.PREFILL);
-        List<Incarnation> generators = ofStage(ready, Stage.DECODE);
+            List<Incarnation> ready,
+            Predicate<Incarnation> limited,
+            Function<String, TargetLoad> load,
+            Predicate<String> eligible,
+            long nowMillis) {
+        underWay.removeIf(change -> change.over(ready, nowMillis));
+        List<Incarnation> atEase = ready.stream()
+                .filter(engine -> !limited.test(engine) && !changes(engine))
+                .toList();
+        List<Incarnation> readers = ofStage(atEase, Stage.PREFILL);
+        List<Incarnation> generators = ofStage(atEase, Stage.DECODE);
+        if (ready.stream().anyMatch(limited)) {
+            Optional<Change> replaced = replaceLimited(readers, generators, load, eligible);
+            if (replaced.isPresent()) {
+                return replaced;
+            }
+        }
         if (readers.isEmpty() || generators.isEmpty()) {
             return Optional.empty();
         }
@@ -72,7 +92,9 @@
         if (nowMillis < notBeforeMillis) {
             return Optional.empty();
         }
-        if (wantsReader(generators.size())) {
+        long limitedGenerators =
+                ofStage(ready, Stage.DECODE).stream().filter(limited).count();
+        if (wantsReader(generators.size(), limitedGenerators)) {
             return change(generators, Stage.PREFILL, load, eligible);
         }
         if (wantsGenerator(readers.size())) {
@@ -81,20 +103,60 @@
         return Optional.empty();
     }
 
+    /**
+     * Gives a stage back what engines that name a limit have taken from it.
+     *
+     * <p>Load: all engines that generate name limits of a few calls a second, and those that read have room. What is read
+     * has nowhere to run, and callers are refused; nothing waits at the limited engines, so the waits show no need.
+     */
+    private Optional<Change> replaceLimited(
+            List<Incarnation> readers,
+            List<Incarnation> generators,
+            Function<String, TargetLoad> load,
+            Predicate<String> eligible) {
+        if (generators.size() + coming(Stage.DECODE) == 0 && readers.size() > 1) {
+            return change(readers, Stage.DECODE, load, eligible);
+        }
+        if (readers.size() + coming(Stage.PREFILL) == 0 && generators.size() > 1) {
+            return change(generators, Stage.PREFILL, load, eligible);
+        }
+        return Optional.empty();
+    }
+
+    /** It is listed with its old stage until it has finished what it ran and is back. */
+    private boolean changes(Incarnation engine) {
+        return underWay.stream().anyMatch(each -> each.change.engine().id().equals(engine.id()));
+    }
+
+    private long coming(Stage stage) {
+        return underWay.stream().filter(each -> each.change.stage() == stage).count();
+    }
+
     /**
      * An order was given. Of many engines several may be away at once, one of eight at the most: what one engine brings
      * does not show there, and a mix that shifts within seconds would be over before one after the other had changed.
      *
+     * @param change what was ordered, not null
      * @param awayMillis how long the engine is away
      * @param nowMillis monotonic milliseconds
      */
-    public void ordered(long awayMillis, long nowMillis) {
+    public void ordered(Change change, long awayMillis, long nowMillis) {
+        underWay.add(new UnderWay(change, nowMillis + LONGEST_CHANGE_MILLIS));
         long pauseMillis = awayMillis + policy.dwellMillis();
         notBeforeMillis = nowMillis + pauseMillis / Math.max(1, enginesCount / ENGINES_OF_ONE_AWAY);
     }
 
-    private boolean wantsReader(int generatorsCount) {
-        if (generatorsCount <= policy.leastGeneratingCount()) {
+    /**
+     * An order was not taken: the engine stands as it is listed.
+     *
+     * @param change what was ordered, not null
+     */
+    public void notTaken(Change change) {
+        underWay.removeIf(each -> each.change.equals(change));
+    }
+
+    private boolean wantsReader(int generatorsCount, long limitedGeneratorsCount) {
+        if (generatorsCount <= 1 || generatorsCount + limitedGeneratorsCount <= policy.leastGeneratingCount()) {
             return false;
         }
         double withOneLess = generatorsCount / (generatorsCount - 1.0);
@@ -154,6 +216,17 @@
                 reading.recent, reading.lasting, generating.recent, generating.lasting, busy.recent, busy.lasting);
     }
 
+    /** An engine that is expected to take up a stage. */
+    private record UnderWay(Change change, long untilMillis) {
+
+        boolean over(List<Incarnation> ready, long nowMillis) {
+            return nowMillis >= untilMillis
+                    || ready.stream()
+                            .anyMatch(engine ->
+                                    engine.id().equals(change.engine().id()) && engine.stage() == change.stage());
+        }
+    }
+
     /** A figure averaged over both horizons. */
     private static final class Pressure {
         private final StagePlanPolicy policy;
--- a/src/test/java/org/dogwoodwinch/forwarding/StagePlannerTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/StagePlannerTest.java
@@ -1,13 +1,16 @@
 package org.dogwoodwinch.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class StagePlannerTest {
@@ -17,6 +20,7 @@
     private final StagePlanner planner = new StagePlanner(StagePlanPolicy.STANDARD, new ReadRates(30));
     private final List<Incarnation> engines = new ArrayList<>();
     private final Map<String, TargetLoad> loads = new HashMap<>();
+    private final Set<String> limited = new HashSet<>();
     private long nowMillis;
 
     private void engines(int readers, int generators) {
@@ -35,7 +39,12 @@
     private Optional<StagePlanner.Change> after(long millis) {
         Optional<StagePlanner.Change> change = Optional.empty();
         for (long end = nowMillis + millis; nowMillis < end && change.isEmpty(); nowMillis += STEP_MILLIS) {
-            change = planner.plan(engines, id -> loads.getOrDefault(id, TargetLoad.NOTHING), _id -> true, nowMillis);
+            change = planner.plan(
+                    engines,
+                    engine -> limited.contains(engine.id()),
+                    id -> loads.getOrDefault(id, TargetLoad.NOTHING),
+                    _id -> true,
+                    nowMillis);
         }
         return change;
     }
@@ -101,8 +110,7 @@
     void oneEngineIsAwayAtATime() {
         engines(3, 5);
         load(Stage.PREFILL, 4, 12_000);
-        assertTrue(after(3_000).isPresent());
-        planner.ordered(3_000, nowMillis);
+        planner.ordered(after(3_000).orElseThrow(), 3_000, nowMillis);
         assertTrue(after(4_250).isEmpty());
         assertTrue(after(1_000).isPresent());
     }
@@ -112,8 +120,7 @@
     void ofManyEnginesSeveralAreAway() {
         engines(14, 26);
         load(Stage.PREFILL, 4, 12_000);
-        assertTrue(after(3_000).isPresent());
-        planner.ordered(3_000, nowMillis);
+        planner.ordered(after(3_000).orElseThrow(), 3_000, nowMillis);
         assertTrue(after(750).isEmpty());
         assertTrue(after(500).isPresent());
     }
@@ -127,4 +134,58 @@
         loads.put("e6", new TargetLoad(1, ReadQueue.EMPTY));
         assertEquals("e6", after(3_000).orElseThrow().engine().id());
     }
+
+    /** What was read had nowhere to run: callers were refused while readers had room, and nothing waited anywhere. */
+    @Test
+    void generatorsThatNameALimitAreReplacedByAReader() {
+        engines(5, 3);
+        limited.addAll(Set.of("e5", "e6", "e7"));
+
+        StagePlanner.Change change = after(250).orElseThrow();
+        assertEquals(Stage.DECODE, change.stage());
+        planner.ordered(change, 3_000, nowMillis);
+
+        assertTrue(after(10_000).isEmpty(), "it is on its way, with what it runs to be finished first");
+        planner.notTaken(change);
+        assertTrue(after(250).isPresent());
+    }
+
+    @Test
+    void readersThatNameALimitAreReplacedByAGenerator() {
+        engines(2, 6);
+        limited.addAll(Set.of("e0", "e1"));
+
+        assertEquals(Stage.PREFILL, after(250).orElseThrow().stage());
+    }
+
+    /** Prompts wait, and of the engines that generate all but one take next to nothing: that one may not leave. */
+    @Test
+    void theLastGeneratorWithoutALimitStays() {
+        engines(4, 5);
+        limited.addAll(Set.of("e4", "e5", "e6", "e7"));
+        load(Stage.PREFILL, 4, 60_000);
+
+        assertTrue(after(20_000).isEmpty());
+    }
+
+    /** What takes next to nothing has next to nothing under way, and would always be the one that changes. */
+    @Test
+    void anEngineThatNamesALimitIsNotTheOneThatChanges() {
+        engines(3, 5);
+        limited.add("e4");
+        load(Stage.PREFILL, 4, 12_000);
+        load(Stage.DECODE, 4, 0);
+        loads.put("e4", TargetLoad.NOTHING);
+
+        assertNotEquals("e4", after(3_000).orElseThrow().engine().id());
+    }
+
+    /** Half of the engines name a limit: those left are split so that both stages have one. */
+    @Test
+    void theLastReaderStaysWhereAnotherEngineGenerates() {
+        engines(2, 2);
+        limited.addAll(Set.of("e0", "e2"));
+
+        assertTrue(after(20_000).isEmpty());
+    }
 }
