Leave an engine alone until it is back from a change of its stage

Cause: an engine that is ordered finishes what it runs and is away for the time of the switch after that; all instances left it alone for that time alone, from the order on. Back in use too early it rejected everything, and as nothing was under way there it was the cheapest choice.

Change: the engine is left alone until its entry names the new stage, 15 s at most. The giver of the order looks at its report once a second: an order without an answer that was not carried out frees the engine, one carried out late takes it out of use again. The word to the others names the engine's birth, so that one from before a crash says nothing of the engine after it.

--- a/src/main/java/org/dogwoodwinch/daemon/EnginesAway.java
+++ b/src/main/java/org/dogwoodwinch/daemon/EnginesAway.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Objects;
+import java.util.function.ToLongFunction;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.forwarding.TargetHealth;
@@ -9,8 +10,6 @@
 import org.dogwoodwinch.peer.PeerItem;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.peer.TellerExchange;
-import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -22,15 +21,19 @@
 
     private static final Logger log = LoggerFactory.getLogger(EnginesAway.class);
 
-    /** A newcomer hears of an engine that is away for a little longer than it is. */
-    private static final long KEEP_MILLIS = 5_000;
+    /** A newcomer hears of an engine that is away about as long as one may be. */
+    private static final long KEEP_MILLIS = 15_000;
+
+    private static final int FIELDS = 2;
 
     private final TellerExchange exchange;
     private final TargetHealth health;
+    private final ToLongFunction<String> bornMillis;
 
-    EnginesAway(TellerExchange exchange, TargetHealth health) {
+    EnginesAway(TellerExchange exchange, TargetHealth health, ToLongFunction<String> bornMillis) {
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.health = Objects.requireNonNull(health, "health");
+        this.bornMillis = Objects.requireNonNull(bornMillis, "bornMillis");
     }
 
     /** Hears from now on. */
@@ -46,16 +49,20 @@
      */
     void tell(String engineId, long millis) {
         apply(engineId, millis);
-        exchange.publish(PeerTopic.LEAVING, engineId, Packing.pack(millis, MessagePacker::packLong), KEEP_MILLIS);
+        Word word = new Word(bornMillis.applyAsLong(engineId), millis);
+        exchange.publish(PeerTopic.LEAVING, engineId, word.encode(), KEEP_MILLIS);
     }
 
     private void heard(PeerItem item) {
         try {
-            long millis = unpack(item.payload());
-            apply(item.key(), millis - item.ageMillis());
+            Word word = Word.decode(item.payload());
+            if (word.bornMillis != bornMillis.applyAsLong(item.key())) {
+                return;
+            }
+            apply(item.key(), word.awayMillis - item.ageMillis());
             LogEvent.of("engine_away")
                     .with("target", item.key())
-                    .with("millis", millis)
+                    .with("millis", word.awayMillis)
                     .with("peer", item.origin())
                     .info(log);
         } catch (IOException e) {
@@ -74,7 +81,27 @@
         }
     }
 
-    private static long unpack(Bytes payload) throws IOException {
-        return Packing.unpack(payload.toByteArray(), MessageUnpacker::unpackLong);
+    /**
+     * What is told.
+     *
+     * @param bornMillis the engine's birth
+     * @param awayMillis how long it is left alone; zero where it is back
+     */
+    private record Word(long bornMillis, long awayMillis) {
+
+        Bytes encode() {
+            return Packing.pack(this, (packer, word) -> {
+                packer.packArrayHeader(FIELDS);
+                packer.packLong(word.bornMillis);
+                packer.packLong(word.awayMillis);
+            });
+        }
+
+        static Word decode(Bytes payload) throws IOException {
+            return Packing.unpack(payload.toByteArray(), unpacker -> {
+                Packing.expectFields(unpacker, FIELDS);
+                return new Word(unpacker.unpackLong(), unpacker.unpackLong());
+            });
+        }
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -223,7 +223,7 @@
                 new KeptSharing(fleet.exchange(), parts, this::bornMillis, time),
                 time,
                 CACHE_ROUND_MILLIS);
-        this.enginesAway = new EnginesAway(fleet.exchange(), health);
+        this.enginesAway = new EnginesAway(fleet.exchange(), health, this::bornMillis);
         this.stageOrders = new StageOrders(
                 new StageOrders.Parts(
                         settings.instance().name(),
--- a/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -46,6 +47,12 @@
     /** An order without an answer may be carried out many seconds later; its engine gets no other one meanwhile. */
     private static final long UNKNOWN_ORDER_MILLIS = 20_000;
 
+    /** An engine finishes what it runs before it changes its stage; no longer than this is it left alone without a sign. */
+    private static final long LONGEST_CHANGE_MILLIS = 15_000;
+
+    /** Engines report with a lag; each look costs a question. */
+    private static final long LOOK_EVERY_MILLIS = 1_000;
+
     /** After a refusal the list of targets tells how the engine really stands. */
     private static final long REFUSED_MILLIS = 5_000;
 
@@ -185,13 +192,16 @@
         Incarnation engine = change.engine();
         long awayMillis = parts.switchMillis().applyAsLong(engine.service());
         ordering = true;
-        planner.ordered(change, awayMillis, time.monotonicMillis());
-        parts.away().tell(engine.id(), awayMillis);
+        long orderedMillis = time.monotonicMillis();
+        planner.ordered(change, awayMillis, orderedMillis);
+        parts.away().tell(engine.id(), LONGEST_CHANGE_MILLIS);
         StageOrder order = new StageOrder(change.stage(), parts.ownName(), token, ordersCount);
         parts.control().order(engine, order).thenAccept(outcome -> {
             ordering = false;
             took(engine, outcome);
-            if (outcome != OrderOutcome.TAKEN) {
+            if (outcome == OrderOutcome.TAKEN || outcome == OrderOutcome.UNKNOWN) {
+                time.schedule(LOOK_EVERY_MILLIS, () -> look(planner, change, orderedMillis, true));
+            } else {
                 planner.notTaken(change);
             }
             LogEvent.of("stage_ordered")
@@ -206,6 +216,42 @@
         });
     }
 
+    /**
+     * Looks how an engine stands that was ordered, until its list entry tells.
+     *
+     * <p>Failure: an engine finishes what it runs and is away after that, longer than the change itself takes. Taken back
+     * into use before, it rejects all that comes, and as nothing is under way there everything comes. And an order without an
+     * answer may not have arrived, or be carried out seconds later.
+     */
+    private void look(StagePlanner planner, StagePlanner.Change change, long orderedMillis, boolean leftAlone) {
+        String id = change.engine().id();
+        long sinceMillis = time.monotonicMillis() - orderedMillis;
+        Optional<Incarnation> listed = parts.directory().find(id);
+        boolean changed =
+                listed.filter(engine -> engine.stage() != change.stage()).isEmpty();
+        if (changed || sinceMillis >= LONGEST_CHANGE_MILLIS) {
+            return;
+        }
+        parts.control().orderState(change.engine()).thenAccept(state -> {
+            // With its new stage it is left alone until its entry says so: what it is listed for, it takes no more.
+            boolean takesNothing = state.map(seen -> seen.busy() || seen.stage() == change.stage())
+                    .orElse(leftAlone);
+            if (takesNothing != leftAlone) {
+                parts.away().tell(id, takesNothing ? LONGEST_CHANGE_MILLIS : 0);
+                LogEvent.of("stage_change_seen")
+                        .with("target", id)
+                        .with("stage", change.stage())
+                        .with("takesNothing", takesNothing)
+                        .with("sinceMillis", sinceMillis)
+                        .info(log);
+                if (!takesNothing) {
+                    planner.notTaken(change);
+                }
+            }
+            time.schedule(LOOK_EVERY_MILLIS, () -> look(planner, change, orderedMillis, takesNothing));
+        });
+    }
+
     private void took(Incarnation engine, OrderOutcome outcome) {
         long nowMillis = time.monotonicMillis();
         if (outcome == OrderOutcome.UNKNOWN) {
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/EnginesAwayTest.java
@@ -0,0 +1,56 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.dogwoodwinch.forwarding.TargetHealth;
+import org.junit.jupiter.api.Test;
+
+class EnginesAwayTest {
+
+    private static final long BORN_MILLIS = 7;
+
+    private final TellerFleet fleet = new TellerFleet(6, 3, 5);
+    private final List<TargetHealth> healths = new ArrayList<>();
+    private final List<EnginesAway> shared = new ArrayList<>();
+    private final Map<String, Long> bornMillis = new HashMap<>();
+
+    EnginesAwayTest() {
+        for (TellerFleet.Member member : fleet.members) {
+            TargetHealth health = new TargetHealth(fleet.time::monotonicMillis);
+            healths.add(health);
+            EnginesAway away =
+                    new EnginesAway(member.exchange, health, _id -> bornMillis.getOrDefault(member.name, BORN_MILLIS));
+            away.start();
+            shared.add(away);
+        }
+        fleet.time.advanceMillis(1_000);
+    }
+
+    @Test
+    void allInstancesLeaveAnEngineAloneUntilItIsBack() {
+        shared.get(0).tell("e1", 15_000);
+        fleet.time.advanceMillis(500);
+        healths.forEach(health -> assertTrue(health.isAway("e1")));
+
+        shared.get(0).tell("e1", 0);
+        fleet.time.advanceMillis(500);
+        healths.forEach(health -> assertFalse(health.isAway("e1")));
+    }
+
+    /** The engine crashed while it changed and is back under its id: a word from before must not leave it idle. */
+    @Test
+    void aWordAboutAnEarlierStartLeavesNothingOut() {
+        bornMillis.put("i1", BORN_MILLIS + 1);
+
+        shared.get(0).tell("e1", 15_000);
+        fleet.time.advanceMillis(500);
+
+        assertFalse(healths.get(1).isAway("e1"));
+        assertTrue(healths.get(2).isAway("e1"));
+    }
+}
