Tell all that engines keep where the fleet is small

Cause: instances tell each other only of parts that several requests are known to name. Instances that have all just started know none, though the engines keep everything, until their own calls name a part; each such call is sent where it is not kept. That filter answers the load of one instance that tells 22 others what 98 engines keep; six instances have no such load.

The test fails without it (one of two instances of a data centre knew what the engine keeps).

--- a/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
@@ -27,7 +27,7 @@
  * Tells the instances of a data centre which parts of prompts an engine keeps, as the one that watches the engine hears.
  *
  * <p>Load: two of three parts that engines read are the request's own, and each is told to each instance of the data centre
- * by one, whose link is as narrow as the others'. Only parts that other requests may name again are told. An engine does
+ * by one, whose link is as narrow as the others'. Where tellers do so, only parts that other requests may name again are told. An engine does
  * not say which these are; instances know it from the prompts of their calls, and tell each other each such part once.
  *
  * <p>Changes are told once a round. Words may be lost, and a new watcher may have missed changes: the whole list is told
@@ -69,7 +69,7 @@
     @Override
     public void changed(String engineId, String partId, int keptTokens) {
         Told told = engines.computeIfAbsent(engineId, _id -> new Told());
-        if (keptTokens >= LEAST_TOKENS && parts.shared().isShared(partId)) {
+        if (keptTokens >= LEAST_TOKENS && worthAWord(partId)) {
             told.known.add(partId);
             told.changes.put(partId, keptTokens);
         } else if (told.known.remove(partId)) {
@@ -102,7 +102,7 @@
     private void tellWhole(String engineId, Told told) {
         told.wholeAtMillis = time.monotonicMillis() + WHOLE_EVERY_MILLIS;
         Map<String, Integer> kept = parts.keptAtLeast(engineId, LEAST_TOKENS);
-        kept.keySet().removeIf(partId -> !parts.shared().isShared(partId));
+        kept.keySet().removeIf(partId -> !worthAWord(partId));
         boolean nothingEver = kept.isEmpty() && told.known.isEmpty();
         told.known.clear();
         told.known.addAll(kept.keySet());
@@ -111,6 +111,14 @@
         }
     }
 
+    /**
+     * In a small fleet every part is. Instances that have all just started know no part to be shared until their calls name
+     * it, and each of these calls would be sent where it is not kept.
+     */
+    private boolean worthAWord(String partId) {
+        return !exchange.byTellers() || parts.shared().isShared(partId);
+    }
+
     private void tell(String engineId, boolean whole, Map<String, Integer> kept) {
         Bytes word = Packing.pack(kept, (packer, parts) -> {
             packer.packLong(bornMillis.applyAsLong(engineId));
@@ -173,7 +181,9 @@
                 parts.forget(item.key());
             }
             word.tokens().forEach((part, tokens) -> {
-                parts.shared().learn(part);
+                if (exchange.byTellers()) {
+                    parts.shared().learn(part);
+                }
                 parts.kept(item.key(), part, Math.toIntExact(tokens));
             });
         } catch (IOException | ArithmeticException e) {
--- a/src/test/java/org/dogwoodwinch/daemon/KeptSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/KeptSharingTest.java
@@ -88,6 +88,39 @@
         }
     }
 
+    /** All instances have lost power, and an engine tells one of them all that it keeps before any call names a part. */
+    @Test
+    void afterAStartOfAllASmallFleetKnowsWhatEnginesKeep() {
+        TellerFleet small = new TellerFleet(6, 3, 3);
+        List<PartIndex> started = new ArrayList<>();
+        List<KeptSharing> telling = new ArrayList<>();
+        for (TellerFleet.Member member : small.members) {
+            PartIndex index = new PartIndex();
+            started.add(index);
+            telling.add(new KeptSharing(member.exchange, index, _id -> 0, small.time));
+        }
+        small.time.advanceMillis(1_000);
+
+        started.get(0).kept("engine1", "shared1", SHARED_TOKENS);
+        telling.get(0).listed("engine1");
+        telling.get(0).changed("engine1", "shared2", SHARED_TOKENS);
+        small.time.advanceMillis(1_000);
+
+        List<Integer> known = started.stream()
+                .map(index -> index.keptOf("engine1", "shared1"))
+                .filter(tokens -> tokens >= SHARED_TOKENS)
+                .toList();
+        assertEquals(inOneCentre(small), known.size());
+    }
+
+    /** Each data centre has a watcher of its own. */
+    private static long inOneCentre(TellerFleet small) {
+        String centre = small.members.get(0).dataCentre;
+        return small.members.stream()
+                .filter(member -> member.dataCentre.equals(centre))
+                .count();
+    }
+
     /** Calls come at any instance, each with one shared part of many and one of its own, to the shared part's home. */
     private void play(long forMillis) {
         for (long played = 0; played < forMillis; played += CALL_GAP_MILLIS) {
