--- a/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -30,8 +29,6 @@
     private static final int NEWCOMER_ROUNDS = 3;
     private static final long MEMBER_MILLIS_PER_MEMBER = 50;
     private static final int MEMBER_KEPT_PERIODS = 4;
-    private static final long REPLAY_WINDOW_MILLIS = 300_000;
-
     private final PeerSettings settings;
     private final TimeSource time;
     private final UniformRandomProvider random;
@@ -41,7 +38,7 @@
     private final PeerCodec codec;
     private final PeerItemStore store = new PeerItemStore();
     private final Map<PeerTopic, List<Consumer<PeerItem>>> listeners = new EnumMap<>(PeerTopic.class);
-    private final Map<String, long[]> lastNumbers = new HashMap<>();
+    private final ReplayGuard replays;
     private final long startedMillis;
     private long nextVersion = 1;
     private long nextNumber = 1;
@@ -73,6 +70,7 @@
         this.transport = Objects.requireNonNull(transport, "transport");
         this.members = Objects.requireNonNull(members, "members");
         this.observer = Objects.requireNonNull(observer, "observer");
+        this.replays = new ReplayGuard(time);
         this.codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
         this.startedMillis = time.wallMillis();
         for (PeerTopic topic : PeerTopic.values()) {
@@ -245,7 +243,7 @@
         List<PeerItem> news = new ArrayList<>();
         Optional<Outgoing> answer = Optional.empty();
         synchronized (this) {
-            if (isReplayed(message)) {
+            if (replays.isReplayed(message)) {
                 observer.onRefused(PeerRefusal.REPLAYED);
                 return false;
             }
@@ -259,21 +257,8 @@
         return true;
     }
 
-    /** A recorded message played again could bring back a word that has expired since. */
-    private boolean isReplayed(PeerMessage message) {
-        if (Math.abs(time.wallMillis() - message.sentMillis()) > REPLAY_WINDOW_MILLIS) {
-            return true;
-        }
-        long[] last = lastNumbers.get(message.sender());
-        if (last != null && last[0] == message.startedMillis() && message.number() <= last[1]) {
-            return true;
-        }
-        lastNumbers.put(message.sender(), new long[] {message.startedMillis(), message.number()});
-        return false;
-    }
-
     private Optional<PeerItem> accept(PeerEntry entry) {
-        Optional<PeerTopic> topic = topicOf(entry.topic());
+        Optional<PeerTopic> topic = PeerTopic.named(entry.topic());
         if (topic.isEmpty() || entry.origin().equals(settings.instance())) {
             return Optional.empty();
         }
@@ -295,15 +280,5 @@
                 .map(member -> new Outgoing(member, message(all, false)));
     }
 
-    /** A topic that a newer version of this program added is passed over. */
-    private static Optional<PeerTopic> topicOf(String name) {
-        for (PeerTopic topic : PeerTopic.values()) {
-            if (topic.name().equals(name)) {
-                return Optional.of(topic);
-            }
-        }
-        return Optional.empty();
-    }
-
     private record Outgoing(PeerMember member, PeerMessage message) {}
 }
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -1,5 +1,7 @@
 package org.dogwoodwinch.peer;
 
+import java.util.Optional;
+
 /** What instances tell each other about. */
 public enum PeerTopic {
     /** What an instance sent to targets of late. */
@@ -40,5 +42,20 @@
     ALIVE,
 
     /** That an instance has nothing to serve by, and wants all that its teller knows. */
-    WANT
+    WANT;
+
+    /**
+     * Finds a topic.
+     *
+     * @param name its name on the wire, not null
+     * @return the topic; empty for one that a newer version of this program added, which is passed over
+     */
+    static Optional<PeerTopic> named(String name) {
+        for (PeerTopic topic : values()) {
+            if (topic.name().equals(name)) {
+                return Optional.of(topic);
+            }
+        }
+        return Optional.empty();
+    }
 }
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/ReplayGuard.java
@@ -0,0 +1,35 @@
+package org.dogwoodwinch.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import org.dogwoodwinch.time.TimeSource;
+
+/** Tells messages that were played again: a recorded one could bring back a word that has expired since. Not thread-safe. */
+final class ReplayGuard {
+
+    /** Well over what the times of day of two instances differ by. */
+    private static final long WINDOW_MILLIS = 300_000;
+
+    private final TimeSource time;
+    private final Map<String, Last> lastBySender = new HashMap<>();
+
+    ReplayGuard(TimeSource time) {
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /** Whether a message is too old, or not newer than the last one of the same start of its sender; remembers it if not. */
+    boolean isReplayed(PeerMessage message) {
+        if (Math.abs(time.wallMillis() - message.sentMillis()) > WINDOW_MILLIS) {
+            return true;
+        }
+        Last last = lastBySender.get(message.sender());
+        if (last != null && last.startedMillis == message.startedMillis() && message.number() <= last.number) {
+            return true;
+        }
+        lastBySender.put(message.sender(), new Last(message.startedMillis(), message.number()));
+        return false;
+    }
+
+    private record Last(long startedMillis, long number) {}
+}
