Let the instances with the widest links relay for their data centre

Callers saw calls that arrived a second and a half after they were sent, work that went on after they had left, and refusals: at the one instance of each data centre that relays for all others. Cause: the order of succession was a hash of names. In the fleets of 58 and 73 instances eleven of twelve relays had links of 7 Mbit/s (875 KB/s) and sent 520 to 670 KB/s in the mean, 890 to 1,700 at the peak, while one or two others of the data centre had 140 Mbit/s. Ruled out: the relay's processor (4% of a core of 36%).

Instances announce what their link carries, and the widest stand first; equal ones as before. Small fleets of equal links keep their order. SuccessionTest fails where the link is left out of the comparison.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -88,7 +88,8 @@
                         settings.peers().roundMillis(),
                         settings.peers().neighboursCount(),
                         settings.peers().bytesPerSecond(),
-                        MAX_MESSAGE_BYTES),
+                        MAX_MESSAGE_BYTES,
+                        settings.instance().linkMbps()),
                 time,
                 transport,
                 members::others,
@@ -166,7 +167,8 @@
                 settings.instance().name(),
                 address.getHostString(),
                 port,
-                settings.instance().dataCentre());
+                settings.instance().dataCentre(),
+                settings.instance().linkMbps());
     }
 
     /** Announces this instance, and begins to tell and to hear. */
--- a/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
+++ b/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
@@ -54,7 +54,7 @@
     CentreRelays(PeerSettings settings, TimeSource time) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.time = Objects.requireNonNull(time, "time");
-        this.succession = new Succession(settings.dataCentre(), settings.instance());
+        this.succession = new Succession(settings.dataCentre(), settings.instance(), settings.linkMbps());
         this.ownDuties = new OwnDuties(succession);
     }
 
@@ -64,6 +64,7 @@
             firstRoundMillis = time.monotonicMillis();
         }
         others = List.copyOf(listed);
+        succession.look(others);
         centre = others.stream()
                 .filter(member -> member.dataCentre().equals(settings.dataCentre()))
                 .toList();
@@ -142,7 +143,8 @@
      */
     private Optional<String> presumed(int patienceRounds) {
         return needed() && recent(firstRoundMillis, patienceRounds)
-                ? Succession.first(settings.dataCentre(), centre)
+                ? succession
+                        .first(settings.dataCentre(), centre)
                         .map(PeerMember::name)
                         .filter(succession::before)
                 : Optional.empty();
@@ -165,7 +167,7 @@
                     : there.stream()
                             .filter(member -> member.name().equals(heard.name))
                             .findFirst();
-            known.or(() -> Succession.first(where, there)).ifPresent(found::add);
+            known.or(() -> succession.first(where, there)).ifPresent(found::add);
         });
         return found;
     }
@@ -211,7 +213,7 @@
         boolean later = known != null
                 && !known.name.equals(sender)
                 && recent(known.atMillis, SILENT_ROUNDS)
-                && Succession.before(where, known.name, sender);
+                && succession.before(where, known.name, sender);
         if (!later && entry.origin().equals(sender)) {
             relays.put(where, new Relay(sender, time.monotonicMillis()));
         }
--- a/src/main/java/org/dogwoodwinch/peer/MemberList.java
+++ b/src/main/java/org/dogwoodwinch/peer/MemberList.java
@@ -31,7 +31,7 @@
     public static final String TOPIC = "keyed.instances";
 
     private static final Logger log = LoggerFactory.getLogger(MemberList.class);
-    private static final int FIELDS = 3;
+    private static final int FIELDS = 4;
 
     /** Renewals that may be missed: a store that is away for some seconds loses one or two. */
     private static final int KEPT_INTERVALS = 3;
@@ -203,6 +203,7 @@
             packer.packString(said.host());
             packer.packInt(said.peerPort());
             packer.packString(said.dataCentre());
+            packer.packDouble(said.linkMbps());
         });
     }
 
@@ -210,7 +211,12 @@
         try {
             return Optional.of(Packing.unpack(value.toByteArray(), unpacker -> {
                 Packing.expectFields(unpacker, FIELDS);
-                return new PeerMember(name, unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackString());
+                return new PeerMember(
+                        name,
+                        unpacker.unpackString(),
+                        unpacker.unpackInt(),
+                        unpacker.unpackString(),
+                        unpacker.unpackDouble());
             }));
         } catch (IOException e) {
             LogEvent.of("member_not_understood")
--- a/src/main/java/org/dogwoodwinch/peer/PeerMember.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerMember.java
@@ -9,8 +9,9 @@
  * @param host its IP number, not null
  * @param peerPort the port on which it takes messages
  * @param dataCentre the data centre it stands in, not null
+ * @param linkMbps what its link carries, in megabits a second; zero where that is not known
  */
-public record PeerMember(String name, String host, int peerPort, String dataCentre) {
+public record PeerMember(String name, String host, int peerPort, String dataCentre, double linkMbps) {
 
     /** Checks the parts. */
     public PeerMember {
@@ -19,6 +20,18 @@
         Objects.requireNonNull(dataCentre, "dataCentre");
     }
 
+    /**
+     * Creates a member whose link is not known.
+     *
+     * @param name its name in the platform's list, not null
+     * @param host its IP number, not null
+     * @param peerPort the port on which it takes messages
+     * @param dataCentre the data centre it stands in, not null
+     */
+    public PeerMember(String name, String host, int peerPort, String dataCentre) {
+        this(name, host, peerPort, dataCentre, 0);
+    }
+
     /** By hand, as a start is short of processor time; see {@link org.dogwoodwinch.forwarding.Incarnation#equals}. */
     @Override
     public boolean equals(Object other) {
@@ -26,6 +39,7 @@
                 && name.equals(that.name)
                 && host.equals(that.host)
                 && peerPort == that.peerPort
+                && Double.compare(linkMbps, that.linkMbps) == 0
                 && dataCentre.equals(that.dataCentre);
     }
 
--- a/src/main/java/org/dogwoodwinch/peer/PeerSettings.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerSettings.java
@@ -13,6 +13,7 @@
  * @param neighbours how many members a round goes to
  * @param bytesPerSecond how many bytes this instance sends a second, on average
  * @param maxMessageBytes the largest message that is sent or taken, in bytes
+ * @param linkMbps what this instance's link carries, in megabits a second; zero where that is not known
  */
 public record PeerSettings(
         String instance,
@@ -21,7 +22,8 @@
         long roundMillis,
         int neighbours,
         int bytesPerSecond,
-        int maxMessageBytes) {
+        int maxMessageBytes,
+        double linkMbps) {
 
     private static final int MIN_MESSAGE_BYTES = 1_024;
 
@@ -39,6 +41,28 @@
         }
     }
 
+    /**
+     * Creates the settings of an instance whose link is not known.
+     *
+     * @param instance this instance's name in the platform's list, not null
+     * @param dataCentre the data centre it stands in, not null
+     * @param secret the shared secret, not null
+     * @param roundMillis how often a round is sent, in milliseconds
+     * @param neighbours how many members a round goes to
+     * @param bytesPerSecond how many bytes this instance sends a second, on average
+     * @param maxMessageBytes the largest message that is sent or taken, in bytes
+     */
+    public PeerSettings(
+            String instance,
+            String dataCentre,
+            String secret,
+            long roundMillis,
+            int neighbours,
+            int bytesPerSecond,
+            int maxMessageBytes) {
+        this(instance, dataCentre, secret, roundMillis, neighbours, bytesPerSecond, maxMessageBytes, 0);
+    }
+
     /**
      * Returns what holds where the settings say nothing: a round a second to three members, 3,400 bytes a second out.
      *
--- a/src/main/java/org/dogwoodwinch/peer/Succession.java
+++ b/src/main/java/org/dogwoodwinch/peer/Succession.java
@@ -2,29 +2,46 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwinch.forwarding.Rendezvous;
 
 /**
  * The order in which the instances of a data centre take over what one of them does for all. All of them work it out
- * alike, from their names alone.
+ * alike, from what the instances announce. Not thread-safe.
+ *
+ * <p>Failure: what one sends for all of a data centre takes most of a narrow link, and its calls wait behind it. Those
+ * with the widest links stand first.
  */
 public final class Succession {
 
     private final String dataCentre;
     private final String ownName;
+    private final Map<String, Double> linksMbps = new HashMap<>();
 
     /**
-     * Creates an order.
+     * Creates an order in which no link but the own one is known.
      *
      * @param dataCentre the data centre, not null
      * @param ownName this instance's name, not null
+     * @param ownLinkMbps what its link carries, in megabits a second; zero where that is not known
      */
-    public Succession(String dataCentre, String ownName) {
+    public Succession(String dataCentre, String ownName, double ownLinkMbps) {
         this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
         this.ownName = Objects.requireNonNull(ownName, "ownName");
+        linksMbps.put(ownName, ownLinkMbps);
+    }
+
+    /**
+     * Takes what the other instances announce; one that is not heard of any more keeps its place.
+     *
+     * @param others the others, of all data centres, not null
+     */
+    public void look(Collection<PeerMember> others) {
+        others.forEach(other -> linksMbps.put(other.name(), other.linkMbps()));
     }
 
     /**
@@ -45,8 +62,8 @@
      * @param other another's, not null
      * @return whether the one stands before the other
      */
-    static boolean before(String where, String one, String other) {
-        return score(where, one) > score(where, other);
+    boolean before(String where, String one, String other) {
+        return order(where).compare(one, other) > 0;
     }
 
     /**
@@ -68,10 +85,10 @@
      * @param members instances, not null
      * @return the first one of that data centre, empty where there is none
      */
-    public static Optional<PeerMember> first(String where, List<PeerMember> members) {
+    public Optional<PeerMember> first(String where, List<PeerMember> members) {
         return members.stream()
                 .filter(member -> member.dataCentre().equals(where))
-                .max(Comparator.comparingDouble(member -> score(where, member.name())));
+                .max(Comparator.comparing(PeerMember::name, order(where)));
     }
 
     /**
@@ -82,11 +99,13 @@
      * @return whether no other one ranks higher for the thing
      */
     public boolean fallsToOwn(String key, Collection<String> names) {
-        double own = score(key, ownName);
-        return names.stream().noneMatch(name -> !name.equals(ownName) && score(key, name) > own);
+        double own = Rendezvous.score(key, ownName);
+        return names.stream().noneMatch(name -> !name.equals(ownName) && Rendezvous.score(key, name) > own);
     }
 
-    private static double score(String key, String name) {
-        return Rendezvous.score(key, name);
+    /** The greatest stands first. */
+    private Comparator<String> order(String where) {
+        return Comparator.<String>comparingDouble(name -> linksMbps.getOrDefault(name, 0.0))
+                .thenComparingDouble(name -> Rendezvous.score(where, name));
     }
 }
--- a/src/test/java/org/dogwoodwinch/peer/OwnDutiesTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/OwnDutiesTest.java
@@ -14,7 +14,7 @@
         return NAMES.stream()
                 .filter(alive::contains)
                 .filter(name -> {
-                    OwnDuties duties = new OwnDuties(new Succession("dc", name));
+                    OwnDuties duties = new OwnDuties(new Succession("dc", name, 0));
                     duties.among(alive);
                     return duties.fallsToOwn(duty);
                 })
@@ -33,7 +33,7 @@
     /** Somebody dies, and what was ranked while it lived is ranked anew: else nobody asked its engines any more. */
     @Test
     void aDutyOfOneThatDiedIsTakenOver() {
-        OwnDuties duties = new OwnDuties(new Succession("dc", "i1"));
+        OwnDuties duties = new OwnDuties(new Succession("dc", "i1", 0));
         duties.among(Set.of("i1", "i2"));
         String others = List.of("a", "b", "c", "d", "e", "f").stream()
                 .filter(duty -> !duties.fallsToOwn(duty))
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/peer/SuccessionTest.java
@@ -0,0 +1,68 @@
+package org.dogwoodwinch.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class SuccessionTest {
+
+    private static final String CENTRE = "dc";
+
+    private static List<PeerMember> centre(int narrowCount, int wideCount) {
+        List<PeerMember> members = new ArrayList<>();
+        for (int i = 0; i < narrowCount; i++) {
+            members.add(new PeerMember("narrow-" + i, "10.0.0.1", 1, CENTRE, 7));
+        }
+        for (int i = 0; i < wideCount; i++) {
+            members.add(new PeerMember("wide-" + i, "10.0.0.1", 1, CENTRE, 140));
+        }
+        return members;
+    }
+
+    private static Succession of(PeerMember own, List<PeerMember> all) {
+        Succession succession = new Succession(CENTRE, own.name(), own.linkMbps());
+        succession.look(all.stream().filter(other -> !other.equals(own)).toList());
+        return succession;
+    }
+
+    /** A relay on a narrow link left its own calls no room, while others of its data centre had twenty times the link. */
+    @Test
+    void noNarrowLinkRelaysWhileThereIsAWideOne() {
+        for (int wideCount = 1; wideCount <= 3; wideCount++) {
+            List<PeerMember> all = centre(20, wideCount);
+            PeerMember first = of(all.get(0), all).first(CENTRE, all).orElseThrow();
+
+            assertEquals(140, first.linkMbps());
+            assertEquals(0, of(first, all).ownRank(all));
+            for (PeerMember each : all) {
+                assertEquals(first, of(each, all).first(CENTRE, all).orElseThrow(), "seen by " + each.name());
+                assertTrue(each.equals(first) || of(each, all).before(first.name()), "seen by " + each.name());
+            }
+        }
+    }
+
+    @Test
+    void eachHasAPlaceOfItsOwn() {
+        List<PeerMember> all = centre(6, 2);
+
+        assertEquals(
+                List.of(0, 1, 2, 3, 4, 5, 6, 7),
+                all.stream()
+                        .map(each -> of(each, all)
+                                .ownRank(all.stream()
+                                        .filter(other -> !other.equals(each))
+                                        .toList()))
+                        .sorted()
+                        .toList());
+    }
+
+    @Test
+    void oneThatAnnouncedNothingStandsLast() {
+        List<PeerMember> all = centre(3, 0);
+
+        assertTrue(all.stream().noneMatch(each -> of(each, all).before("stranger")));
+    }
+}
