--- a/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.daemon;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
@@ -23,6 +25,7 @@
 import org.dogwoodwinch.peer.PeerMember;
 import org.dogwoodwinch.peer.PeerObserver;
 import org.dogwoodwinch.peer.PeerSettings;
+import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.peer.TellerExchange;
 import org.dogwoodwinch.time.VirtualTimeSource;
 
@@ -47,9 +50,18 @@
     long messageBytes;
 
     TellerFleet(int membersCount, int centresCount, long seed) {
+        this(
+                IntStream.range(0, membersCount)
+                        .mapToObj(i -> "dc" + i % centresCount)
+                        .toList(),
+                seed);
+    }
+
+    /** One instance for each entry, in the data centre that it names. */
+    TellerFleet(List<String> dataCentres, long seed) {
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-        for (int i = 0; i < membersCount; i++) {
-            members.add(new Member("i" + i, "dc" + i % centresCount));
+        for (int i = 0; i < dataCentres.size(); i++) {
+            members.add(new Member("i" + i, dataCentres.get(i)));
         }
         members.forEach(Member::start);
     }
@@ -90,6 +102,9 @@
         /** What it sent to the others since the fleet began. */
         long sentBytes;
 
+        /** What it told the others since the fleet began, by topic. */
+        final Map<PeerTopic, Long> toldBytes = new EnumMap<>(PeerTopic.class);
+
         boolean storeCut;
         boolean deaf;
         boolean mute;
@@ -116,7 +131,7 @@
                             .filter(other -> other != this && knowsOthers)
                             .map(other -> new PeerMember(other.name, "10.0.0.1", 1, other.dataCentre))
                             .toList(),
-                    PeerObserver.NONE);
+                    new Told(toldBytes));
             StreamSharing sharing = new StreamSharing(exchange, time);
             this.follower = new StreamFollower(
                     sharing.share(STREAM, new Store(this), TOLD), FOLLOW, new Applied(this), time, random);
@@ -183,6 +198,20 @@
         }
     }
 
+    private static final class Told implements PeerObserver {
+
+        private final Map<PeerTopic, Long> bytes;
+
+        Told(Map<PeerTopic, Long> bytes) {
+            this.bytes = bytes;
+        }
+
+        @Override
+        public void onTold(PeerTopic topic, int wordBytes, int receiversCount) {
+            bytes.merge(topic, (long) wordBytes * receiversCount, Long::sum);
+        }
+    }
+
     private final class Store implements KeyedStream {
 
         private final Member reader;
