Bring about a late word of a leaving target, and a call to one that left

Two faults, shown without any change of the product: what a relay says waits on its way and passes for fresh, and a target that leaves, is gone or starts again between its choice and the write still gets the call. TellerFleet gets links on which messages wait in order; RelayFixture gets connects that take time, and entries that leave, go or start again.

--- a/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -99,6 +100,11 @@
         /** Whether it knows the addresses of the others without having read or heard them. */
         boolean knowsOthers = true;
 
+        /** How long a message waits on its way out by now, in order, as behind what fills the link. */
+        LongUnaryOperator waitMillisAt = _nowMillis -> 0;
+
+        private long lastArrivalMillis;
+
         /** What it sent to the others since the fleet began. */
         long sentBytes;
 
@@ -190,12 +196,23 @@
                     .filter(member -> member.name.equals(to.name()))
                     .findFirst()
                     .orElseThrow();
-            time.schedule(1 + random.nextInt(3), () -> {
+            time.schedule(onTheWayMillis(), () -> {
                 if (!receiver.deaf) {
                     receiver.awake(() -> receiver.exchange.receive(message));
                 }
             });
         }
+
+        private long onTheWayMillis() {
+            long nowMillis = time.monotonicMillis();
+            long undisturbedMillis = 1L + random.nextInt(3);
+            long waitMillis = waitMillisAt.applyAsLong(nowMillis);
+            if (waitMillis == 0) {
+                return undisturbedMillis;
+            }
+            lastArrivalMillis = Math.max(lastArrivalMillis, nowMillis + waitMillis + undisturbedMillis);
+            return lastArrivalMillis - nowMillis;
+        }
     }
 
     private static final class Told implements PeerObserver {
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -60,6 +60,10 @@
     final List<TargetEnd> opened = new ArrayList<>();
     final Set<String> unreachable = new HashSet<>();
     final List<String> released = new ArrayList<>();
+    /** Connections to these open only when the test lets them. */
+    final Set<String> connectingSlowly = new HashSet<>();
+
+    private final List<Runnable> connecting = new ArrayList<>();
     final SuspectBook suspects;
     final ForwardingService service;
     int sharersCount = 1;
@@ -145,6 +149,58 @@
         return this;
     }
 
+    /** As the reader of the targets' list does when an entry is removed. */
+    RelayFixture gone(String id) {
+        directory.apply(id, nextOffset++, Optional.empty());
+        service.forgetTarget(id);
+        service.targetFoundGone(id);
+        return this;
+    }
+
+    /** As the reader of the targets' list does when a target says that it leaves. */
+    RelayFixture leaving(String id) {
+        Incarnation old = directory.find(id).orElseThrow();
+        listed(new Incarnation(
+                id,
+                old.service(),
+                old.host(),
+                old.port(),
+                old.dataCentre(),
+                old.slotsCount(),
+                true,
+                old.stage(),
+                old.weightVersion(),
+                old.bornMillis()));
+        service.forgetTarget(id);
+        return this;
+    }
+
+    /** As the reader of the targets' list does when a target has started again, elsewhere. */
+    RelayFixture startedAgain(String id) {
+        Incarnation old = directory.find(id).orElseThrow();
+        listed(new Incarnation(
+                id,
+                old.service(),
+                "10.0.9.9",
+                old.port(),
+                old.dataCentre(),
+                old.slotsCount(),
+                false,
+                old.stage(),
+                old.weightVersion(),
+                old.bornMillis() + 1_000));
+        service.targetStartedAgain(id);
+        return this;
+    }
+
+    /** The connections that were held back open now. */
+    void letConnect() {
+        List<Runnable> held = List.copyOf(connecting);
+        connecting.clear();
+        connectingSlowly.clear();
+        held.forEach(Runnable::run);
+    }
+
     private static ServiceRoute route(
             String prefix, RouteKind kind, boolean resumable, int attempts, String service, long timeoutMillis) {
         return new ServiceRoute(
@@ -201,8 +257,15 @@
             outcome.failed();
             return;
         }
-        opened.add(new TargetEnd(target.id(), new EmbeddedChannel(handler)));
-        outcome.connected();
+        Runnable open = () -> {
+            opened.add(new TargetEnd(target.id(), new EmbeddedChannel(handler)));
+            outcome.connected();
+        };
+        if (connectingSlowly.contains(target.id())) {
+            connecting.add(open);
+        } else {
+            open.run();
+        }
     }
 
     private static String read(EmbeddedChannel channel) {
