Bound what messages to other instances take of a link

Callers of a relay saw their calls arrive a second and a half late, answers to its readiness and its metrics failed, and its closes came late to targets, so that work went on for callers that had left. Cause: what one tells for all of a data centre was bounded by nothing (the setting for it was read and ignored). Ruled out: the processor (7% of a core at most), calls' own bytes (some 100 KB/s at the other instances).

Messages take a fifth of the link from a bucket now: what bounds count for always goes and is charged, loads next (the newest only), parts of prompts last and in order. Newcomers are told the rest of what is known one after the other. The ignored setting is replaced by peers.linkShare.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -47,6 +47,7 @@
 
     private static final long MEMBERS_PAUSE_MILLIS = 2_000;
     private static final int MAX_MESSAGE_BYTES = 262_144;
+    private static final double BYTES_PER_MEGABIT = 125_000;
 
     /** A reader's long call, its pause, and a word that may be lost; nothing of the members is bound to a time. */
     private static final ToldPolicy MEMBERS_TOLD =
@@ -87,7 +88,7 @@
                         "",
                         settings.peers().roundMillis(),
                         settings.peers().neighboursCount(),
-                        settings.peers().bytesPerSecond(),
+                        bytesPerSecond(settings),
                         MAX_MESSAGE_BYTES,
                         settings.instance().linkMbps()),
                 time,
@@ -118,6 +119,13 @@
         suspicions.connect(suspects);
     }
 
+    private static int bytesPerSecond(ForwardingSettings settings) {
+        double linkMbps = settings.instance().linkMbps();
+        return linkMbps > 0
+                ? (int) Math.min(Integer.MAX_VALUE, linkMbps * settings.peers().linkShare() * BYTES_PER_MEGABIT)
+                : Integer.MAX_VALUE;
+    }
+
     /** The instances that may share a target's connections: those seen, and no fewer than the settings name. */
     int sharersCount() {
         return Math.max(
@@ -201,6 +209,11 @@
                     .accept((long) wordBytes * receiversCount);
         }
 
+        @Override
+        public void onDropped(PeerTopic topic) {
+            metrics.peerWordDropped(topic.name().toLowerCase(Locale.ROOT));
+        }
+
         @Override
         public void onRefused(PeerRefusal refusal) {
             LogEvent.of("peer_message_refused").with("reason", refusal.label()).warn(log);
--- a/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.daemon;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -54,6 +55,7 @@
     private final ToLongFunction<String> bornMillis;
     private final TimeSource time;
     private final Map<String, Told> engines = new HashMap<>();
+    private final List<String> learned = new ArrayList<>();
     private long newsCount;
 
     KeptSharing(TellerExchange exchange, PartIndex parts, ToLongFunction<String> bornMillis, TimeSource time) {
@@ -88,7 +90,7 @@
     }
 
     private void round() {
-        tellShared(parts.shared().takeNews());
+        tellShared();
         engines.forEach((engineId, told) -> {
             if (time.monotonicMillis() >= told.wholeAtMillis) {
                 tellWhole(engineId, told);
@@ -128,7 +130,16 @@
         exchange.publish(PeerTopic.KEPT_PARTS, engineId, word, KEEP_MILLIS);
     }
 
-    private void tellShared(List<String> news) {
+    /**
+     * What was found here, and at a relay what it learnt from others since the last round, in one word.
+     *
+     * <p>Load: many instances find the same parts in the same moment. Each of their words handed on to each of the others was a
+     * quarter of what a relay sent.
+     */
+    private void tellShared() {
+        List<String> news = new ArrayList<>(learned);
+        learned.clear();
+        news.addAll(parts.shared().takeNews());
         if (news.isEmpty()) {
             return;
         }
@@ -144,7 +155,7 @@
                             unpacker -> Packing.readAll(unpacker, MessageUnpacker::unpackString))
                     .stream()
                     .filter(parts.shared()::learn)
-                    .forEach(this::tellWhereKept);
+                    .forEach(this::learned);
         } catch (IOException e) {
             LogEvent.of("shared_parts_not_understood")
                     .with("peer", item.origin())
@@ -153,6 +164,13 @@
         }
     }
 
+    private void learned(String partId) {
+        tellWhereKept(partId);
+        if (exchange.byTellers() && exchange.acting()) {
+            learned.add(partId);
+        }
+    }
+
     /** An engine that is watched here may have said that it keeps the part before it was known to be shared. */
     private void tellWhereKept(String partId) {
         engines.forEach((engineId, told) -> {
--- a/src/main/java/org/dogwoodwinch/peer/PeerEntry.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerEntry.java
@@ -26,4 +26,11 @@
         long version,
         long ageMillis,
         long keepMillis,
-        Bytes payload) {}
+        Bytes payload) {
+
+    /** This entry after it was held, or was on its way, for some time. */
+    PeerEntry older(long millis) {
+        return new PeerEntry(
+                origin, startedMillis, topic, key, version, ageMillis + Math.max(0, millis), keepMillis, payload);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/peer/PeerItemStore.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerItemStore.java
@@ -146,15 +146,7 @@
         }
 
         PeerEntry aged(long nowMillis) {
-            return new PeerEntry(
-                    entry.origin(),
-                    entry.startedMillis(),
-                    entry.topic(),
-                    entry.key(),
-                    entry.version(),
-                    ageMillis(nowMillis),
-                    entry.keepMillis(),
-                    entry.payload());
+            return entry.older(nowMillis - receivedMillis);
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/peer/PeerObserver.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerObserver.java
@@ -22,6 +22,13 @@
      */
     default void onTold(PeerTopic topic, int wordBytes, int receiversCount) {}
 
+    /**
+     * A word was dropped before it was sent: others took the share of the link that there is for words.
+     *
+     * @param topic what it was about, not null
+     */
+    default void onDropped(PeerTopic topic) {}
+
     /**
      * A message was taken.
      *
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -12,6 +14,7 @@
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.peer.PeerOutbox.Audience;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,12 +44,8 @@
     private static final int NEWCOMER_ROUNDS = 3;
 
     /** What tellers pass on to their own data centre and, where it comes from there, to the other tellers. */
-    private static final Set<PeerTopic> TOLD_TO_ALL = Set.of(
-            PeerTopic.QUARANTINE,
-            PeerTopic.LEAVING,
-            PeerTopic.BROKEN_TARGET,
-            PeerTopic.TARGET_LIMIT,
-            PeerTopic.SHARED_PARTS);
+    private static final Set<PeerTopic> TOLD_TO_ALL =
+            Set.of(PeerTopic.QUARANTINE, PeerTopic.LEAVING, PeerTopic.BROKEN_TARGET, PeerTopic.TARGET_LIMIT);
 
     private final PeerSettings settings;
     private final TimeSource time;
@@ -59,10 +58,8 @@
     private final PeerCodec codec;
     private final PeerItemStore store = new PeerItemStore();
     private final Map<PeerTopic, List<Consumer<PeerItem>>> listeners = new EnumMap<>(PeerTopic.class);
-    private final List<PeerEntry> toCentre = new ArrayList<>();
-    private final List<PeerEntry> toTellers = new ArrayList<>();
-    private final List<PeerEntry> toOwnTeller = new ArrayList<>();
-    private final List<PeerEntry> toAll = new ArrayList<>();
+    private final PeerOutbox outbox;
+    private final Set<PeerMember> storeOwed = new LinkedHashSet<>();
     private final List<Runnable> onRound = new ArrayList<>();
     private final long startedMillis;
     private long nextVersion = 1;
@@ -94,6 +91,7 @@
         this.observer = Objects.requireNonNull(observer, "observer");
         this.relays = new CentreRelays(settings, time);
         this.replays = new ReplayGuard(time);
+        this.outbox = new PeerOutbox(time, settings.bytesPerSecond(), observer::onDropped);
         this.codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
         this.startedMillis = time.wallMillis();
         for (PeerTopic topic : PeerTopic.values()) {
@@ -235,7 +233,8 @@
 
     /** Returns whether there was anything to tell newcomers. */
     private boolean tellEverything(PeerMember member) {
-        send(store.all(time.monotonicMillis(), settings.maxMessageBytes() / 2), List.of(member));
+        storeOwed.add(member);
+        payOwedStores();
         return newcomers.forEach((topic, key, payload, keepMillis) ->
                 send(List.of(own(topic, key, payload, keepMillis)), List.of(member)));
     }
@@ -257,6 +256,24 @@
         }
     }
 
+    /**
+     * Tells newcomers what is known beside the streams, one after the other as the link has room.
+     *
+     * <p>Load: a whole data centre starts at once. Everything for everybody would fill a narrow link for seconds.
+     */
+    private void payOwedStores() {
+        Iterator<PeerMember> owed = storeOwed.iterator();
+        while (owed.hasNext()) {
+            List<PeerEntry> all = store.all(time.monotonicMillis(), settings.maxMessageBytes() / 2);
+            if (!outbox.hasRoomFor(all.stream().mapToLong(PeerCodec::sizeOf).sum())) {
+                return;
+            }
+            PeerMember member = owed.next();
+            owed.remove();
+            send(all, List.of(member));
+        }
+    }
+
     private PeerEntry own(PeerTopic topic, String key, Bytes payload, long keepMillis) {
         return new PeerEntry(
                 settings.instance(), startedMillis, topic.name(), key, nextVersion++, 0, keepMillis, payload);
@@ -267,21 +284,21 @@
         PeerEntry entry = own(topic, key, payload, keepMillis);
         store.accept(entry, time.monotonicMillis(), 0);
         if (topic == PeerTopic.KEPT_PARTS) {
-            (acting() || !byTellers() ? toCentre : toOwnTeller).add(entry);
+            outbox.add(acting() || !byTellers() ? Audience.OWN_CENTRE : Audience.OWN_RELAY, entry);
         } else if (topic == PeerTopic.ALIVE) {
-            toCentre.add(entry);
-            toTellers.add(entry);
+            outbox.add(Audience.OWN_CENTRE, entry);
+            outbox.add(Audience.OTHER_RELAYS, entry);
         } else if (topic == PeerTopic.CENTRE_LOAD) {
-            toTellers.add(entry);
+            outbox.add(Audience.OTHER_RELAYS, entry);
         } else if (topic == PeerTopic.FLEET_LOAD) {
-            toCentre.add(entry);
+            outbox.add(Audience.OWN_CENTRE, entry);
         } else if (!byTellers()) {
-            toAll.add(entry);
+            outbox.add(Audience.ALL, entry);
         } else if (!acting()) {
-            toOwnTeller.add(entry);
+            outbox.add(Audience.OWN_RELAY, entry);
         } else if (topic != PeerTopic.LOAD) {
-            toCentre.add(entry);
-            toTellers.add(entry);
+            outbox.add(Audience.OWN_CENTRE, entry);
+            outbox.add(Audience.OTHER_RELAYS, entry);
         }
     }
 
@@ -314,21 +331,35 @@
     }
 
     private void flush(boolean acts) {
-        sendAndClear(toAll, relays.others());
-        sendAndClear(toTellers, relays.ofOtherCentres());
-        if (acts && !toOwnTeller.isEmpty()) {
-            // It was for a teller that has gone silent since.
-            toCentre.addAll(toOwnTeller);
-            toOwnTeller.clear();
+        flush(Audience.ALL, relays.others());
+        flush(Audience.OTHER_RELAYS, relays.ofOtherCentres());
+        if (acts) {
+            // It was for a relay that has gone silent since.
+            outbox.move(Audience.OWN_RELAY, Audience.OWN_CENTRE);
+        }
+        flush(Audience.OWN_CENTRE, relays.centre());
+        if (!acts) {
+            tellOwnRelay(relays.ofOwnCentre().flatMap(relays::member).stream().toList());
         }
-        sendAndClear(toCentre, relays.centre());
-        boolean wordDue = roundsCount - wordToTellerRound >= OWN_WORD_ROUNDS;
-        if (!acts && (wordDue || !toOwnTeller.isEmpty())) {
+        payOwedStores();
+    }
+
+    private void flush(Audience audience, List<PeerMember> to) {
+        if (to.isEmpty()) {
+            outbox.clear(audience);
+            return;
+        }
+        List<PeerEntry> entries = outbox.take(audience, to.size());
+        if (!entries.isEmpty()) {
+            send(entries, to);
+        }
+    }
+
+    private void tellOwnRelay(List<PeerMember> relay) {
+        List<PeerEntry> entries = outbox.take(Audience.OWN_RELAY, relay.size());
+        if (!entries.isEmpty() || roundsCount - wordToTellerRound >= OWN_WORD_ROUNDS) {
             wordToTellerRound = roundsCount;
-            send(
-                    List.copyOf(toOwnTeller),
-                    relays.ofOwnCentre().flatMap(relays::member).stream().toList());
-            toOwnTeller.clear();
+            send(entries, relay);
         }
     }
 
@@ -340,13 +371,6 @@
         publish(PeerTopic.ALIVE, settings.dataCentre(), names, relays.aliveMillis());
     }
 
-    private void sendAndClear(List<PeerEntry> entries, List<PeerMember> to) {
-        if (!entries.isEmpty()) {
-            send(List.copyOf(entries), to);
-            entries.clear();
-        }
-    }
-
     private void send(List<PeerEntry> entries, List<PeerMember> to) {
         if (to.isEmpty()) {
             return;
@@ -363,6 +387,7 @@
             PeerTopic.named(entry.topic())
                     .ifPresent(topic -> observer.onTold(topic, PeerCodec.sizeOf(entry), to.size()));
         }
+        outbox.spent((long) encoded.length() * to.size());
         for (PeerMember member : to) {
             observer.onSent(encoded.length());
             transport.send(member, encoded);
@@ -398,9 +423,8 @@
         }
         if (newcomers.isFirstWord(message) && (acting() || !byTellers())) {
             // Without the wish to be answered: two newcomers would send each other everything without end.
-            relays.member(message.sender())
-                    .ifPresent(newcomer ->
-                            send(store.all(time.monotonicMillis(), settings.maxMessageBytes() / 2), List.of(newcomer)));
+            relays.member(message.sender()).ifPresent(storeOwed::add);
+            payOwedStores();
         }
         return true;
     }
@@ -432,12 +456,12 @@
                 .filter(member -> member.dataCentre().equals(settings.dataCentre()))
                 .isPresent();
         if (TOLD_TO_ALL.contains(topic)) {
-            toCentre.add(entry);
+            outbox.add(Audience.OWN_CENTRE, entry);
             if (ours) {
-                toTellers.add(entry);
+                outbox.add(Audience.OTHER_RELAYS, entry);
             }
         } else if (topic == PeerTopic.KEPT_PARTS && ours) {
-            toCentre.add(entry);
+            outbox.add(Audience.OWN_CENTRE, entry);
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -29,6 +29,7 @@
     private final Counter repeats;
     private final Counter sends;
     private final Counter peerBytes;
+    private final Counter peerDropped;
     private final Gauge instancesSeen;
     private final Gauge configurationVersion;
     private final Gauge targets;
@@ -71,6 +72,10 @@
                 "purpose",
                 "limited");
         this.peerBytes = counter("dogwoodwinch_peer_bytes_sent_total", "Bytes told to other instances.", "topic");
+        this.peerDropped = counter(
+                "dogwoodwinch_peer_words_dropped_total",
+                "Words to other instances that the link's share for them had no room for.",
+                "topic");
         this.instancesSeen = gauge("dogwoodwinch_instances_seen", "Instances that common bounds are dealt out to.");
         this.configurationVersion =
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
@@ -135,6 +140,15 @@
         return bytes -> counter.inc((double) bytes);
     }
 
+    /**
+     * Counts a word to other instances that was not sent, as the share of the link for them is used up.
+     *
+     * @param topic what it was about, not null
+     */
+    public void peerWordDropped(String topic) {
+        peerDropped.labelValues(topic).inc();
+    }
+
     /**
      * Shows among how many instances common bounds are dealt out.
      *
--- a/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
+++ b/src/main/java/org/dogwoodwinch/settings/ForwardingSettings.java
@@ -60,11 +60,12 @@
      * @param listen where they connect, as IP number and port
      * @param roundMillis the time between two rounds
      * @param neighboursCount the instances that a round goes to
-     * @param bytesPerSecond what is sent at most, on average
+     * @param linkShare the part of the instance's link that messages may take, on average; where the link is not known they are
+     *     not bounded
      * @param renewMillis the time between two announcements of this instance in the store
      */
     public record ExchangeSettings(
-            String listen, long roundMillis, int neighboursCount, int bytesPerSecond, long renewMillis) {}
+            String listen, long roundMillis, int neighboursCount, double linkShare, long renewMillis) {}
 
     /**
      * What operators and callers were promised.
@@ -127,7 +128,7 @@
                 address(section, "listen"),
                 section.wholeNumber("roundMillis", 10, 60_000, 150),
                 section.wholeInt("neighboursCount", 1, 1_000, 8),
-                section.wholeInt("bytesPerSecond", 100, 100_000_000, 14_000),
+                section.number("linkShare", 0.01, 1, 0.2),
                 section.wholeNumber("renewMillis", 100, 3_600_000, 15_000));
     }
 
--- a/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
@@ -37,6 +37,9 @@
     private static final long STORE_MILLIS = 4;
     private static final long TIMEOUT_MILLIS = 700;
     private static final int ROUND_MILLIS = 150;
+    /** A fifth of a link of 7 Mbit/s. */
+    private static final int LINK_SHARE_BYTES_PER_SECOND = 175_000;
+
     private static final FollowPolicy FOLLOW = new FollowPolicy(600, 100, 50, 500);
     private static final ToldPolicy TOLD = new ToldPolicy(1_100, 75, 3);
 
@@ -126,7 +129,7 @@
         private void begin() {
             int ownLife = ++life;
             this.exchange = new TellerExchange(
-                    new PeerSettings(name, dataCentre, "", ROUND_MILLIS, 8, 14_000, 262_144),
+                    new PeerSettings(name, dataCentre, "", ROUND_MILLIS, 8, LINK_SHARE_BYTES_PER_SECOND, 262_144),
                     time,
                     (to, message) -> {
                         if (ownLife == life) {
