Ask at the write whether the target is still what was chosen

Calls reached targets that had said they leave, had gone or had started again. Cause: a target is chosen and then waited for, up to a second for a connection and as long as a prompt takes to be read, and nothing was asked again before the first byte.

At the write a call, and the reading of a prompt, ask the list: leaving, gone, another birth, address or stage means that another target is chosen, without a repeat of the quota, as nothing was sent; memory that was read is kept for the next runner. The second look at callers' sockets serves readings too, in one place.

--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -139,6 +139,11 @@
         return atEase.isEmpty() ? ready : atEase;
     }
 
+    @Override
+    public boolean serves(Incarnation target) {
+        return directory.serves(target);
+    }
+
     @Override
     public long roomMillis(ChoiceQuery query) {
         return directory.roomMillis(query.service().name(), query.triedIds());
--- a/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -50,6 +50,11 @@
                 : Optional.of(new Plan(best.get(random.nextInt(best.size())), Optional.empty(), Plan.Reading.NONE));
     }
 
+    @Override
+    public boolean serves(Incarnation target) {
+        return directory.serves(target);
+    }
+
     @Override
     public long roomMillis(ChoiceQuery query) {
         return directory.roomMillis(query.service().name(), query.triedIds());
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
@@ -24,6 +24,14 @@
         return choose(query).map(Plan::target);
     }
 
+    /**
+     * Says whether a target that was chosen a while ago may still get what it was chosen for.
+     *
+     * @param target the target as it was chosen, not null
+     * @return false where it leaves, is gone, has started again or takes another part of the work since
+     */
+    boolean serves(Incarnation target);
+
     /**
      * Says when a target may get a call for which none was found.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -92,6 +92,21 @@
         return health.usable(readyByService.get().getOrDefault(service, List.of()));
     }
 
+    /**
+     * Says whether a target is what it was when it was chosen.
+     *
+     * @param target the target as it was then, not null
+     * @return false where it leaves, is gone, has started again or takes another part of the work since
+     */
+    public boolean serves(Incarnation target) {
+        return find(target.id())
+                .filter(now -> !now.leaving()
+                        && now.bornMillis() == target.bornMillis()
+                        && now.address().equals(target.address())
+                        && now.stage() == target.stage())
+                .isPresent();
+    }
+
     /**
      * Says whether a target takes a call from here now.
      *
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -30,15 +30,6 @@
     /** Readers that could not be reached before the one that runs the call reads it: each costs a connection's time. */
     private static final int MOST_UNSENT_READINGS = 2;
 
-    /**
-     * The age from which a call is sent only after the callers' connections were looked at once more.
-     *
-     * <p>Failure: a busy instance comes to an engine's answer a second late, and its caller's leaving lies unread beside
-     * it: the call was sent on for nobody. What waits on the sockets is read before a task that is put off. Callers leave
-     * after two seconds and more, or where they are in a hurry within half of an objective; a younger call is not delayed.
-     */
-    private static final long HEARD_AGE_MILLIS = 100;
-
     private enum State {
         SENDING,
         STREAMING,
@@ -244,7 +235,7 @@
         PromptReading started = new PromptReading(
                 parts, service, reader, facts.prompt().orElseThrow(), plan.reading(), this::promptWasRead);
         reading = Optional.of(started);
-        started.start(outbound(reader, true));
+        started.start(call.arrivalMillis(), () -> outbound(reader, true));
     }
 
     /** Where nothing came of it, the call has not run: a target that reads the prompt itself gets it. */
@@ -299,11 +290,7 @@
         parts.connections().take(plan.target(), parts.connectionsPerTarget(service), new TargetConnections.Taker() {
             @Override
             public void took(TargetConnection taken) {
-                if (ageMillis() < HEARD_AGE_MILLIS) {
-                    send(taken);
-                } else {
-                    parts.time().schedule(0, () -> send(taken));
-                }
+                parts.onceCallersAreHeard(call.arrivalMillis(), () -> send(taken));
             }
 
             @Override
@@ -325,6 +312,12 @@
             limitReached();
             return;
         }
+        if (!parts.chooser().serves(plan.target())) {
+            parts.connections().giveBack(taken);
+            parts.report().leftBeforeSend(requestId(), plan.target());
+            chooseAgain();
+            return;
+        }
         connection = taken;
         triedIds.add(plan.target().id());
         answer = null;
@@ -339,6 +332,15 @@
         taken.send(outbound, this);
     }
 
+    /** Nothing was sent: no quota is asked. */
+    private void chooseAgain() {
+        if (memory.isPresent()) {
+            runElsewhere(memoryReader);
+        } else {
+            attempt();
+        }
+    }
+
     private SendPurpose purpose() {
         return sendsCount() > 0 ? SendPurpose.REPEAT : SendPurpose.RUN;
     }
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -112,6 +112,15 @@
         }
     }
 
+    @Override
+    public void leftBeforeSend(String requestId, Incarnation target) {
+        LogEvent.of("target_left_before_send")
+                .with("request", requestId)
+                .with("target", target.id())
+                .with("bornMillis", target.bornMillis())
+                .info(log);
+    }
+
     @Override
     public void firstByte(CallRelay call) {
         metrics.firstByte(call.ageMillis());
--- a/src/main/java/org/dogwoodwinch/relay/PromptReading.java
+++ b/src/main/java/org/dogwoodwinch/relay/PromptReading.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Plan;
@@ -65,21 +66,14 @@
     /**
      * Sends the call.
      *
-     * @param outbound the call as it is written to the reader, not null
+     * @param arrivalMillis when the call came, in milliseconds of the steady clock
+     * @param outbound the call as it is written to the reader, made when it is sent, not null
      */
-    void start(OutboundCall outbound) {
+    void start(long arrivalMillis, Supplier<OutboundCall> outbound) {
         parts.connections().take(reader, parts.connectionsPerTarget(service), new TargetConnections.Taker() {
             @Override
             public void took(TargetConnection taken) {
-                if (ended) {
-                    parts.connections().giveBack(taken);
-                    return;
-                }
-                connection = Optional.of(taken);
-                SendAccount opened = SendAccount.begin(parts, reader, Optional.of(prompt), reading);
-                account = Optional.of(opened);
-                parts.report().sent(outbound.requestId(), reader, reading, opened.aheadTokens(), SendPurpose.READING);
-                taken.send(outbound, PromptReading.this);
+                parts.onceCallersAreHeard(arrivalMillis, () -> send(taken, outbound));
             }
 
             @Override
@@ -89,6 +83,25 @@
         });
     }
 
+    private void send(TargetConnection taken, Supplier<OutboundCall> call) {
+        if (ended) {
+            parts.connections().giveBack(taken);
+            return;
+        }
+        OutboundCall outbound = call.get();
+        if (!parts.chooser().serves(reader)) {
+            parts.connections().giveBack(taken);
+            parts.report().leftBeforeSend(outbound.requestId(), reader);
+            end(new ReadingOutcome.NotSent("target_left"));
+            return;
+        }
+        connection = Optional.of(taken);
+        SendAccount opened = SendAccount.begin(parts, reader, Optional.of(prompt), reading);
+        account = Optional.of(opened);
+        parts.report().sent(outbound.requestId(), reader, reading, opened.aheadTokens(), SendPurpose.READING);
+        taken.send(outbound, this);
+    }
+
     /** The call has ended otherwise: the engine drops the work with its connection. */
     void cancel() {
         if (ended) {
--- a/src/main/java/org/dogwoodwinch/relay/RelayParts.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayParts.java
@@ -53,6 +53,8 @@
         RelayReport report,
         IntSupplier sharersCount) {
 
+    private static final long HEARD_AGE_MILLIS = 100;
+
     RelayParts {
         Objects.requireNonNull(time, "time");
         Objects.requireNonNull(callHeaders, "callHeaders");
@@ -82,6 +84,22 @@
         return Math.max(1, service.maxConnectionsCount() / sharersCount.getAsInt());
     }
 
+    /**
+     * Goes on with a call once what waits on the callers' sockets was read, where the call is old enough that its caller may
+     * have left.
+     *
+     * <p>Failure: a busy instance comes to an engine's answer a second late, and its caller's leaving lies unread beside
+     * it: the call was sent on for nobody. What waits on the sockets is read before a task that is put off. Callers leave
+     * after two seconds and more, or where they are in a hurry within half of an objective; a younger call is not delayed.
+     */
+    void onceCallersAreHeard(long arrivalMillis, Runnable next) {
+        if (time.monotonicMillis() - arrivalMillis < HEARD_AGE_MILLIS) {
+            next.run();
+        } else {
+            time.schedule(0, next);
+        }
+    }
+
     /** A target answered: at this address is the one that was meant, or it is not. */
     void answered(String targetId, boolean otherTargets) {
         if (otherTargets) {
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -44,6 +44,9 @@
     /** The first byte of a streamed answer goes to the caller. */
     void firstByte(CallRelay call);
 
+    /** A target that was chosen left, or became another one, before a byte was written to it: another one is chosen. */
+    void leftBeforeSend(String requestId, Incarnation target);
+
     /** The answer is whole. */
     void succeeded(CallRelay call);
 
