Count the way of a word against it

Requests reached a target three seconds after it had said that it leaves, at an instance whose neighbour relays for the data centre. Cause: the age of a word was what its holders added up. What waited for seconds in the relay's socket and on its link passed for fresh, so that followers did not read the platform for themselves. Evidence: orders that a relay passed on reached its followers 1.0 to 2.8 s later in the two data centres with the fullest links, and within 0.2 s beside the one on a wide link; the relays themselves heard within 0.1 s. Ruled out: lost words, a relay that hears late.

Messages carry their sender's steady clock, and a relay tells those that it hears how far ahead theirs are at least. So each knows, by its own clock, the latest moment at which a word was written; a word whose way is not known stands for no reading. A relay whose words come late is as one that is silent. Ways are in a metric and, from half a second, in the logs. A wish for everything lives a second: it was given one millisecond and the way is counted now.

A word that waits nowhere still suffices: no more calls to the platform.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -209,6 +209,11 @@
                     .accept((long) wordBytes * receiversCount);
         }
 
+        @Override
+        public void onWay(long wayMillis) {
+            metrics.showPeerWay(wayMillis);
+        }
+
         @Override
         public void onDropped(PeerTopic topic) {
             metrics.peerWordDropped(topic.name().toLowerCase(Locale.ROOT));
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -214,7 +214,7 @@
                 new ConfigurationReader(service, metrics),
                 time,
                 random);
-        this.clockWatch = new ClockWatch(time, CLOCK_CHECK_MILLIS, CLOCK_JUMP_MILLIS, service::dropKeptConnections);
+        this.clockWatch = new ClockWatch(time, CLOCK_CHECK_MILLIS, CLOCK_JUMP_MILLIS, this::clocksJumped);
         this.cacheWatch = new CacheWatch(
                 engines,
                 parts,
@@ -283,6 +283,11 @@
                 .info(log);
     }
 
+    private void clocksJumped() {
+        service.dropKeptConnections();
+        fleet.exchange().suspended();
+    }
+
     /**
      * Returns where callers connect.
      *
--- a/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
+++ b/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
@@ -1,6 +1,5 @@
 package org.dogwoodwinch.peer;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,10 +8,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import org.dogwoodwinch.logging.LogEvent;
+import java.util.stream.Collectors;
 import org.dogwoodwinch.time.TimeSource;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Who passes words on for each data centre, and who is alive in the own one, as far as it was heard. Used on one event loop
@@ -24,8 +21,6 @@
  */
 final class CentreRelays {
 
-    private static final Logger log = LoggerFactory.getLogger(CentreRelays.class);
-
     /** A relay is missed after so many rounds: three of its words lost, or a pause as garbage collection makes. */
     private static final int SILENT_ROUNDS = 7;
 
@@ -206,27 +201,24 @@
         return names;
     }
 
-    /** A relay tells who is alive in its data centre. The first in order that was heard of late counts. */
-    void heardAlive(PeerEntry entry, String sender) {
+    /**
+     * A relay tells who is alive in its data centre. The first in order that was heard of late counts; one whose words come
+     * late is as one that is silent.
+     */
+    void heardAlive(PeerEntry entry, AliveWord word, String sender) {
         String where = entry.key();
+        long writtenMillis = time.monotonicMillis() - entry.ageMillis();
         Relay known = relays.get(where);
         boolean later = known != null
                 && !known.name.equals(sender)
                 && recent(known.atMillis, SILENT_ROUNDS)
                 && succession.before(where, known.name, sender);
         if (!later && entry.origin().equals(sender)) {
-            relays.put(where, new Relay(sender, time.monotonicMillis()));
+            relays.put(where, new Relay(sender, writtenMillis));
         }
         if (where.equals(settings.dataCentre()) && !later && succession.before(sender)) {
-            try {
-                toldAlive = NameList.decode(entry.payload());
-                toldAliveAtMillis = time.monotonicMillis();
-            } catch (IOException e) {
-                LogEvent.of("alive_not_understood")
-                        .with("peer", sender)
-                        .with("error", e.getMessage())
-                        .warn(log);
-            }
+            toldAlive = word.names().stream().filter(this::ofOwnCentre).collect(Collectors.toUnmodifiableSet());
+            toldAliveAtMillis = writtenMillis;
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/peer/LateWords.java
@@ -0,0 +1,40 @@
+package org.dogwoodwinch.peer;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.dogwoodwinch.logging.LogEvent;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Logs when the messages of an instance begin to come late, and when they come in time again. Not thread-safe. */
+final class LateWords {
+
+    private static final Logger log = LoggerFactory.getLogger(LateWords.class);
+
+    /** Half of what a relay's word may be old before an instance reads for itself. */
+    private static final long LATE_MILLIS = 500;
+
+    private static final long IN_TIME_MILLIS = 200;
+
+    private final Map<String, Long> longestMillisBySender = new HashMap<>();
+
+    /** A message came that was on its way for so long. */
+    void came(String sender, long wayMillis) {
+        Long longestMillis = longestMillisBySender.get(sender);
+        if (longestMillis != null && wayMillis <= IN_TIME_MILLIS) {
+            longestMillisBySender.remove(sender);
+            LogEvent.of("peer_words_in_time")
+                    .with("peer", sender)
+                    .with("longestWayMillis", longestMillis)
+                    .info(log);
+        } else if (longestMillis != null) {
+            longestMillisBySender.put(sender, Math.max(longestMillis, wayMillis));
+        } else if (wayMillis >= LATE_MILLIS) {
+            longestMillisBySender.put(sender, wayMillis);
+            LogEvent.of("peer_words_late")
+                    .with("peer", sender)
+                    .with("wayMillis", wayMillis)
+                    .info(log);
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/peer/PeerCodec.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerCodec.java
@@ -24,7 +24,7 @@
 
     private static final String ALGORITHM = "HmacSHA256";
     private static final int CODE_BYTES = 32;
-    private static final int MESSAGE_FIELDS = 7;
+    private static final int MESSAGE_FIELDS = 8;
     private static final int ENTRY_FIELDS = 8;
     private static final int MAX_NAME_CHARACTERS = 256;
 
@@ -54,6 +54,7 @@
         packer.packLong(message.startedMillis());
         packer.packLong(message.number());
         packer.packLong(message.sentMillis());
+        packer.packLong(message.clockMillis());
         packer.packBoolean(message.newcomer());
         Packing.writeAll(packer, message.items(), PeerCodec::writeEntry);
     }
@@ -86,6 +87,7 @@
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
+                unpacker.unpackLong(),
                 unpacker.unpackBoolean(),
                 Packing.readAll(unpacker, PeerCodec::readEntry));
     }
--- a/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
@@ -211,6 +211,7 @@
                 startedMillis,
                 nextNumber++,
                 time.wallMillis(),
+                time.monotonicMillis(),
                 newcomer,
                 items);
     }
--- a/src/main/java/org/dogwoodwinch/peer/PeerMessage.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerMessage.java
@@ -12,22 +12,24 @@
  * @param startedMillis when the sender started, in milliseconds of its time of day
  * @param number grows with each message of this start of the sender
  * @param sentMillis when it was sent, in milliseconds of the sender's time of day
+ * @param clockMillis what the sender's steady clock showed when it was written, in milliseconds; it means nothing by itself
  * @param newcomer whether the sender has just started and wants to hear everything
  * @param items the items
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"version", "sender", "startedMillis", "number", "sentMillis", "newcomer", "items"})
+@JsonPropertyOrder({"version", "sender", "startedMillis", "number", "sentMillis", "clockMillis", "newcomer", "items"})
 record PeerMessage(
         int version,
         String sender,
         long startedMillis,
         long number,
         long sentMillis,
+        long clockMillis,
         boolean newcomer,
         List<PeerEntry> items) {
 
     /** The format that this code writes and reads. */
-    static final int VERSION = 1;
+    static final int VERSION = 2;
 
     PeerMessage {
         items = items == null ? List.of() : List.copyOf(items);
--- a/src/main/java/org/dogwoodwinch/peer/PeerObserver.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerObserver.java
@@ -29,6 +29,13 @@
      */
     default void onDropped(PeerTopic topic) {}
 
+    /**
+     * A message came that was on its way for so long.
+     *
+     * @param wayMillis its time from being written to being read, in milliseconds, or more
+     */
+    default void onWay(long wayMillis) {}
+
     /**
      * A message was taken.
      *
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.peer;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.Iterator;
@@ -8,8 +9,9 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
@@ -43,6 +45,9 @@
 
     private static final int NEWCOMER_ROUNDS = 3;
 
+    /** Who wants something asks again with its next reading. */
+    private static final long WANT_KEEP_MILLIS = 1_000;
+
     /** What tellers pass on to their own data centre and, where it comes from there, to the other tellers. */
     private static final Set<PeerTopic> TOLD_TO_ALL =
             Set.of(PeerTopic.QUARANTINE, PeerTopic.LEAVING, PeerTopic.BROKEN_TARGET, PeerTopic.TARGET_LIMIT);
@@ -54,6 +59,8 @@
     private final PeerObserver observer;
     private final CentreRelays relays;
     private final ReplayGuard replays;
+    private final PeerClocks clocks;
+    private final LateWords lateWords = new LateWords();
     private final Newcomers newcomers = new Newcomers();
     private final PeerCodec codec;
     private final PeerItemStore store = new PeerItemStore();
@@ -91,6 +98,7 @@
         this.observer = Objects.requireNonNull(observer, "observer");
         this.relays = new CentreRelays(settings, time);
         this.replays = new ReplayGuard(time);
+        this.clocks = new PeerClocks(time);
         this.outbox = new PeerOutbox(time, settings.bytesPerSecond(), observer::onDropped);
         this.codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
         this.startedMillis = time.wallMillis();
@@ -219,7 +227,7 @@
      * that tells it, and of its data centre each time another one, since the teller may be turned away as well.
      */
     public void wantEverything() {
-        List<PeerEntry> want = List.of(own(PeerTopic.WANT, settings.instance(), Bytes.EMPTY, 1));
+        List<PeerEntry> want = List.of(own(PeerTopic.WANT, settings.instance(), Bytes.EMPTY, WANT_KEEP_MILLIS));
         send(
                 want,
                 acting()
@@ -367,8 +375,16 @@
         if (relays.centre().isEmpty()) {
             return;
         }
-        Bytes names = NameList.encode(new TreeSet<>(relays.aliveByHearing()));
-        publish(PeerTopic.ALIVE, settings.dataCentre(), names, relays.aliveMillis());
+        Set<String> alive = relays.aliveByHearing();
+        Map<String, Long> leads = new TreeMap<>(clocks.leadsMillis());
+        leads.keySet().removeIf(name -> relays.ofOwnCentre(name) && !alive.contains(name));
+        leads.put(settings.instance(), 0L);
+        publish(PeerTopic.ALIVE, settings.dataCentre(), new AliveWord(leads).encode(), relays.aliveMillis());
+    }
+
+    /** This process was suspended: what is known of the ways of messages is wrong by that time. */
+    public void suspended() {
+        clocks.forget();
     }
 
     private void send(List<PeerEntry> entries, List<PeerMember> to) {
@@ -381,6 +397,7 @@
                 startedMillis,
                 nextNumber++,
                 time.wallMillis(),
+                time.monotonicMillis(),
                 roundsCount <= NEWCOMER_ROUNDS,
                 entries));
         for (PeerEntry entry : entries) {
@@ -418,8 +435,17 @@
             return false;
         }
         relays.heard(message.sender());
+        clocks.heard(message);
+        Optional<AliveWord> aliveWord = aliveWord(message);
+        aliveWord.ifPresent(
+                word -> clocks.told(message.sender(), message.startedMillis(), word.leadMillis(settings.instance())));
+        OptionalLong wayMillis = clocks.wayMillis(message);
+        wayMillis.ifPresent(millis -> {
+            observer.onWay(millis);
+            lateWords.came(message.sender(), millis);
+        });
         for (PeerEntry entry : message.items()) {
-            accept(entry, message.sender());
+            accept(entry.older(wayMillis.orElse(0)), message.sender(), aliveWord, wayMillis.isPresent());
         }
         if (newcomers.isFirstWord(message) && (acting() || !byTellers())) {
             // Without the wish to be answered: two newcomers would send each other everything without end.
@@ -429,7 +455,24 @@
         return true;
     }
 
-    private void accept(PeerEntry entry, String sender) {
+    /** What a relay says of itself and of the clocks of those that it hears, where the message has that. */
+    private Optional<AliveWord> aliveWord(PeerMessage message) {
+        for (PeerEntry entry : message.items()) {
+            if (entry.topic().equals(PeerTopic.ALIVE.name()) && entry.origin().equals(message.sender())) {
+                try {
+                    return Optional.of(AliveWord.decode(entry.payload()));
+                } catch (IOException e) {
+                    LogEvent.of("alive_not_understood")
+                            .with("peer", message.sender())
+                            .with("error", e.getMessage())
+                            .warn(log);
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void accept(PeerEntry entry, String sender, Optional<AliveWord> aliveWord, boolean wayKnown) {
         Optional<PeerTopic> topic = PeerTopic.named(entry.topic());
         if (topic.isEmpty()
                 || entry.origin().equals(settings.instance())
@@ -437,7 +480,7 @@
             return;
         }
         if (topic.get() == PeerTopic.ALIVE) {
-            relays.heardAlive(entry, sender);
+            aliveWord.ifPresent(word -> relays.heardAlive(entry, word, sender));
         }
         if (topic.get() == PeerTopic.WANT) {
             relays.member(sender).ifPresent(this::tellEverything);
@@ -446,8 +489,15 @@
         if (acting() && byTellers()) {
             passOn(entry, topic.get(), sender);
         }
+        boolean ageProved = wayKnown && entry.origin().equals(sender);
         PeerItem item = new PeerItem(
-                entry.origin(), topic.get(), entry.key(), entry.version(), entry.payload(), entry.ageMillis());
+                entry.origin(),
+                topic.get(),
+                entry.key(),
+                entry.version(),
+                entry.payload(),
+                entry.ageMillis(),
+                ageProved);
         listeners.get(topic.get()).forEach(listener -> listener.accept(item));
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -30,6 +30,7 @@
     private final Counter sends;
     private final Counter peerBytes;
     private final Counter peerDropped;
+    private final Gauge peerWay;
     private final Gauge instancesSeen;
     private final Gauge configurationVersion;
     private final Gauge targets;
@@ -76,6 +77,8 @@
                 "dogwoodwinch_peer_words_dropped_total",
                 "Words to other instances that the link's share for them had no room for.",
                 "topic");
+        this.peerWay =
+                gauge("dogwoodwinch_peer_way_seconds", "How long the last message of a relay was on its way, or more.");
         this.instancesSeen = gauge("dogwoodwinch_instances_seen", "Instances that common bounds are dealt out to.");
         this.configurationVersion =
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
@@ -149,6 +152,15 @@
         peerDropped.labelValues(topic).inc();
     }
 
+    /**
+     * Shows how long the last message of a relay was on its way.
+     *
+     * @param wayMillis milliseconds
+     */
+    public void showPeerWay(long wayMillis) {
+        peerWay.set(wayMillis / MILLIS_PER_SECOND);
+    }
+
     /**
      * Shows among how many instances common bounds are dealt out.
      *
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/peer/PeerClocksTest.java
@@ -0,0 +1,102 @@
+package org.dogwoodwinch.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class PeerClocksTest {
+
+    /** What the relay's steady clock shows beyond the own one. */
+    private static final long APART_MILLIS = 7_777_777;
+
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final PeerClocks own = new PeerClocks(time);
+    private final PeerClocks relays = new PeerClocks(time);
+    private long suspendedMillis;
+
+    private static PeerMessage message(String sender, long startedMillis, long clockMillis) {
+        return new PeerMessage(PeerMessage.VERSION, sender, startedMillis, 1, 0, clockMillis, false, List.of());
+    }
+
+    private PeerMessage ofRelay(long startedMillis) {
+        return message("relay", startedMillis, time.monotonicMillis() + APART_MILLIS - suspendedMillis);
+    }
+
+    /** The relay hears this instance after some time on the way, and tells what it knows of the clocks. */
+    private void relayHears(long wayMillis) {
+        long writtenMillis = time.monotonicMillis();
+        time.advanceMillis(wayMillis);
+        relays.heard(message("own", 1, writtenMillis - APART_MILLIS));
+    }
+
+    private void relayTells(long startedMillis) {
+        own.told(
+                "relay", startedMillis, Optional.ofNullable(relays.leadsMillis().get("own")));
+    }
+
+    private long wayMillis(PeerMessage message) {
+        return own.wayMillis(message).orElseThrow();
+    }
+
+    @Test
+    void ofOneThatToldNothingNoWayIsKnown() {
+        assertEquals(OptionalLong.empty(), own.wayMillis(ofRelay(1)));
+    }
+
+    @Test
+    void whatWaitedOnItsWayIsAsOldAsItIs() {
+        relayHears(2);
+        relayTells(1);
+        PeerMessage written = ofRelay(1);
+        time.advanceMillis(3_000);
+
+        assertEquals(3_002, wayMillis(written));
+    }
+
+    /** A word came three seconds late and passed for fresh: no delay of either way may make one look younger. */
+    @Test
+    void noDelayMakesAMessageYounger() {
+        for (long wayThere : new long[] {0, 1, 200, 2_000}) {
+            relayHears(wayThere);
+            relayTells(1);
+            PeerMessage written = ofRelay(1);
+            time.advanceMillis(700);
+
+            assertTrue(wayMillis(written) >= 700, "after a way there of " + wayThere);
+            time.advanceMillis(5_000);
+        }
+    }
+
+    @Test
+    void aSuspensionOfTheRelayMakesItsMessagesOlder() {
+        relayHears(1);
+        relayTells(1);
+        suspendedMillis = 5_000;
+
+        assertTrue(wayMillis(ofRelay(1)) >= 5_000);
+    }
+
+    @Test
+    void whatWasToldByAnEarlierStartSaysNothingOfTheLater() {
+        relayHears(1);
+        relayTells(1);
+
+        assertEquals(OptionalLong.empty(), own.wayMillis(ofRelay(2)));
+    }
+
+    @Test
+    void anOldDifferenceIsForgottenWhereNewOnesAreSmaller() {
+        relayHears(1);
+        time.advanceMillis(1_600);
+        relayHears(400);
+        time.advanceMillis(1_600);
+        relayHears(400);
+
+        assertEquals(-APART_MILLIS - 400, relays.leadsMillis().get("own"));
+    }
+}
--- a/src/test/java/org/dogwoodwinch/peer/PeerExchangeTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/PeerExchangeTest.java
@@ -80,7 +80,7 @@
         time.advanceMillis(1_000);
         PeerExchange receiver = exchanges.get(0);
         Bytes good = new PeerCodec("secret", 1_048_576)
-                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 1, time.wallMillis(), false, List.of()));
+                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 1, time.wallMillis(), 0, false, List.of()));
         assertTrue(receiver.receive(good));
         refusals.clear();
         assertFalse(receiver.receive(good));
@@ -90,11 +90,11 @@
         receiver.receive(Bytes.ofUtf8("short"));
         receiver.receive(Bytes.of(new byte[2_000_000]));
         receiver.receive(new PeerCodec("other", 1_048_576)
-                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 2, time.wallMillis(), false, List.of())));
+                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 2, time.wallMillis(), 0, false, List.of())));
         receiver.receive(new PeerCodec("secret", 1_048_576)
-                .encode(new PeerMessage(99, "x", 1, 3, time.wallMillis(), false, List.of())));
+                .encode(new PeerMessage(99, "x", 1, 3, time.wallMillis(), 0, false, List.of())));
         receiver.receive(new PeerCodec("secret", 1_048_576)
-                .encode(new PeerMessage(PeerMessage.VERSION, null, 1, 4, time.wallMillis(), false, List.of())));
+                .encode(new PeerMessage(PeerMessage.VERSION, null, 1, 4, time.wallMillis(), 0, false, List.of())));
         assertEquals(
                 List.of(
                         PeerRefusal.REPLAYED,
