--- a/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
@@ -114,6 +114,9 @@
         /** What it told the others since the fleet began, by topic. */
         final Map<PeerTopic, Long> toldBytes = new EnumMap<>(PeerTopic.class);
 
+        /** How long an answer of the store takes to come back to this instance. */
+        long storeAnswerMillis = STORE_MILLIS;
+
         boolean storeCut;
         boolean deaf;
         boolean mute;
@@ -279,10 +282,10 @@
         private CompletionStage<ReadResult> call(long waitMillis, Supplier<ReadResult> answered) {
             CompletableFuture<ReadResult> result = new CompletableFuture<>();
             boolean cut = reader.storeCut;
+            ReadResult written = cut ? new ReadResult.Unavailable("timeout") : answered.get();
             time.schedule(
-                    waitMillis + (cut ? TIMEOUT_MILLIS : STORE_MILLIS),
-                    () -> reader.awake(
-                            () -> result.complete(cut ? new ReadResult.Unavailable("timeout") : answered.get())));
+                    waitMillis + (cut ? TIMEOUT_MILLIS : reader.storeAnswerMillis),
+                    () -> reader.awake(() -> result.complete(written)));
             return result;
         }
     }
--- a/src/test/java/org/dogwoodwinch/peer/PeerClocksTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/PeerClocksTest.java
@@ -99,4 +99,12 @@
 
         assertEquals(-APART_MILLIS - 400, relays.leadsMillis().get("own"));
     }
+
+    /** An instance started anew, and what was known of its earlier clock made old words look fresh. */
+    @Test
+    void aWordFromTheFutureProvesNothing() {
+        own.told("relay", 1, Optional.of(3_600_000L - APART_MILLIS));
+
+        assertEquals(OptionalLong.empty(), own.wayMillis(ofRelay(1)));
+    }
 }
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/peer/PeerOutboxStarvationTest.java
@@ -0,0 +1,65 @@
+package org.dogwoodwinch.peer;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class PeerOutboxStarvationTest {
+
+    /** A fifth of a link of 7 Mbit/s. */
+    private static final int BYTES_PER_SECOND = 175_000;
+
+    private static final int RECEIVERS = 22;
+    private static final int LOADS_BYTES = 2_300;
+    private static final int PARTS_BYTES = 200;
+    private static final int ROUNDS = 40;
+
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private long version;
+
+    private PeerEntry entry(PeerTopic topic, int bytes) {
+        return new PeerEntry("a", 1, topic.name(), "k", version++, 0, 1_500, Bytes.of(new byte[bytes]));
+    }
+
+    /** Small words that may wait used up what a large, more urgent word waited for: loads never went out. */
+    @Test
+    void wordsThatMayWaitDoNotKeepLoadsWaitingForever() {
+        PeerOutbox outbox = new PeerOutbox(time, BYTES_PER_SECOND, _topic -> {});
+        List<String> sent = new ArrayList<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int i = 0; i < 10; i++) {
+                outbox.add(PeerOutbox.Audience.OWN_CENTRE, entry(PeerTopic.KEPT_PARTS, PARTS_BYTES));
+            }
+            outbox.add(PeerOutbox.Audience.OWN_CENTRE, entry(PeerTopic.FLEET_LOAD, LOADS_BYTES));
+            List<PeerEntry> taken = outbox.take(PeerOutbox.Audience.OWN_CENTRE, RECEIVERS);
+            taken.forEach(entry -> sent.add(entry.topic()));
+            outbox.spent(taken.stream().mapToLong(PeerCodec::sizeOf).sum() * RECEIVERS);
+            time.advanceMillis(150);
+        }
+
+        long loads = sent.stream().filter(PeerTopic.FLEET_LOAD.name()::equals).count();
+        assertTrue(loads >= ROUNDS / 8, loads + " words of loads and " + (sent.size() - loads) + " of parts in 6 s");
+    }
+
+    /** A newcomer waited for the room that what may be dropped took each time, and was never told of limits. */
+    @Test
+    void wordsThatMayWaitLeaveRoomForNewcomers() {
+        PeerOutbox outbox = new PeerOutbox(time, BYTES_PER_SECOND, _topic -> {});
+        boolean paid = false;
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int i = 0; i < 10; i++) {
+                outbox.add(PeerOutbox.Audience.OWN_CENTRE, entry(PeerTopic.KEPT_PARTS, PARTS_BYTES));
+            }
+            List<PeerEntry> taken = outbox.take(PeerOutbox.Audience.OWN_CENTRE, RECEIVERS);
+            outbox.spent(taken.stream().mapToLong(PeerCodec::sizeOf).sum() * RECEIVERS);
+            paid |= outbox.hasRoomFor(40_000);
+            time.advanceMillis(150);
+        }
+
+        assertTrue(paid);
+    }
+}
