--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/follow/ToldStreamAgeTest.java
@@ -0,0 +1,52 @@
+package org.dogwoodwinch.follow;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class ToldStreamAgeTest {
+
+    private static final long UNPROVED_MILLIS = 3_600_000;
+
+    /** What was heard without a proved age, before any answer of the store, was handed on as read this moment. */
+    @Test
+    void whatHasNoProvedAgeIsNotToldAsFresh() {
+        KeyedStream silent = new KeyedStream() {
+            @Override
+            public CompletionStage<ReadResult> newest(Optional<String> _afterKey) {
+                return new CompletableFuture<>();
+            }
+
+            @Override
+            public CompletionStage<ReadResult> read(long _fromOffset, long _waitMillis) {
+                return new CompletableFuture<>();
+            }
+        };
+        ToldStream.Teller teller = new ToldStream.Teller() {
+            @Override
+            public void tell(ToldWord _word, boolean _ownReading) {}
+
+            @Override
+            public void want() {}
+        };
+        ToldStream stream = new ToldStream(
+                "s",
+                silent,
+                new ToldPolicy(1_100, 75, 3),
+                new VirtualTimeSource(10_000_000),
+                () -> 0,
+                teller,
+                record -> record);
+        assertTrue(!stream.newest(Optional.empty()).toCompletableFuture().isDone());
+
+        stream.heardAbroad(new ToldWord("s", true, List.of(), 5, 5, UNPROVED_MILLIS));
+
+        long toldMillis = stream.whole().orElseThrow().contactAgeMillis();
+        assertTrue(toldMillis >= UNPROVED_MILLIS, "told as " + toldMillis + " ms old");
+    }
+}
