--- a/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
@@ -32,9 +32,6 @@
     /** A word is of use to those that hear it, and to a newcomer for a moment. */
     private static final long KEEP_MILLIS = 1_000;
 
-    /** A word whose way nobody knows brings its records, and stands for no reading of one's own. */
-    private static final long UNPROVED_AGE_MILLIS = 3_600_000;
-
     private final TellerExchange exchange;
     private final TimeSource time;
     private final Map<String, ToldStream> streams = new HashMap<>();
@@ -98,7 +95,7 @@
         }
         try {
             Word word = Packing.unpack(item.payload().toByteArray(), Word::read);
-            ToldWord told = word.told(item.key(), item.ageProved() ? item.ageMillis() : UNPROVED_AGE_MILLIS);
+            ToldWord told = word.told(item.key(), item.ageProved() ? item.ageMillis() : ToldWord.UNKNOWN_AGE_MILLIS);
             if (exchange.ofOwnCentre(item.origin())) {
                 stream.heard(told, exchange.before(item.origin()));
             } else {
--- a/src/main/java/org/dogwoodwinch/follow/ToldStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ToldStream.java
@@ -193,8 +193,14 @@
             return Optional.empty();
         }
         List<KeyedRecord> records = List.copyOf(consumed.values());
-        return Optional.of(
-                new ToldWord(name, true, records, consumedEndOffset, consumedEndOffset, Math.max(0, ageMillis())));
+        long ageMillis = ageMillis();
+        return Optional.of(new ToldWord(
+                name,
+                true,
+                records,
+                consumedEndOffset,
+                consumedEndOffset,
+                ageMillis < 0 ? ToldWord.UNKNOWN_AGE_MILLIS : ageMillis));
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/follow/ToldWord.java
+++ b/src/main/java/org/dogwoodwinch/follow/ToldWord.java
@@ -21,6 +21,9 @@
         long nextOffset,
         long contactAgeMillis) {
 
+    /** The age of what nobody can tell the age of: it stands for no reading. */
+    public static final long UNKNOWN_AGE_MILLIS = 3_600_000;
+
     /** Copies. */
     public ToldWord {
         Objects.requireNonNull(stream, "stream");
--- a/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
+++ b/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
@@ -202,23 +202,22 @@
     }
 
     /**
-     * A relay tells who is alive in its data centre. The first in order that was heard of late counts; one whose words come
-     * late is as one that is silent.
+     * A relay tells who is alive in its data centre. The first in order that was heard of late counts, however long its words
+     * were on their way: that may be this instance's own link, on which it should not begin to tell all others.
      */
     void heardAlive(PeerEntry entry, AliveWord word, String sender) {
         String where = entry.key();
-        long writtenMillis = time.monotonicMillis() - entry.ageMillis();
         Relay known = relays.get(where);
         boolean later = known != null
                 && !known.name.equals(sender)
                 && recent(known.atMillis, SILENT_ROUNDS)
                 && succession.before(where, known.name, sender);
         if (!later && entry.origin().equals(sender)) {
-            relays.put(where, new Relay(sender, writtenMillis));
+            relays.put(where, new Relay(sender, time.monotonicMillis()));
         }
         if (where.equals(settings.dataCentre()) && !later && succession.before(sender)) {
             toldAlive = word.names().stream().filter(this::ofOwnCentre).collect(Collectors.toUnmodifiableSet());
-            toldAliveAtMillis = writtenMillis;
+            toldAliveAtMillis = time.monotonicMillis();
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/peer/PeerClocks.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerClocks.java
@@ -22,6 +22,9 @@
     /** Differences are forgotten after one to two of these: a suspension of the other one makes earlier ones wrong. */
     private static final long WINDOW_MILLIS = 1_500;
 
+    /** What two clocks that are read in whole milliseconds may seem to differ by. */
+    private static final long GRAIN_MILLIS = 2;
+
     private final TimeSource time;
     private final Map<String, Heard> heardBySender = new HashMap<>();
     private final Map<String, Told> toldBySender = new HashMap<>();
@@ -54,6 +57,14 @@
         return leads;
     }
 
+    /** What one instance's clock is ahead of the own one at least, where it was heard of late. */
+    Optional<Long> leadMillis(String sender) {
+        Heard heard = heardBySender.get(sender);
+        return heard == null || heard.outdated(time.monotonicMillis())
+                ? Optional.empty()
+                : Optional.of(heard.bestMillis());
+    }
+
     /** Another instance told what this one's clock is ahead of its own at least. */
     void told(String sender, long senderStartedMillis, Optional<Long> leadMillis) {
         if (leadMillis.isPresent()) {
@@ -75,7 +86,9 @@
             return OptionalLong.empty();
         }
         long writtenMillis = message.clockMillis() + told.leadMillis;
-        return OptionalLong.of(Math.max(0, time.monotonicMillis() - writtenMillis));
+        long wayMillis = time.monotonicMillis() - writtenMillis;
+        // From the future: what was told is of a clock that this machine no longer has.
+        return wayMillis < -GRAIN_MILLIS ? OptionalLong.empty() : OptionalLong.of(Math.max(0, wayMillis));
     }
 
     /** This process was suspended: what was told of its clock is wrong by that time. */
--- a/src/main/java/org/dogwoodwinch/peer/PeerCodec.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerCodec.java
@@ -6,6 +6,7 @@
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.Arrays;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 import javax.crypto.Mac;
@@ -24,7 +25,7 @@
 
     private static final String ALGORITHM = "HmacSHA256";
     private static final int CODE_BYTES = 32;
-    private static final int MESSAGE_FIELDS = 8;
+    private static final int MESSAGE_FIELDS = 9;
     private static final int ENTRY_FIELDS = 8;
     private static final int MAX_NAME_CHARACTERS = 256;
 
@@ -55,6 +56,11 @@
         packer.packLong(message.number());
         packer.packLong(message.sentMillis());
         packer.packLong(message.clockMillis());
+        if (message.leadMillis().isPresent()) {
+            packer.packLong(message.leadMillis().get());
+        } else {
+            packer.packNil();
+        }
         packer.packBoolean(message.newcomer());
         Packing.writeAll(packer, message.items(), PeerCodec::writeEntry);
     }
@@ -88,6 +94,7 @@
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
+                unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(unpacker.unpackLong()),
                 unpacker.unpackBoolean(),
                 Packing.readAll(unpacker, PeerCodec::readEntry));
     }
--- a/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerExchange.java
@@ -212,6 +212,7 @@
                 nextNumber++,
                 time.wallMillis(),
                 time.monotonicMillis(),
+                Optional.empty(),
                 newcomer,
                 items);
     }
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
@@ -398,6 +398,7 @@
                 nextNumber++,
                 time.wallMillis(),
                 time.monotonicMillis(),
+                to.size() == 1 ? clocks.leadMillis(to.get(0).name()) : Optional.empty(),
                 roundsCount <= NEWCOMER_ROUNDS,
                 entries));
         for (PeerEntry entry : entries) {
@@ -437,15 +438,19 @@
         relays.heard(message.sender());
         clocks.heard(message);
         Optional<AliveWord> aliveWord = aliveWord(message);
-        aliveWord.ifPresent(
-                word -> clocks.told(message.sender(), message.startedMillis(), word.leadMillis(settings.instance())));
+        if (message.leadMillis().isPresent()) {
+            clocks.told(message.sender(), message.startedMillis(), message.leadMillis());
+        } else {
+            aliveWord.ifPresent(word ->
+                    clocks.told(message.sender(), message.startedMillis(), word.leadMillis(settings.instance())));
+        }
         OptionalLong wayMillis = clocks.wayMillis(message);
         wayMillis.ifPresent(millis -> {
             observer.onWay(millis);
             lateWords.came(message.sender(), millis);
         });
         for (PeerEntry entry : message.items()) {
-            accept(entry.older(wayMillis.orElse(0)), message.sender(), aliveWord, wayMillis.isPresent());
+            accept(entry, wayMillis, message.sender(), aliveWord);
         }
         if (newcomers.isFirstWord(message) && (acting() || !byTellers())) {
             // Without the wish to be answered: two newcomers would send each other everything without end.
@@ -472,11 +477,13 @@
         return Optional.empty();
     }
 
-    private void accept(PeerEntry entry, String sender, Optional<AliveWord> aliveWord, boolean wayKnown) {
+    private void accept(PeerEntry came, OptionalLong wayMillis, String sender, Optional<AliveWord> aliveWord) {
+        PeerEntry entry = came.older(wayMillis.orElse(0));
         Optional<PeerTopic> topic = PeerTopic.named(entry.topic());
         if (topic.isEmpty()
                 || entry.origin().equals(settings.instance())
-                || !store.accept(entry, time.monotonicMillis(), 0)) {
+                // What came late is old and still news; its age may be this instance's own way.
+                || !store.accept(came, time.monotonicMillis(), 0)) {
             return;
         }
         if (topic.get() == PeerTopic.ALIVE) {
@@ -489,7 +496,7 @@
         if (acting() && byTellers()) {
             passOn(entry, topic.get(), sender);
         }
-        boolean ageProved = wayKnown && entry.origin().equals(sender);
+        boolean ageProved = wayMillis.isPresent() && entry.origin().equals(sender);
         PeerItem item = new PeerItem(
                 entry.origin(),
                 topic.get(),
--- a/src/test/java/org/dogwoodwinch/peer/PeerClocksTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/PeerClocksTest.java
@@ -20,7 +20,8 @@
     private long suspendedMillis;
 
     private static PeerMessage message(String sender, long startedMillis, long clockMillis) {
-        return new PeerMessage(PeerMessage.VERSION, sender, startedMillis, 1, 0, clockMillis, false, List.of());
+        return new PeerMessage(
+                PeerMessage.VERSION, sender, startedMillis, 1, 0, clockMillis, Optional.empty(), false, List.of());
     }
 
     private PeerMessage ofRelay(long startedMillis) {
--- a/src/test/java/org/dogwoodwinch/peer/PeerExchangeTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/PeerExchangeTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -80,7 +81,8 @@
         time.advanceMillis(1_000);
         PeerExchange receiver = exchanges.get(0);
         Bytes good = new PeerCodec("secret", 1_048_576)
-                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 1, time.wallMillis(), 0, false, List.of()));
+                .encode(new PeerMessage(
+                        PeerMessage.VERSION, "x", 1, 1, time.wallMillis(), 0, Optional.empty(), false, List.of()));
         assertTrue(receiver.receive(good));
         refusals.clear();
         assertFalse(receiver.receive(good));
@@ -90,11 +92,13 @@
         receiver.receive(Bytes.ofUtf8("short"));
         receiver.receive(Bytes.of(new byte[2_000_000]));
         receiver.receive(new PeerCodec("other", 1_048_576)
-                .encode(new PeerMessage(PeerMessage.VERSION, "x", 1, 2, time.wallMillis(), 0, false, List.of())));
+                .encode(new PeerMessage(
+                        PeerMessage.VERSION, "x", 1, 2, time.wallMillis(), 0, Optional.empty(), false, List.of())));
         receiver.receive(new PeerCodec("secret", 1_048_576)
-                .encode(new PeerMessage(99, "x", 1, 3, time.wallMillis(), 0, false, List.of())));
+                .encode(new PeerMessage(99, "x", 1, 3, time.wallMillis(), 0, Optional.empty(), false, List.of())));
         receiver.receive(new PeerCodec("secret", 1_048_576)
-                .encode(new PeerMessage(PeerMessage.VERSION, null, 1, 4, time.wallMillis(), 0, false, List.of())));
+                .encode(new PeerMessage(
+                        PeerMessage.VERSION, null, 1, 4, time.wallMillis(), 0, Optional.empty(), false, List.of())));
         assertEquals(
                 List.of(
                         PeerRefusal.REPLAYED,
