--- a/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
+++ b/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
@@ -11,7 +11,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerItem;
 import org.dogwoodwinch.peer.PeerTopic;
-import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.relay.BreakOffs;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,7 +30,7 @@
 
     private static final Logger log = LoggerFactory.getLogger(BrokenTargets.class);
 
-    /** A word goes by two tellers, a round each; a probe and its word take less than the pause once more. */
+    /** A word goes by two relays, a round each; a probe and its word take less than the pause once more. */
     private static final int HEARERS_PAUSES = 2;
 
     /** Beside that, up to as long again by chance: hearers whose pauses end at once would all try at once. */
@@ -40,7 +40,7 @@
     private static final int FIELDS = 2;
 
     private final String ownName;
-    private final TellerExchange exchange;
+    private final RelayExchange exchange;
     private final TargetHealth health;
     private final ToLongFunction<String> bornMillis;
     private final UniformRandomProvider random;
@@ -49,7 +49,7 @@
 
     BrokenTargets(
             String ownName,
-            TellerExchange exchange,
+            RelayExchange exchange,
             TargetHealth health,
             ToLongFunction<String> bornMillis,
             UniformRandomProvider random) {
--- a/src/main/java/org/dogwoodwinch/daemon/EnginesAway.java
+++ b/src/main/java/org/dogwoodwinch/daemon/EnginesAway.java
@@ -9,7 +9,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerItem;
 import org.dogwoodwinch.peer.PeerTopic;
-import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,11 +26,11 @@
 
     private static final int FIELDS = 2;
 
-    private final TellerExchange exchange;
+    private final RelayExchange exchange;
     private final TargetHealth health;
     private final ToLongFunction<String> bornMillis;
 
-    EnginesAway(TellerExchange exchange, TargetHealth health, ToLongFunction<String> bornMillis) {
+    EnginesAway(RelayExchange exchange, TargetHealth health, ToLongFunction<String> bornMillis) {
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.health = Objects.requireNonNull(health, "health");
         this.bornMillis = Objects.requireNonNull(bornMillis, "bornMillis");
--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -11,8 +11,8 @@
 import org.dogwoodwinch.follow.FollowPolicy;
 import org.dogwoodwinch.follow.KeyedStream;
 import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.ReplicaPolicy;
 import org.dogwoodwinch.follow.StreamFollower;
-import org.dogwoodwinch.follow.ToldPolicy;
 import org.dogwoodwinch.forwarding.ConnectionSharers;
 import org.dogwoodwinch.forwarding.LoadBook;
 import org.dogwoodwinch.logging.LogEvent;
@@ -24,8 +24,8 @@
 import org.dogwoodwinch.peer.PeerRefusal;
 import org.dogwoodwinch.peer.PeerSettings;
 import org.dogwoodwinch.peer.PeerTopic;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.peer.SuspicionExchange;
-import org.dogwoodwinch.peer.TellerExchange;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.request.SuspectBook;
@@ -50,8 +50,8 @@
     private static final double BYTES_PER_MEGABIT = 125_000;
 
     /** A reader's long call, its pause, and a word that may be lost; nothing of the members is bound to a time. */
-    private static final ToldPolicy MEMBERS_TOLD =
-            new ToldPolicy(MEMBERS_WAIT_MILLIS + MEMBERS_PAUSE_MILLIS + 2_000, 500, 3);
+    private static final ReplicaPolicy MEMBERS_TOLD =
+            new ReplicaPolicy(MEMBERS_WAIT_MILLIS + MEMBERS_PAUSE_MILLIS + 2_000, 500, 3);
 
     /** A suspicion outlives a caller's retries by far. */
     private static final long SUSPECT_MILLIS = 600_000;
@@ -62,7 +62,7 @@
     private final MemberList members;
     private final StreamFollower follower;
     private final NettyPeerTransport transport;
-    private final TellerExchange exchange;
+    private final RelayExchange exchange;
     private final StreamSharing streams;
     private final LoadSharing loadSharing;
     private final SuspectBook suspects;
@@ -81,7 +81,7 @@
         String name = settings.instance().name();
         this.members = new MemberList(name, writer, time, settings.peers().renewMillis());
         this.transport = new NettyPeerTransport(sockets, MAX_MESSAGE_BYTES, Optional.empty(), Optional.empty());
-        this.exchange = new TellerExchange(
+        this.exchange = new RelayExchange(
                 new PeerSettings(
                         name,
                         settings.instance().dataCentre(),
@@ -150,7 +150,7 @@
     }
 
     /** What is told between the instances of a data centre. */
-    TellerExchange exchange() {
+    RelayExchange exchange() {
         return exchange;
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -11,8 +11,8 @@
 import java.util.concurrent.CompletionStage;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowPolicy;
+import org.dogwoodwinch.follow.ReplicaPolicy;
 import org.dogwoodwinch.follow.StreamFollower;
-import org.dogwoodwinch.follow.ToldPolicy;
 import org.dogwoodwinch.forwarding.EngineChoicePolicy;
 import org.dogwoodwinch.forwarding.EngineChooser;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -382,10 +382,10 @@
     }
 
     /** With the longest wait of its turn and a reading it stays under nine tenths of what operators were promised. */
-    private static ToldPolicy told(ForwardingSettings settings) {
+    private static ReplicaPolicy told(ForwardingSettings settings) {
         long longestReadingMillis =
                 settings.store().waitMillis() + settings.store().pauseMillis();
-        return new ToldPolicy(longestReadingMillis + TOLD_MARGIN_MILLIS, READERS_WAIT_MILLIS, MOST_READERS_WAITS);
+        return new ReplicaPolicy(longestReadingMillis + TOLD_MARGIN_MILLIS, READERS_WAIT_MILLIS, MOST_READERS_WAITS);
     }
 
     private static InetSocketAddress address(String text) {
--- a/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/KeptSharing.java
@@ -16,7 +16,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerItem;
 import org.dogwoodwinch.peer.PeerTopic;
-import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.relay.CacheListener;
 import org.dogwoodwinch.time.TimeSource;
 import org.msgpack.core.MessagePacker;
@@ -28,7 +28,7 @@
  * Tells the instances of a data centre which parts of prompts an engine keeps, as the one that watches the engine hears.
  *
  * <p>Load: two of three parts that engines read are the request's own, and each is told to each instance of the data centre
- * by one, whose link is as narrow as the others'. Where tellers do so, only parts that other requests may name again are told. An engine does
+ * by one, whose link is as narrow as the others'. Where relays do so, only parts that other requests may name again are told. An engine does
  * not say which these are; instances know it from the prompts of their calls, and tell each other each such part once.
  *
  * <p>Changes are told once a round. Words may be lost, and a new watcher may have missed changes: the whole list is told
@@ -50,7 +50,7 @@
     private static final long KEEP_MILLIS = 16_000;
     private static final long NEWS_KEEP_MILLIS = 5_000;
 
-    private final TellerExchange exchange;
+    private final RelayExchange exchange;
     private final PartIndex parts;
     private final ToLongFunction<String> bornMillis;
     private final TimeSource time;
@@ -58,7 +58,7 @@
     private final List<String> learned = new ArrayList<>();
     private long newsCount;
 
-    KeptSharing(TellerExchange exchange, PartIndex parts, ToLongFunction<String> bornMillis, TimeSource time) {
+    KeptSharing(RelayExchange exchange, PartIndex parts, ToLongFunction<String> bornMillis, TimeSource time) {
         this.bornMillis = Objects.requireNonNull(bornMillis, "bornMillis");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.parts = Objects.requireNonNull(parts, "parts");
@@ -118,7 +118,7 @@
      * it, and each of these calls would be sent where it is not kept.
      */
     private boolean worthAWord(String partId) {
-        return !exchange.byTellers() || parts.shared().isShared(partId);
+        return !exchange.byRelays() || parts.shared().isShared(partId);
     }
 
     private void tell(String engineId, boolean whole, Map<String, Integer> kept) {
@@ -166,7 +166,7 @@
 
     private void learned(String partId) {
         tellWhereKept(partId);
-        if (exchange.byTellers() && exchange.acting()) {
+        if (exchange.byRelays() && exchange.acting()) {
             learned.add(partId);
         }
     }
@@ -199,7 +199,7 @@
                 parts.forget(item.key());
             }
             word.tokens().forEach((part, tokens) -> {
-                if (exchange.byTellers()) {
+                if (exchange.byRelays()) {
                     parts.shared().learn(part);
                 }
                 parts.kept(item.key(), part, Math.toIntExact(tokens));
--- a/src/main/java/org/dogwoodwinch/daemon/LimitSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LimitSharing.java
@@ -15,7 +15,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerItem;
 import org.dogwoodwinch.peer.PeerTopic;
-import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.relay.StatedLimits;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
@@ -42,7 +42,7 @@
 
     private static final int FIELDS = 3;
 
-    private final TellerExchange exchange;
+    private final RelayExchange exchange;
     private final TargetLimits limits;
     private final LimitShares shares;
     private final ToLongFunction<String> bornMillis;
@@ -50,7 +50,7 @@
     private final Map<String, Long> toldAtMillis = new HashMap<>();
 
     LimitSharing(
-            TellerExchange exchange,
+            RelayExchange exchange,
             TargetLimits limits,
             LimitShares shares,
             ToLongFunction<String> bornMillis,
--- a/src/main/java/org/dogwoodwinch/daemon/LoadWord.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LoadReport.java
@@ -20,24 +20,24 @@
  * @param loads by target, not null
  * @param contained of a sum: the numbers of the words that it contains, by sender, not null
  */
-record LoadWord(long number, Map<String, TargetLoad> loads, Map<String, Long> contained) {
+record LoadReport(long number, Map<String, TargetLoad> loads, Map<String, Long> contained) {
 
     private static final int FIELDS = 3;
 
-    LoadWord {
+    LoadReport {
         loads = Map.copyOf(loads);
         contained = Map.copyOf(contained);
     }
 
     Bytes encode() {
-        return Packing.pack(this, LoadWord::write);
+        return Packing.pack(this, LoadReport::write);
     }
 
-    static LoadWord decode(Bytes payload) throws IOException {
-        return Packing.unpack(payload.toByteArray(), LoadWord::read);
+    static LoadReport decode(Bytes payload) throws IOException {
+        return Packing.unpack(payload.toByteArray(), LoadReport::read);
     }
 
-    private static void write(MessagePacker packer, LoadWord word) throws IOException {
+    private static void write(MessagePacker packer, LoadReport word) throws IOException {
         packer.packArrayHeader(FIELDS);
         packer.packLong(word.number);
         Packing.writeAll(packer, word.loads.entrySet(), (to, load) -> {
@@ -63,17 +63,17 @@
         });
     }
 
-    private static LoadWord read(MessageUnpacker unpacker) throws IOException {
+    private static LoadReport read(MessageUnpacker unpacker) throws IOException {
         Packing.expectFields(unpacker, FIELDS);
         long number = unpacker.unpackLong();
         Map<String, TargetLoad> loads = new HashMap<>();
         Packing.readAll(unpacker, from -> loads.put(from.unpackString(), readLoad(from)));
-        return new LoadWord(number, loads, Packing.readNumbers(unpacker));
+        return new LoadReport(number, loads, Packing.readNumbers(unpacker));
     }
 
     private static TargetLoad readLoad(MessageUnpacker unpacker) throws IOException {
         int callsCount = unpacker.unpackInt();
-        List<ReadQueue> levels = Packing.readAll(unpacker, LoadWord::readLevel);
+        List<ReadQueue> levels = Packing.readAll(unpacker, LoadReport::readLevel);
         return new TargetLoad(callsCount, levels.stream().reduce(ReadQueue.EMPTY, ReadQueue::plus));
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LoadSharing.java
@@ -13,7 +13,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerItem;
 import org.dogwoodwinch.peer.PeerTopic;
-import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,7 +22,7 @@
  * Tells the other instances what this one has under way at targets, and takes their word.
  *
  * <p>Without it each of several instances sees an idle engine where the others have just sent, and sends there too. In a
- * large fleet an instance tells its teller alone, and hears from it the sum over each data centre, from which it takes
+ * large fleet an instance tells its relay alone, and hears from it the sum over each data centre, from which it takes
  * its own part by the number of its word that the sum contains: counted twice, its own calls would drive it away from
  * the engines that it just chose.
  */
@@ -36,19 +36,19 @@
     /** Rounds without a word after which an instance's loads are no longer counted. */
     private static final int KEPT_ROUNDS = 10;
 
-    /** Own words that are remembered: more than are under way to the teller and back. */
+    /** Own words that are remembered: more than are under way to the relay and back. */
     private static final int REMEMBERED_WORDS = 20;
 
     private final LoadBook loads;
-    private final TellerExchange exchange;
+    private final RelayExchange exchange;
     private final TimeSource time;
     private final String ownName;
     private final String dataCentre;
     private final long roundMillis;
     private final Map<String, Long> heardAtMillis = new HashMap<>();
-    private final Map<String, LoadWord> heardWords = new HashMap<>();
+    private final Map<String, LoadReport> heardWords = new HashMap<>();
     private final Map<String, Map<String, TargetLoad>> heardCentres = new HashMap<>();
-    private final Deque<LoadWord> ownWords = new ArrayDeque<>();
+    private final Deque<LoadReport> ownWords = new ArrayDeque<>();
     private long nextNumber = 1;
     private boolean toldNothing;
     private boolean toldEmptyCentre;
@@ -56,7 +56,7 @@
 
     LoadSharing(
             LoadBook loads,
-            TellerExchange exchange,
+            RelayExchange exchange,
             TimeSource time,
             String ownName,
             String dataCentre,
@@ -84,7 +84,7 @@
         heardCentres.keySet().retainAll(heardAtMillis.keySet());
         loads.retainPeers(new HashSet<>(heardAtMillis.keySet()));
         Map<String, TargetLoad> own = loads.own();
-        if (exchange.byTellers() && exchange.acting()) {
+        if (exchange.byRelays() && exchange.acting()) {
             tellSum(own);
         } else if (!own.isEmpty() || !toldNothing) {
             // An idle instance says so once.
@@ -94,7 +94,7 @@
     }
 
     private void tellOwn(Map<String, TargetLoad> own) {
-        LoadWord word = new LoadWord(nextNumber++, own, Map.of());
+        LoadReport word = new LoadReport(nextNumber++, own, Map.of());
         ownWords.addLast(word);
         if (ownWords.size() > REMEMBERED_WORDS) {
             ownWords.removeFirst();
@@ -103,11 +103,11 @@
     }
 
     /**
-     * Together with the teller's sign of life: each message is read by all instances of the data centre, and costs each of
+     * Together with the relay's sign of life: each message is read by all instances of the data centre, and costs each of
      * them the same. That nothing is under way is told once; what is not told again is forgotten.
      */
     private void tellSum(Map<String, TargetLoad> own) {
-        if (!exchange.tellersRound()) {
+        if (!exchange.relaysRound()) {
             return;
         }
         Map<String, TargetLoad> sum = new HashMap<>(own);
@@ -119,13 +119,19 @@
         long keepMillis = KEPT_ROUNDS * roundMillis;
         if (!sum.isEmpty() || !toldEmptyCentre) {
             exchange.publish(
-                    PeerTopic.CENTRE_LOAD, dataCentre, new LoadWord(nextNumber++, sum, Map.of()).encode(), keepMillis);
+                    PeerTopic.CENTRE_LOAD,
+                    dataCentre,
+                    new LoadReport(nextNumber++, sum, Map.of()).encode(),
+                    keepMillis);
         }
         toldEmptyCentre = sum.isEmpty();
         heardCentres.values().forEach(loads -> loads.forEach((id, load) -> sum.merge(id, load, TargetLoad::plus)));
         if (!sum.isEmpty() || !toldEmptyFleet) {
             exchange.publish(
-                    PeerTopic.FLEET_LOAD, dataCentre, new LoadWord(nextNumber++, sum, contained).encode(), keepMillis);
+                    PeerTopic.FLEET_LOAD,
+                    dataCentre,
+                    new LoadReport(nextNumber++, sum, contained).encode(),
+                    keepMillis);
         }
         toldEmptyFleet = sum.isEmpty();
     }
@@ -138,7 +144,7 @@
         });
     }
 
-    /** Between tellers; whoever is none any more hears no more of them, and forgets what it heard. */
+    /** Between relays; whoever is none any more hears no more of them, and forgets what it heard. */
     private void heardCentre(PeerItem item) {
         decode(item).ifPresent(word -> {
             heardCentres.put(CENTRE_PREFIX + item.key(), word.loads());
@@ -159,9 +165,9 @@
         });
     }
 
-    private Map<String, TargetLoad> withoutOwn(LoadWord sum) {
+    private Map<String, TargetLoad> withoutOwn(LoadReport sum) {
         Long number = sum.contained().get(ownName);
-        Optional<LoadWord> own = ownWords.stream()
+        Optional<LoadReport> own = ownWords.stream()
                 .filter(word -> number != null && word.number() == number)
                 .findFirst();
         if (own.isEmpty()) {
@@ -177,9 +183,9 @@
         heardAtMillis.put(source, time.monotonicMillis());
     }
 
-    private static Optional<LoadWord> decode(PeerItem item) {
+    private static Optional<LoadReport> decode(PeerItem item) {
         try {
-            return Optional.of(LoadWord.decode(item.payload()));
+            return Optional.of(LoadReport.decode(item.payload()));
         } catch (IOException e) {
             LogEvent.of("peer_loads_not_understood")
                     .with("peer", item.origin())
--- a/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StageOrders.java
@@ -29,7 +29,7 @@
 /**
  * Orders engines to change their stage where the planner finds it worth it. Used on one event loop alone.
  *
- * <p>The tellers of the data centres plan, so that whichever becomes the giver of orders knows the loads; one of them
+ * <p>The relays of the data centres plan, so that whichever becomes the giver of orders knows the loads; one of them
  * orders. Should two take themselves for the giver, the log decides: a record for each order, written only where the log
  * ends as expected. All others plan nothing: a look at all engines four times a second, in each of a hundred instances,
  * was time that their callers did not get.
@@ -89,11 +89,11 @@
             BooleanSupplier giver,
             ConditionalLog log,
             EngineControl control,
-            AwayTeller away) {}
+            AwayRelay away) {}
 
     /** Tells that an engine is away. */
     @FunctionalInterface
-    interface AwayTeller {
+    interface AwayRelay {
 
         /**
          * Tells.
--- a/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
@@ -11,13 +11,13 @@
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
-import org.dogwoodwinch.follow.ToldPolicy;
-import org.dogwoodwinch.follow.ToldStream;
-import org.dogwoodwinch.follow.ToldWord;
+import org.dogwoodwinch.follow.ReplicaPolicy;
+import org.dogwoodwinch.follow.ReplicatedStream;
+import org.dogwoodwinch.follow.StreamUpdate;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerItem;
 import org.dogwoodwinch.peer.PeerTopic;
-import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.time.TimeSource;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -32,11 +32,11 @@
     /** A word is of use to those that hear it, and to a newcomer for a moment. */
     private static final long KEEP_MILLIS = 1_000;
 
-    private final TellerExchange exchange;
+    private final RelayExchange exchange;
     private final TimeSource time;
-    private final Map<String, ToldStream> streams = new HashMap<>();
+    private final Map<String, ReplicatedStream> streams = new HashMap<>();
 
-    StreamSharing(TellerExchange exchange, TimeSource time) {
+    StreamSharing(RelayExchange exchange, TimeSource time) {
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.time = Objects.requireNonNull(time, "time");
         exchange.subscribe(PeerTopic.STREAM, this::heard);
@@ -51,7 +51,7 @@
      * @param policy the times, not null
      * @return the stream to follow
      */
-    ToldStream share(String name, KeyedStream platform, ToldPolicy policy) {
+    ReplicatedStream share(String name, KeyedStream platform, ReplicaPolicy policy) {
         return share(name, platform, policy, _record -> new Object());
     }
 
@@ -64,10 +64,11 @@
      * @param meaning what a record says; two that say the same are equal, not null
      * @return the stream to follow
      */
-    ToldStream share(String name, KeyedStream platform, ToldPolicy policy, Function<KeyedRecord, Object> meaning) {
-        ToldStream.Teller teller = new ToldStream.Teller() {
+    ReplicatedStream share(
+            String name, KeyedStream platform, ReplicaPolicy policy, Function<KeyedRecord, Object> meaning) {
+        ReplicatedStream.Publisher relay = new ReplicatedStream.Publisher() {
             @Override
-            public void tell(ToldWord word, boolean ownReading) {
+            public void tell(StreamUpdate word, boolean ownReading) {
                 exchange.publishAtOnce(PeerTopic.STREAM, word.stream(), encode(word), KEEP_MILLIS, ownReading);
             }
 
@@ -76,7 +77,7 @@
                 exchange.wantEverything();
             }
         };
-        ToldStream told = new ToldStream(name, platform, policy, time, exchange::ownRank, teller, meaning);
+        ReplicatedStream told = new ReplicatedStream(name, platform, policy, time, exchange::ownRank, relay, meaning);
         streams.put(name, told);
         return told;
     }
@@ -89,13 +90,14 @@
     }
 
     private void heard(PeerItem item) {
-        ToldStream stream = streams.get(item.key());
+        ReplicatedStream stream = streams.get(item.key());
         if (stream == null) {
             return;
         }
         try {
             Word word = Packing.unpack(item.payload().toByteArray(), Word::read);
-            ToldWord told = word.told(item.key(), item.ageProved() ? item.ageMillis() : ToldWord.UNKNOWN_AGE_MILLIS);
+            StreamUpdate told =
+                    word.told(item.key(), item.ageProved() ? item.ageMillis() : StreamUpdate.UNKNOWN_AGE_MILLIS);
             if (exchange.ofOwnCentre(item.origin())) {
                 stream.heard(told, exchange.before(item.origin()));
             } else {
@@ -110,7 +112,7 @@
         }
     }
 
-    private static Bytes encode(ToldWord word) {
+    private static Bytes encode(StreamUpdate word) {
         return Packing.pack(word, Word::write);
     }
 
@@ -118,7 +120,7 @@
     private record Word(
             boolean whole, long firstOffset, long nextOffset, long contactAgeMillis, List<KeyedRecord> rows) {
 
-        static void write(MessagePacker packer, ToldWord word) throws IOException {
+        static void write(MessagePacker packer, StreamUpdate word) throws IOException {
             packer.packBoolean(word.whole());
             packer.packLong(word.firstOffset());
             packer.packLong(word.nextOffset());
@@ -137,8 +139,8 @@
             return word;
         }
 
-        ToldWord told(String stream, long ageMillis) {
-            return new ToldWord(
+        StreamUpdate told(String stream, long ageMillis) {
+            return new StreamUpdate(
                     stream, whole, rows, firstOffset, nextOffset, Math.max(0, contactAgeMillis) + ageMillis);
         }
 
--- a/src/main/java/org/dogwoodwinch/follow/ToldStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -23,7 +23,7 @@
  *
  * <p>Failure: where each instance reads for itself, calls to the platform grow with the fleet until they cost more than
  * the traffic earns. Here an instance reads only while nobody before it in the order of succession says, of late, that it
- * does. A word stands for as long as the teller's own contact with the platform is recent: a teller that is cut off from
+ * does. A word stands for as long as the publisher's own contact with the platform is recent: a publisher that is cut off from
  * the platform, frozen, behind or gone holds nobody back longer than that, and the next ones take over one after the
  * other. Records carry their offsets, so two that both tell, or one that tells late, do no harm: what was read already is
  * passed over, and a gap is closed by a reading of one's own.
@@ -36,9 +36,9 @@
  * there, that was a third of what the messages of an idle fleet cost. The reader leaves such records out of its word, and
  * a word that has nothing else waits until the next is due as a sign of life.
  */
-public final class ToldStream implements KeyedStream {
+public final class ReplicatedStream implements KeyedStream {
 
-    private static final Logger log = LoggerFactory.getLogger(ToldStream.class);
+    private static final Logger log = LoggerFactory.getLogger(ReplicatedStream.class);
 
     /** Records that are kept for followers that are a word behind; a storm of changes brings some tens a second. */
     private static final int KEPT_RECORDS = 256;
@@ -48,10 +48,10 @@
 
     private final String name;
     private final KeyedStream platform;
-    private final ToldPolicy policy;
+    private final ReplicaPolicy policy;
     private final TimeSource time;
     private final IntSupplier ownRank;
-    private final Teller teller;
+    private final Publisher publisher;
     private final RepeatedMeaning repeated;
     private final Deque<KeyedRecord> kept = new ArrayDeque<>();
     private final Map<String, KeyedRecord> consumed = new LinkedHashMap<>();
@@ -65,7 +65,7 @@
     private long unsaidFromOffset = -1;
     private Optional<Waiting> waiting = Optional.empty();
     private Optional<CompletableFuture<ReadResult>> wholeAsked = Optional.empty();
-    private Optional<ToldWord> toldWhole = Optional.empty();
+    private Optional<StreamUpdate> toldWhole = Optional.empty();
     private long toldWholeUntilMillis = Long.MIN_VALUE;
 
     /**
@@ -76,28 +76,28 @@
      * @param policy the times, not null
      * @param time the clock and timers, not null
      * @param ownRank this instance's place in the order of succession of its data centre, zero is the first, not null
-     * @param teller tells the others, not null
+     * @param publisher tells the others, not null
      * @param meaning what a record says; two that say the same are equal, not null
      */
-    public ToldStream(
+    public ReplicatedStream(
             String name,
             KeyedStream platform,
-            ToldPolicy policy,
+            ReplicaPolicy policy,
             TimeSource time,
             IntSupplier ownRank,
-            Teller teller,
+            Publisher publisher,
             Function<KeyedRecord, Object> meaning) {
         this.name = Objects.requireNonNull(name, "name");
         this.platform = Objects.requireNonNull(platform, "platform");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.time = Objects.requireNonNull(time, "time");
         this.ownRank = Objects.requireNonNull(ownRank, "ownRank");
-        this.teller = Objects.requireNonNull(teller, "teller");
+        this.publisher = Objects.requireNonNull(publisher, "publisher");
         this.repeated = new RepeatedMeaning(meaning, KEPT_RECORDS);
     }
 
     /** Tells other instances, and asks them. */
-    public interface Teller {
+    public interface Publisher {
 
         /**
          * Tells a word.
@@ -106,7 +106,7 @@
          * @param ownReading whether it was read here: it is for the other data centres too; what came from one of them is
          *     for the own one alone, or two that both fail would pass it to each other for ever
          */
-        void tell(ToldWord word, boolean ownReading);
+        void tell(StreamUpdate word, boolean ownReading);
 
         /** Asks others for all that they know: the platform did not answer the first reading. */
         void want();
@@ -129,7 +129,7 @@
             if (!result.isDone()) {
                 wholeAsked = Optional.empty();
                 if (page instanceof ReadResult.Unavailable) {
-                    teller.want();
+                    publisher.want();
                 }
                 consumedPage(afterKey, page);
                 result.complete(page);
@@ -160,7 +160,7 @@
      * @param word what it says, not null
      * @param before whether it stands before this instance in the order of succession
      */
-    public void heard(ToldWord word, boolean before) {
+    public void heard(StreamUpdate word, boolean before) {
         if (before) {
             long until = time.monotonicMillis() - word.contactAgeMillis() + policy.freshMillis();
             toldFreshUntilMillis = Math.max(toldFreshUntilMillis, until);
@@ -174,12 +174,12 @@
      *
      * @param word what it says, not null
      */
-    public void heardAbroad(ToldWord word) {
+    public void heardAbroad(StreamUpdate word) {
         long sinceMillis = ageMillis();
         boolean ownFails = sinceMillis < 0 || sinceMillis > policy.freshMillis();
         take(word);
         if (ownFails && !told() && !word.whole()) {
-            teller.tell(word, false);
+            publisher.tell(word, false);
         }
     }
 
@@ -188,19 +188,19 @@
      *
      * @return the newest record of each key, empty before the first whole reading
      */
-    public Optional<ToldWord> whole() {
+    public Optional<StreamUpdate> whole() {
         if (!consumedWhole) {
             return Optional.empty();
         }
         List<KeyedRecord> records = List.copyOf(consumed.values());
         long ageMillis = ageMillis();
-        return Optional.of(new ToldWord(
+        return Optional.of(new StreamUpdate(
                 name,
                 true,
                 records,
                 consumedEndOffset,
                 consumedEndOffset,
-                ageMillis < 0 ? ToldWord.UNKNOWN_AGE_MILLIS : ageMillis));
+                ageMillis < 0 ? StreamUpdate.UNKNOWN_AGE_MILLIS : ageMillis));
     }
 
     /**
@@ -216,7 +216,7 @@
         return last == Long.MIN_VALUE ? -1 : Math.max(0, nowMillis - last);
     }
 
-    private void take(ToldWord word) {
+    private void take(StreamUpdate word) {
         if (word.whole()) {
             toldWhole = Optional.of(word);
             toldWholeUntilMillis = time.monotonicMillis() + policy.freshMillis();
@@ -243,7 +243,7 @@
         }
     }
 
-    private void answerWhole(ToldWord word) {
+    private void answerWhole(StreamUpdate word) {
         CompletableFuture<ReadResult> asked = wholeAsked.orElseThrow();
         wholeAsked = Optional.empty();
         toldWhole = Optional.empty();
@@ -260,17 +260,17 @@
 
     /** Whether another instance's word stands for a reading of one's own. */
     private boolean told() {
-        return time.monotonicMillis() < tellersTimeMillis();
+        return time.monotonicMillis() < readersTimeMillis();
     }
 
-    private long tellersTimeMillis() {
+    private long readersTimeMillis() {
         return toldFreshUntilMillis == Long.MIN_VALUE
                 ? Long.MIN_VALUE
                 : toldFreshUntilMillis + policy.patienceMillis(ownRank.getAsInt());
     }
 
     private void watch(Waiting asked) {
-        long leftMillis = tellersTimeMillis() - time.monotonicMillis();
+        long leftMillis = readersTimeMillis() - time.monotonicMillis();
         asked.timer = time.schedule(Math.max(1, leftMillis), () -> {
             if (told()) {
                 watch(asked);
@@ -323,7 +323,7 @@
                 .toList();
         saidAtMillis = time.monotonicMillis();
         unsaidFromOffset = -1;
-        teller.tell(new ToldWord(name, false, said, firstOffset, nextOffset, 0), true);
+        publisher.tell(new StreamUpdate(name, false, said, firstOffset, nextOffset, 0), true);
     }
 
     private void keep(List<KeyedRecord> records, long firstOffset, long endOffset) {
--- a/src/main/java/org/dogwoodwinch/follow/ToldWord.java
+++ b/src/main/java/org/dogwoodwinch/follow/StreamUpdate.java
@@ -10,10 +10,10 @@
  * @param whole whether the records are the newest of each key, not those from the first offset on
  * @param records in order; of those from the first offset on only what says something new of its key, not null
  * @param firstOffset where the records begin: whoever has read everything before it misses nothing
- * @param nextOffset the offset behind the last one: the teller has read everything before it
- * @param contactAgeMillis how long ago the platform answered the teller's last reading call, when this was said
+ * @param nextOffset the offset behind the last one: the relay has read everything before it
+ * @param contactAgeMillis how long ago the platform answered the relay's last reading call, when this was said
  */
-public record ToldWord(
+public record StreamUpdate(
         String stream,
         boolean whole,
         List<KeyedRecord> records,
@@ -25,7 +25,7 @@
     public static final long UNKNOWN_AGE_MILLIS = 3_600_000;
 
     /** Copies. */
-    public ToldWord {
+    public StreamUpdate {
         Objects.requireNonNull(stream, "stream");
         records = List.copyOf(records);
     }
--- a/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
+++ b/src/main/java/org/dogwoodwinch/peer/CentreRelays.java
@@ -205,7 +205,7 @@
      * A relay tells who is alive in its data centre. The first in order that was heard of late counts, however long its words
      * were on their way: that may be this instance's own link, on which it should not begin to tell all others.
      */
-    void heardAlive(PeerEntry entry, AliveWord word, String sender) {
+    void heardAlive(PeerEntry entry, RelayHeartbeat word, String sender) {
         String where = entry.key();
         Relay known = relays.get(where);
         boolean later = known != null
--- a/src/main/java/org/dogwoodwinch/peer/LateWords.java
+++ b/src/main/java/org/dogwoodwinch/peer/LateMessages.java
@@ -7,9 +7,9 @@
 import org.slf4j.LoggerFactory;
 
 /** Logs when the messages of an instance begin to come late, and when they come in time again. Not thread-safe. */
-final class LateWords {
+final class LateMessages {
 
-    private static final Logger log = LoggerFactory.getLogger(LateWords.class);
+    private static final Logger log = LoggerFactory.getLogger(LateMessages.class);
 
     /** Half of what a relay's word may be old before an instance reads for itself. */
     private static final long LATE_MILLIS = 500;
@@ -23,7 +23,7 @@
         Long longestMillis = longestMillisBySender.get(sender);
         if (longestMillis != null && wayMillis <= IN_TIME_MILLIS) {
             longestMillisBySender.remove(sender);
-            LogEvent.of("peer_words_in_time")
+            LogEvent.of("peer_messages_in_time")
                     .with("peer", sender)
                     .with("longestWayMillis", longestMillis)
                     .info(log);
@@ -31,7 +31,7 @@
             longestMillisBySender.put(sender, Math.max(longestMillis, wayMillis));
         } else if (wayMillis >= LATE_MILLIS) {
             longestMillisBySender.put(sender, wayMillis);
-            LogEvent.of("peer_words_late")
+            LogEvent.of("peer_messages_late")
                     .with("peer", sender)
                     .with("wayMillis", wayMillis)
                     .info(log);
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -23,10 +23,10 @@
     /** What an instance has in flight on targets that are out of service. */
     DRAIN,
 
-    /** What all instances of a data centre have under way at targets, as its teller sums it up for the other tellers. */
+    /** What all instances of a data centre have under way at targets, as its relay sums it up for the other relays. */
     CENTRE_LOAD,
 
-    /** What the whole fleet has under way at targets, as a teller sums it up for its data centre. */
+    /** What the whole fleet has under way at targets, as a relay sums it up for its data centre. */
     FLEET_LOAD,
 
     /** Which parts of prompts an engine keeps. */
@@ -38,10 +38,10 @@
     /** Records of a stream of the platform's store. */
     STREAM,
 
-    /** The instances of a data centre that its teller hears. */
+    /** The instances of a data centre that its relay hears. */
     ALIVE,
 
-    /** That an instance has nothing to serve by, and wants all that its teller knows. */
+    /** That an instance has nothing to serve by, and wants all that its relay knows. */
     WANT;
 
     /**
--- a/src/main/java/org/dogwoodwinch/peer/TellerExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -22,33 +22,33 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The notice board of a fleet in which one instance of each data centre, its teller, passes on what the others say. Used
+ * The notice board of a fleet in which one instance of each data centre, its relay, passes on what the others say. Used
  * on one event loop alone.
  *
  * <p>Load: told by each to each, messages grow with the square of the fleet; passed on at random, word of what is under
- * way is older than the calls it is about. Here an instance sends one message a round to its teller and gets one back;
- * tellers send theirs to each other. What one instance spends does not grow with the fleet, what a teller spends grows
- * with its data centre alone. A small fleet needs no teller for this: each tells each at once.
+ * way is older than the calls it is about. Here an instance sends one message a round to its relay and gets one back;
+ * relays send theirs to each other. What one instance spends does not grow with the fleet, what a relay spends grows
+ * with its data centre alone. A small fleet needs no relay for this: each tells each at once.
  *
- * <p>Failure: the teller dies, freezes or is cut off, and nobody hears anything. Whoever has heard no teller before it in
+ * <p>Failure: the relay dies, freezes or is cut off, and nobody hears anything. Whoever has heard no relay before it in
  * the order of succession for a while acts as one, the next in order first; two that both act for a moment say the same
  * things twice. Nothing that must be agreed or kept goes this way.
  */
-public final class TellerExchange implements PeerBoard {
+public final class RelayExchange implements PeerBoard {
 
-    private static final Logger log = LoggerFactory.getLogger(TellerExchange.class);
+    private static final Logger log = LoggerFactory.getLogger(RelayExchange.class);
 
-    /** A teller's word without news, and an instance's to its teller: two of them may be lost before it is missed. */
-    private static final int TELLERS_WORD_ROUNDS = 2;
+    /** A relay's word without news, and an instance's to its relay: two of them may be lost before it is missed. */
+    private static final int RELAY_MESSAGE_ROUNDS = 2;
 
-    private static final int OWN_WORD_ROUNDS = 3;
+    private static final int OWN_MESSAGE_ROUNDS = 3;
 
     private static final int NEWCOMER_ROUNDS = 3;
 
     /** Who wants something asks again with its next reading. */
     private static final long WANT_KEEP_MILLIS = 1_000;
 
-    /** What tellers pass on to their own data centre and, where it comes from there, to the other tellers. */
+    /** What relays pass on to their own data centre and, where it comes from there, to the other relays. */
     private static final Set<PeerTopic> TOLD_TO_ALL =
             Set.of(PeerTopic.QUARANTINE, PeerTopic.LEAVING, PeerTopic.BROKEN_TARGET, PeerTopic.TARGET_LIMIT);
 
@@ -60,7 +60,7 @@
     private final CentreRelays relays;
     private final ReplayGuard replays;
     private final PeerClocks clocks;
-    private final LateWords lateWords = new LateWords();
+    private final LateMessages lateWords = new LateMessages();
     private final Newcomers newcomers = new Newcomers();
     private final PeerCodec codec;
     private final PeerItemStore store = new PeerItemStore();
@@ -73,19 +73,19 @@
     private long nextNumber = 1;
     private long roundsCount;
     private int wantsCount;
-    private long wordToTellerRound;
+    private long messageToRelayRound;
     private boolean wasActing;
 
     /**
      * Creates an exchange; {@link #start()} makes it send.
      *
-     * @param settings what may be set; a fleet with no more others than neighbours needs no tellers, not null
+     * @param settings what may be set; a fleet with no more others than neighbours needs no relays, not null
      * @param time the clock and timers, not null
      * @param transport carries messages, not null
      * @param members the other instances as the platform lists them, asked for at each round, not null
      * @param observer hears of traffic, not null
      */
-    public TellerExchange(
+    public RelayExchange(
             PeerSettings settings,
             TimeSource time,
             PeerTransport transport,
@@ -122,16 +122,16 @@
     }
 
     /**
-     * Says whether the fleet is so large that loads go by tellers.
+     * Says whether the fleet is so large that loads go by relays.
      *
      * @return false while each tells each
      */
-    public boolean byTellers() {
+    public boolean byRelays() {
         return relays.needed();
     }
 
     /**
-     * Says whether this instance is its data centre's teller now.
+     * Says whether this instance is its data centre's relay now.
      *
      * @return whether no instance before it was heard to be one of late
      */
@@ -140,12 +140,12 @@
     }
 
     /**
-     * Says whether a teller gives its sign of life in this round: what else is told to all then goes in the same message.
+     * Says whether a relay gives its sign of life in this round: what else is told to all then goes in the same message.
      *
      * @return whether this is such a round
      */
-    public boolean tellersRound() {
-        return roundsCount % TELLERS_WORD_ROUNDS == 0;
+    public boolean relaysRound() {
+        return roundsCount % RELAY_MESSAGE_ROUNDS == 0;
     }
 
     /**
@@ -178,11 +178,11 @@
     }
 
     /**
-     * Says whether a duty that one instance of the whole fleet does falls to this one: the one of the tellers that ranks
+     * Says whether a duty that one instance of the whole fleet does falls to this one: the one of the relays that ranks
      * highest for it.
      *
      * @param key what the duty is about, not null
-     * @return whether this instance acts as a teller, and no other teller that was heard of late ranks higher
+     * @return whether this instance acts as a relay, and no other relay that was heard of late ranks higher
      */
     public boolean fleetsDutyFallsToOwn(String key) {
         return relays.fleetsDutyFallsToOwn(key);
@@ -216,7 +216,7 @@
      * @param member the instance, not null
      */
     public void connected(PeerMember member) {
-        if (acting() || !byTellers()) {
+        if (acting() || !byRelays()) {
             newcomers.connected(member, roundsCount);
             tellEverything(member);
         }
@@ -224,7 +224,7 @@
 
     /**
      * Asks others for all that they know: the platform turns this instance away, and it has nothing to serve by. The one
-     * that tells it, and of its data centre each time another one, since the teller may be turned away as well.
+     * that tells it, and of its data centre each time another one, since the relay may be turned away as well.
      */
     public void wantEverything() {
         List<PeerEntry> want = List.of(own(PeerTopic.WANT, settings.instance(), Bytes.EMPTY, WANT_KEEP_MILLIS));
@@ -254,7 +254,7 @@
      * @param key what it is about, not null
      * @param payload what is told, not null
      * @param keepMillis how long it may be of use
-     * @param abroad whether the tellers of the other data centres are told too
+     * @param abroad whether the relays of the other data centres are told too
      */
     public void publishAtOnce(PeerTopic topic, String key, Bytes payload, long keepMillis, boolean abroad) {
         List<PeerEntry> entries = List.of(own(topic, key, payload, keepMillis));
@@ -292,7 +292,7 @@
         PeerEntry entry = own(topic, key, payload, keepMillis);
         store.accept(entry, time.monotonicMillis(), 0);
         if (topic == PeerTopic.KEPT_PARTS) {
-            outbox.add(acting() || !byTellers() ? Audience.OWN_CENTRE : Audience.OWN_RELAY, entry);
+            outbox.add(acting() || !byRelays() ? Audience.OWN_CENTRE : Audience.OWN_RELAY, entry);
         } else if (topic == PeerTopic.ALIVE) {
             outbox.add(Audience.OWN_CENTRE, entry);
             outbox.add(Audience.OTHER_RELAYS, entry);
@@ -300,7 +300,7 @@
             outbox.add(Audience.OTHER_RELAYS, entry);
         } else if (topic == PeerTopic.FLEET_LOAD) {
             outbox.add(Audience.OWN_CENTRE, entry);
-        } else if (!byTellers()) {
+        } else if (!byRelays()) {
             outbox.add(Audience.ALL, entry);
         } else if (!acting()) {
             outbox.add(Audience.OWN_RELAY, entry);
@@ -325,13 +325,13 @@
         boolean acts = acting();
         if (acts != wasActing) {
             wasActing = acts;
-            LogEvent.of("teller_changed")
+            LogEvent.of("relay_changed")
                     .with("acting", acts)
-                    .with("teller", relays.ofOwnCentre().orElseGet(settings::instance))
+                    .with("relay", relays.ofOwnCentre().orElseGet(settings::instance))
                     .with("rank", relays.ownRank())
                     .info(log);
         }
-        if (acts && tellersRound()) {
+        if (acts && relaysRound()) {
             sayWhoIsAlive();
         }
         flush(acts);
@@ -365,8 +365,8 @@
 
     private void tellOwnRelay(List<PeerMember> relay) {
         List<PeerEntry> entries = outbox.take(Audience.OWN_RELAY, relay.size());
-        if (!entries.isEmpty() || roundsCount - wordToTellerRound >= OWN_WORD_ROUNDS) {
-            wordToTellerRound = roundsCount;
+        if (!entries.isEmpty() || roundsCount - messageToRelayRound >= OWN_MESSAGE_ROUNDS) {
+            messageToRelayRound = roundsCount;
             send(entries, relay);
         }
     }
@@ -379,7 +379,7 @@
         Map<String, Long> leads = new TreeMap<>(clocks.leadsMillis());
         leads.keySet().removeIf(name -> relays.ofOwnCentre(name) && !alive.contains(name));
         leads.put(settings.instance(), 0L);
-        publish(PeerTopic.ALIVE, settings.dataCentre(), new AliveWord(leads).encode(), relays.aliveMillis());
+        publish(PeerTopic.ALIVE, settings.dataCentre(), new RelayHeartbeat(leads).encode(), relays.aliveMillis());
     }
 
     /** This process was suspended: what is known of the ways of messages is wrong by that time. */
@@ -437,7 +437,7 @@
         }
         relays.heard(message.sender());
         clocks.heard(message);
-        Optional<AliveWord> aliveWord = aliveWord(message);
+        Optional<RelayHeartbeat> aliveWord = aliveWord(message);
         if (message.leadMillis().isPresent()) {
             clocks.told(message.sender(), message.startedMillis(), message.leadMillis());
         } else {
@@ -452,7 +452,7 @@
         for (PeerEntry entry : message.items()) {
             accept(entry, wayMillis, message.sender(), aliveWord);
         }
-        if (newcomers.isFirstWord(message) && (acting() || !byTellers())) {
+        if (newcomers.isFirstWord(message) && (acting() || !byRelays())) {
             // Without the wish to be answered: two newcomers would send each other everything without end.
             relays.member(message.sender()).ifPresent(storeOwed::add);
             payOwedStores();
@@ -461,11 +461,11 @@
     }
 
     /** What a relay says of itself and of the clocks of those that it hears, where the message has that. */
-    private Optional<AliveWord> aliveWord(PeerMessage message) {
+    private Optional<RelayHeartbeat> aliveWord(PeerMessage message) {
         for (PeerEntry entry : message.items()) {
             if (entry.topic().equals(PeerTopic.ALIVE.name()) && entry.origin().equals(message.sender())) {
                 try {
-                    return Optional.of(AliveWord.decode(entry.payload()));
+                    return Optional.of(RelayHeartbeat.decode(entry.payload()));
                 } catch (IOException e) {
                     LogEvent.of("alive_not_understood")
                             .with("peer", message.sender())
@@ -477,7 +477,7 @@
         return Optional.empty();
     }
 
-    private void accept(PeerEntry came, OptionalLong wayMillis, String sender, Optional<AliveWord> aliveWord) {
+    private void accept(PeerEntry came, OptionalLong wayMillis, String sender, Optional<RelayHeartbeat> aliveWord) {
         PeerEntry entry = came.older(wayMillis.orElse(0));
         Optional<PeerTopic> topic = PeerTopic.named(entry.topic());
         if (topic.isEmpty()
@@ -493,7 +493,7 @@
             relays.member(sender).ifPresent(this::tellEverything);
             return;
         }
-        if (acting() && byTellers()) {
+        if (acting() && byRelays()) {
             passOn(entry, topic.get(), sender);
         }
         boolean ageProved = wayMillis.isPresent() && entry.origin().equals(sender);
--- a/src/main/java/org/dogwoodwinch/peer/AliveWord.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayHeartbeat.java
@@ -12,9 +12,9 @@
  *
  * @param leadsMillis milliseconds by the names of those that it hears, not null
  */
-record AliveWord(Map<String, Long> leadsMillis) {
+record RelayHeartbeat(Map<String, Long> leadsMillis) {
 
-    AliveWord {
+    RelayHeartbeat {
         leadsMillis = Map.copyOf(leadsMillis);
     }
 
@@ -30,7 +30,7 @@
         return Packing.pack(leadsMillis, Packing::writeNumbers);
     }
 
-    static AliveWord decode(Bytes payload) throws IOException {
-        return new AliveWord(Packing.unpack(payload.toByteArray(), Packing::readNumbers));
+    static RelayHeartbeat decode(Bytes payload) throws IOException {
+        return new RelayHeartbeat(Packing.unpack(payload.toByteArray(), Packing::readNumbers));
     }
 }
--- a/src/main/java/org/dogwoodwinch/standin/platform/RehearsalMain.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/RehearsalMain.java
@@ -20,7 +20,7 @@
  * that a daemon uses (class-data sharing). A start then takes half of the processor time.
  *
  * <p>Several daemons in two data centres, and one that is started as the program itself is: what instances tell each
- * other, by tellers too, and what a process sets up around a daemon would else be looked up in jars, checked and linked
+ * other, by relays too, and what a process sets up around a daemon would else be looked up in jars, checked and linked
  * anew by each process, in the seconds after it has been started.
  */
 public final class RehearsalMain {
--- a/src/test/java/org/dogwoodwinch/daemon/BrokenTargetsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/BrokenTargetsTest.java
@@ -28,7 +28,7 @@
     /** Half of what the quota of a fifth allows. */
     private static final int MOST_PART_OF_CALLS = 10;
 
-    private final TellerFleet fleet = new TellerFleet(MEMBERS_COUNT, 3, 5);
+    private final RelayFleet fleet = new RelayFleet(MEMBERS_COUNT, 3, 5);
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(9);
     private final List<Incarnation> targets = new ArrayList<>();
     private final List<TargetHealth> healths = new ArrayList<>();
@@ -39,7 +39,7 @@
         for (int i = 0; i < TARGETS_COUNT; i++) {
             targets.add(new Incarnation("t" + i, "reader", "10.0.0.1", 80, "dc0", 6, false, Stage.WHOLE, BORN_MILLIS));
         }
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             TargetHealth health = new TargetHealth(fleet.time::monotonicMillis);
             healths.add(health);
             BrokenTargets broken = new BrokenTargets(
--- a/src/test/java/org/dogwoodwinch/daemon/EnginesAwayTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/EnginesAwayTest.java
@@ -14,13 +14,13 @@
 
     private static final long BORN_MILLIS = 7;
 
-    private final TellerFleet fleet = new TellerFleet(6, 3, 5);
+    private final RelayFleet fleet = new RelayFleet(6, 3, 5);
     private final List<TargetHealth> healths = new ArrayList<>();
     private final List<EnginesAway> shared = new ArrayList<>();
     private final Map<String, Long> bornMillis = new HashMap<>();
 
     EnginesAwayTest() {
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             TargetHealth health = new TargetHealth(fleet.time::monotonicMillis);
             healths.add(health);
             EnginesAway away =
--- a/src/test/java/org/dogwoodwinch/daemon/FullLinkTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/FullLinkTest.java
@@ -49,7 +49,7 @@
     private static final long RECORD_GAP_MILLIS = 300;
     private static final long RECORD_KNOWN_MILLIS = 100;
 
-    private final TellerFleet fleet = new TellerFleet(centres(), 3);
+    private final RelayFleet fleet = new RelayFleet(centres(), 3);
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(4);
     private final List<PartIndex> indexes = new ArrayList<>();
     private final List<KeptSharing> sharings = new ArrayList<>();
@@ -61,7 +61,7 @@
     private int recordsCount;
 
     FullLinkTest() {
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             PartIndex index = new PartIndex();
             LoadBook book = new LoadBook();
             indexes.add(index);
@@ -76,7 +76,7 @@
     @Test
     void aRelaysMessagesLeaveItsLinkToCalls() {
         playSeconds(WARM_SECONDS);
-        TellerFleet.Member relay = fleet.teller("dc0");
+        RelayFleet.Member relay = fleet.relay("dc0");
         Map<PeerTopic, Long> before = new EnumMap<>(relay.toldBytes);
         List<Long> sentBytes = new ArrayList<>();
 
@@ -101,7 +101,7 @@
         playSeconds(WARM_SECONDS + MEASURED_SECONDS);
         fleet.time.advanceMillis(RECORD_KNOWN_MILLIS);
 
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             for (long offset = 0; offset < recordsCount; offset++) {
                 long applied = member.appliedAtMillis.getOrDefault(offset, Long.MAX_VALUE);
                 assertTrue(
--- a/src/test/java/org/dogwoodwinch/daemon/KeptSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/KeptSharingTest.java
@@ -35,7 +35,7 @@
 
     private static final int MOST_PART_OF_LINK = 5;
 
-    private final TellerFleet fleet = new TellerFleet(MEMBERS_COUNT, 1, 3);
+    private final RelayFleet fleet = new RelayFleet(MEMBERS_COUNT, 1, 3);
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(4);
     private final List<PartIndex> indexes = new ArrayList<>();
     private final List<KeptSharing> sharings = new ArrayList<>();
@@ -44,7 +44,7 @@
     private int callsCount;
 
     KeptSharingTest() {
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             PartIndex index = new PartIndex();
             indexes.add(index);
             sharings.add(new KeptSharing(member.exchange, index, _id -> 0, fleet.time));
@@ -60,12 +60,12 @@
     @Test
     void tellingWhatEnginesKeepLeavesTheTellersLinkToItsCalls() {
         play(WARM_MILLIS);
-        TellerFleet.Member teller = fleet.teller("dc0");
-        long beforeBytes = teller.sentBytes;
+        RelayFleet.Member relay = fleet.relay("dc0");
+        long beforeBytes = relay.sentBytes;
 
         play(MEASURED_MILLIS);
 
-        long perSecond = (teller.sentBytes - beforeBytes) * 1_000 / MEASURED_MILLIS;
+        long perSecond = (relay.sentBytes - beforeBytes) * 1_000 / MEASURED_MILLIS;
         long most = LINK_BYTES_PER_SECOND / MOST_PART_OF_LINK;
         assertTrue(perSecond <= most, perSecond + " bytes a second, a fifth of the link is " + most);
     }
@@ -91,10 +91,10 @@
     /** All instances have lost power, and an engine tells one of them all that it keeps before any call names a part. */
     @Test
     void afterAStartOfAllASmallFleetKnowsWhatEnginesKeep() {
-        TellerFleet small = new TellerFleet(6, 3, 3);
+        RelayFleet small = new RelayFleet(6, 3, 3);
         List<PartIndex> started = new ArrayList<>();
         List<KeptSharing> telling = new ArrayList<>();
-        for (TellerFleet.Member member : small.members) {
+        for (RelayFleet.Member member : small.members) {
             PartIndex index = new PartIndex();
             started.add(index);
             telling.add(new KeptSharing(member.exchange, index, _id -> 0, small.time));
@@ -114,7 +114,7 @@
     }
 
     /** Each data centre has a watcher of its own. */
-    private static long inOneCentre(TellerFleet small) {
+    private static long inOneCentre(RelayFleet small) {
         String centre = small.members.get(0).dataCentre;
         return small.members.stream()
                 .filter(member -> member.dataCentre.equals(centre))
--- a/src/test/java/org/dogwoodwinch/daemon/LateWaysTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/LateWaysTest.java
@@ -30,9 +30,9 @@
     /** Each late word put the silent relay back in its successor's place, and everybody took itself for the relay. */
     @Test
     void lateWordsOfARelayDoNotMakeAllOthersRelays() {
-        TellerFleet fleet = new TellerFleet(40, 2, 11);
+        RelayFleet fleet = new RelayFleet(40, 2, 11);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member late = fleet.teller("dc0");
+        RelayFleet.Member late = fleet.relay("dc0");
         late.waitMillisAt = _nowMillis -> MISSED_MILLIS;
         fleet.time.advanceMillis(5_000);
         // Instances' rounds are not in step.
@@ -58,9 +58,9 @@
     /** A follower's own full link made the sound relay's words look late, and it told its whole data centre as well. */
     @Test
     void anInstanceWhoseOwnLinkIsFullDoesNotTakeItselfForTheRelay() {
-        TellerFleet fleet = new TellerFleet(40, 2, 12);
+        RelayFleet fleet = new RelayFleet(40, 2, 12);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member narrow = follower(fleet, "dc0");
+        RelayFleet.Member narrow = follower(fleet, "dc0");
         narrow.waitMillisAt = _nowMillis -> LATE_MILLIS;
         fleet.time.advanceMillis(1_000);
         long before = narrow.sentBytes;
@@ -76,11 +76,11 @@
     /** What a follower found out waited on its own link and passed for new, over what was stated later elsewhere. */
     @Test
     void whatAFollowerTellsIsAsOldAsItIs() {
-        TellerFleet fleet = new TellerFleet(40, 2, 13);
+        RelayFleet fleet = new RelayFleet(40, 2, 13);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member narrow = follower(fleet, "dc0");
+        RelayFleet.Member narrow = follower(fleet, "dc0");
         Map<String, Long> ages = new HashMap<>();
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             member.exchange.subscribe(PeerTopic.TARGET_LIMIT, item -> ages.put(member.name, item.ageMillis()));
         }
         narrow.waitMillisAt = _nowMillis -> LATE_MILLIS;
@@ -114,9 +114,9 @@
     }
 
     private static long worstMillis(long wayMillis, long answerMillis) {
-        TellerFleet fleet = new TellerFleet(40, 2, 14);
+        RelayFleet fleet = new RelayFleet(40, 2, 14);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member reader = fleet.teller("dc0");
+        RelayFleet.Member reader = fleet.relay("dc0");
         reader.waitMillisAt = _nowMillis -> wayMillis;
         reader.storeAnswerMillis = answerMillis;
         int records = 60;
@@ -126,7 +126,7 @@
         }
         fleet.time.advanceMillis(6_000);
         long worst = 0;
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             for (long offset = 0; offset < records && member != reader; offset++) {
                 worst = Math.max(
                         worst,
@@ -136,7 +136,7 @@
         return worst;
     }
 
-    private static TellerFleet.Member follower(TellerFleet fleet, String dataCentre) {
+    private static RelayFleet.Member follower(RelayFleet fleet, String dataCentre) {
         return fleet.members.stream()
                 .filter(member -> member.dataCentre.equals(dataCentre) && !member.exchange.acting())
                 .reduce((_one, other) -> other)
--- a/src/test/java/org/dogwoodwinch/daemon/LateWordTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/LateWordTest.java
@@ -18,9 +18,9 @@
 
     @Test
     void aWordThatWaitedOnItsWayDoesNotPassForFresh() {
-        TellerFleet fleet = new TellerFleet(40, 2, 7);
+        RelayFleet fleet = new RelayFleet(40, 2, 7);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member reader = fleet.teller("dc0");
+        RelayFleet.Member reader = fleet.relay("dc0");
         long fromMillis = fleet.time.monotonicMillis();
         reader.waitMillisAt = nowMillis ->
                 Math.min(LONGEST_WAIT_MILLIS, (nowMillis - fromMillis) * LONGEST_WAIT_MILLIS / FILLS_WITHIN_MILLIS);
@@ -37,7 +37,7 @@
     /** Nobody needs to read for itself where the link is sound: the others' word stays that of one reader. */
     @Test
     void aWordThatWaitsNowhereIsEnough() {
-        TellerFleet fleet = new TellerFleet(40, 2, 8);
+        RelayFleet fleet = new RelayFleet(40, 2, 8);
         fleet.time.advanceMillis(5_000);
         int before = fleet.storeCallsCount;
 
@@ -51,10 +51,10 @@
         assertTrue(fleet.storeCallsCount - before <= 2 * (RECORDS * 2 + 24), fleet.storeCalls::toString);
     }
 
-    private static void assertWithinBound(TellerFleet fleet) {
+    private static void assertWithinBound(RelayFleet fleet) {
         long worst = 0;
         String where = "";
-        for (TellerFleet.Member member : fleet.members) {
+        for (RelayFleet.Member member : fleet.members) {
             for (long offset = 0; offset < RECORDS; offset++) {
                 long applied = member.appliedAtMillis.getOrDefault(offset, Long.MAX_VALUE);
                 long delay = applied - fleet.writtenAtMillis(offset);
--- a/src/test/java/org/dogwoodwinch/daemon/LimitSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/LimitSharingTest.java
@@ -34,7 +34,7 @@
     private final List<Instance> instances = new ArrayList<>();
     private final List<Long> arrivalsMillis = new ArrayList<>();
     private final Map<String, Long> bornMillis = new HashMap<>();
-    private TellerFleet fleet;
+    private RelayFleet fleet;
     private OptionalDouble limit = OptionalDouble.empty();
 
     @Test
@@ -170,7 +170,7 @@
     }
 
     private void start(int count) {
-        fleet = new TellerFleet(count, 3, 5);
+        fleet = new RelayFleet(count, 3, 5);
         fleet.members.forEach(member -> instances.add(new Instance(member)));
         fleet.time.advanceMillis(3_000);
     }
@@ -199,13 +199,13 @@
 
     private final class Instance {
 
-        private final TellerFleet.Member member;
+        private final RelayFleet.Member member;
         private final TargetLimits limits;
         private final LimitShares shares;
         private final LimitSharing sharing;
         private Optional<Set<String>> countsOn = Optional.of(names());
 
-        Instance(TellerFleet.Member member) {
+        Instance(RelayFleet.Member member) {
             this.member = member;
             this.shares = new LimitShares(member.name, () -> countsOn, fleet.time::monotonicMillis);
             this.limits = new TargetLimits(fleet.time::monotonicMillis, shares);
--- a/src/test/java/org/dogwoodwinch/daemon/TellerFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/RelayFleet.java
@@ -21,17 +21,17 @@
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
 import org.dogwoodwinch.follow.ReadResult;
+import org.dogwoodwinch.follow.ReplicaPolicy;
 import org.dogwoodwinch.follow.StreamFollower;
-import org.dogwoodwinch.follow.ToldPolicy;
 import org.dogwoodwinch.peer.PeerMember;
 import org.dogwoodwinch.peer.PeerObserver;
 import org.dogwoodwinch.peer.PeerSettings;
 import org.dogwoodwinch.peer.PeerTopic;
-import org.dogwoodwinch.peer.TellerExchange;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.time.VirtualTimeSource;
 
 /** Instances in several data centres that tell each other what one of each reads from a store, in virtual time. */
-final class TellerFleet {
+final class RelayFleet {
 
     private static final String STREAM = "keyed.x";
     private static final long STORE_MILLIS = 4;
@@ -41,7 +41,7 @@
     private static final int LINK_SHARE_BYTES_PER_SECOND = 175_000;
 
     private static final FollowPolicy FOLLOW = new FollowPolicy(600, 100, 50, 500);
-    private static final ToldPolicy TOLD = new ToldPolicy(1_100, 75, 3);
+    private static final ReplicaPolicy TOLD = new ReplicaPolicy(1_100, 75, 3);
 
     final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
     final List<Member> members = new ArrayList<>();
@@ -53,7 +53,7 @@
     long messagesCount;
     long messageBytes;
 
-    TellerFleet(int membersCount, int centresCount, long seed) {
+    RelayFleet(int membersCount, int centresCount, long seed) {
         this(
                 IntStream.range(0, membersCount)
                         .mapToObj(i -> "dc" + i % centresCount)
@@ -62,7 +62,7 @@
     }
 
     /** One instance for each entry, in the data centre that it names. */
-    TellerFleet(List<String> dataCentres, long seed) {
+    RelayFleet(List<String> dataCentres, long seed) {
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         for (int i = 0; i < dataCentres.size(); i++) {
             members.add(new Member("i" + i, dataCentres.get(i)));
@@ -83,7 +83,7 @@
     }
 
     /** The instance that reads for its data centre. */
-    Member teller(String dataCentre) {
+    Member relay(String dataCentre) {
         return members.stream()
                 .filter(member -> member.dataCentre.equals(dataCentre) && member.exchange.acting())
                 .findFirst()
@@ -95,7 +95,7 @@
 
         final String name;
         final String dataCentre;
-        TellerExchange exchange;
+        RelayExchange exchange;
         final Map<Long, Long> appliedAtMillis = new HashMap<>();
         private StreamFollower follower;
         private int life;
@@ -131,7 +131,7 @@
 
         private void begin() {
             int ownLife = ++life;
-            this.exchange = new TellerExchange(
+            this.exchange = new RelayExchange(
                     new PeerSettings(name, dataCentre, "", ROUND_MILLIS, 8, LINK_SHARE_BYTES_PER_SECOND, 262_144),
                     time,
                     (to, message) -> {
--- a/src/test/java/org/dogwoodwinch/daemon/StreamSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamSharingTest.java
@@ -22,7 +22,7 @@
     private static final int SCHEDULES = 200;
     private static final int STEPS = 12;
 
-    private static long worstDelayMillis(TellerFleet fleet, TellerFleet.Member member, long fromOffset, long toOffset) {
+    private static long worstDelayMillis(RelayFleet fleet, RelayFleet.Member member, long fromOffset, long toOffset) {
         long worst = 0;
         for (long offset = fromOffset; offset < toOffset; offset++) {
             long applied = member.appliedAtMillis.getOrDefault(offset, Long.MAX_VALUE);
@@ -36,7 +36,7 @@
     void oneInstanceOfADataCentreReads() {
         Map<Integer, Integer> calls = new HashMap<>();
         for (int size : new int[] {9, 72}) {
-            TellerFleet fleet = new TellerFleet(size, 3, 1);
+            RelayFleet fleet = new RelayFleet(size, 3, 1);
             fleet.time.advanceMillis(5_000);
             int before = fleet.storeCallsCount;
             fleet.time.advanceMillis(20_000);
@@ -49,7 +49,7 @@
     /** A record reaches all instances within a few network delays of its acknowledgement, not a round later. */
     @Test
     void aRecordIsToldAtOnce() {
-        TellerFleet fleet = new TellerFleet(72, 3, 2);
+        RelayFleet fleet = new RelayFleet(72, 3, 2);
         fleet.time.advanceMillis(5_000);
         fleet.write();
         fleet.time.advanceMillis(20);
@@ -62,9 +62,9 @@
      */
     @Test
     void aReaderThatIsCutOffFromTheStoreHoldsNobodyBack() {
-        TellerFleet fleet = new TellerFleet(9, 3, 3);
+        RelayFleet fleet = new RelayFleet(9, 3, 3);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member reader = fleet.teller("dc0");
+        RelayFleet.Member reader = fleet.relay("dc0");
         reader.storeCut = true;
         fleet.write();
         fleet.time.advanceMillis(BOUND_MILLIS);
@@ -76,9 +76,9 @@
     /** The reader goes on reading, but nobody hears it: a cut one way. */
     @Test
     void aReaderThatNobodyHearsIsReplaced() {
-        TellerFleet fleet = new TellerFleet(72, 3, 4);
+        RelayFleet fleet = new RelayFleet(72, 3, 4);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member reader = fleet.teller("dc1");
+        RelayFleet.Member reader = fleet.relay("dc1");
         reader.mute = true;
         fleet.time.advanceMillis(200);
         fleet.write();
@@ -93,9 +93,9 @@
     /** It is thawed after others took over: its old word takes nobody back, and it goes on where it stopped. */
     @Test
     void aReaderThatWasFrozenTakesNobodyBack() {
-        TellerFleet fleet = new TellerFleet(9, 3, 5);
+        RelayFleet fleet = new RelayFleet(9, 3, 5);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member reader = fleet.teller("dc2");
+        RelayFleet.Member reader = fleet.relay("dc2");
         reader.frozen(true);
         fleet.write();
         fleet.time.advanceMillis(BOUND_MILLIS);
@@ -110,12 +110,12 @@
         });
     }
 
-    /** Data centres have tellers of their own, and the one that dies is replaced by another. */
+    /** Data centres have relays of their own, and the one that dies is replaced by another. */
     @Test
     void aTellerThatDiesIsReplaced() {
-        TellerFleet fleet = new TellerFleet(12, 3, 6);
+        RelayFleet fleet = new RelayFleet(12, 3, 6);
         fleet.time.advanceMillis(5_000);
-        TellerFleet.Member first = fleet.teller("dc0");
+        RelayFleet.Member first = fleet.relay("dc0");
         first.dead(true);
         fleet.time.advanceMillis(2_000);
         long acting = fleet.members.stream()
@@ -147,7 +147,7 @@
 
     private static long play(int seed) {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
-        TellerFleet fleet = new TellerFleet(6 + random.nextInt(10), 3, seed);
+        RelayFleet fleet = new RelayFleet(6 + random.nextInt(10), 3, seed);
         fleet.time.advanceMillis(4_000);
         Map<String, Long> soundSinceMillis = new HashMap<>();
         fleet.members.forEach(member -> soundSinceMillis.put(member.name, fleet.time.monotonicMillis()));
@@ -158,7 +158,7 @@
             fleet.write();
             long written = fleet.writtenAtMillis(step);
             fleet.time.advanceMillis(BOUND_MILLIS + 1);
-            for (TellerFleet.Member member : fleet.members) {
+            for (RelayFleet.Member member : fleet.members) {
                 if (soundSinceMillis.get(member.name) <= written - IN_TOUCH_MILLIS) {
                     long applied = member.appliedAtMillis.getOrDefault((long) step, Long.MAX_VALUE);
                     worst = Math.max(worst, applied - written);
@@ -171,8 +171,8 @@
         return worst;
     }
 
-    private static void disturb(TellerFleet fleet, UniformRandomProvider random, Map<String, Long> soundSinceMillis) {
-        for (TellerFleet.Member member : fleet.members) {
+    private static void disturb(RelayFleet fleet, UniformRandomProvider random, Map<String, Long> soundSinceMillis) {
+        for (RelayFleet.Member member : fleet.members) {
             boolean failing = soundSinceMillis.get(member.name) == Long.MAX_VALUE;
             if (failing && random.nextInt(3) == 0) {
                 heal(member);
@@ -184,7 +184,7 @@
         }
     }
 
-    private static void harm(TellerFleet.Member member, int kind) {
+    private static void harm(RelayFleet.Member member, int kind) {
         switch (kind) {
             case 0 -> member.dead(true);
             case 1 -> member.storeCut = true;
@@ -194,7 +194,7 @@
         }
     }
 
-    private static void heal(TellerFleet.Member member) {
+    private static void heal(RelayFleet.Member member) {
         member.dead(false);
         member.frozen(false);
     }
--- a/src/test/java/org/dogwoodwinch/daemon/WarmStartTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/WarmStartTest.java
@@ -11,14 +11,14 @@
 
     private static final int RECORDS = 5;
 
-    /** A teller gives a sign of life every 300 ms: the first one finds the new process, and all follows it. */
+    /** A relay gives a sign of life every 300 ms: the first one finds the new process, and all follows it. */
     private static final long WARM_MILLIS = 700;
 
     /** Nine tenths of the least time in which a configuration or a leaving target has to be heeded everywhere. */
     private static final long BOUND_MILLIS = 1_800;
 
-    private static TellerFleet settled(int members, int centres, int seed) {
-        TellerFleet fleet = new TellerFleet(members, centres, seed);
+    private static RelayFleet settled(int members, int centres, int seed) {
+        RelayFleet fleet = new RelayFleet(members, centres, seed);
         fleet.time.advanceMillis(3_000);
         for (int i = 0; i < RECORDS; i++) {
             fleet.write();
@@ -27,7 +27,7 @@
         return fleet;
     }
 
-    private static List<TellerFleet.Member> of(TellerFleet fleet, String dataCentre) {
+    private static List<RelayFleet.Member> of(RelayFleet fleet, String dataCentre) {
         return fleet.members.stream()
                 .filter(member -> member.dataCentre.equals(dataCentre))
                 .toList();
@@ -40,8 +40,8 @@
      */
     @Test
     void anInstanceThatIsTurnedAwayKnowsWhatItsNeighboursKnow() {
-        TellerFleet fleet = settled(24, 3, 11);
-        TellerFleet.Member started = fleet.members.stream()
+        RelayFleet fleet = settled(24, 3, 11);
+        RelayFleet.Member started = fleet.members.stream()
                 .filter(member -> !member.exchange.acting())
                 .findFirst()
                 .orElseThrow();
@@ -59,10 +59,10 @@
      */
     @Test
     void aDataCentreThatIsTurnedAwayLivesOnTheWordOfAnother() {
-        TellerFleet fleet = settled(24, 3, 12);
-        List<TellerFleet.Member> turnedAway = of(fleet, "dc0");
+        RelayFleet fleet = settled(24, 3, 12);
+        List<RelayFleet.Member> turnedAway = of(fleet, "dc0");
         turnedAway.forEach(member -> member.storeCut = true);
-        turnedAway.forEach(TellerFleet.Member::restart);
+        turnedAway.forEach(RelayFleet.Member::restart);
         fleet.time.advanceMillis(BOUND_MILLIS);
         turnedAway.forEach(member -> assertEquals(RECORDS, member.appliedAtMillis.size(), member.name));
         fleet.time.advanceMillis(2_000);
@@ -74,20 +74,20 @@
     /** All lose power at once, and the store answers one instance in six: the others serve by what these have read. */
     @Test
     void whereAllStartAtOnceThoseThatReadTellTheOthers() {
-        TellerFleet fleet = settled(24, 3, 13);
+        RelayFleet fleet = settled(24, 3, 13);
         for (int i = 0; i < fleet.members.size(); i++) {
             fleet.members.get(i).storeCut = i % 6 != 0;
         }
-        fleet.members.forEach(TellerFleet.Member::restart);
+        fleet.members.forEach(RelayFleet.Member::restart);
         fleet.time.advanceMillis(3_000);
         fleet.members.forEach(member -> assertEquals(RECORDS, member.appliedAtMillis.size(), member.name));
     }
 
-    /** What it was told is no older than what the teller has, and the store's own word comes on top of it. */
+    /** What it was told is no older than what the relay has, and the store's own word comes on top of it. */
     @Test
     void theStoresWordGoesOnWhereTheNeighboursEnded() {
-        TellerFleet fleet = settled(24, 3, 14);
-        TellerFleet.Member started = of(fleet, "dc1").get(0);
+        RelayFleet fleet = settled(24, 3, 14);
+        RelayFleet.Member started = of(fleet, "dc1").get(0);
         started.storeCut = true;
         started.restart();
         fleet.time.advanceMillis(WARM_MILLIS);
--- a/src/test/java/org/dogwoodwinch/follow/ToldStreamAgeTest.java
+++ b/src/test/java/org/dogwoodwinch/follow/ReplicatedStreamAgeTest.java
@@ -9,7 +9,7 @@
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
 
-class ToldStreamAgeTest {
+class ReplicatedStreamAgeTest {
 
     private static final long UNPROVED_MILLIS = 3_600_000;
 
@@ -27,24 +27,24 @@
                 return new CompletableFuture<>();
             }
         };
-        ToldStream.Teller teller = new ToldStream.Teller() {
+        ReplicatedStream.Publisher relay = new ReplicatedStream.Publisher() {
             @Override
-            public void tell(ToldWord _word, boolean _ownReading) {}
+            public void tell(StreamUpdate _word, boolean _ownReading) {}
 
             @Override
             public void want() {}
         };
-        ToldStream stream = new ToldStream(
+        ReplicatedStream stream = new ReplicatedStream(
                 "s",
                 silent,
-                new ToldPolicy(1_100, 75, 3),
+                new ReplicaPolicy(1_100, 75, 3),
                 new VirtualTimeSource(10_000_000),
                 () -> 0,
-                teller,
+                relay,
                 record -> record);
         assertTrue(!stream.newest(Optional.empty()).toCompletableFuture().isDone());
 
-        stream.heardAbroad(new ToldWord("s", true, List.of(), 5, 5, UNPROVED_MILLIS));
+        stream.heardAbroad(new StreamUpdate("s", true, List.of(), 5, 5, UNPROVED_MILLIS));
 
         long toldMillis = stream.whole().orElseThrow().contactAgeMillis();
         assertTrue(toldMillis >= UNPROVED_MILLIS, "told as " + toldMillis + " ms old");
