--- a/src/test/java/org/dogwoodwinch/relay/PromptReadingTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/PromptReadingTest.java
@@ -74,6 +74,21 @@
         assertEquals(0, split.loads.at("p1").unread().totalTokens());
     }
 
+    /** A busy instance gets its connection to the reader late, and the caller's leaving lies unread beside it. */
+    @Test
+    void aPromptWhoseCallerLeftMeanwhileIsNotRead() {
+        RelayFixture split = model();
+        split.connectingSlowly.add("p1");
+        RelayFixture.CallerEnd caller = split.caller().send(modelCall("a1"));
+        split.time.advanceMillis(150);
+        split.letConnect();
+
+        caller.leave();
+        split.time.advanceMillis(10);
+
+        assertEquals("", split.opened.get(0).received());
+    }
+
     /**
      * The engine at which the prompt has its home cannot be reached. It never saw the call, so another engine that only
      * reads gets it; read where it runs, it would hold up all that runs there.
