--- a/src/test/java/org/dogwoodwinch/daemon/KeptSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/KeptSharingTest.java
@@ -58,7 +58,7 @@
      * request's own, which nobody asks for again.
      */
     @Test
-    void tellingWhatEnginesKeepLeavesTheTellersLinkToItsCalls() {
+    void tellingWhatEnginesKeepLeavesTheRelaysLinkToItsCalls() {
         play(WARM_MILLIS);
         RelayFleet.Member relay = fleet.relay("dc0");
         long beforeBytes = relay.sentBytes;
--- a/src/test/java/org/dogwoodwinch/daemon/StreamSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamSharingTest.java
@@ -112,7 +112,7 @@
 
     /** Data centres have relays of their own, and the one that dies is replaced by another. */
     @Test
-    void aTellerThatDiesIsReplaced() {
+    void aRelayThatDiesIsReplaced() {
         RelayFleet fleet = new RelayFleet(12, 3, 6);
         fleet.time.advanceMillis(5_000);
         RelayFleet.Member first = fleet.relay("dc0");
