--- a/src/main/java/org/dogwoodwinch/admission/DecisionQueue.java
+++ b/src/main/java/org/dogwoodwinch/admission/DecisionQueue.java
@@ -19,7 +19,7 @@
     }
 
     /**
-     * Becomes the relay, unless someone is; that one then looks once more before it stops, or a request that came in
+     * Becomes the teller, unless someone is; that one then looks once more before it stops, or a request that came in
      * between would wait for the next sweep.
      */
     synchronized boolean startTelling() {
