Relist a target in one place of the relays' fixture, and call a publisher by its name

The fixture built the same entry twice, once leaving and once of a later start; a local variable still had the name of who relays. No test's assertion and no behaviour changes.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
@@ -66,7 +66,7 @@
      */
     ReplicatedStream share(
             String name, KeyedStream platform, ReplicaPolicy policy, Function<KeyedRecord, Object> meaning) {
-        ReplicatedStream.Publisher relay = new ReplicatedStream.Publisher() {
+        ReplicatedStream.Publisher publisher = new ReplicatedStream.Publisher() {
             @Override
             public void tell(StreamUpdate word, boolean ownReading) {
                 exchange.publishAtOnce(PeerTopic.STREAM, word.stream(), encode(word), KEEP_MILLIS, ownReading);
@@ -77,7 +77,8 @@
                 exchange.wantEverything();
             }
         };
-        ReplicatedStream told = new ReplicatedStream(name, platform, policy, time, exchange::ownRank, relay, meaning);
+        ReplicatedStream told =
+                new ReplicatedStream(name, platform, policy, time, exchange::ownRank, publisher, meaning);
         streams.put(name, told);
         return told;
     }
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -160,17 +160,7 @@
     /** As the reader of the targets' list does when a target says that it leaves. */
     RelayFixture leaving(String id) {
         Incarnation old = directory.find(id).orElseThrow();
-        listed(new Incarnation(
-                id,
-                old.service(),
-                old.host(),
-                old.port(),
-                old.dataCentre(),
-                old.slotsCount(),
-                true,
-                old.stage(),
-                old.weightVersion(),
-                old.bornMillis()));
+        relisted(old, old.host(), true, old.bornMillis());
         service.forgetTarget(id);
         return this;
     }
@@ -178,19 +168,23 @@
     /** As the reader of the targets' list does when a target has started again, elsewhere. */
     RelayFixture startedAgain(String id) {
         Incarnation old = directory.find(id).orElseThrow();
+        relisted(old, "10.0.9.9", false, old.bornMillis() + 1_000);
+        service.targetStartedAgain(id);
+        return this;
+    }
+
+    private void relisted(Incarnation old, String host, boolean leaving, long bornMillis) {
         listed(new Incarnation(
-                id,
+                old.id(),
                 old.service(),
-                "10.0.9.9",
+                host,
                 old.port(),
                 old.dataCentre(),
                 old.slotsCount(),
-                false,
+                leaving,
                 old.stage(),
                 old.weightVersion(),
-                old.bornMillis() + 1_000));
-        service.targetStartedAgain(id);
-        return this;
+                bornMillis));
     }
 
     /** The connections that were held back open now. */
