Send nothing to a target that says in an answer that it leaves

Callers saw: calls run by a target that was about to exit, 2.8 and 3.1 s after its own answer had said that it leaves, as the store took its entry 13 s late.

Cause: the header was not read. Choice and the check before the write rely on the entry in the store alone, which says ready until the store takes a new one. Class of fault: advice in an answer that is dropped.

Change: each head of a response on a connection to a target, whatever its status and whoever still waits for it, and each answer to a control call, is asked for the statement in one place (ForwardingService.recordStatements, EngineClient). TargetDirectory keeps the incarnation draining from then on, so choice, check at the write, stage plans, cache polls and the count of ready targets see one state. It is kept by id and start: no entry of the same start undoes it, a later start under the id does, and an answer to a call that was sent to an earlier start does not touch the next one. Idle connections are closed. All instances are told (one entry of some tens of bytes each); without that, each would learn it by a call of its own. A KV cache is not fetched from an engine that left between choice and write. 421 of another target at the address counts against the one that was meant: it is gone from there.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -148,7 +148,6 @@
         PrefillRates rates = new PrefillRates(INITIAL_TOKENS_PER_MILLI);
         ControlClient caller =
                 new ControlClient(transport, transport.eventLoopGroup().next(), time, connections);
-        EngineClient engines = new EngineClient(caller, ENGINE_TIMEOUT_MILLIS, ENGINE_LONG_POLL_MILLIS);
         StoreClient store = new StoreClient(
                 caller,
                 Addresses.parse(settings.store().address()),
@@ -177,6 +176,10 @@
         brokenTargets.start();
         LimitSharing limitSharing = new LimitSharing(fleet.exchange(), limits, limitShares, this::startedMillis, time);
         limitSharing.start();
+        TargetStatementRecorder statements =
+                new TargetStatementRecorder(fleet.exchange(), directory, metrics, this::closeIdleConnections);
+        statements.start();
+        EngineClient engines = new EngineClient(caller, statements, ENGINE_TIMEOUT_MILLIS, ENGINE_LONG_POLL_MILLIS);
         fleet.exchange().beforeEachRound(() -> metrics.setRateLimitedTargets(limits.limitedCount()));
         this.budget = new RetryBudget(
                 settings.retries().ratio(),
@@ -222,6 +225,7 @@
                         health,
                         limits,
                         limitSharing,
+                        statements,
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
                         fleet::connectionSharerCount),
@@ -382,6 +386,10 @@
                 .toList();
     }
 
+    private void closeIdleConnections(String targetId) {
+        service.removeTarget(targetId);
+    }
+
     private long startedMillis(String targetId) {
         return directory.find(targetId).map(Incarnation::startedMillis).orElse(0L);
     }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -92,25 +92,27 @@
         if (!directory.apply(id, offset, listed)) {
             return;
         }
+        // The directory keeps an incarnation draining that said so in an answer, whatever its entry says.
+        Optional<Incarnation> current = directory.find(id);
         LogEvent.of("target_listed")
                 .with("target", id)
                 .with("offset", offset)
-                .with("service", listed.map(Incarnation::service).orElse(""))
-                .with("address", listed.map(Incarnation::address).orElse(""))
-                .with("stage", listed.map(Incarnation::stage).orElse(null))
+                .with("service", current.map(Incarnation::service).orElse(""))
+                .with("address", current.map(Incarnation::address).orElse(""))
+                .with("stage", current.map(Incarnation::stage).orElse(null))
                 .with(
                         "state",
-                        listed.map(each -> each.draining() ? "leaving" : "ready")
+                        current.map(each -> each.draining() ? "leaving" : "ready")
                                 .orElse("gone"))
-                .with("bornMillis", listed.map(Incarnation::startedMillis).orElse(0L))
+                .with("bornMillis", current.map(Incarnation::startedMillis).orElse(0L))
                 .info(log);
-        if (isRestarted(previous, listed)) {
+        if (isRestarted(previous, current)) {
             service.handleTargetRestart(id);
         }
-        if (previous.isPresent() && !previous.map(Incarnation::stage).equals(listed.map(Incarnation::stage))) {
+        if (previous.isPresent() && !previous.map(Incarnation::stage).equals(current.map(Incarnation::stage))) {
             service.handleStageChange(id);
         }
-        updateAvailability(id, listed, wasReady);
+        updateAvailability(id, current, wasReady);
     }
 
     private static boolean isRestarted(Optional<Incarnation> previous, Optional<Incarnation> listed) {
--- a/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
@@ -93,6 +93,16 @@
         return id.hashCode();
     }
 
+    /**
+     * Returns this incarnation as a draining one.
+     *
+     * @return the same incarnation, which gets no new calls
+     */
+    public Incarnation asDraining() {
+        return new Incarnation(
+                id, service, host, port, dataCentre, slotsCount, true, stage, weightVersion, startedMillis);
+    }
+
     /**
      * Returns the address at which the target listens.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -19,6 +19,7 @@
 
     private final TargetHealth health;
     private final TargetRateLimits limits;
+    private final LeavingIncarnations leaving = new LeavingIncarnations();
     private final Map<String, Entry> entries = new HashMap<>();
     private Optional<Map<String, List<Incarnation>>> readyByService = Optional.empty();
     private int readyCount;
@@ -36,7 +37,8 @@
 
     /**
      * Applies a record. A record of an earlier incarnation of a target that has since restarted is ignored: it was
-     * written late, and would restore an obsolete address and state.
+     * written late, and would restore an obsolete address and state. An incarnation that has stated that it is leaving
+     * is draining, whatever its record says.
      *
      * @param id the target's id, not null
      * @param offset the record's offset
@@ -48,11 +50,31 @@
         if (previous != null && (previous.offset >= offset || previous.startedAfter(incarnation))) {
             return false;
         }
-        boolean changed = previous == null || !previous.incarnation.equals(incarnation);
-        putEntry(id, new Entry(offset, incarnation));
+        Optional<Incarnation> current = incarnation.map(each -> leaving.contains(each) ? each.asDraining() : each);
+        boolean changed = previous == null || !previous.incarnation.equals(current);
+        putEntry(id, new Entry(offset, current));
         return changed;
     }
 
+    /**
+     * Records that an incarnation of a target states that it is leaving. From now on it is draining; a later start
+     * under the same id is not.
+     *
+     * @param id the target's id, not null
+     * @param startedMillis the start time of the incarnation; zero if not stated
+     * @return whether that was unknown
+     */
+    public boolean recordLeaving(String id, long startedMillis) {
+        boolean unknown = leaving.record(id, startedMillis);
+        Entry entry = entries.get(id);
+        if (unknown && entry != null) {
+            entry.incarnation
+                    .filter(listed -> !listed.draining() && leaving.contains(listed))
+                    .ifPresent(listed -> putEntry(id, new Entry(entry.offset, Optional.of(listed.asDraining()))));
+        }
+        return unknown;
+    }
+
     /**
      * Removes the entries that a full listing covers by its offset but does not contain.
      *
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -12,6 +12,8 @@
     BROKEN_TARGET,
     /** Rate limits that targets state. */
     TARGET_LIMIT,
+    /** Targets that state in an answer that they are leaving. */
+    TARGET_LEAVES,
     /** Fingerprints of requests that crash targets. */
     QUARANTINE,
     /** The demand of owners, from which the shares of their limits are computed. */
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -60,8 +60,12 @@
      * The topics that relays forward within their own data centre and, if the update comes from there, to the other
      * relays.
      */
-    private static final Set<PeerTopic> FLEET_WIDE_TOPICS =
-            Set.of(PeerTopic.QUARANTINE, PeerTopic.LEAVING, PeerTopic.BROKEN_TARGET, PeerTopic.TARGET_LIMIT);
+    private static final Set<PeerTopic> FLEET_WIDE_TOPICS = Set.of(
+            PeerTopic.QUARANTINE,
+            PeerTopic.LEAVING,
+            PeerTopic.BROKEN_TARGET,
+            PeerTopic.TARGET_LIMIT,
+            PeerTopic.TARGET_LEAVES);
 
     private final PeerSettings settings;
     private final TimeSource time;
--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.JsonTrees;
@@ -30,6 +31,7 @@
 import org.dogwoodwinch.relay.OrderOutcome;
 import org.dogwoodwinch.relay.OrderState;
 import org.dogwoodwinch.relay.StageOrder;
+import org.dogwoodwinch.relay.TargetStatements;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -56,6 +58,7 @@
     private static final int LIST_CACHED_TOKENS_COLUMN = 2;
 
     private final ControlClient controlCaller;
+    private final TargetStatements statements;
     private final long timeoutMillis;
     private final long longPollMillis;
 
@@ -63,13 +66,16 @@
      * Creates a client.
      *
      * @param controlCaller sends the calls, not null
+     * @param statements receives what engines state about themselves in their answers, not null
      * @param timeoutMillis the timeout of a call, in milliseconds, in addition to the time for which the engine holds
      *     it
      * @param longPollMillis how long an engine may hold a request for cache events while nothing changes, in
      *     milliseconds
      */
-    public EngineClient(ControlClient controlCaller, long timeoutMillis, long longPollMillis) {
+    public EngineClient(
+            ControlClient controlCaller, TargetStatements statements, long timeoutMillis, long longPollMillis) {
         this.controlCaller = Objects.requireNonNull(controlCaller, "caller");
+        this.statements = Objects.requireNonNull(statements, "statements");
         this.timeoutMillis = timeoutMillis;
         this.longPollMillis = longPollMillis;
     }
@@ -153,12 +159,8 @@
                 .put("expected", order.expectedOrdersCount());
         HttpHeaders headers =
                 controlHeaders(engine).set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        return controlCaller
-                .call(
-                        Addresses.of(engine.host(), engine.port()),
-                        new ControlRequest(HttpMethod.POST, "/order", headers, Bytes.ofUtf8(body.toString())),
-                        timeoutMillis)
-                .thenApply(EngineClient::toOrderOutcome);
+        ControlRequest request = new ControlRequest(HttpMethod.POST, "/order", headers, Bytes.ofUtf8(body.toString()));
+        return call(engine, request, timeoutMillis).thenApply(EngineClient::toOrderOutcome);
     }
 
     private static OrderOutcome toOrderOutcome(ControlReply reply) {
@@ -175,10 +177,36 @@
 
     private CompletionStage<ControlReply> call(
             Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers) {
-        return controlCaller.call(
-                Addresses.of(engine.host(), engine.port()),
-                new ControlRequest(method, uri, headers, Bytes.EMPTY),
-                timeout);
+        return call(engine, new ControlRequest(method, uri, headers, Bytes.EMPTY), timeout);
+    }
+
+    private CompletionStage<ControlReply> call(Incarnation engine, ControlRequest request, long timeout) {
+        return controlCaller
+                .call(Addresses.of(engine.host(), engine.port()), request, timeout)
+                .thenApply(reply -> recordStatements(engine, reply));
+    }
+
+    /** Attributes a statement to the start that the answer states, which may be a later one than the listed one. */
+    private ControlReply recordStatements(Incarnation engine, ControlReply reply) {
+        if (reply instanceof ControlReply.Answered answered && PlatformHeaders.statesLeaving(answered.headers())) {
+            statements.recordLeaving(engine.id(), statedStartMillis(answered).orElse(engine.startedMillis()));
+        }
+        return reply;
+    }
+
+    /** Returns the start time in an answer of an engine about itself; empty for an answer without a readable one. */
+    private static OptionalLong statedStartMillis(ControlReply.Answered answered) {
+        if (answered.status() != OK || answered.body().length() == 0) {
+            return OptionalLong.empty();
+        }
+        try {
+            long startedMillis = TargetEntryDecoder.decodeStartMillis(
+                    JsonTrees.read(answered.body().toByteArray()));
+            return startedMillis == 0 ? OptionalLong.empty() : OptionalLong.of(startedMillis);
+        } catch (IOException e) {
+            logInvalidAnswer(e.getMessage());
+            return OptionalLong.empty();
+        }
     }
 
     /** Names the expected incarnation on every call, since another target may have got the address. */
--- a/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
+++ b/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
@@ -16,6 +16,9 @@
     /** The calls per second that a target accepts from all instances together, as a decimal number. */
     static final AsciiString RATE_LIMIT = AsciiString.cached("server-limit");
 
+    /** The value 1 states that the target is leaving. */
+    static final AsciiString LEAVING = AsciiString.cached("server-leaving");
+
     static final AsciiString LAST_EVENT_ID = AsciiString.cached("last-event-id");
     static final AsciiString MODEL = AsciiString.cached("model");
 
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -28,6 +28,7 @@
 
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final String PREFILL_STAGE = "prefill";
+    private static final String IS_LEAVING = "1";
     private static final Pattern DECIMAL_NUMBER = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
 
     /** Hop-by-hop headers, which apply to one connection and are not forwarded. */
@@ -111,7 +112,13 @@
                 headers.contains(HeaderNames.NOT_RUN),
                 headers.contains(HttpHeaderNames.CONTENT_ENCODING),
                 parseIdleMillis(headers.get(HeaderNames.KEEP_ALIVE)),
-                parseRate(headers.get(HeaderNames.RATE_LIMIT)));
+                parseRate(headers.get(HeaderNames.RATE_LIMIT)),
+                statesLeaving(headers));
+    }
+
+    /** Returns whether a target states in the head of a response, whatever its status, that it is leaving. */
+    static boolean statesLeaving(HttpHeaders headers) {
+        return IS_LEAVING.equals(headers.get(HeaderNames.LEAVING));
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -379,7 +379,7 @@
                 attributes.prompt().map(_prompt -> plan.prefillWork().level()),
                 prefillOnly,
                 cacheHandle,
-                plan.prefillWork().cacheSource(),
+                plan.prefillWork().cacheSource().filter(context.chooser()::isCurrent),
                 owner.map(CallOwner::name),
                 eventFramer.lastEventId());
         HttpHeaders headers = context.callHeaders().targetHeaders(call.headers(), sending);
--- a/src/main/java/org/dogwoodwinch/relay/ControlClient.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlClient.java
@@ -197,7 +197,7 @@
             }
             if (usable) {
                 Bytes body = Bytes.of(ByteBufUtil.getBytes(response.content()));
-                done.end(new ControlReply.Answered(response.status().code(), body));
+                done.end(new ControlReply.Answered(response.status().code(), response.headers(), body));
             } else if (done != null) {
                 done.end(new ControlReply.Lost("garbled"));
             }
--- a/src/main/java/org/dogwoodwinch/relay/ControlReply.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlReply.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.relay;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Objects;
 import org.dogwoodwinch.bytes.Bytes;
 
@@ -10,11 +11,13 @@
      * A complete response was received.
      *
      * @param status the HTTP status
+     * @param headers the headers, not null
      * @param body the body, not null
      */
-    record Answered(int status, Bytes body) implements ControlReply {
+    record Answered(int status, HttpHeaders headers, Bytes body) implements ControlReply {
         /** Validates the components. */
         public Answered {
+            Objects.requireNonNull(headers, "headers");
             Objects.requireNonNull(body, "body");
         }
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -28,6 +28,8 @@
     private final Counter connections;
     private final Counter retries;
     private final Counter sends;
+    private final Counter targetStatements;
+    private final Counter keptCalls;
     private final Counter peerBytes;
     private final Counter peerDropped;
     private final Gauge peerDelay;
@@ -72,6 +74,15 @@
                 "Sends to targets, by what they are for and whether the target was known to be limited.",
                 "purpose",
                 "limited");
+        this.targetStatements = counter(
+                "dogwoodwinch_target_statements_total",
+                "Statements of targets about themselves that were news here, by statement and source.",
+                "statement",
+                "source");
+        this.keptCalls = counter(
+                "dogwoodwinch_calls_kept_from_target_total",
+                "Calls that were not written to the target that was chosen for them, by reason.",
+                "reason");
         this.peerBytes = counter("dogwoodwinch_peer_bytes_sent_total", "Bytes told to other instances.", "topic");
         this.peerDropped = counter(
                 "dogwoodwinch_peer_words_dropped_total",
@@ -180,6 +191,20 @@
         rateLimitedTargets.set(count);
     }
 
+    /**
+     * Counts a statement of a target about itself that was unknown to this instance.
+     *
+     * @param statement what the target stated, not null
+     * @param source whether it came in an answer or from another instance, not null
+     */
+    public void targetStatement(String statement, String source) {
+        targetStatements.labelValues(statement, source).inc();
+    }
+
+    void callKept(String reason) {
+        keptCalls.labelValues(reason).inc();
+    }
+
     void sent(String purpose, boolean limitedTarget) {
         sends.labelValues(purpose, Boolean.toString(limitedTarget)).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -14,6 +14,7 @@
 import org.dogwoodwinch.forwarding.CallerIdentity;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.forwarding.EngineTraits;
+import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.KvCacheIndex;
 import org.dogwoodwinch.forwarding.LoadTracker;
 import org.dogwoodwinch.forwarding.PrefillRates;
@@ -49,6 +50,7 @@
     private final RelayContext context;
     private final RelayReport report;
     private final TargetHealth health;
+    private final TargetStatements statements;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
     private int openCallsCount;
@@ -82,6 +84,7 @@
         this.time = Objects.requireNonNull(time, "time");
         this.report = new LoggingReport(metrics, decisions.limits());
         this.health = decisions.health();
+        this.statements = decisions.statements();
         this.context = new RelayContext(
                 time,
                 callHeaders,
@@ -92,7 +95,8 @@
                         policy,
                         decisions.limits()::tryTake,
                         metrics::connectionOpened,
-                        this::targetUnreachable),
+                        this::targetUnreachable,
+                        this::recordStatements),
                 decisions.chooser(),
                 control,
                 decisions.loads(),
@@ -122,6 +126,7 @@
      * @param health tracks targets that were recently unreachable, not null
      * @param limits rate limits of targets that state one, not null
      * @param statedLimits receives the rate limits that targets state in responses, not null
+     * @param statements receives what targets state about themselves in responses, not null
      * @param connectionAborts tracks targets that close new connections without a response, not null
      * @param callStarts receives calls that began to run, for the usage of their owners, not null
      * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on
@@ -138,6 +143,7 @@
             TargetHealth health,
             TargetRateLimits limits,
             StatedRateLimits statedLimits,
+            TargetStatements statements,
             ConnectionAborts connectionAborts,
             CallStarts callStarts,
             IntSupplier sharingInstancesCount) {}
@@ -296,6 +302,16 @@
         context.suspicions().handleTargetLost(targetId);
     }
 
+    /**
+     * Records what a target states about itself in the head of any response on a connection to it. If another target at
+     * its address states that it is leaving, the one that was meant is gone, so the same holds for that one.
+     */
+    private void recordStatements(Incarnation target, ResponseAttributes response) {
+        if (response.leaving()) {
+            statements.recordLeaving(target.id(), target.startedMillis());
+        }
+    }
+
     /** Closes all idle connections to targets, since after a suspension of the process their idle time is unknown. */
     public void closeIdleConnections() {
         context.connections().closeIdle();
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -122,6 +122,7 @@
 
     @Override
     public void targetLeftBeforeSend(String requestId, Incarnation target) {
+        metrics.callKept("left");
         LogEvent.of("target_left_before_send")
                 .with("request", requestId)
                 .with("target", target.id())
--- a/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
@@ -16,6 +16,7 @@
  * @param idleTimeoutMillis how long the target keeps an idle connection open; empty if it does not state it
  * @param rateLimitPerSecond the rate limit of the target for all instances together, in calls per second; empty if it
  *     states none
+ * @param leaving whether the target states that it is leaving
  */
 public record ResponseAttributes(
         int status,
@@ -24,7 +25,8 @@
         boolean statesNotRun,
         boolean encoded,
         OptionalLong idleTimeoutMillis,
-        OptionalDouble rateLimitPerSecond) {
+        OptionalDouble rateLimitPerSecond,
+        boolean leaving) {
 
     private static final int SUCCESS_CLASS = 2;
     private static final int CLASS_DIVISOR = 100;
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -57,6 +57,7 @@
     private final Incarnation target;
     private final CallHeaders callHeaders;
     private final TargetResponseDecoder decoder;
+    private final Consumer<ResponseAttributes> onResponseHead;
     private final Consumer<TargetConnection> onIdle;
     private final Consumer<TargetConnection> onClosed;
     private Channel channel;
@@ -75,11 +76,13 @@
             Incarnation target,
             CallHeaders callHeaders,
             TargetResponseDecoder decoder,
+            Consumer<ResponseAttributes> onResponseHead,
             Consumer<TargetConnection> onIdle,
             Consumer<TargetConnection> onClosed) {
         this.target = Objects.requireNonNull(target, "target");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.decoder = Objects.requireNonNull(decoder, "decoder");
+        this.onResponseHead = Objects.requireNonNull(onResponseHead, "onResponseHead");
         this.onIdle = Objects.requireNonNull(onIdle, "onIdle");
         this.onClosed = Objects.requireNonNull(onClosed, "onClosed");
     }
@@ -188,6 +191,7 @@
         keepAlive = HttpUtil.isKeepAlive(response)
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
         idleLimitMillis = attributes.idleTimeoutMillis().orElse(Long.MAX_VALUE);
+        onResponseHead.accept(attributes);
         if (attributes.requestId().isPresent() && !attributes.requestId().get().equals(requestId)) {
             skipResponse(attributes);
             return;
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -47,6 +48,7 @@
     private final Predicate<String> rateLimit;
     private final Runnable onOpened;
     private final Consumer<String> onUnreachable;
+    private final BiConsumer<Incarnation, ResponseAttributes> onResponseHead;
     private final Map<String, TargetPool> pools = new HashMap<>();
 
     TargetConnectionPool(
@@ -56,7 +58,8 @@
             ConnectionPolicy policy,
             Predicate<String> mayArrive,
             Runnable onOpened,
-            Consumer<String> onUnreachable) {
+            Consumer<String> onUnreachable,
+            BiConsumer<Incarnation, ResponseAttributes> onResponseHead) {
         this.connector = Objects.requireNonNull(connector, "connector");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.time = Objects.requireNonNull(time, "time");
@@ -64,6 +67,7 @@
         this.rateLimit = Objects.requireNonNull(mayArrive, "mayArrive");
         this.onOpened = Objects.requireNonNull(onOpened, "onOpened");
         this.onUnreachable = Objects.requireNonNull(onUnreachable, "onUnreachable");
+        this.onResponseHead = Objects.requireNonNull(onResponseHead, "onResponseHead");
     }
 
     /**
@@ -140,7 +144,12 @@
         pool.removed = false;
         TargetResponseDecoder decoder = new TargetResponseDecoder();
         TargetConnection connection = new TargetConnection(
-                target, callHeaders, decoder, this::returnToPool, closed -> closed(closed.target(), pool));
+                target,
+                callHeaders,
+                decoder,
+                attributes -> onResponseHead.accept(target, attributes),
+                this::returnToPool,
+                closed -> closed(closed.target(), pool));
         connector.connect(target, new Pipeline(decoder, connection), new TargetConnector.Outcome() {
             @Override
             public void connected() {
--- a/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
@@ -177,6 +177,26 @@
         }
     }
 
+    /** Failure: the answers of a target say that it leaves, its entry does not, and it goes on to get calls. */
+    @Test
+    void targetThatAnswersThatItLeavesGetsNoCallWhileItsEntryIsReady() throws Exception {
+        TargetStandIn leaving = platform.targets().get(5);
+        runOnPlatform(leaving::leave);
+        for (int i = 0; i < MAX_ATTEMPTS && leaving.callsCount() == 0; i++) {
+            assertTrue(sendCall("/once/a", "l" + i, "").endsWith("done l" + i));
+        }
+        assertEquals(1, leaving.callsCount());
+
+        for (int i = 0; i < 30; i++) {
+            assertTrue(sendCall("/once/a", "m" + i, "").endsWith("done m" + i));
+        }
+        assertEquals(1, leaving.callsCount());
+    }
+
+    private void runOnPlatform(Runnable action) throws Exception {
+        platformLoop.eventLoopGroup().next().submit(action).get(10, TimeUnit.SECONDS);
+    }
+
     /**
      * When the store stops responding after the start, calls are served from the configuration and targets read before.
      */
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -30,6 +30,7 @@
 import org.dogwoodwinch.relay.ForwardingService;
 import org.dogwoodwinch.relay.LocalConnectionFailureRecorder;
 import org.dogwoodwinch.relay.LocalRateLimitRecorder;
+import org.dogwoodwinch.relay.LocalStatementRecorder;
 import org.dogwoodwinch.relay.UnresponsiveEngineControl;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -66,6 +67,7 @@
                         new TargetHealth(() -> 0),
                         NoRateLimits.create(),
                         new LocalRateLimitRecorder(NoRateLimits.create()),
+                        new LocalStatementRecorder(directory, _id -> {}),
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
                         () -> 1),
@@ -131,6 +133,25 @@
         assertEquals(List.of("a"), readyTargetIds());
     }
 
+    /** Failure: the store tells late what a target wrote before its answer, and the target gets calls again. */
+    @Test
+    void entryBehindAnswerKeepsLeavingTargetOut() {
+        putEntryWithStartTime("a", "10.0.0.1:80", 5_000);
+        directory.recordLeaving("a", 5_000);
+
+        reader.onDisconnected("timeout");
+        time.advanceMillis(13_000);
+        reader.onReconnected();
+        putEntryWithStartTime("a", "10.0.0.1:80", 5_000);
+        removeEntry("a");
+        time.advanceMillis(LAPSE_GRACE_MILLIS);
+        putEntryWithStartTime("a", "10.0.0.1:80", 5_000);
+        assertEquals(List.of(), readyTargetIds());
+
+        putEntryWithStartTime("a", "10.0.0.2:80", 6_000);
+        assertEquals(List.of("a"), readyTargetIds());
+    }
+
     /** The history was dropped, so the outage ends with a snapshot; an entry that it lacks may merely have lapsed. */
     @Test
     void snapshotAfterOutageTakesEffectAfterGracePeriod() {
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -119,6 +119,7 @@
                         health,
                         rateLimits,
                         new LocalRateLimitRecorder(rateLimits),
+                        new LocalStatementRecorder(directory, this::removeIdleConnections),
                         new LocalConnectionFailureRecorder(health),
                         (owner, _startedWallMillis) -> startedOwners.add(owner),
                         () -> sharingInstancesCount),
@@ -201,6 +202,10 @@
                 startedMillis));
     }
 
+    private void removeIdleConnections(String targetId) {
+        service.removeTarget(targetId);
+    }
+
     /** Opens the delayed connections. */
     void completeDelayedConnects() {
         List<Runnable> connects = List.copyOf(delayedConnects);
