Send nothing to a target in the rest that it asks for

Callers saw: refusals while other engines had room.

Cause: the Retry-After of a target was not read. A target that rejects at once looks like the one with the lowest load, and neither health nor retry budget takes a rejection for a reason to leave it. Class of fault: advice in an answer that is dropped.

Change: TargetRests keeps, by id and start, until when a target wants nothing of this instance: from the answer on, fractions of a second included, five minutes at most, an unreadable value one second (logged), never shortened by a later answer. TargetDirectory answers both questions that a call asks, as part of one judgement: whether a target is a candidate (hasCapacity) and, directly before the write, whether the call may still be written (checkSend: allowed, left, resting). Prefills, retries, resumes and calls that waited for a connection come by there; EngineClient asks before each control call. Refusals state the time until the first target is back, also after a rejection whose retry is not granted (the time is a part of CallProgress now). After the rest each instance waits a random part longer, half a second at most, and sends one call alone until it is answered. Neighbours are not told, as the target asked one instance alone. Stage plans go on to count a resting engine with its queue: leaving it out would hide just the load that it rests from.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -30,6 +30,7 @@
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
+import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.net.EventLoopTime;
@@ -170,14 +171,15 @@
         RateLimitShares limitShares =
                 new RateLimitShares(settings.instance().name(), fleet::assignmentMembers, time::monotonicMillis);
         TargetRateLimits limits = new TargetRateLimits(time::monotonicMillis, limitShares);
-        this.directory = new TargetDirectory(health, limits);
+        TargetRests rests = new TargetRests(time::monotonicMillis, random);
+        this.directory = new TargetDirectory(health, limits, rests);
         BrokenTargets brokenTargets =
                 new BrokenTargets(settings.instance().name(), fleet.exchange(), health, this::startedMillis, random);
         brokenTargets.start();
         LimitSharing limitSharing = new LimitSharing(fleet.exchange(), limits, limitShares, this::startedMillis, time);
         limitSharing.start();
         TargetStatementRecorder statements =
-                new TargetStatementRecorder(fleet.exchange(), directory, metrics, this::closeIdleConnections);
+                new TargetStatementRecorder(fleet.exchange(), directory, rests, metrics, this::closeIdleConnections);
         statements.start();
         EngineClient engines = new EngineClient(caller, statements, ENGINE_TIMEOUT_MILLIS, ENGINE_LONG_POLL_MILLIS);
         fleet.exchange().beforeEachRound(() -> metrics.setRateLimitedTargets(limits.limitedCount()));
@@ -224,6 +226,7 @@
                         fleet.quarantine(),
                         health,
                         limits,
+                        rests,
                         limitSharing,
                         statements,
                         brokenTargets,
--- a/src/main/java/org/dogwoodwinch/daemon/TargetStatementRecorder.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetStatementRecorder.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.forwarding.TargetDirectory;
+import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.peer.PeerUpdate;
@@ -33,6 +34,7 @@
 
     private final RelayExchange exchange;
     private final TargetDirectory directory;
+    private final TargetRests rests;
     private final ForwardingMetrics metrics;
     private final Consumer<String> onLeaving;
 
@@ -41,13 +43,19 @@
      *
      * @param exchange sends updates to the other instances and receives theirs, not null
      * @param directory the listed targets, not null
+     * @param rests the targets that asked this instance for a rest, not null
      * @param metrics counts the statements, not null
      * @param onLeaving receives the id of each target of which it was unknown that it is leaving, not null
      */
     TargetStatementRecorder(
-            RelayExchange exchange, TargetDirectory directory, ForwardingMetrics metrics, Consumer<String> onLeaving) {
+            RelayExchange exchange,
+            TargetDirectory directory,
+            TargetRests rests,
+            ForwardingMetrics metrics,
+            Consumer<String> onLeaving) {
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.directory = Objects.requireNonNull(directory, "directory");
+        this.rests = Objects.requireNonNull(rests, "rests");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.onLeaving = Objects.requireNonNull(onLeaving, "onLeaving");
     }
@@ -71,6 +79,24 @@
         }
     }
 
+    /** Other instances are not told: the target asked this one alone, and may have room for them. */
+    @Override
+    public void recordRest(String targetId, long startedMillis, long restMillis) {
+        long effectiveMillis = rests.recordRest(targetId, startedMillis, restMillis);
+        metrics.targetStatement("rest", "answer");
+        LogEvent.of("target_rests")
+                .with("target", targetId)
+                .with("bornMillis", startedMillis)
+                .with("statedMillis", restMillis)
+                .with("restMillis", effectiveMillis)
+                .info(log);
+    }
+
+    @Override
+    public boolean isResting(String targetId, long startedMillis) {
+        return rests.isResting(targetId, startedMillis);
+    }
+
     private boolean applyLeaving(String targetId, long startedMillis, String peer) {
         if (!directory.recordLeaving(targetId, startedMillis)) {
             return false;
--- a/src/main/java/org/dogwoodwinch/forwarding/CallProgress.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CallProgress.java
@@ -10,6 +10,7 @@
  * @param failedConnectsCount number of attempts that ended before any byte was written
  * @param maxRunsCount maximum number of targets that may run the call
  * @param remainingMillis time left until the call's deadline
+ * @param untilCapacityMillis time until a target may accept the call; zero if one may at once, or none is known
  */
 public record CallProgress(
         boolean idempotent,
@@ -17,7 +18,8 @@
         int rejectionsCount,
         int failedConnectsCount,
         int maxRunsCount,
-        long remainingMillis) {
+        long remainingMillis,
+        long untilCapacityMillis) {
 
     /**
      * Returns whether an earlier attempt may have run the call, so that reporting it as not run could be false.
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -160,6 +160,11 @@
         return directory.isCurrent(target);
     }
 
+    @Override
+    public SendCheck checkSend(Incarnation target) {
+        return directory.checkSend(target);
+    }
+
     @Override
     public long millisUntilCapacity(TargetQuery query) {
         return directory.millisUntilCapacity(query.service().name(), query.triedTargetIds());
--- a/src/main/java/org/dogwoodwinch/forwarding/RetryPolicy.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RetryPolicy.java
@@ -54,18 +54,7 @@
      * @return a refusal if no target may have run the call
      */
     public NextStep giveUp(CallProgress progress) {
-        return giveUp(progress, 0);
-    }
-
-    /**
-     * Ends a call for which no target is available before a known time.
-     *
-     * @param progress the attempts made so far, not null
-     * @param untilCapacityMillis time until a target may have capacity
-     * @return a refusal if no target may have run the call
-     */
-    public NextStep giveUp(CallProgress progress, long untilCapacityMillis) {
-        long retryAfterWithCapacity = Math.max(retryAfterMillis, untilCapacityMillis);
+        long retryAfterWithCapacity = Math.max(retryAfterMillis, progress.untilCapacityMillis());
         return progress.mayHaveRun()
                 ? new NextStep.FailUnknown()
                 : new NextStep.Refuse(
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetChooser.java
@@ -32,6 +32,14 @@
      */
     boolean isCurrent(Incarnation target);
 
+    /**
+     * Returns whether a call may be written to a target that was chosen for it earlier.
+     *
+     * @param target the target as it was chosen, not null
+     * @return the verdict
+     */
+    SendCheck checkSend(Incarnation target);
+
     /**
      * Returns when a target may accept a call for which none was available.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -19,6 +19,7 @@
 
     private final TargetHealth health;
     private final TargetRateLimits limits;
+    private final TargetRests rests;
     private final LeavingIncarnations leaving = new LeavingIncarnations();
     private final Map<String, Entry> entries = new HashMap<>();
     private Optional<Map<String, List<Incarnation>>> readyByService = Optional.empty();
@@ -29,8 +30,10 @@
      *
      * @param health the targets that cannot be reached from this instance, not null
      * @param limits the rate limits that targets state, and this instance's remaining share of them, not null
+     * @param rests the targets that asked this instance for a rest, not null
      */
-    public TargetDirectory(TargetHealth health, TargetRateLimits limits) {
+    public TargetDirectory(TargetHealth health, TargetRateLimits limits, TargetRests rests) {
+        this.rests = Objects.requireNonNull(rests, "rests");
         this.limits = Objects.requireNonNull(limits, "limits");
         this.health = Objects.requireNonNull(health, "health");
     }
@@ -130,14 +133,29 @@
                 .isPresent();
     }
 
+    /**
+     * Returns whether a call may be written to a target that was chosen earlier. Its rate limit is not asked again, as
+     * the call has taken from it with its connection.
+     *
+     * @param target the target as it was chosen, not null
+     * @return the verdict
+     */
+    public SendCheck checkSend(Incarnation target) {
+        if (!isCurrent(target)) {
+            return SendCheck.LEFT;
+        }
+        return rests.mayReceive(target) ? SendCheck.ALLOWED : SendCheck.RESTING;
+    }
+
     /**
      * Returns whether a target accepts a call of this instance now.
      *
      * @param target the target, not null
-     * @return false if the target states a rate limit and this instance's share of it is used up
+     * @return false if the target states a rate limit and this instance's share of it is used up, or if it asked this
+     *     instance for a rest
      */
     public boolean hasCapacity(Incarnation target) {
-        return limits.hasCapacity(target.id());
+        return rests.mayReceive(target) && limits.hasCapacity(target.id());
     }
 
     /**
@@ -155,13 +173,16 @@
      * Returns when the first of a service's targets has capacity again.
      *
      * @param service the service's name, not null
-     * @param triedTargetIds the ids of targets to leave out, not null
+     * @param triedTargetIds the ids of targets to leave out unless they asked for a rest, after which they count
+     *     again, not null
      * @return the time from now in milliseconds; zero if a target has capacity, or no target remains
      */
     public long millisUntilCapacity(String service, Set<String> triedTargetIds) {
         return readyTargets(service).stream()
-                .filter(target -> !triedTargetIds.contains(target.id()))
-                .mapToLong(target -> limits.millisUntilCapacity(target.id()))
+                .filter(target ->
+                        !triedTargetIds.contains(target.id()) || rests.isResting(target.id(), target.startedMillis()))
+                .mapToLong(
+                        target -> Math.max(rests.millisUntilAvailable(target), limits.millisUntilCapacity(target.id())))
                 .min()
                 .orElse(0);
     }
--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -14,6 +14,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.JsonTrees;
@@ -45,6 +46,7 @@
     private static final int CONFLICT = 409;
     private static final int PRECONDITION_FAILED = 412;
     private static final int MISDIRECTED_REQUEST = 421;
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final String LONG_POLL_HEADER = "wait-ms";
 
     /** Columns of a cache event: sequence number, sign, unused, segment id, cached tokens, model. */
@@ -181,6 +183,9 @@
     }
 
     private CompletionStage<ControlReply> call(Incarnation engine, ControlRequest request, long timeout) {
+        if (statements.isResting(engine.id(), engine.startedMillis())) {
+            return CompletableFuture.completedFuture(new ControlReply.Lost("engine_rests"));
+        }
         return controlCaller
                 .call(Addresses.of(engine.host(), engine.port()), request, timeout)
                 .thenApply(reply -> recordStatements(engine, reply));
@@ -188,9 +193,17 @@
 
     /** Attributes a statement to the start that the answer states, which may be a later one than the listed one. */
     private ControlReply recordStatements(Incarnation engine, ControlReply reply) {
-        if (reply instanceof ControlReply.Answered answered && PlatformHeaders.statesLeaving(answered.headers())) {
+        if (!(reply instanceof ControlReply.Answered answered)) {
+            return reply;
+        }
+        if (PlatformHeaders.statesLeaving(answered.headers())) {
             statements.recordLeaving(engine.id(), statedStartMillis(answered).orElse(engine.startedMillis()));
         }
+        // 429 concerns the one control call only: an engine holds few polls at a time.
+        if (answered.status() == SERVICE_UNAVAILABLE) {
+            PlatformHeaders.parseRestMillis(answered.status(), answered.headers())
+                    .ifPresent(restMillis -> statements.recordRest(engine.id(), engine.startedMillis(), restMillis));
+        }
         return reply;
     }
 
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -18,17 +18,26 @@
 import org.dogwoodwinch.forwarding.ApiKey;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.PromptSegment;
+import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.relay.CallAttributes;
 import org.dogwoodwinch.relay.CallHeaders;
 import org.dogwoodwinch.relay.ResponseAttributes;
 import org.dogwoodwinch.relay.SendAttributes;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Translates between the platform's HTTP headers and this system's types. */
 public final class PlatformHeaders implements CallHeaders {
 
+    private static final Logger log = LoggerFactory.getLogger(PlatformHeaders.class);
     private static final long MILLIS_PER_SECOND = 1_000;
     private static final String PREFILL_STAGE = "prefill";
     private static final String IS_LEAVING = "1";
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final Pattern NUMBER_OF_SECONDS = Pattern.compile("\\d+(\\.\\d+)?");
+    private static final int MAX_SECONDS_LENGTH = 40;
+    private static final long UNREADABLE_REST_MILLIS = 1_000;
     private static final Pattern DECIMAL_NUMBER = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
 
     /** Hop-by-hop headers, which apply to one connection and are not forwarded. */
@@ -113,9 +122,32 @@
                 headers.contains(HttpHeaderNames.CONTENT_ENCODING),
                 parseIdleMillis(headers.get(HeaderNames.KEEP_ALIVE)),
                 parseRate(headers.get(HeaderNames.RATE_LIMIT)),
+                parseRestMillis(answer.status().code(), headers),
                 statesLeaving(headers));
     }
 
+    /**
+     * Returns the time for which a target wants no request, if it turned a request away and states one. A value that is
+     * no number of seconds is taken for a short rest, since the target did ask for one.
+     */
+    static OptionalLong parseRestMillis(int status, HttpHeaders headers) {
+        String text = headers.get(HttpHeaderNames.RETRY_AFTER);
+        boolean isTurnedAway = status == SERVICE_UNAVAILABLE || status == TOO_MANY_REQUESTS;
+        if (text == null || !isTurnedAway) {
+            return OptionalLong.empty();
+        }
+        String seconds = text.strip();
+        if (seconds.length() > MAX_SECONDS_LENGTH
+                || !NUMBER_OF_SECONDS.matcher(seconds).matches()) {
+            LogEvent.of("target_rest_not_understood")
+                    .with("value", seconds.substring(0, Math.min(seconds.length(), MAX_SECONDS_LENGTH)))
+                    .with("restMillis", UNREADABLE_REST_MILLIS)
+                    .info(log);
+            return OptionalLong.of(UNREADABLE_REST_MILLIS);
+        }
+        return OptionalLong.of((long) Math.ceil(Double.parseDouble(seconds) * MILLIS_PER_SECOND));
+    }
+
     /** Returns whether a target states in the head of a response, whatever its status, that it is leaving. */
     static boolean statesLeaving(HttpHeaders headers) {
         return IS_LEAVING.equals(headers.get(HeaderNames.LEAVING));
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -13,6 +13,7 @@
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.RouteKind;
+import org.dogwoodwinch.forwarding.SendCheck;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
@@ -231,8 +232,7 @@
 
     private void handleNoTarget() {
         context.report().noTarget(this);
-        long capacityMillis = context.chooser().millisUntilCapacity(query());
-        execute(new SendOutcome.NotSent("no_target"), context.retryPolicy().giveUp(progress(), capacityMillis));
+        execute(new SendOutcome.NotSent("no_target"), context.retryPolicy().giveUp(progress()));
     }
 
     /**
@@ -338,9 +338,10 @@
             handleDeadline();
             return;
         }
-        if (!context.chooser().isCurrent(plan.target())) {
+        SendCheck check = context.chooser().checkSend(plan.target());
+        if (check != SendCheck.ALLOWED) {
             context.connections().release(acquired);
-            context.report().targetLeftBeforeSend(requestId(), plan.target());
+            context.report().keptFromTarget(requestId(), plan.target(), check);
             chooseAgain();
             return;
         }
@@ -530,7 +531,8 @@
                 rejectionsCount,
                 failedConnectsCount,
                 route.maxAttemptsCount(),
-                remainingMillis());
+                remainingMillis(),
+                context.chooser().millisUntilCapacity(query()));
     }
 
     private void execute(SendOutcome outcome, NextStep step) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -26,6 +26,7 @@
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
+import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.request.Quarantine;
@@ -82,7 +83,7 @@
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.random = Objects.requireNonNull(random, "random");
         this.time = Objects.requireNonNull(time, "time");
-        this.report = new LoggingReport(metrics, decisions.limits());
+        this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests());
         this.health = decisions.health();
         this.statements = decisions.statements();
         this.context = new RelayContext(
@@ -107,6 +108,7 @@
                 new Suspicions(decisions.quarantine(), time),
                 health,
                 decisions.statedLimits(),
+                decisions.rests(),
                 decisions.connectionAborts(),
                 decisions.callStarts(),
                 report,
@@ -125,6 +127,7 @@
      * @param quarantine status of calls that crash targets, not null
      * @param health tracks targets that were recently unreachable, not null
      * @param limits rate limits of targets that state one, not null
+     * @param rests the targets that asked this instance for a rest, not null
      * @param statedLimits receives the rate limits that targets state in responses, not null
      * @param statements receives what targets state about themselves in responses, not null
      * @param connectionAborts tracks targets that close new connections without a response, not null
@@ -142,6 +145,7 @@
             Quarantine quarantine,
             TargetHealth health,
             TargetRateLimits limits,
+            TargetRests rests,
             StatedRateLimits statedLimits,
             TargetStatements statements,
             ConnectionAborts connectionAborts,
@@ -310,6 +314,8 @@
         if (response.leaving()) {
             statements.recordLeaving(target.id(), target.startedMillis());
         }
+        response.restMillis()
+                .ifPresent(restMillis -> statements.recordRest(target.id(), target.startedMillis(), restMillis));
     }
 
     /** Closes all idle connections to targets, since after a suspension of the process their idle time is unknown. */
--- a/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
+++ b/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
@@ -29,6 +29,7 @@
         this.prefillWork = prefillWork;
         this.aheadTokens = context.loads().totalAt(target.id()).prefillQueue().tokensAheadOf(prefillWork.level());
         this.sentMillis = context.time().monotonicMillis();
+        context.rests().recordSend(target);
         context.loads().recordSend(target.id(), prefillWork.level(), prefillWork.prefillTokens());
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -5,8 +5,10 @@
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
+import org.dogwoodwinch.forwarding.SendCheck;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
+import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.logging.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -18,8 +20,10 @@
 
     private final ForwardingMetrics metrics;
     private final TargetRateLimits limits;
+    private final TargetRests rests;
 
-    LoggingReport(ForwardingMetrics metrics, TargetRateLimits limits) {
+    LoggingReport(ForwardingMetrics metrics, TargetRateLimits limits, TargetRests rests) {
+        this.rests = Objects.requireNonNull(rests, "rests");
         this.limits = Objects.requireNonNull(limits, "limits");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
@@ -45,6 +49,7 @@
         metrics.refused(LocalResponses.UNAVAILABLE, "no_target");
         callEvent("no_target", call)
                 .with("limitUsedUp", limits.exhaustedTargetIds())
+                .with("resting", rests.restingTargetIds())
                 .info(log);
     }
 
@@ -121,9 +126,10 @@
     }
 
     @Override
-    public void targetLeftBeforeSend(String requestId, Incarnation target) {
-        metrics.callKept("left");
-        LogEvent.of("target_left_before_send")
+    public void keptFromTarget(String requestId, Incarnation target, SendCheck check) {
+        boolean left = check == SendCheck.LEFT;
+        metrics.callKept(left ? "left" : "resting");
+        LogEvent.of(left ? "target_left_before_send" : "target_rests_before_send")
                 .with("request", requestId)
                 .with("target", target.id())
                 .with("bornMillis", target.startedMillis())
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -13,6 +13,7 @@
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
@@ -31,6 +32,7 @@
  * @param suspicions tracks calls suspected of crashing targets, not null
  * @param health tracks targets that were recently unreachable, not null
  * @param statedLimits receives the rate limits that targets state in responses, not null
+ * @param rests the targets that asked this instance for a rest, not null
  * @param connectionAborts tracks targets that close new connections without a response, not null
  * @param callStarts receives calls that began to run, not null
  * @param report receives decisions about calls for metrics and logs, not null
@@ -51,6 +53,7 @@
         Suspicions suspicions,
         TargetHealth health,
         StatedRateLimits statedLimits,
+        TargetRests rests,
         ConnectionAborts connectionAborts,
         CallStarts callStarts,
         RelayReport report,
@@ -72,6 +75,7 @@
         Objects.requireNonNull(suspicions, "suspicions");
         Objects.requireNonNull(health, "health");
         Objects.requireNonNull(statedLimits, "statedLimits");
+        Objects.requireNonNull(rests, "rests");
         Objects.requireNonNull(connectionAborts, "connectionAborts");
         Objects.requireNonNull(callStarts, "callStarts");
         Objects.requireNonNull(report, "report");
@@ -120,10 +124,13 @@
     }
 
     /**
-     * Records the rate limit that the head of a response states. A response from another target at the same address is
+     * Records the rate limit that the head of a response states, and that a rest is over if it asks for none. A response from another target at the same address is
      * ignored, and the absence of a rate limit counts only in a successful response.
      */
     void recordResponseHead(Incarnation target, ResponseAttributes attributes, long sentMillis) {
+        if (attributes.restMillis().isEmpty()) {
+            rests.recordAnswer(target, sentMillis);
+        }
         if (!attributes.isMisdirected() && (attributes.rateLimitPerSecond().isPresent() || attributes.isSuccess())) {
             statedLimits.recordResponse(target, attributes.rateLimitPerSecond(), sentMillis);
         }
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -3,6 +3,7 @@
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
+import org.dogwoodwinch.forwarding.SendCheck;
 import org.dogwoodwinch.forwarding.SendOutcome;
 
 /** Receives decisions about calls, for metrics and logs. */
@@ -51,8 +52,8 @@
     /** The first byte of a streamed response is sent to the caller. */
     void firstByte(CallRelay call);
 
-    /** A chosen target left or restarted before a byte was written to it, so another one is chosen. */
-    void targetLeftBeforeSend(String requestId, Incarnation target);
+    /** A chosen target left, restarted or asked for a rest before a byte was written to it; another one is chosen. */
+    void keptFromTarget(String requestId, Incarnation target, SendCheck check);
 
     /** A complete response was received. */
     void succeeded(CallRelay call);
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -12,6 +12,7 @@
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Prompt;
+import org.dogwoodwinch.forwarding.SendCheck;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 
 /**
@@ -90,10 +91,11 @@
             return;
         }
         OutboundCall outbound = call.get();
-        if (!context.chooser().isCurrent(engine)) {
+        SendCheck check = context.chooser().checkSend(engine);
+        if (check != SendCheck.ALLOWED) {
             context.connections().release(acquired);
-            context.report().targetLeftBeforeSend(outbound.requestId(), engine);
-            finish(new PrefillOutcome.NotSent("target_left"));
+            context.report().keptFromTarget(outbound.requestId(), engine, check);
+            finish(new PrefillOutcome.NotSent(check == SendCheck.LEFT ? "target_left" : "target_rests"));
             return;
         }
         connection = Optional.of(acquired);
--- a/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
@@ -16,6 +16,8 @@
  * @param idleTimeoutMillis how long the target keeps an idle connection open; empty if it does not state it
  * @param rateLimitPerSecond the rate limit of the target for all instances together, in calls per second; empty if it
  *     states none
+ * @param restMillis the time for which the target wants no request of this instance, in milliseconds; empty unless it
+ *     turned the call away and states it
  * @param leaving whether the target states that it is leaving
  */
 public record ResponseAttributes(
@@ -26,6 +28,7 @@
         boolean encoded,
         OptionalLong idleTimeoutMillis,
         OptionalDouble rateLimitPerSecond,
+        OptionalLong restMillis,
         boolean leaving) {
 
     private static final int SUCCESS_CLASS = 2;
@@ -37,6 +40,7 @@
         Objects.requireNonNull(requestId, "requestId");
         Objects.requireNonNull(idleTimeoutMillis, "idleMillis");
         Objects.requireNonNull(rateLimitPerSecond, "limitPerSecond");
+        Objects.requireNonNull(restMillis, "restMillis");
     }
 
     /** Returns whether another target has the address now, or the target has another stage than expected. */
--- a/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
@@ -193,6 +193,22 @@
         assertEquals(1, leaving.callsCount());
     }
 
+    /** Failure: a target asks for a rest, and the instance sends it calls that it turns away until no retry is left. */
+    @Test
+    void targetThatAsksForRestGetsNoCallInIt() throws Exception {
+        TargetStandIn resting = platform.targets().get(6);
+        runOnPlatform(() -> resting.askForRest("300"));
+        for (int i = 0; i < MAX_ATTEMPTS && resting.callsCount() == 0; i++) {
+            sendCall("/once/a", "l" + i, "");
+        }
+        assertEquals(1, resting.callsCount());
+
+        for (int i = 0; i < 30; i++) {
+            assertTrue(sendCall("/once/a", "m" + i, "").endsWith("done m" + i));
+        }
+        assertEquals(1, resting.callsCount());
+    }
+
     private void runOnPlatform(Runnable action) throws Exception {
         platformLoop.eventLoopGroup().next().submit(action).get(10, TimeUnit.SECONDS);
     }
--- a/src/test/java/org/dogwoodwinch/daemon/StageChangeTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StageChangeTest.java
@@ -19,6 +19,7 @@
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
 import org.dogwoodwinch.forwarding.LoadTracker;
 import org.dogwoodwinch.forwarding.NoRateLimits;
+import org.dogwoodwinch.forwarding.NoRests;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.forwarding.PrefillQueue;
 import org.dogwoodwinch.forwarding.PrefillRates;
@@ -148,7 +149,7 @@
     private final class Instance {
 
         private final TargetHealth health = new TargetHealth(time::monotonicMillis);
-        private final TargetDirectory directory = new TargetDirectory(health, NoRateLimits.create());
+        private final TargetDirectory directory = new TargetDirectory(health, NoRateLimits.create(), NoRests.create());
         private final LoadTracker loads = new LoadTracker();
         private final LeastLoadedChooser chooser = new LeastLoadedChooser(directory, loads, random);
         private long nextOffset;
--- a/src/test/java/org/dogwoodwinch/daemon/StageOrdersTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StageOrdersTest.java
@@ -17,6 +17,7 @@
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.LoadTracker;
 import org.dogwoodwinch.forwarding.NoRateLimits;
+import org.dogwoodwinch.forwarding.NoRests;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.forwarding.PrefillRates;
 import org.dogwoodwinch.forwarding.Stage;
@@ -56,7 +57,7 @@
 
         private final LoadTracker loads = new LoadTracker();
         private final TargetDirectory directory =
-                new TargetDirectory(new TargetHealth(time::monotonicMillis), NoRateLimits.create());
+                new TargetDirectory(new TargetHealth(time::monotonicMillis), NoRateLimits.create(), NoRests.create());
         private boolean isIssuing;
         private boolean losesStoreResponses;
         private long storeLatencyMillis = 4;
--- a/src/test/java/org/dogwoodwinch/daemon/TargetStatementRecorderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetStatementRecorderTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NoRateLimits;
+import org.dogwoodwinch.forwarding.NoRests;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
@@ -81,10 +82,15 @@
         closedIdle.clear();
         fleet = new SimulatedFleet(instanceCount, 3, 5);
         for (SimulatedFleet.Member member : fleet.members) {
-            TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), NoRateLimits.create());
+            TargetDirectory directory =
+                    new TargetDirectory(new TargetHealth(() -> 0), NoRateLimits.create(), NoRests.create());
             directory.apply("t1", 1, Optional.of(target(STARTED_MILLIS)));
             TargetStatementRecorder recorder = new TargetStatementRecorder(
-                    member.exchange, directory, new ForwardingMetrics(new PrometheusRegistry()), closedIdle::add);
+                    member.exchange,
+                    directory,
+                    NoRests.create(),
+                    new ForwardingMetrics(new PrometheusRegistry()),
+                    closedIdle::add);
             recorder.start();
             directories.add(directory);
             recorders.add(recorder);
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -16,6 +16,7 @@
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
 import org.dogwoodwinch.forwarding.LoadTracker;
 import org.dogwoodwinch.forwarding.NoRateLimits;
+import org.dogwoodwinch.forwarding.NoRests;
 import org.dogwoodwinch.forwarding.PrefillRates;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.PromptSegment;
@@ -42,7 +43,8 @@
 
     private final VirtualTimeSource time = new VirtualTimeSource(0);
     private final KvCacheIndex cacheIndex = new KvCacheIndex();
-    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), NoRateLimits.create());
+    private final TargetDirectory directory =
+            new TargetDirectory(new TargetHealth(() -> 0), NoRateLimits.create(), NoRests.create());
     private final TargetsReader reader = new TargetsReader(
             directory, createService(), new ForwardingMetrics(new PrometheusRegistry()), time, LAPSE_GRACE_MILLIS);
     private long offset;
@@ -66,8 +68,9 @@
                         Quarantine.NONE,
                         new TargetHealth(() -> 0),
                         NoRateLimits.create(),
+                        NoRests.create(),
                         new LocalRateLimitRecorder(NoRateLimits.create()),
-                        new LocalStatementRecorder(directory, _id -> {}),
+                        new LocalStatementRecorder(directory, NoRests.create(), _id -> {}),
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
                         () -> 1),
--- a/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
@@ -21,7 +21,7 @@
             new ServiceEntry("s", 360, Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000, 3_000)));
 
     private final TargetRateLimits limits = NoRateLimits.create();
-    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), limits);
+    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), limits, NoRests.create());
     private final LoadTracker loads = new LoadTracker();
     private final KvCacheIndex cacheIndex = new KvCacheIndex();
 
--- a/src/test/java/org/dogwoodwinch/forwarding/RetryPolicyTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/RetryPolicyTest.java
@@ -36,7 +36,8 @@
                         Arbitraries.integers().between(0, 4),
                         Arbitraries.integers().between(1, 3),
                         Arbitraries.longs().between(-10, 5_000))
-                .as(CallProgress::new);
+                .as((idempotent, runs, rejections, failedConnects, maxRuns, remainingMillis) ->
+                        new CallProgress(idempotent, runs, rejections, failedConnects, maxRuns, remainingMillis, 0));
     }
 
     /** A non-idempotent call that may have run must never be sent again, nor be refused as not run. */
@@ -80,13 +81,14 @@
                 progress.rejectionsCount(),
                 progress.failedConnectsCount(),
                 progress.maxRunsCount(),
-                progress.remainingMillis());
+                progress.remainingMillis(),
+                progress.untilCapacityMillis());
     }
 
     /** Callers follow a retry time only up to a third of their remaining time. */
     @Test
     void retryAfterLeavesTimeForTheAnswer() {
-        NextStep step = POLICY.giveUp(new CallProgress(false, 0, 0, 0, 1, 400));
+        NextStep step = POLICY.giveUp(new CallProgress(false, 0, 0, 0, 1, 400, 0));
 
         assertEquals(100, assertInstanceOf(NextStep.Refuse.class, step).retryAfterMillis());
     }
@@ -94,12 +96,12 @@
     /** The caller receives the time until capacity, but never one too late for it to retry. */
     @Test
     void refusalStatesTimeUntilCapacity() {
-        assertEquals(new NextStep.Refuse(200), POLICY.giveUp(progress(4_000), 50));
-        assertEquals(new NextStep.Refuse(700), POLICY.giveUp(progress(4_000), 700));
-        assertEquals(new NextStep.Refuse(1_000), POLICY.giveUp(progress(4_000), 9_000));
+        assertEquals(new NextStep.Refuse(200), POLICY.giveUp(progress(4_000, 50)));
+        assertEquals(new NextStep.Refuse(700), POLICY.giveUp(progress(4_000, 700)));
+        assertEquals(new NextStep.Refuse(1_000), POLICY.giveUp(progress(4_000, 9_000)));
     }
 
-    private static CallProgress progress(long remainingMillis) {
-        return new CallProgress(false, 0, 0, 0, 1, remainingMillis);
+    private static CallProgress progress(long remainingMillis, long untilCapacityMillis) {
+        return new CallProgress(false, 0, 0, 0, 1, remainingMillis, untilCapacityMillis);
     }
 }
--- a/src/test/java/org/dogwoodwinch/forwarding/TargetDirectoryTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/TargetDirectoryTest.java
@@ -11,7 +11,8 @@
 
 class TargetDirectoryTest {
 
-    private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), NoRateLimits.create());
+    private final TargetDirectory directory =
+            new TargetDirectory(new TargetHealth(() -> 0), NoRateLimits.create(), NoRests.create());
 
     private static Optional<Incarnation> target(String id, boolean draining) {
         return Optional.of(new Incarnation(id, "s", "10.0.0.1", 80, "dc", 1, draining, Stage.WHOLE, 0));
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -37,6 +37,7 @@
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
+import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.forwarding.WeightedService;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.request.SuspectRegistry;
@@ -55,6 +56,7 @@
     final TargetHealth health;
     final RateLimitShares rateLimitShares;
     final TargetRateLimits rateLimits;
+    final TargetRests rests;
     final TargetDirectory directory;
     final LoadTracker loads = new LoadTracker();
     final KvCacheIndex cacheIndex = new KvCacheIndex();
@@ -90,7 +92,9 @@
         this.health = new TargetHealth(time::monotonicMillis);
         this.rateLimitShares = new RateLimitShares(instanceId, () -> Optional.of(instanceIds), time::monotonicMillis);
         this.rateLimits = new TargetRateLimits(time::monotonicMillis, rateLimitShares);
-        this.directory = new TargetDirectory(health, rateLimits);
+        this.rests =
+                new TargetRests(time::monotonicMillis, RandomSource.XO_RO_SHI_RO_128_PP.create(instanceId.hashCode()));
+        this.directory = new TargetDirectory(health, rateLimits, rests);
         this.suspects = new SuspectRegistry(time, 600_000, 600_000, _notice -> {});
         PrefillRates rates = new PrefillRates(30);
         EngineChooser chooser = new EngineChooser(
@@ -118,8 +122,9 @@
                         suspects,
                         health,
                         rateLimits,
+                        rests,
                         new LocalRateLimitRecorder(rateLimits),
-                        new LocalStatementRecorder(directory, this::removeIdleConnections),
+                        new LocalStatementRecorder(directory, rests, this::removeIdleConnections),
                         new LocalConnectionFailureRecorder(health),
                         (owner, _startedWallMillis) -> startedOwners.add(owner),
                         () -> sharingInstancesCount),
