Have the stand-in store come back from a copy

Cause: in a drill the platform's store may come back from a copy some seconds old: offsets go back and are given out again, and the header Store-Era rises by one.

Change: StoreStandIn.copy and comeBackFrom; the era in all answers; 410 for a read beyond the end; a poll that began before is answered from what the store holds now. The wrapper that adds a header to answers serves it and the target that leaves.

--- a/src/main/java/org/dogwoodwinch/standin/platform/LeavingAnswer.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/AnswerWithHeader.java
@@ -3,24 +3,36 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.function.Supplier;
 
-/** Adds to each answer the header by which a target says that it leaves. */
-final class LeavingAnswer implements StandInAnswer {
+/** Adds one header to an answer, whatever the answer is. */
+final class AnswerWithHeader implements StandInAnswer {
 
     private final StandInAnswer answer;
+    private final String name;
+    private final Supplier<String> value;
 
-    LeavingAnswer(StandInAnswer answer) {
+    /**
+     * Wraps an answer.
+     *
+     * @param answer writes the answer, not null
+     * @param name the header's name, not null
+     * @param value supplies the header's value when the answer is written, not null
+     */
+    AnswerWithHeader(StandInAnswer answer, String name, Supplier<String> value) {
         this.answer = Objects.requireNonNull(answer, "answer");
+        this.name = Objects.requireNonNull(name, "name");
+        this.value = Objects.requireNonNull(value, "value");
     }
 
     @Override
     public void whole(int status, Map<String, String> headers, byte[] body) {
-        answer.whole(status, withLeaving(headers), body);
+        answer.whole(status, withHeader(headers), body);
     }
 
     @Override
     public void begin(int status, Map<String, String> headers) {
-        answer.begin(status, withLeaving(headers));
+        answer.begin(status, withHeader(headers));
     }
 
     @Override
@@ -48,9 +60,9 @@
         return answer.open();
     }
 
-    private static Map<String, String> withLeaving(Map<String, String> headers) {
+    private Map<String, String> withHeader(Map<String, String> headers) {
         Map<String, String> all = new HashMap<>(headers);
-        all.put("server-leaving", "1");
+        all.put(name, value.get());
         return all;
     }
 }
--- a/src/main/java/org/dogwoodwinch/standin/platform/StoreStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StoreStandIn.java
@@ -48,6 +48,7 @@
     private final List<String> usageReports = new CopyOnWriteArrayList<>();
     private long highestUsageToken = -1;
     private Mode mode = Mode.UP;
+    private long era = 1;
     private int answersToLose;
     private long callsCount;
 
@@ -89,6 +90,38 @@
         forgotten.records.clear();
     }
 
+    /**
+     * Copies what it holds, so that it can come back from the copy later.
+     *
+     * @return the copy
+     */
+    public Copy copy() {
+        Map<String, Topic> copied = new HashMap<>();
+        topics.forEach((name, topic) -> copied.put(name, topic.copy()));
+        return new Copy(copied);
+    }
+
+    /**
+     * Comes back from a copy: what was written since is lost, offsets are given out again, and the era rises by one.
+     * What the operator and the targets wrote since has to be put again.
+     *
+     * @param copy the copy, not null; it may be used again
+     */
+    public void comeBackFrom(Copy copy) {
+        topics.clear();
+        copy.topics.forEach((name, topic) -> topics.put(name, topic.copy()));
+        era++;
+    }
+
+    /** What a store held at one moment. */
+    public static final class Copy {
+        private final Map<String, Topic> topics;
+
+        private Copy(Map<String, Topic> topics) {
+            this.topics = topics;
+        }
+    }
+
     /**
      * Returns how many calls came.
      *
@@ -118,7 +151,8 @@
     }
 
     @Override
-    public void handle(StandInRequest request, StandInAnswer answer) {
+    public void handle(StandInRequest request, StandInAnswer plainAnswer) {
+        StandInAnswer answer = new AnswerWithHeader(plainAnswer, "store-era", () -> Long.toString(era));
         callsCount++;
         if (mode == Mode.SILENT) {
             return;
@@ -192,23 +226,20 @@
 
     private void read(String name, StandInRequest request, StandInAnswer answer) {
         long from = request.number("from").orElse(0);
-        readOrWait(
-                topic(name),
-                from,
-                time.monotonicMillis() + request.number("waitMs").orElse(0),
-                answer);
+        readOrWait(name, from, time.monotonicMillis() + request.number("waitMs").orElse(0), answer);
     }
 
-    private void readOrWait(Topic topic, long from, long untilMillis, StandInAnswer answer) {
+    private void readOrWait(String name, long from, long untilMillis, StandInAnswer answer) {
         if (mode != Mode.UP || !answer.open()) {
             return;
         }
-        if (from < topic.first) {
+        Topic topic = topic(name);
+        if (from < topic.first || from > topic.end()) {
             json(answer, 410, JSON.createObjectNode().put("first", topic.first));
             return;
         }
         if (from >= topic.end() && time.monotonicMillis() < untilMillis) {
-            time.schedule(POLL_MILLIS, () -> readOrWait(topic, from, untilMillis, answer));
+            time.schedule(POLL_MILLIS, () -> readOrWait(name, from, untilMillis, answer));
             return;
         }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -290,6 +321,15 @@
             return first + records.size();
         }
 
+        Topic copy() {
+            Topic copy = new Topic(keyed);
+            copy.records.addAll(records);
+            copy.newest.putAll(newest);
+            copy.first = first;
+            copy.epoch = epoch;
+            return copy;
+        }
+
         long append(byte[] record) {
             long offset = end();
             records.add(record);
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -149,7 +149,7 @@
 
     @Override
     public void handle(StandInRequest request, StandInAnswer plainAnswer) {
-        StandInAnswer answer = leaving ? new LeavingAnswer(plainAnswer) : plainAnswer;
+        StandInAnswer answer = leaving ? new AnswerWithHeader(plainAnswer, "server-leaving", () -> "1") : plainAnswer;
         String expected = request.header("expect-instance");
         if (!expected.isEmpty() && !expected.equals(id)) {
             answer.whole(421, Map.of("instance-id", "i-other"), new byte[0]);
