Order what is read from the store by its era before its offset

Callers saw: calls handled by a configuration that had been replaced 2.2 and 7.3 s before, where 2 s are allowed; in the second case for good, until the next change.

Cause: a place in the store was an offset without a history, and the largest one seen won. When the new history had grown to that offset, the read became valid, and the records in between were never read. Class of fault: an order that holds within one history is taken for an order of all histories.

Change: a position holds the store's era in the bits above the offset (LogPosition), so that every comparison that was made by offset orders by era first: follower, replicated stream, backlog, tracker, directory, leases. Messages between instances carry it without a new field; a process that does not know eras states positions of era zero, which later eras do not take for fresh. StoreClient reads the header in all answers: a read at a position of an earlier era has expired, whatever its status; a page or batch of an earlier era is not used.

--- a/src/main/java/org/dogwoodwinch/daemon/ConfigurationReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ConfigurationReader.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Set;
 import org.dogwoodwinch.follow.KeyedRecord;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.StreamListener;
 import org.dogwoodwinch.forwarding.RouteTable;
 import org.dogwoodwinch.logging.LogEvent;
@@ -41,14 +42,14 @@
             }
             LogEvent.of("configuration_read")
                     .with("version", table.version())
-                    .with("offset", record.offset())
+                    .with("offset", LogPosition.describe(record.offset()))
                     .with("routes", table.routesCount())
                     .with("keys", table.keysCount())
                     .with("inForce", inForce)
                     .info(log);
         } catch (IOException e) {
             LogEvent.of("configuration_not_understood")
-                    .with("offset", record.offset())
+                    .with("offset", LogPosition.describe(record.offset()))
                     .with("error", e.getMessage())
                     .warn(log);
         }
@@ -57,7 +58,9 @@
     /** A configuration is never removed: the last one stays in force until a newer one is read. */
     @Override
     public void onSnapshotComplete(Set<String> _keys, long endOffset) {
-        LogEvent.of("configurations_read_whole").with("endOffset", endOffset).info(log);
+        LogEvent.of("configurations_read_whole")
+                .with("endOffset", LogPosition.describe(endOffset))
+                .info(log);
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -190,6 +190,15 @@
         loadSharing.start();
     }
 
+    /**
+     * Begins a new era of the store, which may have lost what was written last.
+     *
+     * @param era the era that the store stated
+     */
+    void beginEra(long era) {
+        streams.beginEra(era);
+    }
+
     /** Stops announcing this instance. */
     void leave() {
         members.leave();
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -168,6 +168,7 @@
                 followerPolicy,
                 loads,
                 metrics);
+        store.onNewEra(this::beginEra);
         RateLimitShares limitShares =
                 new RateLimitShares(settings.instance().name(), fleet::assignmentMembers, time::monotonicMillis);
         TargetRateLimits limits = new TargetRateLimits(time::monotonicMillis, limitShares);
@@ -389,6 +390,11 @@
                 .toList();
     }
 
+    private void beginEra(long era) {
+        metrics.setStoreEra(era);
+        fleet.beginEra(era);
+    }
+
     private void closeIdleConnections(String targetId) {
         service.removeTarget(targetId);
     }
--- a/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamSharing.java
@@ -84,6 +84,15 @@
         return replicated;
     }
 
+    /**
+     * Begins a new era of the store in all streams.
+     *
+     * @param era the era that the store stated
+     */
+    void beginEra(long era) {
+        streams.values().forEach(stream -> stream.beginEra(era, "store"));
+    }
+
     /**
      * Returns the current snapshots, for an instance that a connection was just opened to and that may have no state.
      */
--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -35,6 +35,11 @@
  * first snapshot read, whichever arrives first. When the platform rejects a whole data centre, updates of a reader in
  * another data centre are used and forwarded.
  *
+ * <p>Failure: the store comes back from a copy. A publisher that still tells of the lost history would pass for fresh,
+ * and its records, kept in the backlog, would be delivered after the snapshot of the new history. Records, updates and
+ * reads of an earlier era than the latest known one are therefore discarded; positions carry the era
+ * ({@link LogPosition}), so that an instance that the store turns away learns it from the others.
+ *
  * <p>Load: targets renew their entries about once a second, which changes nothing. Sending these records to each
  * instance and decoding them there accounted for a third of the message cost of an idle fleet. The reader omits such
  * records from its updates, and an update without other records is delayed until the next heartbeat is due.
@@ -61,6 +66,7 @@
     private final RedundantRecordTracker redundantRecords;
     private final Deque<KeyedRecord> backlog = new ArrayDeque<>();
     private final Map<String, KeyedRecord> delivered = new LinkedHashMap<>();
+    private long era;
     private long deliveredEndOffset = -1;
     private boolean snapshotDelivered;
     private long backlogFirstOffset = -1;
@@ -130,7 +136,8 @@
                 return result;
             }
         }
-        platform.readSnapshotPage(afterKey).thenAccept(page -> {
+        platform.readSnapshotPage(afterKey).thenAccept(read -> {
+            ReadResult page = withoutEarlierEra(read);
             if (!(page instanceof ReadResult.Unavailable)) {
                 lastContactMillis = time.monotonicMillis();
             }
@@ -148,6 +155,9 @@
 
     @Override
     public CompletionStage<ReadResult> read(long fromOffset, long waitMillis) {
+        if (LogPosition.era(fromOffset) < era) {
+            return CompletableFuture.completedFuture(delivered(new ReadResult.Expired()));
+        }
         Optional<ReadResult> known = readBacklog(fromOffset);
         if (known.isPresent()) {
             return CompletableFuture.completedFuture(delivered(known.get()));
@@ -169,6 +179,9 @@
      * @param fromPredecessor whether the sender precedes this instance in the succession order
      */
     public void onUpdate(StreamUpdate update, boolean fromPredecessor) {
+        if (!isOfCurrentEra(update.nextOffset(), "peer")) {
+            return;
+        }
         if (fromPredecessor) {
             long until = time.monotonicMillis() - update.contactAgeMillis() + policy.maxAgeMillis();
             otherReaderFreshUntilMillis = Math.max(otherReaderFreshUntilMillis, until);
@@ -183,6 +196,9 @@
      * @param update the update, not null
      */
     public void onUpdateFromOtherDataCentre(StreamUpdate update) {
+        if (!isOfCurrentEra(update.nextOffset(), "peer")) {
+            return;
+        }
         long currentAgeMillis = ageMillis();
         boolean ownReadsFail = currentAgeMillis < 0 || currentAgeMillis > policy.maxAgeMillis();
         apply(update);
@@ -226,6 +242,48 @@
         return lastAnyContactMillis == Long.MIN_VALUE ? -1 : Math.max(0, nowMillis - lastAnyContactMillis);
     }
 
+    /**
+     * Begins a new era of the store, unless it is already known: what was received of an earlier one is discarded, and a
+     * pending read of an earlier one ends, so that the follower reads a snapshot.
+     *
+     * @param newEra the era that the store stated, to this instance or to another one
+     * @param source where it was learned, for logs, not null
+     */
+    public void beginEra(long newEra, String source) {
+        if (newEra <= era) {
+            return;
+        }
+        LogEvent.of("stream_era")
+                .with("stream", name)
+                .with("old", era)
+                .with("new", newEra)
+                .with("source", source)
+                .info(log);
+        era = newEra;
+        backlog.clear();
+        backlogFirstOffset = -1;
+        backlogEndOffset = -1;
+        unpublishedFromOffset = -1;
+        otherReaderFreshUntilMillis = Long.MIN_VALUE;
+        receivedSnapshot = Optional.empty();
+        pendingRead
+                .filter(read -> LogPosition.era(read.fromOffset) < era)
+                .ifPresent(read -> complete(read, new ReadResult.Expired()));
+    }
+
+    /** Returns whether a position belongs to the latest known era, after beginning a later one. */
+    private boolean isOfCurrentEra(long position, String source) {
+        beginEra(LogPosition.era(position), source);
+        return LogPosition.era(position) == era;
+    }
+
+    private ReadResult withoutEarlierEra(ReadResult read) {
+        if (read instanceof ReadResult.Page page && !isOfCurrentEra(page.endOffset(), "store")) {
+            return new ReadResult.Unavailable("page of an earlier era");
+        }
+        return read;
+    }
+
     private void apply(StreamUpdate update) {
         if (update.isSnapshot()) {
             receivedSnapshot = Optional.of(update);
@@ -304,6 +362,10 @@
     private void readPlatform(PendingRead read, long waitMillis) {
         read.readingPlatform = true;
         platform.read(read.fromOffset, waitMillis).thenAccept(result -> {
+            if (LogPosition.era(read.fromOffset) < era) {
+                // The read was ended when the era began.
+                return;
+            }
             if (!(result instanceof ReadResult.Unavailable)) {
                 lastContactMillis = time.monotonicMillis();
             }
--- a/src/main/java/org/dogwoodwinch/follow/StreamFollower.java
+++ b/src/main/java/org/dogwoodwinch/follow/StreamFollower.java
@@ -12,7 +12,8 @@
  *
  * <p>At the start, and whenever the records from which it would continue are no longer retained, it reads a snapshot in
  * pages. Since the pages are not consistent with each other, it then continues from the end offset of the first page,
- * so that a change between two pages is read again as a record. Replies and timers must arrive on one thread.
+ * so that a change between two pages is read again as a record. If the store comes back from a copy between two pages,
+ * the snapshot begins anew. Replies and timers must arrive on one thread.
  */
 public final class StreamFollower {
 
@@ -97,7 +98,16 @@
     }
 
     private void onPage(ReadResult.Page page) {
+        long era = LogPosition.era(page.endOffset());
+        if (afterKey.isPresent() && era != LogPosition.era(snapshotEndOffset)) {
+            afterKey = Optional.empty();
+            readPage();
+            return;
+        }
         if (afterKey.isEmpty()) {
+            if (snapshotEndOffset >= 0 && era > LogPosition.era(snapshotEndOffset)) {
+                listener.onStoreCameBack();
+            }
             snapshotEndOffset = page.endOffset();
             snapshotKeys = new HashSet<>();
         }
--- a/src/main/java/org/dogwoodwinch/follow/StreamListener.java
+++ b/src/main/java/org/dogwoodwinch/follow/StreamListener.java
@@ -24,6 +24,13 @@
      */
     void onSnapshotComplete(Set<String> keys, long endOffset);
 
+    /**
+     * Called before the first snapshot of a new era of the store, which has come back from a copy. The copy lacks what
+     * was written last, and much of that is written again within seconds: what the snapshot lacks is not a deletion yet,
+     * and what it holds may be older than what is known.
+     */
+    default void onStoreCameBack() {}
+
     /** Called when a read succeeds after a series of failed reads. */
     void onReconnected();
 
--- a/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
+++ b/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
@@ -52,6 +52,9 @@
     static final AsciiString DUTY_HOLDER = AsciiString.cached("duty-holder");
 
     static final AsciiString FENCING_TOKEN = AsciiString.cached("fence-token");
+    /** A number that the store states in all its answers; it rises each time the store comes back from a copy. */
+    static final AsciiString STORE_ERA = AsciiString.cached("store-era");
+
     static final AsciiString KEEP_ALIVE = AsciiString.cached("keep-alive");
     static final AsciiString PROXY_CONNECTION = AsciiString.cached("proxy-connection");
 
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -16,16 +16,22 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongConsumer;
+import java.util.regex.Pattern;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.JsonTrees;
 import org.dogwoodwinch.follow.ConditionalLog;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
 import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
+import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ControlReply;
 import org.dogwoodwinch.relay.ControlRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Reads and writes the keyed streams and logs of the platform's store. */
 public final class StoreClient {
@@ -39,15 +45,22 @@
     /** The topic in which targets register themselves. */
     public static final String TARGETS_TOPIC = "keyed.servers";
 
+    private static final Logger log = LoggerFactory.getLogger(StoreClient.class);
+    private static final long UNKNOWN_ERA = -1;
     private static final int OK = 200;
     private static final int GONE = 410;
     private static final int PRECONDITION_FAILED = 412;
     private static final int RECORD_LENGTH_BYTES = 4;
     private static final int READ_HEADER_BYTES = 16;
 
+    /** Eras that a position can hold. */
+    private static final Pattern ERA = Pattern.compile("\\d{1,6}");
+
     private final ControlClient controlCaller;
     private final InetSocketAddress address;
     private final long timeoutMillis;
+    private final List<LongConsumer> eraListeners = new ArrayList<>();
+    private long latestEra = UNKNOWN_ERA;
 
     /**
      * Creates a client.
@@ -62,11 +75,21 @@
         this.timeoutMillis = timeoutMillis;
     }
 
+    /**
+     * Registers a listener that is notified when an answer shows that the store has come back from a copy. What this
+     * system has written shortly before may be lost then.
+     *
+     * @param listener receives the new era, not null
+     */
+    public void onNewEra(LongConsumer listener) {
+        eraListeners.add(Objects.requireNonNull(listener, "listener"));
+    }
+
     /**
      * Returns a reader of a keyed stream.
      *
      * @param topic the topic, not null
-     * @return the stream of the topic's only partition
+     * @return the stream of the topic's only partition; its offsets are positions ({@link LogPosition})
      */
     public KeyedStream keyed(String topic) {
         return new KeyedStream() {
@@ -74,13 +97,13 @@
             public CompletionStage<ReadResult> readSnapshotPage(Optional<String> afterKey) {
                 QueryStringEncoder uri = partitionUri("/log-newest", topic);
                 afterKey.ifPresent(key -> uri.addParam("after", key));
-                return sendGet(uri, timeoutMillis).thenApply(StoreClient::parsePage);
+                return sendGet(uri, timeoutMillis).thenApply(StoreClient.this::parsePage);
             }
 
             @Override
             public CompletionStage<ReadResult> read(long fromOffset, long waitMillis) {
                 QueryStringEncoder uri = partitionUri("/log-read", topic);
-                uri.addParam("from", Long.toString(fromOffset));
+                uri.addParam("from", Long.toString(LogPosition.offset(fromOffset)));
                 uri.addParam("waitMs", Long.toString(waitMillis));
                 return sendGet(uri, waitMillis + timeoutMillis).thenApply(reply -> parseBatch(reply, fromOffset));
             }
@@ -100,8 +123,7 @@
                     partitionUri("/log-append", topic).toString(),
                     new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
                     encodeRecord(key, value));
-            return controlCaller
-                    .call(address, call, timeoutMillis)
+            return send(call, timeoutMillis)
                     .thenApply(reply -> reply instanceof ControlReply.Answered answered && answered.status() == OK);
         };
     }
@@ -110,12 +132,12 @@
      * Returns a log that appends a record only if the log ends at the expected offset.
      *
      * @param topic the topic, not null
-     * @return the log in the topic's only partition
+     * @return the log in the topic's only partition; its offsets are positions ({@link LogPosition})
      */
     public ConditionalLog log(String topic) {
         return (content, endOffset) -> {
             QueryStringEncoder uri = partitionUri("/log-append", topic);
-            uri.addParam("at", Long.toString(endOffset));
+            uri.addParam("at", Long.toString(LogPosition.offset(endOffset)));
             ByteBuffer record = ByteBuffer.allocate(RECORD_LENGTH_BYTES + content.length());
             record.putInt(content.length()).put(content.toByteArray());
             ControlRequest call = new ControlRequest(
@@ -123,7 +145,7 @@
                     uri.toString(),
                     new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
                     Bytes.of(record.array()));
-            return controlCaller.call(address, call, timeoutMillis).thenApply(StoreClient::parseAppendReply);
+            return send(call, timeoutMillis).thenApply(this::parseAppendReply);
         };
     }
 
@@ -146,17 +168,19 @@
         return Bytes.of(content.array());
     }
 
-    private static ConditionalLog.Appended parseAppendReply(ControlReply reply) {
+    private ConditionalLog.Appended parseAppendReply(ControlReply reply) {
         if (!(reply instanceof ControlReply.Answered answered)) {
             return new ConditionalLog.Unknown(((ControlReply.Lost) reply).reason());
         }
         try {
             JsonNode root = JsonTrees.read(answered.body().toByteArray());
             if (answered.status() == OK && root.path("offset").isIntegralNumber()) {
-                return new ConditionalLog.Written(root.path("offset").asLong());
+                return new ConditionalLog.Written(
+                        LogPosition.of(era(answered), root.path("offset").asLong()));
             }
             if (answered.status() == PRECONDITION_FAILED && root.path("end").isIntegralNumber()) {
-                return new ConditionalLog.EndOffsetMismatch(root.path("end").asLong());
+                return new ConditionalLog.EndOffsetMismatch(
+                        LogPosition.of(era(answered), root.path("end").asLong()));
             }
             return new ConditionalLog.Unknown("status " + answered.status());
         } catch (IOException e) {
@@ -179,16 +203,46 @@
     }
 
     private CompletionStage<ControlReply> sendGet(QueryStringEncoder uri, long timeoutMillis) {
-        return controlCaller.call(
-                address,
+        return send(
                 new ControlRequest(HttpMethod.GET, uri.toString(), EmptyHttpHeaders.INSTANCE, Bytes.EMPTY),
                 timeoutMillis);
     }
 
-    private static ReadResult parsePage(ControlReply reply) {
+    private CompletionStage<ControlReply> send(ControlRequest call, long timeoutMillis) {
+        return controlCaller.call(address, call, timeoutMillis).thenApply(reply -> {
+            if (reply instanceof ControlReply.Answered answered) {
+                observeEra(era(answered));
+            }
+            return reply;
+        });
+    }
+
+    /** Returns the era that an answer states; zero if it states none that can be read. */
+    private static long era(ControlReply.Answered answered) {
+        String text = answered.headers().get(HeaderNames.STORE_ERA);
+        return text != null && ERA.matcher(text).matches() ? Long.parseLong(text) : 0;
+    }
+
+    private void observeEra(long era) {
+        if (era <= latestEra) {
+            return;
+        }
+        long previous = latestEra;
+        latestEra = era;
+        LogEvent.of("store_era").with("old", previous).with("new", era).info(log);
+        if (previous != UNKNOWN_ERA) {
+            eraListeners.forEach(listener -> listener.accept(era));
+        }
+    }
+
+    private ReadResult parsePage(ControlReply reply) {
         if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
             return toUnavailable(reply);
         }
+        long era = era(answered);
+        if (era < latestEra) {
+            return new ReadResult.Unavailable(earlierEra(era));
+        }
         try {
             JsonNode root = JsonTrees.read(answered.body().toByteArray());
             List<KeyedRecord> records = new ArrayList<>();
@@ -197,28 +251,38 @@
                         Bytes.of(Base64.getDecoder().decode(item.path("value").asText()));
                 records.add(new KeyedRecord(
                         item.path("key").asText(),
-                        item.path("offset").asLong(),
+                        LogPosition.of(era, item.path("offset").asLong()),
                         value.length() == 0 ? Optional.empty() : Optional.of(value)));
             }
             return new ReadResult.Page(
                     records,
                     root.path("truncated").asBoolean(),
-                    root.path("end").asLong());
+                    LogPosition.of(era, root.path("end").asLong()));
         } catch (IOException | IllegalArgumentException e) {
             return new ReadResult.Unavailable("invalid page: " + e.getMessage());
         }
     }
 
-    private static ReadResult parseBatch(ControlReply reply, long fromOffset) {
-        if (reply instanceof ControlReply.Answered expired && expired.status() == GONE) {
-            return new ReadResult.Expired();
-        }
-        if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
+    /** An answer of a later era has other records at the requested offset, even if the store holds that offset. */
+    private ReadResult parseBatch(ControlReply reply, long fromOffset) {
+        if (!(reply instanceof ControlReply.Answered answered)
+                || (answered.status() != OK && answered.status() != GONE)) {
             return toUnavailable(reply);
         }
+        long era = era(answered);
+        if (era < latestEra) {
+            return new ReadResult.Unavailable(earlierEra(era));
+        }
+        if (answered.status() == GONE || era != LogPosition.era(fromOffset)) {
+            return new ReadResult.Expired();
+        }
         return parseRecords(ByteBuffer.wrap(answered.body().toByteArray()), fromOffset);
     }
 
+    private String earlierEra(long era) {
+        return "answer of an earlier era: " + era + ", known " + latestEra;
+    }
+
     private static ReadResult parseRecords(ByteBuffer buffer, long fromOffset) {
         if (buffer.remaining() < READ_HEADER_BYTES) {
             return new ReadResult.Unavailable("answer too short: less than " + READ_HEADER_BYTES + " bytes");
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -38,6 +38,7 @@
     private final Gauge targets;
     private final Gauge rateLimitedTargets;
     private final Gauge storeReachable;
+    private final Gauge storeEra;
     private final Histogram firstByte;
     private final Histogram complete;
 
@@ -96,6 +97,9 @@
         this.targets = gauge("dogwoodwinch_targets_ready", "Targets that may get new work.");
         this.rateLimitedTargets = gauge("dogwoodwinch_targets_limited", "Targets that name a limit in their answers.");
         this.storeReachable = gauge("dogwoodwinch_store_reachable", "1 while the platform's store answers.");
+        this.storeEra = gauge(
+                "dogwoodwinch_store_era",
+                "The store's era since it last came back from a copy; 0 while it has not since this process started.");
         this.firstByte = histogram("dogwoodwinch_forwarded_first_byte_seconds", "Arrival to the answer's first byte.");
         this.complete = histogram("dogwoodwinch_forwarded_whole_seconds", "Arrival to the answer's end.");
         configurationVersion.set(-1);
@@ -143,6 +147,15 @@
         storeReachable.set(reachable ? 1 : 0);
     }
 
+    /**
+     * Sets the era of the store after it has come back from a copy.
+     *
+     * @param era the era that it states
+     */
+    public void setStoreEra(long era) {
+        storeEra.set((double) era);
+    }
+
     /**
      * Returns the counter of bytes sent to other instances on a topic. Callers keep it, since messages are too frequent
      * for a label lookup each time.
--- a/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
@@ -19,6 +19,7 @@
 import org.dogwoodwinch.follow.FollowerPolicy;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
 import org.dogwoodwinch.follow.ReplicaPolicy;
 import org.dogwoodwinch.follow.StreamFollower;
@@ -50,6 +51,7 @@
     final List<Member> members = new ArrayList<>();
     private final UniformRandomProvider random;
     private final List<Long> writtenAtMillis = new ArrayList<>();
+    private int era;
     private final List<Runnable> pendingReads = new ArrayList<>();
     final Map<String, Integer> storeCallsByMember = new HashMap<>();
     int storeCallCount;
@@ -81,6 +83,23 @@
         reads.forEach(Runnable::run);
     }
 
+    /**
+     * Lets the store come back from a copy that lacks its last records; their offsets are given out again. Pending
+     * reads go on.
+     */
+    void loseLastRecords(int count) {
+        int remaining = Math.max(0, writtenAtMillis.size() - count);
+        writtenAtMillis.subList(remaining, writtenAtMillis.size()).clear();
+        era++;
+    }
+
+    /** Returns the positions of all records that the store holds. */
+    List<Long> positions() {
+        return IntStream.range(0, writtenAtMillis.size())
+                .mapToObj(offset -> LogPosition.of(era, offset))
+                .toList();
+    }
+
     long writtenAtMillis(long offset) {
         return writtenAtMillis.get((int) offset);
     }
@@ -266,7 +285,8 @@
 
         @Override
         public CompletionStage<ReadResult> readSnapshotPage(Optional<String> _afterKey) {
-            return completeLater(0, () -> new ReadResult.Page(List.of(), false, 0));
+            return completeLater(
+                    0, () -> new ReadResult.Page(recordsFrom(0), false, LogPosition.of(era, writtenAtMillis.size())));
         }
 
         @Override
@@ -279,7 +299,7 @@
                 pendingReads.remove(completion[0]);
                 completeLater(0, () -> readBatch(fromOffset)).thenAccept(result::complete);
             };
-            if (fromOffset < writtenAtMillis.size()) {
+            if (LogPosition.era(fromOffset) != era || LogPosition.offset(fromOffset) < writtenAtMillis.size()) {
                 completion[0].run();
             } else {
                 pendingReads.add(completion[0]);
@@ -293,11 +313,19 @@
         }
 
         private ReadResult readBatch(long fromOffset) {
+            if (LogPosition.era(fromOffset) != era) {
+                return new ReadResult.Expired();
+            }
+            long from = LogPosition.offset(fromOffset);
+            return new ReadResult.Batch(recordsFrom(from), LogPosition.of(era, Math.max(from, writtenAtMillis.size())));
+        }
+
+        private List<KeyedRecord> recordsFrom(long fromOffset) {
             List<KeyedRecord> records = new ArrayList<>();
             for (long offset = fromOffset; offset < writtenAtMillis.size(); offset++) {
-                records.add(new KeyedRecord("k" + offset, offset, Optional.of(Bytes.ofUtf8("v"))));
+                records.add(new KeyedRecord("k" + offset, LogPosition.of(era, offset), Optional.of(Bytes.ofUtf8("v"))));
             }
-            return new ReadResult.Batch(records, Math.max(fromOffset, writtenAtMillis.size()));
+            return records;
         }
 
         private CompletionStage<ReadResult> completeLater(long extraDelayMillis, Supplier<ReadResult> resultSupplier) {
--- a/src/test/java/org/dogwoodwinch/follow/StreamFollowerTest.java
+++ b/src/test/java/org/dogwoodwinch/follow/StreamFollowerTest.java
@@ -65,6 +65,20 @@
         assertEquals(List.of("a@3", "b@4", "snapshot [a, b] to 5"), events);
     }
 
+    /** Guards against a snapshot of which one page is from before and one from after a copy of the store. */
+    @Test
+    void snapshotBeginsAnewIfStoreComesBackBetweenPages() {
+        follower.start();
+        reply(new ReadResult.Page(List.of(record("a", 3)), true, 5));
+        reply(new ReadResult.Page(List.of(record("b", LogPosition.of(1, 1))), false, LogPosition.of(1, 2)));
+        reply(new ReadResult.Page(List.of(record("b", LogPosition.of(1, 1))), false, LogPosition.of(1, 2)));
+
+        assertEquals(List.of("newest ", "newest a", "newest ", "read " + LogPosition.of(1, 2)), calls);
+        assertEquals(
+                List.of("a@3", "came back", "b@" + LogPosition.of(1, 1), "snapshot [b] to " + LogPosition.of(1, 2)),
+                events);
+    }
+
     @Test
     void readsNextBatchAfterPause() {
         follower.start();
@@ -139,6 +153,11 @@
             events.add("snapshot " + new TreeSet<>(keys) + " to " + endOffset);
         }
 
+        @Override
+        public void onStoreCameBack() {
+            events.add("came back");
+        }
+
         @Override
         public void onReconnected() {
             events.add("reconnected");
