Believe neither removals nor returns of targets from a copy of the store

Callers would see: refusals while all targets that a copy lacks count as removed, and calls to targets that have left, since the copy lists them as ready.

TargetsReader gives what it lacks the grace period that an outage gives; an entry of a target that is known to have been removed counts only when it is written again, which a living target does about once a second. A target whose entry was draining stays draining until it starts again, also by a later entry, as it does after an answer.

--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.dogwoodwinch.follow.KeyedRecord;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.StreamListener;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.TargetDirectory;
@@ -24,6 +25,10 @@
  * When the store returns, all targets seem to be gone for a moment, and every call would be refused. The entries return
  * within about two seconds, so an expiry that is read just after an outage takes effect only after a grace period. The
  * grace period stays below the time within which a target that is really gone must get no more calls.
+ *
+ * <p>Failure: the store comes back from a copy, in which a target that was removed since is still listed, and calls are
+ * sent to an address that nobody or another target has. Such an entry counts only when it is written again, which a
+ * target that is alive does about once a second; and what the copy lacks is removed only after the grace period.
  */
 final class TargetsReader implements StreamListener {
 
@@ -38,6 +43,7 @@
     private long reconnectedAtMillis = Long.MIN_VALUE / 2;
     private boolean connected = true;
     private boolean hasReadSnapshot;
+    private boolean readingCopy;
 
     TargetsReader(
             TargetDirectory directory,
@@ -60,11 +66,18 @@
     @Override
     public void onRecord(KeyedRecord record) {
         Optional<Incarnation> listed = decode(record);
+        if (readingCopy && listed.isPresent() && directory.isRemoved(record.key())) {
+            LogEvent.of("target_only_in_copy")
+                    .with("target", record.key())
+                    .with("offset", LogPosition.describe(record.offset()))
+                    .info(log);
+            return;
+        }
         if (listed.isEmpty() && isExpiredInOutage(record.key())) {
             pendingExpiries.add(record.key());
             LogEvent.of("target_lapsed_in_outage")
                     .with("target", record.key())
-                    .with("offset", record.offset())
+                    .with("offset", LogPosition.describe(record.offset()))
                     .info(log);
             time.schedule(expiryGraceMillis, () -> applyExpiry(record));
             return;
@@ -96,7 +109,7 @@
         Optional<Incarnation> current = directory.find(id);
         LogEvent.of("target_listed")
                 .with("target", id)
-                .with("offset", offset)
+                .with("offset", LogPosition.describe(offset))
                 .with("service", current.map(Incarnation::service).orElse(""))
                 .with("address", current.map(Incarnation::address).orElse(""))
                 .with("stage", current.map(Incarnation::stage).orElse(null))
@@ -160,6 +173,7 @@
     @Override
     public void onSnapshotComplete(Set<String> keys, long endOffset) {
         hasReadSnapshot = true;
+        readingCopy = false;
         if (time.monotonicMillis() - reconnectedAtMillis < expiryGraceMillis) {
             time.schedule(expiryGraceMillis, () -> retainListed(keys, endOffset));
         } else {
@@ -174,6 +188,13 @@
         }
     }
 
+    @Override
+    public void onStoreCameBack() {
+        readingCopy = true;
+        reconnectedAtMillis = time.monotonicMillis();
+        LogEvent.of("store_came_back").with("stream", "targets").info(log);
+    }
+
     @Override
     public void onReconnected() {
         connected = true;
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -53,6 +53,8 @@
         if (previous != null && (previous.offset >= offset || previous.startedAfter(incarnation))) {
             return false;
         }
+        // A copy of the store may hold an entry of the same incarnation in which it was still ready.
+        incarnation.filter(Incarnation::draining).ifPresent(each -> leaving.record(id, each.startedMillis()));
         Optional<Incarnation> current = incarnation.map(each -> leaving.contains(each) ? each.asDraining() : each);
         boolean changed = previous == null || !previous.incarnation.equals(current);
         putEntry(id, new Entry(offset, current));
@@ -187,6 +189,17 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns whether a target is known to have been removed.
+     *
+     * @param id the target's id, not null
+     * @return whether the last record of the target removed it
+     */
+    public boolean isRemoved(String id) {
+        Entry entry = entries.get(id);
+        return entry != null && entry.incarnation.isEmpty();
+    }
+
     /**
      * Returns a target.
      *
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -11,6 +11,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.KeyedRecord;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.KvCacheIndex;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
@@ -155,6 +156,43 @@
         assertEquals(List.of("a"), readyTargetIds());
     }
 
+    /** Failure: the store came back from a copy, and the targets that it lacks are taken for gone at once. */
+    @Test
+    void targetThatCopyLacksIsRemovedOnlyIfItIsNotWrittenAgain() {
+        putEntry("a", "ready");
+        putEntry("b", "ready");
+        putEntry("c", "ready");
+        offset = LogPosition.of(1, 1);
+        reader.onStoreCameBack();
+        putEntry("c", "ready");
+        reader.onSnapshotComplete(Set.of("c"), offset);
+        assertEquals(List.of("a", "b", "c"), readyTargetIds());
+
+        time.advanceMillis(LAPSE_GRACE_MILLIS / 2);
+        putEntry("a", "ready");
+        time.advanceMillis(LAPSE_GRACE_MILLIS);
+
+        assertEquals(List.of("a", "c"), readyTargetIds());
+    }
+
+    /** Failure: a copy lists targets that have since left, and they get calls again. */
+    @Test
+    void copyRestoresNeitherLeavingNorRemovedTargets() {
+        putEntry("a", "ready");
+        putEntry("a", "draining");
+        putEntry("b", "ready");
+        removeEntry("b");
+        offset = LogPosition.of(1, 1);
+        reader.onStoreCameBack();
+        putEntry("a", "ready");
+        putEntry("b", "ready");
+        reader.onSnapshotComplete(Set.of("a", "b"), offset);
+        assertEquals(List.of(), readyTargetIds());
+
+        putEntry("b", "ready");
+        assertEquals(List.of("b"), readyTargetIds(), "it was written again after the copy");
+    }
+
     /** The history was dropped, so the outage ends with a snapshot; an entry that it lacks may merely have lapsed. */
     @Test
     void snapshotAfterOutageTakesEffectAfterGracePeriod() {
