Claim no lease by an append into another era than was read

Callers would see: two instances that order or report at once, and a rightful holder that is refused, since its fencing token is lower than one of the lost history.

Cause: a copy may lack the record of a holder whose lease is still valid; the next append at the old end succeeds and claimed the lease at once. Tokens were bare offsets.

Change: an append that was written in another era than its expected end only shows the end of the log; the lease is claimed once a lease of the lost history has lapsed. The token is the record's position and rises with the era. A holder that has never seen the log waits once as well, unless the store has never come back: without that, a start right after a copy claimed at once.

--- a/src/main/java/org/dogwoodwinch/daemon/LogLease.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LogLease.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.ConditionalLog;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -51,6 +52,10 @@
         long claimedMillis = time.monotonicMillis();
         long claimedWallMillis = time.wallMillis();
         return records.append(content, expectedEnd).thenApply(appended -> {
+            if (appended instanceof ConditionalLog.Written written && isOfOtherEra(written.offset(), expectedEnd)) {
+                lease.recordForeignEnd(written.offset() + 1, time.monotonicMillis());
+                return new Outcome(appended, Optional.empty());
+            }
             if (appended instanceof ConditionalLog.Written written) {
                 lease.recordWritten(written.offset());
                 return new Outcome(
@@ -65,6 +70,14 @@
         });
     }
 
+    /**
+     * Returns whether the store came back from a copy between the last look at the log and an append. The copy may lack
+     * the record of another holder whose lease is valid, so the append claims nothing and only shows the end of the log.
+     */
+    private static boolean isOfOtherEra(long writtenOffset, long expectedEnd) {
+        return LogPosition.era(writtenOffset) != LogPosition.era(expectedEnd);
+    }
+
     /** Returns whether an order or a call may still be sent under a claim, also after a suspension of this process. */
     boolean isValid(Claim claim) {
         return lease.isValid(time.monotonicMillis() - claim.claimedMillis, time.wallMillis() - claim.claimedWallMillis);
@@ -81,7 +94,7 @@
     /**
      * A record that permits orders or calls for a short time after it was sent to the log.
      *
-     * @param token the record's offset, which is the fencing token
+     * @param token the record's position, which is the fencing token; it rises with the era of the store, too
      * @param claimedMillis when the record was sent, in monotonic milliseconds
      * @param claimedWallMillis the same by the wall clock, which counts a suspension
      */
