Announce an instance again when the store comes back from a copy

Change: each instance announces itself at the first answer of a new era, and a member that the copy lacks stays until it expires.

Evidence: two tests in MemberListTest; the mutant that drops members at once is killed.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -197,6 +197,7 @@
      */
     void beginEra(long era) {
         streams.beginEra(era);
+        members.announceAgain();
     }
 
     /** Stops announcing this instance. */
--- a/src/main/java/org/dogwoodwinch/peer/MemberList.java
+++ b/src/main/java/org/dogwoodwinch/peer/MemberList.java
@@ -14,6 +14,7 @@
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.StreamListener;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.time.TimeSource;
@@ -54,6 +55,8 @@
     private final Map<String, Announcement> announcements = new HashMap<>();
     private boolean leaving;
     private boolean snapshotRead;
+    private boolean readingCopy;
+    private Optional<PeerMember> self = Optional.empty();
     private boolean everAnnounced;
     private boolean lastAnnouncementStored;
     private boolean storeReachable = true;
@@ -88,6 +91,17 @@
         if (leaving) {
             return;
         }
+        this.self = Optional.of(self);
+        announce(self);
+        time.schedule(renewMillis, () -> start(self));
+    }
+
+    /** Announces this instance at once, because the store may have lost its last announcement. */
+    public void announceAgain() {
+        self.filter(_self -> !leaving).ifPresent(this::announce);
+    }
+
+    private void announce(PeerMember self) {
         long startMillis = time.monotonicMillis();
         writer.put(self.name(), Optional.of(encode(self))).thenAccept(written -> {
             if (written) {
@@ -98,7 +112,6 @@
             }
             updateStoreHealth(written, storeReachable);
         });
-        time.schedule(renewMillis, () -> start(self));
     }
 
     /** Deletes this instance's record and stops announcing it. */
@@ -223,17 +236,26 @@
                 .with(
                         "address",
                         member.map(each -> each.host() + ":" + each.peerPort()).orElse("left"))
-                .with("offset", record.offset())
+                .with("offset", LogPosition.describe(record.offset()))
                 .debug(log);
     }
 
     @Override
     public void onSnapshotComplete(Set<String> keys, long _endOffset) {
-        announcements.keySet().retainAll(keys);
+        if (!readingCopy) {
+            announcements.keySet().retainAll(keys);
+        }
+        readingCopy = false;
         invalidateOthers();
         snapshotRead = true;
     }
 
+    /** A member that the copy lacks announces itself again, or expires. */
+    @Override
+    public void onStoreCameBack() {
+        readingCopy = true;
+    }
+
     @Override
     public void onReconnected() {
         updateStoreHealth(lastAnnouncementStored, true);
--- a/src/test/java/org/dogwoodwinch/peer/MemberListTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/MemberListTest.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
@@ -13,6 +14,7 @@
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
 
@@ -62,6 +64,30 @@
         assertEquals(List.of(), names());
     }
 
+    /** Failure: a copy of the store lacks members that have not announced themselves again, and limits are divided anew. */
+    @Test
+    void memberThatCopyLacksStaysUntilItExpires() {
+        announce("i1");
+        announce("i2");
+        members.onStoreCameBack();
+        announce("i1");
+        members.onSnapshotComplete(Set.of("i1"), LogPosition.of(1, 1));
+        assertEquals(List.of("i1", "i2"), names());
+
+        time.advanceMillis(3 * RENEW_MILLIS + 1);
+        assertEquals(List.of(), names());
+    }
+
+    @Test
+    void instanceAnnouncesItselfAgainAtOnce() {
+        members.start(new PeerMember("i0", "10.0.0.1", 7_000, "dc"));
+        writer.lastValue = Optional.empty();
+
+        members.announceAgain();
+
+        assertTrue(writer.lastValue.isPresent());
+    }
+
     /** Guards against taking a part of a shared limit before the other instances are known. */
     @Test
     void countIsUnknownBeforeFirstSnapshot() {
