Decide no usage window again that a copy of the store may have lost

Callers would see: two different reports for one window, if the store loses the newest decisions and counts that arrived late are in the next one.

Change: at the first answer of a new era the reporter leaves out the windows that are over, one or two at most, as their decisions may be lost; publishers write their last counts again. A process that starts after the copy does not know when it was, and may still decide such a window: left open.

Evidence: UsageReporterTest, a holder and a successor after a copy that lacks two decisions.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -393,6 +393,7 @@
     private void beginEra(long era) {
         metrics.setStoreEra(era);
         fleet.beginEra(era);
+        usage.ifPresent(UsageComponents::beginEra);
     }
 
     private void closeIdleConnections(String targetId) {
--- a/src/main/java/org/dogwoodwinch/daemon/UsageComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsageComponents.java
@@ -76,6 +76,12 @@
         reporter.start();
     }
 
+    /** Writes what this instance has counted once more, because the store may have lost it, as it may decisions. */
+    void beginEra() {
+        publisher.publishAgain();
+        reporter.beginEra();
+    }
+
     /** Writes what has been counted since the last window, because this process ends. */
     CompletionStage<Boolean> flush() {
         return publisher.flush();
--- a/src/main/java/org/dogwoodwinch/daemon/UsagePublisher.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsagePublisher.java
@@ -88,6 +88,13 @@
         return all.countsByWindow().isEmpty() ? CompletableFuture.completedFuture(true) : write(all);
     }
 
+    /** Writes the last record of this instance once more, because the store may have lost it. */
+    void publishAgain() {
+        if (!writePending && !written.countsByWindow().isEmpty()) {
+            write(written);
+        }
+    }
+
     /**
      * Writes the windows that were over at a moment, unless they have been written as they are. An instance that has
      * become idle writes once more, so that nobody waits for its counts.
--- a/src/main/java/org/dogwoodwinch/daemon/UsageReporter.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsageReporter.java
@@ -14,6 +14,7 @@
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
 import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.logging.LogEvent;
@@ -35,6 +36,9 @@
  * platform gets two different counts for one window. A report is therefore appended to a log before it is sent, only if
  * the log ends where this instance last read it, and the record's offset is the fencing token. A successor reads there
  * which counts were decided, and sends those again.
+ *
+ * <p>Failure: the store comes back from a copy that lacks the newest decisions, and the same windows would be decided
+ * once more, from other counts. An instance therefore decides no window that was over when it learned of the copy.
  */
 final class UsageReporter {
 
@@ -51,6 +55,7 @@
     private final UsagePlanner planner;
     private final LogLease lease;
     private final TimeSource time;
+    private long firstWindow = Long.MIN_VALUE;
     private Optional<Long> knownDecided = Optional.empty();
     private Optional<Long> confirmedThrough = Optional.empty();
     private boolean pending;
@@ -102,6 +107,15 @@
         time.schedule(CHECK_INTERVAL_MILLIS, this::start);
     }
 
+    /** Leaves out the windows that are over, because the store came back from a copy and may have lost decisions. */
+    void beginEra() {
+        firstWindow = planner.windowAt(time.wallMillis());
+        LogEvent.of("usage_decisions_uncertain")
+                .with("decidedThrough", knownDecided.orElse(-1L))
+                .with("firstWindow", firstWindow)
+                .info(log);
+    }
+
     private void readReports() {
         dependencies.reports().readSnapshotPage(Optional.empty()).thenAccept(read -> {
             if (!(read instanceof ReadResult.Page page)) {
@@ -142,7 +156,7 @@
                 }
             }
         }
-        if (page.endOffset() == 0) {
+        if (LogPosition.offset(page.endOffset()) == 0) {
             return Optional.of(ReportedUsage.NONE);
         }
         LogEvent.of("usage_reports_missing").with("endOffset", page.endOffset()).warn(log);
@@ -182,7 +196,7 @@
 
     private void decide(ReportedUsage reported, Map<String, InstanceUsage> instances, long expectedEnd) {
         deleteOneObsolete(instances);
-        Optional<UsageReport> next = planner.nextReport(reported, instances.values(), time.wallMillis());
+        Optional<UsageReport> next = planner.nextReport(reported, instances.values(), firstWindow, time.wallMillis());
         ReportedUsage decided = next.map(reported::with).orElse(reported);
         if (unconfirmed(decided).isEmpty()) {
             pending = false;
--- a/src/main/java/org/dogwoodwinch/usage/UsagePlanner.java
+++ b/src/main/java/org/dogwoodwinch/usage/UsagePlanner.java
@@ -48,17 +48,29 @@
         return decidedThrough.isEmpty() || wallMillis >= endMillis(decidedThrough.get() + 1) + settleMillis;
     }
 
+    /**
+     * Returns the window at a moment.
+     *
+     * @param wallMillis the moment, in milliseconds since 1970
+     * @return its number
+     */
+    public long windowAt(long wallMillis) {
+        return Math.floorDiv(wallMillis, windowMillis);
+    }
+
     /**
      * Returns the report of the window after the decided ones, if it is time for it.
      *
      * @param reported the newest reports, not null
      * @param instances what the instances have published, not null
+     * @param firstWindow the first window that may be reported; reports of earlier ones may be lost and must not be
+     *     decided again
      * @param wallMillis now, in milliseconds since 1970
      * @return the report; empty if the window is not over, or counts may still arrive in time
      */
     public Optional<UsageReport> nextReport(
-            ReportedUsage reported, Collection<InstanceUsage> instances, long wallMillis) {
-        Optional<Long> window = nextWindow(reported, instances, wallMillis);
+            ReportedUsage reported, Collection<InstanceUsage> instances, long firstWindow, long wallMillis) {
+        Optional<Long> window = nextWindow(reported, instances, wallMillis).map(next -> Math.max(next, firstWindow));
         if (window.isEmpty()) {
             return Optional.empty();
         }
--- a/src/test/java/org/dogwoodwinch/daemon/UsageReporterTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/UsageReporterTest.java
@@ -19,6 +19,7 @@
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
 import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -45,30 +46,32 @@
     private UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(0);
     private double faultRate;
     private boolean reportsAreHidden;
+    private int era;
 
     private record Received(String holder, long token, UsageReport report, long atMillis, boolean isLate) {}
 
     private final class Instance {
 
         private final UsageCounter counter = new UsageCounter(WINDOW_MILLIS);
+        private final UsageReporter reporter;
         private boolean isAssigned;
         private boolean isAlive = true;
 
         Instance(String name) {
             new UsagePublisher(name, counter, countsWriter(), time, WINDOW_MILLIS).start();
-            new UsageReporter(
-                            new UsageReporter.Dependencies(
-                                    name,
-                                    () -> isAssigned && isAlive,
-                                    stream(() -> new ReadResult.Page(List.copyOf(counts.values()), false, 0)),
-                                    (key, _deleted) -> CompletableFuture.completedFuture(counts.remove(key) != null),
-                                    stream(UsageReporterTest.this::reportsPage),
-                                    reportAppender(),
-                                    this::send),
-                            new UsagePlanner(WINDOW_MILLIS, 2_500, DUE_MILLIS),
-                            new OrderLease(1_000, HOLDERS_APART_MILLIS + 500),
-                            time)
-                    .start();
+            this.reporter = new UsageReporter(
+                    new UsageReporter.Dependencies(
+                            name,
+                            () -> isAssigned && isAlive,
+                            stream(() -> new ReadResult.Page(List.copyOf(counts.values()), false, 0)),
+                            (key, _deleted) -> CompletableFuture.completedFuture(counts.remove(key) != null),
+                            stream(UsageReporterTest.this::reportsPage),
+                            reportAppender(),
+                            this::send),
+                    new UsagePlanner(WINDOW_MILLIS, 2_500, DUE_MILLIS),
+                    new OrderLease(1_000, HOLDERS_APART_MILLIS + 500),
+                    time);
+            reporter.start();
         }
 
         private KeyedWriter countsWriter() {
@@ -126,9 +129,10 @@
         return new ReadResult.Page(
                 end == 0 || reportsAreHidden
                         ? List.of()
-                        : List.of(new KeyedRecord(UsageReporter.KEY, end - 1, Optional.of(reportLog.get(end - 1)))),
+                        : List.of(new KeyedRecord(
+                                UsageReporter.KEY, LogPosition.of(era, end - 1), Optional.of(reportLog.get(end - 1)))),
                 false,
-                end);
+                LogPosition.of(era, end));
     }
 
     private ConditionalLog reportAppender() {
@@ -142,11 +146,11 @@
     }
 
     private ConditionalLog.Appended append(Bytes content, long end) {
-        if (end != reportLog.size()) {
-            return new ConditionalLog.EndOffsetMismatch(reportLog.size());
+        if (LogPosition.offset(end) != reportLog.size()) {
+            return new ConditionalLog.EndOffsetMismatch(LogPosition.of(era, reportLog.size()));
         }
         reportLog.add(content);
-        return new ConditionalLog.Written(end);
+        return new ConditionalLog.Written(LogPosition.of(era, reportLog.size() - 1));
     }
 
     private <T> CompletionStage<T> laterReply(T reply) {
@@ -256,6 +260,46 @@
         assertEquals(reportedCount, received.size());
     }
 
+    /** Failure: a copy of the store lacks the newest decisions, and their windows are decided again by other counts. */
+    @Test
+    void windowThatCopyDoesNotKnowIsNotDecidedAgainByItsHolder() {
+        startInstances();
+        play(30, () -> {});
+        loseLastDecisions(2);
+        instances.get(2).counter.recordStart("late", time.wallMillis() - 2 * WINDOW_MILLIS);
+        play(30, () -> {});
+
+        assertTrue(acceptedCounts().size() >= 10, acceptedCounts().keySet().toString());
+        assertTokensRise();
+    }
+
+    /** Failure: the duty moves to an instance that knows only the copy, which lacks the newest decisions. */
+    @Test
+    void windowThatCopyDoesNotKnowIsNotDecidedAgainBySuccessor() {
+        startInstances();
+        play(30, () -> {});
+        loseLastDecisions(2);
+        instances.get(2).counter.recordStart("late", time.wallMillis() - 2 * WINDOW_MILLIS);
+        instances.get(0).isAssigned = false;
+        instances.get(1).isAssigned = true;
+        play(30, () -> {});
+
+        acceptedCounts();
+        assertTokensRise();
+    }
+
+    private void loseLastDecisions(int count) {
+        reportLog.subList(reportLog.size() - count, reportLog.size()).clear();
+        era++;
+        instances.forEach(instance -> instance.reporter.beginEra());
+    }
+
+    private void assertTokensRise() {
+        for (int i = 1; i < received.size(); i++) {
+            assertTrue(received.get(i).token() >= received.get(i - 1).token(), received.toString());
+        }
+    }
+
     /**
      * Failure: instances take the duty from each other while answers are lost and calls arrive seconds late, and the
      * platform gets two different counts for one window, one token from two holders, or holders that take turns.
--- a/src/test/java/org/dogwoodwinch/usage/UsagePlannerTest.java
+++ b/src/test/java/org/dogwoodwinch/usage/UsagePlannerTest.java
@@ -9,6 +9,8 @@
 
 class UsagePlannerTest {
 
+    private static final long ANY_WINDOW = Long.MIN_VALUE;
+
     private static final long WINDOW_MILLIS = 5_000;
     private static final long END_OF_WINDOW_7 = 8 * WINDOW_MILLIS;
     private static final ReportedUsage DECIDED_6 = ReportedUsage.NONE.with(new UsageReport(6, Map.of("a", 1L)));
@@ -23,20 +25,20 @@
     void completeWindowIsReportedOnceCountsHaveSettled() {
         List<InstanceUsage> instances = List.of(usage(7, Map.of("a", 2L, "b", 1L)), usage(7, Map.of("a", 3L)));
 
-        assertEquals(Optional.empty(), planner.nextReport(DECIDED_6, instances, END_OF_WINDOW_7 + 2_499));
+        assertEquals(Optional.empty(), planner.nextReport(DECIDED_6, instances, ANY_WINDOW, END_OF_WINDOW_7 + 2_499));
         assertEquals(
                 Optional.of(new UsageReport(7, Map.of("a", 5L, "b", 1L))),
-                planner.nextReport(DECIDED_6, instances, END_OF_WINDOW_7 + 2_500));
+                planner.nextReport(DECIDED_6, instances, ANY_WINDOW, END_OF_WINDOW_7 + 2_500));
     }
 
     @Test
     void missingInstanceIsAwaitedUntilReportIsNearlyDue() {
         List<InstanceUsage> instances = List.of(usage(7, Map.of("a", 2L)), new InstanceUsage(6, Map.of()));
 
-        assertEquals(Optional.empty(), planner.nextReport(DECIDED_6, instances, END_OF_WINDOW_7 + 6_999));
+        assertEquals(Optional.empty(), planner.nextReport(DECIDED_6, instances, ANY_WINDOW, END_OF_WINDOW_7 + 6_999));
         assertEquals(
                 Optional.of(new UsageReport(7, Map.of("a", 2L))),
-                planner.nextReport(DECIDED_6, instances, END_OF_WINDOW_7 + 7_000));
+                planner.nextReport(DECIDED_6, instances, ANY_WINDOW, END_OF_WINDOW_7 + 7_000));
     }
 
     @Test
@@ -45,7 +47,7 @@
 
         assertEquals(
                 Optional.of(new UsageReport(7, Map.of("a", 2L))),
-                planner.nextReport(DECIDED_6, instances, END_OF_WINDOW_7 + 2_500));
+                planner.nextReport(DECIDED_6, instances, ANY_WINDOW, END_OF_WINDOW_7 + 2_500));
     }
 
     @Test
@@ -54,15 +56,17 @@
 
         assertEquals(
                 Optional.of(new UsageReport(7, Map.of("a", 2L))),
-                planner.nextReport(ReportedUsage.NONE, instances, END_OF_WINDOW_7 + 4_000));
-        assertEquals(Optional.empty(), planner.nextReport(ReportedUsage.NONE, List.of(), END_OF_WINDOW_7 + 4_000));
+                planner.nextReport(ReportedUsage.NONE, instances, ANY_WINDOW, END_OF_WINDOW_7 + 4_000));
+        assertEquals(
+                Optional.empty(),
+                planner.nextReport(ReportedUsage.NONE, List.of(), ANY_WINDOW, END_OF_WINDOW_7 + 4_000));
     }
 
     @Test
     void windowWithoutCallsIsReportedEmpty() {
         assertEquals(
                 Optional.of(new UsageReport(7, Map.of())),
-                planner.nextReport(DECIDED_6, List.of(), END_OF_WINDOW_7 + 2_500));
+                planner.nextReport(DECIDED_6, List.of(), ANY_WINDOW, END_OF_WINDOW_7 + 2_500));
     }
 
     @Test
@@ -91,4 +95,12 @@
         assertEquals(Map.of(), closed.countsIn(0));
         assertEquals(Map.of(), closed.countsIn(8));
     }
+
+    /** Failure: reports of windows that were over before a copy of the store are lost, and are decided again. */
+    @Test
+    void noWindowBeforeFirstOneIsReported() {
+        List<InstanceUsage> instances = List.of(usage(7, Map.of("a", 2L)));
+
+        assertEquals(Optional.empty(), planner.nextReport(DECIDED_6, instances, 8, END_OF_WINDOW_7 + 7_000));
+    }
 }
