--- a/src/test/java/org/dogwoodwinch/platform/EngineClientTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/EngineClientTest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
@@ -68,7 +69,7 @@
         StandInHandler laterStart = (_request, answer) -> answer.whole(
                 200,
                 Map.of("server-leaving", "1"),
-                "{\"stage\":\"decode\",\"busy\":false,\"seq\":0,\"born\":12}".getBytes());
+                "{\"stage\":\"decode\",\"busy\":false,\"seq\":0,\"born\":12}".getBytes(StandardCharsets.UTF_8));
         try (StandInListener listener = StandInListener.bind(loop, laterStart)) {
             await(client().orderState(listed(listener)));
 
