Test that a stopping or suspended instance keeps to the answers of targets

Cause: the cases of a stop with open connections and of a freeze between an answer and the write of a call had no test.

Measured: both pass; they take the same check before the write as all calls.

--- a/src/test/java/org/dogwoodwinch/relay/LeavingTargetTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/LeavingTargetTest.java
@@ -165,6 +165,37 @@
         assertTrue(relay.latestTargetConnection().takeReceived().contains("a2"));
     }
 
+    @Test
+    void stoppingInstanceSendsNothingThereForOpenConnections() {
+        RelayFixture relay = new RelayFixture().withRoutes().withPlainTarget("t1");
+        RelayFixture.FakeCaller caller = relay.connectCaller().send(RelayFixture.getRequest("/once/a", "a1"));
+        relay.latestTargetConnection().respond(leaving(RelayFixture.successResponse("a1", "own")));
+        assertTrue(caller.takeReceived().endsWith("own"));
+        relay.service.startDraining();
+
+        String refusal = caller.send(RelayFixture.getRequest("/once/a", "a2")).takeReceived();
+
+        assertTrue(refusal.startsWith("HTTP/1.1 503 "), refusal);
+        assertNothingReaches("t1", "a2", relay);
+    }
+
+    /** The process is suspended between the answer and the write of a call that waits for its connection. */
+    @Test
+    void callIsNotWrittenAfterSuspension() {
+        RelayFixture relay = new RelayFixture().withRoutes().withPlainTarget("t1");
+        relay.connectCaller().send(RelayFixture.getRequest("/stream/a", "a1"));
+        RelayFixture.FakeTargetConnection first = relay.latestTargetConnection();
+        relay.delayedTargetIds.add("t1");
+        relay.connectCaller().send(RelayFixture.getRequest("/stream/a", "a2"));
+        first.respond(leaving(RelayFixture.streamResponseHead("a1")));
+
+        relay.time.advanceMillis(5_000);
+        relay.service.closeIdleConnections();
+        relay.completeDelayedConnects();
+
+        assertNothingReaches("t1", "a2", relay);
+    }
+
     @Test
     void callUnderWayAtLeavingTargetIsAnswered() {
         RelayFixture relay = new RelayFixture().withRoutes().withPlainTarget("t1");
