--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -1,8 +1,5 @@
 package org.dogwoodwinch.follow;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,13 +61,11 @@
     private final IntSupplier ownRank;
     private final Publisher publisher;
     private final RedundantRecordTracker redundantRecords;
-    private final Deque<KeyedRecord> backlog = new ArrayDeque<>();
+    private final StreamBacklog backlog = new StreamBacklog(MAX_BACKLOG_RECORDS);
     private final Map<String, KeyedRecord> delivered = new LinkedHashMap<>();
     private long era;
     private long deliveredEndOffset = -1;
     private boolean snapshotDelivered;
-    private long backlogFirstOffset = -1;
-    private long backlogEndOffset = -1;
     private long otherReaderFreshUntilMillis = Long.MIN_VALUE;
     private long lastContactMillis = Long.MIN_VALUE;
     private long lastPublishMillis = Long.MIN_VALUE;
@@ -158,13 +153,13 @@
         if (LogPosition.era(fromOffset) < era) {
             return CompletableFuture.completedFuture(delivered(new ReadResult.Expired()));
         }
-        Optional<ReadResult> known = readBacklog(fromOffset);
+        Optional<ReadResult> known = backlog.read(fromOffset);
         if (known.isPresent()) {
             return CompletableFuture.completedFuture(delivered(known.get()));
         }
         PendingRead newRead = new PendingRead(fromOffset, waitMillis);
         pendingRead = Optional.of(newRead);
-        if (!isCoveredByOtherReader() || fromOffset < backlogEndOffset) {
+        if (!isCoveredByOtherReader() || backlog.endsAfter(fromOffset)) {
             readPlatform(newRead, isCoveredByOtherReader() ? 0 : waitMillis);
         } else {
             scheduleTakeover(newRead);
@@ -261,8 +256,6 @@
                 .info(log);
         era = newEra;
         backlog.clear();
-        backlogFirstOffset = -1;
-        backlogEndOffset = -1;
         unpublishedFromOffset = -1;
         otherReaderFreshUntilMillis = Long.MIN_VALUE;
         receivedSnapshot = Optional.empty();
@@ -293,7 +286,7 @@
             }
             return;
         }
-        addToBacklog(update.records(), update.firstOffset(), update.nextOffset());
+        backlog.add(update.records(), update.firstOffset(), update.nextOffset());
         pendingRead.ifPresent(this::completeFromBacklog);
     }
 
@@ -305,10 +298,10 @@
         if (read.readingPlatform && lastContactMillis > time.monotonicMillis() - policy.maxAgeMillis()) {
             return;
         }
-        Optional<ReadResult> known = readBacklog(read.fromOffset);
+        Optional<ReadResult> known = backlog.read(read.fromOffset);
         if (known.isPresent()) {
             complete(read, known.get());
-        } else if (!read.readingPlatform && read.fromOffset < backlogEndOffset) {
+        } else if (!read.readingPlatform && backlog.endsAfter(read.fromOffset)) {
             read.timer.cancel();
             readPlatform(read, 0);
         }
@@ -371,7 +364,7 @@
             }
             if (result instanceof ReadResult.Batch batch) {
                 boolean changed = redundantRecords.observe(read.fromOffset, batch.nextOffset(), batch.records());
-                addToBacklog(batch.records(), read.fromOffset, batch.nextOffset());
+                backlog.add(batch.records(), read.fromOffset, batch.nextOffset());
                 publishBatch(read.fromOffset, batch.nextOffset(), changed);
             }
             complete(read, result);
@@ -395,48 +388,15 @@
         if (!changed && !isHeartbeatDue) {
             return;
         }
-        long firstOffset = Math.max(unpublishedFromOffset, backlogFirstOffset);
-        List<KeyedRecord> records = backlog.stream()
-                .filter(record -> record.offset() >= firstOffset && !redundantRecords.isRedundant(record.offset()))
+        long firstOffset = Math.max(unpublishedFromOffset, backlog.firstOffset());
+        List<KeyedRecord> records = backlog.recordsFrom(firstOffset).stream()
+                .filter(record -> !redundantRecords.isRedundant(record.offset()))
                 .toList();
         lastPublishMillis = time.monotonicMillis();
         unpublishedFromOffset = -1;
         publisher.publish(new StreamUpdate(name, false, records, firstOffset, nextOffset, 0), true);
     }
 
-    private void addToBacklog(List<KeyedRecord> records, long firstOffset, long endOffset) {
-        if (endOffset <= backlogEndOffset) {
-            return;
-        }
-        if (firstOffset > backlogEndOffset || backlogFirstOffset < 0) {
-            backlog.clear();
-            backlogFirstOffset = firstOffset;
-        }
-        for (KeyedRecord record : records) {
-            if (record.offset() >= backlogEndOffset) {
-                backlog.addLast(record);
-            }
-        }
-        while (backlog.size() > MAX_BACKLOG_RECORDS) {
-            backlogFirstOffset = backlog.removeFirst().offset() + 1;
-        }
-        backlogEndOffset = endOffset;
-    }
-
-    /** Returns the records from an offset on, if the backlog holds all of them that are not redundant. */
-    private Optional<ReadResult> readBacklog(long fromOffset) {
-        if (backlogFirstOffset < 0 || fromOffset >= backlogEndOffset || backlogFirstOffset > fromOffset) {
-            return Optional.empty();
-        }
-        List<KeyedRecord> records = new ArrayList<>();
-        for (KeyedRecord record : backlog) {
-            if (record.offset() >= fromOffset) {
-                records.add(record);
-            }
-        }
-        return Optional.of(new ReadResult.Batch(records, backlogEndOffset));
-    }
-
     /**
      * Records a result that is delivered to the follower, so that snapshots for other instances match what the follower
      * received.
