--- a/src/main/java/org/dogwoodwinch/daemon/UsagePublisher.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsagePublisher.java
@@ -91,6 +91,9 @@
     /** Writes the last record of this instance once more, because the store may have lost it. */
     void publishAgain() {
         if (!writePending && !written.countsByWindow().isEmpty()) {
+            LogEvent.of("usage_written_again")
+                    .with("window", written.closedThrough())
+                    .info(log);
             write(written);
         }
     }
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetRests.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetRests.java
@@ -20,7 +20,7 @@
  */
 public final class TargetRests {
 
-    /** A longer rest would outlast the target that asks for it in most cases, so such a value is an error of its. */
+    /** A longer rest would outlast most targets that ask for it, so such a value is taken for an error of the target. */
     private static final long MAX_REST_MILLIS = 300_000;
 
     private static final double MAX_JITTER_RATIO = 0.2;
--- a/src/main/java/org/dogwoodwinch/peer/MemberList.java
+++ b/src/main/java/org/dogwoodwinch/peer/MemberList.java
@@ -98,7 +98,10 @@
 
     /** Announces this instance at once, because the store may have lost its last announcement. */
     public void announceAgain() {
-        self.filter(_self -> !leaving).ifPresent(this::announce);
+        self.filter(_self -> !leaving).ifPresent(each -> {
+            LogEvent.of("member_announced_again").with("member", each.name()).info(log);
+            announce(each);
+        });
     }
 
     private void announce(PeerMember self) {
