Take the first era that is stated for no copy of the store

Cause: an answer without the header, as something before the store may give, counted as era zero; the first real answer then looked like a copy, and announcements, counts and usage windows were treated so.

Change: only a stated era is observed.

Evidence: StoreClientTest.answerWithoutEraBeginsNone fails without the change (one new era), passes with it.

--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongConsumer;
 import java.util.regex.Pattern;
@@ -211,16 +212,22 @@
     private CompletionStage<ControlReply> send(ControlRequest call, long timeoutMillis) {
         return controlCaller.call(address, call, timeoutMillis).thenApply(reply -> {
             if (reply instanceof ControlReply.Answered answered) {
-                observeEra(era(answered));
+                statedEra(answered).ifPresent(this::observeEra);
             }
             return reply;
         });
     }
 
-    /** Returns the era that an answer states; zero if it states none that can be read. */
+    /** Returns the era of an answer; zero if it states none that can be read. */
     private static long era(ControlReply.Answered answered) {
+        return statedEra(answered).orElse(0);
+    }
+
+    private static OptionalLong statedEra(ControlReply.Answered answered) {
         String text = answered.headers().get(HeaderNames.STORE_ERA);
-        return text != null && ERA.matcher(text).matches() ? Long.parseLong(text) : 0;
+        return text != null && ERA.matcher(text).matches()
+                ? OptionalLong.of(Long.parseLong(text))
+                : OptionalLong.empty();
     }
 
     private void observeEra(long era) {
--- a/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
@@ -99,6 +99,16 @@
         assertEquals(List.of(), newEras);
     }
 
+    /** Guards against taking the first era that is stated for a copy, after an answer of something before the store. */
+    @Test
+    void answerWithoutEraBeginsNone() throws Exception {
+        falseEras.add("");
+        readSnapshot();
+        assertInstanceOf(ReadResult.Page.class, readSnapshot());
+
+        assertEquals(List.of(), newEras);
+    }
+
     @Test
     void unreadableEraCountsAsNone() throws Exception {
         for (String era : List.of("x", "-1", "", "99999999999999999999")) {
