Keep a request in quarantine when another crash of it is found later

Callers saw: a request that ends its target was refused by all instances but one.

Cause: onCrash wrote the status that follows from one crash. A call that lost its target is sent to a second one, and the second trial took the place of the first under the call's id. The first crash that was found then used up the second trial and put the request in quarantine; the second crash, found 2 to 1,400 ms later, had no trial and wrote a mere suspicion over it. Peers keep the quarantine, so only the instance that saw the crashes lost it. Its log shows it for each late send: QUARANTINED, then REPEATED_SUSPECT.

Change: a quarantine is kept, and told again, whatever a later crash proves; trials are held for each attempt and target; own trials end after their longest time, which only those of peers did.

Before: quarantineSurvivesCrashFoundLater and callIsNotSentAgainWhenSecondCrashOfItsRetryIsFoundLater fail (REPEATED_SUSPECT, and the call is sent again). After: both pass.

--- a/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
+++ b/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
@@ -31,7 +31,7 @@
     private final Consumer<SuspicionNotice> noticePublisher;
     private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
     private final Map<Long, Long> liftedAtMillis = new LinkedHashMap<>();
-    private final Map<String, Trial> ownTrials = new HashMap<>();
+    private final Map<TrialKey, Trial> ownTrials = new HashMap<>();
     private final Map<Long, Trial> peerTrials = new HashMap<>();
 
     /**
@@ -67,6 +67,7 @@
     @Override
     public synchronized Set<String> trialTargets() {
         long nowMillis = time.monotonicMillis();
+        ownTrials.values().removeIf(trial -> trial.untilMillis() <= nowMillis);
         peerTrials.values().removeIf(trial -> trial.untilMillis() <= nowMillis);
         Set<String> targets = new HashSet<>();
         ownTrials.values().forEach(trial -> targets.add(trial.target()));
@@ -76,26 +77,30 @@
 
     @Override
     public synchronized void onTrialStarted(long fingerprint, String attemptId, String target) {
-        ownTrials.put(attemptId, new Trial(fingerprint, target, time.monotonicMillis() + MAX_TRIAL_MILLIS));
+        ownTrials.put(
+                new TrialKey(attemptId, target),
+                new Trial(fingerprint, target, time.monotonicMillis() + MAX_TRIAL_MILLIS));
         noticePublisher.accept(new SuspicionNotice(SuspicionNotice.Kind.TRIAL, fingerprint, target, MAX_TRIAL_MILLIS));
     }
 
     @Override
     public synchronized void onCrash(long fingerprint, String attemptId, String target) {
-        Trial trial = ownTrials.remove(attemptId);
-        boolean conclusive = trial != null && !ranBesideOtherSuspect(trial);
+        Trial trial = ownTrials.remove(new TrialKey(attemptId, target));
+        // What proved the cause stays proved: a later crash without a trial of its own proves less and ends nothing.
+        boolean quarantined =
+                statusOf(fingerprint) == Status.QUARANTINED || (trial != null && !ranBesideOtherSuspect(trial));
         Suspect previous = suspects.get(fingerprint);
         int crashes = previous == null ? 1 : previous.crashes() + 1;
-        long durationMillis = conclusive ? quarantineMillis : suspicionMillis;
-        put(fingerprint, new Suspect(crashes, conclusive, time.monotonicMillis() + durationMillis));
-        SuspicionNotice.Kind kind = conclusive ? SuspicionNotice.Kind.QUARANTINED : SuspicionNotice.Kind.SUSPECT;
+        long durationMillis = quarantined ? quarantineMillis : suspicionMillis;
+        put(fingerprint, new Suspect(crashes, quarantined, time.monotonicMillis() + durationMillis));
+        SuspicionNotice.Kind kind = quarantined ? SuspicionNotice.Kind.QUARANTINED : SuspicionNotice.Kind.SUSPECT;
         noticePublisher.accept(new SuspicionNotice(kind, fingerprint, target, durationMillis));
         publishTrialEnd(trial);
     }
 
     @Override
     public synchronized void onAttemptEnded(long fingerprint, String attemptId, boolean completed) {
-        publishTrialEnd(ownTrials.remove(attemptId));
+        endTrials(attemptId);
         Suspect suspect = suspects.get(fingerprint);
         if (completed && suspect != null && !suspect.quarantined()) {
             suspects.remove(fingerprint);
@@ -196,6 +201,14 @@
                 && other.untilMillis() > nowMillis;
     }
 
+    /** Ends the trials of an attempt, of which there are several if it was sent again after it lost a target. */
+    private void endTrials(String attemptId) {
+        List<TrialKey> keys = ownTrials.keySet().stream()
+                .filter(key -> key.attemptId().equals(attemptId))
+                .toList();
+        keys.forEach(key -> publishTrialEnd(ownTrials.remove(key)));
+    }
+
     private void publishTrialEnd(Trial trial) {
         if (trial != null) {
             noticePublisher.accept(
@@ -220,5 +233,7 @@
 
     private record Suspect(int crashes, boolean quarantined, long untilMillis) {}
 
+    private record TrialKey(String attemptId, String target) {}
+
     private record Trial(long fingerprint, String target, long untilMillis) {}
 }
--- a/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
@@ -103,4 +103,29 @@
 
         assertEquals(Quarantine.Status.QUARANTINED, relay.suspects.statusOf(fingerprint));
     }
+
+    /** Guards against a call that ends target after target at the instance that finds the last crash. */
+    @Test
+    void callIsNotSentAgainWhenSecondCrashOfItsRetryIsFoundLater() {
+        String request = RelayFixture.postRequest("/safe/p", "p1", "", "poison");
+        for (int i = 0; i < 4; i++) {
+            listNewTarget();
+        }
+        for (int i = 0; i < 2; i++) {
+            relay.connectCaller().send(request);
+            RelayFixture.FakeTargetConnection first = relay.latestTargetConnection();
+            first.close();
+            RelayFixture.FakeTargetConnection second = relay.latestTargetConnection();
+            second.close();
+            crashTarget(first);
+            crashTarget(second);
+        }
+        listNewTarget();
+        int connectionsBefore = relay.targetConnections.size();
+
+        String response = relay.connectCaller().send(request).takeReceived();
+
+        assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+        assertEquals(connectionsBefore, relay.targetConnections.size());
+    }
 }
--- a/src/test/java/org/dogwoodwinch/request/SuspectRegistryTest.java
+++ b/src/test/java/org/dogwoodwinch/request/SuspectRegistryTest.java
@@ -62,4 +62,24 @@
         time.advanceMillis(600_001);
         assertEquals(Quarantine.Status.CLEAR, suspects.statusOf(CRASHING));
     }
+
+    /** Guards against a request that runs again because a second crash of the same call was found later. */
+    @Test
+    void quarantineSurvivesCrashFoundLater() {
+        suspects.onCrash(CRASHING, "a", "engine-0");
+        suspects.onTrialStarted(CRASHING, "b", "engine-1");
+        suspects.onTrialStarted(CRASHING, "b", "engine-2");
+        suspects.onCrash(CRASHING, "b", "engine-1");
+        suspects.onCrash(CRASHING, "b", "engine-2");
+        assertEquals(Quarantine.Status.QUARANTINED, suspects.statusOf(CRASHING));
+        assertEquals(
+                SuspicionNotice.Kind.QUARANTINED,
+                notices.stream()
+                        .filter(notice -> notice.target().equals("engine-2"))
+                        .filter(notice -> notice.kind() != SuspicionNotice.Kind.TRIAL
+                                && notice.kind() != SuspicionNotice.Kind.TRIAL_ENDED)
+                        .findFirst()
+                        .orElseThrow()
+                        .kind());
+    }
 }
