Count retries for one slice longer than the window of their budget

Callers of a large fleet saw repeats beyond the quota: 691 arrivals beyond the first for 2,339 requests in a window of 10 s, 624 allowed.

Cause: the budget keeps twenty slices of the window. What was taken late in a slice was free again when that slice was dropped, up to one slice (0.5 s) before the window had passed. A window that begins within a slice holds the rest of that slice and the beginning of the one that took its place; a fleet that the budget holds back spends its whole slack in both, so up to twice the slack and the ratio.

Change: retries count for one slice more than the window, requests for no more than the window as before. A retry is also taken a little before it arrives, which the same slice covers.

Before: slackIsNotSpentTwiceInAnyWindow (48 instances that always want more) fails at the window from 10 ms.

--- a/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
@@ -15,12 +15,14 @@
  *
  * <p>Failure: a service fails, every instance retries its calls, and the retries keep the service overloaded. The sum
  * over all instances stays below ratio times requests plus slack, because each instance observes its own part and the
- * shares add up to the slack. Counts are kept in slices of the window, so the bound holds for any window that begins
- * with a slice. Not thread-safe.
+ * shares add up to the slack. Counts are kept in slices. Retries are counted for one slice longer than the window: a
+ * window that begins within a slice contains the rest of that slice and the beginning of another, and a fleet that the
+ * budget holds back would otherwise spend its slack in both. Not thread-safe.
  */
 public final class RetryBudget {
 
-    private static final int SLICES_COUNT = 20;
+    private static final int WINDOW_SLICES_COUNT = 20;
+    private static final int RETAINED_SLICES_COUNT = WINDOW_SLICES_COUNT + 1;
 
     /**
      * Part of the ratio that is used. Requests are measured in the same time span as the retries, in the span before
@@ -48,7 +50,7 @@
         this.ratio = ratio * USABLE_RATIO;
         this.slackShare = Objects.requireNonNull(slackShare, "slackShare");
         this.slackAvailableFromMillis = startedMillis + windowMillis;
-        this.sliceMillis = Math.max(1, windowMillis / SLICES_COUNT);
+        this.sliceMillis = Math.max(1, windowMillis / WINDOW_SLICES_COUNT);
     }
 
     /**
@@ -103,7 +105,8 @@
     }
 
     private double allowedRetries(SlidingWindow window, long nowMillis) {
-        return ratio * sum(window.requests) + (nowMillis < slackAvailableFromMillis ? 0 : slackShare.getAsDouble());
+        return ratio * window.requestsInWindow()
+                + (nowMillis < slackAvailableFromMillis ? 0 : slackShare.getAsDouble());
     }
 
     private SlidingWindow window(String service) {
@@ -119,16 +122,21 @@
     }
 
     private static final class SlidingWindow {
-        private final int[] requests = new int[SLICES_COUNT];
-        private final int[] retries = new int[SLICES_COUNT];
+        private final int[] requests = new int[RETAINED_SLICES_COUNT];
+        private final int[] retries = new int[RETAINED_SLICES_COUNT];
         private long slice = Long.MIN_VALUE;
 
         int currentIndex() {
-            return Math.floorMod(slice, SLICES_COUNT);
+            return Math.floorMod(slice, RETAINED_SLICES_COUNT);
+        }
+
+        int requestsInWindow() {
+            int oldestIndex = Math.floorMod(slice + 1, RETAINED_SLICES_COUNT);
+            return sum(requests) - requests[oldestIndex];
         }
 
         void advanceTo(long currentSlice) {
-            if (slice == Long.MIN_VALUE || currentSlice - slice >= SLICES_COUNT) {
+            if (slice == Long.MIN_VALUE || currentSlice - slice >= RETAINED_SLICES_COUNT) {
                 Arrays.fill(requests, 0);
                 Arrays.fill(retries, 0);
                 slice = currentSlice;
