Quarantine a request under which three targets have ended, proved or not

Callers saw targets end again and again under one request. Only a conclusive trial put a request in quarantine: with another suspect on the same target, or a crash found after the trial, nothing counted. Peers' notices were added up one by one, so a crash that three instances saw counted as three.

Change: the registry keeps the targets that ended under a request, each once, whoever saw it. The third puts it in quarantine for a minute, since it may have been beside the cause each time; then it is tried alone, a success clears it, and one more crash puts it back. The instance that first counts three from peers' notices tells it, because one that starts later hears of the last notice alone.

Before: 4 of 5 new tests fail (REPEATED_SUSPECT where QUARANTINED is wanted; REPEATED_SUSPECT for one crash that is told by three). The fifth, on the wait of a harmless request, needs the new method. After: all pass. A harmless request that ran on three crashed targets is refused for 60 s at most.

--- a/src/main/java/org/dogwoodwinch/request/Quarantine.java
+++ b/src/main/java/org/dogwoodwinch/request/Quarantine.java
@@ -12,6 +12,11 @@
             return Status.CLEAR;
         }
 
+        @Override
+        public long quarantineRemainingMillis(long _fingerprint) {
+            return 0;
+        }
+
         @Override
         public Set<String> trialTargets() {
             return Set.of();
@@ -47,6 +52,14 @@
      */
     Status statusOf(long fingerprint);
 
+    /**
+     * Returns for how long a request remains in quarantine.
+     *
+     * @param fingerprint the request's fingerprint
+     * @return the time in milliseconds; zero if it is not in quarantine
+     */
+    long quarantineRemainingMillis(long fingerprint);
+
     /**
      * Returns the targets on which a suspect runs in a trial, so that other requests can avoid them.
      *
--- a/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
+++ b/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
@@ -18,13 +18,25 @@
  * <p>Every request in flight on a target that crashes becomes a suspect, whether or not it caused the crash. Suspects
  * then run alone, in a trial. A suspect that completes is cleared. A suspect that crashes its target again, with no
  * other suspect on the same target, is the cause and is quarantined. A crash during a trial that two suspects shared is
- * not conclusive, and both remain suspects. Thread-safe.
+ * not conclusive, and both remain suspects.
+ *
+ * <p>Failure: a request ends target after target, and no crash is conclusive, since other suspects run beside it or the
+ * crash is found after the trial. A request in flight on three targets that crashed is therefore quarantined without
+ * proof, for a shorter time: it may be harmless. After that it is tried alone. Thread-safe.
  */
 public final class SuspectRegistry implements Quarantine {
 
     private static final int MAX_SUSPECTS = 10_000;
     private static final long MAX_TRIAL_MILLIS = 60_000;
 
+    /** The number of crashed targets after which a request is quarantined without proof that it is the cause. */
+    private static final int MAX_ENDED_TARGETS = 3;
+
+    /** The duration of a quarantine without proof: one more crash a minute at most, and a short wait if harmless. */
+    private static final long UNPROVED_QUARANTINE_MILLIS = 60_000;
+
+    private static final long NEVER_MILLIS = Long.MIN_VALUE;
+
     private final TimeSource time;
     private final long suspicionMillis;
     private final long quarantineMillis;
@@ -53,15 +65,23 @@
 
     @Override
     public synchronized Status statusOf(long fingerprint) {
+        long nowMillis = time.monotonicMillis();
         Suspect suspect = suspects.get(fingerprint);
-        if (suspect == null || suspect.untilMillis() <= time.monotonicMillis()) {
+        if (suspect == null || suspect.untilMillis() <= nowMillis) {
             suspects.remove(fingerprint);
             return Status.CLEAR;
         }
-        if (suspect.quarantined()) {
+        if (suspect.isQuarantinedAt(nowMillis)) {
             return Status.QUARANTINED;
         }
-        return suspect.crashes() > 1 ? Status.REPEATED_SUSPECT : Status.SUSPECT;
+        return suspect.crashesCount() > 1 ? Status.REPEATED_SUSPECT : Status.SUSPECT;
+    }
+
+    @Override
+    public synchronized long quarantineRemainingMillis(long fingerprint) {
+        return statusOf(fingerprint) == Status.QUARANTINED
+                ? suspects.get(fingerprint).quarantinedUntilMillis() - time.monotonicMillis()
+                : 0;
     }
 
     @Override
@@ -86,23 +106,57 @@
     @Override
     public synchronized void onCrash(long fingerprint, String attemptId, String target) {
         Trial trial = ownTrials.remove(new TrialKey(attemptId, target));
-        // What proved the cause stays proved: a later crash without a trial of its own proves less and ends nothing.
-        boolean quarantined =
-                statusOf(fingerprint) == Status.QUARANTINED || (trial != null && !ranBesideOtherSuspect(trial));
-        Suspect previous = suspects.get(fingerprint);
-        int crashes = previous == null ? 1 : previous.crashes() + 1;
-        long durationMillis = quarantined ? quarantineMillis : suspicionMillis;
-        put(fingerprint, new Suspect(crashes, quarantined, time.monotonicMillis() + durationMillis));
-        SuspicionNotice.Kind kind = quarantined ? SuspicionNotice.Kind.QUARANTINED : SuspicionNotice.Kind.SUSPECT;
-        noticePublisher.accept(new SuspicionNotice(kind, fingerprint, target, durationMillis));
+        boolean conclusive = trial != null && !ranBesideOtherSuspect(trial);
+        long nowMillis = time.monotonicMillis();
+        Suspect suspect = recordCrash(
+                fingerprint,
+                target,
+                conclusive ? nowMillis + quarantineMillis : NEVER_MILLIS,
+                nowMillis + suspicionMillis);
+        publishStatus(fingerprint, target, suspect);
         publishTrialEnd(trial);
     }
 
+    /**
+     * Records a crash under a request. What was proved stays proved: a crash that proves less ends no quarantine.
+     *
+     * @param provedUntilMillis the end of the quarantine if the crash proves the cause, otherwise {@link #NEVER_MILLIS}
+     */
+    private Suspect recordCrash(long fingerprint, String target, long provedUntilMillis, long untilMillis) {
+        long nowMillis = time.monotonicMillis();
+        statusOf(fingerprint);
+        Suspect previous = suspects.getOrDefault(fingerprint, Suspect.NONE);
+        Set<String> endedTargets = new HashSet<>(previous.endedTargets());
+        boolean isNewCrash = endedTargets.add(target);
+        boolean isCounted = isNewCrash && endedTargets.size() >= MAX_ENDED_TARGETS;
+        long quarantinedUntilMillis = Math.max(
+                Math.max(previous.quarantinedUntilMillis(), provedUntilMillis),
+                isCounted ? nowMillis + UNPROVED_QUARANTINE_MILLIS : NEVER_MILLIS);
+        Suspect suspect = new Suspect(
+                Set.copyOf(endedTargets),
+                quarantinedUntilMillis,
+                Math.max(Math.max(previous.untilMillis(), untilMillis), quarantinedUntilMillis));
+        put(fingerprint, suspect);
+        return suspect;
+    }
+
+    private void publishStatus(long fingerprint, String target, Suspect suspect) {
+        long nowMillis = time.monotonicMillis();
+        SuspicionNotice notice = suspect.isQuarantinedAt(nowMillis)
+                ? new SuspicionNotice(
+                        SuspicionNotice.Kind.QUARANTINED,
+                        fingerprint,
+                        target,
+                        suspect.quarantinedUntilMillis() - nowMillis)
+                : new SuspicionNotice(SuspicionNotice.Kind.SUSPECT, fingerprint, target, suspicionMillis);
+        noticePublisher.accept(notice);
+    }
+
     @Override
     public synchronized void onAttemptEnded(long fingerprint, String attemptId, boolean completed) {
         endTrials(attemptId);
         Suspect suspect = suspects.get(fingerprint);
-        if (completed && suspect != null && !suspect.quarantined()) {
+        if (completed && suspect != null && !suspect.isQuarantinedAt(time.monotonicMillis())) {
             suspects.remove(fingerprint);
             noticePublisher.accept(new SuspicionNotice(SuspicionNotice.Kind.CLEARED, fingerprint, "", suspicionMillis));
         }
@@ -119,8 +173,10 @@
         long untilMillis = sentMillis + notice.remainingMillis();
         long fingerprint = notice.fingerprint();
         switch (notice.kind()) {
-            case SUSPECT -> applyPeerSuspicion(fingerprint, sentMillis, untilMillis, false);
-            case QUARANTINED -> applyPeerSuspicion(fingerprint, sentMillis, untilMillis, true);
+            case SUSPECT -> applyPeerSuspicion(notice, sentMillis, NEVER_MILLIS, untilMillis);
+            case QUARANTINED ->
+                applyPeerSuspicion(
+                        notice, sentMillis, untilMillis, Math.max(untilMillis, sentMillis + suspicionMillis));
             case TRIAL -> peerTrials.put(fingerprint, new Trial(fingerprint, notice.target(), untilMillis));
             case TRIAL_ENDED -> peerTrials.remove(fingerprint);
             case CLEARED -> {
@@ -143,11 +199,11 @@
     public synchronized List<QuarantinedRequest> listQuarantined() {
         long nowMillis = time.monotonicMillis();
         return suspects.entrySet().stream()
-                .filter(each -> each.getValue().quarantined() && each.getValue().untilMillis() > nowMillis)
+                .filter(each -> each.getValue().isQuarantinedAt(nowMillis))
                 .map(each -> new QuarantinedRequest(
                         formatFingerprint(each.getKey()),
-                        each.getValue().crashes(),
-                        each.getValue().untilMillis() - nowMillis))
+                        each.getValue().crashesCount(),
+                        each.getValue().quarantinedUntilMillis() - nowMillis))
                 .toList();
     }
 
@@ -176,17 +232,19 @@
     }
 
     /** Records a peer's suspicion, unless an operator lifted the quarantine after the peer sent the notice. */
-    private void applyPeerSuspicion(long fingerprint, long sentMillis, long untilMillis, boolean quarantined) {
+    private void applyPeerSuspicion(SuspicionNotice notice, long sentMillis, long provedUntilMillis, long untilMillis) {
+        long fingerprint = notice.fingerprint();
         Long lifted = liftedAtMillis.get(fingerprint);
         if (lifted != null && sentMillis <= lifted) {
             return;
         }
-        Suspect previous = suspects.get(fingerprint);
-        if (previous != null && previous.quarantined() && !quarantined) {
-            return;
+        boolean wasQuarantined = statusOf(fingerprint) == Status.QUARANTINED;
+        Suspect suspect = recordCrash(fingerprint, notice.target(), provedUntilMillis, untilMillis);
+        boolean isQuarantined = suspect.isQuarantinedAt(time.monotonicMillis());
+        if (notice.kind() == SuspicionNotice.Kind.SUSPECT && isQuarantined && !wasQuarantined) {
+            // Only an instance that heard of all crashes can count them; one that starts later hears of the last alone.
+            publishStatus(fingerprint, notice.target(), suspect);
         }
-        int crashes = previous == null ? 1 : previous.crashes() + 1;
-        put(fingerprint, new Suspect(crashes, quarantined, untilMillis));
     }
 
     private boolean ranBesideOtherSuspect(Trial trial) {
@@ -231,7 +289,18 @@
         }
     }
 
-    private record Suspect(int crashes, boolean quarantined, long untilMillis) {}
+    private record Suspect(Set<String> endedTargets, long quarantinedUntilMillis, long untilMillis) {
+
+        static final Suspect NONE = new Suspect(Set.of(), NEVER_MILLIS, NEVER_MILLIS);
+
+        int crashesCount() {
+            return endedTargets.size();
+        }
+
+        boolean isQuarantinedAt(long nowMillis) {
+            return quarantinedUntilMillis > nowMillis;
+        }
+    }
 
     private record TrialKey(String attemptId, String target) {}
 
--- a/src/test/java/org/dogwoodwinch/request/SuspectRegistryTest.java
+++ b/src/test/java/org/dogwoodwinch/request/SuspectRegistryTest.java
@@ -82,4 +82,58 @@
                         .orElseThrow()
                         .kind());
     }
+
+    /** Guards against a request that ends target after target while no crash proves that it is the cause. */
+    @Test
+    void requestUnderWhichThreeTargetsEndedIsQuarantinedWithoutProof() {
+        suspects.onCrash(CRASHING, "a", "engine-0");
+        suspects.onCrash(CRASHING, "b", "engine-1");
+        assertEquals(Quarantine.Status.REPEATED_SUSPECT, suspects.statusOf(CRASHING));
+        suspects.onCrash(CRASHING, "c", "engine-2");
+        assertEquals(Quarantine.Status.QUARANTINED, suspects.statusOf(CRASHING));
+    }
+
+    /** Guards against a request that three instances send in turn, each of which sees one target end. */
+    @Test
+    void crashesSeenByDifferentInstancesAddUp() {
+        suspects.onPeerNotice(new SuspicionNotice(SuspicionNotice.Kind.SUSPECT, CRASHING, "engine-0", 600_000), 0);
+        suspects.onPeerNotice(new SuspicionNotice(SuspicionNotice.Kind.SUSPECT, CRASHING, "engine-1", 600_000), 0);
+        suspects.onCrash(CRASHING, "c", "engine-2");
+        assertEquals(Quarantine.Status.QUARANTINED, suspects.statusOf(CRASHING));
+    }
+
+    /** Guards against a harmless request that is refused because several instances saw the same crash. */
+    @Test
+    void crashSeenByThreeInstancesCountsOnce() {
+        for (int i = 0; i < 2; i++) {
+            suspects.onPeerNotice(new SuspicionNotice(SuspicionNotice.Kind.SUSPECT, HARMLESS, "engine-0", 600_000), 0);
+        }
+        suspects.onCrash(HARMLESS, "a", "engine-0");
+        assertEquals(Quarantine.Status.SUSPECT, suspects.statusOf(HARMLESS));
+    }
+
+    /** Guards against a harmless request that is refused for long since it ran on three targets that crashed. */
+    @Test
+    void harmlessRequestIsTriedAgainAfterAMinute() {
+        for (int i = 0; i < 3; i++) {
+            suspects.onCrash(HARMLESS, "a", "engine-" + i);
+        }
+        assertEquals(60_000, suspects.quarantineRemainingMillis(HARMLESS));
+        time.advanceMillis(60_000);
+        assertEquals(Quarantine.Status.REPEATED_SUSPECT, suspects.statusOf(HARMLESS));
+        suspects.onTrialStarted(HARMLESS, "b", "engine-4");
+        suspects.onAttemptEnded(HARMLESS, "b", true);
+        assertEquals(Quarantine.Status.CLEAR, suspects.statusOf(HARMLESS));
+    }
+
+    /** Guards against a request that ends three more targets each time that its quarantine runs out. */
+    @Test
+    void firstCrashAfterCountedQuarantineEndsInQuarantineAgain() {
+        for (int i = 0; i < 3; i++) {
+            suspects.onCrash(CRASHING, "a", "engine-" + i);
+        }
+        time.advanceMillis(60_000);
+        suspects.onCrash(CRASHING, "b", "engine-4");
+        assertEquals(Quarantine.Status.QUARANTINED, suspects.statusOf(CRASHING));
+    }
 }
