Suspect calls whose targets crash in the first stage, within an event or unnoticed

Callers saw a request end engines that no instance held against it. Three ways dropped the evidence: a call that was lost while one engine read its prompt; a stream whose connection closed in order within an event; a target whose successor at the same address answers 421 before a connection to it fails, which ejected the target and said nothing of the calls that were lost there.

Change: the loss is recorded on the first two ways; a 421 tells, as a failed connection does, that the target that was meant is gone.

Before: callLostInPrefillBecomesSuspectWhenItsEngineIsGone, streamCutWithinEventBecomesSuspectWhenItsTargetIsGone and callBecomesSuspectWhenAnotherTargetAnswersAtTheAddress fail (CLEAR where SUSPECT is wanted). After: they pass.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -277,7 +277,11 @@
                             this, prefillTarget, noHandle.reason(), new NextStep.SendAgain(), remainingRetries());
             chooseAndSend();
         } else {
-            handlePrefillFailure(prefillTarget, ((PrefillOutcome.Failed) outcome).reason());
+            PrefillOutcome.Failed failed = (PrefillOutcome.Failed) outcome;
+            if (failed.connectionLost()) {
+                context.suspicions().recordLostCall(fingerprint, requestId(), prefillTarget.id());
+            }
+            handlePrefillFailure(prefillTarget, failed.reason());
         }
     }
 
@@ -468,6 +472,7 @@
     private void handleSuccess() {
         if (route.kind() == RouteKind.STREAM && route.resumable() && eventFramer.hasPartialEvent()) {
             // The connection ended in order within an event: the rest of that event is missing.
+            recordLostCall();
             onEnd(new SendOutcome.Unknown("cut_event"));
             return;
         }
@@ -489,12 +494,16 @@
             context.recordAbort(plan.target().id());
         }
         if (state != State.DONE) {
-            context.suspicions()
-                    .recordLostCall(fingerprint, requestId(), plan.target().id());
+            recordLostCall();
             onEnd(new SendOutcome.Unknown(reason));
         }
     }
 
+    private void recordLostCall() {
+        context.suspicions()
+                .recordLostCall(fingerprint, requestId(), plan.target().id());
+    }
+
     private void onEnd(SendOutcome outcome) {
         if (state == State.DONE) {
             return;
--- a/src/main/java/org/dogwoodwinch/relay/PrefillOutcome.java
+++ b/src/main/java/org/dogwoodwinch/relay/PrefillOutcome.java
@@ -29,6 +29,7 @@
      * The engine rejected the request or closed the connection. The next send is counted as a retry.
      *
      * @param reason the reason for logs and metrics
+     * @param connectionLost whether the connection ended without a response, as it does when the engine crashes
      */
-    record Failed(String reason) implements PrefillOutcome {}
+    record Failed(String reason, boolean connectionLost) implements PrefillOutcome {}
 }
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -113,6 +113,7 @@
     void recordResponse(String targetId, boolean misdirected) {
         if (misdirected) {
             report.targetUnreachable(targetId, health.recordUnreachable(targetId), "other_target_answers");
+            suspicions.handleTargetLost(targetId);
         } else {
             connectionAborts.recordResponse(targetId);
         }
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -138,7 +138,7 @@
         }
         releaseSend();
         if (responseHead.status() != 200) {
-            finish(new PrefillOutcome.Failed("status_" + responseHead.status()));
+            finish(new PrefillOutcome.Failed("status_" + responseHead.status(), false));
             return;
         }
         Optional<KvCacheHandle> memory = context.control().parseCacheHandle(engine, Bytes.of(body.toByteArray()));
@@ -152,7 +152,7 @@
         if (connectionAborted) {
             context.recordAbort(engine.id());
         }
-        finish(new PrefillOutcome.Failed(reason));
+        finish(new PrefillOutcome.Failed(reason, true));
     }
 
     private void releaseSend() {
--- a/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
@@ -128,4 +129,61 @@
         assertTrue(response.startsWith("HTTP/1.1 503 "), response);
         assertEquals(connectionsBefore, relay.targetConnections.size());
     }
+
+    /** Guards against a request that ends an engine in its first stage and is never suspected. */
+    @Test
+    void callLostInPrefillBecomesSuspectWhenItsEngineIsGone() {
+        relay.withEngine("p1", Stage.PREFILL).withEngine("d1", Stage.DECODE);
+        IncomingCall prompt = sendPrompt("m1");
+        RelayFixture.FakeTargetConnection prefill = relay.latestTargetConnection();
+        assertEquals("p1", prefill.targetId());
+
+        crashTarget(prefill);
+
+        assertEquals(Quarantine.Status.SUSPECT, relay.suspects.statusOf(Suspicions.fingerprint(prompt)));
+    }
+
+    /** Guards against a request that ends its target in the middle of an event and is never suspected. */
+    @Test
+    void streamCutWithinEventBecomesSuspectWhenItsTargetIsGone() {
+        listNewTarget();
+        relay.connectCaller().send(RelayFixture.postRequest("/resume/p", "p1", "", "poison"));
+        RelayFixture.FakeTargetConnection target = relay.latestTargetConnection();
+        target.respond(RelayFixture.streamResponseHead("p1") + RelayFixture.chunk("id: 1\ndata: half") + "0\r\n\r\n");
+
+        crashTarget(target);
+
+        assertEquals(
+                Quarantine.Status.SUSPECT,
+                relay.suspects.statusOf(Suspicions.fingerprint(callTo("/resume/p", RelayFixture.HOST))));
+    }
+
+    /** Guards against a crash that is missed because another target answers at the address before it is noticed. */
+    @Test
+    void callBecomesSuspectWhenAnotherTargetAnswersAtTheAddress() {
+        listNewTarget();
+        relay.connectCaller().send(CRASHING_REQUEST);
+        relay.latestTargetConnection().close();
+        relay.time.advanceMillis(1_000);
+
+        relay.connectCaller().send(RelayFixture.postRequest("/once/q", "q1", "", "harmless"));
+        relay.latestTargetConnection()
+                .respond("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n");
+
+        assertEquals(
+                Quarantine.Status.SUSPECT,
+                relay.suspects.statusOf(Suspicions.fingerprint(callTo("/once/p", RelayFixture.HOST))));
+    }
+
+    private IncomingCall sendPrompt(String id) {
+        relay.connectCaller()
+                .send(RelayFixture.postRequest(
+                        "/model/p", id, "Model: m\r\nToken-Count: 9000,8\r\nPrompt-Prefix: 5c:9000\r\n", "poison"));
+        return callTo("/model/p", RelayFixture.HOST);
+    }
+
+    private static IncomingCall callTo(String uri, String host) {
+        return new IncomingCall(
+                HttpMethod.POST, uri, new DefaultHttpHeaders().set("host", host), Bytes.ofUtf8("poison"), true, 0);
+    }
 }
