Tell requests of different callers apart when they end targets

A call was known by method, path and body. Caller and host were not in it, and a GET has no body: a success of another caller's equal request cleared a suspect on all instances, and a quarantine could refuse another caller.

Change: the owner's name and the host belong to the fingerprint. While instances of an older program run beside it they do not understand each other's suspects, as the fingerprints differ.

Test: equalRequestsOfOtherCallersAreNotTheSame. It does not compile on the code before, which takes no owner and reads no host; by that code the four fingerprints are the same.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -91,7 +91,7 @@
         this.deadlineMillis = call.arrivalMillis()
                 + Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
         this.eventFramer = new EventFramer(attributes.lastEventId());
-        this.fingerprint = Suspicions.fingerprint(call);
+        this.fingerprint = Suspicions.fingerprint(call, owner.map(CallOwner::name));
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/Suspicions.java
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -2,8 +2,11 @@
 
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import org.dogwoodwinch.forwarding.CrashCorrelator;
 import org.dogwoodwinch.forwarding.CrashCorrelator.LostCall;
@@ -42,9 +45,16 @@
         this.time = Objects.requireNonNull(time, "time");
     }
 
-    /** Returns a fingerprint of the method, URI and body, which are the same whenever a caller retries a call. */
-    static long fingerprint(IncomingCall call) {
+    /**
+     * Returns a fingerprint of the owner, host, method, URI and body, which are the same whenever a caller retries a
+     * call. Equal requests of other callers are not the same: a success of one does not show that the other is
+     * harmless.
+     */
+    static long fingerprint(IncomingCall call, Optional<String> ownerName) {
         Hasher hasher = Hashing.murmur3_128().newHasher();
+        String host = call.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
+        hasher.putString(ownerName.orElse(""), StandardCharsets.UTF_8).putByte((byte) 0);
+        hasher.putString(host, StandardCharsets.UTF_8).putByte((byte) 0);
         hasher.putString(call.method().name(), StandardCharsets.UTF_8).putByte((byte) 0);
         hasher.putString(call.uri(), StandardCharsets.UTF_8).putByte((byte) 0);
         hasher.putBytes(call.body().toByteArray());
--- a/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
@@ -2,13 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -69,8 +70,7 @@
             relay.connectCaller().send(CRASHING_REQUEST);
             relay.latestTargetConnection().reset();
         }
-        long fingerprint = Suspicions.fingerprint(new IncomingCall(
-                HttpMethod.POST, "/once/p", EmptyHttpHeaders.INSTANCE, Bytes.ofUtf8("poison"), true, 0));
+        long fingerprint = fingerprint(callTo("/once/p", RelayFixture.HOST));
         assertFalse(relay.suspects.statusOf(fingerprint) == Quarantine.Status.QUARANTINED);
         assertEquals(5, relay.targetConnections.size());
     }
@@ -140,7 +140,7 @@
 
         crashTarget(prefill);
 
-        assertEquals(Quarantine.Status.SUSPECT, relay.suspects.statusOf(Suspicions.fingerprint(prompt)));
+        assertEquals(Quarantine.Status.SUSPECT, relay.suspects.statusOf(fingerprint(prompt)));
     }
 
     /** Guards against a request that ends its target in the middle of an event and is never suspected. */
@@ -155,7 +155,7 @@
 
         assertEquals(
                 Quarantine.Status.SUSPECT,
-                relay.suspects.statusOf(Suspicions.fingerprint(callTo("/resume/p", RelayFixture.HOST))));
+                relay.suspects.statusOf(fingerprint(callTo("/resume/p", RelayFixture.HOST))));
     }
 
     /** Guards against a crash that is missed because another target answers at the address before it is noticed. */
@@ -171,8 +171,23 @@
                 .respond("HTTP/1.1 421 Misdirected Request\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n");
 
         assertEquals(
-                Quarantine.Status.SUSPECT,
-                relay.suspects.statusOf(Suspicions.fingerprint(callTo("/once/p", RelayFixture.HOST))));
+                Quarantine.Status.SUSPECT, relay.suspects.statusOf(fingerprint(callTo("/once/p", RelayFixture.HOST))));
+    }
+
+    /** Guards against a success of another caller that clears a request which ends targets. */
+    @Test
+    void equalRequestsOfOtherCallersAreNotTheSame() {
+        IncomingCall call = callTo("/once/p", RelayFixture.HOST);
+        long fingerprint = Suspicions.fingerprint(call, Optional.of("owner-1"));
+
+        assertNotEquals(fingerprint, Suspicions.fingerprint(call, Optional.of("owner-2")));
+        assertNotEquals(fingerprint, Suspicions.fingerprint(call, Optional.empty()));
+        assertNotEquals(
+                fingerprint, Suspicions.fingerprint(callTo("/once/p", "other.example"), Optional.of("owner-1")));
+        assertEquals(
+                fingerprint,
+                Suspicions.fingerprint(
+                        callTo("/once/p", RelayFixture.HOST.toUpperCase(Locale.ROOT)), Optional.of("owner-1")));
     }
 
     private IncomingCall sendPrompt(String id) {
@@ -182,6 +197,10 @@
         return callTo("/model/p", RelayFixture.HOST);
     }
 
+    private static long fingerprint(IncomingCall call) {
+        return Suspicions.fingerprint(call, Optional.empty());
+    }
+
     private static IncomingCall callTo(String uri, String host) {
         return new IncomingCall(
                 HttpMethod.POST, uri, new DefaultHttpHeaders().set("host", host), Bytes.ofUtf8("poison"), true, 0);
