Tell callers of quarantined calls when the quarantine ends

Callers saw a request that is refused as quarantined come back at once: the refusal named the same short time as one for a moment without capacity, for as long as the quarantine lasts.

Change: Retry-After is what is left of the quarantine.

Before: refusalTellsWhenQuarantineEnds fails (0.200 instead of 50.000). After: it passes.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -106,7 +106,7 @@
                     caller,
                     LocalResponses.UNAVAILABLE,
                     "quarantined",
-                    context.retryPolicy().retryAfterMillis());
+                    context.suspicions().quarantineRemainingMillis(fingerprint));
             state = State.DONE;
             onDone.run();
             return;
--- a/src/main/java/org/dogwoodwinch/relay/Suspicions.java
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -65,6 +65,11 @@
         return quarantine.statusOf(fingerprint) == Status.QUARANTINED;
     }
 
+    /** Returns for how long a call remains in quarantine, in milliseconds. */
+    long quarantineRemainingMillis(long fingerprint) {
+        return quarantine.quarantineRemainingMillis(fingerprint);
+    }
+
     /** Returns the targets to avoid: for a suspect, those that run other suspects. */
     Set<String> targetsToAvoid(long fingerprint) {
         return quarantine.statusOf(fingerprint) == Status.CLEAR ? Set.of() : quarantine.trialTargets();
--- a/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
@@ -190,6 +190,19 @@
                         callTo("/once/p", RelayFixture.HOST.toUpperCase(Locale.ROOT)), Optional.of("owner-1")));
     }
 
+    /** Guards against callers that come back for nothing as long as the quarantine lasts. */
+    @Test
+    void refusalTellsWhenQuarantineEnds() {
+        for (int i = 0; i < 3; i++) {
+            relay.suspects.onCrash(fingerprint(callTo("/once/p", RelayFixture.HOST)), "a", "gone-" + i);
+        }
+        relay.time.advanceMillis(10_000);
+
+        String response = relay.connectCaller().send(CRASHING_REQUEST).takeReceived();
+
+        assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: 50.000"), response);
+    }
+
     private IncomingCall sendPrompt(String id) {
         relay.connectCaller()
                 .send(RelayFixture.postRequest(
