Send a call once only when two targets have ended under it

Callers saw each arrival of a request that ends its target end two of them, as its route allows two runs: the call was sent again though the request was a repeated suspect already, and also while it was being quarantined.

Change: a repeat is taken only for calls that are no suspects, or suspects of one crash. A call that was lost once beside a crash, as hundreds are when a rack goes, is still sent again.

Before: callUnderWhichTwoTargetsEndedIsSentOnceOnly and callThatIsQuarantinedWhileItWaitsIsNotSentAgain fail (the call is sent to a second target). After: they pass.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -521,6 +521,9 @@
     }
 
     private boolean tryTakeRetry() {
+        if (!context.suspicions().mayBeSentAgain(fingerprint)) {
+            return false;
+        }
         boolean taken = context.budget().tryTakeRetry(service.name(), nowMillis());
         context.report()
                 .retryDecided(
--- a/src/main/java/org/dogwoodwinch/relay/Suspicions.java
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -70,6 +70,12 @@
         return quarantine.quarantineRemainingMillis(fingerprint);
     }
 
+    /** Returns whether a call may be sent again after it was lost: not if two targets have crashed under it. */
+    boolean mayBeSentAgain(long fingerprint) {
+        Status status = quarantine.statusOf(fingerprint);
+        return status == Status.CLEAR || status == Status.SUSPECT;
+    }
+
     /** Returns the targets to avoid: for a suspect, those that run other suspects. */
     Set<String> targetsToAvoid(long fingerprint) {
         return quarantine.statusOf(fingerprint) == Status.CLEAR ? Set.of() : quarantine.trialTargets();
--- a/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
@@ -190,6 +190,42 @@
                         callTo("/once/p", RelayFixture.HOST.toUpperCase(Locale.ROOT)), Optional.of("owner-1")));
     }
 
+    /** Guards against a call under which two targets have ended and that is sent to two more at its next arrival. */
+    @Test
+    void callUnderWhichTwoTargetsEndedIsSentOnceOnly() {
+        String request = RelayFixture.postRequest("/safe/p", "p1", "", "poison");
+        IncomingCall call = callTo("/safe/p", RelayFixture.HOST);
+        relay.suspects.onCrash(fingerprint(call), "a", "gone-1");
+        relay.suspects.onCrash(fingerprint(call), "a", "gone-2");
+        listNewTarget();
+        listNewTarget();
+        RelayFixture.FakeCaller caller = relay.connectCaller().send(request);
+        assertEquals(1, relay.targetConnections.size());
+
+        relay.latestTargetConnection().close();
+
+        assertTrue(caller.takeReceived().startsWith("HTTP/1.1 502 "));
+        assertEquals(1, relay.targetConnections.size());
+    }
+
+    /** Guards against a call that is quarantined while it waits for its connection and is sent all the same. */
+    @Test
+    void callThatIsQuarantinedWhileItWaitsIsNotSentAgain() {
+        listNewTarget();
+        listNewTarget();
+        RelayFixture.FakeCaller caller =
+                relay.connectCaller().send(RelayFixture.postRequest("/safe/p", "p1", "", "poison"));
+        for (int i = 0; i < 3; i++) {
+            relay.suspects.onCrash(fingerprint(callTo("/safe/p", RelayFixture.HOST)), "a", "gone-" + i);
+        }
+
+        relay.latestTargetConnection()
+                .respond("HTTP/1.1 503 Busy\r\nRequest-Id: p1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+
+        assertTrue(caller.takeReceived().startsWith("HTTP/1.1 503 "));
+        assertEquals(1, relay.targetConnections.size());
+    }
+
     /** Guards against callers that come back for nothing as long as the quarantine lasts. */
     @Test
     void refusalTellsWhenQuarantineEnds() {
