Count each crash of a target that starts again under its id

Callers of a platform on which a target starts again under its id could see a request end the same target over and over: the registry counts the targets that ended under a request by their ids, so three crashes of one target counted as one.

Change: a crash is counted for a start of a target, by its id and the time that it states; targets to avoid are still known by id, also in what an older program tells.

Before: crashesOfTargetThatStartsAgainUnderItsIdAreCounted fails (SUSPECT after three crashes). After: it passes.

--- a/src/main/java/org/dogwoodwinch/forwarding/CrashCorrelator.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashCorrelator.java
@@ -32,9 +32,10 @@
      *
      * @param fingerprint identifies equal calls of one caller
      * @param attemptId identifies the attempt, not null
+     * @param targetStart names the start of the target that received the call, not null
      * @param lostAtMillis time of the loss, in monotonic milliseconds
      */
-    public record LostCall(long fingerprint, String attemptId, long lostAtMillis) {}
+    public record LostCall(long fingerprint, String attemptId, String targetStart, long lostAtMillis) {}
 
     /**
      * Records that the answer to a call was lost with its connection.
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -279,7 +279,7 @@
         } else {
             PrefillOutcome.Failed failed = (PrefillOutcome.Failed) outcome;
             if (failed.connectionLost()) {
-                context.suspicions().recordLostCall(fingerprint, requestId(), prefillTarget.id());
+                context.suspicions().recordLostCall(fingerprint, requestId(), prefillTarget);
             }
             handlePrefillFailure(prefillTarget, failed.reason());
         }
@@ -357,7 +357,7 @@
         InFlightSend started = InFlightSend.start(context, plan.target(), promptToPrefill, plan.prefillWork());
         inFlight = Optional.of(started);
         context.report().sent(requestId(), plan.target(), plan.prefillWork(), started.aheadTokens(), sendPurpose());
-        context.suspicions().recordSend(fingerprint, requestId(), plan.target().id());
+        context.suspicions().recordSend(fingerprint, requestId(), plan.target());
         OutboundCall outbound = outbound(plan.target(), false);
         // A cache handle can be used only once.
         cacheHandle = Optional.empty();
@@ -500,8 +500,7 @@
     }
 
     private void recordLostCall() {
-        context.suspicions()
-                .recordLostCall(fingerprint, requestId(), plan.target().id());
+        context.suspicions().recordLostCall(fingerprint, requestId(), plan.target());
     }
 
     private void onEnd(SendOutcome outcome) {
--- a/src/main/java/org/dogwoodwinch/relay/Suspicions.java
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -10,10 +10,12 @@
 import java.util.Set;
 import org.dogwoodwinch.forwarding.CrashCorrelator;
 import org.dogwoodwinch.forwarding.CrashCorrelator.LostCall;
+import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.request.Quarantine.Status;
 import org.dogwoodwinch.request.SuspectRegistry;
+import org.dogwoodwinch.request.TargetStart;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -81,9 +83,9 @@
         return quarantine.statusOf(fingerprint) == Status.CLEAR ? Set.of() : quarantine.trialTargets();
     }
 
-    void recordSend(long fingerprint, String attemptId, String targetId) {
+    void recordSend(long fingerprint, String attemptId, Incarnation target) {
         if (quarantine.statusOf(fingerprint) != Status.CLEAR) {
-            quarantine.onTrialStarted(fingerprint, attemptId, targetId);
+            quarantine.onTrialStarted(fingerprint, attemptId, startOf(target));
         }
     }
 
@@ -92,15 +94,19 @@
     }
 
     /** Records a call that was lost with its connection, which alone does not prove a crash of the target. */
-    void recordLostCall(long fingerprint, String attemptId, String targetId) {
+    void recordLostCall(long fingerprint, String attemptId, Incarnation target) {
         long nowMillis = time.monotonicMillis();
         crashCorrelator.expire(nowMillis);
-        crashCorrelator.recordLostCall(targetId, new LostCall(fingerprint, attemptId, nowMillis));
+        crashCorrelator.recordLostCall(target.id(), new LostCall(fingerprint, attemptId, startOf(target), nowMillis));
+    }
+
+    private static String startOf(Incarnation target) {
+        return TargetStart.nameOf(target.id(), target.startedMillis());
     }
 
     void handleTargetLost(String targetId) {
         for (LostCall call : crashCorrelator.takeCrashedCalls(targetId, time.monotonicMillis())) {
-            quarantine.onCrash(call.fingerprint(), call.attemptId(), targetId);
+            quarantine.onCrash(call.fingerprint(), call.attemptId(), call.targetStart());
             LogEvent.of("crash_suspect")
                     .with("request", call.attemptId())
                     .with("fingerprint", SuspectRegistry.formatFingerprint(call.fingerprint()))
--- a/src/main/java/org/dogwoodwinch/request/Quarantine.java
+++ b/src/main/java/org/dogwoodwinch/request/Quarantine.java
@@ -63,7 +63,7 @@
     /**
      * Returns the targets on which a suspect runs in a trial, so that other requests can avoid them.
      *
-     * @return a copy of the set of their names
+     * @return a copy of the set of the targets' ids
      */
     Set<String> trialTargets();
 
@@ -72,7 +72,7 @@
      *
      * @param fingerprint the request's fingerprint
      * @param attemptId the attempt's id, not null
-     * @param target the target's name, not null
+     * @param target the name of the target's start ({@link TargetStart}), not null
      */
     void onTrialStarted(long fingerprint, String attemptId, String target);
 
@@ -81,7 +81,7 @@
      *
      * @param fingerprint the request's fingerprint
      * @param attemptId the attempt's id, not null
-     * @param target the target's name, not null
+     * @param target the name of the target's start ({@link TargetStart}), not null
      */
     void onCrash(long fingerprint, String attemptId, String target);
 
--- a/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
+++ b/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
@@ -90,8 +90,8 @@
         ownTrials.values().removeIf(trial -> trial.untilMillis() <= nowMillis);
         peerTrials.values().removeIf(trial -> trial.untilMillis() <= nowMillis);
         Set<String> targets = new HashSet<>();
-        ownTrials.values().forEach(trial -> targets.add(trial.target()));
-        peerTrials.values().forEach(trial -> targets.add(trial.target()));
+        ownTrials.values().forEach(trial -> targets.add(TargetStart.targetIdOf(trial.target())));
+        peerTrials.values().forEach(trial -> targets.add(TargetStart.targetIdOf(trial.target())));
         return targets;
     }
 
@@ -254,7 +254,7 @@
     }
 
     private static boolean isOtherOnSameTarget(Trial trial, Trial other, long nowMillis) {
-        return other.target().equals(trial.target())
+        return TargetStart.targetIdOf(other.target()).equals(TargetStart.targetIdOf(trial.target()))
                 && other.fingerprint() != trial.fingerprint()
                 && other.untilMillis() > nowMillis;
     }
--- a/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
@@ -239,6 +239,21 @@
         assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: 50.000"), response);
     }
 
+    /** Guards against a call that ends the same target over and over because it starts again under its id. */
+    @Test
+    void crashesOfTargetThatStartsAgainUnderItsIdAreCounted() {
+        relay.withTarget(new Incarnation("t", "desk", "10.0.0.1", 80, "dc-1", 6, false, Stage.WHOLE, 1, 5_000));
+        IncomingCall call = callTo("/once/p", RelayFixture.HOST);
+        relay.suspects.onPeerNotice(new SuspicionNotice(SuspicionNotice.Kind.TRIAL, 7, "t", 60_000), 0);
+        for (int i = 0; i < 3; i++) {
+            relay.connectCaller().send(CRASHING_REQUEST);
+            relay.latestTargetConnection().close();
+            relay.restartTarget("t");
+            relay.time.advanceMillis(5_000);
+        }
+        assertEquals(Quarantine.Status.QUARANTINED, relay.suspects.statusOf(fingerprint(call)));
+    }
+
     private IncomingCall sendPrompt(String id) {
         relay.connectCaller()
                 .send(RelayFixture.postRequest(
