--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -1,11 +1,14 @@
 package org.dogwoodwinch.daemon;
 
+import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowerPolicy;
@@ -15,6 +18,7 @@
 import org.dogwoodwinch.follow.StreamFollower;
 import org.dogwoodwinch.forwarding.ConnectionShares;
 import org.dogwoodwinch.forwarding.LoadTracker;
+import org.dogwoodwinch.forwarding.Neighbour;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.peer.MemberList;
@@ -66,6 +70,8 @@
     private final StreamSharing streams;
     private final LoadSharing loadSharing;
     private final SuspectRegistry suspects;
+    private List<PeerMember> neighbourMembers = List.of();
+    private List<Neighbour> neighbours = List.of();
 
     FleetExchange(
             ForwardingSettings settings,
@@ -182,6 +188,27 @@
                 settings.instance().linkMbps());
     }
 
+    /**
+     * Lets the other instances pass calls on to this one. Called before {@link #listen}.
+     *
+     * @param acceptor adds the handlers that read calls to the channel of a connection, not null
+     */
+    void acceptCalls(Consumer<Channel> acceptor) {
+        transport.acceptCalls(acceptor);
+    }
+
+    /** Returns the other instances, which may take over calls. The list is the same until one joins or leaves. */
+    List<Neighbour> neighbours() {
+        List<PeerMember> current = members.others();
+        if (!current.equals(neighbourMembers)) {
+            neighbourMembers = current;
+            neighbours = current.stream()
+                    .map(member -> new Neighbour(member.name(), member.host(), member.peerPort(), member.dataCentre()))
+                    .toList();
+        }
+        return neighbours;
+    }
+
     /** Announces this instance, and starts to send and receive updates. */
     void start(PeerMember self) {
         members.start(self);
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -47,6 +47,9 @@
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.relay.NeighbourConnector;
+import org.dogwoodwinch.relay.Neighbours;
+import org.dogwoodwinch.relay.TakenOverCalls;
 import org.dogwoodwinch.relay.TcpTargetConnector;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.SettingsChange;
@@ -179,6 +182,8 @@
         brokenTargets.start();
         LimitSharing limitSharing = new LimitSharing(fleet.exchange(), limits, limitShares, this::startedMillis, time);
         limitSharing.start();
+        IsolationSharing isolationSharing = new IsolationSharing(fleet.exchange(), time);
+        isolationSharing.start();
         TargetStatementRecorder statements =
                 new TargetStatementRecorder(fleet.exchange(), directory, rests, metrics, this::closeIdleConnections);
         statements.start();
@@ -207,6 +212,7 @@
                 connections,
                 engines,
                 new ForwardingService.Decisions(
+                        this::activeTargets,
                         new EngineChooser(
                                 directory,
                                 loads,
@@ -233,7 +239,14 @@
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
                         fleet::connectionSharerCount),
+                new Neighbours(
+                        new NeighbourConnector(transport, time),
+                        settings.instance().dataCentre(),
+                        fleet::neighbours,
+                        isolationSharing::isolatedNames,
+                        isolationSharing::set),
                 metrics);
+        fleet.acceptCalls(new TakenOverCalls(service, time)::accept);
         this.configuration = new StreamFollower(
                 fleet.streams()
                         .share(
@@ -304,6 +317,7 @@
             targets.start();
             cacheWatch.start();
             enginesAway.start();
+            service.startIsolationWatch();
             stageOrders.start();
             fleet.start(self);
             clockWatch.start();
@@ -384,9 +398,13 @@
         return graceful.stopped();
     }
 
+    private List<Incarnation> activeTargets() {
+        return directory.all().stream().filter(target -> !target.draining()).toList();
+    }
+
     private List<Incarnation> activeModelEngines() {
-        return directory.all().stream()
-                .filter(target -> !target.draining() && service.servesModel(target.service()))
+        return activeTargets().stream()
+                .filter(target -> service.servesModel(target.service()))
                 .toList();
     }
 
--- a/src/main/java/org/dogwoodwinch/forwarding/CrashCorrelator.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashCorrelator.java
@@ -64,6 +64,11 @@
                 .toList();
     }
 
+    /** Removes all lost calls. */
+    public void clear() {
+        lostCallsByTarget.clear();
+    }
+
     /**
      * Removes lost calls that are too old to be attributed to a crash.
      *
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/NeighbourChooser.java
@@ -0,0 +1,66 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Chooses the instance that takes over a call. Not thread-safe.
+ *
+ * <p>Load: most of a data centre's instances are cut off from the targets, and the few others of that data centre would
+ * receive several times their calls. A near instance is therefore preferred only while at least half of the data
+ * centre's instances reach the targets; otherwise all instances of the fleet share the calls. Of two random instances
+ * the one with fewer calls of this instance is taken, so that no instance receives all of them.
+ */
+public final class NeighbourChooser {
+
+    /** More calls of one instance at another would take the processor time that its own callers need. */
+    public static final int MAX_CALLS_PER_NEIGHBOUR = 64;
+
+    private final String ownDataCentre;
+    private final UniformRandomProvider random;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param ownDataCentre the data centre of this instance, not null
+     * @param random the source of randomness, not null
+     */
+    public NeighbourChooser(String ownDataCentre, UniformRandomProvider random) {
+        this.ownDataCentre = Objects.requireNonNull(ownDataCentre, "ownDataCentre");
+        this.random = Objects.requireNonNull(random, "random");
+    }
+
+    /**
+     * Chooses an instance.
+     *
+     * @param others the other instances, not null
+     * @param isolated the names of instances that are cut off from the targets themselves, not null
+     * @param tried the names of instances that could not take over this call, not null
+     * @param callsAt returns how many calls of this instance an instance has taken over, by its name, not null
+     * @return the instance; empty if none can take over the call
+     */
+    public Optional<Neighbour> choose(
+            List<Neighbour> others, Set<String> isolated, Set<String> tried, ToIntFunction<String> callsAt) {
+        List<Neighbour> usable = others.stream()
+                .filter(each -> !isolated.contains(each.name()) && !tried.contains(each.name()))
+                .filter(each -> callsAt.applyAsInt(each.name()) < MAX_CALLS_PER_NEIGHBOUR)
+                .toList();
+        List<Neighbour> near = usable.stream().filter(this::isNear).toList();
+        long nearCount = 1 + others.stream().filter(this::isNear).count();
+        List<Neighbour> candidates = !near.isEmpty() && 2L * near.size() >= nearCount ? near : usable;
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        Neighbour first = candidates.get(random.nextInt(candidates.size()));
+        Neighbour second = candidates.get(random.nextInt(candidates.size()));
+        return Optional.of(callsAt.applyAsInt(second.name()) < callsAt.applyAsInt(first.name()) ? second : first);
+    }
+
+    private boolean isNear(Neighbour neighbour) {
+        return neighbour.dataCentre().equals(ownDataCentre);
+    }
+}
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetHealth.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetHealth.java
@@ -185,6 +185,14 @@
         ejections.remove(targetId);
     }
 
+    /**
+     * Ends all ejections, because the failures had a cause in this instance's own links. Stage changes continue.
+     */
+    public void endEjections() {
+        ejections.clear();
+        callHistories.values().forEach(history -> history.consecutiveBroken = 0);
+    }
+
     /**
      * Removes a target that is no longer listed.
      *
--- a/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
+++ b/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -18,6 +19,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -64,6 +66,7 @@
     private final Map<Channel, Boolean> inboundChannels = new ConcurrentHashMap<>();
     private Optional<Channel> listener = Optional.empty();
     private Consumer<PeerMember> connectionListener = _member -> {};
+    private Optional<Consumer<Channel>> callAcceptor = Optional.empty();
 
     /**
      * Creates a transport.
@@ -123,6 +126,15 @@
         return listen(address.getHostString(), address.getPort(), messageHandler);
     }
 
+    /**
+     * Lets connections of other instances carry calls too. Called before this transport listens.
+     *
+     * @param acceptor adds the handlers that read calls to the channel of such a connection, not null
+     */
+    public void acceptCalls(Consumer<Channel> acceptor) {
+        this.callAcceptor = Optional.of(acceptor);
+    }
+
     private void initInboundChannel(SocketChannel channel, Predicate<Bytes> messageHandler) {
         if (inboundChannels.size() >= MAX_INBOUND_CONNECTIONS) {
             ignoreOutcome(channel.close());
@@ -131,11 +143,13 @@
         inboundChannels.put(channel, Boolean.TRUE);
         ignoreOutcome(channel.closeFuture().addListener(_done -> inboundChannels.remove(channel)));
         serverTls.ifPresent(tls -> channel.pipeline().addLast(tls.newHandler(channel.alloc())));
-        channel.pipeline()
-                .addLast(new IdleStateHandler(2 * IDLE_TIMEOUT_SECONDS, 0, 0))
-                .addLast(
-                        new LengthFieldBasedFrameDecoder(maxMessageBytes, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
-                .addLast(new InboundHandler(messageHandler));
+        List<ChannelHandler> messageHandlers = List.of(
+                new IdleStateHandler(2 * IDLE_TIMEOUT_SECONDS, 0, 0),
+                new LengthFieldBasedFrameDecoder(maxMessageBytes, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES),
+                new InboundHandler(messageHandler));
+        callAcceptor.ifPresent(
+                acceptor -> channel.pipeline().addLast(new CallPrefaceDetector(messageHandlers, acceptor)));
+        messageHandlers.forEach(channel.pipeline()::addLast);
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -14,6 +14,8 @@
     TARGET_LIMIT,
     /** Targets that state in an answer that they are leaving. */
     TARGET_LEAVES,
+    /** Whether an instance is cut off from all targets. */
+    TARGETS_CUT_OFF,
     /** Fingerprints of requests that crash targets. */
     QUARANTINE,
     /** The demand of owners, from which the shares of their limits are computed. */
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -65,7 +65,8 @@
             PeerTopic.LEAVING,
             PeerTopic.BROKEN_TARGET,
             PeerTopic.TARGET_LIMIT,
-            PeerTopic.TARGET_LEAVES);
+            PeerTopic.TARGET_LEAVES,
+            PeerTopic.TARGETS_CUT_OFF);
 
     private final PeerSettings settings;
     private final TimeSource time;
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -111,6 +111,13 @@
         return headers;
     }
 
+    @Override
+    public HttpHeaders neighbourHeaders(HttpHeaders callerHeaders, long remainingMillis) {
+        HttpHeaders headers = copyWithoutHopByHop(callerHeaders);
+        headers.set(HeaderNames.DEADLINE_MILLIS, Long.toString(remainingMillis));
+        return headers;
+    }
+
     @Override
     public ResponseAttributes parseResponse(HttpResponse answer) {
         HttpHeaders headers = answer.headers();
--- a/src/main/java/org/dogwoodwinch/relay/CallHeaders.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallHeaders.java
@@ -35,6 +35,16 @@
      */
     HttpHeaders targetHeaders(HttpHeaders callerHeaders, SendAttributes attributes);
 
+    /**
+     * Builds the headers with which a call is passed on to another instance: those of the caller with its key, without
+     * hop-by-hop headers, and with the time that is left.
+     *
+     * @param callerHeaders the headers of the caller, not null; not modified
+     * @param remainingMillis the time left until the call's deadline, in milliseconds
+     * @return new headers without Content-Length
+     */
+    HttpHeaders neighbourHeaders(HttpHeaders callerHeaders, long remainingMillis);
+
     /**
      * Parses the head of a target's response.
      *
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -490,9 +490,7 @@
     @Override
     public void onLost(String reason, boolean connectionAborted) {
         releaseSend();
-        if (connectionAborted) {
-            context.recordAbort(plan.target().id());
-        }
+        context.recordLoss(plan.target().id(), connectionAborted);
         if (state != State.DONE) {
             recordLostCall();
             onEnd(new SendOutcome.Unknown(reason));
--- a/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
@@ -103,12 +103,22 @@
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         channel = added.channel();
+        if (channel.isActive()) {
+            begin();
+        }
     }
 
     @Override
     public void channelActive(ChannelHandlerContext _context) {
-        idleSinceMillis = time.monotonicMillis();
-        timeoutCheck = time.schedule(TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
+        begin();
+    }
+
+    /** Begins once, as a connection of another instance is active before it turns out to carry calls. */
+    private void begin() {
+        if (timeoutCheck == null) {
+            idleSinceMillis = time.monotonicMillis();
+            timeoutCheck = time.schedule(TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
+        }
     }
 
     /** Records the arrival of bytes that are not decoded yet. */
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -30,6 +30,9 @@
     private final Counter sends;
     private final Counter targetStatements;
     private final Counter keptCalls;
+    private final Counter passedOnCalls;
+    private final Counter takenOverCalls;
+    private final Gauge isolated;
     private final Counter peerBytes;
     private final Counter peerDropped;
     private final Gauge peerDelay;
@@ -92,6 +95,13 @@
         this.peerDelay =
                 gauge("dogwoodwinch_peer_way_seconds", "How long the last message of a relay was on its way, or more.");
         this.instances = gauge("dogwoodwinch_instances_seen", "Instances that common bounds are dealt out to.");
+        this.passedOnCalls = counter(
+                "dogwoodwinch_calls_passed_on_total",
+                "Calls passed on to another instance because this one was cut off from all targets, by their end.",
+                "outcome");
+        this.takenOverCalls = counter(
+                "dogwoodwinch_calls_taken_over_total", "Calls of instances that were cut off from all targets.");
+        this.isolated = gauge("dogwoodwinch_targets_cut_off", "1 while this instance is cut off from all targets.");
         this.configurationVersion =
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
         this.targets = gauge("dogwoodwinch_targets_ready", "Targets that may get new work.");
@@ -214,6 +224,18 @@
         targetStatements.labelValues(statement, source).inc();
     }
 
+    void callPassedOn(String outcome) {
+        passedOnCalls.labelValues(outcome).inc();
+    }
+
+    void callTakenOver() {
+        takenOverCalls.inc();
+    }
+
+    void setIsolated(boolean isIsolated) {
+        isolated.set(isIsolated ? 1 : 0);
+    }
+
     void callKept(String reason) {
         keptCalls.labelValues(reason).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -3,9 +3,11 @@
 import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -25,6 +27,7 @@
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetIsolation;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
 import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.logging.LogEvent;
@@ -45,6 +48,12 @@
      */
     private static final long MAX_BODY_MEMORY_BYTES = 16_777_216;
 
+    /**
+     * The time after which an unreachable target counts as crashed: an instance that is cut off from all targets finds
+     * that out meanwhile, and its calls must not become suspects of the whole fleet.
+     */
+    private static final long CRASH_EVIDENCE_DELAY_MILLIS = 200;
+
     private final CallHeaders callHeaders;
     private final UniformRandomProvider random;
     private final TimeSource time;
@@ -52,6 +61,11 @@
     private final RelayReport report;
     private final TargetHealth health;
     private final TargetStatements statements;
+    private final TargetIsolation isolation;
+    private final IsolationWatch isolationWatch;
+    private final NeighbourCalls neighbourCalls;
+    private final Neighbours neighbours;
+    private final ForwardingMetrics metrics;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
     private int openCallsCount;
@@ -69,6 +83,7 @@
      * @param policy time-outs of connections to targets, not null
      * @param control client of the engines' control interfaces, not null
      * @param decisions components that decide about calls, not null
+     * @param neighbours the other instances, which take over calls while this one is cut off from all targets, not null
      * @param metrics counters and histograms of forwarded calls, not null
      */
     public ForwardingService(
@@ -79,11 +94,15 @@
             ConnectionPolicy policy,
             EngineControl control,
             Decisions decisions,
+            Neighbours neighbours,
             ForwardingMetrics metrics) {
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.random = Objects.requireNonNull(random, "random");
         this.time = Objects.requireNonNull(time, "time");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.neighbours = Objects.requireNonNull(neighbours, "neighbours");
         this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests());
+        this.isolation = new TargetIsolation(() -> decisions.targets().get().size(), random);
         this.health = decisions.health();
         this.statements = decisions.statements();
         this.context = new RelayContext(
@@ -95,8 +114,7 @@
                         time,
                         policy,
                         decisions.limits()::tryTake,
-                        metrics::connectionOpened,
-                        this::targetUnreachable,
+                        new ConnectionEvents(),
                         this::recordStatements),
                 decisions.chooser(),
                 control,
@@ -111,13 +129,19 @@
                 decisions.rests(),
                 decisions.connectionAborts(),
                 decisions.callStarts(),
+                isolation,
                 report,
                 decisions.sharingInstancesCount());
+        this.neighbourCalls =
+                new NeighbourCalls(neighbours, random, isolation::isIsolated, callHeaders, time, policy, metrics);
+        this.isolationWatch =
+                new IsolationWatch(isolation, decisions.targets(), this::probe, time, this::handleIsolationChange);
     }
 
     /**
      * The components that decide about calls.
      *
+     * @param targets supplies the targets that are listed and not draining, evaluated on each use, not null
      * @param chooser chooses targets, not null
      * @param loads tracks the calls under way at targets, not null
      * @param cacheIndex prompt segments in the KV caches of engines, not null
@@ -136,6 +160,7 @@
      *     each use, not null
      */
     public record Decisions(
+            Supplier<List<Incarnation>> targets,
             TargetChooser chooser,
             LoadTracker loads,
             KvCacheIndex cacheIndex,
@@ -301,9 +326,69 @@
         context.cacheIndex().removeEngine(targetId);
     }
 
+    /** Starts to watch whether this instance is cut off from all targets. */
+    public void startIsolationWatch() {
+        isolationWatch.start();
+    }
+
+    /**
+     * Returns whether this instance is cut off from all targets.
+     *
+     * @return true from when this was found until targets are reached again
+     */
+    public boolean isIsolated() {
+        return isolation.isIsolated();
+    }
+
+    private boolean probe(Incarnation target, Consumer<Boolean> onOutcome) {
+        return routeTable
+                .flatMap(current -> current.service(target.service()))
+                .map(service -> context.connections().probe(target, context.connectionsPerTarget(service), onOutcome))
+                .orElse(false);
+    }
+
+    /**
+     * Handles the begin or end of a cut. What failed because of it says nothing about targets and calls: no call is
+     * suspected of a crash, and no target stays ejected. Connections that were open during a cut are not used again.
+     */
+    private void handleIsolationChange(boolean isolated) {
+        metrics.setIsolated(isolated);
+        if (isolated) {
+            context.suspicions().forgetLostCalls();
+            context.connections().closeIdle();
+        } else {
+            health.endEjections();
+        }
+        neighbours.onIsolationChange().accept(isolated);
+    }
+
     private void targetUnreachable(String targetId) {
         report.targetUnreachable(targetId, health.recordUnreachable(targetId), "connect_failed");
-        context.suspicions().handleTargetLost(targetId);
+        time.schedule(CRASH_EVIDENCE_DELAY_MILLIS, () -> {
+            if (!isolation.isIsolated()) {
+                context.suspicions().handleTargetLost(targetId);
+            }
+        });
+    }
+
+    private final class ConnectionEvents implements TargetConnectionPool.Events {
+
+        @Override
+        public void opened(String targetId) {
+            metrics.connectionOpened();
+            isolation.recordConnected(targetId);
+        }
+
+        @Override
+        public void unreachable(String targetId) {
+            isolation.recordFailure(targetId, time.monotonicMillis());
+            targetUnreachable(targetId);
+        }
+
+        @Override
+        public void heard() {
+            isolation.recordHeard(time.monotonicMillis());
+        }
     }
 
     /**
@@ -397,7 +482,28 @@
 
     @Override
     public ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone) {
-        Optional<ApiKey> key = callHeaders.takeApiKey(call.headers());
+        return handle(call, caller, onDone, neighbourCalls.arePassedOn());
+    }
+
+    /**
+     * Handles a call that another instance passes on. It is not passed on again: if this instance is cut off as well,
+     * the call is refused.
+     */
+    ActiveCall takeOver(IncomingCall call, CallerResponse caller, Runnable onDone) {
+        CallAttributes attributes = callHeaders.parseCall(call.headers());
+        String requestId = attributes.requestId().orElse("");
+        LogEvent.of("call_taken_over")
+                .with("request", requestId)
+                .with("isolated", isolation.isIsolated())
+                .info(log);
+        metrics.callTakenOver();
+        if (isolation.isIsolated()) {
+            return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "cut off from all targets");
+        }
+        return handle(call, caller, onDone, false);
+    }
+
+    private ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone, boolean isPassedOn) {
         CallAttributes attributes = callHeaders.parseCall(call.headers());
         if (!accepting) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "stopping");
@@ -413,6 +519,10 @@
         if (attributes.requestId().isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.BAD_REQUEST, "one request id is needed");
         }
+        if (isPassedOn) {
+            return passOn(call, attributes, route.get(), caller, onDone);
+        }
+        Optional<ApiKey> key = callHeaders.takeApiKey(call.headers());
         CallerIdentity identity = current.identify(route.get(), key);
         if (identity instanceof CallerIdentity.Rejected rejected) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAUTHORIZED, rejected.reason());
@@ -437,6 +547,24 @@
         return relay;
     }
 
+    private ActiveCall passOn(
+            IncomingCall call, CallAttributes attributes, ServiceRoute route, CallerResponse caller, Runnable onDone) {
+        NeighbourRelay relay = new NeighbourRelay(
+                neighbourCalls,
+                call,
+                attributes,
+                route,
+                caller,
+                context.retryPolicy().retryAfterMillis(),
+                () -> {
+                    openCallsCount--;
+                    onDone.run();
+                });
+        openCallsCount++;
+        relay.start();
+        return relay;
+    }
+
     private ActiveCall refuse(
             CallAttributes attributes, CallerResponse caller, Runnable onDone, int status, String reason) {
         report.refusedBeforeRouting(attributes.requestId().orElse(""), status, reason);
--- a/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
+++ b/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
@@ -31,6 +31,7 @@
         this.sentMillis = context.time().monotonicMillis();
         context.rests().recordSend(target);
         context.loads().recordSend(target.id(), prefillWork.level(), prefillWork.prefillTokens());
+        context.isolation().recordSent(target.id(), sentMillis);
     }
 
     /**
@@ -88,6 +89,7 @@
         open = false;
         settlePrefill();
         context.loads().recordEnd(target.id());
+        context.isolation().recordEnded(target.id());
     }
 
     private void settlePrefill() {
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -0,0 +1,133 @@
+package org.dogwoodwinch.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.Neighbour;
+import org.dogwoodwinch.forwarding.NeighbourChooser;
+import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The calls that this instance passes on to others while it is cut off from all targets. The instance that takes over a
+ * call decides about it as about its own: route, key, quarantine, retry budget, limits and the choice of targets.
+ * Confined to one event loop.
+ */
+final class NeighbourCalls {
+
+    private static final Logger log = LoggerFactory.getLogger(NeighbourCalls.class);
+
+    private final Neighbours neighbours;
+    private final NeighbourChooser chooser;
+    private final BooleanSupplier isIsolated;
+    private final CallHeaders callHeaders;
+    private final TimeSource time;
+    private final ForwardingMetrics metrics;
+    private final TargetConnectionPool connections;
+    private final Map<String, Integer> callsByName = new HashMap<>();
+
+    NeighbourCalls(
+            Neighbours neighbours,
+            UniformRandomProvider random,
+            BooleanSupplier isIsolated,
+            CallHeaders callHeaders,
+            TimeSource time,
+            ConnectionPolicy policy,
+            ForwardingMetrics metrics) {
+        this.neighbours = Objects.requireNonNull(neighbours, "neighbours");
+        this.chooser = new NeighbourChooser(neighbours.ownDataCentre(), random);
+        this.isIsolated = Objects.requireNonNull(isIsolated, "isIsolated");
+        this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
+        this.time = Objects.requireNonNull(time, "time");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.connections = new TargetConnectionPool(
+                neighbours.connector(),
+                callHeaders,
+                time,
+                policy,
+                _name -> true,
+                TargetConnectionPool.Events.NONE,
+                (_neighbour, _attributes) -> {});
+    }
+
+    /** Returns whether calls of callers are passed on now: this instance is cut off, and another one is not. */
+    boolean arePassedOn() {
+        return isIsolated.getAsBoolean() && choose(Set.of()).isPresent();
+    }
+
+    /** Chooses an instance for a call, without those that could not take it over. */
+    Optional<Neighbour> choose(Set<String> triedNames) {
+        return chooser.choose(
+                neighbours.others().get(),
+                neighbours.isolatedNames().get(),
+                triedNames,
+                name -> callsByName.getOrDefault(name, 0));
+    }
+
+    void acquire(Neighbour neighbour, TargetConnectionPool.AcquireCallback callback) {
+        connections.acquire(asTarget(neighbour), NeighbourChooser.MAX_CALLS_PER_NEIGHBOUR, callback);
+    }
+
+    void release(TargetConnection connection) {
+        connections.release(connection);
+    }
+
+    OutboundCall outbound(String requestId, IncomingCall call, long remainingMillis) {
+        return new OutboundCall(
+                requestId,
+                call.method(),
+                call.uri(),
+                callHeaders.neighbourHeaders(call.headers(), remainingMillis),
+                call.body(),
+                call.framed());
+    }
+
+    CallHeaders callHeaders() {
+        return callHeaders;
+    }
+
+    TimeSource time() {
+        return time;
+    }
+
+    void recordBegin(String requestId, Neighbour neighbour, int attemptsCount) {
+        callsByName.merge(neighbour.name(), 1, Integer::sum);
+        LogEvent.of("call_passed_on")
+                .with("request", requestId)
+                .with("neighbour", neighbour.name())
+                .with("attempts", attemptsCount)
+                .info(log);
+    }
+
+    void recordEnd(String requestId, Neighbour neighbour, String outcome, long ageMillis) {
+        callsByName.computeIfPresent(neighbour.name(), (_name, count) -> count > 1 ? count - 1 : null);
+        metrics.callPassedOn(outcome);
+        LogEvent.of("passed_on_call_ended")
+                .with("request", requestId)
+                .with("neighbour", neighbour.name())
+                .with("outcome", outcome)
+                .with("ageMillis", ageMillis)
+                .info(log);
+    }
+
+    private static Incarnation asTarget(Neighbour neighbour) {
+        return new Incarnation(
+                neighbour.name(),
+                "",
+                neighbour.host(),
+                neighbour.port(),
+                neighbour.dataCentre(),
+                1,
+                false,
+                Stage.WHOLE,
+                0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -0,0 +1,246 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.dogwoodwinch.forwarding.Neighbour;
+import org.dogwoodwinch.forwarding.RouteKind;
+import org.dogwoodwinch.forwarding.ServiceRoute;
+import org.dogwoodwinch.time.Cancellable;
+
+/**
+ * Passes one call on to another instance and gives the caller that instance's response unchanged. Confined to one event
+ * loop.
+ *
+ * <p>The other instance has the whole decision about the call, so whatever it answers is final. Another instance is
+ * tried only as long as no byte of the call was written. After that, the call may run there, and a repeat would take
+ * from a retry budget that only the other instance knows.
+ */
+final class NeighbourRelay implements ResponseSink, ActiveCall {
+
+    /** Each attempt may cost the time of a connection attempt. */
+    private static final int MAX_ATTEMPTS = 3;
+
+    /** The other instance answers at the deadline that it was given, which is more precise than an answer from here. */
+    private static final long DEADLINE_MARGIN_MILLIS = 50;
+
+    /** Responses up to this size are buffered until they are complete, so that a truncated one is not begun. */
+    private static final int MAX_BUFFERED_BODY_BYTES = 262_144;
+
+    private enum State {
+        SENDING,
+        STREAMING,
+        DONE
+    }
+
+    private final NeighbourCalls neighbours;
+    private final String requestId;
+    private final IncomingCall call;
+    private final ServiceRoute route;
+    private final CallerResponse caller;
+    private final long retryAfterMillis;
+    private final long deadlineMillis;
+    private final Runnable onDone;
+    private final Set<String> triedNames = new HashSet<>();
+    private State state = State.SENDING;
+    private Optional<Neighbour> neighbour = Optional.empty();
+    private TargetConnection connection;
+    private TargetResponse response;
+    private Cancellable deadlineTimer;
+    private boolean mayHaveRun;
+
+    /**
+     * Creates a relay that sends nothing before {@link #start}.
+     *
+     * @param neighbours the calls that are passed on, not null
+     * @param call the request with its caller's key, not null
+     * @param attributes the attributes from its headers, including a request id, not null
+     * @param route the route that matches the request, not null
+     * @param caller writes the response to the caller, not null
+     * @param retryAfterMillis when a caller that is refused may come back
+     * @param onDone run exactly once, when the call has ended in any way, not null
+     */
+    NeighbourRelay(
+            NeighbourCalls neighbours,
+            IncomingCall call,
+            CallAttributes attributes,
+            ServiceRoute route,
+            CallerResponse caller,
+            long retryAfterMillis,
+            Runnable onDone) {
+        this.neighbours = Objects.requireNonNull(neighbours, "neighbours");
+        this.call = Objects.requireNonNull(call, "call");
+        this.requestId = attributes.requestId().orElseThrow();
+        this.route = Objects.requireNonNull(route, "route");
+        this.caller = Objects.requireNonNull(caller, "caller");
+        this.retryAfterMillis = retryAfterMillis;
+        this.onDone = Objects.requireNonNull(onDone, "onDone");
+        this.deadlineMillis = call.arrivalMillis()
+                + Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
+    }
+
+    /** Passes the call on, or refuses it if no instance can take it over. */
+    void start() {
+        deadlineTimer = neighbours.time().schedule(remainingMillis() + DEADLINE_MARGIN_MILLIS, this::handleDeadline);
+        passOn();
+    }
+
+    private long remainingMillis() {
+        return deadlineMillis - neighbours.time().monotonicMillis();
+    }
+
+    private void passOn() {
+        Optional<Neighbour> chosen =
+                triedNames.size() < MAX_ATTEMPTS ? neighbours.choose(triedNames) : Optional.empty();
+        if (chosen.isEmpty() || remainingMillis() <= 0) {
+            giveUp();
+            return;
+        }
+        neighbour = chosen;
+        triedNames.add(chosen.get().name());
+        neighbours.recordBegin(requestId, chosen.get(), triedNames.size());
+        neighbours.acquire(chosen.get(), new TargetConnectionPool.AcquireCallback() {
+            @Override
+            public void acquired(TargetConnection acquired) {
+                send(acquired);
+            }
+
+            @Override
+            public void notAcquired(String reason) {
+                if (state != State.DONE) {
+                    endAttempt(reason);
+                    passOn();
+                }
+            }
+        });
+    }
+
+    private void send(TargetConnection acquired) {
+        if (state == State.DONE) {
+            neighbours.release(acquired);
+            return;
+        }
+        connection = acquired;
+        response = null;
+        mayHaveRun = true;
+        acquired.send(neighbours.outbound(requestId, call, Math.max(1, remainingMillis())), this);
+    }
+
+    @Override
+    public void onHead(ResponseAttributes attributes, HttpHeaders headers) {
+        response = new TargetResponse(attributes, headers);
+        if (route.kind() == RouteKind.STREAM && attributes.isSuccess()) {
+            begin();
+        }
+    }
+
+    @Override
+    public void onBody(ByteBuf chunk) {
+        if (state == State.STREAMING) {
+            relayBody(chunk.retain());
+        } else if (state == State.SENDING && response.buffer(chunk) > MAX_BUFFERED_BODY_BYTES) {
+            begin();
+            relayBody(Unpooled.wrappedBuffer(response.takeBuffered()));
+        }
+    }
+
+    private void begin() {
+        state = State.STREAMING;
+        caller.beginResponse(response.status(), neighbours.callHeaders().callerHeaders(response.headers()));
+    }
+
+    private void relayBody(ByteBuf chunk) {
+        caller.writeBody(chunk);
+        if (!caller.isWritable()) {
+            connection.setReading(false);
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        connection = null;
+        if (state == State.DONE) {
+            return;
+        }
+        if (state == State.STREAMING) {
+            caller.endResponse();
+        } else {
+            caller.sendResponse(
+                    response.status(), neighbours.callHeaders().callerHeaders(response.headers()), response.body());
+        }
+        finish("status_" + response.status());
+    }
+
+    @Override
+    public void onLost(String reason, boolean _connectionAborted) {
+        connection = null;
+        if (state == State.STREAMING) {
+            caller.abortResponse();
+            finish(reason);
+        } else if (state == State.SENDING) {
+            LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
+            finish(reason);
+        }
+    }
+
+    @Override
+    public void onCallerClosed() {
+        finish("caller_gone");
+    }
+
+    @Override
+    public void onCallerWritable() {
+        if (connection != null) {
+            connection.setReading(true);
+        }
+    }
+
+    private void giveUp() {
+        if (mayHaveRun) {
+            LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
+        } else {
+            LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
+        }
+        finish("given_up");
+    }
+
+    private void handleDeadline() {
+        if (state == State.DONE) {
+            return;
+        }
+        if (state == State.STREAMING) {
+            caller.abortResponse();
+        } else if (mayHaveRun) {
+            LocalResponses.sendError(caller, LocalResponses.GATEWAY_TIMEOUT, "may have run");
+        } else {
+            LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
+        }
+        finish("deadline");
+    }
+
+    /** Ends the attempt at the current instance. */
+    private void endAttempt(String outcome) {
+        neighbour.ifPresent(each -> neighbours.recordEnd(
+                requestId, each, outcome, neighbours.time().monotonicMillis() - call.arrivalMillis()));
+        neighbour = Optional.empty();
+    }
+
+    private void finish(String outcome) {
+        if (state == State.DONE) {
+            return;
+        }
+        state = State.DONE;
+        deadlineTimer.cancel();
+        endAttempt(outcome);
+        if (connection != null) {
+            // The other instance drops the call when its connection closes.
+            connection.abort();
+            connection = null;
+        }
+        onDone.run();
+    }
+}
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -13,6 +13,7 @@
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetIsolation;
 import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -35,6 +36,7 @@
  * @param rests the targets that asked this instance for a rest, not null
  * @param connectionAborts tracks targets that close new connections without a response, not null
  * @param callStarts receives calls that began to run, not null
+ * @param isolation decides whether this instance is cut off from all targets, not null
  * @param report receives decisions about calls for metrics and logs, not null
  * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on each
  *     use, not null
@@ -56,6 +58,7 @@
         TargetRests rests,
         ConnectionAborts connectionAborts,
         CallStarts callStarts,
+        TargetIsolation isolation,
         RelayReport report,
         IntSupplier sharingInstancesCount) {
 
@@ -78,6 +81,7 @@
         Objects.requireNonNull(rests, "rests");
         Objects.requireNonNull(connectionAborts, "connectionAborts");
         Objects.requireNonNull(callStarts, "callStarts");
+        Objects.requireNonNull(isolation, "isolation");
         Objects.requireNonNull(report, "report");
         Objects.requireNonNull(sharingInstancesCount, "sharingInstancesCount");
     }
@@ -119,8 +123,16 @@
         }
     }
 
+    /** Records that a call was lost with its connection to a target. */
+    void recordLoss(String targetId, boolean connectionAborted) {
+        isolation.recordFailure(targetId, time.monotonicMillis());
+        if (connectionAborted) {
+            recordAbort(targetId);
+        }
+    }
+
     /** Records that a target accepted a connection and closed it without a response to the call. */
-    void recordAbort(String targetId) {
+    private void recordAbort(String targetId) {
         report.targetUnreachable(targetId, connectionAborts.recordAbort(targetId), "broke_off");
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -149,9 +149,7 @@
     @Override
     public void onLost(String reason, boolean connectionAborted) {
         releaseSend();
-        if (connectionAborted) {
-            context.recordAbort(engine.id());
-        }
+        context.recordLoss(engine.id(), connectionAborted);
         finish(new PrefillOutcome.Failed(reason, true));
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/Suspicions.java
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -100,6 +100,11 @@
         crashCorrelator.recordLostCall(target.id(), new LostCall(fingerprint, attemptId, startOf(target), nowMillis));
     }
 
+    /** Forgets the calls that were lost lately, because something else than a crash explains the losses. */
+    void forgetLostCalls() {
+        crashCorrelator.clear();
+    }
+
     private static String startOf(Incarnation target) {
         return TargetStart.nameOf(target.id(), target.startedMillis());
     }
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -57,6 +57,7 @@
     private final Incarnation target;
     private final CallHeaders callHeaders;
     private final TargetResponseDecoder decoder;
+    private final Runnable onHeard;
     private final Consumer<ResponseAttributes> onResponseHead;
     private final Consumer<TargetConnection> onIdle;
     private final Consumer<TargetConnection> onClosed;
@@ -76,12 +77,14 @@
             Incarnation target,
             CallHeaders callHeaders,
             TargetResponseDecoder decoder,
+            Runnable onHeard,
             Consumer<ResponseAttributes> onResponseHead,
             Consumer<TargetConnection> onIdle,
             Consumer<TargetConnection> onClosed) {
         this.target = Objects.requireNonNull(target, "target");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.decoder = Objects.requireNonNull(decoder, "decoder");
+        this.onHeard = Objects.requireNonNull(onHeard, "onHeard");
         this.onResponseHead = Objects.requireNonNull(onResponseHead, "onResponseHead");
         this.onIdle = Objects.requireNonNull(onIdle, "onIdle");
         this.onClosed = Objects.requireNonNull(onClosed, "onClosed");
@@ -159,6 +162,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext _context, HttpObject message) {
+        onHeard.run();
         if (message.decoderResult().isFailure()) {
             failCall("garbled");
             return;
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
@@ -41,13 +41,45 @@
         void notAcquired(String reason);
     }
 
+    /** Receives what happens to connections to targets. */
+    interface Events {
+
+        /** Ignores everything. */
+        Events NONE = new Events() {
+            @Override
+            public void opened(String _targetId) {}
+
+            @Override
+            public void unreachable(String _targetId) {}
+
+            @Override
+            public void heard() {}
+        };
+
+        /**
+         * A connection to a target was opened.
+         *
+         * @param targetId the target's id, not null
+         */
+        void opened(String targetId);
+
+        /**
+         * No connection for a call could be opened to a target.
+         *
+         * @param targetId the target's id, not null
+         */
+        void unreachable(String targetId);
+
+        /** Bytes of a response arrived from any target. */
+        void heard();
+    }
+
     private final TargetConnector connector;
     private final CallHeaders callHeaders;
     private final TimeSource time;
     private final ConnectionPolicy policy;
     private final Predicate<String> rateLimit;
-    private final Runnable onOpened;
-    private final Consumer<String> onUnreachable;
+    private final Events events;
     private final BiConsumer<Incarnation, ResponseAttributes> onResponseHead;
     private final Map<String, TargetPool> pools = new HashMap<>();
 
@@ -57,16 +89,14 @@
             TimeSource time,
             ConnectionPolicy policy,
             Predicate<String> mayArrive,
-            Runnable onOpened,
-            Consumer<String> onUnreachable,
+            Events events,
             BiConsumer<Incarnation, ResponseAttributes> onResponseHead) {
         this.connector = Objects.requireNonNull(connector, "connector");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.time = Objects.requireNonNull(time, "time");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.rateLimit = Objects.requireNonNull(mayArrive, "mayArrive");
-        this.onOpened = Objects.requireNonNull(onOpened, "onOpened");
-        this.onUnreachable = Objects.requireNonNull(onUnreachable, "onUnreachable");
+        this.events = Objects.requireNonNull(events, "events");
         this.onResponseHead = Objects.requireNonNull(onResponseHead, "onResponseHead");
     }
 
@@ -90,7 +120,7 @@
         } else if (pooled.isPresent()) {
             callback.acquired(pooled.get());
         } else {
-            open(target, pool, callback);
+            openForCall(target, pool, callback);
         }
     }
 
@@ -139,7 +169,50 @@
         }
     }
 
-    private void open(Incarnation target, TargetPool pool, AcquireCallback callback) {
+    /**
+     * Opens a connection without a call, to find out whether a target accepts one. It is used for the next call.
+     *
+     * @param target the target to connect to, not null
+     * @param maxConnections the maximum number of connections from this instance to the target
+     * @param onOutcome told once whether the target accepted it, not null
+     * @return false if nothing was opened, because the target already has the maximum
+     */
+    boolean probe(Incarnation target, int maxConnections, Consumer<Boolean> onOutcome) {
+        TargetPool pool = pools.computeIfAbsent(target.id(), _id -> new TargetPool());
+        if (pool.openCount >= maxConnections) {
+            return false;
+        }
+        open(target, pool, new ConnectOutcome() {
+            @Override
+            public void connected(TargetConnection connection) {
+                returnToPool(connection);
+                onOutcome.accept(true);
+            }
+
+            @Override
+            public void failed() {
+                onOutcome.accept(false);
+            }
+        });
+        return true;
+    }
+
+    private void openForCall(Incarnation target, TargetPool pool, AcquireCallback callback) {
+        open(target, pool, new ConnectOutcome() {
+            @Override
+            public void connected(TargetConnection connection) {
+                callback.acquired(connection);
+            }
+
+            @Override
+            public void failed() {
+                events.unreachable(target.id());
+                callback.notAcquired("connect_failed");
+            }
+        });
+    }
+
+    private void open(Incarnation target, TargetPool pool, ConnectOutcome outcome) {
         pool.openCount++;
         pool.removed = false;
         TargetResponseDecoder decoder = new TargetResponseDecoder();
@@ -147,21 +220,21 @@
                 target,
                 callHeaders,
                 decoder,
+                events::heard,
                 attributes -> onResponseHead.accept(target, attributes),
                 this::returnToPool,
                 closed -> closed(closed.target(), pool));
         connector.connect(target, new Pipeline(decoder, connection), new TargetConnector.Outcome() {
             @Override
             public void connected() {
-                onOpened.run();
-                callback.acquired(connection);
+                events.opened(target.id());
+                outcome.connected(connection);
             }
 
             @Override
             public void failed() {
                 closed(target, pool);
-                onUnreachable.accept(target.id());
-                callback.notAcquired("connect_failed");
+                outcome.failed();
             }
         });
     }
@@ -188,6 +261,13 @@
         }
     }
 
+    private interface ConnectOutcome {
+
+        void connected(TargetConnection connection);
+
+        void failed();
+    }
+
     private static final class TargetPool {
         private final Deque<TargetConnection> idle = new ArrayDeque<>();
         private int openCount;
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -33,6 +33,7 @@
 import org.dogwoodwinch.relay.LocalConnectionFailureRecorder;
 import org.dogwoodwinch.relay.LocalRateLimitRecorder;
 import org.dogwoodwinch.relay.LocalStatementRecorder;
+import org.dogwoodwinch.relay.Neighbours;
 import org.dogwoodwinch.relay.UnresponsiveEngineControl;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -60,6 +61,7 @@
                 new ConnectionPolicy(1, 1, 1),
                 new UnresponsiveEngineControl(),
                 new ForwardingService.Decisions(
+                        directory::all,
                         new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(2)),
                         loads,
                         cacheIndex,
@@ -75,6 +77,8 @@
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
                         () -> 1),
+                new Neighbours(
+                        (_target, _handler, outcome) -> outcome.failed(), "dc", List::of, Set::of, _isolated -> {}),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
 
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
@@ -0,0 +1,108 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.Neighbour;
+
+/** Carries the calls that the instance of a test passes on to the instances of the same test, in memory. */
+final class NeighbourLinks {
+
+    /** The instances that do not accept connections. */
+    final Set<String> unreachableNames = new HashSet<>();
+
+    /** The instances that have told that they are cut off from all targets. */
+    final Set<String> isolatedNames = new HashSet<>();
+
+    /** What this instance told the others about itself. */
+    final List<Boolean> toldIsolation = new ArrayList<>();
+
+    private final List<Neighbour> neighbours = new ArrayList<>();
+    private final Map<String, TakenOverCalls> acceptors = new HashMap<>();
+    private final List<Link> links = new ArrayList<>();
+
+    Neighbours asNeighbours() {
+        return new Neighbours(this::connect, "dc-1", () -> neighbours, () -> isolatedNames, toldIsolation::add);
+    }
+
+    void add(String name, RelayFixture instance) {
+        neighbours.add(new Neighbour(name, "10.9.9.9", 7_000, "dc-1"));
+        acceptors.put(name, new TakenOverCalls(instance.service, instance.time));
+    }
+
+    private void connect(Incarnation neighbour, ChannelHandler handler, TargetConnector.Outcome outcome) {
+        if (unreachableNames.contains(neighbour.id())) {
+            outcome.failed();
+            return;
+        }
+        TakenOverCalls acceptor = acceptors.get(neighbour.id());
+        EmbeddedChannel remote = new EmbeddedChannel(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel added) {
+                acceptor.accept(added);
+            }
+        });
+        links.add(new Link(new EmbeddedChannel(handler), remote));
+        outcome.connected();
+    }
+
+    /** Carries all bytes and closes that are under way. */
+    void deliver() {
+        boolean progress = true;
+        while (progress) {
+            progress = false;
+            for (Link link : links) {
+                progress |= link.deliver();
+            }
+        }
+    }
+
+    /** Breaks the connection that was opened last, as when the other instance is killed. */
+    void breakLatest() {
+        links.get(links.size() - 1).local.close().syncUninterruptibly();
+    }
+
+    int openLinksCount() {
+        return (int) links.stream().filter(link -> link.local.isActive()).count();
+    }
+
+    private record Link(EmbeddedChannel local, EmbeddedChannel remote) {
+
+        boolean deliver() {
+            boolean sent = move(local, remote);
+            boolean progress = move(remote, local) || sent;
+            if (local.isActive() != remote.isActive()) {
+                local.close().syncUninterruptibly();
+                remote.close().syncUninterruptibly();
+                progress = true;
+            }
+            return progress;
+        }
+
+        private static boolean move(EmbeddedChannel from, EmbeddedChannel to) {
+            from.runPendingTasks();
+            boolean moved = false;
+            ByteBuf bytes = from.readOutbound();
+            while (bytes != null) {
+                moved = true;
+                if (to.isActive()) {
+                    to.writeInbound(bytes);
+                } else {
+                    bytes.release();
+                }
+                bytes = from.readOutbound();
+            }
+            to.runPendingTasks();
+            return moved;
+        }
+    }
+}
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -73,6 +73,9 @@
     Optional<OwnerKeys> ownerKeys = Optional.empty();
 
     private final List<Runnable> delayedConnects = new ArrayList<>();
+    /** The links to the other instances of a test. */
+    final NeighbourLinks neighbourLinks = new NeighbourLinks();
+
     final SuspectRegistry suspects;
     final ForwardingService service;
     int sharingInstancesCount = 1;
@@ -113,6 +116,7 @@
                 new ConnectionPolicy(1_000, 3_000, 1_000),
                 new FakeEngineControl(),
                 new ForwardingService.Decisions(
+                        directory::all,
                         chooser,
                         loads,
                         cacheIndex,
@@ -128,6 +132,7 @@
                         new LocalConnectionFailureRecorder(health),
                         (owner, _startedWallMillis) -> startedOwners.add(owner),
                         () -> sharingInstancesCount),
+                neighbourLinks.asNeighbours(),
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
 
@@ -382,6 +387,11 @@
             channel.runPendingTasks();
         }
 
+        boolean isClosed() {
+            channel.runPendingTasks();
+            return !channel.isActive();
+        }
+
         void close() {
             channel.close().syncUninterruptibly();
         }
