Test an instance that is cut off from all targets over sockets

Two daemons before one platform; the links of one to all targets fall silent, are reset, or live on while new ones are refused. Its callers are served, each call runs once, and directly again afterwards. A daemon takes what opens its connections to targets as an argument, so that a test can cut them.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.UnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowerPolicy;
 import org.dogwoodwinch.follow.ReplicaPolicy;
@@ -50,6 +51,7 @@
 import org.dogwoodwinch.relay.NeighbourConnector;
 import org.dogwoodwinch.relay.Neighbours;
 import org.dogwoodwinch.relay.TakenOverCalls;
+import org.dogwoodwinch.relay.TargetConnector;
 import org.dogwoodwinch.relay.TcpTargetConnector;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.SettingsChange;
@@ -139,6 +141,22 @@
      * @param random the source of randomness, not null
      */
     public ForwardingDaemon(ForwardingSettings settings, Transport transport, UniformRandomProvider random) {
+        this(settings, transport, random, UnaryOperator.identity());
+    }
+
+    /**
+     * Creates a daemon whose connections to targets are opened in another way.
+     *
+     * @param settings the settings, not null
+     * @param transport the sockets, with a single event loop, not null
+     * @param random the source of randomness, not null
+     * @param targetLinks replaces the connector of targets, not null
+     */
+    ForwardingDaemon(
+            ForwardingSettings settings,
+            Transport transport,
+            UniformRandomProvider random,
+            UnaryOperator<TargetConnector> targetLinks) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.time = new EventLoopTime(transport.eventLoopGroup().next());
@@ -205,7 +223,7 @@
                         store,
                         time));
         this.service = new ForwardingService(
-                new TcpTargetConnector(transport, connections),
+                targetLinks.apply(new TcpTargetConnector(transport, connections)),
                 time,
                 new PlatformHeaders(),
                 random,
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/CutOffInstanceTest.java
@@ -0,0 +1,158 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.net.EventLoopTime;
+import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.settings.ForwardingSettings;
+import org.dogwoodwinch.settings.SettingsLoader;
+import org.dogwoodwinch.standin.platform.PlatformStandIn;
+import org.dogwoodwinch.standin.platform.TargetFault;
+import org.dogwoodwinch.standin.platform.TargetStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Runs two daemons over real sockets, of which one loses its links to all targets. */
+class CutOffInstanceTest {
+
+    private static final int MAX_READY_CHECKS = 20_000;
+    private static final int MAX_ATTEMPTS = 200;
+    private static final int CALLS_AT_ONCE = 4;
+    private static final String PROMPT = "Model: m\r\nToken-Count: 2000,8\r\nPrompt-Prefix: 5c:1500,91:500\r\n";
+
+    private final Transport platformLoop = Transport.start(1);
+    private final Transport cutLoop = Transport.start(1);
+    private final Transport soundLoop = Transport.start(1);
+    private PlatformStandIn platform;
+    private CuttableLinks links;
+    private ForwardingDaemon cut;
+    private ForwardingDaemon sound;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = new PlatformStandIn(
+                platformLoop, new EventLoopTime(platformLoop.eventLoopGroup().next()), _request -> TargetFault.NONE);
+        cut = new ForwardingDaemon(
+                createSettings("n1"), cutLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(5), connector -> {
+                    links = new CuttableLinks(connector);
+                    return links;
+                });
+        sound = new ForwardingDaemon(createSettings("n2"), soundLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(6));
+        cut.start();
+        sound.start();
+        assertTrue(awaitReady(cut) && awaitReady(sound));
+    }
+
+    @AfterEach
+    void stop() {
+        for (Transport loop : List.of(cutLoop, soundLoop)) {
+            loop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        }
+        platform.close();
+        platformLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private ForwardingSettings createSettings(String name) {
+        String json = "{\"instance\":{\"name\":\"" + name + "\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
+                + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
+                + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
+                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}}";
+        return SettingsLoader.parse("test", json)
+                .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
+                    throw new AssertionError(problems);
+                });
+    }
+
+    private static boolean awaitReady(ForwardingDaemon daemon) throws IOException {
+        for (int i = 0; i < MAX_READY_CHECKS; i++) {
+            if (exchange(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    .startsWith("HTTP/1.1 200 ")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static Socket open(int port, String request) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    private static String read(Socket socket) throws IOException {
+        try (socket) {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private static String exchange(int port, String request) throws IOException {
+        return read(open(port, request));
+    }
+
+    private static String call(String path, String id, String headers) {
+        return "POST " + path + " HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: " + id + "\r\n"
+                + headers + "X-Api-Key: " + PlatformStandIn.KEY
+                + "\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello";
+    }
+
+    private int countRuns(String id) {
+        return platform.targets().stream()
+                .map(TargetStandIn::runs)
+                .mapToInt(runs -> runs.getOrDefault(id, 0))
+                .sum();
+    }
+
+    /** Sends calls in parallel, whose caller waits shortly, until all of some are served. */
+    private boolean awaitServed(String prefix) throws IOException {
+        for (int i = 0; i < MAX_ATTEMPTS; i++) {
+            List<Socket> calls = new ArrayList<>();
+            for (int j = 0; j < CALLS_AT_ONCE; j++) {
+                String path = j % 2 == 0 ? "/once/a" : "/stream/a";
+                calls.add(open(cut.port(), call(path, prefix + i + "-" + j, PROMPT + "Deadline-Ms: 2000\r\n")));
+            }
+            int servedCount = 0;
+            for (Socket waiting : calls) {
+                servedCount += read(waiting).startsWith("HTTP/1.1 200 ") ? 1 : 0;
+            }
+            if (servedCount == CALLS_AT_ONCE) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Guards against callers that are refused, or wait, while only their instance is cut off from the targets. */
+    @ParameterizedTest
+    @EnumSource(
+            value = CuttableLinks.Mode.class,
+            names = {"SILENT", "RESET", "NEW_REFUSED"})
+    void callersAreServedWhileTheirInstanceIsCutOff(CuttableLinks.Mode mode) throws IOException {
+        assertTrue(awaitServed("before"));
+        links.setMode(mode);
+        assertTrue(awaitServed("during"));
+
+        for (int i = 0; i < 20; i++) {
+            assertTrue(exchange(cut.port(), call("/once/a", "once" + i, "")).endsWith("done once" + i));
+            assertEquals(1, countRuns("once" + i));
+            assertTrue(exchange(cut.port(), call("/safe/a", "safe" + i, "")).endsWith("done safe" + i));
+            String stream = exchange(cut.port(), call("/stream/a", "stream" + i, PROMPT));
+            assertTrue(stream.contains("id: 8\ndata: word8\n\n") && stream.endsWith("0\r\n\r\n"), stream);
+            assertEquals(1, countRuns("stream" + i));
+        }
+
+        links.setMode(CuttableLinks.Mode.UP);
+        assertTrue(awaitServed("after"));
+    }
+}
