Take four failing targets for a cut, not three

A rack of three engines that goes dark leaves three targets without an answer; a round of probes that meets one of them and another busy target could have taken that for a cut. Four (or all) are needed now: the two that raise the suspicion and two that are probed. A silent cut is found one round of probes later.

--- a/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
@@ -35,7 +35,7 @@
     private static final long SUSPICIOUS_SILENCE_MILLIS = 600;
 
     /** The number of targets without an answer that make up a cut, or all targets if there are fewer. */
-    private static final int MIN_FAILED_TARGETS = 3;
+    private static final int MIN_FAILED_TARGETS = 4;
 
     private static final int PROBED_TARGETS = 2;
     private static final long PROBE_INTERVAL_MILLIS = 500;
--- a/src/test/java/org/dogwoodwinch/forwarding/TargetIsolationTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/TargetIsolationTest.java
@@ -5,8 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.forwarding.TargetIsolation.Change;
 import org.junit.jupiter.api.Test;
@@ -134,4 +139,23 @@
         assertEquals(1, single.startProbes(TARGETS.subList(0, 1), 5).size());
         assertEquals(Change.BEGAN, single.recordProbes(Set.of(), Set.of("t0"), 5));
     }
+
+    /** Guards against a sound instance that believes itself cut off because three engines fell silent at once. */
+    @Property(seed = "7", tries = 200)
+    void threeSilentTargetsAreNoCut(@ForAll @IntRange(min = 1, max = 1_000_000) int seed) {
+        TargetIsolation watched = new TargetIsolation(TARGETS::size, RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+        Set<String> silent = Set.of("t0", "t2", "t5");
+        for (long nowMillis = 0; nowMillis < 5_000; nowMillis += 100) {
+            watched.recordSent("t0", nowMillis);
+            watched.recordFailure("t2", nowMillis);
+            watched.recordFailure("t5", nowMillis);
+            if (watched.isProbeDue(nowMillis)) {
+                Map<Boolean, Set<String>> probed = watched.startProbes(TARGETS, nowMillis).stream()
+                        .map(Incarnation::id)
+                        .collect(Collectors.partitioningBy(silent::contains, Collectors.toSet()));
+                watched.recordProbes(probed.get(false), probed.get(true), nowMillis);
+            }
+            assertFalse(watched.isIsolated());
+        }
+    }
 }
