Let no instance that is cut off from the targets watch engines for others

Instances of a data centre that hear of cached prompts from one that was cut off would choose engines by an old view for as long as the cut lasts: the engines stay assigned to it, as it sends messages like any other.

Change: an instance that says that it is cut off is assigned no engine; another one of its data centre watches them meanwhile. If all of a data centre are cut off, the assignment stays as it is. Orders of stages are not handed over: their lease takes longer to change hands than most cuts last.

--- a/src/main/java/org/dogwoodwinch/daemon/IsolationSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/IsolationSharing.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -17,7 +18,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Tells the other instances that this one is cut off from all targets, so that no instance passes calls on to it.
+ * Tells the other instances that this one is cut off from all targets, so that no instance passes calls on to it, and
+ * another one watches the engines that were assigned to it.
  *
  * <p>Load: half of a large fleet is cut off at once, and each of these instances tells all others. The statement is
  * therefore repeated only often enough that a lost one does not matter for long.
@@ -31,13 +33,15 @@
     /** Two repetitions may be lost. */
     private static final long TTL_MILLIS = 5_000;
 
+    private final String ownName;
     private final RelayExchange exchange;
     private final TimeSource time;
     private final Map<String, Long> isolatedUntilMillis = new HashMap<>();
     private boolean isolated;
     private long nextRepeatMillis;
 
-    IsolationSharing(RelayExchange exchange, TimeSource time) {
+    IsolationSharing(String ownName, RelayExchange exchange, TimeSource time) {
+        this.ownName = Objects.requireNonNull(ownName, "ownName");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.time = Objects.requireNonNull(time, "time");
     }
@@ -46,6 +50,7 @@
     void start() {
         exchange.subscribe(PeerTopic.TARGETS_CUT_OFF, this::onUpdate);
         exchange.beforeEachRound(() -> {
+            exchange.updateUnableInstances(unableNames());
             if (isolated && time.monotonicMillis() >= nextRepeatMillis) {
                 publish();
             }
@@ -69,6 +74,17 @@
         return Set.copyOf(isolatedUntilMillis.keySet());
     }
 
+    /** Returns the names of the instances that reach no engine, and so can watch none for the others. */
+    private Set<String> unableNames() {
+        Set<String> names = isolatedNames();
+        if (!isolated) {
+            return names;
+        }
+        Set<String> withOwn = new HashSet<>(names);
+        withOwn.add(ownName);
+        return withOwn;
+    }
+
     private void publish() {
         nextRepeatMillis = time.monotonicMillis() + REPEAT_MILLIS;
         exchange.publish(
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -184,6 +184,15 @@
         return relayTracker.isPredecessor(name);
     }
 
+    /**
+     * Sets which instances cannot perform the tasks of {@link #isAssignedToSelf} although they send messages.
+     *
+     * @param names their names, with this instance's if it is one of them, not null
+     */
+    public void updateUnableInstances(Set<String> names) {
+        relayTracker.updateUnable(names);
+    }
+
     /**
      * Returns whether a task that one instance of each data centre performs is assigned to this one.
      *
--- a/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
@@ -104,6 +104,11 @@
         return succession.isPredecessor(member.dataCentre(), member.name(), first.name()) ? member : first;
     }
 
+    /** Sets the names of the instances to which no task of {@link #isAssignedToSelf} is assigned. */
+    void updateUnable(Set<String> names) {
+        taskAssignment.updateUnable(names);
+    }
+
     /** Removes the timestamps of instances that have been silent for the member time-out. */
     void expireSilentMembers() {
         long oldestMillis = oldestRecentMessageMillis();
--- a/src/main/java/org/dogwoodwinch/peer/SuccessionOrder.java
+++ b/src/main/java/org/dogwoodwinch/peer/SuccessionOrder.java
@@ -117,6 +117,15 @@
         return true;
     }
 
+    /**
+     * Returns the name of this instance.
+     *
+     * @return the name
+     */
+    String ownName() {
+        return ownName;
+    }
+
     /** Compares the names of instances of a data centre; the greater one comes first in the succession order. */
     private int compare(String dataCentre, String name, String otherName) {
         int byLink = Double.compare(linksMbps.getOrDefault(name, 0.0), linksMbps.getOrDefault(otherName, 0.0));
--- a/src/main/java/org/dogwoodwinch/peer/TaskAssignment.java
+++ b/src/main/java/org/dogwoodwinch/peer/TaskAssignment.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.peer;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -23,6 +24,7 @@
     private final SuccessionOrder succession;
     private final Map<String, Boolean> assignments = new HashMap<>();
     private Set<String> aliveMembers = Set.of();
+    private Set<String> unableMembers = Set.of();
 
     TaskAssignment(SuccessionOrder succession) {
         this.succession = Objects.requireNonNull(succession, "succession");
@@ -36,11 +38,34 @@
         }
     }
 
-    /** Returns whether no live instance ranks higher for the task. */
+    /**
+     * Sets the names of the instances that cannot perform tasks although they are alive; if they have changed, cached
+     * assignments are discarded.
+     */
+    void updateUnable(Set<String> names) {
+        if (!unableMembers.equals(names)) {
+            unableMembers = Set.copyOf(names);
+            assignments.clear();
+        }
+    }
+
+    /**
+     * Returns whether no live instance that can perform the task ranks higher for it. If none can, all count, as it is
+     * then unknown which of them will be able first.
+     */
     boolean isAssignedToSelf(String key) {
         if (assignments.size() >= MAX_CACHED_TASKS) {
             assignments.clear();
         }
-        return assignments.computeIfAbsent(key, task -> succession.isAssignedToSelf(task, aliveMembers));
+        return assignments.computeIfAbsent(key, this::rank);
+    }
+
+    private boolean rank(String task) {
+        Set<String> able = new HashSet<>(aliveMembers);
+        able.removeAll(unableMembers);
+        if (able.isEmpty()) {
+            return succession.isAssignedToSelf(task, aliveMembers);
+        }
+        return !unableMembers.contains(succession.ownName()) && succession.isAssignedToSelf(task, able);
     }
 }
--- a/src/test/java/org/dogwoodwinch/peer/TaskAssignmentTest.java
+++ b/src/test/java/org/dogwoodwinch/peer/TaskAssignmentTest.java
@@ -42,4 +42,31 @@
         assignment.updateMembers(Set.of("i1"));
         assertEquals(true, assignment.isAssignedToSelf(otherTask));
     }
+
+    /** Guards against targets that nobody queries because the instance that should reaches none. */
+    @Test
+    void taskOfInstanceThatCannotPerformItIsTakenOver() {
+        for (int i = 0; i < 50; i++) {
+            String task = "engine-" + i;
+            long assigned = NAMES.stream()
+                    .filter(name -> {
+                        TaskAssignment assignment = new TaskAssignment(new SuccessionOrder("dc", name, 0));
+                        assignment.updateMembers(Set.copyOf(NAMES));
+                        assignment.updateUnable(Set.of("i1", "i2", "i3"));
+                        return assignment.isAssignedToSelf(task);
+                    })
+                    .peek(name -> assertEquals("i4", name))
+                    .count();
+            assertEquals(1, assigned);
+        }
+    }
+
+    /** Guards against targets that nobody queries because all instances were cut off a moment ago. */
+    @Test
+    void taskStaysAssignedWhenNoInstanceCanPerformIt() {
+        TaskAssignment assignment = new TaskAssignment(new SuccessionOrder("dc", "i1", 0));
+        assignment.updateMembers(Set.of("i1"));
+        assignment.updateUnable(Set.of("i1"));
+        assertEquals(true, assignment.isAssignedToSelf("engine-1"));
+    }
 }
