--- a/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
+++ b/src/main/java/org/dogwoodwinch/daemon/BrokenTargets.java
@@ -1,7 +1,10 @@
 package org.dogwoodwinch.daemon;
 
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.ToLongFunction;
@@ -50,6 +53,7 @@
     private final UniformRandomProvider random;
     private final Set<String> ejectedTargets = new HashSet<>();
     private final Set<String> probedTargets = new HashSet<>();
+    private final Map<String, String> statingPeers = new HashMap<>();
 
     BrokenTargets(
             String ownName,
@@ -98,9 +102,28 @@
     public void removeTarget(String targetId) {
         ejectedTargets.remove(targetId);
         probedTargets.remove(targetId);
+        statingPeers.remove(targetId);
         health.remove(targetId);
     }
 
+    /**
+     * Ends the ejections that an instance has caused, because it is cut off from all targets: its failures say nothing
+     * about them.
+     *
+     * @param peer the name of the instance, not null
+     */
+    void forgetStatementsOf(String peer) {
+        List<String> stated = statingPeers.entrySet().stream()
+                .filter(each -> each.getValue().equals(peer))
+                .map(Map.Entry::getKey)
+                .toList();
+        for (String targetId : stated) {
+            statingPeers.remove(targetId);
+            ejectedTargets.remove(targetId);
+            health.recordPeerRecovery(targetId);
+        }
+    }
+
     private void publish(String targetId, long ejectionMillis) {
         exchange.publish(
                 PeerTopic.BROKEN_TARGET,
@@ -134,12 +157,14 @@
         String targetId = update.key();
         if (ejectionMillis <= 0) {
             probedTargets.remove(targetId);
+            statingPeers.remove(targetId);
             health.recordPeerRecovery(targetId);
             if (ejectedTargets.remove(targetId)) {
                 log(update, 0);
             }
         } else if (!probedTargets.contains(targetId) || update.origin().compareTo(ownName) < 0) {
             boolean newlyEjected = ejectedTargets.add(targetId);
+            statingPeers.put(targetId, update.origin());
             probedTargets.remove(targetId);
             double factor = PEER_EJECTION_FACTOR + PEER_EJECTION_JITTER * random.nextDouble();
             long peerEjectionMillis = Math.round(factor * ejectionMillis) - update.ageMillis();
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -200,8 +200,8 @@
         brokenTargets.start();
         LimitSharing limitSharing = new LimitSharing(fleet.exchange(), limits, limitShares, this::startedMillis, time);
         limitSharing.start();
-        IsolationSharing isolationSharing =
-                new IsolationSharing(settings.instance().name(), fleet.exchange(), time);
+        IsolationSharing isolationSharing = new IsolationSharing(
+                settings.instance().name(), fleet.exchange(), time, brokenTargets::forgetStatementsOf);
         isolationSharing.start();
         TargetStatementRecorder statements =
                 new TargetStatementRecorder(fleet.exchange(), directory, rests, metrics, this::closeIdleConnections);
--- a/src/main/java/org/dogwoodwinch/daemon/IsolationSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/IsolationSharing.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerTopic;
@@ -36,11 +37,21 @@
     private final String ownName;
     private final RelayExchange exchange;
     private final TimeSource time;
+    private final Consumer<String> onPeerIsolated;
     private final Map<String, Long> isolatedUntilMillis = new HashMap<>();
     private boolean isolated;
     private long nextRepeatMillis;
 
-    IsolationSharing(String ownName, RelayExchange exchange, TimeSource time) {
+    /**
+     * Creates an object that tells and hears nothing before {@link #start}.
+     *
+     * @param ownName the name of this instance, not null
+     * @param exchange the bus between the instances, not null
+     * @param time the clock, not null
+     * @param onPeerIsolated told the name of each instance that turns out to be cut off, not null
+     */
+    IsolationSharing(String ownName, RelayExchange exchange, TimeSource time, Consumer<String> onPeerIsolated) {
+        this.onPeerIsolated = Objects.requireNonNull(onPeerIsolated, "onPeerIsolated");
         this.ownName = Objects.requireNonNull(ownName, "ownName");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.time = Objects.requireNonNull(time, "time");
@@ -100,6 +111,9 @@
             } else {
                 isolatedUntilMillis.remove(update.origin());
             }
+            if (isIsolated && !wasIsolated) {
+                onPeerIsolated.accept(update.origin());
+            }
             if (isIsolated != wasIsolated) {
                 LogEvent.of("instance_cut_off_heard")
                         .with("peer", update.origin())
--- a/src/test/java/org/dogwoodwinch/daemon/BrokenTargetsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/BrokenTargetsTest.java
@@ -131,4 +131,22 @@
     private static boolean isAffectedTarget(Incarnation target) {
         return Integer.parseInt(target.id().substring(1)) < BROKEN_TARGET_COUNT;
     }
+
+    /** Guards against sound targets that all instances leave out because one instance was cut off from them. */
+    @Test
+    void ejectionsOfInstanceThatIsCutOffEndEverywhere() {
+        for (int i = 0; i < 10; i++) {
+            brokenTargets.get(0).recordAbort("t" + i);
+        }
+        fleet.time.advanceMillis(700);
+        assertTrue(healths.get(1).isEjected("t0"));
+
+        for (int i = 1; i < INSTANCE_COUNT; i++) {
+            brokenTargets.get(i).forgetStatementsOf(fleet.members.get(0).name);
+        }
+
+        for (int i = 1; i < INSTANCE_COUNT; i++) {
+            assertEquals(TARGET_COUNT, healths.get(i).filterUsable(targets).size());
+        }
+    }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/IsolationSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/IsolationSharingTest.java
@@ -24,12 +24,13 @@
     private static final long MAX_BYTES_PER_INSTANCE_AND_SECOND = 7_000;
 
     private final List<IsolationSharing> sharings = new ArrayList<>();
+    private final List<String> heard = new ArrayList<>();
     private SimulatedFleet fleet;
 
     private void start(int count) {
         fleet = new SimulatedFleet(count, DATA_CENTRES, 5);
         for (SimulatedFleet.Member member : fleet.members) {
-            IsolationSharing sharing = new IsolationSharing(member.name, member.exchange, fleet.time);
+            IsolationSharing sharing = new IsolationSharing(member.name, member.exchange, fleet.time, heard::add);
             sharing.start();
             sharings.add(sharing);
         }
@@ -48,6 +49,7 @@
         }
         fleet.time.advanceMillis(KNOWN_TO_ALL_MILLIS);
         assertAllKnow(cut);
+        assertEquals((count / 2) * (count - 1), heard.size());
         assertEachEngineIsWatchedByOneThatReachesIt(cut);
 
         fleet.time.advanceMillis(CUT_MILLIS);
