--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -50,6 +50,7 @@
 import org.dogwoodwinch.relay.ForwardingService;
 import org.dogwoodwinch.relay.NeighbourConnector;
 import org.dogwoodwinch.relay.Neighbours;
+import org.dogwoodwinch.relay.RelayDecisions;
 import org.dogwoodwinch.relay.TakenOverCalls;
 import org.dogwoodwinch.relay.TargetConnector;
 import org.dogwoodwinch.relay.TcpTargetConnector;
@@ -230,7 +231,7 @@
                 random,
                 connections,
                 engines,
-                new ForwardingService.Decisions(
+                new RelayDecisions(
                         this::activeTargets,
                         new EngineChooser(
                                 directory,
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -3,12 +3,10 @@
 import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.forwarding.ApiKey;
@@ -17,22 +15,13 @@
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.forwarding.EngineTraits;
 import org.dogwoodwinch.forwarding.Incarnation;
-import org.dogwoodwinch.forwarding.KvCacheIndex;
-import org.dogwoodwinch.forwarding.LoadTracker;
-import org.dogwoodwinch.forwarding.PrefillRates;
-import org.dogwoodwinch.forwarding.RetryBudget;
-import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.RouteTable;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
-import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetIsolation;
-import org.dogwoodwinch.forwarding.TargetRateLimits;
-import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
-import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -48,12 +37,6 @@
      */
     private static final long MAX_BODY_MEMORY_BYTES = 16_777_216;
 
-    /**
-     * The time after which an unreachable target counts as crashed: an instance that is cut off from all targets finds
-     * that out meanwhile, and its calls must not become suspects of the whole fleet.
-     */
-    private static final long CRASH_EVIDENCE_DELAY_MILLIS = 200;
-
     private final CallHeaders callHeaders;
     private final UniformRandomProvider random;
     private final TimeSource time;
@@ -64,7 +47,6 @@
     private final TargetIsolation isolation;
     private final IsolationWatch isolationWatch;
     private final NeighbourCalls neighbourCalls;
-    private final Neighbours neighbours;
     private final ForwardingMetrics metrics;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
@@ -93,18 +75,20 @@
             UniformRandomProvider random,
             ConnectionPolicy policy,
             EngineControl control,
-            Decisions decisions,
+            RelayDecisions decisions,
             Neighbours neighbours,
             ForwardingMetrics metrics) {
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.random = Objects.requireNonNull(random, "random");
         this.time = Objects.requireNonNull(time, "time");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.neighbours = Objects.requireNonNull(neighbours, "neighbours");
         this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests());
         this.isolation = new TargetIsolation(() -> decisions.targets().get().size(), random);
         this.health = decisions.health();
         this.statements = decisions.statements();
+        Suspicions suspicions = new Suspicions(decisions.quarantine(), time);
+        TargetLinkGuard links = new TargetLinkGuard(
+                isolation, health, suspicions, report, metrics, time, neighbours.onIsolationChange());
         this.context = new RelayContext(
                 time,
                 callHeaders,
@@ -114,7 +98,7 @@
                         time,
                         policy,
                         decisions.limits()::tryTake,
-                        new ConnectionEvents(),
+                        links,
                         this::recordStatements),
                 decisions.chooser(),
                 control,
@@ -123,7 +107,7 @@
                 decisions.prefillRates(),
                 decisions.retryPolicy(),
                 decisions.budget(),
-                new Suspicions(decisions.quarantine(), time),
+                suspicions,
                 health,
                 decisions.statedLimits(),
                 decisions.rests(),
@@ -134,49 +118,9 @@
                 decisions.sharingInstancesCount());
         this.neighbourCalls =
                 new NeighbourCalls(neighbours, random, isolation::isIsolated, callHeaders, time, policy, metrics);
-        this.isolationWatch =
-                new IsolationWatch(isolation, decisions.targets(), this::probe, time, this::handleIsolationChange);
+        this.isolationWatch = links.watch(decisions.targets(), this::probe, context.connections()::closeIdle);
     }
 
-    /**
-     * The components that decide about calls.
-     *
-     * @param targets supplies the targets that are listed and not draining, evaluated on each use, not null
-     * @param chooser chooses targets, not null
-     * @param loads tracks the calls under way at targets, not null
-     * @param cacheIndex prompt segments in the KV caches of engines, not null
-     * @param prefillRates estimated prefill rates of engines, not null
-     * @param retryPolicy chooses the next step after a failed send, not null
-     * @param budget limits retries, not null
-     * @param quarantine status of calls that crash targets, not null
-     * @param health tracks targets that were recently unreachable, not null
-     * @param limits rate limits of targets that state one, not null
-     * @param rests the targets that asked this instance for a rest, not null
-     * @param statedLimits receives the rate limits that targets state in responses, not null
-     * @param statements receives what targets state about themselves in responses, not null
-     * @param connectionAborts tracks targets that close new connections without a response, not null
-     * @param callStarts receives calls that began to run, for the usage of their owners, not null
-     * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on
-     *     each use, not null
-     */
-    public record Decisions(
-            Supplier<List<Incarnation>> targets,
-            TargetChooser chooser,
-            LoadTracker loads,
-            KvCacheIndex cacheIndex,
-            PrefillRates prefillRates,
-            RetryPolicy retryPolicy,
-            RetryBudget budget,
-            Quarantine quarantine,
-            TargetHealth health,
-            TargetRateLimits limits,
-            TargetRests rests,
-            StatedRateLimits statedLimits,
-            TargetStatements statements,
-            ConnectionAborts connectionAborts,
-            CallStarts callStarts,
-            IntSupplier sharingInstancesCount) {}
-
     /**
      * Starts to accept connections from callers.
      *
@@ -347,50 +291,6 @@
                 .orElse(false);
     }
 
-    /**
-     * Handles the begin or end of a cut. What failed because of it says nothing about targets and calls: no call is
-     * suspected of a crash, and no target stays ejected. Connections that were open during a cut are not used again.
-     */
-    private void handleIsolationChange(boolean isolated) {
-        metrics.setIsolated(isolated);
-        if (isolated) {
-            context.suspicions().forgetLostCalls();
-            context.connections().closeIdle();
-        } else {
-            health.endEjections();
-        }
-        neighbours.onIsolationChange().accept(isolated);
-    }
-
-    private void targetUnreachable(String targetId) {
-        report.targetUnreachable(targetId, health.recordUnreachable(targetId), "connect_failed");
-        time.schedule(CRASH_EVIDENCE_DELAY_MILLIS, () -> {
-            if (!isolation.isIsolated()) {
-                context.suspicions().handleTargetLost(targetId);
-            }
-        });
-    }
-
-    private final class ConnectionEvents implements TargetConnectionPool.Events {
-
-        @Override
-        public void opened(String targetId) {
-            metrics.connectionOpened();
-            isolation.recordConnected(targetId);
-        }
-
-        @Override
-        public void unreachable(String targetId) {
-            isolation.recordFailure(targetId, time.monotonicMillis());
-            targetUnreachable(targetId);
-        }
-
-        @Override
-        public void heard() {
-            isolation.recordHeard(time.monotonicMillis());
-        }
-    }
-
     /**
      * Records what a target states about itself in the head of any response on a connection to it. If another target at
      * its address states that it is leaving, the one that was meant is gone, so the same holds for that one.
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -34,6 +34,7 @@
 import org.dogwoodwinch.relay.LocalRateLimitRecorder;
 import org.dogwoodwinch.relay.LocalStatementRecorder;
 import org.dogwoodwinch.relay.Neighbours;
+import org.dogwoodwinch.relay.RelayDecisions;
 import org.dogwoodwinch.relay.UnresponsiveEngineControl;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -60,7 +61,7 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(1),
                 new ConnectionPolicy(1, 1, 1),
                 new UnresponsiveEngineControl(),
-                new ForwardingService.Decisions(
+                new RelayDecisions(
                         directory::all,
                         new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(2)),
                         loads,
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -119,7 +119,7 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(8),
                 new ConnectionPolicy(CONNECT_TIMEOUT_MILLIS, 3_000, 1_000),
                 new FakeEngineControl(),
-                new ForwardingService.Decisions(
+                new RelayDecisions(
                         directory::all,
                         chooser,
                         loads,
