Find another instance for calls that one does not take over

Callers of an instance that is cut off got 503 while the instance that takes over its calls was stopping as planned, though a third one was well: it learns of a stop from the store, seconds later, and took the refusal for the last word.

Cause: a refusal because of the state of the other instance looked like its decision about the call.

The statement does not reach callers. A daemon tells its metrics port, so that a test can read them.

Before: CutOffInstanceTest.callsAreServedWhileTheInstanceThatTakesThemOverStops fails (503 stopping). After: it passes, as do anotherInstanceTakesOverWhatOneDoesNot and internalStatementDoesNotReachTheCaller.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -132,6 +132,7 @@
     private final RetryBudget budget;
     private ForwardingSettings settings;
     private Channel readyListener;
+    private Channel metricsListener;
     private boolean stopping;
 
     /**
@@ -328,7 +329,7 @@
     public void start() throws IOException {
         readyListener = ForwardingService.listenReady(
                 transport, parseAddress(settings.forwarding().readyListen()), this::isReady);
-        ForwardingService.listenMetrics(
+        metricsListener = ForwardingService.listenMetrics(
                 transport, parseAddress(settings.forwarding().metricsListen()), metrics);
         service.listen(transport, parseAddress(settings.forwarding().listen()));
         PeerMember self = fleet.listen(parseAddress(settings.peers().listen()));
@@ -375,6 +376,15 @@
         return ((InetSocketAddress) readyListener.localAddress()).getPort();
     }
 
+    /**
+     * Returns the port at which the metrics are served.
+     *
+     * @return the port
+     */
+    public int metricsPort() {
+        return ((InetSocketAddress) metricsListener.localAddress()).getPort();
+    }
+
     /**
      * Reloads the settings whenever their file changes, and on SIGHUP.
      *
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -386,23 +386,36 @@
     }
 
     /**
-     * Handles a call that another instance passes on. It is not passed on again: if this instance is cut off as well,
-     * the call is refused.
+     * Handles a call that another instance passes on. It is not passed on again. If this instance cannot serve it
+     * because of its own state, the other instance is told so and finds another one.
      */
     ActiveCall takeOver(IncomingCall call, CallerResponse caller, Runnable onDone) {
-        CallAttributes attributes = callHeaders.parseCall(call.headers());
-        String requestId = attributes.requestId().orElse("");
+        Optional<String> obstacle = obstacleToTakeOver();
         LogEvent.of("call_taken_over")
-                .with("request", requestId)
-                .with("isolated", isolation.isIsolated())
+                .with(
+                        "request",
+                        callHeaders.parseCall(call.headers()).requestId().orElse(""))
+                .with("obstacle", obstacle.orElse(""))
                 .info(log);
-        metrics.callTakenOver();
-        if (isolation.isIsolated()) {
-            return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "cut off from all targets");
+        if (obstacle.isPresent()) {
+            LocalResponses.sendNotTakenOver(caller, obstacle.get());
+            onDone.run();
+            return ActiveCall.NONE;
         }
+        metrics.callTakenOver();
         return handle(call, caller, onDone, false);
     }
 
+    private Optional<String> obstacleToTakeOver() {
+        if (!accepting) {
+            return Optional.of("stopping");
+        }
+        if (routeTable.isEmpty()) {
+            return Optional.of("no_configuration");
+        }
+        return isolation.isIsolated() ? Optional.of("cut_off_from_targets") : Optional.empty();
+    }
+
     private ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone, boolean isPassedOn) {
         CallAttributes attributes = callHeaders.parseCall(call.headers());
         if (!accepting) {
--- a/src/main/java/org/dogwoodwinch/relay/LocalResponses.java
+++ b/src/main/java/org/dogwoodwinch/relay/LocalResponses.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.util.Locale;
 import org.dogwoodwinch.bytes.Bytes;
 
@@ -19,6 +20,9 @@
     static final int UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
 
+    /** Marks the refusal of a call that another instance passed on and that a third one may take over. */
+    private static final AsciiString NOT_TAKEN_OVER = AsciiString.cached("x-dogwoodwinch-not-taken-over");
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private LocalResponses() {}
@@ -40,6 +44,16 @@
         caller.sendResponse(status, headers, Bytes.ofUtf8(reason));
     }
 
+    /** Tells the instance that passed a call on that it was not taken over and has not run. */
+    static void sendNotTakenOver(CallerResponse caller, String reason) {
+        caller.sendResponse(UNAVAILABLE, textHeaders().set(NOT_TAKEN_OVER, reason), Bytes.ofUtf8(reason));
+    }
+
+    /** Returns whether the instance to which a call was passed on states that it did not take it over. */
+    static boolean isNotTakenOver(HttpHeaders headers) {
+        return headers.contains(NOT_TAKEN_OVER);
+    }
+
     private static HttpHeaders textHeaders() {
         return new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
     }
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -16,8 +16,8 @@
  * Passes one call on to another instance and gives the caller that instance's response unchanged. Confined to one event
  * loop.
  *
- * <p>The other instance has the whole decision about the call, so whatever it answers is final. Another instance is
- * tried only as long as no byte of the call was written. After that, the call may run there, and a repeat would take
+ * <p>The other instance has the whole decision about the call, so whatever it answers is final, unless it states that
+ * it did not take the call over. Another instance is tried only then, or if no byte of the call was written. After that, the call may run there, and a repeat would take
  * from a retry budget that only the other instance knows.
  */
 final class NeighbourRelay implements ResponseSink, ActiveCall {
@@ -166,6 +166,12 @@
         if (state == State.DONE) {
             return;
         }
+        if (state == State.SENDING && LocalResponses.isNotTakenOver(response.headers())) {
+            mayHaveRun = false;
+            endAttempt("not_taken_over");
+            passOn();
+            return;
+        }
         if (state == State.STREAMING) {
             caller.endResponse();
         } else {
--- a/src/test/java/org/dogwoodwinch/daemon/CutOffInstanceTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/CutOffInstanceTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.net.EventLoopTime;
@@ -21,6 +22,7 @@
 import org.dogwoodwinch.standin.platform.TargetStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -35,6 +37,7 @@
     private final Transport platformLoop = Transport.start(1);
     private final Transport cutLoop = Transport.start(1);
     private final Transport soundLoop = Transport.start(1);
+    private final Transport thirdLoop = Transport.start(1);
     private PlatformStandIn platform;
     private CuttableLinks links;
     private ForwardingDaemon cut;
@@ -57,7 +60,7 @@
 
     @AfterEach
     void stop() {
-        for (Transport loop : List.of(cutLoop, soundLoop)) {
+        for (Transport loop : List.of(cutLoop, soundLoop, thirdLoop)) {
             loop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
         }
         platform.close();
@@ -68,7 +71,7 @@
         String json = "{\"instance\":{\"name\":\"" + name + "\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
                 + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
                 + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
-                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}}";
+                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"stop\":{\"notReadyMillis\":1000,\"graceSeconds\":20}}";
         return SettingsLoader.parse("test", json)
                 .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
                     throw new AssertionError(problems);
@@ -133,6 +136,18 @@
         return false;
     }
 
+    private boolean awaitTakesOver(ForwardingDaemon daemon) throws IOException {
+        for (int i = 0; i < MAX_READY_CHECKS; i++) {
+            exchange(cut.port(), call("/once/a", "third" + i, ""));
+            String metrics =
+                    exchange(daemon.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+            if (!metrics.contains("dogwoodwinch_calls_taken_over_total 0.0")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Guards against callers that are refused, or wait, while only their instance is cut off from the targets. */
     @ParameterizedTest
     @EnumSource(
@@ -155,4 +170,27 @@
         links.setMode(CuttableLinks.Mode.UP);
         assertTrue(awaitServed("after"));
     }
+
+    /** Guards against calls that are lost with an instance that stops as planned while it has taken them over. */
+    @Test
+    void callsAreServedWhileTheInstanceThatTakesThemOverStops() throws Exception {
+        ForwardingDaemon third =
+                new ForwardingDaemon(createSettings("n3"), thirdLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+        links.setMode(CuttableLinks.Mode.RESET);
+        assertTrue(awaitServed("during"));
+        third.start();
+        assertTrue(awaitReady(third) && awaitTakesOver(third));
+
+        CompletableFuture<Integer> stopped = sound.stop().toCompletableFuture();
+        int callsCount = 0;
+        while (!stopped.isDone() && callsCount < MAX_ATTEMPTS) {
+            String id = "stop" + callsCount++;
+            String response = exchange(cut.port(), call("/once/a", id, ""));
+            assertTrue(response.endsWith("done " + id), response);
+            assertEquals(1, countRuns(id));
+        }
+
+        assertEquals(0, stopped.get(20, TimeUnit.SECONDS));
+        assertTrue(awaitServed("after"));
+    }
 }
--- a/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
@@ -260,4 +260,26 @@
         assertTrue(request.contains("tenant: hall-1"), request);
         assertFalse(request.contains("secret-key"), request);
     }
+
+    /** Guards against calls that are refused because an instance stops, or has just started, while others are well. */
+    @Test
+    void anotherInstanceTakesOverWhatOneDoesNot() {
+        RelayFixture third = new RelayFixture(50, time, "c", NAMES).withRoutes().withPlainTarget("t0");
+        sound.service.stopAccepting();
+        cut.neighbourLinks.add("c", third);
+        for (int i = 0; i < 10; i++) {
+            RelayFixture.FakeCaller caller = send(RelayFixture.getRequest("/once/p", "p" + i));
+            third.latestTargetConnection().respond(RelayFixture.successResponse("p" + i, "done"));
+            assertTrue(received(caller).endsWith("done"));
+        }
+        assertTrue(sound.targetConnections.isEmpty());
+    }
+
+    @Test
+    void internalStatementDoesNotReachTheCaller() {
+        sound.service.stopAccepting();
+        String response = received(send(RelayFixture.getRequest("/once/p", "p1")));
+        assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+        assertFalse(response.contains("x-dogwoodwinch"), response);
+    }
 }
