Work out a call's deadline in one place

CallRelay and NeighbourRelay derived it alike. A refusal of NeighbourRelay that could never be reached is gone: calls are given up only before any instance has run something.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -88,8 +88,7 @@
         this.service = routed.service();
         this.caller = Objects.requireNonNull(caller, "caller");
         this.onDone = Objects.requireNonNull(onDone, "onDone");
-        this.deadlineMillis = call.arrivalMillis()
-                + Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
+        this.deadlineMillis = call.deadlineMillis(route, attributes);
         this.eventFramer = new EventFramer(attributes.lastEventId());
         this.fingerprint = Suspicions.fingerprint(call, owner.map(CallOwner::name));
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
--- a/src/main/java/org/dogwoodwinch/relay/IncomingCall.java
+++ b/src/main/java/org/dogwoodwinch/relay/IncomingCall.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Objects;
 import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.ServiceRoute;
 
 /**
  * A complete request from a caller.
@@ -24,4 +25,17 @@
         Objects.requireNonNull(headers, "headers");
         Objects.requireNonNull(body, "body");
     }
+
+    /**
+     * Returns when the caller must have an answer: at the time-out of the route, or at what the caller states if that is
+     * earlier.
+     *
+     * @param route the route that matches the request, not null
+     * @param attributes the attributes from its headers, not null
+     * @return the deadline, in monotonic milliseconds
+     */
+    long deadlineMillis(ServiceRoute route, CallAttributes attributes) {
+        return arrivalMillis
+                + Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -79,8 +79,7 @@
         this.caller = Objects.requireNonNull(caller, "caller");
         this.retryAfterMillis = retryAfterMillis;
         this.onDone = Objects.requireNonNull(onDone, "onDone");
-        this.deadlineMillis = call.arrivalMillis()
-                + Math.min(route.timeoutMillis(), attributes.deadlineMillis().orElse(Long.MAX_VALUE));
+        this.deadlineMillis = call.deadlineMillis(route, attributes);
     }
 
     /** Passes the call on, or refuses it if no instance can take it over. */
@@ -205,12 +204,9 @@
         }
     }
 
+    /** Refuses the call, of which no instance that was tried has run anything. */
     private void giveUp() {
-        if (mayHaveRun) {
-            LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
-        } else {
-            LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
-        }
+        LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
         finish("given_up");
     }
 
