Pass on calls that wait for targets when a silent cut is found

Callers whose call was under way when a silent cut began waited for the time-out of its connection or their deadline, and calls that were about to be refused because no connection opened were refused though other instances had room.

Change: when a cut is found by silence, calls that wait are passed on: those of which nothing was written, and those that may run twice, as a retry from this instance's budget. Others go on waiting, as they may have run. While an instance is cut off, what it would send again or refuse is passed on too. A call that may have run before is never said not to have run. A call that was taken over is not passed on, also when its instance is cut off later.

Tests: waitingCallsThatMayRunTwiceArePassedOnWhenASilentCutIsFound, callerOfCallThatWasPassedOnWhileItWaitedEndsItByLeaving, callThatWasTakenOverIsNotPassedOnWhenItsInstanceIsCutOffLater; the first two fail without it, as nothing reaches the other instance.

--- a/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
@@ -103,6 +103,17 @@
         return waitingCalls.isEmpty() ? 0 : nowMillis - silentSinceMillis;
     }
 
+    /**
+     * Returns whether calls wait at several targets and none has sent anything for longer than a busy fleet takes.
+     *
+     * @param nowMillis monotonic milliseconds
+     * @return whether the silence itself raises a suspicion
+     */
+    public boolean isSilent(long nowMillis) {
+        return waitingCalls.size() >= SUSPICIOUS_WAITING_TARGETS
+                && silentMillis(nowMillis) >= SUSPICIOUS_SILENCE_MILLIS;
+    }
+
     /**
      * Records that a target refused a connection, did not answer an attempt to connect, or lost a connection with a
      * call under way.
@@ -167,9 +178,7 @@
     }
 
     private boolean isSuspicious(long nowMillis) {
-        boolean isSilent = waitingCalls.size() >= SUSPICIOUS_WAITING_TARGETS
-                && nowMillis - silentSinceMillis >= SUSPICIOUS_SILENCE_MILLIS;
-        return isSilent || failedTargetsCount(nowMillis) >= SUSPICIOUS_FAILURES;
+        return isSilent(nowMillis) || failedTargetsCount(nowMillis) >= SUSPICIOUS_FAILURES;
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -112,9 +112,10 @@
     }
 
     @Override
-    public HttpHeaders neighbourHeaders(HttpHeaders callerHeaders, long remainingMillis) {
+    public HttpHeaders neighbourHeaders(HttpHeaders callerHeaders, Optional<ApiKey> key, long remainingMillis) {
         HttpHeaders headers = copyWithoutHopByHop(callerHeaders);
         headers.set(HeaderNames.DEADLINE_MILLIS, Long.toString(remainingMillis));
+        key.ifPresent(known -> headers.set(HeaderNames.API_KEY, known.value()));
         return headers;
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/CallHeaders.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallHeaders.java
@@ -39,11 +39,12 @@
      * Builds the headers with which a call is passed on to another instance: those of the caller with its key, without
      * hop-by-hop headers, and with the time that is left.
      *
-     * @param callerHeaders the headers of the caller, not null; not modified
+     * @param callerHeaders the headers of the caller without its key, not null; not modified
+     * @param key the caller's key; empty if there is none, or more than one
      * @param remainingMillis the time left until the call's deadline, in milliseconds
      * @return new headers without Content-Length
      */
-    HttpHeaders neighbourHeaders(HttpHeaders callerHeaders, long remainingMillis);
+    HttpHeaders neighbourHeaders(HttpHeaders callerHeaders, Optional<ApiKey> key, long remainingMillis);
 
     /**
      * Parses the head of a target's response.
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.dogwoodwinch.forwarding.ApiKey;
 import org.dogwoodwinch.forwarding.CallOwner;
 import org.dogwoodwinch.forwarding.CallProgress;
 import org.dogwoodwinch.forwarding.ForwardingPlan;
@@ -53,7 +55,9 @@
     private final CallerResponse caller;
     private final long deadlineMillis;
     private final long fingerprint;
-    private final Runnable onDone;
+    private final Optional<ApiKey> key;
+    private final boolean takenOver;
+    private final Consumer<CallRelay> onDone;
     private final CallStartRecorder startRecorder;
     private final Set<String> triedIds = new HashSet<>();
     private State state = State.SENDING;
@@ -70,6 +74,7 @@
     private Optional<RemotePrefill> remotePrefill = Optional.empty();
     private Optional<KvCacheHandle> cacheHandle = Optional.empty();
     private Incarnation cacheHolder;
+    private ActiveCall successor = ActiveCall.NONE;
 
     /**
      * Creates a relay that sends nothing before {@link #start}.
@@ -77,11 +82,13 @@
      * @param context the services that all relays share, not null
      * @param routed the request with its owner, route and service, not null
      * @param caller writes the response to the caller, not null
-     * @param onDone run exactly once, when the call has ended in any way, not null
+     * @param onDone receives this relay exactly once, when the call has ended in any way, not null
      */
-    CallRelay(RelayContext context, RoutedCall routed, CallerResponse caller, Runnable onDone) {
+    CallRelay(RelayContext context, RoutedCall routed, CallerResponse caller, Consumer<CallRelay> onDone) {
         this.context = Objects.requireNonNull(context, "context");
         this.call = routed.call();
+        this.key = routed.key();
+        this.takenOver = routed.takenOver();
         this.attributes = routed.attributes();
         this.owner = routed.owner();
         this.route = routed.route();
@@ -107,7 +114,7 @@
                     "quarantined",
                     context.suspicions().quarantineRemainingMillis(fingerprint));
             state = State.DONE;
-            onDone.run();
+            onDone.accept(this);
             return;
         }
         deadlineTimer = context.time().schedule(remainingMillis(), this::handleDeadline);
@@ -116,6 +123,7 @@
 
     @Override
     public void onCallerClosed() {
+        successor.onCallerClosed();
         if (state == State.DONE) {
             return;
         }
@@ -125,6 +133,7 @@
 
     @Override
     public void onCallerWritable() {
+        successor.onCallerWritable();
         if (connection != null) {
             connection.setReading(true);
         }
@@ -216,6 +225,9 @@
     }
 
     private void chooseAndSend() {
+        if (passOn()) {
+            return;
+        }
         Optional<ForwardingPlan> chosen = choose();
         if (chosen.isEmpty()) {
             handleNoTarget();
@@ -546,6 +558,8 @@
     private void execute(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.SendAgain) {
             chooseAndSend();
+        } else if (step instanceof NextStep.Refuse && passOn()) {
+            return;
         } else if (state == State.STREAMING) {
             caller.abortResponse();
             finish();
@@ -560,6 +574,50 @@
         }
     }
 
+    /**
+     * Passes the call on because this instance is cut off from all targets and the call waits for one from which nothing
+     * arrives. A target may have received it: a call that must not run twice goes on waiting, and for any other one
+     * that was written this is a retry.
+     */
+    void passOnWaiting() {
+        boolean isWritten = inFlight.isPresent() || remotePrefill.isPresent();
+        boolean mayRunTwice = inFlight.isEmpty() || route.isIdempotent();
+        if (!mayBePassedOn() || response != null || !mayRunTwice || (isWritten && !tryTakeRetry())) {
+            return;
+        }
+        if (inFlight.isPresent()) {
+            runsCount++;
+            abandonSend();
+        }
+        passOn();
+    }
+
+    private boolean mayBePassedOn() {
+        return state == State.SENDING && !takenOver && context.neighbours().arePassedOn();
+    }
+
+    /**
+     * Passes the call on to another instance if this one is cut off from all targets and another one is not. Nothing of
+     * the response may have been sent to the caller.
+     *
+     * @return whether it was passed on, which ends the call here
+     */
+    private boolean passOn() {
+        if (!mayBePassedOn()) {
+            return false;
+        }
+        state = State.DONE;
+        releaseAll();
+        context.suspicions().recordEnd(fingerprint, requestId(), false);
+        successor = context.neighbours()
+                .passOn(
+                        new PassedOnCall(call, key, attributes, route, runsCount > 0),
+                        caller,
+                        context.retryPolicy().retryAfterMillis(),
+                        () -> onDone.accept(this));
+        return true;
+    }
+
     private void relayBuffered() {
         caller.sendResponse(
                 response.status(), context.callHeaders().callerHeaders(response.headers()), response.body());
@@ -604,14 +662,18 @@
             return;
         }
         state = State.DONE;
-        deadlineTimer.cancel();
         if (inFlight.isPresent()) {
             startRecorder.onMayHaveRun();
         }
+        releaseAll();
+        onDone.accept(this);
+    }
+
+    private void releaseAll() {
+        deadlineTimer.cancel();
         abandonSend();
         remotePrefill.ifPresent(RemotePrefill::cancel);
         // A KV cache that is never fetched would stay allocated on the prefill target until it expires.
         cacheHandle.ifPresent(unused -> context.control().releaseCache(cacheHolder, unused));
-        onDone.run();
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -3,6 +3,8 @@
 import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -50,6 +52,7 @@
     private final ForwardingMetrics metrics;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
+    private final Set<CallRelay> openRelays = new LinkedHashSet<>();
     private int openCallsCount;
     private Optional<RouteTable> routeTable = Optional.empty();
     private boolean draining;
@@ -87,8 +90,12 @@
         this.health = decisions.health();
         this.statements = decisions.statements();
         Suspicions suspicions = new Suspicions(decisions.quarantine(), time);
-        TargetLinkGuard links = new TargetLinkGuard(
-                isolation, health, suspicions, report, metrics, time, neighbours.onIsolationChange());
+        TargetLinkGuard links = new TargetLinkGuard(isolation, health, suspicions, report, metrics, time, isolated -> {
+            neighbours.onIsolationChange().accept(isolated);
+            passOnWaitingCalls(isolated);
+        });
+        this.neighbourCalls =
+                new NeighbourCalls(neighbours, random, isolation::isIsolated, callHeaders, time, policy, metrics);
         this.context = new RelayContext(
                 time,
                 callHeaders,
@@ -114,10 +121,9 @@
                 decisions.connectionAborts(),
                 decisions.callStarts(),
                 isolation,
+                neighbourCalls,
                 report,
                 decisions.sharingInstancesCount());
-        this.neighbourCalls =
-                new NeighbourCalls(neighbours, random, isolation::isIsolated, callHeaders, time, policy, metrics);
         this.isolationWatch = links.watch(decisions.targets(), this::probe, context.connections()::closeIdle);
     }
 
@@ -284,6 +290,13 @@
         return isolation.isIsolated();
     }
 
+    /** Passes on the calls that wait for targets from which nothing has arrived since the cut began. */
+    private void passOnWaitingCalls(boolean isolated) {
+        if (isolated && isolation.isSilent(time.monotonicMillis())) {
+            List.copyOf(openRelays).forEach(CallRelay::passOnWaiting);
+        }
+    }
+
     private boolean probe(Incarnation target, Consumer<Boolean> onOutcome) {
         return routeTable
                 .flatMap(current -> current.service(target.service()))
@@ -382,7 +395,7 @@
 
     @Override
     public ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone) {
-        return handle(call, caller, onDone, neighbourCalls.arePassedOn());
+        return handle(call, caller, onDone, false);
     }
 
     /**
@@ -403,7 +416,7 @@
             return ActiveCall.NONE;
         }
         metrics.callTakenOver();
-        return handle(call, caller, onDone, false);
+        return handle(call, caller, onDone, true);
     }
 
     private Optional<String> obstacleToTakeOver() {
@@ -416,7 +429,7 @@
         return isolation.isIsolated() ? Optional.of("cut_off_from_targets") : Optional.empty();
     }
 
-    private ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone, boolean isPassedOn) {
+    private ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone, boolean takenOver) {
         CallAttributes attributes = callHeaders.parseCall(call.headers());
         if (!accepting) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "stopping");
@@ -432,10 +445,18 @@
         if (attributes.requestId().isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.BAD_REQUEST, "one request id is needed");
         }
-        if (isPassedOn) {
-            return passOn(call, attributes, route.get(), caller, onDone);
-        }
         Optional<ApiKey> key = callHeaders.takeApiKey(call.headers());
+        if (!takenOver && neighbourCalls.arePassedOn()) {
+            openCallsCount++;
+            return neighbourCalls.passOn(
+                    new PassedOnCall(call, key, attributes, route.get(), false),
+                    caller,
+                    context.retryPolicy().retryAfterMillis(),
+                    () -> {
+                        openCallsCount--;
+                        onDone.run();
+                    });
+        }
         CallerIdentity identity = current.identify(route.get(), key);
         if (identity instanceof CallerIdentity.Rejected rejected) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAUTHORIZED, rejected.reason());
@@ -446,34 +467,18 @@
         if (service.isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "unknown service");
         }
-        RoutedCall routed = new RoutedCall(call, attributes, owner, route.get(), service.get());
+        RoutedCall routed = new RoutedCall(call, key, attributes, owner, route.get(), service.get(), takenOver);
         return begin(routed, caller, onDone);
     }
 
     private ActiveCall begin(RoutedCall routed, CallerResponse caller, Runnable onDone) {
-        CallRelay relay = new CallRelay(context, routed, caller, () -> {
+        CallRelay relay = new CallRelay(context, routed, caller, ended -> {
             openCallsCount--;
+            openRelays.remove(ended);
             onDone.run();
         });
         openCallsCount++;
-        relay.start();
-        return relay;
-    }
-
-    private ActiveCall passOn(
-            IncomingCall call, CallAttributes attributes, ServiceRoute route, CallerResponse caller, Runnable onDone) {
-        NeighbourRelay relay = new NeighbourRelay(
-                neighbourCalls,
-                call,
-                attributes,
-                route,
-                caller,
-                context.retryPolicy().retryAfterMillis(),
-                () -> {
-                    openCallsCount--;
-                    onDone.run();
-                });
-        openCallsCount++;
+        openRelays.add(relay);
         relay.start();
         return relay;
     }
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -63,6 +63,21 @@
         return isIsolated.getAsBoolean() && choose(Set.of()).isPresent();
     }
 
+    /**
+     * Passes a call on.
+     *
+     * @param call the call, not null
+     * @param caller writes the response to the caller, not null
+     * @param retryAfterMillis when a caller that is refused may come back
+     * @param onDone run exactly once, when the call has ended in any way, not null
+     * @return the call under way
+     */
+    ActiveCall passOn(PassedOnCall call, CallerResponse caller, long retryAfterMillis, Runnable onDone) {
+        NeighbourRelay relay = new NeighbourRelay(this, call, caller, retryAfterMillis, onDone);
+        relay.start();
+        return relay;
+    }
+
     /** Chooses an instance for a call, without those that could not take it over. */
     Optional<Neighbour> choose(Set<String> triedNames) {
         return chooser.choose(
@@ -80,12 +95,13 @@
         connections.release(connection);
     }
 
-    OutboundCall outbound(String requestId, IncomingCall call, long remainingMillis) {
+    OutboundCall outbound(PassedOnCall passedOn, long remainingMillis) {
+        IncomingCall call = passedOn.call();
         return new OutboundCall(
-                requestId,
+                passedOn.requestId(),
                 call.method(),
                 call.uri(),
-                callHeaders.neighbourHeaders(call.headers(), remainingMillis),
+                callHeaders.neighbourHeaders(call.headers(), passedOn.key(), remainingMillis),
                 call.body(),
                 call.framed());
     }
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import org.dogwoodwinch.forwarding.Neighbour;
 import org.dogwoodwinch.forwarding.RouteKind;
-import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.time.Cancellable;
 
 /**
@@ -38,9 +37,7 @@
     }
 
     private final NeighbourCalls neighbours;
-    private final String requestId;
-    private final IncomingCall call;
-    private final ServiceRoute route;
+    private final PassedOnCall call;
     private final CallerResponse caller;
     private final long retryAfterMillis;
     private final long deadlineMillis;
@@ -57,29 +54,24 @@
      * Creates a relay that sends nothing before {@link #start}.
      *
      * @param neighbours the calls that are passed on, not null
-     * @param call the request with its caller's key, not null
-     * @param attributes the attributes from its headers, including a request id, not null
-     * @param route the route that matches the request, not null
+     * @param call the call, not null
      * @param caller writes the response to the caller, not null
      * @param retryAfterMillis when a caller that is refused may come back
      * @param onDone run exactly once, when the call has ended in any way, not null
      */
     NeighbourRelay(
             NeighbourCalls neighbours,
-            IncomingCall call,
-            CallAttributes attributes,
-            ServiceRoute route,
+            PassedOnCall call,
             CallerResponse caller,
             long retryAfterMillis,
             Runnable onDone) {
         this.neighbours = Objects.requireNonNull(neighbours, "neighbours");
         this.call = Objects.requireNonNull(call, "call");
-        this.requestId = attributes.requestId().orElseThrow();
-        this.route = Objects.requireNonNull(route, "route");
         this.caller = Objects.requireNonNull(caller, "caller");
         this.retryAfterMillis = retryAfterMillis;
         this.onDone = Objects.requireNonNull(onDone, "onDone");
-        this.deadlineMillis = call.deadlineMillis(route, attributes);
+        this.deadlineMillis = call.deadlineMillis();
+        this.mayHaveRun = call.mayHaveRun();
     }
 
     /** Passes the call on, or refuses it if no instance can take it over. */
@@ -101,7 +93,7 @@
         }
         neighbour = chosen;
         triedNames.add(chosen.get().name());
-        neighbours.recordBegin(requestId, chosen.get(), triedNames.size());
+        neighbours.recordBegin(call.requestId(), chosen.get(), triedNames.size());
         neighbours.acquire(chosen.get(), new TargetConnectionPool.AcquireCallback() {
             @Override
             public void acquired(TargetConnection acquired) {
@@ -126,13 +118,13 @@
         connection = acquired;
         response = null;
         mayHaveRun = true;
-        acquired.send(neighbours.outbound(requestId, call, Math.max(1, remainingMillis())), this);
+        acquired.send(neighbours.outbound(call, Math.max(1, remainingMillis())), this);
     }
 
     @Override
     public void onHead(ResponseAttributes attributes, HttpHeaders headers) {
         response = new TargetResponse(attributes, headers);
-        if (route.kind() == RouteKind.STREAM && attributes.isSuccess()) {
+        if (call.route().kind() == RouteKind.STREAM && attributes.isSuccess()) {
             begin();
         }
     }
@@ -166,13 +158,15 @@
             return;
         }
         if (state == State.SENDING && LocalResponses.isNotTakenOver(response.headers())) {
-            mayHaveRun = false;
+            mayHaveRun = call.mayHaveRun();
             endAttempt("not_taken_over");
             passOn();
             return;
         }
         if (state == State.STREAMING) {
             caller.endResponse();
+        } else if (call.mayHaveRun() && LocalResponses.guaranteesNotRun(response.status())) {
+            sendMayHaveRun(LocalResponses.BAD_GATEWAY);
         } else {
             caller.sendResponse(
                     response.status(), neighbours.callHeaders().callerHeaders(response.headers()), response.body());
@@ -187,7 +181,7 @@
             caller.abortResponse();
             finish(reason);
         } else if (state == State.SENDING) {
-            LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
+            sendMayHaveRun(LocalResponses.BAD_GATEWAY);
             finish(reason);
         }
     }
@@ -204,12 +198,20 @@
         }
     }
 
-    /** Refuses the call, of which no instance that was tried has run anything. */
+    /** Ends a call that no instance takes over. */
     private void giveUp() {
-        LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
+        if (call.mayHaveRun()) {
+            sendMayHaveRun(LocalResponses.BAD_GATEWAY);
+        } else {
+            LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
+        }
         finish("given_up");
     }
 
+    private void sendMayHaveRun(int status) {
+        LocalResponses.sendError(caller, status, "may have run");
+    }
+
     private void handleDeadline() {
         if (state == State.DONE) {
             return;
@@ -217,7 +219,7 @@
         if (state == State.STREAMING) {
             caller.abortResponse();
         } else if (mayHaveRun) {
-            LocalResponses.sendError(caller, LocalResponses.GATEWAY_TIMEOUT, "may have run");
+            sendMayHaveRun(LocalResponses.GATEWAY_TIMEOUT);
         } else {
             LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
         }
@@ -227,7 +229,10 @@
     /** Ends the attempt at the current instance. */
     private void endAttempt(String outcome) {
         neighbour.ifPresent(each -> neighbours.recordEnd(
-                requestId, each, outcome, neighbours.time().monotonicMillis() - call.arrivalMillis()));
+                call.requestId(),
+                each,
+                outcome,
+                neighbours.time().monotonicMillis() - call.call().arrivalMillis()));
         neighbour = Optional.empty();
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -37,6 +37,7 @@
  * @param connectionAborts tracks targets that close new connections without a response, not null
  * @param callStarts receives calls that began to run, not null
  * @param isolation decides whether this instance is cut off from all targets, not null
+ * @param neighbours the calls that are passed on to other instances, not null
  * @param report receives decisions about calls for metrics and logs, not null
  * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on each
  *     use, not null
@@ -59,6 +60,7 @@
         ConnectionAborts connectionAborts,
         CallStarts callStarts,
         TargetIsolation isolation,
+        NeighbourCalls neighbours,
         RelayReport report,
         IntSupplier sharingInstancesCount) {
 
@@ -82,6 +84,7 @@
         Objects.requireNonNull(connectionAborts, "connectionAborts");
         Objects.requireNonNull(callStarts, "callStarts");
         Objects.requireNonNull(isolation, "isolation");
+        Objects.requireNonNull(neighbours, "neighbours");
         Objects.requireNonNull(report, "report");
         Objects.requireNonNull(sharingInstancesCount, "sharingInstancesCount");
     }
--- a/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
+++ b/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
@@ -60,7 +60,7 @@
         boolean progress = true;
         while (progress) {
             progress = false;
-            for (Link link : links) {
+            for (Link link : List.copyOf(links)) {
                 progress |= link.deliver();
             }
         }
--- a/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
@@ -282,4 +282,74 @@
         assertTrue(response.startsWith("HTTP/1.1 503 "), response);
         assertFalse(response.contains("x-dogwoodwinch"), response);
     }
+
+    private RelayFixture instanceBesideSoundOne() {
+        RelayFixture instance = new RelayFixture(50, time, "c", NAMES).withRoutes();
+        TARGETS.forEach(instance::withPlainTarget);
+        instance.neighbourLinks.add("b", sound);
+        instance.service.startIsolationWatch();
+        return instance;
+    }
+
+    /** Guards against callers that wait until their deadline for targets that cannot answer this instance. */
+    @Test
+    void waitingCallsThatMayRunTwiceArePassedOnWhenASilentCutIsFound() {
+        RelayFixture instance = instanceBesideSoundOne();
+        RelayFixture.FakeCaller waiting = instance.connectCaller().send(RelayFixture.getRequest("/resume/p", "p1"));
+        RelayFixture.FakeTargetConnection silent = instance.latestTargetConnection();
+        RelayFixture.FakeCaller once =
+                instance.connectCaller().send(RelayFixture.postRequest("/stream/p", "o1", "", "q"));
+        instance.silentTargetIds.addAll(TARGETS);
+        time.advanceMillis(2_000);
+        assertTrue(instance.service.isIsolated());
+        instance.neighbourLinks.deliver();
+
+        assertFalse(silent.isOpen());
+        assertEquals(1, sound.targetConnections.size());
+        sound.latestTargetConnection()
+                .respond(
+                        RelayFixture.streamResponseHead("p1") + RelayFixture.chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+        instance.neighbourLinks.deliver();
+        assertTrue(waiting.takeReceived().contains("data: a"));
+        assertEquals("", once.takeReceived());
+    }
+
+    /** Guards against work that goes on for a caller that left after its call was passed on. */
+    @Test
+    void callerOfCallThatWasPassedOnWhileItWaitedEndsItByLeaving() {
+        RelayFixture instance = instanceBesideSoundOne();
+        RelayFixture.FakeCaller waiting = instance.connectCaller().send(RelayFixture.getRequest("/resume/p", "p1"));
+        instance.connectCaller().send(RelayFixture.getRequest("/resume/p", "p2"));
+        instance.silentTargetIds.addAll(TARGETS);
+        time.advanceMillis(2_000);
+        instance.neighbourLinks.deliver();
+        assertEquals(2, sound.targetConnections.size());
+
+        waiting.disconnect();
+        instance.neighbourLinks.deliver();
+
+        assertEquals(
+                1,
+                sound.targetConnections.stream()
+                        .filter(RelayFixture.FakeTargetConnection::isOpen)
+                        .count());
+    }
+
+    /** Guards against a call that goes from instance to instance because the one that took it over is cut off later. */
+    @Test
+    void callThatWasTakenOverIsNotPassedOnWhenItsInstanceIsCutOffLater() {
+        RelayFixture third = new RelayFixture(50, time, "c", NAMES).withRoutes();
+        TARGETS.forEach(third::withPlainTarget);
+        sound.neighbourLinks.add("c", third);
+        for (int i = 0; i < 3; i++) {
+            send(RelayFixture.getRequest("/resume/p", "p" + i));
+        }
+        sound.silentTargetIds.addAll(TARGETS);
+        time.advanceMillis(2_000);
+        assertTrue(sound.service.isIsolated());
+
+        sound.neighbourLinks.deliver();
+
+        assertTrue(third.targetConnections.isEmpty());
+    }
 }
