Believe in a cut after two rounds of probes without an answer

Change: one round without an answer is not enough, unless all targets have failed. A cut that is refused is known a quarter of a second later; a silent one as before, which took two rounds anyway.

Before: crashOfSeveralTargetsIsHardlyEverACut fails (24 of 10,000 draws; one in a thousand is allowed). After: it passes.

--- a/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
@@ -37,6 +37,9 @@
     /** The number of targets without an answer that make up a cut, or all targets if there are fewer. */
     private static final int MIN_FAILED_TARGETS = 4;
 
+    /** When several targets crash at once, both probes of a round may meet crashed ones. */
+    private static final int MIN_FAILED_ROUNDS = 2;
+
     private static final int PROBED_TARGETS = 2;
     private static final long PROBE_INTERVAL_MILLIS = 500;
 
@@ -49,6 +52,7 @@
     private final Map<String, Integer> waitingCalls = new HashMap<>();
     private long silentSinceMillis;
     private long nextProbeMillis = Long.MIN_VALUE;
+    private int failedRoundsCount;
     private boolean probing;
     private boolean isolated;
 
@@ -236,17 +240,22 @@
             return recordProbesWhileIsolated(answered, failed, nowMillis);
         }
         if (!answered.isEmpty() || failed.isEmpty()) {
+            failedRoundsCount = 0;
             failedAtMillis.clear();
             silentSinceMillis = nowMillis;
             nextProbeMillis = nowMillis + PROBE_PAUSE_MILLIS;
             return Change.NONE;
         }
+        failedRoundsCount++;
         nextProbeMillis = nowMillis + PROBE_INTERVAL_MILLIS / 2;
-        if (failedTargetsCount(nowMillis) < Math.min(MIN_FAILED_TARGETS, targetsCount.getAsInt())) {
-            return Change.NONE;
-        }
-        isolated = true;
-        return Change.BEGAN;
+        isolated = haveAllFailed(nowMillis);
+        return isolated ? Change.BEGAN : Change.NONE;
+    }
+
+    private boolean haveAllFailed(long nowMillis) {
+        int failedCount = failedTargetsCount(nowMillis);
+        return failedCount >= targetsCount.getAsInt()
+                || (failedRoundsCount >= MIN_FAILED_ROUNDS && failedCount >= MIN_FAILED_TARGETS);
     }
 
     private Change recordProbesWhileIsolated(Set<String> answered, Set<String> failed, long nowMillis) {
@@ -255,6 +264,7 @@
             return Change.NONE;
         }
         isolated = false;
+        failedRoundsCount = 0;
         failedAtMillis.clear();
         silentSinceMillis = nowMillis;
         return Change.ENDED;
