--- a/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -73,14 +74,14 @@
      * @param random chooses the targets to probe, not null
      */
     public TargetIsolation(IntSupplier targetsCount, UniformRandomProvider random) {
-        this.targetsCount = targetsCount;
-        this.random = random;
+        this.targetsCount = Objects.requireNonNull(targetsCount, "targetsCount");
+        this.random = Objects.requireNonNull(random, "random");
     }
 
     /**
      * Returns whether this instance is cut off from all targets.
      *
-     * @return true from the first round of probes of which none was answered to one in which all were
+     * @return true from when enough targets and rounds of probes have failed until all probes of a round are answered
      */
     public boolean isIsolated() {
         return isolated;
