--- a/src/main/java/org/dogwoodwinch/net/Transport.java
+++ b/src/main/java/org/dogwoodwinch/net/Transport.java
@@ -88,6 +88,23 @@
         return nativeEpoll ? EpollSocketChannel.class : NioSocketChannel.class;
     }
 
+    /**
+     * Prepares the opening of a connection to a server.
+     *
+     * @param group the event loops of which one gets the connection, not null
+     * @param connectTimeoutMillis the time-out for opening it, in milliseconds
+     * @param unacknowledgedMillis how long written bytes may remain unacknowledged, in milliseconds; NIO ignores it
+     * @return a bootstrap without a handler
+     */
+    public Bootstrap newClient(EventLoopGroup group, int connectTimeoutMillis, int unacknowledgedMillis) {
+        Bootstrap bootstrap = new Bootstrap()
+                .group(group)
+                .channel(channelClass())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis);
+        setUnacknowledgedTimeout(bootstrap, unacknowledgedMillis);
+        return bootstrap;
+    }
+
     /**
      * Makes the kernel close a connection whose written bytes stay unacknowledged for the given time. NIO does not
      * support this; there, the method only disables Nagle's algorithm.
@@ -95,7 +112,7 @@
      * @param bootstrap the bootstrap that opens the connections, not null
      * @param timeoutMillis the maximum time without acknowledgement, in milliseconds
      */
-    public void setUnacknowledgedTimeout(Bootstrap bootstrap, int timeoutMillis) {
+    private void setUnacknowledgedTimeout(Bootstrap bootstrap, int timeoutMillis) {
         bootstrap.option(ChannelOption.TCP_NODELAY, true);
         if (nativeEpoll) {
             bootstrap.option(EpollChannelOption.TCP_USER_TIMEOUT, timeoutMillis);
--- a/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
+++ b/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
@@ -1,6 +1,5 @@
 package org.dogwoodwinch.peer;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -169,14 +168,9 @@
     }
 
     private ChannelFuture connect(PeerMember member) {
-        Bootstrap bootstrap = new Bootstrap();
-        // Otherwise a dead connection would stay in use for as long as bytes are written to it.
-        sockets.setUnacknowledgedTimeout(bootstrap, UNACKNOWLEDGED_TIMEOUT_MILLIS);
-        ChannelFuture connection = bootstrap
-                .group(sockets.eventLoopGroup())
-                .channel(sockets.channelClass())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .option(ChannelOption.TCP_NODELAY, true)
+        // With the time-out for acknowledgements, a dead connection does not stay in use while bytes are written to it.
+        ChannelFuture connection = sockets.newClient(
+                        sockets.eventLoopGroup(), CONNECT_TIMEOUT_MILLIS, UNACKNOWLEDGED_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/src/main/java/org/dogwoodwinch/relay/ControlClient.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlClient.java
@@ -1,13 +1,11 @@
 package org.dogwoodwinch.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -99,19 +97,16 @@
 
     private void open(InetSocketAddress address, Exchange exchange) {
         PooledConnection connection = new PooledConnection(address);
-        Bootstrap bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(transport.channelClass())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, policy.connectTimeoutMillis())
+        ChannelFuture connecting = transport
+                .newClient(loop, policy.connectTimeoutMillis(), policy.unacknowledgedMillis())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline()
                                 .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_ANSWER_BYTES), connection);
                     }
-                });
-        transport.setUnacknowledgedTimeout(bootstrap, policy.unacknowledgedMillis());
-        ChannelFuture connecting = bootstrap.connect(address);
+                })
+                .connect(address);
         connecting.addListener(_done -> {
             if (!connecting.isSuccess()) {
                 exchange.end(new ControlReply.Lost("connect_failed"));
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourConnector.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourConnector.java
@@ -1,11 +1,9 @@
 package org.dogwoodwinch.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.util.List;
 import java.util.Objects;
@@ -45,13 +43,10 @@
 
     @Override
     public void connect(Incarnation neighbour, ChannelHandler handler, Outcome outcome) {
-        Bootstrap bootstrap = new Bootstrap()
-                .group(transport.eventLoopGroup().next())
-                .channel(transport.channelClass())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(new Opening(handler, outcome));
-        transport.setUnacknowledgedTimeout(bootstrap, UNACKNOWLEDGED_MILLIS);
-        ChannelFuture connecting = bootstrap.connect(Addresses.of(neighbour.host(), neighbour.port()));
+        ChannelFuture connecting = transport
+                .newClient(transport.eventLoopGroup().next(), CONNECT_TIMEOUT_MILLIS, UNACKNOWLEDGED_MILLIS)
+                .handler(new Opening(handler, outcome))
+                .connect(Addresses.of(neighbour.host(), neighbour.port()));
         connecting.addListener(_done -> {
             if (!connecting.isSuccess()) {
                 outcome.failed();
--- a/src/main/java/org/dogwoodwinch/relay/TcpTargetConnector.java
+++ b/src/main/java/org/dogwoodwinch/relay/TcpTargetConnector.java
@@ -1,9 +1,7 @@
 package org.dogwoodwinch.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
-import io.netty.channel.ChannelOption;
 import java.util.Objects;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.net.Addresses;
@@ -28,13 +26,11 @@
 
     @Override
     public void connect(Incarnation target, ChannelHandler handler, Outcome outcome) {
-        Bootstrap bootstrap = new Bootstrap()
-                .group(transport.eventLoopGroup().next())
-                .channel(transport.channelClass())
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, policy.connectTimeoutMillis())
-                .handler(handler);
-        transport.setUnacknowledgedTimeout(bootstrap, policy.unacknowledgedMillis());
-        ChannelFuture connecting = bootstrap.connect(Addresses.of(target.host(), target.port()));
+        ChannelFuture connecting = transport
+                .newClient(
+                        transport.eventLoopGroup().next(), policy.connectTimeoutMillis(), policy.unacknowledgedMillis())
+                .handler(handler)
+                .connect(Addresses.of(target.host(), target.port()));
         connecting.addListener(_done -> {
             if (connecting.isSuccess()) {
                 outcome.connected();
