--- a/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
+++ b/src/main/java/org/dogwoodwinch/request/SuspectRegistry.java
@@ -124,6 +124,7 @@
      */
     private Suspect recordCrash(long fingerprint, String target, long provedUntilMillis, long untilMillis) {
         long nowMillis = time.monotonicMillis();
+        // Removes a suspicion that has expired, whose crashes no longer count.
         statusOf(fingerprint);
         Suspect previous = suspects.getOrDefault(fingerprint, Suspect.NONE);
         Set<String> endedTargets = new HashSet<>(previous.endedTargets());
