Ask whether any instance can take over a call without choosing one

While an instance is cut off, each call went through all other instances two or three times, once to choose one only to see whether there is one. canChoose looks until the first that can; what makes an instance usable stands in one place. Two methods are no longer visible to more than they serve.

--- a/src/main/java/org/dogwoodwinch/forwarding/NeighbourChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/NeighbourChooser.java
@@ -34,6 +34,22 @@
         this.random = Objects.requireNonNull(random, "random");
     }
 
+    /**
+     * Returns whether any instance can take over a call, which costs less than choosing one.
+     *
+     * @param others the other instances, not null
+     * @param isolated the names of instances that are cut off from the targets themselves, not null
+     * @param callsAt returns how many calls of this instance an instance has taken over, by its name, not null
+     * @return whether {@link #choose} finds one for a call that was not tried anywhere
+     */
+    public boolean canChoose(List<Neighbour> others, Set<String> isolated, ToIntFunction<String> callsAt) {
+        return others.stream().anyMatch(each -> isUsable(each, isolated, callsAt));
+    }
+
+    private static boolean isUsable(Neighbour neighbour, Set<String> isolated, ToIntFunction<String> callsAt) {
+        return !isolated.contains(neighbour.name()) && callsAt.applyAsInt(neighbour.name()) < MAX_CALLS_PER_NEIGHBOUR;
+    }
+
     /**
      * Chooses an instance.
      *
@@ -46,8 +62,7 @@
     public Optional<Neighbour> choose(
             List<Neighbour> others, Set<String> isolated, Set<String> tried, ToIntFunction<String> callsAt) {
         List<Neighbour> usable = others.stream()
-                .filter(each -> !isolated.contains(each.name()) && !tried.contains(each.name()))
-                .filter(each -> callsAt.applyAsInt(each.name()) < MAX_CALLS_PER_NEIGHBOUR)
+                .filter(each -> !tried.contains(each.name()) && isUsable(each, isolated, callsAt))
                 .toList();
         List<Neighbour> near = usable.stream().filter(this::isNear).toList();
         long nearCount = 1 + others.stream().filter(this::isNear).count();
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -281,12 +281,8 @@
         isolationWatch.start();
     }
 
-    /**
-     * Returns whether this instance is cut off from all targets.
-     *
-     * @return true from when this was found until targets are reached again
-     */
-    public boolean isIsolated() {
+    /** Returns whether this instance is cut off from all targets. */
+    boolean isIsolated() {
         return isolation.isIsolated();
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/IsolationWatch.java
+++ b/src/main/java/org/dogwoodwinch/relay/IsolationWatch.java
@@ -76,8 +76,8 @@
         });
     }
 
-    /** Starts a round of probes if one is due, without waiting for the next check. */
-    void check() {
+    /** Starts a round of probes if one is due. */
+    private void check() {
         if (isolation.isProbeDue(time.monotonicMillis())) {
             new Round(isolation.startProbes(targets.get(), time.monotonicMillis())).begin();
         }
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -60,7 +60,9 @@
 
     /** Returns whether calls of callers are passed on now: this instance is cut off, and another one is not. */
     boolean arePassedOn() {
-        return isIsolated.getAsBoolean() && choose(Set.of()).isPresent();
+        return isIsolated.getAsBoolean()
+                && chooser.canChoose(
+                        neighbours.others().get(), neighbours.isolatedNames().get(), this::callsAt);
     }
 
     /**
@@ -81,10 +83,11 @@
     /** Chooses an instance for a call, without those that could not take it over. */
     Optional<Neighbour> choose(Set<String> triedNames) {
         return chooser.choose(
-                neighbours.others().get(),
-                neighbours.isolatedNames().get(),
-                triedNames,
-                name -> callsByName.getOrDefault(name, 0));
+                neighbours.others().get(), neighbours.isolatedNames().get(), triedNames, this::callsAt);
+    }
+
+    private int callsAt(String name) {
+        return callsByName.getOrDefault(name, 0);
     }
 
     void acquire(Neighbour neighbour, TargetConnectionPool.AcquireCallback callback) {
