Have stand-in targets answer without a length and without chunks

Cause: the platform allows answers that end with their connection, whole or broken off, and no stand-in sent one, so no test and no rehearsal met them. Change: two faults of a stand-in target, UNFRAMED and UNFRAMED_CUT (a stream inside an event by an orderly close, a plain answer by a reset), in the demo, the rehearsal and the test of calls that run once, whose list of answers that succeed gets the whole one.

--- a/src/main/java/org/dogwoodwinch/standin/platform/AnswerWithHeader.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/AnswerWithHeader.java
@@ -35,6 +35,11 @@
         answer.begin(status, withHeader(headers));
     }
 
+    @Override
+    public void beginUnframed(int status, Map<String, String> headers) {
+        answer.beginUnframed(status, withHeader(headers));
+    }
+
     @Override
     public void chunk(byte[] body) {
         answer.chunk(body);
@@ -55,6 +60,11 @@
         answer.close();
     }
 
+    @Override
+    public void reset() {
+        answer.reset();
+    }
+
     @Override
     public boolean open() {
         return answer.open();
--- a/src/main/java/org/dogwoodwinch/standin/platform/ForwardingDemoMain.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/ForwardingDemoMain.java
@@ -79,7 +79,10 @@
     /** A call that may run once is never repeated after it may have run, and never said not to have run then. */
     private static boolean allowed(String path, TargetFault fault, String status) {
         boolean stream = path.startsWith("/stream") || path.startsWith("/resume");
-        if (fault == TargetFault.NONE || fault == TargetFault.EXTRA_ANSWER || (fault == TargetFault.CUT && stream)) {
+        boolean breaksOff = fault == TargetFault.CUT || fault == TargetFault.UNFRAMED_CUT;
+        boolean answers =
+                fault == TargetFault.NONE || fault == TargetFault.EXTRA_ANSWER || fault == TargetFault.UNFRAMED;
+        if (answers || (breaksOff && stream)) {
             return status.equals("200");
         }
         if (fault == TargetFault.REJECTED) {
--- a/src/main/java/org/dogwoodwinch/standin/platform/RehearsalMain.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/RehearsalMain.java
@@ -33,7 +33,13 @@
     private static final long TELLING_MILLIS = 5_000;
 
     private static final List<TargetFault> FAULTS = List.of(
-            TargetFault.NONE, TargetFault.REJECTED, TargetFault.FAILED, TargetFault.CUT, TargetFault.EXTRA_ANSWER);
+            TargetFault.NONE,
+            TargetFault.REJECTED,
+            TargetFault.FAILED,
+            TargetFault.CUT,
+            TargetFault.EXTRA_ANSWER,
+            TargetFault.UNFRAMED,
+            TargetFault.UNFRAMED_CUT);
 
     private RehearsalMain() {}
 
--- a/src/main/java/org/dogwoodwinch/standin/platform/StandInAnswer.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StandInAnswer.java
@@ -23,13 +23,21 @@
     void begin(int status, Map<String, String> headers);
 
     /**
-     * Writes a chunk.
+     * Begins an answer without a length and without chunks, which ends with its connection.
+     *
+     * @param status the HTTP status
+     * @param headers all of them, not null
+     */
+    void beginUnframed(int status, Map<String, String> headers);
+
+    /**
+     * Writes a chunk, or bytes of an answer without framing.
      *
      * @param body its bytes, not null
      */
     void chunk(byte[] body);
 
-    /** Writes the end of an answer in chunks. */
+    /** Writes the end of an answer in chunks, or closes the connection of an answer without framing. */
     void end();
 
     /**
@@ -39,9 +47,12 @@
      */
     void raw(byte[] bytes);
 
-    /** Closes the connection. */
+    /** Closes the connection in an orderly way. */
     void close();
 
+    /** Resets the connection. */
+    void reset();
+
     /**
      * Says whether the one who asked is still there.
      *
--- a/src/main/java/org/dogwoodwinch/standin/platform/StandInListener.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StandInListener.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -111,6 +112,7 @@
 
     private static final class ChannelAnswer implements StandInAnswer {
         private final Channel channel;
+        private boolean unframed;
 
         ChannelAnswer(Channel channel) {
             this.channel = channel;
@@ -133,6 +135,14 @@
             Channels.writeAndFlush(channel, response);
         }
 
+        @Override
+        public void beginUnframed(int status, Map<String, String> headers) {
+            unframed = true;
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+            headers.forEach((name, value) -> response.headers().set(name, value));
+            Channels.writeAndFlush(channel, response);
+        }
+
         @Override
         public void chunk(byte[] body) {
             Channels.writeAndFlush(channel, new DefaultHttpContent(Unpooled.wrappedBuffer(body)));
@@ -141,6 +151,9 @@
         @Override
         public void end() {
             Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
+            if (unframed) {
+                close();
+            }
         }
 
         @Override
@@ -154,6 +167,12 @@
             Channels.close(channel);
         }
 
+        @Override
+        public void reset() {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            close();
+        }
+
         @Override
         public boolean open() {
             return channel.isActive();
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetFault.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetFault.java
@@ -12,6 +12,10 @@
     EXTRA_ANSWER,
     /** It closes in the middle of its answer. */
     CUT,
+    /** It answers without a length and without chunks, so that the answer ends with its connection. */
+    UNFRAMED,
+    /** It breaks such an answer off: a stream inside an event by an orderly close, any other answer by a reset. */
+    UNFRAMED_CUT,
     /** It states that it did not run the request. */
     REJECTED,
     /** It fails with a status of its own after it ran. */
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -312,6 +312,10 @@
         if (stage.isEmpty()) {
             runningCount--;
             byte[] body = ("done " + requestId).getBytes(StandardCharsets.US_ASCII);
+            if (fault == TargetFault.UNFRAMED || fault == TargetFault.UNFRAMED_CUT) {
+                answerUnframed(requestId, answer, body, fault);
+                return;
+            }
             if (fault == TargetFault.CUT) {
                 answer.raw(("HTTP/1.1 200 OK\r\nrequest-id: " + requestId + "\r\nserver-stamp: " + id
                                 + "\r\ncontent-length: 999\r\n\r\nhalf")
@@ -325,17 +329,32 @@
             }
             return;
         }
-        answer.begin(200, head(requestId));
+        if (fault == TargetFault.UNFRAMED || fault == TargetFault.UNFRAMED_CUT) {
+            answer.beginUnframed(200, head(requestId));
+        } else {
+            answer.begin(200, head(requestId));
+        }
         String last = request.header("last-event-id");
         event(answer, last.isEmpty() ? 1 : Integer.parseInt(last) + 1, fault);
     }
 
+    private void answerUnframed(String requestId, StandInAnswer answer, byte[] body, TargetFault fault) {
+        answer.beginUnframed(200, head(requestId));
+        if (fault == TargetFault.UNFRAMED) {
+            answer.chunk(body);
+            answer.end();
+        } else {
+            answer.reset();
+        }
+    }
+
     private void event(StandInAnswer answer, int number, TargetFault fault) {
         if (!answer.open()) {
             runningCount--;
             return;
         }
-        if (fault == TargetFault.CUT && number > traits.eventsCount() / 2) {
+        boolean breaksOff = fault == TargetFault.CUT || fault == TargetFault.UNFRAMED_CUT;
+        if (breaksOff && number > traits.eventsCount() / 2) {
             runningCount--;
             answer.chunk(("id: " + number + "\nda").getBytes(StandardCharsets.US_ASCII));
             answer.close();
--- a/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
@@ -173,7 +173,9 @@
             assertTrue(countRuns(id) <= 1, fault.name());
             boolean reportedNotRun = response.startsWith("HTTP/1.1 503 ") || response.startsWith("HTTP/1.1 429 ");
             assertEquals(fault == TargetFault.REJECTED, reportedNotRun, response);
-            boolean success = fault == TargetFault.NONE || fault == TargetFault.EXTRA_ANSWER;
+            boolean success = fault == TargetFault.NONE
+                    || fault == TargetFault.EXTRA_ANSWER
+                    || fault == TargetFault.UNFRAMED;
             assertEquals(success, response.startsWith("HTTP/1.1 200 "), response);
         }
     }
