Break a caller's stream off where the target's stream ends inside an event

What callers saw: two streams that may run once got a 200 that is framed as complete, with a short body, 2 ms after their engine had broken the run off. Cause: without a length and without chunks the orderly close of the engine's connection ends the message for the decoder; that a stream stopped inside an event was asked for resumable routes only, and the last chunk went to the caller. Class of fault: the end of a connection taken for the end of a message.

Change: a response states by what its end was seen (length, chunks, connection), and one decision (ResponseVerdict) judges it for all routes: a stream that ends inside an event was broken off whatever its framing says, and so is one without any event that only its connection ended. A broken stream is a lost call for suspects and retries. The same elsewhere: a close from this side, or after a write that a reset met, ends no unframed response; a first stage that was cut short is a lost call; another instance never answers unframed; a caller of HTTP/1.0, to whom an orderly close is the end, sees a reset whenever the answer was not ended, also when the process ends. Plain bodies stay complete at an orderly close, as the platform says. Log line response_ended and a counter tell the end and the verdict.

EventFramerTest calls the renamed methods.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
@@ -437,17 +438,15 @@
     }
 
     private void relayEvents(ByteBuf chunk) {
-        if (!route.resumable()) {
-            beginCallerResponse();
-            relayBody(chunk.retain());
-            return;
-        }
-        // Another target may resume the stream, so only complete events are passed on.
         byte[] whole = eventFramer.append(chunk);
         if (whole.length > 0) {
             beginCallerResponse();
             relayBody(context.copy(whole));
         }
+        if (eventFramer.isEventTooLong()) {
+            abandonSend();
+            onEnd(new SendOutcome.Unknown("event_too_long"));
+        }
     }
 
     private void beginCallerResponse() {
@@ -466,27 +465,29 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(ResponseEnd end) {
         context.recordResponse(plan.target().id(), response.isMisdirected());
         releaseSend();
         if (state == State.DONE) {
             return;
         }
         if (response.isSuccess()) {
-            handleSuccess();
+            handleSuccess(end);
         } else {
             context.suspicions().recordEnd(fingerprint, requestId(), false);
             onEnd(response.failure());
         }
     }
 
-    private void handleSuccess() {
-        if (route.kind() == RouteKind.STREAM && route.resumable() && eventFramer.hasPartialEvent()) {
-            // The connection ended in order within an event: the rest of that event is missing.
+    private void handleSuccess(ResponseEnd end) {
+        ResponseVerdict verdict = judge(end);
+        context.report().responseEnded(this, end, verdict, eventFramer.eventsCount());
+        if (verdict != ResponseVerdict.COMPLETE) {
             recordLostCall();
-            onEnd(new SendOutcome.Unknown("cut_event"));
+            onEnd(new SendOutcome.Unknown(verdict.reason()));
             return;
         }
+        relayTrailingComments();
         startRecorder.onMayHaveRun();
         context.suspicions().recordEnd(fingerprint, requestId(), true);
         context.report().succeeded(this);
@@ -498,6 +499,21 @@
         }
     }
 
+    private ResponseVerdict judge(ResponseEnd end) {
+        boolean hasEvents = route.kind() == RouteKind.STREAM && !call.method().equals(HttpMethod.HEAD);
+        return hasEvents
+                ? ResponseVerdict.ofEvents(end, eventFramer.isInsideEvent(), eventFramer.eventsCount())
+                : ResponseVerdict.ofPlainBody();
+    }
+
+    private void relayTrailingComments() {
+        byte[] trailing = eventFramer.takeTrailing();
+        if (trailing.length > 0) {
+            beginCallerResponse();
+            caller.writeBody(context.copy(trailing));
+        }
+    }
+
     @Override
     public void onLost(String reason, boolean connectionAborted) {
         releaseSend();
@@ -522,7 +538,7 @@
             runsCount++;
             startRecorder.onMayHaveRun();
         }
-        eventFramer.discardPartial();
+        eventFramer.beginResponse();
         NextStep step = context.retryPolicy().nextStep(outcome, progress(), this::tryTakeRetry);
         context.report().sendFailed(this, outcome, step, remainingRetries());
         execute(outcome, step);
--- a/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -57,6 +58,11 @@
      */
     private static final long TIMEOUT_CHECK_MILLIS = 250;
 
+    /** Values of the socket option for closing: drop unsent bytes and reset, or send them in the background. */
+    private static final int RESET_ON_CLOSE = 0;
+
+    private static final int ORDERLY_CLOSE = -1;
+
     /** A complete request, or the reason why no more requests are read from the connection. */
     private sealed interface Received {
         record Request(IncomingCall call, boolean keepAlive, boolean http10) implements Received {}
@@ -327,7 +333,9 @@
     public void beginResponse(int status, HttpHeaders headers) {
         HttpResponse response =
                 new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        if (!current.http10()) {
+        if (current.http10()) {
+            setResetOnClose(true);
+        } else {
             HttpUtil.setTransferEncodingChunked(response, true);
         }
         if (closesAfterAnswer()) {
@@ -342,8 +350,19 @@
         Channels.writeAndFlush(channel, new DefaultHttpContent(chunk));
     }
 
+    /**
+     * Sets whether any close of the connection, also the one at the end of this process, resets it. To a caller of
+     * HTTP/1.0 an orderly close is the end of the body, so a response that was broken off would look complete.
+     */
+    private void setResetOnClose(boolean reset) {
+        channel.config().setOption(ChannelOption.SO_LINGER, reset ? RESET_ON_CLOSE : ORDERLY_CLOSE);
+    }
+
     @Override
     public void endResponse() {
+        if (current.http10()) {
+            setResetOnClose(false);
+        }
         Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
         if (closing) {
             closeGracefully();
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -30,6 +30,7 @@
     private final Counter sends;
     private final Counter targetStatements;
     private final Counter keptCalls;
+    private final Counter endedResponses;
     private final Counter passedOnCalls;
     private final Counter takenOverCalls;
     private final Gauge isolated;
@@ -95,6 +96,11 @@
         this.peerDelay =
                 gauge("dogwoodwinch_peer_way_seconds", "How long the last message of a relay was on its way, or more.");
         this.instances = gauge("dogwoodwinch_instances_seen", "Instances that common bounds are dealt out to.");
+        this.endedResponses = counter(
+                "dogwoodwinch_responses_ended_total",
+                "Successful responses of targets whose end was seen, by what showed it and the verdict.",
+                "by",
+                "verdict");
         this.passedOnCalls = counter(
                 "dogwoodwinch_calls_passed_on_total",
                 "Calls passed on to another instance because this one was cut off from all targets, by their end.",
@@ -224,6 +230,10 @@
         targetStatements.labelValues(statement, source).inc();
     }
 
+    void responseEnded(String by, String verdict) {
+        endedResponses.labelValues(by, verdict).inc();
+    }
+
     void callPassedOn(String outcome) {
         passedOnCalls.labelValues(outcome).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -149,6 +149,18 @@
         metrics.answered(routeKind(call), call.ageMillis());
     }
 
+    @Override
+    public void responseEnded(CallRelay call, ResponseEnd end, ResponseVerdict verdict, int eventsCount) {
+        metrics.responseEnded(lowerCaseName(end), verdict.reason());
+        if (end == ResponseEnd.CONNECTION || verdict != ResponseVerdict.COMPLETE) {
+            callEvent("response_ended", call)
+                    .with("by", lowerCaseName(end))
+                    .with("verdict", verdict.reason())
+                    .with("events", eventsCount)
+                    .info(log);
+        }
+    }
+
     @Override
     public void callerDisconnected(CallRelay call) {
         metrics.callerDisconnected(routeKind(call));
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -152,7 +152,12 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(ResponseEnd end) {
+        if (end == ResponseEnd.CONNECTION) {
+            // Instances always state a length or send chunks to each other.
+            onLost("unframed", false);
+            return;
+        }
         connection = null;
         if (state == State.DONE) {
             return;
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -58,6 +58,16 @@
     /** A complete response was received. */
     void succeeded(CallRelay call);
 
+    /**
+     * The end of a successful response was seen.
+     *
+     * @param call the call, not null
+     * @param end what showed the end, not null
+     * @param verdict whether the response is complete, not null
+     * @param eventsCount the number of complete events in it; zero for a response that is not a stream
+     */
+    void responseEnded(CallRelay call, ResponseEnd end, ResponseVerdict verdict, int eventsCount);
+
     /** The caller disconnected before the end of the response. */
     void callerDisconnected(CallRelay call);
 }
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -131,7 +131,7 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(ResponseEnd end) {
         context.recordResponse(engine.id(), responseHead.isMisdirected());
         if (responseHead.status() == 200) {
             inFlight.ifPresent(InFlightSend::recordPrefillDone);
@@ -142,6 +142,10 @@
             return;
         }
         Optional<KvCacheHandle> memory = context.control().parseCacheHandle(engine, Bytes.of(body.toByteArray()));
+        if (memory.isEmpty() && end == ResponseEnd.CONNECTION) {
+            finish(new PrefillOutcome.Failed("cut_short", true));
+            return;
+        }
         finish(memory.<PrefillOutcome>map(PrefillOutcome.Completed::new)
                 .orElseGet(() -> new PrefillOutcome.NoCacheHandle("no_handle")));
     }
--- a/src/main/java/org/dogwoodwinch/relay/ResponseSink.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseSink.java
@@ -21,8 +21,12 @@
      */
     void onBody(ByteBuf chunk);
 
-    /** The response is complete, by its length, its last chunk or an orderly close of its connection. */
-    void onEnd();
+    /**
+     * The response has ended.
+     *
+     * @param end what showed it, not null
+     */
+    void onEnd(ResponseEnd end);
 
     /**
      * The rest of the response, or all of it, will not arrive.
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -68,6 +69,9 @@
     private ChannelFuture writeFuture;
     private boolean keepAlive;
     private boolean failed;
+    private boolean withoutBody;
+    private boolean closedHere;
+    private ResponseEnd responseEnd = ResponseEnd.CONNECTION;
     private int skippedCount;
     private long idleLimitMillis = Long.MAX_VALUE;
     private long idleSinceMillis;
@@ -125,7 +129,8 @@
         skippedCount = 0;
         state = State.WAITING;
         callsCount++;
-        decoder.expectWithoutBody(call.method().equals(HttpMethod.HEAD));
+        withoutBody = call.method().equals(HttpMethod.HEAD);
+        decoder.expectWithoutBody(withoutBody);
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 call.method(),
@@ -146,6 +151,7 @@
     }
 
     void close() {
+        closedHere = true;
         if (channel != null) {
             Channels.close(channel);
         }
@@ -194,6 +200,7 @@
         ResponseAttributes attributes = callHeaders.parseResponse(response);
         keepAlive = HttpUtil.isKeepAlive(response)
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+        responseEnd = expectedEnd(response);
         idleLimitMillis = attributes.idleTimeoutMillis().orElse(Long.MAX_VALUE);
         onResponseHead.accept(attributes);
         if (attributes.requestId().isPresent() && !attributes.requestId().get().equals(requestId)) {
@@ -204,6 +211,17 @@
         sink.onHead(attributes, response.headers());
     }
 
+    private ResponseEnd expectedEnd(HttpResponse response) {
+        int status = response.status().code();
+        boolean bodyless = withoutBody
+                || status == HttpResponseStatus.NO_CONTENT.code()
+                || status == HttpResponseStatus.NOT_MODIFIED.code();
+        if (!bodyless && HttpUtil.isTransferEncodingChunked(response)) {
+            return ResponseEnd.CHUNKS;
+        }
+        return bodyless || HttpUtil.isContentLengthSet(response) ? ResponseEnd.LENGTH : ResponseEnd.CONNECTION;
+    }
+
     private void skipResponse(ResponseAttributes attributes) {
         skippedCount++;
         LogEvent.of("stranger_answer_passed_over")
@@ -232,10 +250,25 @@
         }
         // The sink may have aborted the call while it processed the chunk.
         if (last && state == State.RECEIVING && sink != null) {
-            completeCall();
+            if (responseEnd == ResponseEnd.CONNECTION && !isOrderlyClose()) {
+                failCall("connection_closed");
+            } else {
+                completeCall();
+            }
         }
     }
 
+    /**
+     * Returns whether the target closed the connection in an orderly way. The decoder ends a response without a length
+     * at any close: also one from this side, and one after a reset that a write met before a read.
+     */
+    private boolean isOrderlyClose() {
+        return !closedHere
+                && writeFuture.isDone()
+                && writeFuture.isSuccess()
+                && !channel.eventLoop().isShuttingDown();
+    }
+
     /**
      * Completes the call. A target may respond before it has read a long request body and expects the rest of that body
      * next, so the connection is reused only if the whole request was written.
@@ -248,7 +281,7 @@
         if (!reusable) {
             close();
         }
-        completed.onEnd();
+        completed.onEnd(responseEnd);
     }
 
     /**
--- a/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -173,13 +175,38 @@
             assertTrue(countRuns(id) <= 1, fault.name());
             boolean reportedNotRun = response.startsWith("HTTP/1.1 503 ") || response.startsWith("HTTP/1.1 429 ");
             assertEquals(fault == TargetFault.REJECTED, reportedNotRun, response);
-            boolean success = fault == TargetFault.NONE
-                    || fault == TargetFault.EXTRA_ANSWER
-                    || fault == TargetFault.UNFRAMED;
+            boolean success =
+                    fault == TargetFault.NONE || fault == TargetFault.EXTRA_ANSWER || fault == TargetFault.UNFRAMED;
             assertEquals(success, response.startsWith("HTTP/1.1 200 "), response);
         }
     }
 
+    /** Failure: a target breaks off a stream that ends with its connection, and the caller gets a complete one. */
+    @Test
+    void brokenOffStreamLooksCompleteToNoCaller() throws IOException {
+        for (TargetFault fault : List.of(TargetFault.CUT, TargetFault.UNFRAMED_CUT)) {
+            String response = sendCall("/stream/a", "s-" + fault, fault(fault));
+            assertTrue(response.startsWith("HTTP/1.1 200 ") && response.contains("id: 4\n"), response);
+            assertTrue(!response.endsWith("0\r\n\r\n"), response);
+            assertEquals(1, countRuns("s-" + fault));
+        }
+        String whole = sendCall("/stream/a", "s-whole", fault(TargetFault.UNFRAMED));
+        assertTrue(whole.contains("id: 8\ndata: word8\n\n") && whole.endsWith("0\r\n\r\n"), whole);
+    }
+
+    /** Failure: a caller of HTTP/1.0, to whom the end of the connection is the end of the answer, sees an orderly end. */
+    @Test
+    void callerWithoutChunksSeesBrokenOffStreamReset() throws IOException {
+        String request = "POST /stream/a HTTP/1.0\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: h-%s\r\n%s"
+                + "X-Api-Key: " + PlatformStandIn.KEY + "\r\nContent-Length: 5\r\n\r\nhello";
+
+        assertThrows(
+                SocketException.class,
+                () -> exchange(daemon.port(), request.formatted("cut", fault(TargetFault.UNFRAMED_CUT))));
+        String whole = exchange(daemon.port(), request.formatted("whole", ""));
+        assertTrue(whole.endsWith("id: 8\ndata: word8\n\n"), whole);
+    }
+
     /** Failure: the answers of a target say that it leaves, its entry does not, and it goes on to get calls. */
     @Test
     void targetThatAnswersThatItLeavesGetsNoCallWhileItsEntryIsReady() throws Exception {
--- a/src/test/java/org/dogwoodwinch/relay/EventFramerTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/EventFramerTest.java
@@ -40,7 +40,7 @@
         out.append(feed(framer, STREAM.substring(from)));
         assertEquals(STREAM, out.toString());
         assertEquals(Optional.of("3"), framer.lastEventId());
-        assertFalse(framer.hasPartialEvent());
+        assertFalse(framer.isInsideEvent());
     }
 
     @Test
@@ -49,9 +49,9 @@
 
         assertEquals("", feed(framer, "id: 8\ndata: x\n"));
         assertEquals(Optional.of("7"), framer.lastEventId());
-        assertTrue(framer.hasPartialEvent());
+        assertTrue(framer.isInsideEvent());
 
-        framer.discardPartial();
+        framer.beginResponse();
         assertEquals("id: 8\n\n", feed(framer, "id: 8\n\n"));
         assertEquals(Optional.of("8"), framer.lastEventId());
     }
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -4,8 +4,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -76,6 +80,9 @@
     /** The keys of the configuration that {@link #withRoutes} applies. */
     Optional<OwnerKeys> ownerKeys = Optional.empty();
 
+    /** Whether requests to targets fail to be written as on a connection that the target has reset. */
+    boolean failingWrites;
+
     private final List<Runnable> delayedConnects = new ArrayList<>();
     /** The links to the other instances of a test. */
     final NeighbourLinks neighbourLinks = new NeighbourLinks();
@@ -306,7 +313,9 @@
             return;
         }
         Runnable openConnection = () -> {
-            targetConnections.add(new FakeTargetConnection(target.id(), new EmbeddedChannel(handler)));
+            EmbeddedChannel channel =
+                    failingWrites ? new EmbeddedChannel(new FailingWrites(), handler) : new EmbeddedChannel(handler);
+            targetConnections.add(new FakeTargetConnection(target.id(), channel));
             outcome.connected();
         };
         if (delayedTargetIds.contains(target.id())) {
@@ -369,6 +378,14 @@
         }
     }
 
+    private static final class FailingWrites extends ChannelOutboundHandlerAdapter {
+        @Override
+        public void write(ChannelHandlerContext _context, Object message, ChannelPromise promise) {
+            ReferenceCountUtil.release(message);
+            promise.setFailure(new IOException("Broken pipe"));
+        }
+    }
+
     /** The target's end of a connection. */
     static final class FakeTargetConnection {
 
