Write the message that opens a connection to another instance before its state

Cause: the state transfer to a newly connected instance was written before the message that had opened the connection. Messages have increasing numbers, so the first one came second and was refused as replayed. Rounds repeat their content, which hid it; a message that is sent once is lost. Found by a simulation of such messages, in which one of the first hundred never arrived. Change: the transfer begins after the writes that wait for the connection; the simulated fleet keeps that order too.

--- a/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
+++ b/src/main/java/org/dogwoodwinch/peer/NettyPeerTransport.java
@@ -189,7 +189,9 @@
                 .addListener(_closed -> outboundConnections.remove(member, connection)));
         ignoreOutcome(connection.addListener(_connected -> {
             if (connection.isSuccess()) {
-                connectionListener.accept(member);
+                // Deferred until the message that opened the connection is written: messages have increasing numbers,
+                // and one that is overtaken is refused as replayed.
+                connection.channel().eventLoop().execute(() -> connectionListener.accept(member));
             }
         }));
         return connection;
--- a/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
@@ -228,9 +228,6 @@
             if (dropsSent || paused) {
                 return;
             }
-            if (connectedTo.add(to.name())) {
-                exchange.onConnected(to);
-            }
             messageCount++;
             messageBytes += message.length();
             sentBytes += message.length();
@@ -247,6 +244,9 @@
                     receiver.runUnlessPaused(() -> receiver.exchange.receive(message));
                 }
             });
+            if (connectedTo.add(to.name())) {
+                exchange.onConnected(to);
+            }
         }
 
         private long nextTransitMillis() {
