Have stand-in engines of several software versions serve side by side

Cause: the platform allows engines of several versions in one service, and a stream may go on only at the version that began it; no stand-in had a version, so no test could see a join. Change: a stand-in target has a version, its entry states it, and the text of its events shows it but for the first one's; engines can be added beside the others.

--- a/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
@@ -51,10 +51,10 @@
         this.storeListener = StandInListener.bind(transport, store);
         for (int i = 1; i <= 5; i++) {
             TargetTraits traits = i <= 2 ? TargetTraits.PREFILL : TargetTraits.DECODE;
-            add("i-e" + i, ENGINES, traits, faults);
+            add("i-e" + i, ENGINES, traits, TargetStandIn.FIRST_VERSION, faults);
         }
-        add("i-p1", PLAIN, TargetTraits.PLAIN, faults);
-        add("i-p2", PLAIN, TargetTraits.PLAIN, faults);
+        add("i-p1", PLAIN, TargetTraits.PLAIN, TargetStandIn.FIRST_VERSION, faults);
+        add("i-p2", PLAIN, TargetTraits.PLAIN, TargetStandIn.FIRST_VERSION, faults);
         configure(1);
     }
 
@@ -143,23 +143,42 @@
                 .put("resumable", resumable);
     }
 
-    private void add(String id, String service, TargetTraits traits, Function<StandInRequest, TargetFault> faults)
+    /**
+     * Starts an engine that generates, beside the others.
+     *
+     * @param id its id, not null
+     * @param softwareVersion the version of its software, not null
+     * @param faults what it does wrong with a request, not null
+     * @throws IOException if no port can be bound
+     */
+    public void addEngine(String id, String softwareVersion, Function<StandInRequest, TargetFault> faults)
+            throws IOException {
+        add(id, ENGINES, TargetTraits.DECODE, softwareVersion, faults);
+    }
+
+    private void add(
+            String id,
+            String service,
+            TargetTraits traits,
+            String softwareVersion,
+            Function<StandInRequest, TargetFault> faults)
             throws IOException {
-        TargetStandIn target = new TargetStandIn(id, traits, time, faults);
+        TargetStandIn target = new TargetStandIn(id, traits, softwareVersion, time, faults);
         StandInListener listener = StandInListener.bind(transport, target);
         targets.add(target);
         listeners.add(listener);
-        register(target, service, traits, listener.address(), "ready");
+        register(target, service, traits, listener.address(), softwareVersion);
     }
 
-    private void register(TargetStandIn target, String service, TargetTraits traits, String address, String state) {
+    private void register(
+            TargetStandIn target, String service, TargetTraits traits, String address, String softwareVersion) {
         ObjectNode entry = JSON.createObjectNode()
                 .put("service", service)
                 .put("address", address)
                 .put("zone", "dc-1")
-                .put("version", "v1")
+                .put("version", softwareVersion)
                 .put("slots", traits.slotsCount())
-                .put("state", state);
+                .put("state", "ready");
         if (!traits.stage().isEmpty()) {
             entry.put("stage", traits.stage());
         }
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -26,6 +26,9 @@
  */
 public final class TargetStandIn implements StandInHandler {
 
+    /** The version of the software of a platform's first targets. */
+    public static final String FIRST_VERSION = "v1";
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Map<String, String> JSON_HEADERS = Map.of("content-type", "application/json");
     private static final String LOST_TRACE = "HTTP/9 what\r\n\r\n";
@@ -35,6 +38,7 @@
 
     private final String id;
     private final TargetTraits traits;
+    private final String softwareVersion;
     private final TimeSource time;
     private final Function<StandInRequest, TargetFault> faults;
     private final LinkedHashMap<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
@@ -58,13 +62,20 @@
      *
      * @param id the id of this start, not null
      * @param traits how it works, not null
+     * @param softwareVersion the version of its software, which the text of its events shows unless it is
+     *     {@link #FIRST_VERSION}, not null
      * @param time paces it, not null
      * @param faults what it does wrong with a request, not null
      */
     public TargetStandIn(
-            String id, TargetTraits traits, TimeSource time, Function<StandInRequest, TargetFault> faults) {
+            String id,
+            TargetTraits traits,
+            String softwareVersion,
+            TimeSource time,
+            Function<StandInRequest, TargetFault> faults) {
         this.id = Objects.requireNonNull(id, "id");
         this.traits = Objects.requireNonNull(traits, "traits");
+        this.softwareVersion = Objects.requireNonNull(softwareVersion, "softwareVersion");
         this.time = Objects.requireNonNull(time, "time");
         this.faults = Objects.requireNonNull(faults, "faults");
         this.stage = traits.stage();
@@ -360,7 +371,8 @@
             answer.close();
             return;
         }
-        answer.chunk(("id: " + number + "\ndata: word" + number + "\n\n").getBytes(StandardCharsets.US_ASCII));
+        String suffix = softwareVersion.equals(FIRST_VERSION) ? "" : " " + softwareVersion;
+        answer.chunk(("id: " + number + "\ndata: word" + number + suffix + "\n\n").getBytes(StandardCharsets.US_ASCII));
         if (number >= traits.eventsCount()) {
             runningCount--;
             answer.end();
--- a/src/test/java/org/dogwoodwinch/platform/EngineClientTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/EngineClientTest.java
@@ -47,7 +47,8 @@
 
     @Test
     void eachAnswerToControlCallsTellsThatEngineLeaves() throws Exception {
-        TargetStandIn engine = new TargetStandIn(ID, TargetTraits.DECODE, time, _request -> TargetFault.NONE);
+        TargetStandIn engine = new TargetStandIn(
+                ID, TargetTraits.DECODE, TargetStandIn.FIRST_VERSION, time, _request -> TargetFault.NONE);
         try (StandInListener listener = StandInListener.bind(loop, engine)) {
             EngineClient client = client();
             Incarnation listed = listed(listener);
