--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -21,13 +21,16 @@
 import org.dogwoodwinch.forwarding.KvCacheIndex;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
 import org.dogwoodwinch.forwarding.LoadTracker;
+import org.dogwoodwinch.forwarding.Neighbour;
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.forwarding.PrefillRates;
 import org.dogwoodwinch.forwarding.RateLimitShares;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StagePlanPolicy;
 import org.dogwoodwinch.forwarding.StagePlanner;
+import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
@@ -66,6 +69,9 @@
  */
 public final class ForwardingDaemon {
 
+    /** The time by which the views that two instances have of the targets may differ. */
+    private static final long VIEW_DIFFERENCE_MILLIS = 3_000;
+
     private static final Logger log = LoggerFactory.getLogger(ForwardingDaemon.class);
 
     /**
@@ -225,6 +231,14 @@
                         caller,
                         store,
                         time));
+        StreamBeginSharing streamBegins = new StreamBeginSharing(
+                settings.instance().name(),
+                fleet.exchange(),
+                () -> fleet.neighbours().stream().map(Neighbour::name).toList(),
+                directory::softwareVersions,
+                new StreamBegins(this::streamLifetimeMillis),
+                new SoftwareVersionHistory(this::streamLifetimeMillis),
+                time);
         this.service = new ForwardingService(
                 targetLinks.apply(new TcpTargetConnector(transport, connections)),
                 time,
@@ -259,6 +273,7 @@
                         statements,
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
+                        streamBegins,
                         fleet::connectionSharerCount),
                 new Neighbours(
                         new NeighbourConnector(transport, time),
@@ -267,6 +282,7 @@
                         isolationSharing::isolatedNames,
                         isolationSharing::set),
                 metrics);
+        streamBegins.start(service::modelServices);
         fleet.acceptCalls(new TakenOverCalls(service, time)::accept);
         this.configuration = new StreamFollower(
                 fleet.streams()
@@ -452,6 +468,10 @@
         return directory.find(targetId).map(Incarnation::startedMillis).orElse(0L);
     }
 
+    private long streamLifetimeMillis() {
+        return service.longestResumableMillis() + VIEW_DIFFERENCE_MILLIS;
+    }
+
     private boolean isReady() {
         return !stopping && service.isConfigured() && targetsReader.hasReadSnapshot();
     }
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -0,0 +1,318 @@
+package org.dogwoodwinch.daemon;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.bytes.Packing;
+import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
+import org.dogwoodwinch.forwarding.StreamBegins;
+import org.dogwoodwinch.forwarding.StreamId;
+import org.dogwoodwinch.forwarding.StreamRecorders;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.peer.PeerTopic;
+import org.dogwoodwinch.peer.PeerUpdate;
+import org.dogwoodwinch.peer.RelayExchange;
+import org.dogwoodwinch.relay.StreamOrigin;
+import org.dogwoodwinch.relay.StreamOrigins;
+import org.dogwoodwinch.time.Cancellable;
+import org.dogwoodwinch.time.TimeSource;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Finds the software version that began a stream, also when another instance began it, which may have ended since. While
+ * a service has several versions, two other instances are told of each stream before its first event is passed on, and
+ * an instance at which a caller takes a stream up asks them. Confined to one event loop.
+ *
+ * <p>Failure: a caller takes its stream up at an instance that knows nothing of it, and a target of another version goes
+ * on with it.
+ */
+final class StreamBeginSharing implements StreamOrigins {
+
+    private static final Logger log = LoggerFactory.getLogger(StreamBeginSharing.class);
+
+    /** Many round trips between data centres; the caller waits for it at most once. */
+    private static final long ANSWER_TIMEOUT_MILLIS = 150;
+
+    /** Questions at the same moment; more come only from callers that invent streams. */
+    private static final int MAX_QUESTIONS = 2_000;
+
+    private static final int BEGIN_FIELDS = 4;
+    private static final int QUESTION_FIELDS = 4;
+    private static final int ANSWER_FIELDS = 4;
+
+    private final String ownName;
+    private final RelayExchange exchange;
+    private final Supplier<List<String>> otherNames;
+    private final Function<String, Set<String>> listedVersions;
+    private final StreamBegins begins;
+    private final SoftwareVersionHistory history;
+    private final TimeSource time;
+    private final Map<Long, Question> questions = new HashMap<>();
+    private long nextQuestion;
+
+    /**
+     * Creates an object that tells and hears nothing before {@link #start}.
+     *
+     * @param ownName the name of this instance, not null
+     * @param exchange the bus between the instances, not null
+     * @param otherNames supplies the names of the other instances, not null
+     * @param listedVersions returns the software versions of a service's listed targets, not null
+     * @param begins the streams that this instance knows, not null
+     * @param history the versions that services have had, not null
+     * @param time the clock and timers, not null
+     */
+    StreamBeginSharing(
+            String ownName,
+            RelayExchange exchange,
+            Supplier<List<String>> otherNames,
+            Function<String, Set<String>> listedVersions,
+            StreamBegins begins,
+            SoftwareVersionHistory history,
+            TimeSource time) {
+        this.ownName = Objects.requireNonNull(ownName, "ownName");
+        this.exchange = Objects.requireNonNull(exchange, "exchange");
+        this.otherNames = Objects.requireNonNull(otherNames, "otherNames");
+        this.listedVersions = Objects.requireNonNull(listedVersions, "listedVersions");
+        this.begins = Objects.requireNonNull(begins, "begins");
+        this.history = Objects.requireNonNull(history, "history");
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /**
+     * Starts to receive begins and questions.
+     *
+     * @param services supplies the services whose versions are followed, not null
+     */
+    void start(Supplier<Set<String>> services) {
+        exchange.subscribe(PeerTopic.STREAM_BEGIN, this::onBegin);
+        exchange.subscribe(PeerTopic.STREAM_QUESTION, this::onQuestion);
+        exchange.subscribe(PeerTopic.STREAM_ANSWER, this::onAnswer);
+        exchange.beforeEachRound(() -> services.get().forEach(this::updateVersions));
+    }
+
+    private void updateVersions(String service) {
+        history.update(service, listedVersions.apply(service), time.monotonicMillis());
+    }
+
+    @Override
+    public void recordBegin(StreamId stream, String softwareVersion) {
+        long nowMillis = time.monotonicMillis();
+        begins.record(stream, softwareVersion, nowMillis);
+        updateVersions(stream.service());
+        if (stream.isRecordable() && history.areSeveral(stream.service(), nowMillis)) {
+            List<String> told = StreamRecorders.toldOf(stream, memberNames(), ownName);
+            exchange.sendDirectly(PeerTopic.STREAM_BEGIN, encodeBegin(stream, softwareVersion), told);
+            LogEvent.of("stream_began")
+                    .with("request", stream.requestId())
+                    .with("service", stream.service())
+                    .with("version", softwareVersion)
+                    .with("told", told)
+                    .info(log);
+        }
+    }
+
+    @Override
+    public void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
+        updateVersions(service);
+        if (stream.isEmpty() || !stream.get().isRecordable()) {
+            onFound.accept(withoutRecord(service, false));
+            return;
+        }
+        StreamId named = stream.get();
+        Optional<StreamOrigin> recorded = begins.find(named, time.monotonicMillis())
+                .map(begin -> new StreamOrigin.Known(
+                        begin.softwareVersion(), StreamOrigin.Source.RECORDED, begin.ageMillis()));
+        if (recorded.isPresent()) {
+            onFound.accept(recorded.get());
+        } else if (begins.isAmbiguous(named)) {
+            onFound.accept(new StreamOrigin.Unknown("ambiguous"));
+        } else {
+            ask(named, onFound);
+        }
+    }
+
+    private void ask(StreamId stream, Consumer<StreamOrigin> onFound) {
+        List<String> asked = StreamRecorders.askedFor(stream, memberNames(), ownName);
+        if (asked.isEmpty() || questions.size() >= MAX_QUESTIONS) {
+            onFound.accept(withoutRecord(stream.service(), asked.isEmpty()));
+            return;
+        }
+        long number = nextQuestion++;
+        Question question = new Question(stream, onFound, asked.size());
+        questions.put(number, question);
+        question.timeout = time.schedule(ANSWER_TIMEOUT_MILLIS, () -> endWithoutRecord(number));
+        exchange.sendDirectly(PeerTopic.STREAM_QUESTION, encodeQuestion(number, stream), asked);
+    }
+
+    /**
+     * Returns what follows when no instance has recorded a stream.
+     *
+     * @param isSilenceExplained whether an instance that would have been told of the stream, had its service had several
+     *     versions, states that it was not
+     */
+    private StreamOrigin withoutRecord(String service, boolean isSilenceExplained) {
+        long nowMillis = time.monotonicMillis();
+        Optional<StreamOrigin> only = history.onlyVersion(service, nowMillis)
+                .map(version -> new StreamOrigin.Known(version, StreamOrigin.Source.ONLY_VERSION, 0));
+        if (only.isPresent()) {
+            return only.get();
+        }
+        Optional<StreamOrigin> before = history.onlyVersionBefore(service, nowMillis)
+                .filter(_version -> isSilenceExplained)
+                .map(version -> new StreamOrigin.Known(version, StreamOrigin.Source.VERSION_BEFORE, 0));
+        return before.orElseGet(() -> new StreamOrigin.Unknown("no_record"));
+    }
+
+    private void endWithoutRecord(long number) {
+        Question question = questions.remove(number);
+        if (question != null) {
+            question.timeout.cancel();
+            question.onFound.accept(withoutRecord(question.stream.service(), question.isSilenceExplained));
+        }
+    }
+
+    private List<String> memberNames() {
+        List<String> names = new ArrayList<>(otherNames.get());
+        names.add(ownName);
+        return names;
+    }
+
+    private void onBegin(PeerUpdate update) {
+        try {
+            Packing.unpack(update.payload().toByteArray(), unpacker -> {
+                Packing.expectFields(unpacker, BEGIN_FIELDS);
+                StreamId stream = unpackStream(unpacker);
+                begins.record(stream, unpacker.unpackString(), time.monotonicMillis());
+                return stream;
+            });
+        } catch (IOException e) {
+            logNotUnderstood(update, e);
+        }
+    }
+
+    private void onQuestion(PeerUpdate update) {
+        try {
+            Packing.unpack(update.payload().toByteArray(), unpacker -> {
+                Packing.expectFields(unpacker, QUESTION_FIELDS);
+                long number = unpacker.unpackLong();
+                answer(update.origin(), number, unpackStream(unpacker));
+                return number;
+            });
+        } catch (IOException e) {
+            logNotUnderstood(update, e);
+        }
+    }
+
+    private void answer(String asker, long number, StreamId stream) {
+        Optional<StreamBegins.KnownBegin> begin = begins.find(stream, time.monotonicMillis());
+        boolean hasNoRecord = begin.isEmpty() && !begins.isAmbiguous(stream);
+        Bytes payload = Packing.pack(begin, (packer, known) -> {
+            packer.packArrayHeader(ANSWER_FIELDS);
+            packer.packLong(number);
+            packer.packBoolean(hasNoRecord);
+            if (known.isPresent()) {
+                packer.packString(known.get().softwareVersion());
+            } else {
+                packer.packNil();
+            }
+            packer.packLong(known.map(StreamBegins.KnownBegin::ageMillis).orElse(0L));
+        });
+        exchange.sendDirectly(PeerTopic.STREAM_ANSWER, payload, List.of(asker));
+    }
+
+    private void onAnswer(PeerUpdate update) {
+        try {
+            Packing.unpack(update.payload().toByteArray(), unpacker -> {
+                Packing.expectFields(unpacker, ANSWER_FIELDS);
+                long number = unpacker.unpackLong();
+                boolean hasNoRecord = unpacker.unpackBoolean();
+                Optional<String> softwareVersion =
+                        unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(unpacker.unpackString());
+                long ageMillis = unpacker.unpackLong();
+                onAnswer(number, hasNoRecord, softwareVersion, ageMillis);
+                return number;
+            });
+        } catch (IOException e) {
+            logNotUnderstood(update, e);
+        }
+    }
+
+    private void onAnswer(long number, boolean hasNoRecord, Optional<String> softwareVersion, long ageMillis) {
+        Question question = questions.get(number);
+        if (question == null) {
+            return;
+        }
+        if (softwareVersion.isPresent()) {
+            questions.remove(number);
+            question.timeout.cancel();
+            begins.record(question.stream, softwareVersion.get(), time.monotonicMillis());
+            question.onFound.accept(
+                    new StreamOrigin.Known(softwareVersion.get(), StreamOrigin.Source.ASKED, ageMillis));
+            return;
+        }
+        question.isSilenceExplained |= hasNoRecord;
+        question.openCount--;
+        if (question.openCount == 0) {
+            endWithoutRecord(number);
+        }
+    }
+
+    private static Bytes encodeBegin(StreamId stream, String softwareVersion) {
+        return Packing.pack(stream, (packer, id) -> {
+            packer.packArrayHeader(BEGIN_FIELDS);
+            packStream(packer, id);
+            packer.packString(softwareVersion);
+        });
+    }
+
+    private static Bytes encodeQuestion(long number, StreamId stream) {
+        return Packing.pack(stream, (packer, id) -> {
+            packer.packArrayHeader(QUESTION_FIELDS);
+            packer.packLong(number);
+            packStream(packer, id);
+        });
+    }
+
+    private static void packStream(MessagePacker packer, StreamId stream) throws IOException {
+        packer.packString(stream.owner());
+        packer.packString(stream.service());
+        packer.packString(stream.requestId());
+    }
+
+    private static StreamId unpackStream(MessageUnpacker unpacker) throws IOException {
+        return new StreamId(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
+    }
+
+    private static void logNotUnderstood(PeerUpdate update, IOException error) {
+        LogEvent.of("stream_begin_not_understood")
+                .with("peer", update.origin())
+                .with("error", error.getMessage())
+                .warn(log);
+    }
+
+    private static final class Question {
+        private final StreamId stream;
+        private final Consumer<StreamOrigin> onFound;
+        private int openCount;
+        private boolean isSilenceExplained;
+        private Cancellable timeout;
+
+        Question(StreamId stream, Consumer<StreamOrigin> onFound, int openCount) {
+            this.stream = stream;
+            this.onFound = onFound;
+            this.openCount = openCount;
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -77,7 +77,8 @@
         for (int i = 0; i < cachedTokens.length; i++) {
             Incarnation engine = ready.get(i);
             boolean prefillOnly = engine.stage() == Stage.PREFILL && !query.separatePrefillAllowed();
-            if (prefillOnly || !isEligible(engine, query)) {
+            boolean writesEvents = engine.stage() != Stage.PREFILL;
+            if (prefillOnly || !isEligible(engine, query) || (writesEvents && !query.isVersionAllowed(engine))) {
                 continue;
             }
             Candidate candidate = evaluate(
@@ -121,7 +122,7 @@
         Incarnation best = null;
         double lowestCost = Double.MAX_VALUE;
         for (Incarnation engine : directory.readyTargets(query.service().name())) {
-            if (engine.stage() == Stage.PREFILL || !isEligible(engine, query)) {
+            if (engine.stage() == Stage.PREFILL || !isEligible(engine, query) || !query.isVersionAllowed(engine)) {
                 continue;
             }
             double cost = queueWaitMillis(engine, query)
@@ -167,7 +168,7 @@
 
     @Override
     public long millisUntilCapacity(TargetQuery query) {
-        return directory.millisUntilCapacity(query.service().name(), query.triedTargetIds());
+        return directory.millisUntilCapacity(query);
     }
 
     private Candidate evaluate(
--- a/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
@@ -17,6 +17,8 @@
  * @param stage the stage that the target serves, not null
  * @param weightVersion the version of the model's weights; zero if not stated
  * @param startedMillis start time, in milliseconds of the platform's clock; zero if not stated
+ * @param softwareVersion the version of the target's software, which has no order; a stream may go on only at targets of
+ *     the version that began it; empty if not stated, not null
  */
 public record Incarnation(
         String id,
@@ -28,7 +30,8 @@
         boolean draining,
         Stage stage,
         long weightVersion,
-        long startedMillis) {
+        long startedMillis,
+        String softwareVersion) {
 
     /** Validates the components. */
     public Incarnation {
@@ -37,10 +40,39 @@
         Objects.requireNonNull(host, "host");
         Objects.requireNonNull(dataCentre, "dataCentre");
         Objects.requireNonNull(stage, "stage");
+        Objects.requireNonNull(softwareVersion, "softwareVersion");
     }
 
     /**
-     * Creates an incarnation without a stated start time.
+     * Creates an incarnation without a stated version of its software.
+     *
+     * @param id the target's id, not null
+     * @param service the service to which the target belongs, not null
+     * @param host the target's IP address, not null
+     * @param port the target's port
+     * @param dataCentre the target's data centre, not null
+     * @param slotsCount maximum number of requests that run at the same time, at least one
+     * @param leaving whether the target is draining
+     * @param stage the stage that the target serves, not null
+     * @param weightVersion the version of the model's weights; zero if not stated
+     * @param startedMillis start time, in milliseconds of the platform's clock; zero if not stated
+     */
+    public Incarnation(
+            String id,
+            String service,
+            String host,
+            int port,
+            String dataCentre,
+            int slotsCount,
+            boolean leaving,
+            Stage stage,
+            long weightVersion,
+            long startedMillis) {
+        this(id, service, host, port, dataCentre, slotsCount, leaving, stage, weightVersion, startedMillis, "");
+    }
+
+    /**
+     * Creates an incarnation without a stated start time and without a stated version of its software.
      *
      * @param id the target's id, not null
      * @param service the service to which the target belongs, not null
@@ -85,7 +117,8 @@
                 && draining == that.draining
                 && stage == that.stage
                 && weightVersion == that.weightVersion
-                && startedMillis == that.startedMillis;
+                && startedMillis == that.startedMillis
+                && softwareVersion.equals(that.softwareVersion);
     }
 
     @Override
@@ -100,7 +133,17 @@
      */
     public Incarnation asDraining() {
         return new Incarnation(
-                id, service, host, port, dataCentre, slotsCount, true, stage, weightVersion, startedMillis);
+                id,
+                service,
+                host,
+                port,
+                dataCentre,
+                slotsCount,
+                true,
+                stage,
+                weightVersion,
+                startedMillis,
+                softwareVersion);
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -33,6 +33,7 @@
         for (Incarnation target : directory.readyTargets(query.service().name())) {
             if (query.triedTargetIds().contains(target.id())
                     || target.stage() == Stage.PREFILL
+                    || !query.isVersionAllowed(target)
                     || !directory.hasCapacity(target)) {
                 continue;
             }
@@ -63,6 +64,6 @@
 
     @Override
     public long millisUntilCapacity(TargetQuery query) {
-        return directory.millisUntilCapacity(query.service().name(), query.triedTargetIds());
+        return directory.millisUntilCapacity(query);
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
@@ -18,6 +18,7 @@
     private final CallerLimits limits;
     private final Optional<OwnerKeys> ownerKeys;
     private final int routesCount;
+    private final long longestResumableMillis;
 
     /**
      * Creates a table and indexes its routes by host and path prefix.
@@ -44,6 +45,11 @@
         this.services = new HashMap<>();
         services.forEach(service -> this.services.put(service.name(), service));
         this.routesCount = routes.size();
+        this.longestResumableMillis = routes.stream()
+                .filter(ServiceRoute::resumable)
+                .mapToLong(ServiceRoute::timeoutMillis)
+                .max()
+                .orElse(0);
     }
 
     /**
@@ -95,6 +101,15 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Returns the longest time-out of a route whose streams may be resumed.
+     *
+     * @return milliseconds; zero if there is no such route
+     */
+    public long longestResumableMillis() {
+        return longestResumableMillis;
+    }
+
     /**
      * Returns the number of keys in the configuration.
      *
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamRecorders.java
@@ -0,0 +1,72 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Chooses the instances that keep the begin of a stream for the others, so that a caller can take the stream up at any
+ * instance although the one that began it has ended. All instances choose alike without a word.
+ *
+ * <p>Load: the streams of one service are kept by few instances, and each stream by two of them. The connections of an
+ * instance for this purpose, and the messages for one stream, therefore do not grow with the fleet.
+ */
+public final class StreamRecorders {
+
+    /** Instances that keep the streams of one service. */
+    private static final int RECORDERS_PER_SERVICE = 16;
+
+    /** Instances that are told of one stream, beside the one that began it; one of them may end too. */
+    private static final int TOLD_COUNT = 2;
+
+    /** The instances told, the one that began the stream, and one more for views of the members that differ by one. */
+    private static final int ASKED_COUNT = 4;
+
+    private StreamRecorders() {}
+
+    /**
+     * Returns the instances that are told of the begin of a stream.
+     *
+     * @param stream the stream, not null
+     * @param names the names of all instances, not null
+     * @param ownName the name of this instance, not null
+     * @return the names, without this instance
+     */
+    public static List<String> toldOf(StreamId stream, Collection<String> names, String ownName) {
+        return ranked(stream, names).stream()
+                .filter(name -> !name.equals(ownName))
+                .limit(TOLD_COUNT)
+                .toList();
+    }
+
+    /**
+     * Returns the instances that are asked for the begin of a stream.
+     *
+     * @param stream the stream, not null
+     * @param names the names of all instances, not null
+     * @param ownName the name of this instance, not null
+     * @return the names, without this instance
+     */
+    public static List<String> askedFor(StreamId stream, Collection<String> names, String ownName) {
+        return ranked(stream, names).stream()
+                .filter(name -> !name.equals(ownName))
+                .limit(ASKED_COUNT)
+                .toList();
+    }
+
+    private static List<String> ranked(StreamId stream, Collection<String> names) {
+        List<String> recorders = highest(stream.service(), names, RECORDERS_PER_SERVICE);
+        return highest(stream.requestId(), recorders, recorders.size());
+    }
+
+    private static List<String> highest(String key, Collection<String> names, int count) {
+        return names.stream()
+                .map(name -> new Ranked(name, RendezvousHash.score(key, name)))
+                .sorted(Comparator.comparingDouble(Ranked::score).reversed().thenComparing(Ranked::name))
+                .limit(count)
+                .map(Ranked::name)
+                .toList();
+    }
+
+    private record Ranked(String name, double score) {}
+}
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetDirectory.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -23,6 +24,7 @@
     private final LeavingIncarnations leaving = new LeavingIncarnations();
     private final Map<String, Entry> entries = new HashMap<>();
     private Optional<Map<String, List<Incarnation>>> readyByService = Optional.empty();
+    private Optional<Map<String, Set<String>>> versionsByService = Optional.empty();
     private int readyCount;
 
     /**
@@ -124,14 +126,15 @@
      * Returns whether a target is unchanged since it was chosen.
      *
      * @param target the target as it was chosen, not null
-     * @return false if it has since begun to drain, was removed, restarted, or changed its stage
+     * @return false if it has since begun to drain, was removed, restarted, or changed its stage or software version
      */
     public boolean isCurrent(Incarnation target) {
         return find(target.id())
                 .filter(current -> !current.draining()
                         && current.startedMillis() == target.startedMillis()
                         && current.address().equals(target.address())
-                        && current.stage() == target.stage())
+                        && current.stage() == target.stage()
+                        && current.softwareVersion().equals(target.softwareVersion()))
                 .isPresent();
     }
 
@@ -172,17 +175,17 @@
     }
 
     /**
-     * Returns when the first of a service's targets has capacity again.
+     * Returns when the first target that may run a call has capacity again. Targets that the call was sent to are left
+     * out unless they asked for a rest, after which they count again.
      *
-     * @param service the service's name, not null
-     * @param triedTargetIds the ids of targets to leave out unless they asked for a rest, after which they count
-     *     again, not null
+     * @param query the call, not null
      * @return the time from now in milliseconds; zero if a target has capacity, or no target remains
      */
-    public long millisUntilCapacity(String service, Set<String> triedTargetIds) {
-        return readyTargets(service).stream()
-                .filter(target ->
-                        !triedTargetIds.contains(target.id()) || rests.isResting(target.id(), target.startedMillis()))
+    public long millisUntilCapacity(TargetQuery query) {
+        return readyTargets(query.service().name()).stream()
+                .filter(query::isVersionAllowed)
+                .filter(target -> !query.triedTargetIds().contains(target.id())
+                        || rests.isResting(target.id(), target.startedMillis()))
                 .mapToLong(
                         target -> Math.max(rests.millisUntilAvailable(target), limits.millisUntilCapacity(target.id())))
                 .min()
@@ -222,8 +225,27 @@
                 .toList();
     }
 
+    /**
+     * Returns the software versions of a service's targets.
+     *
+     * @param service the service's name, not null
+     * @return the versions of all listed targets, draining or not; empty if there are none
+     */
+    public Set<String> softwareVersions(String service) {
+        if (versionsByService.isEmpty()) {
+            Map<String, Set<String>> versions = new HashMap<>();
+            all().forEach(target -> versions.computeIfAbsent(target.service(), _service -> new HashSet<>())
+                    .add(target.softwareVersion()));
+            versionsByService = Optional.of(versions);
+        }
+        return versionsByService.get().getOrDefault(service, Set.of());
+    }
+
     private void putEntry(String id, Entry entry) {
         Entry previous = entries.put(id, entry);
+        if (previous == null || !previous.incarnation.equals(entry.incarnation)) {
+            versionsByService = Optional.empty();
+        }
         readyCount += (entry.isReady() ? 1 : 0) - (previous != null && previous.isReady() ? 1 : 0);
         readyByService = Optional.empty();
     }
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -48,7 +48,16 @@
     ALIVE,
 
     /** A request of an instance without state for all state that its relay has. */
-    WANT;
+    WANT,
+
+    /** The software version at which a stream began; sent to the instances that keep it. */
+    STREAM_BEGIN,
+
+    /** A question for the software version at which a stream began. */
+    STREAM_QUESTION,
+
+    /** The answer to such a question. */
+    STREAM_ANSWER;
 
     /**
      * Returns the topic with a name.
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -68,6 +69,12 @@
             PeerTopic.TARGET_LEAVES,
             PeerTopic.TARGETS_CUT_OFF);
 
+    /** Topics whose updates are for their recipients alone: they are neither kept for instances that start nor forwarded. */
+    private static final Set<PeerTopic> DIRECT_TOPICS =
+            Set.of(PeerTopic.STREAM_BEGIN, PeerTopic.STREAM_QUESTION, PeerTopic.STREAM_ANSWER);
+
+    private static final long DIRECT_TTL_MILLIS = 1_000;
+
     private final PeerSettings settings;
     private final TimeSource time;
     private final PeerTransport transport;
@@ -296,6 +303,20 @@
         }
     }
 
+    /**
+     * Sends an update to some instances immediately, and to no others.
+     *
+     * @param topic a topic whose updates are for their recipients alone, not null
+     * @param payload the content, not null
+     * @param names the names of the recipients, not null; names that are not listed are left out
+     */
+    public void sendDirectly(PeerTopic topic, Bytes payload, Collection<String> names) {
+        List<PeerMember> recipients = names.stream()
+                .flatMap(name -> relayTracker.findMember(name).stream())
+                .toList();
+        send(List.of(ownEntry(topic, "", payload, DIRECT_TTL_MILLIS)), recipients);
+    }
+
     /**
      * Sends the stored entries to members that have just started, one member after the other as the budget allows.
      *
@@ -527,6 +548,13 @@
             PeerEntry received, OptionalLong transitMillis, String sender, Optional<RelayHeartbeat> heartbeat) {
         PeerEntry entry = received.withAddedAge(transitMillis.orElse(0));
         Optional<PeerTopic> topic = PeerTopic.find(entry.topic());
+        if (topic.isPresent() && DIRECT_TOPICS.contains(topic.get())) {
+            deliver(
+                    entry,
+                    topic.get(),
+                    transitMillis.isPresent() && entry.origin().equals(sender));
+            return;
+        }
         if (topic.isEmpty()
                 || entry.origin().equals(settings.instance())
                 // A late entry is old but still new to this instance; its age may stem from this instance's own link.
@@ -543,16 +571,13 @@
         if (isRelay() && usesRelays()) {
             forward(entry, topic.get(), sender);
         }
-        boolean ageBounded = transitMillis.isPresent() && entry.origin().equals(sender);
+        deliver(entry, topic.get(), transitMillis.isPresent() && entry.origin().equals(sender));
+    }
+
+    private void deliver(PeerEntry entry, PeerTopic topic, boolean ageBounded) {
         PeerUpdate update = new PeerUpdate(
-                entry.origin(),
-                topic.get(),
-                entry.key(),
-                entry.version(),
-                entry.payload(),
-                entry.ageMillis(),
-                ageBounded);
-        listeners.get(topic.get()).forEach(listener -> listener.accept(update));
+                entry.origin(), topic, entry.key(), entry.version(), entry.payload(), entry.ageMillis(), ageBounded);
+        listeners.get(topic).forEach(listener -> listener.accept(update));
     }
 
     private void forward(PeerEntry entry, PeerTopic topic, String sender) {
--- a/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
+++ b/src/main/java/org/dogwoodwinch/platform/HeaderNames.java
@@ -20,6 +20,9 @@
     static final AsciiString LEAVING = AsciiString.cached("server-leaving");
 
     static final AsciiString LAST_EVENT_ID = AsciiString.cached("last-event-id");
+    /** The request id of the caller's attempt that brought the first event of the stream that it takes up. */
+    static final AsciiString RESUMES = AsciiString.cached("resumes");
+
     static final AsciiString MODEL = AsciiString.cached("model");
 
     /** Two numbers: the tokens of the prompt, and the maximum number of tokens to generate. */
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -76,13 +76,17 @@
 
     @Override
     public CallAttributes parseCall(HttpHeaders headers) {
-        List<String> ids = headers.getAll(HeaderNames.REQUEST_ID);
-        Optional<String> id = ids.size() == 1 ? Optional.of(ids.get(0)) : Optional.empty();
         return new CallAttributes(
-                id.filter(text -> !text.isEmpty()),
+                findSingle(headers, HeaderNames.REQUEST_ID),
                 parseNumber(headers.get(HeaderNames.DEADLINE_MILLIS)),
                 parsePrompt(headers),
-                Optional.ofNullable(headers.get(HeaderNames.LAST_EVENT_ID)));
+                Optional.ofNullable(headers.get(HeaderNames.LAST_EVENT_ID)),
+                findSingle(headers, HeaderNames.RESUMES));
+    }
+
+    private static Optional<String> findSingle(HttpHeaders headers, AsciiString name) {
+        List<String> values = headers.getAll(name);
+        return values.size() == 1 ? Optional.of(values.get(0)).filter(text -> !text.isEmpty()) : Optional.empty();
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
@@ -55,9 +55,10 @@
                 decodeSlots(entry),
                 decodeDraining(entry),
                 decodeOptionalStage(entry),
-                // The entry's field version is the software's version; the version of the weights is in each model.
                 entry.path("models").path(0).path("version").asLong(),
-                decodeStartMillis(entry));
+                decodeStartMillis(entry),
+                // The entry's field version is the software's version; the version of the weights is in each model.
+                requireText(entry, "version"));
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/relay/CallAttributes.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallAttributes.java
@@ -12,12 +12,15 @@
  * @param deadlineMillis how long the caller waits; empty if it does not state it
  * @param prompt the prompt for a model; empty for a call to another service
  * @param lastEventId the id of the last event that the caller received; empty if it does not resume a stream
+ * @param resumes the request id of the caller's attempt that brought the first event of the stream that it resumes;
+ *     empty if the header is absent or repeated
  */
 public record CallAttributes(
         Optional<String> requestId,
         OptionalLong deadlineMillis,
         Optional<Prompt> prompt,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        Optional<String> resumes) {
 
     /** Validates the components. */
     public CallAttributes {
@@ -25,5 +28,6 @@
         Objects.requireNonNull(deadlineMillis, "deadlineMillis");
         Objects.requireNonNull(prompt, "prompt");
         Objects.requireNonNull(lastEventId, "lastEventId");
+        Objects.requireNonNull(resumes, "resumes");
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -60,6 +60,7 @@
     private final boolean takenOver;
     private final Consumer<CallRelay> onDone;
     private final CallStartRecorder startRecorder;
+    private final StreamContinuity continuity;
     private final Set<String> triedIds = new HashSet<>();
     private State state = State.SENDING;
     private Cancellable deadlineTimer;
@@ -99,6 +100,7 @@
         this.deadlineMillis = call.deadlineMillis(route, attributes);
         this.eventFramer = new EventFramer(attributes.lastEventId());
         this.fingerprint = Suspicions.fingerprint(call, owner.map(CallOwner::name));
+        this.continuity = new StreamContinuity(context.streamOrigins(), routed);
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
     }
 
@@ -119,7 +121,32 @@
             return;
         }
         deadlineTimer = context.time().schedule(remainingMillis(), this::handleDeadline);
-        chooseAndSend();
+        if (continuity.takesUpStream()) {
+            continuity.findOrigin(this::handleOrigin);
+        } else {
+            chooseAndSend();
+        }
+    }
+
+    /**
+     * Takes up a caller's stream, or refuses that where it is not known which software version began it. The call has
+     * not run then.
+     */
+    private void handleOrigin(StreamOrigin origin) {
+        if (state == State.DONE) {
+            return;
+        }
+        context.report().streamTakenUp(this, attributes.resumes().orElse(""), origin);
+        if (origin instanceof StreamOrigin.Known) {
+            chooseAndSend();
+        } else {
+            LocalResponses.sendRetryable(
+                    caller,
+                    LocalResponses.UNAVAILABLE,
+                    "not run: the begin of the stream is not known",
+                    context.retryPolicy().retryAfterMillis());
+            finish();
+        }
     }
 
     @Override
@@ -156,6 +183,11 @@
         return Optional.ofNullable(plan).map(chosen -> chosen.target().id());
     }
 
+    /** Returns the software version of the targets that may run the call; empty if any may. */
+    Optional<String> softwareVersion() {
+        return continuity.softwareVersion();
+    }
+
     /** Returns the current stage of the call for log lines. */
     String stage() {
         if (remotePrefill.isPresent()) {
@@ -206,7 +238,8 @@
                 remainingObjectiveMillis(),
                 route.maxEventGapMillis(),
                 avoided,
-                !remotePrefillUsed);
+                !remotePrefillUsed,
+                continuity.softwareVersion());
     }
 
     /**
@@ -439,6 +472,9 @@
 
     private void relayEvents(ByteBuf chunk) {
         byte[] whole = eventFramer.append(chunk);
+        if (eventFramer.eventsCount() > 0) {
+            continuity.onEvents(plan.target());
+        }
         if (whole.length > 0) {
             beginCallerResponse();
             relayBody(context.copy(whole));
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -31,6 +31,7 @@
     private final Counter targetStatements;
     private final Counter keptCalls;
     private final Counter endedResponses;
+    private final Counter takenUpStreams;
     private final Counter passedOnCalls;
     private final Counter takenOverCalls;
     private final Gauge isolated;
@@ -101,6 +102,10 @@
                 "Successful responses of targets whose end was seen, by what showed it and the verdict.",
                 "by",
                 "verdict");
+        this.takenUpStreams = counter(
+                "dogwoodwinch_streams_taken_up_total",
+                "Streams that callers took up, by how the software version that began them was known.",
+                "known_by");
         this.passedOnCalls = counter(
                 "dogwoodwinch_calls_passed_on_total",
                 "Calls passed on to another instance because this one was cut off from all targets, by their end.",
@@ -234,6 +239,10 @@
         endedResponses.labelValues(by, verdict).inc();
     }
 
+    void streamTakenUp(String knownBy) {
+        takenUpStreams.labelValues(knownBy).inc();
+    }
+
     void callPassedOn(String outcome) {
         passedOnCalls.labelValues(outcome).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -17,6 +17,7 @@
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.forwarding.EngineTraits;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.RendezvousHash;
 import org.dogwoodwinch.forwarding.RouteTable;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
@@ -120,6 +121,7 @@
                 decisions.rests(),
                 decisions.connectionAborts(),
                 decisions.callStarts(),
+                decisions.streamOrigins(),
                 isolation,
                 neighbourCalls,
                 report,
@@ -218,6 +220,15 @@
         return routeTable.map(RouteTable::modelServices).orElseGet(Set::of);
     }
 
+    /**
+     * Returns the longest time for which a caller may take up a stream after its begin.
+     *
+     * @return milliseconds, the longest time-out of a route whose streams may be resumed; zero without such a route
+     */
+    public long longestResumableMillis() {
+        return routeTable.map(RouteTable::longestResumableMillis).orElse(0L);
+    }
+
     /**
      * Returns how long an engine is unavailable during a stage change.
      *
@@ -458,7 +469,7 @@
             return refuse(attributes, caller, onDone, LocalResponses.UNAUTHORIZED, rejected.reason());
         }
         Optional<CallOwner> owner = ((CallerIdentity.Accepted) identity).owner();
-        String serviceName = route.get().chooseService(random.nextDouble());
+        String serviceName = chooseService(route.get(), attributes);
         Optional<ServiceEntry> service = current.service(serviceName);
         if (service.isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "unknown service");
@@ -467,6 +478,20 @@
         return begin(routed, caller, onDone);
     }
 
+    /**
+     * Chooses the service for one call. A stream that a caller takes up gets the one that began it, which follows from
+     * the request id of the attempt that began it.
+     */
+    private String chooseService(ServiceRoute route, CallAttributes attributes) {
+        if (route.services().size() == 1 || !route.resumable()) {
+            return route.chooseService(random.nextDouble());
+        }
+        String streamId = attributes.lastEventId().isPresent()
+                ? attributes.resumes().orElse("")
+                : attributes.requestId().orElseThrow();
+        return route.chooseService(RendezvousHash.score(streamId, route.name()));
+    }
+
     private ActiveCall begin(RoutedCall routed, CallerResponse caller, Runnable onDone) {
         CallRelay relay = new CallRelay(context, routed, caller, ended -> {
             openCallsCount--;
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -48,6 +48,7 @@
     public void noTarget(CallRelay call) {
         metrics.refused(LocalResponses.UNAVAILABLE, "no_target");
         callEvent("no_target", call)
+                .with("version", call.softwareVersion().orElse(""))
                 .with("limitUsedUp", limits.exhaustedTargetIds())
                 .with("resting", rests.restingTargetIds())
                 .info(log);
@@ -161,6 +162,26 @@
         }
     }
 
+    @Override
+    public void streamTakenUp(CallRelay call, String resumes, StreamOrigin origin) {
+        if (origin instanceof StreamOrigin.Known known) {
+            metrics.streamTakenUp(lowerCaseName(known.source()));
+            callEvent("stream_taken_up", call)
+                    .with("resumes", resumes)
+                    .with("version", known.softwareVersion())
+                    .with("knownBy", lowerCaseName(known.source()))
+                    .with("recordMillis", known.ageMillis())
+                    .info(log);
+        } else {
+            String reason = ((StreamOrigin.Unknown) origin).reason();
+            metrics.refused(LocalResponses.UNAVAILABLE, "stream_" + reason);
+            callEvent("stream_not_taken_up", call)
+                    .with("resumes", resumes)
+                    .with("reason", reason)
+                    .info(log);
+        }
+    }
+
     @Override
     public void callerDisconnected(CallRelay call) {
         metrics.callerDisconnected(routeKind(call));
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -36,6 +36,7 @@
  * @param rests the targets that asked this instance for a rest, not null
  * @param connectionAborts tracks targets that close new connections without a response, not null
  * @param callStarts receives calls that began to run, not null
+ * @param streamOrigins the software versions that began the streams of all instances, not null
  * @param isolation decides whether this instance is cut off from all targets, not null
  * @param neighbours the calls that are passed on to other instances, not null
  * @param report receives decisions about calls for metrics and logs, not null
@@ -59,6 +60,7 @@
         TargetRests rests,
         ConnectionAborts connectionAborts,
         CallStarts callStarts,
+        StreamOrigins streamOrigins,
         TargetIsolation isolation,
         NeighbourCalls neighbours,
         RelayReport report,
@@ -83,6 +85,7 @@
         Objects.requireNonNull(rests, "rests");
         Objects.requireNonNull(connectionAborts, "connectionAborts");
         Objects.requireNonNull(callStarts, "callStarts");
+        Objects.requireNonNull(streamOrigins, "streamOrigins");
         Objects.requireNonNull(isolation, "isolation");
         Objects.requireNonNull(neighbours, "neighbours");
         Objects.requireNonNull(report, "report");
--- a/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
@@ -33,6 +33,7 @@
  * @param statements receives what targets state about themselves in responses, not null
  * @param connectionAborts tracks targets that close new connections without a response, not null
  * @param callStarts receives calls that began to run, for the usage of their owners, not null
+ * @param streamOrigins the software versions that began the streams of all instances, not null
  * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on
  *     each use, not null
  */
@@ -52,4 +53,5 @@
         TargetStatements statements,
         ConnectionAborts connectionAborts,
         CallStarts callStarts,
+        StreamOrigins streamOrigins,
         IntSupplier sharingInstancesCount) {}
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -68,6 +68,15 @@
      */
     void responseEnded(CallRelay call, ResponseEnd end, ResponseVerdict verdict, int eventsCount);
 
+    /**
+     * A caller takes up a stream; without a known origin, the call is refused.
+     *
+     * @param call the call, not null
+     * @param resumes the id of the stream as the caller names it; empty if it names none, not null
+     * @param origin what is known of the software version that began the stream, not null
+     */
+    void streamTakenUp(CallRelay call, String resumes, StreamOrigin origin);
+
     /** The caller disconnected before the end of the response. */
     void callerDisconnected(CallRelay call);
 }
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/StreamOrigins.java
@@ -0,0 +1,27 @@
+package org.dogwoodwinch.relay;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.dogwoodwinch.forwarding.StreamId;
+
+/** The software versions that began the streams of all instances. Confined to the event loop. */
+public interface StreamOrigins {
+
+    /**
+     * Records the version that began a stream, before its first event is passed on.
+     *
+     * @param stream the stream, not null
+     * @param softwareVersion the version of the target that made the event, not null
+     */
+    void recordBegin(StreamId stream, String softwareVersion);
+
+    /**
+     * Finds the version that began a stream which a caller takes up. The answer comes within a bounded time, at once if
+     * no other instance has to be asked.
+     *
+     * @param service the service whose target began the stream, not null
+     * @param stream the stream; empty if the caller names none
+     * @param onFound receives what is known, exactly once, not null
+     */
+    void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound);
+}
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
@@ -0,0 +1,199 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
+import org.dogwoodwinch.forwarding.StreamBegins;
+import org.dogwoodwinch.forwarding.StreamId;
+import org.dogwoodwinch.peer.PeerTopic;
+import org.dogwoodwinch.relay.StreamOrigin;
+import org.junit.jupiter.api.Test;
+
+class StreamBeginSharingTest {
+
+    private static final long LIFETIME_MILLIS = 8_000;
+    private static final long ANSWER_MILLIS = 200;
+    private static final Set<String> ONE = Set.of("v1");
+    private static final Set<String> TWO = Set.of("v1", "v2");
+
+    private SimulatedFleet fleet;
+    private final List<Instance> instances = new ArrayList<>();
+
+    private void start(int count) {
+        fleet = new SimulatedFleet(count, 3, 7);
+        fleet.members.forEach(member -> instances.add(new Instance(member)));
+        fleet.time.advanceMillis(3_000);
+    }
+
+    private void listVersions(Set<String> versions) {
+        instances.forEach(each -> each.listed = versions);
+        fleet.time.advanceMillis(300);
+    }
+
+    private static StreamId stream(int number) {
+        return new StreamId("owner", "reader", "a" + number);
+    }
+
+    private static void assertKnown(String version, StreamOrigin origin) {
+        assertEquals(version, assertInstanceOf(StreamOrigin.Known.class, origin).softwareVersion());
+    }
+
+    /** Failure: a caller comes back at another instance, which does not know its stream. */
+    @Test
+    void everyInstanceFindsTheVersionOfEveryStream() {
+        for (int count : new int[] {2, 6, 48}) {
+            instances.clear();
+            start(count);
+            listVersions(TWO);
+            for (int i = 0; i < 3 * count; i++) {
+                String version = i % 2 == 0 ? "v1" : "v2";
+                instances.get(i % count).sharing.recordBegin(stream(i), version);
+                fleet.time.advanceMillis(5);
+                assertKnown(version, instances.get((i * 7 + 1) % count).find(Optional.of(stream(i))));
+            }
+        }
+    }
+
+    /** Failure: the instance that began a stream ends, and with it all that is known of the stream. */
+    @Test
+    void versionIsFoundAfterTheInstanceThatBeganTheStreamEnded() {
+        start(6);
+        listVersions(TWO);
+        for (int i = 0; i < 30; i++) {
+            instances.get(0).sharing.recordBegin(stream(i), i % 2 == 0 ? "v1" : "v2");
+        }
+        fleet.time.advanceMillis(5);
+        fleet.members.get(0).setIsolated(true);
+
+        for (int i = 0; i < 30; i++) {
+            assertKnown(i % 2 == 0 ? "v1" : "v2", instances.get(1 + i % 5).find(Optional.of(stream(i))));
+        }
+    }
+
+    /** Failure: a stream whose begin was lost with the instances that knew it goes on at any version. */
+    @Test
+    void streamIsUnknownWhereAllThatKnewItEnded() {
+        start(6);
+        listVersions(TWO);
+        fleet.time.advanceMillis(LIFETIME_MILLIS);
+        instances.get(0).sharing.recordBegin(stream(1), "v2");
+        fleet.time.advanceMillis(5);
+        instances.forEach(Instance::restart);
+        fleet.time.advanceMillis(3_000);
+
+        for (Instance instance : instances) {
+            assertInstanceOf(StreamOrigin.Unknown.class, instance.find(Optional.of(stream(1))));
+        }
+    }
+
+    /** Failure: an instance that is cut off from the others holds its callers until their time is over. */
+    @Test
+    void questionWithoutAnswerEndsInTime() {
+        start(6);
+        listVersions(TWO);
+        fleet.time.advanceMillis(LIFETIME_MILLIS);
+        fleet.members.get(0).setIsolated(true);
+
+        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(0).find(Optional.of(stream(1))));
+    }
+
+    /** Load: all targets have one version, and tens of thousands of streams begin each second. */
+    @Test
+    void nothingIsToldWhileThereIsOneVersion() {
+        start(6);
+        listVersions(ONE);
+        for (int i = 0; i < 1_000; i++) {
+            instances.get(0).sharing.recordBegin(stream(i), "v1");
+        }
+
+        assertEquals(null, fleet.members.get(0).sentBytesByTopic.get(PeerTopic.STREAM_BEGIN));
+        assertKnown("v1", instances.get(1).find(Optional.of(stream(5))));
+        assertKnown("v1", instances.get(1).find(Optional.empty()));
+    }
+
+    /** Load: during a release at a large fleet, each stream costs two messages, and each instance few connections. */
+    @Test
+    void streamCostsTwoShortMessagesWhileThereAreSeveralVersions() {
+        start(90);
+        listVersions(TWO);
+        for (int i = 0; i < 100; i++) {
+            instances.get(0).sharing.recordBegin(stream(i), "v1");
+        }
+
+        long bytesPerStream = fleet.members.get(0).sentBytesByTopic.get(PeerTopic.STREAM_BEGIN) / 100;
+        assertTrue(bytesPerStream <= 2 * 120, bytesPerStream + " bytes per stream");
+    }
+
+    /** Failure: a release begins, and streams of the moment before are refused or go on at the new version. */
+    @Test
+    void streamOfTheMomentBeforeReleaseHasTheVersionBefore() {
+        start(6);
+        listVersions(ONE);
+        instances.get(0).sharing.recordBegin(stream(1), "v1");
+        fleet.time.advanceMillis(LIFETIME_MILLIS / 2);
+        listVersions(TWO);
+
+        assertKnown("v1", instances.get(3).find(Optional.of(stream(1))));
+        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(3).find(Optional.empty()));
+        fleet.time.advanceMillis(2 * LIFETIME_MILLIS);
+        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(3).find(Optional.of(stream(1))));
+    }
+
+    /** Failure: an instance hears late of a release, and takes the old version for that of a stream of the new one. */
+    @Test
+    void instanceThatKnowsOneVersionAsksTheOthersToo() {
+        start(6);
+        listVersions(ONE);
+        instances.get(0).listed = TWO;
+        instances.get(0).sharing.recordBegin(stream(1), "v2");
+        fleet.time.advanceMillis(5);
+
+        assertKnown("v2", instances.get(4).find(Optional.of(stream(1))));
+    }
+
+    private final class Instance {
+        private final SimulatedFleet.Member member;
+        private Set<String> listed = ONE;
+        private StreamBeginSharing sharing;
+
+        Instance(SimulatedFleet.Member member) {
+            this.member = member;
+            begin();
+        }
+
+        private void begin() {
+            sharing = new StreamBeginSharing(
+                    member.name,
+                    member.exchange,
+                    () -> fleet.members.stream()
+                            .filter(other -> other != member)
+                            .map(other -> other.name)
+                            .toList(),
+                    _service -> listed,
+                    new StreamBegins(() -> LIFETIME_MILLIS),
+                    new SoftwareVersionHistory(() -> LIFETIME_MILLIS),
+                    fleet.time);
+            sharing.start(() -> Set.of("reader"));
+        }
+
+        void restart() {
+            member.restart();
+            begin();
+        }
+
+        StreamOrigin find(Optional<StreamId> stream) {
+            AtomicReference<StreamOrigin> found = new AtomicReference<>();
+            sharing.find("reader", stream, found::set);
+            fleet.time.advanceMillis(ANSWER_MILLIS);
+            assertTrue(found.get() != null, "no answer in time");
+            return found.get();
+        }
+    }
+}
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -33,6 +33,7 @@
 import org.dogwoodwinch.relay.LocalConnectionFailureRecorder;
 import org.dogwoodwinch.relay.LocalRateLimitRecorder;
 import org.dogwoodwinch.relay.LocalStatementRecorder;
+import org.dogwoodwinch.relay.LocalStreamOrigins;
 import org.dogwoodwinch.relay.Neighbours;
 import org.dogwoodwinch.relay.RelayDecisions;
 import org.dogwoodwinch.relay.UnresponsiveEngineControl;
@@ -77,6 +78,7 @@
                         new LocalStatementRecorder(directory, NoRests.create(), _id -> {}),
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
+                        new LocalStreamOrigins(),
                         () -> 1),
                 new Neighbours(
                         (_target, _handler, outcome) -> outcome.failed(), "dc", List::of, Set::of, _isolated -> {}),
--- a/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
@@ -124,7 +124,7 @@
                         + "\"slots\":64,\"state\":\"draining\",\"coldLeftMs\":0,\"stage\":\"prefill\","
                         + "\"models\":[{\"name\":\"m\",\"version\":3,\"adapters\":[]}],\"seq\":4}"));
 
-        assertEquals(new Incarnation("i-1", "s", "10.1.0.9", 8_080, "z", 64, true, Stage.PREFILL, 3), target);
+        assertEquals(new Incarnation("i-1", "s", "10.1.0.9", 8_080, "z", 64, true, Stage.PREFILL, 3, 0, "v1"), target);
         assertThrows(IOException.class, () -> TargetEntryDecoder.decode("i", Bytes.ofUtf8("{\"address\":\"x\"}")));
         assertThrows(IOException.class, () -> TargetEntryDecoder.decode("i", Bytes.ofUtf8("{\"address\":\"x:y\"}")));
     }
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallerLimits;
@@ -38,6 +39,7 @@
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.forwarding.StreamId;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
@@ -84,6 +86,9 @@
     boolean failingWrites;
 
     private final List<Runnable> delayedConnects = new ArrayList<>();
+    /** The begins of streams, which a test may replace. */
+    StreamOrigins streamOriginsDelegate = new LocalStreamOrigins();
+
     /** The links to the other instances of a test. */
     final NeighbourLinks neighbourLinks = new NeighbourLinks();
 
@@ -142,6 +147,18 @@
                         new LocalStatementRecorder(directory, rests, this::removeIdleConnections),
                         new LocalConnectionFailureRecorder(health),
                         (owner, _startedWallMillis) -> startedOwners.add(owner),
+                        new StreamOrigins() {
+                            @Override
+                            public void recordBegin(StreamId stream, String softwareVersion) {
+                                streamOriginsDelegate.recordBegin(stream, softwareVersion);
+                            }
+
+                            @Override
+                            public void find(
+                                    String serviceName, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
+                                streamOriginsDelegate.find(serviceName, stream, onFound);
+                            }
+                        },
                         () -> sharingInstancesCount),
                 neighbourLinks.asNeighbours(),
                 new ForwardingMetrics(new PrometheusRegistry()));
