Take the version before a release for that of no stream

No record is no evidence while there are several versions. Change: only a record or a service that has had one version for longer than a stream lives tells the version; an instance that hears nothing of the others doesn't know that there is only one. In exchange eight instances are asked, everyone in a small fleet, and each keeps its own begins also while nobody is told, so that streams of the moment before a release are known where they began.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -50,7 +50,7 @@
 
     private static final int BEGIN_FIELDS = 4;
     private static final int QUESTION_FIELDS = 4;
-    private static final int ANSWER_FIELDS = 4;
+    private static final int ANSWER_FIELDS = 3;
 
     private final String ownName;
     private final RelayExchange exchange;
@@ -127,7 +127,7 @@
     public void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
         updateVersions(service);
         if (stream.isEmpty() || !stream.get().isRecordable()) {
-            onFound.accept(withoutRecord(service, false));
+            onFound.accept(withoutRecord(service));
             return;
         }
         StreamId named = stream.get();
@@ -146,7 +146,7 @@
     private void ask(StreamId stream, Consumer<StreamOrigin> onFound) {
         List<String> asked = StreamRecorders.askedFor(stream, memberNames(), ownName);
         if (asked.isEmpty() || questions.size() >= MAX_QUESTIONS) {
-            onFound.accept(withoutRecord(stream.service(), asked.isEmpty()));
+            onFound.accept(withoutRecord(stream.service()));
             return;
         }
         long number = nextQuestion++;
@@ -157,29 +157,23 @@
     }
 
     /**
-     * Returns what follows when no instance has recorded a stream.
-     *
-     * @param isSilenceExplained whether an instance that would have been told of the stream, had its service had several
-     *     versions, states that it was not
+     * Returns what follows when no record of a stream is found. An instance that hears nothing of the others may have
+     * missed a release too, so it does not know that there was none.
      */
-    private StreamOrigin withoutRecord(String service, boolean isSilenceExplained) {
-        long nowMillis = time.monotonicMillis();
-        Optional<StreamOrigin> only = history.onlyVersion(service, nowMillis)
-                .map(version -> new StreamOrigin.Known(version, StreamOrigin.Source.ONLY_VERSION, 0));
-        if (only.isPresent()) {
-            return only.get();
+    private StreamOrigin withoutRecord(String service) {
+        if (!exchange.hearsOthers()) {
+            return new StreamOrigin.Unknown("cut_off");
         }
-        Optional<StreamOrigin> before = history.onlyVersionBefore(service, nowMillis)
-                .filter(_version -> isSilenceExplained)
-                .map(version -> new StreamOrigin.Known(version, StreamOrigin.Source.VERSION_BEFORE, 0));
-        return before.orElseGet(() -> new StreamOrigin.Unknown("no_record"));
+        return history.onlyVersion(service, time.monotonicMillis())
+                .<StreamOrigin>map(version -> new StreamOrigin.Known(version, StreamOrigin.Source.ONLY_VERSION, 0))
+                .orElseGet(() -> new StreamOrigin.Unknown("no_record"));
     }
 
     private void endWithoutRecord(long number) {
         Question question = questions.remove(number);
         if (question != null) {
             question.timeout.cancel();
-            question.onFound.accept(withoutRecord(question.stream.service(), question.isSilenceExplained));
+            question.onFound.accept(withoutRecord(question.stream.service()));
         }
     }
 
@@ -217,11 +211,9 @@
 
     private void answer(String asker, long number, StreamId stream) {
         Optional<StreamBegins.KnownBegin> begin = begins.find(stream, time.monotonicMillis());
-        boolean hasNoRecord = begin.isEmpty() && !begins.isAmbiguous(stream);
         Bytes payload = Packing.pack(begin, (packer, known) -> {
             packer.packArrayHeader(ANSWER_FIELDS);
             packer.packLong(number);
-            packer.packBoolean(hasNoRecord);
             if (known.isPresent()) {
                 packer.packString(known.get().softwareVersion());
             } else {
@@ -237,11 +229,10 @@
             Packing.unpack(update.payload().toByteArray(), unpacker -> {
                 Packing.expectFields(unpacker, ANSWER_FIELDS);
                 long number = unpacker.unpackLong();
-                boolean hasNoRecord = unpacker.unpackBoolean();
                 Optional<String> softwareVersion =
                         unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(unpacker.unpackString());
                 long ageMillis = unpacker.unpackLong();
-                onAnswer(number, hasNoRecord, softwareVersion, ageMillis);
+                onAnswer(number, softwareVersion, ageMillis);
                 return number;
             });
         } catch (IOException e) {
@@ -249,7 +240,7 @@
         }
     }
 
-    private void onAnswer(long number, boolean hasNoRecord, Optional<String> softwareVersion, long ageMillis) {
+    private void onAnswer(long number, Optional<String> softwareVersion, long ageMillis) {
         Question question = questions.get(number);
         if (question == null) {
             return;
@@ -262,7 +253,6 @@
                     new StreamOrigin.Known(softwareVersion.get(), StreamOrigin.Source.ASKED, ageMillis));
             return;
         }
-        question.isSilenceExplained |= hasNoRecord;
         question.openCount--;
         if (question.openCount == 0) {
             endWithoutRecord(number);
@@ -306,7 +296,6 @@
         private final StreamId stream;
         private final Consumer<StreamOrigin> onFound;
         private int openCount;
-        private boolean isSilenceExplained;
         private Cancellable timeout;
 
         Question(StreamId stream, Consumer<StreamOrigin> onFound, int openCount) {
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamRecorders.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamRecorders.java
@@ -19,8 +19,11 @@
     /** Instances that are told of one stream, beside the one that began it; one of them may end too. */
     private static final int TOLD_COUNT = 2;
 
-    /** The instances told, the one that began the stream, and one more for views of the members that differ by one. */
-    private static final int ASKED_COUNT = 4;
+    /**
+     * Instances that are asked, which is everyone in a small fleet. Those that began a stream keep it also while nobody is
+     * told, and views of the members may differ.
+     */
+    private static final int ASKED_COUNT = 8;
 
     private StreamRecorders() {}
 
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -153,6 +153,15 @@
         return relayTracker.usesRelays();
     }
 
+    /**
+     * Returns whether this instance is in contact with the others.
+     *
+     * @return whether one of them has sent a message lately, or none is listed
+     */
+    public boolean hearsOthers() {
+        return relayTracker.others().isEmpty() || relayTracker.hasRecentMessage();
+    }
+
     /**
      * Returns whether this instance is currently the relay of its data centre.
      *
--- a/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
@@ -241,6 +241,12 @@
         return recentSenders();
     }
 
+    /** Returns whether any instance has sent a message lately. */
+    boolean hasRecentMessage() {
+        long oldestMillis = oldestRecentMessageMillis();
+        return lastMessageMillis.values().stream().anyMatch(atMillis -> atMillis > oldestMillis);
+    }
+
     Set<String> recentSenders() {
         Set<String> names = new HashSet<>();
         long oldestMillis = oldestRecentMessageMillis();
--- a/src/main/java/org/dogwoodwinch/relay/StreamOrigin.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamOrigin.java
@@ -12,9 +12,7 @@
         /** Another instance answered the question. */
         ASKED,
         /** The service has had no other version for longer than a stream lives. */
-        ONLY_VERSION,
-        /** No instance has recorded the stream, and the service had one version until a moment ago. */
-        VERSION_BEFORE
+        ONLY_VERSION
     }
 
     /**
