--- a/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
@@ -283,8 +283,28 @@
         assertFalse(response.contains("x-dogwoodwinch"), response);
     }
 
+    /** Guards against sends beyond the quota by calls that a target may have received before they are passed on. */
+    @Test
+    void waitingCallThatWasWrittenIsNotPassedOnWithoutARetry() {
+        RelayFixture instance = instanceBesideSoundOne(0);
+        instance.connectCaller().send(RelayFixture.getRequest("/resume/p", "p1"));
+        RelayFixture.FakeTargetConnection silent = instance.latestTargetConnection();
+        instance.connectCaller().send(RelayFixture.postRequest("/stream/p", "o1", "", "q"));
+        instance.silentTargetIds.addAll(TARGETS);
+        time.advanceMillis(2_000);
+        assertTrue(instance.service.isIsolated());
+        instance.neighbourLinks.deliver();
+
+        assertTrue(sound.targetConnections.isEmpty());
+        assertTrue(silent.isOpen());
+    }
+
     private RelayFixture instanceBesideSoundOne() {
-        RelayFixture instance = new RelayFixture(50, time, "c", NAMES).withRoutes();
+        return instanceBesideSoundOne(50);
+    }
+
+    private RelayFixture instanceBesideSoundOne(double slackShare) {
+        RelayFixture instance = new RelayFixture(slackShare, time, "c", NAMES).withRoutes();
         TARGETS.forEach(instance::withPlainTarget);
         instance.neighbourLinks.add("b", sound);
         instance.service.startIsolationWatch();
