Take a page of the store without its list or its end for none

Cause: an answer that is cut short by the end of its connection may be whole JSON without the list (an empty object, or one without its end); it was read as an empty page that ends at 0. Same class as broken-off answers that look complete; no caller has seen it. Change: such a page is unavailable.

--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -252,6 +252,11 @@
         }
         try {
             JsonNode root = JsonTrees.read(answered.body().toByteArray());
+            if (root == null
+                    || !root.path("items").isArray()
+                    || !root.path("end").isIntegralNumber()) {
+                return new ReadResult.Unavailable("invalid page: items or end missing");
+            }
             List<KeyedRecord> records = new ArrayList<>();
             for (JsonNode item : root.path("items")) {
                 Bytes value =
--- a/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
@@ -38,6 +38,9 @@
     /** Eras to state instead of the store's own in the next answers. */
     private final Deque<String> falseEras = new ConcurrentLinkedDeque<>();
 
+    /** Bodies of answers that are cut short by the end of their connection. */
+    private final Deque<String> cutAnswers = new ConcurrentLinkedDeque<>();
+
     private StandInListener listener;
     private StoreClient client;
 
@@ -45,7 +48,12 @@
     void start() throws Exception {
         listener = StandInListener.bind(loop, (request, answer) -> {
             String era = falseEras.poll();
-            if (era == null) {
+            String cut = cutAnswers.poll();
+            if (cut != null) {
+                answer.beginUnframed(200, Map.of("store-era", "1"));
+                answer.chunk(cut.getBytes(StandardCharsets.UTF_8));
+                answer.end();
+            } else if (era == null) {
                 store.handle(request, answer);
             } else {
                 answer.whole(
@@ -134,6 +142,15 @@
         return log.append(content, expectedEnd).toCompletableFuture().get(10, TimeUnit.SECONDS);
     }
 
+    /** Failure: a page that was cut short is read as one without targets, and all targets are taken for gone. */
+    @Test
+    void pageThatIsCutShortIsNoEmptyOne() throws Exception {
+        for (String cut : List.of("", "{}", "{\"items\":[]}", "{\"items\":[],\"truncated\":false,\"en")) {
+            cutAnswers.add(cut);
+            assertInstanceOf(ReadResult.Unavailable.class, readSnapshot(), cut);
+        }
+    }
+
     private ReadResult readSnapshot() throws Exception {
         return client.keyed(TOPIC)
                 .readSnapshotPage(Optional.empty())
