Pass on no event again that a resumed stream begins with

Cause: nothing looked whether a target that should go on after the last event does; one that does not know how begins anew, and the caller gets pieces twice. Change: a resumed response whose first event is not after the last one is a lost call, and nothing of it is passed on.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -479,9 +479,9 @@
             beginCallerResponse();
             relayBody(context.copy(whole));
         }
-        if (eventFramer.isEventTooLong()) {
+        if (eventFramer.hasRepeatedEvent() || eventFramer.isEventTooLong()) {
             abandonSend();
-            onEnd(new SendOutcome.Unknown("event_too_long"));
+            onEnd(new SendOutcome.Unknown(eventFramer.hasRepeatedEvent() ? "repeated_event" : "event_too_long"));
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/EventFramer.java
+++ b/src/main/java/org/dogwoodwinch/relay/EventFramer.java
@@ -20,12 +20,16 @@
     /** Size of an incomplete event at which the stream is given up, since it is held in memory. */
     private static final int MAX_EVENT_BYTES = 262_144;
 
+    /** Fits a long. */
+    private static final int MAX_ID_DIGITS = 18;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] BYTE_ORDER_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
 
     private byte[] pending = new byte[0];
     private Optional<String> lastEventId;
     private int eventsCount;
+    private boolean hasRepeatedEvent;
     private boolean atStreamStart = true;
     private boolean hasCrLf;
     private boolean mayEndWithLf;
@@ -44,6 +48,14 @@
         return eventsCount;
     }
 
+    /**
+     * Returns whether the response, which should go on after the last event, began with an event that was passed on
+     * before, because its target does not know of the others. Nothing of it is passed on.
+     */
+    boolean hasRepeatedEvent() {
+        return hasRepeatedEvent;
+    }
+
     /** Returns whether the bytes so far end inside an event or a line. Complete lines of comment are not an event. */
     boolean isInsideEvent() {
         int start = skipByteOrderMark();
@@ -74,6 +86,7 @@
     void beginResponse() {
         pending = new byte[0];
         eventsCount = 0;
+        hasRepeatedEvent = false;
         atStreamStart = true;
         hasCrLf = false;
         mayEndWithLf = false;
@@ -100,6 +113,10 @@
                 break;
             }
             if (lineEnd == lineStart) {
+                hasRepeatedEvent |= eventsCount == 0 && isPassedOn(idOfEvent);
+                if (hasRepeatedEvent) {
+                    break;
+                }
                 end = next;
                 lastEventId = idOfEvent.isPresent() ? idOfEvent : lastEventId;
                 eventsCount += hasField ? 1 : 0;
@@ -115,6 +132,19 @@
         return takeUntil(end);
     }
 
+    /** Returns whether an id is not after the last one; ids increase, and those that are no numbers are not compared. */
+    private boolean isPassedOn(Optional<String> id) {
+        boolean comparable = id.filter(EventFramer::isNumber).isPresent()
+                && lastEventId.filter(EventFramer::isNumber).isPresent();
+        return comparable && Long.parseLong(id.get()) <= Long.parseLong(lastEventId.get());
+    }
+
+    private static boolean isNumber(String text) {
+        return !text.isEmpty()
+                && text.length() <= MAX_ID_DIGITS
+                && text.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+    }
+
     private byte[] takeUntil(int end) {
         byte[] whole = Arrays.copyOf(pending, end);
         pending = Arrays.copyOfRange(pending, end, pending.length);
--- a/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CallRelayTest.java
@@ -232,6 +232,25 @@
         assertTrue(response.endsWith("0\r\n\r\n"), response);
     }
 
+    /** Failure: a target that does not know how to go on begins anew, and the caller gets events twice. */
+    @Test
+    void eventsThatWerePassedOnAreNotPassedOnAgain() {
+        RelayFixture.FakeCaller caller = relay.connectCaller().send(RelayFixture.getRequest("/resume/a", "a1"));
+        RelayFixture.FakeTargetConnection first = relay.latestTargetConnection();
+        first.respond(
+                RelayFixture.streamResponseHead("a1") + RelayFixture.chunk("id: 1\ndata: x\n\nid: 2\ndata: y\n\n"));
+        first.close();
+        RelayFixture.FakeTargetConnection second = relay.latestTargetConnection();
+        second.respond(RelayFixture.streamResponseHead("a1")
+                + RelayFixture.chunk("id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n"));
+
+        String response = caller.takeReceived();
+        assertEquals(1, response.split("id: 1", -1).length - 1, response);
+        assertFalse(response.contains("id: 3") || response.endsWith("0\r\n\r\n"), response);
+        assertTrue(caller.isClosed());
+        assertFalse(second.isOpen());
+    }
+
     /** The target states that it did not run the call, so even a call that must run once may be retried. */
     @Test
     void rejectedCallIsRetriedOnAnotherTarget() {
