Hold any cut of any stream against what its caller sees, and log the version of listed targets

Change: a property test of streams in all line ends, cut anywhere, in chunks or ended by their connection, closed or reset: the caller sees a complete stream only where nothing shows that something is missing. target_listed names the software version, and the page of logs is checked for the messages on begins of streams.

--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -113,6 +113,7 @@
                 .with("service", current.map(Incarnation::service).orElse(""))
                 .with("address", current.map(Incarnation::address).orElse(""))
                 .with("stage", current.map(Incarnation::stage).orElse(null))
+                .with("version", current.map(Incarnation::softwareVersion).orElse(""))
                 .with(
                         "state",
                         current.map(each -> each.draining() ? "leaving" : "ready")
--- a/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
+++ b/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
@@ -25,6 +25,7 @@
             "daemon/TargetsReader.java",
             "daemon/LoadSharing.java",
             "daemon/StreamSharing.java",
+            "daemon/StreamBeginSharing.java",
             "daemon/KeptSharing.java",
             "daemon/EnginesAway.java",
             "daemon/BrokenTargets.java",
--- a/src/test/java/org/dogwoodwinch/relay/BrokenOffAnswerTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/BrokenOffAnswerTest.java
@@ -4,6 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
 import org.dogwoodwinch.forwarding.Stage;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -70,6 +78,50 @@
         assertEquals(2, relay.targetConnections.size());
     }
 
+    /** Failure: some cut of some stream, in some framing, reaches the caller as a complete stream. */
+    @Property(seed = "5411", tries = 400)
+    void callerNeverTakesCutStreamForComplete(
+            @ForAll("lineEnds") String lineEnd,
+            @ForAll @IntRange(min = 1, max = 4) int eventsCount,
+            @ForAll @IntRange(min = 0, max = 200) int cutAt,
+            @ForAll @IntRange(min = 1, max = 40) int pieceLength,
+            @ForAll boolean isChunked,
+            @ForAll boolean isReset) {
+        StringBuilder stream = new StringBuilder();
+        List<Integer> boundaries = new ArrayList<>();
+        for (int i = 1; i <= eventsCount; i++) {
+            stream.append("id: ").append(i).append(lineEnd).append("data: word").append(lineEnd);
+            stream.append(lineEnd);
+            boundaries.add(stream.length());
+        }
+        int length = Math.min(cutAt, stream.length());
+        RelayFixture.FakeCaller caller = relay.connectCaller().send(RelayFixture.getRequest("/stream/a", "a1"));
+        RelayFixture.FakeTargetConnection target = relay.latestTargetConnection();
+        target.respond(isChunked ? RelayFixture.streamResponseHead("a1") : unframedHead("a1"));
+        for (int from = 0; from < length; from += pieceLength) {
+            String piece = stream.substring(from, Math.min(length, from + pieceLength));
+            target.respond(isChunked ? RelayFixture.chunk(piece) : piece);
+        }
+        if (isReset) {
+            target.reset();
+        } else {
+            target.close();
+        }
+
+        String received = caller.takeReceived();
+        boolean looksComplete = received.startsWith("HTTP/1.1 200 ") && received.endsWith(LAST_CHUNK);
+        boolean mayBeWhole = !isChunked && !isReset && boundaries.contains(length);
+        assertEquals(mayBeWhole, looksComplete, received);
+        if (looksComplete) {
+            assertEquals(stream.substring(0, length), unchunk(received));
+        }
+    }
+
+    @Provide
+    Arbitrary<String> lineEnds() {
+        return Arbitraries.of("\n", "\r", "\r\n");
+    }
+
     private static String unchunk(String response) {
         StringBuilder body = new StringBuilder();
         int at = response.indexOf("\r\n\r\n") + 4;
