--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -537,9 +537,10 @@
 
     private ResponseVerdict judge(ResponseEnd end) {
         boolean hasEvents = route.kind() == RouteKind.STREAM && !call.method().equals(HttpMethod.HEAD);
+        // The platform states that a plain body without a length and without chunks is complete at an orderly close.
         return hasEvents
                 ? ResponseVerdict.ofEvents(end, eventFramer.isInsideEvent(), eventFramer.eventsCount())
-                : ResponseVerdict.ofPlainBody();
+                : ResponseVerdict.COMPLETE;
     }
 
     private void relayTrailingComments() {
--- a/src/main/java/org/dogwoodwinch/relay/ResponseVerdict.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseVerdict.java
@@ -11,16 +11,6 @@
     /** The stream has no event, and only the end of its connection shows that it ended. */
     NO_EVENT;
 
-    /**
-     * Judges the response to a call whose response is not a stream of events. Without a length and without chunks, the
-     * platform takes an orderly close for the end of the body.
-     *
-     * @return {@link #COMPLETE}
-     */
-    static ResponseVerdict ofPlainBody() {
-        return COMPLETE;
-    }
-
     /**
      * Judges a stream of events. One that ends inside an event was broken off, whatever its framing states.
      *
