Name the segments and the begin of calls that are lost with a target

Which part of their prompts the calls share that were under way on a crashed target was in no log line, nor whether their answers had begun. Both are needed to tell an identity that is too narrow from evidence that comes too late. crash_suspect now has segments, answerBegun and lostMillis; no decision has changed.

--- a/src/main/java/org/dogwoodwinch/forwarding/CrashCorrelator.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashCorrelator.java
@@ -34,8 +34,22 @@
      * @param attemptId identifies the attempt, not null
      * @param targetStart names the start of the target that received the call, not null
      * @param lostAtMillis time of the loss, in monotonic milliseconds
+     * @param segments the segments of its prompt that other calls share, not null
+     * @param answerBegun whether the first event of its answer had arrived, or a part of an answer without events
      */
-    public record LostCall(long fingerprint, String attemptId, String targetStart, long lostAtMillis) {}
+    public record LostCall(
+            long fingerprint,
+            String attemptId,
+            String targetStart,
+            long lostAtMillis,
+            List<SegmentId> segments,
+            boolean answerBegun) {
+
+        /** Copies the list. */
+        public LostCall {
+            segments = List.copyOf(segments);
+        }
+    }
 
     /**
      * Records that the answer to a call was lost with its connection.
--- a/src/main/java/org/dogwoodwinch/forwarding/Prompt.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/Prompt.java
@@ -19,4 +19,16 @@
         Objects.requireNonNull(model, "model");
         segments = List.copyOf(segments);
     }
+
+    /**
+     * Returns the segments that other requests may share.
+     *
+     * @return all segments but the last one, in order; empty if there are fewer than two
+     */
+    public List<SegmentId> sharedSegments() {
+        return segments.stream()
+                .limit(Math.max(0, segments.size() - 1))
+                .map(segment -> new SegmentId(model, segment.id()))
+                .toList();
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -16,6 +17,7 @@
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.RouteKind;
+import org.dogwoodwinch.forwarding.SegmentId;
 import org.dogwoodwinch.forwarding.SendCheck;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.forwarding.ServiceEntry;
@@ -324,7 +326,8 @@
         } else {
             PrefillOutcome.Failed failed = (PrefillOutcome.Failed) outcome;
             if (failed.connectionLost()) {
-                context.suspicions().recordLostCall(fingerprint, requestId(), prefillTarget);
+                // The target only read the prompt, and no segment crashes a target that writes no answer.
+                context.suspicions().recordLostCall(fingerprint, requestId(), prefillTarget, List.of(), false);
             }
             handlePrefillFailure(prefillTarget, failed.reason());
         }
@@ -562,7 +565,9 @@
     }
 
     private void recordLostCall() {
-        context.suspicions().recordLostCall(fingerprint, requestId(), plan.target());
+        boolean answerBegun = state == State.STREAMING || eventFramer.eventsCount() > 0;
+        List<SegmentId> segments = attributes.prompt().map(Prompt::sharedSegments).orElse(List.of());
+        context.suspicions().recordLostCall(fingerprint, requestId(), plan.target(), segments, answerBegun);
     }
 
     private void onEnd(SendOutcome outcome) {
--- a/src/main/java/org/dogwoodwinch/relay/Suspicions.java
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -4,6 +4,7 @@
 import com.google.common.hash.Hashing;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import org.dogwoodwinch.forwarding.CrashCorrelator;
 import org.dogwoodwinch.forwarding.CrashCorrelator.LostCall;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.SegmentId;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.request.Quarantine.Status;
@@ -94,10 +96,17 @@
     }
 
     /** Records a call that was lost with its connection, which alone does not prove a crash of the target. */
-    void recordLostCall(long fingerprint, String attemptId, Incarnation target) {
+    void recordLostCall(
+            long fingerprint,
+            String attemptId,
+            Incarnation target,
+            List<SegmentId> sharedSegments,
+            boolean answerBegun) {
         long nowMillis = time.monotonicMillis();
         crashCorrelator.expire(nowMillis);
-        crashCorrelator.recordLostCall(target.id(), new LostCall(fingerprint, attemptId, startOf(target), nowMillis));
+        crashCorrelator.recordLostCall(
+                target.id(),
+                new LostCall(fingerprint, attemptId, startOf(target), nowMillis, sharedSegments, answerBegun));
     }
 
     /** Forgets the calls that were lost lately, because something else than a crash explains the losses. */
@@ -116,6 +125,9 @@
                     .with("request", call.attemptId())
                     .with("fingerprint", SuspectRegistry.formatFingerprint(call.fingerprint()))
                     .with("target", targetId)
+                    .with("lostMillis", time.monotonicMillis() - call.lostAtMillis())
+                    .with("segments", call.segments())
+                    .with("answerBegun", call.answerBegun())
                     .with("standing", quarantine.statusOf(call.fingerprint()))
                     .info(log);
         }
