Have stand-in engines crash on a part of prompts, and start again

An engine of the stand-in platform ends when it begins to write an answer to a prompt that has a named part before its last one: its port closes, its connections are reset, calls beside it are cut, its entry lapses three seconds later, and another start listens after one second. A first stage alone does not end it.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -566,7 +566,8 @@
 
     private void recordLostCall() {
         boolean answerBegun = state == State.STREAMING || eventFramer.eventsCount() > 0;
-        List<SegmentId> segments = attributes.prompt().map(Prompt::sharedSegments).orElse(List.of());
+        List<SegmentId> segments =
+                attributes.prompt().map(Prompt::sharedSegments).orElse(List.of());
         context.suspicions().recordLostCall(fingerprint, requestId(), plan.target(), segments, answerBegun);
     }
 
--- a/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
@@ -5,9 +5,12 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.TimeSource;
@@ -28,11 +31,19 @@
     private static final String ENGINES = "reader";
     private static final String PLAIN = "desk";
 
+    /** How long a crashed target is away. */
+    private static final long RESTART_MILLIS = 1_000;
+
+    /** How long the entry of a crashed target stays, which renews it no more. */
+    private static final long ENTRY_LAPSES_MILLIS = 3_000;
+
     private final Transport transport;
     private final TimeSource time;
     private final StoreStandIn store;
-    private final List<StandInListener> listeners = new ArrayList<>();
-    private final List<TargetStandIn> targets = new ArrayList<>();
+    private final List<StandInListener> listeners = new CopyOnWriteArrayList<>();
+    private final List<TargetStandIn> targets = new CopyOnWriteArrayList<>();
+    private final Set<String> crashingParts = new ConcurrentSkipListSet<>();
+    private final AtomicInteger crashesCount = new AtomicInteger();
     private final StandInListener storeListener;
 
     /**
@@ -156,6 +167,25 @@
         add(id, ENGINES, TargetTraits.DECODE, softwareVersion, faults);
     }
 
+    /**
+     * Lets each engine crash that begins to write an answer to a prompt with this part before its last one. It is back
+     * a second later, as another start.
+     *
+     * @param part the id of the part, not null
+     */
+    public void crashOn(String part) {
+        crashingParts.add(Objects.requireNonNull(part, "part"));
+    }
+
+    /**
+     * Returns how many targets have crashed.
+     *
+     * @return the crashes since the platform started
+     */
+    public int crashesCount() {
+        return crashesCount.get();
+    }
+
     private void add(
             String id,
             String service,
@@ -163,11 +193,47 @@
             String softwareVersion,
             Function<StandInRequest, TargetFault> faults)
             throws IOException {
-        TargetStandIn target = new TargetStandIn(id, traits, softwareVersion, time, faults);
-        StandInListener listener = StandInListener.bind(transport, target);
-        targets.add(target);
-        listeners.add(listener);
-        register(target, service, traits, listener.address(), softwareVersion);
+        Start start = new Start(id, service, traits, softwareVersion, faults);
+        start.listenAt(StandInListener.bind(transport, start.target));
+    }
+
+    /** One start of a target, which another start follows when it crashes. */
+    private final class Start {
+        private final String service;
+        private final TargetTraits traits;
+        private final String softwareVersion;
+        private final Function<StandInRequest, TargetFault> faults;
+        private final TargetStandIn target;
+        private StandInListener listener;
+
+        Start(
+                String id,
+                String service,
+                TargetTraits traits,
+                String softwareVersion,
+                Function<StandInRequest, TargetFault> faults) {
+            this.service = service;
+            this.traits = traits;
+            this.softwareVersion = softwareVersion;
+            this.faults = faults;
+            this.target =
+                    new TargetStandIn(id, traits, softwareVersion, time, faults, crashingParts::contains, this::crash);
+        }
+
+        void listenAt(StandInListener bound) {
+            listener = bound;
+            targets.add(target);
+            listeners.add(bound);
+            register(target, service, traits, bound.address(), softwareVersion);
+        }
+
+        private void crash() {
+            int number = crashesCount.incrementAndGet();
+            listener.crash();
+            time.schedule(ENTRY_LAPSES_MILLIS, () -> store.put("keyed.servers", target.id(), ""));
+            Start next = new Start(target.id() + "-" + number, service, traits, softwareVersion, faults);
+            time.schedule(RESTART_MILLIS, () -> StandInListener.bindLater(transport, next.target, next::listenAt));
+        }
     }
 
     private void register(
--- a/src/main/java/org/dogwoodwinch/standin/platform/StandInListener.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StandInListener.java
@@ -9,6 +9,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -26,6 +28,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.http.Channels;
 import org.dogwoodwinch.logging.LogEvent;
@@ -42,9 +45,11 @@
     private static final int MAX_BODY_BYTES = 16 << 20;
 
     private final Channel channel;
+    private final ChannelGroup connections;
 
-    private StandInListener(Channel channel) {
+    private StandInListener(Channel channel, ChannelGroup connections) {
         this.channel = channel;
+        this.connections = connections;
     }
 
     /**
@@ -56,23 +61,59 @@
      * @throws IOException if no port can be bound
      */
     public static StandInListener bind(Transport transport, StandInHandler handler) throws IOException {
-        ChannelFuture binding = new ServerBootstrap()
+        ChannelGroup accepted = newGroup(transport);
+        ChannelFuture binding = startBinding(transport, handler, accepted).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IOException("cannot listen", binding.cause());
+        }
+        return new StandInListener(binding.channel(), accepted);
+    }
+
+    /**
+     * Binds a free port from the event loop, which must not wait for it.
+     *
+     * @param transport its sockets, not null
+     * @param handler handles the requests, not null
+     * @param onBound receives the listener once it listens, on the event loop, not null
+     */
+    static void bindLater(Transport transport, StandInHandler handler, Consumer<StandInListener> onBound) {
+        ChannelGroup accepted = newGroup(transport);
+        startBinding(transport, handler, accepted).addListener(binding -> {
+            if (binding.isSuccess()) {
+                onBound.accept(new StandInListener(((ChannelFuture) binding).channel(), accepted));
+            } else {
+                LogEvent.of("stand_in_not_bound").with("error", binding.cause()).warn(log);
+            }
+        });
+    }
+
+    private static ChannelGroup newGroup(Transport transport) {
+        return new DefaultChannelGroup(transport.eventLoopGroup().next());
+    }
+
+    private static ChannelFuture startBinding(Transport transport, StandInHandler handler, ChannelGroup accepted) {
+        return new ServerBootstrap()
                 .group(transport.eventLoopGroup())
                 .channel(transport.serverChannelClass())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel added) {
+                        accepted.add(added);
                         added.pipeline()
                                 .addLast(new HttpRequestDecoder(), new HttpResponseEncoder())
                                 .addLast(new HttpObjectAggregator(MAX_BODY_BYTES), new RequestHandler(handler));
                     }
                 })
-                .bind(Addresses.of(HOST, 0))
-                .awaitUninterruptibly();
-        if (!binding.isSuccess()) {
-            throw new IOException("cannot listen", binding.cause());
+                .bind(Addresses.of(HOST, 0));
+    }
+
+    /** Ends like a process that crashes: its port is closed, and all its connections are reset. */
+    void crash() {
+        Channels.close(channel);
+        for (Channel connection : connections) {
+            connection.config().setOption(ChannelOption.SO_LINGER, 0);
+            Channels.close(connection);
         }
-        return new StandInListener(binding.channel());
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,6 +18,8 @@
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
@@ -41,6 +44,8 @@
     private final String softwareVersion;
     private final TimeSource time;
     private final Function<StandInRequest, TargetFault> faults;
+    private final Predicate<String> crashingParts;
+    private final Runnable onCrash;
     private final LinkedHashMap<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
     private final List<CacheEvent> events = new ArrayList<>();
     private final Set<String> handles = new TreeSet<>();
@@ -54,9 +59,28 @@
     private int runningCount;
     private int nextHandle = 1;
     private boolean leaving;
+    private boolean crashed;
     private String restSeconds = "";
     private final AtomicInteger callsCount = new AtomicInteger();
 
+    /**
+     * Starts a target that crashes on no prompt.
+     *
+     * @param id the id of this start, not null
+     * @param traits how it works, not null
+     * @param softwareVersion the version of its software, not null
+     * @param time paces it, not null
+     * @param faults what it does wrong with a request, not null
+     */
+    public TargetStandIn(
+            String id,
+            TargetTraits traits,
+            String softwareVersion,
+            TimeSource time,
+            Function<StandInRequest, TargetFault> faults) {
+        this(id, traits, softwareVersion, time, faults, _part -> false, () -> {});
+    }
+
     /**
      * Starts a target.
      *
@@ -66,18 +90,24 @@
      *     {@link #FIRST_VERSION}, not null
      * @param time paces it, not null
      * @param faults what it does wrong with a request, not null
+     * @param crashingParts the parts of prompts on which it crashes when it begins to write an answer, not null
+     * @param onCrash ends it, not null
      */
     public TargetStandIn(
             String id,
             TargetTraits traits,
             String softwareVersion,
             TimeSource time,
-            Function<StandInRequest, TargetFault> faults) {
+            Function<StandInRequest, TargetFault> faults,
+            Predicate<String> crashingParts,
+            Runnable onCrash) {
         this.id = Objects.requireNonNull(id, "id");
         this.traits = Objects.requireNonNull(traits, "traits");
         this.softwareVersion = Objects.requireNonNull(softwareVersion, "softwareVersion");
         this.time = Objects.requireNonNull(time, "time");
         this.faults = Objects.requireNonNull(faults, "faults");
+        this.crashingParts = Objects.requireNonNull(crashingParts, "crashingParts");
+        this.onCrash = Objects.requireNonNull(onCrash, "onCrash");
         this.stage = traits.stage();
     }
 
@@ -300,6 +330,14 @@
     }
 
     private void work(StandInRequest request, StandInAnswer answer, TargetFault fault) {
+        if (crashed) {
+            return;
+        }
+        if (sharedPartsOf(request).anyMatch(crashingParts)) {
+            crashed = true;
+            onCrash.run();
+            return;
+        }
         String requestId = request.header("request-id");
         switch (fault) {
             case ANSWER_LOST -> {
@@ -359,6 +397,14 @@
         }
     }
 
+    /** Returns the ids of all parts of a prompt but the last, which belongs to the request alone. */
+    private static Stream<String> sharedPartsOf(StandInRequest request) {
+        String[] entries = request.header("prompt-prefix").split(",", -1);
+        return Arrays.stream(entries)
+                .limit(entries.length - 1)
+                .map(entry -> entry.substring(0, Math.max(0, entry.indexOf(':'))));
+    }
+
     private void event(StandInAnswer answer, int number, TargetFault fault) {
         if (!answer.open()) {
             runningCount--;
