--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/daemon/CrashingSegmentsOverSocketsTest.java
@@ -0,0 +1,118 @@
+package org.dogwoodwinch.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.simple.RandomSource;
+import org.dogwoodwinch.net.EventLoopTime;
+import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.settings.ForwardingSettings;
+import org.dogwoodwinch.settings.SettingsLoader;
+import org.dogwoodwinch.standin.platform.PlatformStandIn;
+import org.dogwoodwinch.standin.platform.TargetFault;
+import org.dogwoodwinch.standin.platform.TargetStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Runs two daemons over real sockets in front of engines that crash on one segment of prompts. */
+class CrashingSegmentsOverSocketsTest {
+
+    private static final int MAX_ATTEMPTS = 20_000;
+    private static final int BAD_CALLS = 16;
+    private static final int SOUND_CALLS_BETWEEN = 24;
+
+    /** Five crashes and three sends after them are what the platform's users allow over the whole fleet. */
+    private static final int MAX_CRASHES = 8;
+
+    private final Transport platformLoop = Transport.start(1);
+    private final Transport daemonLoop = Transport.start(1);
+    private PlatformStandIn platform;
+    private ForwardingDaemon first;
+    private ForwardingDaemon second;
+    private int callsCount;
+
+    @BeforeEach
+    void start() throws IOException {
+        platform = new PlatformStandIn(
+                platformLoop, new EventLoopTime(platformLoop.eventLoopGroup().next()), _request -> TargetFault.NONE);
+        for (int i = 0; i < 9; i++) {
+            platform.addEngine("i-x" + i, TargetStandIn.FIRST_VERSION, _request -> TargetFault.NONE);
+        }
+        first = startDaemon("n1");
+        second = startDaemon("n2");
+    }
+
+    @AfterEach
+    void stop() {
+        daemonLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        platform.close();
+        platformLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private ForwardingDaemon startDaemon(String name) throws IOException {
+        ForwardingDaemon daemon =
+                new ForwardingDaemon(createSettings(name), daemonLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(5));
+        daemon.start();
+        boolean ready = false;
+        for (int i = 0; i < MAX_ATTEMPTS && !ready; i++) {
+            ready = exchange(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                    .startsWith("HTTP/1.1 200 ");
+        }
+        assertTrue(ready);
+        return daemon;
+    }
+
+    private ForwardingSettings createSettings(String name) {
+        String json = "{\"instance\":{\"name\":\"" + name + "\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
+                + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
+                + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
+                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"retries\":{\"ratio\":4},"
+                + "\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}}";
+        return SettingsLoader.parse("test", json)
+                .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
+                    throw new AssertionError(problems);
+                });
+    }
+
+    private static String exchange(int port, String request) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    private String send(ForwardingDaemon daemon, String sharedSegments) throws IOException {
+        String id = "c" + callsCount++;
+        String body = "body of " + id;
+        return exchange(
+                daemon.port(),
+                "POST /stream/a HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: " + id
+                        + "\r\nModel: m\r\nToken-Count: 100,8\r\nPrompt-Prefix: " + sharedSegments + "," + id
+                        + ":9\r\nX-Api-Key: " + PlatformStandIn.KEY + "\r\nConnection: close\r\nContent-Length: "
+                        + body.length() + "\r\n\r\n" + body);
+    }
+
+    /** Guards against calls that share one segment and are otherwise never alike, and end target after target. */
+    @Test
+    void fleetSparesEnginesASegmentThatCrashesThemAndServesSoundCalls() throws IOException {
+        platform.crashOn("bad");
+        int soundCount = 0;
+        int servedCount = 0;
+        for (int i = 0; i < BAD_CALLS; i++) {
+            send(i % 2 == 0 ? first : second, "f1:100,bad:50");
+            for (int j = 0; j < SOUND_CALLS_BETWEEN; j++) {
+                String response = send(j % 2 == 0 ? first : second, "f1:100");
+                soundCount++;
+                servedCount += response.endsWith("0\r\n\r\n") ? 1 : 0;
+            }
+        }
+        assertTrue(platform.crashesCount() <= MAX_CRASHES, "crashes: " + platform.crashesCount());
+        assertTrue(2 * servedCount >= soundCount, "served: " + servedCount + " of " + soundCount);
+    }
+}
