--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -15,6 +15,7 @@
 import org.dogwoodwinch.follow.FollowerPolicy;
 import org.dogwoodwinch.follow.ReplicaPolicy;
 import org.dogwoodwinch.follow.StreamFollower;
+import org.dogwoodwinch.forwarding.CrashingSegments;
 import org.dogwoodwinch.forwarding.EngineChooser;
 import org.dogwoodwinch.forwarding.EngineCostModel;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -54,6 +55,7 @@
 import org.dogwoodwinch.relay.NeighbourConnector;
 import org.dogwoodwinch.relay.Neighbours;
 import org.dogwoodwinch.relay.RelayDecisions;
+import org.dogwoodwinch.relay.SegmentGuard;
 import org.dogwoodwinch.relay.TakenOverCalls;
 import org.dogwoodwinch.relay.TargetConnector;
 import org.dogwoodwinch.relay.TcpTargetConnector;
@@ -136,6 +138,8 @@
     private final ClockWatch clockWatch;
     private final Optional<UsageComponents> usage;
     private final RetryBudget budget;
+    private final SegmentGuard segments;
+    private final SegmentStore segmentStore;
     private ForwardingSettings settings;
     private Channel readyListener;
     private Channel metricsListener;
@@ -239,6 +243,21 @@
                 new StreamBegins(this::streamLifetimeMillis),
                 new SoftwareVersionHistory(this::streamLifetimeMillis),
                 time);
+        SegmentSharing segmentSharing = new SegmentSharing(fleet.exchange());
+        this.segmentStore = new SegmentStore(
+                store.keyed(SegmentStore.TOPIC),
+                key -> store.keyedLog(SegmentStore.TOPIC, key),
+                store.writer(SegmentStore.TOPIC),
+                time);
+        this.segments = new SegmentGuard(
+                new CrashingSegments(time::monotonicMillis),
+                segmentSharing,
+                segmentStore,
+                settings.instance().name(),
+                fleet::maxInstanceCount,
+                metrics,
+                time);
+        segmentSharing.start(segments);
         this.service = new ForwardingService(
                 targetLinks.apply(new TcpTargetConnector(transport, connections)),
                 time,
@@ -266,6 +285,7 @@
                                 settings.retries().retryAfterMillis()),
                         budget,
                         fleet.quarantine(),
+                        segments,
                         health,
                         limits,
                         rests,
@@ -352,6 +372,7 @@
         transport.eventLoopGroup().next().execute(() -> {
             configuration.start();
             targets.start();
+            segmentStore.start(segments::onRecord);
             cacheWatch.start();
             enginesAway.start();
             service.startIsolationWatch();
@@ -457,6 +478,7 @@
     private void beginEra(long era) {
         metrics.setStoreEra(era);
         fleet.beginEra(era);
+        segmentStore.beginEra();
         usage.ifPresent(UsageComponents::beginEra);
     }
 
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -0,0 +1,488 @@
+package org.dogwoodwinch.forwarding;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.dogwoodwinch.forwarding.CrashCorrelator.LostCall;
+import org.dogwoodwinch.forwarding.CrashReport.BlamedSegment;
+
+/**
+ * Finds the prompt segments that crash targets, and decides which calls are held back for it. Not thread-safe.
+ *
+ * <p>Load: calls that are otherwise never alike share one segment, and each target that begins to write an answer to one
+ * of them crashes. What counts is therefore the segment and not the call. A crash is blamed on the shared segments of
+ * all calls that were lost with the target before their answers began, and each later begin of an answer with a segment
+ * clears it. Sound segments are in flight during a crash as well, but answers with them go on beginning.
+ *
+ * <p>Crashes are a set of target starts: an instance merges what all others report, in any order and any number of times.
+ * Begins and crashes are compared by their times, so neither is undone by an older report that arrives later.
+ *
+ * <p>A segment that is held back is tried again by one call of the whole fleet, after growing pauses and only a few
+ * times, since each trial may cost a target.
+ */
+public final class CrashingSegments {
+
+    /** Crashes after which a segment is held back that no answer is known to have begun with. */
+    private static final int CRASHES_WITHOUT_BEGIN = 3;
+
+    /**
+     * The same for a segment that answers began with before. It is rare among the calls, or has become harmful; while
+     * another segment is found to be the cause, its share of the crashes must not hold it back.
+     */
+    private static final int CRASHES_AFTER_BEGIN = 6;
+
+    /** The pauses before the trials. After the last one, a segment is held back until it is forgotten or lifted. */
+    private static final long[] TRIAL_PAUSES_MILLIS = {5_000, 60_000, 600_000};
+
+    /**
+     * The pause before a call may try several segments at once. A call with only one of them shows more: if it crashes a
+     * target, the others are not blamed for it.
+     */
+    private static final long JOINT_TRIAL_PAUSE_MILLIS = 30_000;
+
+    /** A begin longer ago says little about a segment. Crashes are forgotten after the same time. */
+    private static final long MEMORY_MILLIS = 600_000;
+
+    /** A segment that is held back is forgotten a day after the last crash. */
+    private static final long HELD_MEMORY_MILLIS = 86_400_000;
+
+    /** Some hundred shared segments for each of about a dozen engines, in about one megabyte. */
+    private static final int MAX_BEGUN_SEGMENTS = 8_192;
+
+    /** More than calls under way on the targets that crash within {@link #MEMORY_MILLIS}. */
+    private static final int MAX_BLAMED_SEGMENTS = 4_096;
+
+    private static final int MAX_CRASHES_PER_SEGMENT = 16;
+
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
+    private final LongSupplier clockMillis;
+    private final Map<SegmentId, Begin> begins = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<SegmentId, Begin> _eldest) {
+            return size() > MAX_BEGUN_SEGMENTS;
+        }
+    };
+    private final Map<SegmentId, Evidence> blamed = new LinkedHashMap<>();
+    private final Map<SegmentId, Long> liftedAtMillis = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<SegmentId, Long> _eldest) {
+            return size() > MAX_BLAMED_SEGMENTS;
+        }
+    };
+
+    /**
+     * Creates an instance that suspects nothing.
+     *
+     * @param clockMillis monotonic milliseconds, not null
+     */
+    public CrashingSegments(LongSupplier clockMillis) {
+        this.clockMillis = Objects.requireNonNull(clockMillis, "clockMillis");
+    }
+
+    /**
+     * Returns whether a call may be sent.
+     *
+     * @param segments the shared segments of its prompt, not null
+     * @return its standing now
+     */
+    public SegmentStanding standingOf(Collection<SegmentId> segments) {
+        if (blamed.isEmpty() || segments.isEmpty()) {
+            return new SegmentStanding.Clear();
+        }
+        long nowMillis = clockMillis.getAsLong();
+        List<SegmentId> held = segments.stream()
+                .distinct()
+                .filter(segment -> isHeldAt(segment, nowMillis))
+                .sorted()
+                .toList();
+        if (held.isEmpty()) {
+            return new SegmentStanding.Clear();
+        }
+        long minPauseMillis = held.size() > 1 ? JOINT_TRIAL_PAUSE_MILLIS : 0;
+        SegmentId latest = held.get(0);
+        long latestDueMillis = NEVER_MILLIS;
+        for (SegmentId segment : held) {
+            long dueMillis = blamed.get(segment).trialDueMillis(minPauseMillis);
+            if (dueMillis > latestDueMillis) {
+                latestDueMillis = dueMillis;
+                latest = segment;
+            }
+        }
+        Evidence evidence = blamed.get(latest);
+        return latestDueMillis > nowMillis
+                ? new SegmentStanding.HeldBack(latest, evidence.unclearedCount(), latestDueMillis - nowMillis)
+                : new SegmentStanding.TrialDue(latest, evidence.unclearedCount(), evidence.trialsCount + 1);
+    }
+
+    /**
+     * Returns whether a segment is held back.
+     *
+     * @param segment the segment, not null
+     * @return whether calls with it are refused, except for trials
+     */
+    public boolean isHeldBack(SegmentId segment) {
+        return isHeldAt(segment, clockMillis.getAsLong());
+    }
+
+    /**
+     * Returns the segments that are held back.
+     *
+     * @param segments some segments, not null
+     * @return those among them that are held back
+     */
+    public Set<SegmentId> heldAmong(Collection<SegmentId> segments) {
+        Set<SegmentId> held = new HashSet<>();
+        segments.stream().filter(this::isHeldBack).forEach(held::add);
+        return held;
+    }
+
+    /**
+     * Returns whether a call may be what crashed a target: a segment of its prompt was in flight during a crash, and no
+     * answer with that segment is known to have begun. Such a call is not sent again after it is lost.
+     *
+     * @param segments the shared segments of its prompt, not null
+     * @return whether one of them is suspected
+     */
+    public boolean isSuspected(Collection<SegmentId> segments) {
+        return !blamed.isEmpty()
+                && segments.stream()
+                        .map(blamed::get)
+                        .anyMatch(
+                                evidence -> evidence != null && !evidence.hasBegun() && evidence.unclearedCount() > 0);
+    }
+
+    /**
+     * Records that the answer to a call of this instance begins now: its first event has arrived, or all of it.
+     *
+     * @param segments the shared segments of its prompt, not null
+     * @return the segments that the other instances should be told of at once, or after a pause, because they may be
+     *     about to hold them back
+     */
+    public List<BegunSegment> recordBegin(Collection<SegmentId> segments) {
+        long nowMillis = clockMillis.getAsLong();
+        List<BegunSegment> toTell = List.of();
+        for (SegmentId segment : segments) {
+            begins.computeIfAbsent(segment, _segment -> new Begin()).atMillis = nowMillis;
+            Evidence evidence = blamed.get(segment);
+            if (evidence != null) {
+                boolean wasHeld = isHeldAt(segment, nowMillis);
+                boolean othersMayHold = evidence.countAfter(evidence.lastToldBeginMillis) > 1;
+                evidence.recordBegin(nowMillis);
+                if (wasHeld || othersMayHold) {
+                    toTell = new ArrayList<>(toTell);
+                    toTell.add(new BegunSegment(segment, wasHeld, wasHeld || evidence.blamedHere));
+                }
+            }
+        }
+        return toTell;
+    }
+
+    /**
+     * A segment that an answer has begun with although targets crashed under it.
+     *
+     * @param segment the segment, not null
+     * @param released whether it was held back until now
+     * @param isUrgent whether to tell the others at once: this instance held it back, or has blamed it for a crash
+     */
+    public record BegunSegment(SegmentId segment, boolean released, boolean isUrgent) {}
+
+    /**
+     * Returns when an answer with a segment began that the other instances have not been told of.
+     *
+     * @param segment the segment, not null
+     * @return the age in milliseconds; empty if they know of a begin after the last crash
+     */
+    public OptionalLong untoldBeginAgeMillis(SegmentId segment) {
+        Evidence evidence = blamed.get(segment);
+        if (evidence == null || evidence.countAfter(evidence.lastToldBeginMillis) == 0) {
+            return OptionalLong.empty();
+        }
+        return evidence.hasBegun()
+                ? OptionalLong.of(clockMillis.getAsLong() - evidence.lastBeginMillis)
+                : OptionalLong.empty();
+    }
+
+    /**
+     * Records that the other instances are told of the last begin of an answer with a segment.
+     *
+     * @param segment the segment, not null
+     */
+    public void recordTold(SegmentId segment) {
+        Evidence evidence = blamed.get(segment);
+        if (evidence != null) {
+            evidence.lastToldBeginMillis = evidence.lastBeginMillis;
+        }
+    }
+
+    /**
+     * Records that another instance told of the begin of an answer.
+     *
+     * @param segment the segment, not null
+     * @param begunMillis when it began, in monotonic milliseconds of this instance
+     * @return whether this ends that the segment is held back
+     */
+    public boolean recordPeerBegin(SegmentId segment, long begunMillis) {
+        Begin begin = begins.computeIfAbsent(segment, _segment -> new Begin());
+        begin.atMillis = Math.max(begin.atMillis, begunMillis);
+        Evidence evidence = blamed.get(segment);
+        if (evidence == null) {
+            return false;
+        }
+        boolean wasHeld = isHeldBack(segment);
+        evidence.lastToldBeginMillis = Math.max(evidence.lastToldBeginMillis, begunMillis);
+        evidence.recordBegin(begunMillis);
+        return wasHeld && !isHeldBack(segment);
+    }
+
+    /**
+     * Records that a target crashed under calls of this instance. If one of them has a segment that is held back, which
+     * was being tried, that explains the crash, and segments that answers began with before are not blamed.
+     *
+     * @param targetStart names the start of the target, not null
+     * @param lostCalls the calls that were lost with it, not null
+     * @return what to tell the other instances; empty if no segment can be blamed
+     */
+    public Optional<CrashReport> recordCrash(String targetStart, List<LostCall> lostCalls) {
+        List<LostCall> unbegun =
+                lostCalls.stream().filter(call -> !call.answerBegun()).toList();
+        Set<SegmentId> held = new HashSet<>();
+        Map<SegmentId, Long> lostMillisBySegment = new LinkedHashMap<>();
+        for (LostCall call : unbegun) {
+            held.addAll(heldAmong(call.segments()));
+            call.segments().forEach(segment -> lostMillisBySegment.merge(segment, call.lostAtMillis(), Math::min));
+        }
+        if (!held.isEmpty()) {
+            lostMillisBySegment.keySet().removeIf(segment -> !held.contains(segment) && hasBegunLately(segment));
+        }
+        lostMillisBySegment.entrySet().removeIf(entry -> beginOf(entry.getKey()) >= entry.getValue());
+        if (lostMillisBySegment.isEmpty()) {
+            return Optional.empty();
+        }
+        List<BlamedSegment> blamedSegments = new ArrayList<>();
+        lostMillisBySegment.forEach((segment, lostMillis) -> {
+            Evidence evidence = evidenceOf(segment);
+            evidence.recordCrash(targetStart, lostMillis);
+            evidence.blamedHere = true;
+            blamedSegments.add(new BlamedSegment(segment, evidence.hasBegun()));
+        });
+        return Optional.of(new CrashReport(targetStart, blamedSegments));
+    }
+
+    /**
+     * Records a crash that another instance reported.
+     *
+     * @param report the report, not null
+     * @param crashMillis when the target crashed, in monotonic milliseconds of this instance
+     */
+    public void recordPeerCrash(CrashReport report, long crashMillis) {
+        for (BlamedSegment each : report.blamed()) {
+            if (crashMillis > liftedAtMillis.getOrDefault(each.segment(), NEVER_MILLIS)) {
+                Evidence evidence = evidenceOf(each.segment());
+                evidence.recordCrash(report.targetStart(), crashMillis);
+                evidence.begunAtPeer |= each.hasBegun();
+            }
+        }
+    }
+
+    /**
+     * Records that a call of the fleet tries a segment.
+     *
+     * @param segment the segment, not null
+     * @param trialNumber the number of the trial, from 1; one that is not newer than the last known changes nothing
+     * @param atMillis when it was granted, in monotonic milliseconds of this instance
+     */
+    public void recordTrial(SegmentId segment, int trialNumber, long atMillis) {
+        Evidence evidence = blamed.get(segment);
+        if (evidence != null && trialNumber > evidence.trialsCount) {
+            evidence.trialsCount = trialNumber;
+            evidence.lastTrialMillis = atMillis;
+        }
+    }
+
+    /**
+     * Adds a segment that was held back before this process started, or by instances that this one has not heard.
+     *
+     * @param held the segment as it was recorded, not null; its remaining time is not used
+     */
+    public void restore(HeldSegment held) {
+        long crashMillis = clockMillis.getAsLong() - held.lastCrashAgeMillis();
+        if (held.lastCrashAgeMillis() > HELD_MEMORY_MILLIS
+                || crashMillis <= liftedAtMillis.getOrDefault(held.segment(), NEVER_MILLIS)
+                || beginOf(held.segment()) >= crashMillis) {
+            return;
+        }
+        Evidence evidence = evidenceOf(held.segment());
+        for (int i = 0; i < held.crashesCount() && evidence.unclearedCount() < held.crashesCount(); i++) {
+            evidence.recordCrash("recorded-" + i, crashMillis);
+        }
+        recordTrial(held.segment(), held.trialsCount(), clockMillis.getAsLong());
+    }
+
+    /**
+     * Forgets all crashes under a segment, because an operator says so.
+     *
+     * @param segment the segment, not null
+     * @param atMillis when it was lifted, in monotonic milliseconds of this instance; earlier crashes that are reported
+     *     later do not count
+     * @return whether it was held back
+     */
+    public boolean lift(SegmentId segment, long atMillis) {
+        boolean wasHeld = isHeldBack(segment);
+        liftedAtMillis.merge(segment, atMillis, Math::max);
+        blamed.remove(segment);
+        return wasHeld;
+    }
+
+    /**
+     * Lists the segments that are held back.
+     *
+     * @return the list, in the order in which they were first blamed
+     */
+    public List<HeldSegment> listHeld() {
+        long nowMillis = clockMillis.getAsLong();
+        return blamed.keySet().stream()
+                .filter(segment -> isHeldAt(segment, nowMillis))
+                .map(segment -> describe(segment, nowMillis))
+                .toList();
+    }
+
+    /**
+     * Describes a segment that is held back.
+     *
+     * @param segment the segment, not null
+     * @return the description; empty if it is not held back
+     */
+    public Optional<HeldSegment> findHeld(SegmentId segment) {
+        return isHeldBack(segment) ? Optional.of(describe(segment, clockMillis.getAsLong())) : Optional.empty();
+    }
+
+    private HeldSegment describe(SegmentId segment, long nowMillis) {
+        Evidence evidence = blamed.get(segment);
+        return new HeldSegment(
+                segment,
+                evidence.unclearedCount(),
+                evidence.trialsCount,
+                nowMillis - evidence.lastCrashMillis(),
+                Math.max(0, evidence.trialDueMillis(0) - nowMillis));
+    }
+
+    private boolean isHeldAt(SegmentId segment, long nowMillis) {
+        Evidence evidence = blamed.get(segment);
+        return evidence != null && evidence.isHeld() && nowMillis - evidence.lastCrashMillis() < HELD_MEMORY_MILLIS;
+    }
+
+    private long beginOf(SegmentId segment) {
+        Begin begin = begins.get(segment);
+        return begin == null ? NEVER_MILLIS : begin.atMillis;
+    }
+
+    private boolean hasBegunLately(SegmentId segment) {
+        Evidence known = blamed.get(segment);
+        return known == null ? clockMillis.getAsLong() - beginOf(segment) < MEMORY_MILLIS : known.hasBegun();
+    }
+
+    private Evidence evidenceOf(SegmentId segment) {
+        Evidence known = blamed.get(segment);
+        if (known != null) {
+            return known;
+        }
+        removeOutdated();
+        Evidence added = new Evidence();
+        if (hasBegunLately(segment)) {
+            added.lastBeginMillis = beginOf(segment);
+        }
+        blamed.put(segment, added);
+        return added;
+    }
+
+    private void removeOutdated() {
+        long nowMillis = clockMillis.getAsLong();
+        blamed.values()
+                .removeIf(evidence -> nowMillis - evidence.lastCrashMillis()
+                        >= (evidence.isHeld() ? HELD_MEMORY_MILLIS : MEMORY_MILLIS));
+        if (blamed.size() >= MAX_BLAMED_SEGMENTS) {
+            SegmentId oldest = blamed.entrySet().stream()
+                    .filter(entry -> !entry.getValue().isHeld())
+                    .map(Map.Entry::getKey)
+                    .findFirst()
+                    .orElseGet(() -> blamed.keySet().iterator().next());
+            blamed.remove(oldest);
+        }
+    }
+
+    private static final class Begin {
+        private long atMillis = NEVER_MILLIS;
+    }
+
+    /** What is known of one segment that was in flight during a crash. */
+    private static final class Evidence {
+        private final Map<String, Long> crashMillisByStart = new LinkedHashMap<>();
+        private long lastBeginMillis = NEVER_MILLIS;
+        private long lastToldBeginMillis = NEVER_MILLIS;
+        private boolean begunAtPeer;
+        private boolean blamedHere;
+        private int trialsCount;
+        private long lastTrialMillis = NEVER_MILLIS;
+
+        void recordCrash(String targetStart, long atMillis) {
+            crashMillisByStart.merge(targetStart, atMillis, Math::min);
+            if (crashMillisByStart.size() > MAX_CRASHES_PER_SEGMENT) {
+                crashMillisByStart.remove(crashMillisByStart.keySet().iterator().next());
+            }
+        }
+
+        /** A begin after the last crash shows that the segment is sound, so trials start from the first one again. */
+        void recordBegin(long atMillis) {
+            lastBeginMillis = Math.max(lastBeginMillis, atMillis);
+            if (unclearedCount() == 0) {
+                trialsCount = 0;
+                lastTrialMillis = NEVER_MILLIS;
+            }
+        }
+
+        boolean hasBegun() {
+            return begunAtPeer || lastBeginMillis != NEVER_MILLIS;
+        }
+
+        int unclearedCount() {
+            return countAfter(lastBeginMillis);
+        }
+
+        int countAfter(long millis) {
+            int count = 0;
+            for (long crashMillis : crashMillisByStart.values()) {
+                count += crashMillis > millis ? 1 : 0;
+            }
+            return count;
+        }
+
+        boolean isHeld() {
+            return unclearedCount() >= (hasBegun() ? CRASHES_AFTER_BEGIN : CRASHES_WITHOUT_BEGIN);
+        }
+
+        long lastCrashMillis() {
+            return crashMillisByStart.values().stream()
+                    .mapToLong(Long::longValue)
+                    .max()
+                    .orElse(NEVER_MILLIS);
+        }
+
+        long trialDueMillis(long minPauseMillis) {
+            long lastCrashMillis = lastCrashMillis();
+            return trialsCount < TRIAL_PAUSES_MILLIS.length
+                    ? Math.max(
+                            lastCrashMillis + minPauseMillis,
+                            Math.max(lastCrashMillis, lastTrialMillis) + TRIAL_PAUSES_MILLIS[trialsCount])
+                    : lastCrashMillis + HELD_MEMORY_MILLIS;
+        }
+    }
+}
--- a/src/main/java/org/dogwoodwinch/forwarding/Prompt.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/Prompt.java
@@ -28,7 +28,7 @@
     public List<SegmentId> sharedSegments() {
         return segments.stream()
                 .limit(Math.max(0, segments.size() - 1))
-                .map(segment -> new SegmentId(model, segment.id()))
+                .map(segment -> SegmentId.of(model, segment.id()))
                 .toList();
     }
 }
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -18,6 +18,8 @@
     TARGETS_CUT_OFF,
     /** Fingerprints of requests that crash targets. */
     QUARANTINE,
+    /** Prompt segments that crash targets. */
+    CRASHING_SEGMENT,
     /** The demand of owners, from which the shares of their limits are computed. */
     DEMAND,
     /** The newest catalogue and the offset it covers; sent to a member that has just started, not forwarded. */
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -63,6 +63,7 @@
      */
     private static final Set<PeerTopic> FLEET_WIDE_TOPICS = Set.of(
             PeerTopic.QUARANTINE,
+            PeerTopic.CRASHING_SEGMENT,
             PeerTopic.LEAVING,
             PeerTopic.BROKEN_TARGET,
             PeerTopic.TARGET_LIMIT,
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -17,7 +16,6 @@
 import org.dogwoodwinch.forwarding.NextStep;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.RouteKind;
-import org.dogwoodwinch.forwarding.SegmentId;
 import org.dogwoodwinch.forwarding.SendCheck;
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.forwarding.ServiceEntry;
@@ -57,7 +55,7 @@
     private final ServiceEntry service;
     private final CallerResponse caller;
     private final long deadlineMillis;
-    private final long fingerprint;
+    private final CallSuspicion suspicion;
     private final Optional<ApiKey> key;
     private final boolean takenOver;
     private final Consumer<CallRelay> onDone;
@@ -101,33 +99,40 @@
         this.onDone = Objects.requireNonNull(onDone, "onDone");
         this.deadlineMillis = call.deadlineMillis(route, attributes);
         this.eventFramer = new EventFramer(attributes.lastEventId());
-        this.fingerprint = Suspicions.fingerprint(call, owner.map(CallOwner::name));
+        this.suspicion = CallSuspicion.of(context, routed);
         this.continuity = new StreamContinuity(context.streamOrigins(), routed);
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
     }
 
-    /** Sends the call, or refuses it at once where it is quarantined. */
+    /** Sends the call, or refuses it at once if it or a segment of its prompt crashes targets. */
     void start() {
         context.budget().countRequest(service.name(), nowMillis());
         // Recorded once per call: if each send recorded it, the call's own last segment would look like a session's.
         attributes.prompt().ifPresent(context.cacheIndex().sharedSegments()::recordPrompt);
-        if (context.suspicions().isQuarantined(fingerprint)) {
-            context.report().quarantined(this);
-            LocalResponses.sendRetryable(
-                    caller,
-                    LocalResponses.UNAVAILABLE,
-                    "quarantined",
-                    context.suspicions().quarantineRemainingMillis(fingerprint));
-            state = State.DONE;
-            onDone.accept(this);
-            return;
-        }
         deadlineTimer = context.time().schedule(remainingMillis(), this::handleDeadline);
-        if (continuity.takesUpStream()) {
-            continuity.findOrigin(this::handleOrigin);
+        suspicion.admit(refusal -> {
+            if (refusal.isPresent()) {
+                refuse(refusal.get());
+            } else if (continuity.takesUpStream()) {
+                continuity.findOrigin(this::handleOrigin);
+            } else {
+                chooseAndSend();
+            }
+        });
+    }
+
+    /** Ends the call because it must not be written to a target. */
+    private void refuse(CallSuspicion.Refusal refusal) {
+        context.report().heldBack(this, refusal);
+        if (state == State.STREAMING) {
+            caller.abortResponse();
+        } else if (runsCount > 0) {
+            LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
         } else {
-            chooseAndSend();
+            LocalResponses.sendRetryable(
+                    caller, LocalResponses.UNAVAILABLE, refusal.reason(), refusal.retryAfterMillis());
         }
+        finish();
     }
 
     /**
@@ -249,7 +254,7 @@
      * other target.
      */
     private Optional<ForwardingPlan> choose() {
-        Set<String> suspectTargets = context.suspicions().targetsToAvoid(fingerprint);
+        Set<String> suspectTargets = suspicion.targetsToAvoid();
         if (suspectTargets.isEmpty()) {
             return context.chooser().choose(query());
         }
@@ -326,8 +331,7 @@
         } else {
             PrefillOutcome.Failed failed = (PrefillOutcome.Failed) outcome;
             if (failed.connectionLost()) {
-                // The target only read the prompt, and no segment crashes a target that writes no answer.
-                context.suspicions().recordLostCall(fingerprint, requestId(), prefillTarget, List.of(), false);
+                suspicion.recordPrefillLost(prefillTarget);
             }
             handlePrefillFailure(prefillTarget, failed.reason());
         }
@@ -405,7 +409,7 @@
         InFlightSend started = InFlightSend.start(context, plan.target(), promptToPrefill, plan.prefillWork());
         inFlight = Optional.of(started);
         context.report().sent(requestId(), plan.target(), plan.prefillWork(), started.aheadTokens(), sendPurpose());
-        context.suspicions().recordSend(fingerprint, requestId(), plan.target());
+        suspicion.recordSent(plan.target());
         OutboundCall outbound = outbound(plan.target(), false);
         // A cache handle can be used only once.
         cacheHandle = Optional.empty();
@@ -476,6 +480,7 @@
     private void relayEvents(ByteBuf chunk) {
         byte[] whole = eventFramer.append(chunk);
         if (eventFramer.eventsCount() > 0) {
+            suspicion.recordBegin();
             continuity.onEvents(plan.target());
         }
         if (whole.length > 0) {
@@ -513,7 +518,7 @@
         if (response.isSuccess()) {
             handleSuccess(end);
         } else {
-            context.suspicions().recordEnd(fingerprint, requestId(), false);
+            suspicion.recordFailure();
             onEnd(response.failure());
         }
     }
@@ -528,7 +533,7 @@
         }
         relayTrailingComments();
         startRecorder.onMayHaveRun();
-        context.suspicions().recordEnd(fingerprint, requestId(), true);
+        suspicion.recordComplete();
         context.report().succeeded(this);
         if (state == State.STREAMING) {
             caller.endResponse();
@@ -565,10 +570,7 @@
     }
 
     private void recordLostCall() {
-        boolean answerBegun = state == State.STREAMING || eventFramer.eventsCount() > 0;
-        List<SegmentId> segments =
-                attributes.prompt().map(Prompt::sharedSegments).orElse(List.of());
-        context.suspicions().recordLostCall(fingerprint, requestId(), plan.target(), segments, answerBegun);
+        suspicion.recordLost(plan.target());
     }
 
     private void onEnd(SendOutcome outcome) {
@@ -576,6 +578,7 @@
             return;
         }
         if (outcome instanceof SendOutcome.Rejected) {
+            suspicion.recordNotRun();
             rejectionsCount++;
         } else if (!(outcome instanceof SendOutcome.NotSent)) {
             runsCount++;
@@ -588,7 +591,7 @@
     }
 
     private boolean tryTakeRetry() {
-        if (!context.suspicions().mayBeSentAgain(fingerprint)) {
+        if (!suspicion.mayBeSentAgain()) {
             return false;
         }
         boolean taken = context.budget().tryTakeRetry(service.name(), nowMillis());
@@ -667,7 +670,8 @@
         }
         state = State.DONE;
         releaseAll();
-        context.suspicions().recordEnd(fingerprint, requestId(), false);
+        suspicion.recordFailure();
+        suspicion.close();
         successor = context.neighbours()
                 .passOn(
                         new PassedOnCall(call, key, attributes, route, runsCount > 0),
@@ -725,6 +729,7 @@
             startRecorder.onMayHaveRun();
         }
         releaseAll();
+        suspicion.close();
         onDone.accept(this);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -34,6 +34,9 @@
     private final Counter takenUpStreams;
     private final Counter passedOnCalls;
     private final Counter takenOverCalls;
+    private final Counter blamedCrashes;
+    private final Counter segmentTrials;
+    private final Gauge heldSegments;
     private final Gauge isolated;
     private final Counter peerBytes;
     private final Counter peerDropped;
@@ -112,6 +115,16 @@
                 "outcome");
         this.takenOverCalls = counter(
                 "dogwoodwinch_calls_taken_over_total", "Calls of instances that were cut off from all targets.");
+        this.blamedCrashes = counter(
+                "dogwoodwinch_segment_crashes_total",
+                "Crashes of targets that are blamed on segments of prompts, by who saw them.",
+                "source");
+        this.segmentTrials = counter(
+                "dogwoodwinch_segment_trials_total",
+                "Trials of segments that are held back, by their grant and by their end.",
+                "outcome");
+        this.heldSegments =
+                gauge("dogwoodwinch_segments_held_back", "Segments of prompts whose calls are refused for crashes.");
         this.isolated = gauge("dogwoodwinch_targets_cut_off", "1 while this instance is cut off from all targets.");
         this.configurationVersion =
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
@@ -251,6 +264,18 @@
         takenOverCalls.inc();
     }
 
+    void segmentsBlamed(String source) {
+        blamedCrashes.labelValues(source).inc();
+    }
+
+    void segmentTrial(String outcome) {
+        segmentTrials.labelValues(outcome).inc();
+    }
+
+    void setHeldSegments(int count) {
+        heldSegments.set(count);
+    }
+
     void setIsolated(boolean isIsolated) {
         isolated.set(isIsolated ? 1 : 0);
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -90,7 +90,7 @@
         this.isolation = new TargetIsolation(() -> decisions.targets().get().size(), random);
         this.health = decisions.health();
         this.statements = decisions.statements();
-        Suspicions suspicions = new Suspicions(decisions.quarantine(), time);
+        Suspicions suspicions = new Suspicions(decisions.quarantine(), decisions.segments()::recordCrash, time);
         TargetLinkGuard links = new TargetLinkGuard(isolation, health, suspicions, report, metrics, time, isolated -> {
             neighbours.onIsolationChange().accept(isolated);
             passOnWaitingCalls(isolated);
@@ -116,6 +116,7 @@
                 decisions.retryPolicy(),
                 decisions.budget(),
                 suspicions,
+                decisions.segments(),
                 health,
                 decisions.statedLimits(),
                 decisions.rests(),
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -39,9 +39,17 @@
     }
 
     @Override
-    public void quarantined(CallRelay call) {
-        metrics.refused(LocalResponses.UNAVAILABLE, "quarantined");
-        callEvent("call_quarantined", call).info(log);
+    public void heldBack(CallRelay call, CallSuspicion.Refusal refusal) {
+        metrics.refused(LocalResponses.UNAVAILABLE, refusal.reason());
+        if (refusal.segment().isEmpty()) {
+            callEvent("call_quarantined", call).info(log);
+            return;
+        }
+        callEvent("call_held_back", call)
+                .with("segment", refusal.segment().get())
+                .with("crashes", refusal.crashesCount())
+                .with("retryAfterMillis", refusal.retryAfterMillis())
+                .info(log);
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -31,6 +31,7 @@
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
  * @param suspicions tracks calls suspected of crashing targets, not null
+ * @param segments holds back calls with prompt segments that crash targets, not null
  * @param health tracks targets that were recently unreachable, not null
  * @param statedLimits receives the rate limits that targets state in responses, not null
  * @param rests the targets that asked this instance for a rest, not null
@@ -55,6 +56,7 @@
         RetryPolicy retryPolicy,
         RetryBudget budget,
         Suspicions suspicions,
+        SegmentGuard segments,
         TargetHealth health,
         StatedRateLimits statedLimits,
         TargetRests rests,
@@ -80,6 +82,7 @@
         Objects.requireNonNull(retryPolicy, "retryPolicy");
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(suspicions, "suspicions");
+        Objects.requireNonNull(segments, "segments");
         Objects.requireNonNull(health, "health");
         Objects.requireNonNull(statedLimits, "statedLimits");
         Objects.requireNonNull(rests, "rests");
--- a/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
@@ -26,6 +26,7 @@
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
  * @param quarantine status of calls that crash targets, not null
+ * @param segments holds back calls with prompt segments that crash targets, not null
  * @param health tracks targets that were recently unreachable, not null
  * @param limits rate limits of targets that state one, not null
  * @param rests the targets that asked this instance for a rest, not null
@@ -46,6 +47,7 @@
         RetryPolicy retryPolicy,
         RetryBudget budget,
         Quarantine quarantine,
+        SegmentGuard segments,
         TargetHealth health,
         TargetRateLimits limits,
         TargetRests rests,
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -12,8 +12,8 @@
     /** A call was refused before it was routed, with the given response status. */
     void refusedBeforeRouting(String requestId, int status, String reason);
 
-    /** A call was refused because it is quarantined for crashing targets. */
-    void quarantined(CallRelay call);
+    /** A call was refused because it, or a segment of its prompt, crashes targets. */
+    void heldBack(CallRelay call, CallSuspicion.Refusal refusal);
 
     /** No target is available for the call. */
     void noTarget(CallRelay call);
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
@@ -0,0 +1,489 @@
+package org.dogwoodwinch.relay;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import org.dogwoodwinch.forwarding.CrashCorrelator.LostCall;
+import org.dogwoodwinch.forwarding.CrashReport;
+import org.dogwoodwinch.forwarding.CrashReport.BlamedSegment;
+import org.dogwoodwinch.forwarding.CrashingSegments;
+import org.dogwoodwinch.forwarding.CrashingSegments.BegunSegment;
+import org.dogwoodwinch.forwarding.HeldSegment;
+import org.dogwoodwinch.forwarding.RendezvousHash;
+import org.dogwoodwinch.forwarding.SegmentId;
+import org.dogwoodwinch.forwarding.SegmentStanding;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.time.Cancellable;
+import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Holds back calls whose prompts have a segment that crashes targets, tries such a segment by one call of the fleet at a
+ * time, and keeps the other instances and the platform's store informed. Confined to one event loop.
+ *
+ * <p>The decisions are those of {@link CrashingSegments}; this class applies them to the calls of this instance.
+ */
+public final class SegmentGuard {
+
+    private static final Logger log = LoggerFactory.getLogger(SegmentGuard.class);
+
+    /** How long a call waits for the store to grant a trial: many times the answer of a store that works. */
+    private static final long CLAIM_WAIT_MILLIS = 300;
+
+    /** When a caller may come back whose call was refused while a trial is due or being claimed. */
+    private static final long CLAIM_RETRY_MILLIS = 1_000;
+
+    /** How long a granted trial may wait for a call. */
+    private static final long GRANT_MILLIS = 10_000;
+
+    /**
+     * The time over which the instances of a fleet spread what they all may tell, for each instance: the first ones are
+     * heard by the others, which then need not tell it.
+     */
+    private static final long SPREAD_PER_INSTANCE_MILLIS = 10;
+
+    private final CrashingSegments segments;
+    private final SegmentNews news;
+    private final SegmentRecords records;
+    private final String ownName;
+    private final IntSupplier instancesCount;
+    private final ForwardingMetrics metrics;
+    private final TimeSource time;
+    private final Set<SegmentId> held = new HashSet<>();
+    private final Set<SegmentId> keptHere = new HashSet<>();
+    private final Set<SegmentId> begunToTell = new HashSet<>();
+    private final Map<SegmentId, Long> claimAllowedAtMillis = new HashMap<>();
+    private final Map<SegmentId, Grant> grants = new HashMap<>();
+
+    /**
+     * Creates a guard.
+     *
+     * @param segments decides which segments are held back, not null
+     * @param news tells the other instances, not null
+     * @param records keeps what must outlast this process, not null
+     * @param ownName the name of this instance, not null
+     * @param instancesCount supplies the number of instances, evaluated on each use, not null
+     * @param metrics counts crashes, trials and segments, not null
+     * @param time clock and timers of the event loop, not null
+     */
+    public SegmentGuard(
+            CrashingSegments segments,
+            SegmentNews news,
+            SegmentRecords records,
+            String ownName,
+            IntSupplier instancesCount,
+            ForwardingMetrics metrics,
+            TimeSource time) {
+        this.segments = Objects.requireNonNull(segments, "segments");
+        this.news = Objects.requireNonNull(news, "news");
+        this.records = Objects.requireNonNull(records, "records");
+        this.ownName = Objects.requireNonNull(ownName, "ownName");
+        this.instancesCount = Objects.requireNonNull(instancesCount, "instancesCount");
+        this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.time = Objects.requireNonNull(time, "time");
+    }
+
+    /** Why a call is refused, and when its caller may come back. */
+    record Refusal(SegmentId segment, int crashesCount, long retryAfterMillis) {}
+
+    /** A granted trial. */
+    private static final class Grant {
+        private final SegmentId segment;
+        private final Set<SegmentId> scope;
+        private final int number;
+        private final long untilMillis;
+        private Optional<CallSuspicion> holder = Optional.empty();
+        private boolean sent;
+
+        Grant(SegmentId segment, Set<SegmentId> scope, int number, long untilMillis) {
+            this.segment = segment;
+            this.scope = Set.copyOf(scope);
+            this.number = number;
+            this.untilMillis = untilMillis;
+        }
+    }
+
+    /**
+     * Decides whether a call that has arrived may be sent. One that could try a segment waits for a moment until the
+     * store has granted the trial.
+     *
+     * @param call the call, not null
+     * @param onDecided receives the refusal, or empty if the call may be sent; run once, possibly before this method
+     *     returns, not null
+     */
+    void admit(CallSuspicion call, Consumer<Optional<Refusal>> onDecided) {
+        Optional<Refusal> refusal = refusalOf(call);
+        if (refusal.isEmpty() || takeIdleGrant(call)) {
+            onDecided.accept(Optional.empty());
+            return;
+        }
+        if (segments.standingOf(call.segments()) instanceof SegmentStanding.TrialDue due && mayClaim(due.segment())) {
+            claim(call, due, onDecided);
+        } else {
+            onDecided.accept(refusal);
+        }
+    }
+
+    /** Returns why a call may not be written to a target now; empty if it may. */
+    Optional<Refusal> refusalOf(CallSuspicion call) {
+        return grantOf(call).isPresent() ? Optional.empty() : refusalOf(call.segments());
+    }
+
+    /** Returns why a call with some segments may not be written to a target now; empty if it may. */
+    Optional<Refusal> refusalOf(Collection<SegmentId> callSegments) {
+        SegmentStanding standing = segments.standingOf(callSegments);
+        if (standing instanceof SegmentStanding.HeldBack back) {
+            return Optional.of(new Refusal(back.segment(), back.crashesCount(), back.remainingMillis()));
+        }
+        return standing instanceof SegmentStanding.TrialDue due
+                ? Optional.of(new Refusal(due.segment(), due.crashesCount(), CLAIM_RETRY_MILLIS))
+                : Optional.empty();
+    }
+
+    /** Returns whether a call that was lost may be sent again. */
+    boolean mayBeSentAgain(CallSuspicion call) {
+        return !segments.isSuspected(call.segments());
+    }
+
+    private boolean mayClaim(SegmentId segment) {
+        long nowMillis = time.monotonicMillis();
+        claimAllowedAtMillis.values().removeIf(atMillis -> atMillis <= nowMillis);
+        return !claimAllowedAtMillis.containsKey(segment);
+    }
+
+    private void claim(CallSuspicion call, SegmentStanding.TrialDue due, Consumer<Optional<Refusal>> onDecided) {
+        SegmentId segment = due.segment();
+        Optional<HeldSegment> known = segments.findHeld(segment);
+        if (known.isEmpty()) {
+            onDecided.accept(Optional.empty());
+            return;
+        }
+        claimAllowedAtMillis.put(segment, Long.MAX_VALUE);
+        Set<SegmentId> scope = segments.heldAmong(call.segments());
+        Refusal refusal = new Refusal(segment, due.crashesCount(), CLAIM_RETRY_MILLIS);
+        PendingCall waiting = new PendingCall(call, onDecided);
+        waiting.timer = time.schedule(CLAIM_WAIT_MILLIS, () -> waiting.decide(Optional.of(refusal)));
+        records.claimTrial(known.get(), due.trialNumber(), granted -> {
+            claimAllowedAtMillis.put(segment, time.monotonicMillis() + CLAIM_RETRY_MILLIS);
+            metrics.segmentTrial(granted ? "granted" : "not_granted");
+            LogEvent.of("segment_trial_claimed")
+                    .with("segment", segment)
+                    .with("trial", due.trialNumber())
+                    .with("request", call.requestId())
+                    .with("granted", granted)
+                    .info(log);
+            if (!granted) {
+                waiting.decide(Optional.of(refusal));
+                return;
+            }
+            Grant grant = new Grant(segment, scope, due.trialNumber(), time.monotonicMillis() + GRANT_MILLIS);
+            grants.put(segment, grant);
+            segments.recordTrial(segment, due.trialNumber(), time.monotonicMillis());
+            news.tellTrial(segment, due.trialNumber());
+            if (!waiting.decided && !call.isClosed()) {
+                grant.holder = Optional.of(call);
+                waiting.decide(Optional.empty());
+            }
+        });
+    }
+
+    /** A call that waits for a trial. */
+    private static final class PendingCall {
+        private final CallSuspicion call;
+        private final Consumer<Optional<Refusal>> onDecided;
+        private boolean decided;
+        private Cancellable timer;
+
+        PendingCall(CallSuspicion call, Consumer<Optional<Refusal>> onDecided) {
+            this.call = call;
+            this.onDecided = onDecided;
+        }
+
+        void decide(Optional<Refusal> refusal) {
+            if (decided) {
+                return;
+            }
+            decided = true;
+            if (timer != null) {
+                timer.cancel();
+            }
+            if (!call.isClosed()) {
+                onDecided.accept(refusal);
+            }
+        }
+    }
+
+    /** Gives a call a trial that was granted while no call waited for it. */
+    private boolean takeIdleGrant(CallSuspicion call) {
+        long nowMillis = time.monotonicMillis();
+        grants.values().removeIf(grant -> grant.holder.isEmpty() && grant.untilMillis <= nowMillis);
+        Set<SegmentId> heldByCall = segments.heldAmong(call.segments());
+        Optional<Grant> idle = grants.values().stream()
+                .filter(grant -> grant.holder.isEmpty() && grant.scope.containsAll(heldByCall))
+                .findFirst();
+        idle.ifPresent(grant -> grant.holder = Optional.of(call));
+        return idle.isPresent();
+    }
+
+    private Optional<Grant> grantOf(CallSuspicion call) {
+        if (grants.isEmpty()) {
+            return Optional.empty();
+        }
+        return grants.values().stream()
+                .filter(grant -> grant.holder.filter(call::equals).isPresent())
+                .findFirst();
+    }
+
+    /** Records that a call is written to a target. */
+    void recordSent(CallSuspicion call) {
+        grantOf(call).ifPresent(grant -> {
+            grant.sent = true;
+            LogEvent.of("segment_tried")
+                    .with("segment", grant.segment)
+                    .with("trial", grant.number)
+                    .with("request", call.requestId())
+                    .info(log);
+        });
+    }
+
+    /** Records that a call did not run at the target to which it was written. */
+    void recordNotRun(CallSuspicion call) {
+        grantOf(call).ifPresent(grant -> grant.sent = false);
+    }
+
+    /** Records that a call was lost with its connection. A trial ends with that. */
+    void recordLost(CallSuspicion call) {
+        endGrant(call, "lost");
+    }
+
+    /** Records the end of a call. A trial that reached no target is left for another call. */
+    void recordClosed(CallSuspicion call) {
+        grantOf(call).ifPresent(grant -> {
+            if (grant.sent) {
+                endGrant(call, "ended");
+            } else {
+                grant.holder = Optional.empty();
+            }
+        });
+    }
+
+    private void endGrant(CallSuspicion call, String outcome) {
+        grantOf(call).ifPresent(grant -> {
+            grants.remove(grant.segment);
+            metrics.segmentTrial(outcome);
+        });
+    }
+
+    /** Records that the answer to a call begins: its first event has arrived, or all of it. */
+    void recordBegin(CallSuspicion call) {
+        endGrant(call, "begun");
+        for (BegunSegment begun : segments.recordBegin(call.segments())) {
+            if (begun.released()) {
+                release(begun.segment(), "begun", call.requestId());
+            }
+            if (begun.isUrgent()) {
+                tellBegin(begun.segment());
+            } else if (begunToTell.add(begun.segment())) {
+                time.schedule(spreadMillis(begun.segment()), () -> {
+                    begunToTell.remove(begun.segment());
+                    tellBegin(begun.segment());
+                });
+            }
+        }
+    }
+
+    private long spreadMillis(SegmentId segment) {
+        long spanMillis = SPREAD_PER_INSTANCE_MILLIS * Math.max(1, instancesCount.getAsInt());
+        return (long) (RendezvousHash.score(segment.toString(), ownName) * spanMillis);
+    }
+
+    private void tellBegin(SegmentId segment) {
+        segments.untoldBeginAgeMillis(segment).ifPresent(ageMillis -> {
+            news.tellBegin(segment, ageMillis);
+            segments.recordTold(segment);
+        });
+    }
+
+    /** Records that a target crashed under calls of this instance, all at one start of it. */
+    void recordCrash(String targetStart, List<LostCall> lostCalls) {
+        Optional<CrashReport> report = segments.recordCrash(targetStart, lostCalls);
+        if (report.isEmpty()) {
+            return;
+        }
+        long lostMillis =
+                lostCalls.stream().mapToLong(LostCall::lostAtMillis).min().orElse(time.monotonicMillis());
+        long ageMillis = time.monotonicMillis() - lostMillis;
+        logBlame(report.get(), "", ageMillis);
+        metrics.segmentsBlamed("own");
+        news.tellCrash(report.get(), ageMillis);
+        noteHeld(report.get(), "", true);
+    }
+
+    /**
+     * Records the crash of a target that another instance reported.
+     *
+     * @param report the report, not null
+     * @param ageMillis the time since the crash
+     * @param peer the name of the other instance, not null
+     */
+    public void onPeerCrash(CrashReport report, long ageMillis, String peer) {
+        logBlame(report, peer, ageMillis);
+        metrics.segmentsBlamed("peer");
+        segments.recordPeerCrash(report, time.monotonicMillis() - ageMillis);
+        noteHeld(report, peer, false);
+    }
+
+    private static void logBlame(CrashReport report, String peer, long ageMillis) {
+        LogEvent.of("segments_blamed")
+                .with("target", report.targetStart())
+                .with("blamed", namesOf(report, false))
+                .with("begunBefore", namesOf(report, true))
+                .with("ageMillis", ageMillis)
+                .with("peer", peer)
+                .info(log);
+    }
+
+    private static List<SegmentId> namesOf(CrashReport report, boolean hasBegun) {
+        return report.blamed().stream()
+                .filter(each -> each.hasBegun() == hasBegun)
+                .map(BlamedSegment::segment)
+                .toList();
+    }
+
+    private void noteHeld(CrashReport report, String peer, boolean isOwn) {
+        for (BlamedSegment each : report.blamed()) {
+            segments.findHeld(each.segment()).ifPresent(found -> {
+                if (held.add(found.segment())) {
+                    logHeld(found, peer);
+                }
+                if (isOwn && keptHere.add(found.segment())) {
+                    records.keep(found);
+                }
+            });
+        }
+        metrics.setHeldSegments(held.size());
+    }
+
+    private static void logHeld(HeldSegment found, String peer) {
+        LogEvent.of("segment_held_back")
+                .with("segment", found.segment())
+                .with("crashes", found.crashesCount())
+                .with("trials", found.trialsCount())
+                .with("lastCrashMillis", found.lastCrashAgeMillis())
+                .with("remainingMillis", found.remainingMillis())
+                .with("peer", peer)
+                .info(log);
+    }
+
+    private void release(SegmentId segment, String reason, String cause) {
+        LogEvent.of("segment_released")
+                .with("segment", segment)
+                .with("reason", reason)
+                .with("cause", cause)
+                .info(log);
+        held.remove(segment);
+        keptHere.remove(segment);
+        grants.remove(segment);
+        records.forget(segment);
+        metrics.setHeldSegments(held.size());
+    }
+
+    /**
+     * Records that another instance told of the begin of an answer.
+     *
+     * @param segment the segment, not null
+     * @param ageMillis the time since the begin
+     * @param peer the name of the other instance, not null
+     */
+    public void onPeerBegin(SegmentId segment, long ageMillis, String peer) {
+        boolean released = segments.recordPeerBegin(segment, time.monotonicMillis() - ageMillis);
+        if (released) {
+            noteReleased(segment, "begun", peer);
+        }
+    }
+
+    /** The instance that released the segment removes its record, and one that kept it here removes it as well. */
+    private void noteReleased(SegmentId segment, String reason, String peer) {
+        if (keptHere.contains(segment)) {
+            release(segment, reason, peer);
+            return;
+        }
+        LogEvent.of("segment_released")
+                .with("segment", segment)
+                .with("reason", reason)
+                .with("cause", peer)
+                .info(log);
+        held.remove(segment);
+        grants.remove(segment);
+        metrics.setHeldSegments(held.size());
+    }
+
+    /**
+     * Records that another instance was granted a trial.
+     *
+     * @param segment the segment, not null
+     * @param trialNumber the number of the trial, from 1
+     * @param ageMillis the time since it was granted
+     */
+    public void onPeerTrial(SegmentId segment, int trialNumber, long ageMillis) {
+        segments.recordTrial(segment, trialNumber, time.monotonicMillis() - ageMillis);
+    }
+
+    /**
+     * Records that an operator lifted a segment at another instance.
+     *
+     * @param segment the segment, not null
+     * @param ageMillis the time since then
+     * @param peer the name of the other instance, not null
+     */
+    public void onPeerLift(SegmentId segment, long ageMillis, String peer) {
+        if (segments.lift(segment, time.monotonicMillis() - ageMillis)) {
+            noteReleased(segment, "lifted", peer);
+        }
+    }
+
+    /**
+     * Adds a segment that the store keeps.
+     *
+     * @param record the segment, not null
+     */
+    public void onRecord(HeldSegment record) {
+        segments.restore(record);
+        segments.findHeld(record.segment())
+                .filter(found -> held.add(found.segment()))
+                .ifPresent(found -> {
+                    logHeld(found, "store");
+                    metrics.setHeldSegments(held.size());
+                });
+    }
+
+    /**
+     * Lifts a segment for the whole fleet, because an operator says so.
+     *
+     * @param segment the segment, not null
+     * @return whether it was held back here
+     */
+    public boolean lift(SegmentId segment) {
+        boolean wasHeld = segments.lift(segment, time.monotonicMillis());
+        news.tellLift(segment);
+        release(segment, "lifted", "operator");
+        return wasHeld;
+    }
+
+    /**
+     * Lists the segments that are held back.
+     *
+     * @return the list, in the order in which they were first blamed
+     */
+    public List<HeldSegment> listHeld() {
+        return segments.listHeld();
+    }
+}
--- a/src/main/java/org/dogwoodwinch/relay/Suspicions.java
+++ b/src/main/java/org/dogwoodwinch/relay/Suspicions.java
@@ -4,11 +4,15 @@
 import com.google.common.hash.Hashing;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.dogwoodwinch.forwarding.CrashCorrelator;
 import org.dogwoodwinch.forwarding.CrashCorrelator.LostCall;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -41,10 +45,19 @@
     private static final long CORRELATION_WINDOW_MILLIS = 6_000;
 
     private final Quarantine quarantine;
+    private final BiConsumer<String, List<LostCall>> onCrash;
     private final TimeSource time;
     private final CrashCorrelator crashCorrelator = new CrashCorrelator(CORRELATION_WINDOW_MILLIS);
 
-    Suspicions(Quarantine quarantine, TimeSource time) {
+    /**
+     * Creates an object that suspects nothing.
+     *
+     * @param quarantine the calls that are suspected by themselves, not null
+     * @param onCrash receives each crash of a target's start with the calls that were lost with it, not null
+     * @param time the clock, not null
+     */
+    Suspicions(Quarantine quarantine, BiConsumer<String, List<LostCall>> onCrash, TimeSource time) {
+        this.onCrash = Objects.requireNonNull(onCrash, "onCrash");
         this.quarantine = Objects.requireNonNull(quarantine, "quarantine");
         this.time = Objects.requireNonNull(time, "time");
     }
@@ -119,7 +132,11 @@
     }
 
     void handleTargetLost(String targetId) {
+        Map<String, List<LostCall>> callsByStart = new LinkedHashMap<>();
         for (LostCall call : crashCorrelator.takeCrashedCalls(targetId, time.monotonicMillis())) {
+            callsByStart
+                    .computeIfAbsent(call.targetStart(), _start -> new ArrayList<>())
+                    .add(call);
             quarantine.onCrash(call.fingerprint(), call.attemptId(), call.targetStart());
             LogEvent.of("crash_suspect")
                     .with("request", call.attemptId())
@@ -131,5 +148,6 @@
                     .with("standing", quarantine.statusOf(call.fingerprint()))
                     .info(log);
         }
+        callsByStart.forEach(onCrash);
     }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -12,6 +12,7 @@
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.LogPosition;
+import org.dogwoodwinch.forwarding.CrashingSegments;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.KvCacheIndex;
 import org.dogwoodwinch.forwarding.LeastLoadedChooser;
@@ -36,6 +37,9 @@
 import org.dogwoodwinch.relay.LocalStreamOrigins;
 import org.dogwoodwinch.relay.Neighbours;
 import org.dogwoodwinch.relay.RelayDecisions;
+import org.dogwoodwinch.relay.SegmentGuard;
+import org.dogwoodwinch.relay.SegmentNews;
+import org.dogwoodwinch.relay.SegmentRecords;
 import org.dogwoodwinch.relay.UnresponsiveEngineControl;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -71,6 +75,14 @@
                         new RetryPolicy(1, 1, 1, 1),
                         new RetryBudget(0, () -> 0, 1_000, 0),
                         Quarantine.NONE,
+                        new SegmentGuard(
+                                new CrashingSegments(time::monotonicMillis),
+                                SegmentNews.NONE,
+                                SegmentRecords.NONE,
+                                "n1",
+                                () -> 1,
+                                new ForwardingMetrics(new PrometheusRegistry()),
+                                time),
                         new TargetHealth(() -> 0),
                         NoRateLimits.create(),
                         NoRests.create(),
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -22,6 +22,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallerLimits;
+import org.dogwoodwinch.forwarding.CrashingSegments;
 import org.dogwoodwinch.forwarding.EngineChooser;
 import org.dogwoodwinch.forwarding.EngineCostModel;
 import org.dogwoodwinch.forwarding.EngineTraits;
@@ -93,6 +94,10 @@
     final NeighbourLinks neighbourLinks = new NeighbourLinks();
 
     final SuspectRegistry suspects;
+
+    /** The segments that are held back. */
+    final SegmentGuard segmentGuard;
+
     final ForwardingService service;
     int sharingInstancesCount = 1;
     private long nextOffset;
@@ -107,6 +112,15 @@
     }
 
     RelayFixture(double slackShare, VirtualTimeSource time, String instanceId, Set<String> instanceIds) {
+        this(slackShare, time, instanceId, instanceIds, new SegmentLinks());
+    }
+
+    RelayFixture(
+            double slackShare,
+            VirtualTimeSource time,
+            String instanceId,
+            Set<String> instanceIds,
+            SegmentLinks segmentLinks) {
         this.time = time;
         this.health = new TargetHealth(time::monotonicMillis);
         this.rateLimitShares = new RateLimitShares(instanceId, () -> Optional.of(instanceIds), time::monotonicMillis);
@@ -115,6 +129,16 @@
                 new TargetRests(time::monotonicMillis, RandomSource.XO_RO_SHI_RO_128_PP.create(instanceId.hashCode()));
         this.directory = new TargetDirectory(health, rateLimits, rests);
         this.suspects = new SuspectRegistry(time, 600_000, 600_000, _notice -> {});
+        ForwardingMetrics metrics = new ForwardingMetrics(new PrometheusRegistry());
+        this.segmentGuard = new SegmentGuard(
+                new CrashingSegments(time::monotonicMillis),
+                segmentLinks.newsOf(instanceId),
+                segmentLinks,
+                instanceId,
+                () -> instanceIds.size(),
+                metrics,
+                time);
+        segmentLinks.add(instanceId, segmentGuard);
         PrefillRates rates = new PrefillRates(30);
         EngineChooser chooser = new EngineChooser(
                 directory,
@@ -140,6 +164,7 @@
                         new RetryPolicy(2, 2, 30, RETRY_AFTER_MILLIS),
                         new RetryBudget(0, () -> slackShare, 10_000, -10_000),
                         suspects,
+                        segmentGuard,
                         health,
                         rateLimits,
                         rests,
@@ -161,7 +186,7 @@
                         },
                         () -> sharingInstancesCount),
                 neighbourLinks.asNeighbours(),
-                new ForwardingMetrics(new PrometheusRegistry()));
+                metrics);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
@@ -0,0 +1,253 @@
+package org.dogwoodwinch.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.dogwoodwinch.forwarding.CrashReport;
+import org.dogwoodwinch.forwarding.CrashReport.BlamedSegment;
+import org.dogwoodwinch.forwarding.SegmentId;
+import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+class SegmentGuardTest {
+
+    /** The number of crashes, and of sends after them, that the platform's users allow over the whole fleet. */
+    private static final int MAX_CRASHES = 5;
+
+    private static final int MAX_LATER_SENDS = 3;
+
+    private final SegmentLinks links = new SegmentLinks();
+    private final RelayFixture relay =
+            new RelayFixture(50, new VirtualTimeSource(1_000_000), "n1", Set.of("n1"), links).withRoutes();
+    private int callsCount;
+    private int enginesCount;
+
+    private void startEngine() {
+        relay.withEngine("e" + enginesCount++, Stage.WHOLE);
+    }
+
+    /** Sends a call whose prompt ends with a segment of its own, and returns its id. */
+    private RelayFixture.FakeCaller send(String sharedSegments) {
+        String id = "c" + callsCount++;
+        return relay.connectCaller()
+                .send(RelayFixture.postRequest(
+                        "/model/p",
+                        id,
+                        "Model: m\r\nToken-Count: 900,8\r\nPrompt-Prefix: " + sharedSegments + "," + id + ":9\r\n",
+                        "body of " + id));
+    }
+
+    private String latestId() {
+        return "c" + (callsCount - 1);
+    }
+
+    private void crash(RelayFixture.FakeTargetConnection target) {
+        target.close();
+        relay.directory.apply(target.targetId(), 1_000 + enginesCount, Optional.empty());
+        relay.service.handleTargetLost(target.targetId());
+    }
+
+    /** Returns the target's end of the connection on which the latest call arrived. */
+    private Optional<RelayFixture.FakeTargetConnection> receiver() {
+        return relay.targetConnections.stream()
+                .filter(RelayFixture.FakeTargetConnection::isOpen)
+                .filter(connection -> connection.takeReceived().contains(latestId()))
+                .findFirst();
+    }
+
+    private boolean isServed(RelayFixture.FakeCaller caller) {
+        receiver()
+                .ifPresent(target -> target.respond(RelayFixture.streamResponseHead(latestId())
+                        + RelayFixture.chunk("id: 1\ndata: word\n\n") + "0\r\n\r\n"));
+        return caller.takeReceived().endsWith("0\r\n\r\n");
+    }
+
+    /** Guards against calls that share one segment and are otherwise never alike, and end target after target. */
+    @Test
+    void callsThatShareACrashingSegmentAreHeldBackWhileSoundCallsAreServed() {
+        int crashesCount = 0;
+        int servedCount = 0;
+        for (int i = 0; i < 30; i++) {
+            startEngine();
+            relay.time.advanceMillis(500);
+            RelayFixture.FakeCaller caller = send("f1:100,bad:50");
+            Optional<RelayFixture.FakeTargetConnection> target = receiver();
+            if (target.isPresent()) {
+                crash(target.get());
+                crashesCount++;
+            } else {
+                assertTrue(caller.takeReceived().startsWith("HTTP/1.1 503 "));
+            }
+            startEngine();
+            servedCount += isServed(send("f1:100")) ? 1 : 0;
+        }
+        assertTrue(crashesCount <= MAX_CRASHES + MAX_LATER_SENDS, "crashes: " + crashesCount);
+        assertEquals(30, servedCount);
+    }
+
+    private void crashThreeTimes(String sharedSegments) {
+        for (int i = 0; i < 3; i++) {
+            startEngine();
+            send(sharedSegments);
+            crash(receiver().orElseThrow());
+            relay.time.advanceMillis(100);
+        }
+    }
+
+    private static void assertRefused(String response) {
+        assertTrue(response.startsWith("HTTP/1.1 503 "), response);
+    }
+
+    @Test
+    void refusalTellsWhenASegmentIsTriedAgain() {
+        crashThreeTimes("bad:50");
+
+        String response = send("bad:50").takeReceived();
+
+        assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after: 4.900"), response);
+    }
+
+    @Test
+    void oneCallTriesTheSegmentAndABeginReleasesIt() {
+        crashThreeTimes("bad:50");
+        startEngine();
+        relay.time.advanceMillis(5_000);
+
+        RelayFixture.FakeCaller trying = send("bad:50");
+        RelayFixture.FakeTargetConnection target = receiver().orElseThrow();
+        String tryingId = latestId();
+        assertRefused(send("bad:50").takeReceived());
+        target.respond(RelayFixture.streamResponseHead(tryingId) + RelayFixture.chunk("id: 1\ndata: word\n\n"));
+
+        assertTrue(trying.takeReceived().contains("word"));
+        assertTrue(isServed(send("bad:50")));
+    }
+
+    @Test
+    void crashedTrialIsFollowedByALongerPause() {
+        crashThreeTimes("bad:50");
+        startEngine();
+        relay.time.advanceMillis(5_000);
+        RelayFixture.FakeCaller trying = send("bad:50");
+        crash(receiver().orElseThrow());
+        startEngine();
+
+        assertTrue(trying.takeReceived().startsWith("HTTP/1.1 502 "));
+        relay.time.advanceMillis(59_000);
+        assertRefused(send("bad:50").takeReceived());
+        relay.time.advanceMillis(1_000);
+        send("bad:50");
+        assertTrue(receiver().isPresent());
+    }
+
+    /** Guards against a trial that never happens again because its call was turned away. */
+    @Test
+    void trialThatATargetTurnedAwayIsLeftForTheNextCall() {
+        crashThreeTimes("bad:50");
+        startEngine();
+        relay.time.advanceMillis(5_000);
+        RelayFixture.FakeCaller trying = send("bad:50");
+        receiver()
+                .orElseThrow()
+                .respond("HTTP/1.1 503 Busy\r\nRequest-Id: " + latestId()
+                        + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        assertRefused(trying.takeReceived());
+
+        assertTrue(isServed(send("bad:50")));
+    }
+
+    /** Guards against a call that is held until its deadline because the store does not answer. */
+    @Test
+    void callIsRefusedWhileTheStoreGrantsNoTrialAndTheNextOneTries() {
+        crashThreeTimes("bad:50");
+        startEngine();
+        relay.time.advanceMillis(5_000);
+        links.delaysClaims = true;
+
+        RelayFixture.FakeCaller waiting = send("bad:50");
+        assertEquals("", waiting.takeReceived());
+        relay.time.advanceMillis(300);
+        assertRefused(waiting.takeReceived());
+
+        links.answerClaims();
+        assertTrue(isServed(send("bad:50")));
+    }
+
+    @Test
+    void callWhoseCallerLeftWhileItWaitedIsNotSent() {
+        crashThreeTimes("bad:50");
+        startEngine();
+        relay.time.advanceMillis(5_000);
+        links.delaysClaims = true;
+        RelayFixture.FakeCaller waiting = send("bad:50");
+        waiting.disconnect();
+
+        links.answerClaims();
+
+        assertTrue(receiver().isEmpty());
+        assertTrue(isServed(send("bad:50")));
+    }
+
+    /** Guards against instances that each try a segment. */
+    @Test
+    void oneInstanceOfTheFleetTries() {
+        RelayFixture other = new RelayFixture(50, relay.time, "n2", Set.of("n1", "n2"), links).withRoutes();
+        other.withEngine("x1", Stage.WHOLE);
+        crashThreeTimes("bad:50");
+        startEngine();
+        relay.time.advanceMillis(5_000);
+
+        send("bad:50");
+        RelayFixture.FakeCaller caller = other.connectCaller()
+                .send(RelayFixture.postRequest(
+                        "/model/p", "o", "Model: m\r\nToken-Count: 9,8\r\nPrompt-Prefix: bad:50,o:9\r\n", "o"));
+
+        assertTrue(receiver().isPresent());
+        assertRefused(caller.takeReceived());
+        assertTrue(other.targetConnections.isEmpty());
+    }
+
+    /** Guards against calls beside a crash whose answers were under way. */
+    @Test
+    void segmentOfAnswersUnderWayIsNotHeldBack() {
+        for (int i = 0; i < 4; i++) {
+            startEngine();
+            send("f1:100");
+            RelayFixture.FakeTargetConnection target = receiver().orElseThrow();
+            target.respond(RelayFixture.streamResponseHead(latestId()) + RelayFixture.chunk("id: 1\ndata: word\n\n"));
+            crash(target);
+        }
+        startEngine();
+        assertTrue(isServed(send("f1:100")));
+    }
+
+    /** Guards against a lost call that ends a second target at once although its segment is suspected. */
+    @Test
+    void lostCallWithASuspectedSegmentIsNotSentAgain() {
+        relay.segmentGuard.onPeerCrash(
+                new CrashReport("gone", List.of(new BlamedSegment(new SegmentId("m", "bad"), false))), 0, "n2");
+        relay.withPlainTarget("t1").withPlainTarget("t2");
+        relay.connectCaller()
+                .send(RelayFixture.postRequest(
+                        "/safe/p", "s", "Model: m\r\nToken-Count: 9,8\r\nPrompt-Prefix: bad:50,s:9\r\n", "s"));
+
+        relay.latestTargetConnection().close();
+
+        assertEquals(1, relay.targetConnections.size());
+    }
+
+    @Test
+    void operatorLiftsASegment() {
+        crashThreeTimes("bad:50");
+        startEngine();
+
+        assertTrue(relay.segmentGuard.lift(new SegmentId("m", "bad")));
+
+        assertTrue(isServed(send("bad:50")));
+    }
+}
