Ask at each write whether a call is held back

What callers saw: a call whose prompt an engine had read was sent on to another engine 2 ms later and ended it, although the crashes before were known by then. Cause: whether a call may be sent was asked once, when it arrived. A call that waits for a first stage, for a connection, for room or for a retry was sent without being asked again.

Change: asked before each choice of a target, after a first stage, and directly before the write of a first stage and of a run.

Suites of the relay pass.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -135,6 +135,18 @@
         finish();
     }
 
+    /**
+     * Refuses the call if it may no longer be written to a target.
+     *
+     * <p>Failure: a call waits for the store, a first stage or a connection while its segment is found to crash targets,
+     * and is then sent all the same.
+     */
+    private boolean refuseIfHeldBack() {
+        Optional<CallSuspicion.Refusal> refusal = suspicion.refusal();
+        refusal.ifPresent(this::refuse);
+        return refusal.isPresent();
+    }
+
     /**
      * Takes up a caller's stream, or refuses that where it is not known which software version began it. The call has
      * not run then.
@@ -266,7 +278,7 @@
     }
 
     private void chooseAndSend() {
-        if (passOn()) {
+        if (refuseIfHeldBack() || passOn()) {
             return;
         }
         Optional<ForwardingPlan> chosen = choose();
@@ -299,6 +311,7 @@
                 prefillTarget,
                 attributes.prompt().orElseThrow(),
                 plan.prefillWork(),
+                () -> suspicion.refusal().isEmpty(),
                 this::handlePrefillOutcome);
         remotePrefill = Optional.of(started);
         started.start(call.arrivalMillis(), () -> outbound(prefillTarget, true));
@@ -338,6 +351,9 @@
     }
 
     private void sendAfterPrefill(Incarnation prefillTarget) {
+        if (refuseIfHeldBack()) {
+            return;
+        }
         Optional<Incarnation> runner = context.chooser().chooseDecodeTarget(query(), prefillTarget);
         if (runner.isEmpty()) {
             handleNoTarget();
@@ -394,6 +410,12 @@
             handleDeadline();
             return;
         }
+        Optional<CallSuspicion.Refusal> refusal = suspicion.refusal();
+        if (refusal.isPresent()) {
+            context.connections().release(acquired);
+            refuse(refusal.get());
+            return;
+        }
         SendCheck check = context.chooser().checkSend(plan.target());
         if (check != SendCheck.ALLOWED) {
             context.connections().release(acquired);
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -6,6 +6,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
@@ -28,6 +29,7 @@
     private final Incarnation engine;
     private final Prompt prompt;
     private final ForwardingPlan.PrefillWork prefillWork;
+    private final BooleanSupplier maySend;
     private final Consumer<PrefillOutcome> onOutcome;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Optional<TargetConnection> connection = Optional.empty();
@@ -43,6 +45,7 @@
      * @param engine the engine that prefills the prompt, not null
      * @param prompt the prompt of the call, not null
      * @param prefillWork the tokens to prefill and their queue level, not null
+     * @param maySend returns whether the call may be sent, evaluated directly before the write, not null
      * @param onOutcome receives the outcome, unless {@link #cancel} is called before, not null
      */
     RemotePrefill(
@@ -51,12 +54,14 @@
             Incarnation engine,
             Prompt prompt,
             ForwardingPlan.PrefillWork prefillWork,
+            BooleanSupplier maySend,
             Consumer<PrefillOutcome> onOutcome) {
         this.context = Objects.requireNonNull(context, "context");
         this.service = Objects.requireNonNull(service, "service");
         this.engine = Objects.requireNonNull(engine, "engine");
         this.prompt = Objects.requireNonNull(prompt, "prompt");
         this.prefillWork = Objects.requireNonNull(prefillWork, "prefillWork");
+        this.maySend = Objects.requireNonNull(maySend, "maySend");
         this.onOutcome = Objects.requireNonNull(onOutcome, "onOutcome");
     }
 
@@ -90,6 +95,11 @@
             context.connections().release(acquired);
             return;
         }
+        if (!maySend.getAsBoolean()) {
+            context.connections().release(acquired);
+            finish(new PrefillOutcome.NotSent("held_back"));
+            return;
+        }
         OutboundCall outbound = call.get();
         SendCheck check = context.chooser().checkSend(engine);
         if (check != SendCheck.ALLOWED) {
--- a/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
@@ -103,6 +103,64 @@
         assertTrue(response.startsWith("HTTP/1.1 503 "), response);
     }
 
+    /** Guards against a call that waits for its first stage while its segment is found to crash targets. */
+    @Test
+    void callHeldBackDuringItsFirstStageIsNotSentOn() {
+        relay.withEngine("p1", Stage.PREFILL).withEngine("d1", Stage.DECODE);
+        RelayFixture.FakeCaller caller = relay.connectCaller()
+                .send(RelayFixture.postRequest(
+                        "/model/p", "w", "Model: m\r\nToken-Count: 9000,8\r\nPrompt-Prefix: bad:8000,w:9\r\n", "w"));
+        RelayFixture.FakeTargetConnection prefill = relay.latestTargetConnection();
+        assertEquals("p1", prefill.targetId());
+        holdBack("bad");
+
+        prefill.respond("HTTP/1.1 200 OK\r\nRequest-Id: w\r\nContent-Length: 6\r\n\r\nhandle");
+
+        assertRefused(caller.takeReceived());
+        assertEquals(1, relay.targetConnections.size());
+        assertEquals(List.of("p1/handle"), relay.releasedCaches);
+    }
+
+    /** Guards against a call that waits for its connection while its segment is found to crash targets. */
+    @Test
+    void callHeldBackDuringItsConnectIsNotWritten() {
+        startEngine();
+        relay.delayedTargetIds.add("e0");
+        RelayFixture.FakeCaller caller = send("bad:50");
+        holdBack("bad");
+
+        relay.completeDelayedConnects();
+
+        assertRefused(caller.takeReceived());
+        assertTrue(receiver().isEmpty());
+    }
+
+    /** Guards against a first stage that is written after its segment was found to crash targets. */
+    @Test
+    void firstStageHeldBackDuringItsConnectIsNotWritten() {
+        relay.withEngine("p1", Stage.PREFILL).withEngine("d1", Stage.DECODE);
+        relay.delayedTargetIds.add("p1");
+        RelayFixture.FakeCaller caller = relay.connectCaller()
+                .send(RelayFixture.postRequest(
+                        "/model/p", "w", "Model: m\r\nToken-Count: 9000,8\r\nPrompt-Prefix: bad:8000,w:9\r\n", "w"));
+        holdBack("bad");
+
+        relay.completeDelayedConnects();
+
+        assertRefused(caller.takeReceived());
+        assertEquals("", relay.latestTargetConnection().takeReceived());
+    }
+
+    /** Reports three crashes as another instance does. */
+    private void holdBack(String segment) {
+        for (int i = 0; i < 3; i++) {
+            relay.segmentGuard.onPeerCrash(
+                    new CrashReport("gone" + i, List.of(new BlamedSegment(new SegmentId("m", segment), false))),
+                    0,
+                    "n2");
+        }
+    }
+
     @Test
     void refusalTellsWhenASegmentIsTriedAgain() {
         crashThreeTimes("bad:50");
