Find out at once whether a target crashed under a call with shared segments

Cause: a crash was known by the next refused connection or when the target's entry expired, about 3 s later. In a large fleet the next call to a target comes late, so a crashing segment ended targets for seconds before the first crash counted.

Change: a call that is lost before its answer began, and whose prompt shares segments with others, makes this instance open one connection to the target. A refused one is evidence after the 200 ms that tell a cut of this instance apart; an accepted one serves the next call, and the loss was no crash.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -592,7 +592,9 @@
     }
 
     private void recordLostCall() {
-        suspicion.recordLost(plan.target());
+        if (suspicion.recordLost(plan.target())) {
+            context.crashProbe().probe(plan.target());
+        }
     }
 
     private void onEnd(SendOutcome outcome) {
--- a/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
@@ -126,10 +126,15 @@
         }
     }
 
-    /** Records that the call was lost with its connection, which alone does not prove a crash of the target. */
-    void recordLost(Incarnation target) {
+    /**
+     * Records that the call was lost with its connection, which alone does not prove a crash of the target.
+     *
+     * @return whether a segment of its prompt may have crashed the target
+     */
+    boolean recordLost(Incarnation target) {
         suspicions.recordLostCall(fingerprint, requestId, target, segments, begun);
         guard.recordLost(this);
+        return !begun && !segments.isEmpty();
     }
 
     /** Records that the call was lost at a target that only read its prompt, and no segment crashes such a target. */
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -124,6 +124,7 @@
                 decisions.callStarts(),
                 decisions.streamOrigins(),
                 isolation,
+                new CrashProbe(this::probe, isolation::isIsolated, links::unreachable),
                 neighbourCalls,
                 report,
                 decisions.sharingInstancesCount());
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -39,6 +39,7 @@
  * @param callStarts receives calls that began to run, not null
  * @param streamOrigins the software versions that began the streams of all instances, not null
  * @param isolation decides whether this instance is cut off from all targets, not null
+ * @param crashProbe finds out whether a target has crashed at which a call was lost, not null
  * @param neighbours the calls that are passed on to other instances, not null
  * @param report receives decisions about calls for metrics and logs, not null
  * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on each
@@ -64,6 +65,7 @@
         CallStarts callStarts,
         StreamOrigins streamOrigins,
         TargetIsolation isolation,
+        CrashProbe crashProbe,
         NeighbourCalls neighbours,
         RelayReport report,
         IntSupplier sharingInstancesCount) {
@@ -90,6 +92,7 @@
         Objects.requireNonNull(callStarts, "callStarts");
         Objects.requireNonNull(streamOrigins, "streamOrigins");
         Objects.requireNonNull(isolation, "isolation");
+        Objects.requireNonNull(crashProbe, "crashProbe");
         Objects.requireNonNull(neighbours, "neighbours");
         Objects.requireNonNull(report, "report");
         Objects.requireNonNull(sharingInstancesCount, "sharingInstancesCount");
