--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -31,7 +31,6 @@
 import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.peer.SuspicionExchange;
 import org.dogwoodwinch.relay.ForwardingMetrics;
-import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.request.SuspectRegistry;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.time.TimeSource;
@@ -168,7 +167,7 @@
         return streams;
     }
 
-    Quarantine quarantine() {
+    SuspectRegistry quarantine() {
         return suspects;
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -59,6 +59,7 @@
 import org.dogwoodwinch.relay.TakenOverCalls;
 import org.dogwoodwinch.relay.TargetConnector;
 import org.dogwoodwinch.relay.TcpTargetConnector;
+import org.dogwoodwinch.request.QuarantineEndpoint;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.SettingsChange;
 import org.dogwoodwinch.time.TimeSource;
@@ -366,7 +367,10 @@
         readyListener = ForwardingService.listenReady(
                 transport, parseAddress(settings.forwarding().readyListen()), this::isReady);
         metricsListener = ForwardingService.listenMetrics(
-                transport, parseAddress(settings.forwarding().metricsListen()), metrics);
+                transport,
+                parseAddress(settings.forwarding().metricsListen()),
+                metrics,
+                new QuarantineEndpoint(fleet.quarantine(), new GuardedSegments(segments)));
         service.listen(transport, parseAddress(settings.forwarding().listen()));
         PeerMember self = fleet.listen(parseAddress(settings.peers().listen()));
         transport.eventLoopGroup().next().execute(() -> {
--- a/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
+++ b/src/main/java/org/dogwoodwinch/daemon/OperatorPages.java
@@ -22,6 +22,7 @@
 import org.dogwoodwinch.http.ServingState;
 import org.dogwoodwinch.metrics.Metrics;
 import org.dogwoodwinch.request.QuarantineEndpoint;
+import org.dogwoodwinch.request.SegmentQuarantine;
 import org.dogwoodwinch.routing.TargetSummary;
 import org.dogwoodwinch.settings.InstanceSettings;
 import org.dogwoodwinch.status.InstanceStatus;
@@ -71,7 +72,7 @@
     Map<String, OperatorPage> byPath() {
         ControlEndpoint endpoint = new ControlEndpoint(components.control());
         QuarantineEndpoint quarantine =
-                new QuarantineEndpoint(components.peers().suspectRegistry());
+                new QuarantineEndpoint(components.peers().suspectRegistry(), SegmentQuarantine.NONE);
         OperatorPage quarantinePage = call -> completedAnswer(toAnswer(
                 quarantine.handle(call.method(), call.path(), call.body().toUtf8())));
         return Map.of(
@@ -87,6 +88,10 @@
                 quarantinePage,
                 QuarantineEndpoint.LIFT_PATH,
                 quarantinePage,
+                QuarantineEndpoint.SEGMENTS_PATH,
+                quarantinePage,
+                QuarantineEndpoint.LIFT_SEGMENT_PATH,
+                quarantinePage,
                 ControlEndpoint.PATH_PREFIX,
                 call -> endpoint.handle(call.method(), call.path(), call.body().toUtf8())
                         .thenApply(OperatorPages::toAnswer));
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -25,6 +25,7 @@
 import org.dogwoodwinch.forwarding.TargetIsolation;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.request.QuarantineEndpoint;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -164,7 +165,7 @@
      */
     public static Channel listenReady(Transport transport, InetSocketAddress address, Supplier<Boolean> ready)
             throws IOException {
-        return PageListener.bind(transport, address, _path -> {
+        return PageListener.bind(transport, address, _request -> {
             boolean now = ready.get();
             return new PageListener.Page(
                     now ? 200 : LocalResponses.UNAVAILABLE, "text/plain", now ? "ready" : "not ready");
@@ -172,18 +173,25 @@
     }
 
     /**
-     * Serves metrics in the Prometheus text format.
+     * Serves metrics in the Prometheus text format, and the operators' pages of the quarantine.
      *
      * @param transport the socket transport, not null
      * @param address the address to listen on, not null
      * @param metrics the metrics to serve, not null
+     * @param quarantine lists and lifts what is held back, called on the event loop, not null
      * @return the listening channel
      * @throws IOException if the address cannot be bound
      */
-    public static Channel listenMetrics(Transport transport, InetSocketAddress address, ForwardingMetrics metrics)
+    public static Channel listenMetrics(
+            Transport transport, InetSocketAddress address, ForwardingMetrics metrics, QuarantineEndpoint quarantine)
             throws IOException {
-        return PageListener.bind(
-                transport, address, _path -> new PageListener.Page(200, "text/plain; version=0.0.4", metrics.text()));
+        return PageListener.bind(transport, address, request -> {
+            if (!request.path().startsWith(QuarantineEndpoint.LIST_PATH)) {
+                return new PageListener.Page(200, "text/plain; version=0.0.4", metrics.text());
+            }
+            QuarantineEndpoint.Response response = quarantine.handle(request.method(), request.path(), request.body());
+            return new PageListener.Page(response.status(), "application/json", response.body());
+        });
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/relay/PageListener.java
+++ b/src/main/java/org/dogwoodwinch/relay/PageListener.java
@@ -30,6 +30,15 @@
 
     private PageListener() {}
 
+    /**
+     * A request for a page.
+     *
+     * @param method the HTTP method, not null
+     * @param path the path with its query, not null
+     * @param body the body, empty if there is none, not null
+     */
+    record PageRequest(String method, String path, String body) {}
+
     /**
      * A text page.
      *
@@ -44,11 +53,11 @@
      *
      * @param transport the socket transport, not null
      * @param address the address to listen on, not null
-     * @param pages returns the page for a request path, not null
+     * @param pages returns the page for a request, not null
      * @return the listening channel
      * @throws IOException if the address cannot be bound
      */
-    static Channel bind(Transport transport, InetSocketAddress address, Function<String, Page> pages)
+    static Channel bind(Transport transport, InetSocketAddress address, Function<PageRequest, Page> pages)
             throws IOException {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(transport.eventLoopGroup())
@@ -69,15 +78,16 @@
     }
 
     private static final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private final Function<String, Page> pages;
+        private final Function<PageRequest, Page> pages;
 
-        PageHandler(Function<String, Page> pages) {
+        PageHandler(Function<PageRequest, Page> pages) {
             this.pages = pages;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Page page = pages.apply(request.uri());
+            Page page = pages.apply(new PageRequest(
+                    request.method().name(), request.uri(), request.content().toString(StandardCharsets.UTF_8)));
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(page.status()),
--- a/src/main/java/org/dogwoodwinch/request/QuarantineEndpoint.java
+++ b/src/main/java/org/dogwoodwinch/request/QuarantineEndpoint.java
@@ -6,7 +6,8 @@
 
 /**
  * Operator endpoint under {@link #LIST_PATH}: {@code GET /quarantine} lists the requests in quarantine, and {@code POST
- * /quarantine/lift} with a {@link LiftRequest} ends the quarantine of one.
+ * /quarantine/lift} with a {@link LiftRequest} ends the quarantine of one. {@code GET /quarantine/segments} and {@code
+ * POST /quarantine/segments/lift} with a {@link SegmentLiftRequest} do the same for segments of prompts.
  */
 public final class QuarantineEndpoint {
 
@@ -16,6 +17,12 @@
     /** The path that lifts a quarantine. */
     public static final String LIFT_PATH = LIST_PATH + "/lift";
 
+    /** The path that lists the segments that are held back. */
+    public static final String SEGMENTS_PATH = LIST_PATH + "/segments";
+
+    /** The path that lifts a segment. */
+    public static final String LIFT_SEGMENT_PATH = SEGMENTS_PATH + "/lift";
+
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -23,14 +30,17 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final SuspectRegistry suspects;
+    private final SegmentQuarantine segments;
 
     /**
      * Creates the endpoint.
      *
      * @param suspects the registry of suspected requests, not null
+     * @param segments the segments that are held back, not null
      */
-    public QuarantineEndpoint(SuspectRegistry suspects) {
+    public QuarantineEndpoint(SuspectRegistry suspects, SegmentQuarantine segments) {
         this.suspects = Objects.requireNonNull(suspects, "suspects");
+        this.segments = Objects.requireNonNull(segments, "segments");
     }
 
     /**
@@ -48,6 +58,12 @@
         if (method.equals("POST") && path.equals(LIFT_PATH)) {
             return lift(body);
         }
+        if (method.equals("GET") && path.equals(SEGMENTS_PATH)) {
+            return json(OK, segments.list());
+        }
+        if (method.equals("POST") && path.equals(LIFT_SEGMENT_PATH)) {
+            return liftSegment(body);
+        }
         return json(NOT_FOUND, new Problem("not found: " + method + " " + path));
     }
 
@@ -61,6 +77,19 @@
         }
     }
 
+    private Response liftSegment(String body) {
+        try {
+            SegmentLiftRequest request = MAPPER.readValue(body, SegmentLiftRequest.class);
+            if (request.segment().isEmpty()) {
+                return json(BAD_REQUEST, new Problem("segment must not be empty"));
+            }
+            boolean lifted = segments.lift(request.model(), request.segment());
+            return json(OK, new SegmentLiftResponse(request.model(), request.segment(), lifted));
+        } catch (JsonProcessingException _e) {
+            return json(BAD_REQUEST, new Problem("the body must be a JSON object with model and segment"));
+        }
+    }
+
     private static Response json(int status, Object value) {
         try {
             return new Response(status, MAPPER.writeValueAsString(value));
@@ -99,6 +128,31 @@
      */
     public record LiftResponse(String fingerprint, boolean lifted) {}
 
+    /**
+     * The body of a call that lifts a segment.
+     *
+     * @param model the name of the model
+     * @param segment the segment's id
+     */
+    public record SegmentLiftRequest(String model, String segment) {
+
+        /** Replaces missing fields by empty strings. */
+        public SegmentLiftRequest {
+            model = model == null ? "" : model;
+            segment = segment == null ? "" : segment;
+        }
+    }
+
+    /**
+     * The result of a call that lifts a segment.
+     *
+     * @param model the name of the model
+     * @param segment the segment's id
+     * @param lifted whether it was held back on the instance that was called; the other instances are notified in
+     *     either case
+     */
+    public record SegmentLiftResponse(String model, String segment, boolean lifted) {}
+
     /**
      * The body of an error response.
      *
--- a/src/test/java/org/dogwoodwinch/daemon/CrashingSegmentsOverSocketsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/CrashingSegmentsOverSocketsTest.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -115,4 +116,27 @@
         assertTrue(platform.crashesCount() <= MAX_CRASHES, "crashes: " + platform.crashesCount());
         assertTrue(2 * servedCount >= soundCount, "served: " + servedCount + " of " + soundCount);
     }
+
+    private static String operate(ForwardingDaemon daemon, String method, String path, String body) throws IOException {
+        return exchange(
+                daemon.metricsPort(),
+                method + " " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: " + body.length()
+                        + "\r\n\r\n" + body);
+    }
+
+    @Test
+    void operatorsListAndLiftASegmentThatIsHeldBack() throws IOException {
+        platform.crashOn("bad");
+        String listed = "";
+        for (int i = 0; i < MAX_ATTEMPTS && !listed.contains("\"segment\":\"bad\""); i++) {
+            send(first, "f1:100,bad:50");
+            listed = operate(first, "GET", "/quarantine/segments", "");
+        }
+        assertTrue(listed.contains("{\"model\":\"m\",\"segment\":\"bad\",\"crashes\":"), listed);
+
+        String lifted = operate(first, "POST", "/quarantine/segments/lift", "{\"model\":\"m\",\"segment\":\"bad\"}");
+
+        assertTrue(lifted.endsWith("\"lifted\":true}"), lifted);
+        assertFalse(operate(first, "GET", "/quarantine/segments", "").contains("\"segment\":\"bad\""));
+    }
 }
