Tell the others of begins when a segment is blamed that they know nothing of

Cause: whether answers with a segment had begun was known to the reporting instance alone. Change: an instance that hears of a crash and knows a begin that the report does not tells it, after a pause spread over the instances, unless it hears it first.

--- a/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -211,6 +211,21 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns whether this instance knows that answers with a blamed segment have begun, and the others do not. They
+     * would hold it back together with the segment that is the cause.
+     *
+     * @param segment the segment, not null
+     * @return whether they should be told
+     */
+    public boolean isBeginUnknownToOthers(SegmentId segment) {
+        Evidence evidence = blamed.get(segment);
+        return evidence != null
+                && !evidence.begunAtPeer
+                && evidence.lastToldBeginMillis == NEVER_MILLIS
+                && evidence.lastBeginMillis != NEVER_MILLIS;
+    }
+
     /**
      * Records that the other instances are told of the last begin of an answer with a segment.
      *
--- a/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import org.dogwoodwinch.forwarding.CrashCorrelator.LostCall;
 import org.dogwoodwinch.forwarding.CrashReport;
 import org.dogwoodwinch.forwarding.CrashReport.BlamedSegment;
@@ -291,15 +292,23 @@
             }
             if (begun.isUrgent()) {
                 tellBegin(begun.segment());
-            } else if (begunToTell.add(begun.segment())) {
-                time.schedule(spreadMillis(begun.segment()), () -> {
-                    begunToTell.remove(begun.segment());
-                    tellBegin(begun.segment());
-                });
+            } else {
+                tellBeginLater(begun.segment(), _segment -> true);
             }
         }
     }
 
+    private void tellBeginLater(SegmentId segment, Predicate<SegmentId> isStillNews) {
+        if (begunToTell.add(segment)) {
+            time.schedule(spreadMillis(segment), () -> {
+                begunToTell.remove(segment);
+                if (isStillNews.test(segment)) {
+                    tellBegin(segment);
+                }
+            });
+        }
+    }
+
     private long spreadMillis(SegmentId segment) {
         long spanMillis = SPREAD_PER_INSTANCE_MILLIS * Math.max(1, instancesCount.getAsInt());
         return (long) (RendezvousHash.score(segment.toString(), ownName) * spanMillis);
@@ -339,6 +348,10 @@
         metrics.segmentsBlamed("peer");
         segments.recordPeerCrash(report, time.monotonicMillis() - ageMillis);
         noteHeld(report, peer, false);
+        report.blamed().stream()
+                .map(BlamedSegment::segment)
+                .filter(segments::isBeginUnknownToOthers)
+                .forEach(segment -> tellBeginLater(segment, segments::isBeginUnknownToOthers));
     }
 
     private static void logBlame(CrashReport report, String peer, long ageMillis) {
--- a/src/test/java/org/dogwoodwinch/daemon/SegmentSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SegmentSharingTest.java
@@ -108,6 +108,24 @@
         assertEquals(count, holdersOf(BAD));
     }
 
+    /** Guards against a rare sound segment that is held back because only instances without a crash saw it begin. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 48, 90})
+    void segmentThatBeganAtAnotherInstanceIsNotHeldBackWithTheCause(int count) {
+        SimulatedFleet fleet = new SimulatedFleet(count, 3, 5);
+        start(fleet);
+        begin(fleet, count - 1);
+        fleet.time.advanceMillis(20_000);
+        for (int i = 0; i < 3; i++) {
+            crash(fleet, i, "t" + i);
+            fleet.time.advanceMillis(KNOWN_TO_ALL_MILLIS);
+        }
+        fleet.time.advanceMillis(KNOWN_TO_ALL_MILLIS);
+
+        assertEquals(0, holdersOf(SHARED));
+        assertEquals(count, holdersOf(BAD));
+    }
+
     /** Guards against a fleet whose instances all tell the same begin and fill narrow links. */
     @ParameterizedTest
     @ValueSource(ints = {48, 90})
