Pass on calls for which this instance has no connection left

Load: the platform hands most new connections of a region to one instance. Its share of each target's connections is that of any other, so what it has read beyond that was refused while all other shares lay idle.

Not measured: the processor time and the link of one instance under such a load, which this does not bound.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -72,6 +72,7 @@
     private int runsCount;
     private int rejectionsCount;
     private int failedConnectsCount;
+    private boolean connectionsInUse;
     private boolean remotePrefillUsed;
     private Optional<RemotePrefill> remotePrefill = Optional.empty();
     private Optional<KvCacheHandle> cacheHandle = Optional.empty();
@@ -331,6 +332,7 @@
         } else if (outcome instanceof PrefillOutcome.NotSent notSent) {
             // No byte reached the prefill target: another one may be tried as on the first attempt.
             failedConnectsCount++;
+            connectionsInUse |= notSent.reason().equals(TargetConnectionPool.CONNECTIONS_IN_USE);
             triedIds.add(prefillTarget.id());
             remotePrefillUsed = failedConnectsCount > MAX_UNSENT_PREFILLS;
             context.report()
@@ -394,6 +396,7 @@
                             @Override
                             public void notAcquired(String reason) {
                                 failedConnectsCount++;
+                                connectionsInUse |= reason.equals(TargetConnectionPool.CONNECTIONS_IN_USE);
                                 triedIds.add(plan.target().id());
                                 onEnd(new SendOutcome.NotSent(reason));
                             }
@@ -644,7 +647,7 @@
     private void execute(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.SendAgain) {
             chooseAndSend();
-        } else if (step instanceof NextStep.Refuse && passOn()) {
+        } else if (step instanceof NextStep.Refuse && (passOn() || passOnForConnections())) {
             return;
         } else if (state == State.STREAMING) {
             caller.abortResponse();
@@ -679,7 +682,29 @@
     }
 
     private boolean mayBePassedOn() {
-        return state == State.SENDING && !takenOver && context.neighbours().arePassedOn();
+        return isOwnAndSending() && context.neighbours().arePassedOn();
+    }
+
+    private boolean isOwnAndSending() {
+        return state == State.SENDING && !takenOver;
+    }
+
+    /**
+     * Passes the call on because this instance uses all of its connections to the targets that it chose, and another one
+     * may have connections left.
+     *
+     * <p>Load: most new connections of callers are handed to one instance, whose share of the targets' connections is that
+     * of any other.
+     */
+    private boolean passOnForConnections() {
+        boolean passedOn = connectionsInUse
+                && isOwnAndSending()
+                && runsCount == 0
+                && context.neighbours().canTakeOver();
+        if (passedOn) {
+            passOnNow();
+        }
+        return passedOn;
     }
 
     /**
@@ -692,6 +717,11 @@
         if (!mayBePassedOn()) {
             return false;
         }
+        passOnNow();
+        return true;
+    }
+
+    private void passOnNow() {
         state = State.DONE;
         releaseAll();
         suspicion.recordFailure();
@@ -702,7 +732,6 @@
                         caller,
                         context.retryPolicy().retryAfterMillis(),
                         () -> onDone.accept(this));
-        return true;
     }
 
     private void relayBuffered() {
