Test that streams of two owners with one request id are two streams

No test over a call failed where the owner is left out of a stream's id. With the owner replaced by an empty name in StreamContinuity this one fails (v1 expected, v2 was sent to); on the code as it is it passes.

--- a/src/test/java/org/dogwoodwinch/relay/StreamContinuityTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/StreamContinuityTest.java
@@ -4,9 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
+import org.dogwoodwinch.forwarding.ApiKey;
+import org.dogwoodwinch.forwarding.CallOwner;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.OwnerKeys;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.StreamId;
 import org.junit.jupiter.api.Test;
@@ -102,6 +107,36 @@
         }
     }
 
+    /** Failure: two owners use one request id, and the stream of one goes on at the version of the other's. */
+    @Test
+    void streamsOfTwoOwnersWithOneRequestIdAreTwoStreams() {
+        RelayFixture relay = new RelayFixture();
+        relay.ownerKeys = Optional.of(new OwnerKeys(Map.of(
+                new ApiKey("key-1"), new CallOwner("hall-1", OptionalInt.empty()),
+                new ApiKey("key-2"), new CallOwner("hall-2", OptionalInt.empty()))));
+        relay.withRoutes();
+        for (int i = 1; i <= 2; i++) {
+            withVersion(relay, "t" + i, "v" + i);
+            relay.connectCaller()
+                    .send(RelayFixture.postRequest("/resume/a", "same", "X-Api-Key: key-" + i + "\r\n", "x"));
+            RelayFixture.FakeTargetConnection target = relay.latestTargetConnection();
+            target.respond(RelayFixture.streamResponseHead("same") + RelayFixture.chunk(FIRST_EVENT));
+            target.reset();
+            relay.removeTarget("t" + i);
+        }
+        withVersion(relay, "u1", "v1");
+        withVersion(relay, "u2", "v2");
+        for (int i = 1; i <= 2; i++) {
+            relay.connectCaller()
+                    .send(RelayFixture.postRequest(
+                            "/resume/a",
+                            "again" + i,
+                            "X-Api-Key: key-" + i + "\r\nResumes: same\r\nLast-Event-Id: 1\r\n",
+                            "x"));
+            assertEquals("v" + i, versionOf(relay, relay.latestTargetConnection()));
+        }
+    }
+
     /** Failure: a stream whose begin is not known goes on anywhere, or its caller learns too late that it does not. */
     @Test
     void streamOfUnknownVersionIsRefusedAtOnceAsNotRun() {
