Give the evidence of a segment and its trials classes of their own

SegmentTrials has the claims and the calls that make them; SegmentEvidence the crashes, begins and trials of one segment. No decision has changed; the tests of segments pass.

--- a/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -30,18 +30,6 @@
  */
 public final class CrashingSegments {
 
-    /** Crashes after which a segment is held back that no answer is known to have begun with. */
-    private static final int CRASHES_WITHOUT_BEGIN = 3;
-
-    /**
-     * The same for a segment that answers began with before. It is rare among the calls, or has become harmful; while
-     * another segment is found to be the cause, its share of the crashes must not hold it back.
-     */
-    private static final int CRASHES_AFTER_BEGIN = 6;
-
-    /** The pauses before the trials. After the last one, a segment is held back until it is forgotten or lifted. */
-    private static final long[] TRIAL_PAUSES_MILLIS = {5_000, 60_000, 600_000};
-
     /**
      * The pause before a call may try several segments at once. A call with only one of them shows more: if it crashes a
      * target, the others are not blamed for it.
@@ -51,19 +39,12 @@
     /** A begin longer ago says little about a segment. Crashes are forgotten after the same time. */
     private static final long MEMORY_MILLIS = 600_000;
 
-    /** A segment that is held back is forgotten a day after the last crash. */
-    private static final long HELD_MEMORY_MILLIS = 86_400_000;
-
     /** Some hundred shared segments for each of about a dozen engines, in about one megabyte. */
     private static final int MAX_BEGUN_SEGMENTS = 8_192;
 
     /** More than calls under way on the targets that crash within {@link #MEMORY_MILLIS}. */
     private static final int MAX_BLAMED_SEGMENTS = 4_096;
 
-    private static final int MAX_CRASHES_PER_SEGMENT = 16;
-
-    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
-
     private final LongSupplier clockMillis;
     private final Map<SegmentId, Begin> begins = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
@@ -71,7 +52,7 @@
             return size() > MAX_BEGUN_SEGMENTS;
         }
     };
-    private final Map<SegmentId, Evidence> blamed = new LinkedHashMap<>();
+    private final Map<SegmentId, SegmentEvidence> blamed = new LinkedHashMap<>();
     private final Map<SegmentId, Long> liftedAtMillis = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<SegmentId, Long> _eldest) {
@@ -109,7 +90,7 @@
         }
         long minPauseMillis = held.size() > 1 ? JOINT_TRIAL_PAUSE_MILLIS : 0;
         SegmentId latest = held.get(0);
-        long latestDueMillis = NEVER_MILLIS;
+        long latestDueMillis = SegmentEvidence.NEVER_MILLIS;
         for (SegmentId segment : held) {
             long dueMillis = blamed.get(segment).trialDueMillis(minPauseMillis);
             if (dueMillis > latestDueMillis) {
@@ -117,10 +98,10 @@
                 latest = segment;
             }
         }
-        Evidence evidence = blamed.get(latest);
+        SegmentEvidence evidence = blamed.get(latest);
         return latestDueMillis > nowMillis
                 ? new SegmentStanding.HeldBack(latest, evidence.unclearedCount(), latestDueMillis - nowMillis)
-                : new SegmentStanding.TrialDue(latest, evidence.unclearedCount(), evidence.trialsCount + 1);
+                : new SegmentStanding.TrialDue(latest, evidence.unclearedCount(), evidence.trialsCount() + 1);
     }
 
     /**
@@ -172,14 +153,14 @@
         List<BegunSegment> toTell = List.of();
         for (SegmentId segment : segments) {
             begins.computeIfAbsent(segment, _segment -> new Begin()).atMillis = nowMillis;
-            Evidence evidence = blamed.get(segment);
+            SegmentEvidence evidence = blamed.get(segment);
             if (evidence != null) {
                 boolean wasHeld = isHeldAt(segment, nowMillis);
-                boolean othersMayHold = evidence.countAfter(evidence.lastToldBeginMillis) > 1;
+                boolean othersMayHold = evidence.untoldCrashesCount() > 1;
                 evidence.recordBegin(nowMillis);
                 if (wasHeld || othersMayHold) {
                     toTell = new ArrayList<>(toTell);
-                    toTell.add(new BegunSegment(segment, wasHeld, wasHeld || evidence.blamedHere));
+                    toTell.add(new BegunSegment(segment, wasHeld, wasHeld || evidence.isBlamedHere()));
                 }
             }
         }
@@ -202,12 +183,12 @@
      * @return the age in milliseconds; empty if they know of a begin after the last crash
      */
     public OptionalLong untoldBeginAgeMillis(SegmentId segment) {
-        Evidence evidence = blamed.get(segment);
-        if (evidence == null || evidence.countAfter(evidence.lastToldBeginMillis) == 0) {
+        SegmentEvidence evidence = blamed.get(segment);
+        if (evidence == null || evidence.untoldCrashesCount() == 0) {
             return OptionalLong.empty();
         }
         return evidence.hasBegun()
-                ? OptionalLong.of(clockMillis.getAsLong() - evidence.lastBeginMillis)
+                ? OptionalLong.of(clockMillis.getAsLong() - evidence.lastBeginMillis())
                 : OptionalLong.empty();
     }
 
@@ -219,11 +200,8 @@
      * @return whether they should be told
      */
     public boolean isBeginUnknownToOthers(SegmentId segment) {
-        Evidence evidence = blamed.get(segment);
-        return evidence != null
-                && !evidence.begunAtPeer
-                && evidence.lastToldBeginMillis == NEVER_MILLIS
-                && evidence.lastBeginMillis != NEVER_MILLIS;
+        SegmentEvidence evidence = blamed.get(segment);
+        return evidence != null && evidence.isBeginKnownHereOnly();
     }
 
     /**
@@ -232,9 +210,9 @@
      * @param segment the segment, not null
      */
     public void recordTold(SegmentId segment) {
-        Evidence evidence = blamed.get(segment);
+        SegmentEvidence evidence = blamed.get(segment);
         if (evidence != null) {
-            evidence.lastToldBeginMillis = evidence.lastBeginMillis;
+            evidence.recordTold();
         }
     }
 
@@ -248,13 +226,12 @@
     public boolean recordPeerBegin(SegmentId segment, long begunMillis) {
         Begin begin = begins.computeIfAbsent(segment, _segment -> new Begin());
         begin.atMillis = Math.max(begin.atMillis, begunMillis);
-        Evidence evidence = blamed.get(segment);
+        SegmentEvidence evidence = blamed.get(segment);
         if (evidence == null) {
             return false;
         }
         boolean wasHeld = isHeldBack(segment);
-        evidence.lastToldBeginMillis = Math.max(evidence.lastToldBeginMillis, begunMillis);
-        evidence.recordBegin(begunMillis);
+        evidence.recordPeerBegin(begunMillis);
         return wasHeld && !isHeldBack(segment);
     }
 
@@ -284,9 +261,9 @@
         }
         List<BlamedSegment> blamedSegments = new ArrayList<>();
         lostMillisBySegment.forEach((segment, lostMillis) -> {
-            Evidence evidence = evidenceOf(segment);
+            SegmentEvidence evidence = evidenceOf(segment);
             evidence.recordCrash(targetStart, lostMillis);
-            evidence.blamedHere = true;
+            evidence.recordBlamedHere();
             blamedSegments.add(new BlamedSegment(segment, evidence.hasBegun()));
         });
         return Optional.of(new CrashReport(targetStart, blamedSegments));
@@ -300,10 +277,10 @@
      */
     public void recordPeerCrash(CrashReport report, long crashMillis) {
         for (BlamedSegment each : report.blamed()) {
-            if (crashMillis > liftedAtMillis.getOrDefault(each.segment(), NEVER_MILLIS)) {
-                Evidence evidence = evidenceOf(each.segment());
+            if (crashMillis > liftedAtMillis.getOrDefault(each.segment(), SegmentEvidence.NEVER_MILLIS)) {
+                SegmentEvidence evidence = evidenceOf(each.segment());
                 evidence.recordCrash(report.targetStart(), crashMillis);
-                evidence.begunAtPeer |= each.hasBegun();
+                evidence.recordBegunAtPeer(each.hasBegun());
             }
         }
     }
@@ -316,10 +293,9 @@
      * @param atMillis when it was granted, in monotonic milliseconds of this instance
      */
     public void recordTrial(SegmentId segment, int trialNumber, long atMillis) {
-        Evidence evidence = blamed.get(segment);
-        if (evidence != null && trialNumber > evidence.trialsCount) {
-            evidence.trialsCount = trialNumber;
-            evidence.lastTrialMillis = atMillis;
+        SegmentEvidence evidence = blamed.get(segment);
+        if (evidence != null) {
+            evidence.recordTrial(trialNumber, atMillis);
         }
     }
 
@@ -330,12 +306,12 @@
      */
     public void restore(HeldSegment held) {
         long crashMillis = clockMillis.getAsLong() - held.lastCrashAgeMillis();
-        if (held.lastCrashAgeMillis() > HELD_MEMORY_MILLIS
-                || crashMillis <= liftedAtMillis.getOrDefault(held.segment(), NEVER_MILLIS)
+        if (held.lastCrashAgeMillis() > SegmentEvidence.HELD_MEMORY_MILLIS
+                || crashMillis <= liftedAtMillis.getOrDefault(held.segment(), SegmentEvidence.NEVER_MILLIS)
                 || beginOf(held.segment()) >= crashMillis) {
             return;
         }
-        Evidence evidence = evidenceOf(held.segment());
+        SegmentEvidence evidence = evidenceOf(held.segment());
         for (int i = 0; i < held.crashesCount() && evidence.unclearedCount() < held.crashesCount(); i++) {
             evidence.recordCrash("recorded-" + i, crashMillis);
         }
@@ -381,40 +357,40 @@
     }
 
     private HeldSegment describe(SegmentId segment, long nowMillis) {
-        Evidence evidence = blamed.get(segment);
+        SegmentEvidence evidence = blamed.get(segment);
         return new HeldSegment(
                 segment,
                 evidence.unclearedCount(),
-                evidence.trialsCount,
+                evidence.trialsCount(),
                 nowMillis - evidence.lastCrashMillis(),
                 Math.max(0, evidence.trialDueMillis(0) - nowMillis));
     }
 
     private boolean isHeldAt(SegmentId segment, long nowMillis) {
-        Evidence evidence = blamed.get(segment);
-        return evidence != null && evidence.isHeld() && nowMillis - evidence.lastCrashMillis() < HELD_MEMORY_MILLIS;
+        SegmentEvidence evidence = blamed.get(segment);
+        return evidence != null
+                && evidence.isHeld()
+                && nowMillis - evidence.lastCrashMillis() < SegmentEvidence.HELD_MEMORY_MILLIS;
     }
 
     private long beginOf(SegmentId segment) {
         Begin begin = begins.get(segment);
-        return begin == null ? NEVER_MILLIS : begin.atMillis;
+        return begin == null ? SegmentEvidence.NEVER_MILLIS : begin.atMillis;
     }
 
     private boolean hasBegunLately(SegmentId segment) {
-        Evidence known = blamed.get(segment);
+        SegmentEvidence known = blamed.get(segment);
         return known == null ? clockMillis.getAsLong() - beginOf(segment) < MEMORY_MILLIS : known.hasBegun();
     }
 
-    private Evidence evidenceOf(SegmentId segment) {
-        Evidence known = blamed.get(segment);
+    private SegmentEvidence evidenceOf(SegmentId segment) {
+        SegmentEvidence known = blamed.get(segment);
         if (known != null) {
             return known;
         }
         removeOutdated();
-        Evidence added = new Evidence();
-        if (hasBegunLately(segment)) {
-            added.lastBeginMillis = beginOf(segment);
-        }
+        SegmentEvidence added =
+                new SegmentEvidence(hasBegunLately(segment) ? beginOf(segment) : SegmentEvidence.NEVER_MILLIS);
         blamed.put(segment, added);
         return added;
     }
@@ -423,7 +399,7 @@
         long nowMillis = clockMillis.getAsLong();
         blamed.values()
                 .removeIf(evidence -> nowMillis - evidence.lastCrashMillis()
-                        >= (evidence.isHeld() ? HELD_MEMORY_MILLIS : MEMORY_MILLIS));
+                        >= (evidence.isHeld() ? SegmentEvidence.HELD_MEMORY_MILLIS : MEMORY_MILLIS));
         if (blamed.size() >= MAX_BLAMED_SEGMENTS) {
             SegmentId oldest = blamed.entrySet().stream()
                     .filter(entry -> !entry.getValue().isHeld())
@@ -435,69 +411,6 @@
     }
 
     private static final class Begin {
-        private long atMillis = NEVER_MILLIS;
-    }
-
-    /** What is known of one segment that was in flight during a crash. */
-    private static final class Evidence {
-        private final Map<String, Long> crashMillisByStart = new LinkedHashMap<>();
-        private long lastBeginMillis = NEVER_MILLIS;
-        private long lastToldBeginMillis = NEVER_MILLIS;
-        private boolean begunAtPeer;
-        private boolean blamedHere;
-        private int trialsCount;
-        private long lastTrialMillis = NEVER_MILLIS;
-
-        void recordCrash(String targetStart, long atMillis) {
-            crashMillisByStart.merge(targetStart, atMillis, Math::min);
-            if (crashMillisByStart.size() > MAX_CRASHES_PER_SEGMENT) {
-                crashMillisByStart.remove(crashMillisByStart.keySet().iterator().next());
-            }
-        }
-
-        /** A begin after the last crash shows that the segment is sound, so trials start from the first one again. */
-        void recordBegin(long atMillis) {
-            lastBeginMillis = Math.max(lastBeginMillis, atMillis);
-            if (unclearedCount() == 0) {
-                trialsCount = 0;
-                lastTrialMillis = NEVER_MILLIS;
-            }
-        }
-
-        boolean hasBegun() {
-            return begunAtPeer || lastBeginMillis != NEVER_MILLIS;
-        }
-
-        int unclearedCount() {
-            return countAfter(lastBeginMillis);
-        }
-
-        int countAfter(long millis) {
-            int count = 0;
-            for (long crashMillis : crashMillisByStart.values()) {
-                count += crashMillis > millis ? 1 : 0;
-            }
-            return count;
-        }
-
-        boolean isHeld() {
-            return unclearedCount() >= (hasBegun() ? CRASHES_AFTER_BEGIN : CRASHES_WITHOUT_BEGIN);
-        }
-
-        long lastCrashMillis() {
-            return crashMillisByStart.values().stream()
-                    .mapToLong(Long::longValue)
-                    .max()
-                    .orElse(NEVER_MILLIS);
-        }
-
-        long trialDueMillis(long minPauseMillis) {
-            long lastCrashMillis = lastCrashMillis();
-            return trialsCount < TRIAL_PAUSES_MILLIS.length
-                    ? Math.max(
-                            lastCrashMillis + minPauseMillis,
-                            Math.max(lastCrashMillis, lastTrialMillis) + TRIAL_PAUSES_MILLIS[trialsCount])
-                    : lastCrashMillis + HELD_MEMORY_MILLIS;
-        }
+        private long atMillis = SegmentEvidence.NEVER_MILLIS;
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
@@ -115,7 +115,7 @@
     void recordSent(Incarnation target) {
         begun = false;
         suspicions.recordSend(fingerprint, requestId, target);
-        guard.recordSent(this);
+        guard.trials().recordSent(this);
     }
 
     /** Records that the first event of the answer has arrived, or a part of an answer without events was passed on. */
@@ -133,7 +133,7 @@
      */
     boolean recordLost(Incarnation target) {
         suspicions.recordLostCall(fingerprint, requestId, target, segments, begun);
-        guard.recordLost(this);
+        guard.trials().end(this, "lost");
         return !begun && !segments.isEmpty();
     }
 
@@ -144,7 +144,7 @@
 
     /** Records that a target stated that it did not run the call. */
     void recordNotRun() {
-        guard.recordNotRun(this);
+        guard.trials().recordNotRun(this);
     }
 
     void recordComplete() {
@@ -160,7 +160,7 @@
     void close() {
         if (!closed) {
             closed = true;
-            guard.recordClosed(this);
+            guard.trials().recordClosed(this);
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
@@ -1,10 +1,8 @@
 package org.dogwoodwinch.relay;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -21,7 +19,6 @@
 import org.dogwoodwinch.forwarding.SegmentId;
 import org.dogwoodwinch.forwarding.SegmentStanding;
 import org.dogwoodwinch.logging.LogEvent;
-import org.dogwoodwinch.time.Cancellable;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,15 +33,6 @@
 
     private static final Logger log = LoggerFactory.getLogger(SegmentGuard.class);
 
-    /** How long a call waits for the store to grant a trial: many times the answer of a store that works. */
-    private static final long CLAIM_WAIT_MILLIS = 300;
-
-    /** When a caller may come back whose call was refused while a trial is due or being claimed. */
-    private static final long CLAIM_RETRY_MILLIS = 1_000;
-
-    /** How long a granted trial may wait for a call. */
-    private static final long GRANT_MILLIS = 10_000;
-
     /**
      * The time over which the instances of a fleet spread what they all may tell, for each instance: the first ones are
      * heard by the others, which then need not tell it.
@@ -61,8 +49,7 @@
     private final Set<SegmentId> held = new HashSet<>();
     private final Set<SegmentId> keptHere = new HashSet<>();
     private final Set<SegmentId> begunToTell = new HashSet<>();
-    private final Map<SegmentId, Long> claimAllowedAtMillis = new HashMap<>();
-    private final Map<SegmentId, Grant> grants = new HashMap<>();
+    private final SegmentTrials trials;
 
     /**
      * Creates a guard.
@@ -90,28 +77,17 @@
         this.instancesCount = Objects.requireNonNull(instancesCount, "instancesCount");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.time = Objects.requireNonNull(time, "time");
+        this.trials = new SegmentTrials(segments, news, records, metrics, time);
+    }
+
+    /** Returns the trials that this instance was granted, and the calls that make them. */
+    SegmentTrials trials() {
+        return trials;
     }
 
     /** Why a call is refused, and when its caller may come back. */
     record Refusal(SegmentId segment, int crashesCount, long retryAfterMillis) {}
 
-    /** A granted trial. */
-    private static final class Grant {
-        private final SegmentId segment;
-        private final Set<SegmentId> scope;
-        private final int number;
-        private final long untilMillis;
-        private Optional<CallSuspicion> holder = Optional.empty();
-        private boolean sent;
-
-        Grant(SegmentId segment, Set<SegmentId> scope, int number, long untilMillis) {
-            this.segment = segment;
-            this.scope = Set.copyOf(scope);
-            this.number = number;
-            this.untilMillis = untilMillis;
-        }
-    }
-
     /**
      * Decides whether a call that has arrived may be sent. One that could try a segment waits for a moment until the
      * store has granted the trial.
@@ -122,12 +98,10 @@
      */
     void admit(CallSuspicion call, Consumer<Optional<Refusal>> onDecided) {
         Optional<Refusal> refusal = refusalOf(call);
-        if (refusal.isEmpty() || takeIdleGrant(call)) {
+        if (refusal.isEmpty() || trials.takeUnused(call)) {
             onDecided.accept(Optional.empty());
-            return;
-        }
-        if (segments.standingOf(call.segments()) instanceof SegmentStanding.TrialDue due && mayClaim(due.segment())) {
-            claim(call, due, onDecided);
+        } else if (segments.standingOf(call.segments()) instanceof SegmentStanding.TrialDue due) {
+            trials.claim(call, due, granted -> onDecided.accept(granted ? Optional.empty() : refusal));
         } else {
             onDecided.accept(refusal);
         }
@@ -135,7 +109,7 @@
 
     /** Returns why a call may not be written to a target now; empty if it may. */
     Optional<Refusal> refusalOf(CallSuspicion call) {
-        return grantOf(call).isPresent() ? Optional.empty() : refusalOf(call.segments());
+        return trials.isTrying(call) ? Optional.empty() : refusalOf(call.segments());
     }
 
     /** Returns why a call with some segments may not be written to a target now; empty if it may. */
@@ -145,7 +119,7 @@
             return Optional.of(new Refusal(back.segment(), back.crashesCount(), back.remainingMillis()));
         }
         return standing instanceof SegmentStanding.TrialDue due
-                ? Optional.of(new Refusal(due.segment(), due.crashesCount(), CLAIM_RETRY_MILLIS))
+                ? Optional.of(new Refusal(due.segment(), due.crashesCount(), SegmentTrials.CLAIM_RETRY_MILLIS))
                 : Optional.empty();
     }
 
@@ -154,138 +128,9 @@
         return !segments.isSuspected(call.segments());
     }
 
-    private boolean mayClaim(SegmentId segment) {
-        long nowMillis = time.monotonicMillis();
-        claimAllowedAtMillis.values().removeIf(atMillis -> atMillis <= nowMillis);
-        return !claimAllowedAtMillis.containsKey(segment);
-    }
-
-    private void claim(CallSuspicion call, SegmentStanding.TrialDue due, Consumer<Optional<Refusal>> onDecided) {
-        SegmentId segment = due.segment();
-        Optional<HeldSegment> known = segments.findHeld(segment);
-        if (known.isEmpty()) {
-            onDecided.accept(Optional.empty());
-            return;
-        }
-        claimAllowedAtMillis.put(segment, Long.MAX_VALUE);
-        Set<SegmentId> scope = segments.heldAmong(call.segments());
-        Refusal refusal = new Refusal(segment, due.crashesCount(), CLAIM_RETRY_MILLIS);
-        PendingCall waiting = new PendingCall(call, onDecided);
-        waiting.timer = time.schedule(CLAIM_WAIT_MILLIS, () -> waiting.decide(Optional.of(refusal)));
-        records.claimTrial(known.get(), due.trialNumber(), granted -> {
-            claimAllowedAtMillis.put(segment, time.monotonicMillis() + CLAIM_RETRY_MILLIS);
-            metrics.segmentTrial(granted ? "granted" : "not_granted");
-            LogEvent.of("segment_trial_claimed")
-                    .with("segment", segment)
-                    .with("trial", due.trialNumber())
-                    .with("request", call.requestId())
-                    .with("granted", granted)
-                    .info(log);
-            if (!granted) {
-                waiting.decide(Optional.of(refusal));
-                return;
-            }
-            Grant grant = new Grant(segment, scope, due.trialNumber(), time.monotonicMillis() + GRANT_MILLIS);
-            grants.put(segment, grant);
-            segments.recordTrial(segment, due.trialNumber(), time.monotonicMillis());
-            news.tellTrial(segment, due.trialNumber());
-            if (!waiting.decided && !call.isClosed()) {
-                grant.holder = Optional.of(call);
-                waiting.decide(Optional.empty());
-            }
-        });
-    }
-
-    /** A call that waits for a trial. */
-    private static final class PendingCall {
-        private final CallSuspicion call;
-        private final Consumer<Optional<Refusal>> onDecided;
-        private boolean decided;
-        private Cancellable timer;
-
-        PendingCall(CallSuspicion call, Consumer<Optional<Refusal>> onDecided) {
-            this.call = call;
-            this.onDecided = onDecided;
-        }
-
-        void decide(Optional<Refusal> refusal) {
-            if (decided) {
-                return;
-            }
-            decided = true;
-            if (timer != null) {
-                timer.cancel();
-            }
-            if (!call.isClosed()) {
-                onDecided.accept(refusal);
-            }
-        }
-    }
-
-    /** Gives a call a trial that was granted while no call waited for it. */
-    private boolean takeIdleGrant(CallSuspicion call) {
-        long nowMillis = time.monotonicMillis();
-        grants.values().removeIf(grant -> grant.holder.isEmpty() && grant.untilMillis <= nowMillis);
-        Set<SegmentId> heldByCall = segments.heldAmong(call.segments());
-        Optional<Grant> idle = grants.values().stream()
-                .filter(grant -> grant.holder.isEmpty() && grant.scope.containsAll(heldByCall))
-                .findFirst();
-        idle.ifPresent(grant -> grant.holder = Optional.of(call));
-        return idle.isPresent();
-    }
-
-    private Optional<Grant> grantOf(CallSuspicion call) {
-        if (grants.isEmpty()) {
-            return Optional.empty();
-        }
-        return grants.values().stream()
-                .filter(grant -> grant.holder.filter(call::equals).isPresent())
-                .findFirst();
-    }
-
-    /** Records that a call is written to a target. */
-    void recordSent(CallSuspicion call) {
-        grantOf(call).ifPresent(grant -> {
-            grant.sent = true;
-            LogEvent.of("segment_tried")
-                    .with("segment", grant.segment)
-                    .with("trial", grant.number)
-                    .with("request", call.requestId())
-                    .info(log);
-        });
-    }
-
-    /** Records that a call did not run at the target to which it was written. */
-    void recordNotRun(CallSuspicion call) {
-        grantOf(call).ifPresent(grant -> grant.sent = false);
-    }
-
-    /** Records that a call was lost with its connection. A trial ends with that. */
-    void recordLost(CallSuspicion call) {
-        endGrant(call, "lost");
-    }
-
-    /** Records the end of a call. A trial that reached no target is left for another call. */
-    void recordClosed(CallSuspicion call) {
-        grantOf(call).ifPresent(grant -> {
-            if (grant.sent) {
-                endGrant(call, "ended");
-            } else {
-                grant.holder = Optional.empty();
-            }
-        });
-    }
-
-    private void endGrant(CallSuspicion call, String outcome) {
-        grantOf(call).ifPresent(grant -> {
-            grants.remove(grant.segment);
-            metrics.segmentTrial(outcome);
-        });
-    }
-
     /** Records that the answer to a call begins: its first event has arrived, or all of it. */
     void recordBegin(CallSuspicion call) {
-        endGrant(call, "begun");
+        trials.end(call, "begun");
         for (BegunSegment begun : segments.recordBegin(call.segments())) {
             if (begun.released()) {
                 release(begun.segment(), "begun", call.requestId());
@@ -404,7 +249,7 @@
                 .info(log);
         held.remove(segment);
         keptHere.remove(segment);
-        grants.remove(segment);
+        trials.release(segment);
         records.forget(segment);
         metrics.setHeldSegments(held.size());
     }
@@ -435,7 +280,7 @@
                 .with("cause", peer)
                 .info(log);
         held.remove(segment);
-        grants.remove(segment);
+        trials.release(segment);
         metrics.setHeldSegments(held.size());
     }
 
