Count the attempts of a call in a class of its own

CallRelay had five counters and a set for what was tried, in eleven places. CallAttempts has them and what follows from them. No decision has changed; the tests of the relay pass.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -35,12 +35,6 @@
      */
     private static final int MAX_BUFFERED_BODY_BYTES = 262_144;
 
-    /**
-     * Maximum number of unreachable prefill targets per call, since each costs the time of a connection attempt. After
-     * that, the target that runs the call also prefills its prompt.
-     */
-    private static final int MAX_UNSENT_PREFILLS = 2;
-
     private enum State {
         SENDING,
         STREAMING,
@@ -61,7 +55,7 @@
     private final Consumer<CallRelay> onDone;
     private final CallStartRecorder startRecorder;
     private final StreamContinuity continuity;
-    private final Set<String> triedIds = new HashSet<>();
+    private final CallAttempts attempts = new CallAttempts();
     private State state = State.SENDING;
     private Cancellable deadlineTimer;
     private ForwardingPlan plan;
@@ -69,11 +63,6 @@
     private Optional<InFlightSend> inFlight = Optional.empty();
     private TargetResponse response;
     private EventFramer eventFramer;
-    private int runsCount;
-    private int rejectionsCount;
-    private int failedConnectsCount;
-    private boolean connectionsInUse;
-    private boolean remotePrefillUsed;
     private Optional<RemotePrefill> remotePrefill = Optional.empty();
     private Optional<KvCacheHandle> cacheHandle = Optional.empty();
     private Incarnation cacheHolder;
@@ -127,7 +116,7 @@
         context.report().heldBack(this, refusal);
         if (state == State.STREAMING) {
             caller.abortResponse();
-        } else if (runsCount > 0) {
+        } else if (attempts.mayHaveRun()) {
             LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
         } else {
             LocalResponses.sendRetryable(
@@ -225,7 +214,7 @@
     }
 
     int sendsCount() {
-        return runsCount + rejectionsCount;
+        return attempts.sendsCount();
     }
 
     long ageMillis() {
@@ -247,7 +236,7 @@
     }
 
     private TargetQuery query() {
-        return query(triedIds);
+        return query(attempts.triedIds());
     }
 
     private TargetQuery query(Set<String> avoided) {
@@ -258,7 +247,7 @@
                 remainingObjectiveMillis(),
                 route.maxEventGapMillis(),
                 avoided,
-                !remotePrefillUsed,
+                attempts.mayPrefillRemotely(),
                 continuity.softwareVersion());
     }
 
@@ -271,7 +260,7 @@
         if (suspectTargets.isEmpty()) {
             return context.chooser().choose(query());
         }
-        Set<String> avoided = new HashSet<>(triedIds);
+        Set<String> avoided = new HashSet<>(attempts.triedIds());
         avoided.addAll(suspectTargets);
         return context.chooser()
                 .choose(query(avoided))
@@ -305,7 +294,7 @@
      * target: the next attempt lets the target that runs the call prefill it.
      */
     private void startRemotePrefill(Incarnation prefillTarget) {
-        remotePrefillUsed = true;
+        attempts.recordRemotePrefill();
         RemotePrefill started = new RemotePrefill(
                 context,
                 service,
@@ -330,11 +319,7 @@
             cacheHolder = prefillTarget;
             sendAfterPrefill(prefillTarget);
         } else if (outcome instanceof PrefillOutcome.NotSent notSent) {
-            // No byte reached the prefill target: another one may be tried as on the first attempt.
-            failedConnectsCount++;
-            connectionsInUse |= notSent.reason().equals(TargetConnectionPool.CONNECTIONS_IN_USE);
-            triedIds.add(prefillTarget.id());
-            remotePrefillUsed = failedConnectsCount > MAX_UNSENT_PREFILLS;
+            attempts.recordUnsentPrefill(prefillTarget.id(), notSent.reason());
             context.report()
                     .prefillFailed(this, prefillTarget, notSent.reason(), new NextStep.SendAgain(), remainingRetries());
             chooseAndSend();
@@ -374,8 +359,8 @@
      * limits that. The service then receives twice its calls at the moment when a part of it is broken.
      */
     private void handlePrefillFailure(Incarnation prefillTarget, String reason) {
-        rejectionsCount++;
-        triedIds.add(prefillTarget.id());
+        attempts.recordNotRun();
+        attempts.recordSent(prefillTarget.id());
         SendOutcome outcome = new SendOutcome.NotPrefilled(reason);
         NextStep step = context.retryPolicy().nextStep(outcome, progress(), this::tryTakeRetry);
         context.report().prefillFailed(this, prefillTarget, reason, step, remainingRetries());
@@ -395,9 +380,7 @@
 
                             @Override
                             public void notAcquired(String reason) {
-                                failedConnectsCount++;
-                                connectionsInUse |= reason.equals(TargetConnectionPool.CONNECTIONS_IN_USE);
-                                triedIds.add(plan.target().id());
+                                attempts.recordUnsent(plan.target().id(), reason);
                                 onEnd(new SendOutcome.NotSent(reason));
                             }
                         });
@@ -428,7 +411,7 @@
         }
         connection = acquired;
         startRecorder.onSent();
-        triedIds.add(plan.target().id());
+        attempts.recordSent(plan.target().id());
         response = null;
         Optional<Prompt> promptToPrefill = cacheHandle.isPresent() ? Optional.empty() : attributes.prompt();
         InFlightSend started = InFlightSend.start(context, plan.target(), promptToPrefill, plan.prefillWork());
@@ -606,9 +589,9 @@
         }
         if (outcome instanceof SendOutcome.Rejected) {
             suspicion.recordNotRun();
-            rejectionsCount++;
+            attempts.recordNotRun();
         } else if (!(outcome instanceof SendOutcome.NotSent)) {
-            runsCount++;
+            attempts.recordMayHaveRun();
             startRecorder.onMayHaveRun();
         }
         eventFramer.beginResponse();
@@ -634,14 +617,7 @@
     }
 
     private CallProgress progress() {
-        return new CallProgress(
-                route.isIdempotent(),
-                runsCount,
-                rejectionsCount,
-                failedConnectsCount,
-                route.maxAttemptsCount(),
-                remainingMillis(),
-                context.chooser().millisUntilCapacity(query()));
+        return attempts.toProgress(route, remainingMillis(), context.chooser().millisUntilCapacity(query()));
     }
 
     private void execute(SendOutcome outcome, NextStep step) {
@@ -675,7 +651,7 @@
             return;
         }
         if (inFlight.isPresent()) {
-            runsCount++;
+            attempts.recordMayHaveRun();
             abandonSend();
         }
         passOn();
@@ -697,9 +673,9 @@
      * of any other.
      */
     private boolean passOnForConnections() {
-        boolean passedOn = connectionsInUse
+        boolean passedOn = attempts.metConnectionsInUse()
                 && isOwnAndSending()
-                && runsCount == 0
+                && !attempts.mayHaveRun()
                 && context.neighbours().canTakeOver();
         if (passedOn) {
             passOnNow();
@@ -728,7 +704,7 @@
         suspicion.close();
         successor = context.neighbours()
                 .passOn(
-                        new PassedOnCall(call, key, attributes, route, runsCount > 0),
+                        new PassedOnCall(call, key, attributes, route, attempts.mayHaveRun()),
                         caller,
                         context.retryPolicy().retryAfterMillis(),
                         () -> onDone.accept(this));
@@ -744,7 +720,7 @@
         if (state == State.DONE) {
             return;
         }
-        boolean mayHaveRun = runsCount > 0 || inFlight.isPresent();
+        boolean mayHaveRun = attempts.mayHaveRun() || inFlight.isPresent();
         context.report().deadlineExceeded(this, mayHaveRun);
         if (state == State.STREAMING) {
             caller.abortResponse();
