Send a rejected call again though its segment is suspected

Found by reading: a call whose segment was in flight during one crash, and with which no answer has begun, was not sent again after a rejection either. A rejected call has not run, so it has crashed nothing; on a full fleet such calls would be refused where others are sent on. Only a lost call counts now.

Measured: the new test fails before (one connection) and passes now.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -362,7 +362,7 @@
         attempts.recordNotRun();
         attempts.recordSent(prefillTarget.id());
         SendOutcome outcome = new SendOutcome.NotPrefilled(reason);
-        NextStep step = context.retryPolicy().nextStep(outcome, progress(), this::tryTakeRetry);
+        NextStep step = context.retryPolicy().nextStep(outcome, progress(), () -> tryTakeRetry(false));
         context.report().prefillFailed(this, prefillTarget, reason, step, remainingRetries());
         execute(outcome, step);
     }
@@ -595,13 +595,19 @@
             startRecorder.onMayHaveRun();
         }
         eventFramer.beginResponse();
-        NextStep step = context.retryPolicy().nextStep(outcome, progress(), this::tryTakeRetry);
+        NextStep step = context.retryPolicy()
+                .nextStep(outcome, progress(), () -> tryTakeRetry(outcome instanceof SendOutcome.Unknown));
         context.report().sendFailed(this, outcome, step, remainingRetries());
         execute(outcome, step);
     }
 
-    private boolean tryTakeRetry() {
-        if (!suspicion.mayBeSentAgain()) {
+    /**
+     * Takes a retry from the budget, if the call may be sent again.
+     *
+     * @param isLost whether the call was lost at a target that may have begun to run it
+     */
+    private boolean tryTakeRetry(boolean isLost) {
+        if (!suspicion.mayBeSentAgain(isLost)) {
             return false;
         }
         boolean taken = context.budget().tryTakeRetry(service.name(), nowMillis());
@@ -647,7 +653,7 @@
     void passOnWaiting() {
         boolean isWritten = inFlight.isPresent() || remotePrefill.isPresent();
         boolean mayRunTwice = inFlight.isEmpty() || route.isIdempotent();
-        if (!mayBePassedOn() || response != null || !mayRunTwice || (isWritten && !tryTakeRetry())) {
+        if (!mayBePassedOn() || response != null || !mayRunTwice || (isWritten && !tryTakeRetry(false))) {
             return;
         }
         if (inFlight.isPresent()) {
--- a/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
@@ -102,9 +102,9 @@
                 : Optional.empty();
     }
 
-    /** Returns whether the call may be sent again after it was lost. */
-    boolean mayBeSentAgain() {
-        return suspicions.mayBeSentAgain(fingerprint) && guard.mayBeSentAgain(this);
+    /** Returns whether the call may be sent again after it was lost, or was not run. */
+    boolean mayBeSentAgain(boolean isLost) {
+        return suspicions.mayBeSentAgain(fingerprint) && !(isLost && guard.isSuspected(this));
     }
 
     /** Returns the targets to avoid: for a suspect, those that run other suspects. */
--- a/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
@@ -123,9 +123,9 @@
                 : Optional.empty();
     }
 
-    /** Returns whether a call that was lost may be sent again. */
-    boolean mayBeSentAgain(CallSuspicion call) {
-        return !segments.isSuspected(call.segments());
+    /** Returns whether a call that was lost may have crashed its target. */
+    boolean isSuspected(CallSuspicion call) {
+        return segments.isSuspected(call.segments());
     }
 
     /** Records that the answer to a call begins: its first event has arrived, or all of it. */
