Test over sockets that a held segment outlasts all instances

A daemon that starts after all others have ended refuses calls with the segment and ends no engine: the record in the store is read at its start.

--- a/src/main/java/org/dogwoodwinch/standin/platform/StoreStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StoreStandIn.java
@@ -150,6 +150,16 @@
         return topic(topic).append(record);
     }
 
+    /**
+     * Returns whether a keyed topic holds a record.
+     *
+     * @param topic its name, not null
+     * @return whether any key has a value
+     */
+    public boolean hasKeys(String topic) {
+        return !topic(topic).newest.isEmpty();
+    }
+
     @Override
     public void handle(StandInRequest request, StandInAnswer plainAnswer) {
         StandInAnswer answer = new AnswerWithHeader(plainAnswer, "store-era", () -> Long.toString(era));
--- a/src/test/java/org/dogwoodwinch/daemon/CrashingSegmentsOverSocketsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/CrashingSegmentsOverSocketsTest.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -32,7 +33,7 @@
     private static final int MAX_CRASHES = 8;
 
     private final Transport platformLoop = Transport.start(1);
-    private final Transport daemonLoop = Transport.start(1);
+    private Transport daemonLoop = Transport.start(1);
     private PlatformStandIn platform;
     private ForwardingDaemon first;
     private ForwardingDaemon second;
@@ -124,14 +125,47 @@
                         + "\r\n\r\n" + body);
     }
 
+    private String crashUntilHeldBack() throws IOException {
+        String listed = "";
+        for (int i = 0; i < MAX_ATTEMPTS && !listed.contains("\"segment\":\"bad\""); i++) {
+            send(first, "f1:100,bad:50");
+            listed = operate(first, "GET", "/quarantine/segments", "");
+        }
+        return listed;
+    }
+
+    /** Guards against a fleet that is killed at once and ends engines to find out again what it knew. */
     @Test
-    void operatorsListAndLiftASegmentThatIsHeldBack() throws IOException {
+    void heldSegmentOutlastsAllInstances() throws IOException {
         platform.crashOn("bad");
+        assertTrue(crashUntilHeldBack().contains("\"segment\":\"bad\""));
+        boolean isRecorded = false;
+        for (int i = 0; i < MAX_ATTEMPTS && !isRecorded; i++) {
+            isRecorded = platformLoop
+                    .eventLoopGroup()
+                    .next()
+                    .submit(() -> platform.store().hasKeys(SegmentStore.TOPIC))
+                    .syncUninterruptibly()
+                    .getNow();
+        }
+        daemonLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        int crashesBefore = platform.crashesCount();
+
+        daemonLoop = Transport.start(1);
+        first = startDaemon("n1");
         String listed = "";
         for (int i = 0; i < MAX_ATTEMPTS && !listed.contains("\"segment\":\"bad\""); i++) {
-            send(first, "f1:100,bad:50");
             listed = operate(first, "GET", "/quarantine/segments", "");
         }
+
+        assertTrue(send(first, "f1:100,bad:50").startsWith("HTTP/1.1 503 "));
+        assertEquals(crashesBefore, platform.crashesCount());
+    }
+
+    @Test
+    void operatorsListAndLiftASegmentThatIsHeldBack() throws IOException {
+        platform.crashOn("bad");
+        String listed = crashUntilHeldBack();
         assertTrue(listed.contains("{\"model\":\"m\",\"segment\":\"bad\",\"crashes\":"), listed);
 
         String lifted = operate(first, "POST", "/quarantine/segments/lift", "{\"model\":\"m\",\"segment\":\"bad\"}");
