Tell again what is held back, so that a cut-off instance learns of it

One instance was cut off from the others and from the store for 5.8 s, while six crashes were told, each once. After the cut it went on sending; it was connected again for 5.9 s by then.

Change: what is held back is told again after 1.5 s by one instance, the first of a pause spread over all; those that hear it stay silent. An instance that knows of a begin after the crashes answers with it, so one that missed the begin holds the segment back no longer.

Measured: instanceThatWasCutOffDuringTheCrashesLearnsOfThem fails before at 6, 48 and 90 instances (the cut one knows nothing 3 s after the cut) and passes now; instanceThatMissedABeginHoldsTheSegmentBackNoLonger as well (6, 48).

--- a/src/main/java/org/dogwoodwinch/daemon/SegmentSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/SegmentSharing.java
@@ -7,11 +7,12 @@
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.forwarding.CrashReport;
 import org.dogwoodwinch.forwarding.CrashReport.BlamedSegment;
+import org.dogwoodwinch.forwarding.HeldSegment;
 import org.dogwoodwinch.forwarding.SegmentId;
 import org.dogwoodwinch.logging.LogEvent;
-import org.dogwoodwinch.peer.PeerBus;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.peer.PeerUpdate;
+import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.relay.SegmentGuard;
 import org.dogwoodwinch.relay.SegmentNews;
 import org.msgpack.core.MessagePacker;
@@ -34,6 +35,7 @@
     private static final int CRASH_FIELDS = 4;
     private static final int BEGIN_FIELDS = 4;
     private static final int TRIAL_FIELDS = 4;
+    private static final int HELD_FIELDS = 6;
     private static final int LIFT_FIELDS = 3;
     private static final int BLAMED_FIELDS = 3;
 
@@ -41,18 +43,20 @@
         CRASH,
         BEGIN,
         TRIAL,
+        HELD,
         LIFT
     }
 
-    private final PeerBus bus;
+    private final RelayExchange exchange;
 
-    SegmentSharing(PeerBus bus) {
-        this.bus = Objects.requireNonNull(bus, "bus");
+    SegmentSharing(RelayExchange exchange) {
+        this.exchange = Objects.requireNonNull(exchange, "exchange");
     }
 
     /** Lets a guard hear the other instances. */
     void start(SegmentGuard guard) {
-        bus.subscribe(PeerTopic.CRASHING_SEGMENT, update -> {
+        exchange.beforeEachRound(guard::repeatHeld);
+        exchange.subscribe(PeerTopic.CRASHING_SEGMENT, update -> {
             try {
                 Packing.unpack(update.payload().toByteArray(), unpacker -> handle(update, unpacker, guard));
             } catch (IOException e) {
@@ -85,6 +89,13 @@
                 SegmentId segment = unpackSegment(unpacker);
                 guard.onPeerTrial(segment, unpacker.unpackInt(), update.ageMillis());
             }
+            case HELD -> {
+                expect(HELD_FIELDS, fieldsCount);
+                SegmentId segment = unpackSegment(unpacker);
+                HeldSegment held =
+                        new HeldSegment(segment, unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong(), 0);
+                guard.onPeerHeld(held, update.ageMillis(), update.origin());
+            }
             case LIFT -> {
                 expect(LIFT_FIELDS, fieldsCount);
                 guard.onPeerLift(unpackSegment(unpacker), update.ageMillis(), update.origin());
@@ -114,7 +125,7 @@
     }
 
     private void publish(Kind kind, String subject, Bytes payload) {
-        bus.publish(PeerTopic.CRASHING_SEGMENT, kind + " " + subject, payload, TTL_MILLIS);
+        exchange.publish(PeerTopic.CRASHING_SEGMENT, kind + " " + subject, payload, TTL_MILLIS);
     }
 
     @Override
@@ -152,6 +163,19 @@
         });
     }
 
+    @Override
+    public void tellHeld(HeldSegment held) {
+        Bytes payload = Packing.pack(held, (packer, value) -> {
+            packer.packArrayHeader(HELD_FIELDS);
+            packer.packString(Kind.HELD.name());
+            packSegment(packer, value.segment());
+            packer.packInt(value.crashesCount());
+            packer.packInt(value.trialsCount());
+            packer.packLong(value.lastCrashAgeMillis());
+        });
+        publish(Kind.HELD, held.segment().toString(), payload);
+    }
+
     @Override
     public void tellLift(SegmentId segment) {
         Bytes payload = Packing.pack(segment, (packer, value) -> {
--- a/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -177,19 +177,37 @@
     public record BegunSegment(SegmentId segment, boolean released, boolean isUrgent) {}
 
     /**
-     * Returns when an answer with a segment began that the other instances have not been told of.
+     * Returns whether answers with a segment are known to have begun.
      *
      * @param segment the segment, not null
-     * @return the age in milliseconds; empty if they know of a begin after the last crash
+     * @return whether one has, here or at an instance that told of it, within the time that begins are remembered
      */
-    public OptionalLong untoldBeginAgeMillis(SegmentId segment) {
+    public boolean hasBegun(SegmentId segment) {
+        return hasBegunLately(segment);
+    }
+
+    /**
+     * Returns when an answer with a segment last began, as far as this instance knows.
+     *
+     * @param segment the segment, not null
+     * @return the age in milliseconds; empty if no begin is known here
+     */
+    public OptionalLong beginAgeMillis(SegmentId segment) {
+        long begunMillis = beginOf(segment);
+        return begunMillis == SegmentEvidence.NEVER_MILLIS
+                ? OptionalLong.empty()
+                : OptionalLong.of(clockMillis.getAsLong() - begunMillis);
+    }
+
+    /**
+     * Returns whether the other instances have not been told of a begin after the last crash.
+     *
+     * @param segment the segment, not null
+     * @return whether a begin is known here and they may count crashes before it
+     */
+    public boolean isBeginUntold(SegmentId segment) {
         SegmentEvidence evidence = blamed.get(segment);
-        if (evidence == null || evidence.untoldCrashesCount() == 0) {
-            return OptionalLong.empty();
-        }
-        return evidence.hasBegun()
-                ? OptionalLong.of(clockMillis.getAsLong() - evidence.lastBeginMillis())
-                : OptionalLong.empty();
+        return evidence != null && evidence.hasBegun() && evidence.untoldCrashesCount() > 0;
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
@@ -1,8 +1,10 @@
 package org.dogwoodwinch.relay;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -39,6 +41,12 @@
      */
     private static final long SPREAD_PER_INSTANCE_MILLIS = 10;
 
+    /**
+     * The time after which what is held back is told again. An instance that was cut off from the others hears of it well
+     * before its calls are expected to be handled like theirs.
+     */
+    private static final long REPEAT_MILLIS = 1_500;
+
     private final CrashingSegments segments;
     private final SegmentNews news;
     private final SegmentRecords records;
@@ -46,7 +54,9 @@
     private final IntSupplier instancesCount;
     private final ForwardingMetrics metrics;
     private final TimeSource time;
-    private final Set<SegmentId> held = new HashSet<>();
+    /** The segments that are held back, and when the fleet was last told so. */
+    private final Map<SegmentId, Long> toldMillisByHeld = new HashMap<>();
+
     private final Set<SegmentId> keptHere = new HashSet<>();
     private final Set<SegmentId> begunToTell = new HashSet<>();
     private final SegmentTrials trials;
@@ -136,9 +146,9 @@
                 release(begun.segment(), "begun", call.requestId());
             }
             if (begun.isUrgent()) {
-                tellBegin(begun.segment());
+                tellBegin(begun.segment(), 0);
             } else {
-                tellBeginLater(begun.segment(), _segment -> true);
+                tellBeginLater(begun.segment(), segments::isBeginUntold);
             }
         }
     }
@@ -148,7 +158,7 @@
             time.schedule(spreadMillis(segment), () -> {
                 begunToTell.remove(segment);
                 if (isStillNews.test(segment)) {
-                    tellBegin(segment);
+                    segments.beginAgeMillis(segment).ifPresent(ageMillis -> tellBegin(segment, ageMillis));
                 }
             });
         }
@@ -159,11 +169,9 @@
         return (long) (RendezvousHash.score(segment.toString(), ownName) * spanMillis);
     }
 
-    private void tellBegin(SegmentId segment) {
-        segments.untoldBeginAgeMillis(segment).ifPresent(ageMillis -> {
-            news.tellBegin(segment, ageMillis);
-            segments.recordTold(segment);
-        });
+    private void tellBegin(SegmentId segment, long ageMillis) {
+        news.tellBegin(segment, ageMillis);
+        segments.recordTold(segment);
     }
 
     /** Records that a target crashed under calls of this instance, all at one start of it. */
@@ -178,7 +186,7 @@
         logBlame(report.get(), "", ageMillis);
         metrics.segmentsBlamed("own");
         news.tellCrash(report.get(), ageMillis);
-        noteHeld(report.get(), "", true);
+        noteHeldOf(report.get(), "", true);
     }
 
     /**
@@ -192,7 +200,7 @@
         logBlame(report, peer, ageMillis);
         metrics.segmentsBlamed("peer");
         segments.recordPeerCrash(report, time.monotonicMillis() - ageMillis);
-        noteHeld(report, peer, false);
+        noteHeldOf(report, peer, false);
         report.blamed().stream()
                 .map(BlamedSegment::segment)
                 .filter(segments::isBeginUnknownToOthers)
@@ -216,10 +224,10 @@
                 .toList();
     }
 
-    private void noteHeld(CrashReport report, String peer, boolean isOwn) {
+    private void noteHeldOf(CrashReport report, String peer, boolean isOwn) {
         for (BlamedSegment each : report.blamed()) {
             segments.findHeld(each.segment()).ifPresent(found -> {
-                if (held.add(found.segment())) {
+                if (noteHeld(found.segment())) {
                     logHeld(found, peer);
                 }
                 if (isOwn && keptHere.add(found.segment())) {
@@ -227,7 +235,60 @@
                 }
             });
         }
-        metrics.setHeldSegments(held.size());
+        metrics.setHeldSegments(toldMillisByHeld.size());
+    }
+
+    /** Returns whether it was not known that a segment is held back. */
+    private boolean noteHeld(SegmentId segment) {
+        return toldMillisByHeld.putIfAbsent(segment, time.monotonicMillis()) == null;
+    }
+
+    /**
+     * Tells again what is held back, unless another instance has told it lately. Called in short intervals.
+     *
+     * <p>Failure: an instance is cut off from the others while they tell of crashes, each once. It goes on sending calls
+     * that crash targets after the cut has ended.
+     */
+    public void repeatHeld() {
+        long nowMillis = time.monotonicMillis();
+        for (Map.Entry<SegmentId, Long> each : List.copyOf(toldMillisByHeld.entrySet())) {
+            SegmentId segment = each.getKey();
+            Optional<HeldSegment> found = segments.findHeld(segment);
+            if (found.isEmpty()) {
+                noteReleased(segment, "forgotten", "");
+            } else if (nowMillis - each.getValue() >= REPEAT_MILLIS + spreadMillis(segment)) {
+                toldMillisByHeld.put(segment, nowMillis);
+                news.tellHeld(found.get());
+            }
+        }
+    }
+
+    /**
+     * Records that another instance holds a segment back. If this one knows that an answer with it has begun, it tells
+     * that instead.
+     *
+     * @param told the segment as the other instance knows it, not null
+     * @param ageMillis the time since it told
+     * @param peer the name of the other instance, not null
+     */
+    public void onPeerHeld(HeldSegment told, long ageMillis, String peer) {
+        SegmentId segment = told.segment();
+        boolean wasHeld = segments.isHeldBack(segment);
+        segments.restore(new HeldSegment(
+                segment,
+                told.crashesCount(),
+                told.trialsCount(),
+                told.lastCrashAgeMillis() + ageMillis,
+                told.remainingMillis()));
+        if (segments.isHeldBack(segment)) {
+            toldMillisByHeld.put(segment, time.monotonicMillis());
+            if (!wasHeld) {
+                segments.findHeld(segment).ifPresent(found -> logHeld(found, peer));
+                metrics.setHeldSegments(toldMillisByHeld.size());
+            }
+        } else if (segments.hasBegun(segment)) {
+            tellBeginLater(segment, segments::hasBegun);
+        }
     }
 
     private static void logHeld(HeldSegment found, String peer) {
@@ -247,11 +308,11 @@
                 .with("reason", reason)
                 .with("cause", cause)
                 .info(log);
-        held.remove(segment);
+        toldMillisByHeld.remove(segment);
         keptHere.remove(segment);
         trials.release(segment);
         records.forget(segment);
-        metrics.setHeldSegments(held.size());
+        metrics.setHeldSegments(toldMillisByHeld.size());
     }
 
     /**
@@ -279,9 +340,9 @@
                 .with("reason", reason)
                 .with("cause", peer)
                 .info(log);
-        held.remove(segment);
+        toldMillisByHeld.remove(segment);
         trials.release(segment);
-        metrics.setHeldSegments(held.size());
+        metrics.setHeldSegments(toldMillisByHeld.size());
     }
 
     /**
@@ -316,10 +377,10 @@
     public void onRecord(HeldSegment record) {
         segments.restore(record);
         segments.findHeld(record.segment())
-                .filter(found -> held.add(found.segment()))
+                .filter(found -> noteHeld(found.segment()))
                 .ifPresent(found -> {
                     logHeld(found, "store");
-                    metrics.setHeldSegments(held.size());
+                    metrics.setHeldSegments(toldMillisByHeld.size());
                 });
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/SegmentNews.java
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentNews.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.relay;
 
 import org.dogwoodwinch.forwarding.CrashReport;
+import org.dogwoodwinch.forwarding.HeldSegment;
 import org.dogwoodwinch.forwarding.SegmentId;
 
 /** Tells the other instances what this one finds out about prompt segments that crash targets. */
@@ -17,6 +18,9 @@
         @Override
         public void tellTrial(SegmentId _segment, int _trialNumber) {}
 
+        @Override
+        public void tellHeld(HeldSegment _held) {}
+
         @Override
         public void tellLift(SegmentId _segment) {}
     };
@@ -45,6 +49,13 @@
      */
     void tellTrial(SegmentId segment, int trialNumber);
 
+    /**
+     * Tells that a segment is held back, for instances that have not heard of its crashes.
+     *
+     * @param held the segment, not null
+     */
+    void tellHeld(HeldSegment held);
+
     /**
      * Tells that an operator lifted a segment.
      *
--- a/src/test/java/org/dogwoodwinch/daemon/SegmentSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SegmentSharingTest.java
@@ -25,6 +25,9 @@
     /** A third of the time after the last crash from which calls with the segment may hardly be sent any more. */
     private static final long KNOWN_TO_ALL_MILLIS = 1_000;
 
+    /** The time after a cut from which the instance counts as in touch again. */
+    private static final long RELEARNED_MILLIS = 3_000;
+
     private final List<SegmentGuard> guards = new ArrayList<>();
 
     private void start(SimulatedFleet fleet) {
@@ -126,6 +129,45 @@
         assertEquals(count, holdersOf(BAD));
     }
 
+    /** Guards against an instance that was cut off from the others while they told of the crashes. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 48, 90})
+    void instanceThatWasCutOffDuringTheCrashesLearnsOfThem(int count) {
+        SimulatedFleet fleet = new SimulatedFleet(count, 3, 5);
+        start(fleet);
+        SimulatedFleet.Member cut = fleet.members.get(count - 1);
+        cut.setIsolated(true);
+        for (int i = 0; i < 3; i++) {
+            crash(fleet, i, "t" + i);
+        }
+        fleet.time.advanceMillis(5_000);
+        cut.setIsolated(false);
+        fleet.time.advanceMillis(RELEARNED_MILLIS);
+
+        assertEquals(count, holdersOf(BAD));
+    }
+
+    /** Guards against an instance that missed a begin and tells that a sound segment is held back. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 48})
+    void instanceThatMissedABeginHoldsTheSegmentBackNoLonger(int count) {
+        SimulatedFleet fleet = new SimulatedFleet(count, 3, 5);
+        start(fleet);
+        for (int i = 0; i < 3; i++) {
+            crash(fleet, i, "t" + i);
+        }
+        fleet.time.advanceMillis(KNOWN_TO_ALL_MILLIS);
+        SimulatedFleet.Member cut = fleet.members.get(count - 1);
+        cut.setIsolated(true);
+        begin(fleet, 0);
+        fleet.time.advanceMillis(5_000);
+        cut.setIsolated(false);
+        fleet.time.advanceMillis(RELEARNED_MILLIS);
+
+        assertEquals(0, holdersOf(SHARED));
+        assertEquals(count, holdersOf(BAD));
+    }
+
     /** Guards against a fleet whose instances all tell the same begin and fill narrow links. */
     @ParameterizedTest
     @ValueSource(ints = {48, 90})
--- a/src/test/java/org/dogwoodwinch/relay/SegmentLinks.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentLinks.java
@@ -46,6 +46,11 @@
                 toOthers(instance, (guard, _from) -> guard.onPeerTrial(segment, trialNumber, 0));
             }
 
+            @Override
+            public void tellHeld(HeldSegment held) {
+                toOthers(instance, (guard, from) -> guard.onPeerHeld(held, 0, from));
+            }
+
             @Override
             public void tellLift(SegmentId segment) {
                 toOthers(instance, (guard, from) -> guard.onPeerLift(segment, 0, from));
