Keep and remove the records of held segments whatever happens to who saw them

Found by reading. A segment was recorded by the instance that saw the crash that decided; if that one ended before the store answered, nobody recorded it. And a record whose removal the store did not take stayed, so that instances that start later would hold a sound segment back until its trial. Now the instance that tells again what is held back also sees to the record, and a removal is repeated until the store takes it. A begin that another instance has told meanwhile is not told again.

Measured: instanceThatTellsAgainWhatIsHeldBackAlsoRecordsIt and recordOfAReleasedSegmentIsRemovedOnceTheStoreIsBack failed before and pass now.

--- a/src/main/java/org/dogwoodwinch/daemon/SegmentStore.java
+++ b/src/main/java/org/dogwoodwinch/daemon/SegmentStore.java
@@ -121,11 +121,19 @@
     @Override
     public void forget(SegmentId segment) {
         kept.remove(segment);
-        writer.put(keyOf(segment), Optional.empty())
-                .thenAccept(written -> LogEvent.of("segment_forgotten")
-                        .with("segment", segment)
-                        .with("written", written)
-                        .info(log));
+        writer.put(keyOf(segment), Optional.empty()).thenAccept(written -> {
+            LogEvent.of("segment_forgotten")
+                    .with("segment", segment)
+                    .with("written", written)
+                    .info(log);
+            if (!written) {
+                time.schedule(RETRY_MILLIS, () -> {
+                    if (!kept.containsKey(segment)) {
+                        forget(segment);
+                    }
+                });
+            }
+        });
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -393,7 +393,10 @@
 
     private long beginOf(SegmentId segment) {
         Begin begin = begins.get(segment);
-        return begin == null ? SegmentEvidence.NEVER_MILLIS : begin.atMillis;
+        SegmentEvidence evidence = blamed.get(segment);
+        return Math.max(
+                begin == null ? SegmentEvidence.NEVER_MILLIS : begin.atMillis,
+                evidence == null ? SegmentEvidence.NEVER_MILLIS : evidence.lastBeginMillis());
     }
 
     private boolean hasBegunLately(SegmentId segment) {
--- a/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
@@ -156,8 +156,8 @@
     private void tellBeginLater(SegmentId segment, Predicate<SegmentId> isStillNews) {
         if (begunToTell.add(segment)) {
             time.schedule(spreadMillis(segment), () -> {
-                begunToTell.remove(segment);
-                if (isStillNews.test(segment)) {
+                // Another instance may have told a begin meanwhile.
+                if (begunToTell.remove(segment) && isStillNews.test(segment)) {
                     segments.beginAgeMillis(segment).ifPresent(ageMillis -> tellBegin(segment, ageMillis));
                 }
             });
@@ -230,21 +230,29 @@
                 if (noteHeld(found.segment())) {
                     logHeld(found, peer);
                 }
-                if (isOwn && keptHere.add(found.segment())) {
-                    records.keep(found);
+                if (isOwn) {
+                    keep(found);
                 }
             });
         }
         metrics.setHeldSegments(toldMillisByHeld.size());
     }
 
+    /** Keeps a segment in the store, unless this instance has seen to that. */
+    private void keep(HeldSegment found) {
+        if (keptHere.add(found.segment())) {
+            records.keep(found);
+        }
+    }
+
     /** Returns whether it was not known that a segment is held back. */
     private boolean noteHeld(SegmentId segment) {
         return toldMillisByHeld.putIfAbsent(segment, time.monotonicMillis()) == null;
     }
 
     /**
-     * Tells again what is held back, unless another instance has told it lately. Called in short intervals.
+     * Tells again what is held back, and sees to its record, unless another instance has told it lately. Called in short
+     * intervals.
      *
      * <p>Failure: an instance is cut off from the others while they tell of crashes, each once. It goes on sending calls
      * that crash targets after the cut has ended.
@@ -259,6 +267,7 @@
             } else if (nowMillis - each.getValue() >= REPEAT_MILLIS + spreadMillis(segment)) {
                 toldMillisByHeld.put(segment, nowMillis);
                 news.tellHeld(found.get());
+                keep(found.get());
             }
         }
     }
@@ -323,6 +332,7 @@
      * @param peer the name of the other instance, not null
      */
     public void onPeerBegin(SegmentId segment, long ageMillis, String peer) {
+        begunToTell.remove(segment);
         boolean released = segments.recordPeerBegin(segment, time.monotonicMillis() - ageMillis);
         if (released) {
             noteReleased(segment, "begun", peer);
--- a/src/test/java/org/dogwoodwinch/daemon/SegmentStoreTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SegmentStoreTest.java
@@ -98,6 +98,20 @@
         assertEquals(List.of(), restored());
     }
 
+    /** Guards against a sound segment that instances that start later hold back again. */
+    @Test
+    void recordOfAReleasedSegmentIsRemovedOnceTheStoreIsBack() {
+        first.keep(held(0));
+        time.advanceMillis(100);
+        topic.isDown = true;
+        first.forget(BAD);
+        time.advanceMillis(3_000);
+        topic.isDown = false;
+        time.advanceMillis(3_000);
+
+        assertEquals(List.of(), restored());
+    }
+
     /** Guards against records that the store loses when it comes back from a copy. */
     @Test
     void recordsAreWrittenAgainInANewEra() {
--- a/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -344,6 +345,34 @@
         assertEquals(2, relay.targetConnections.size());
     }
 
+    /** Guards against a held segment that nobody recorded, because the instance that saw the last crash has ended. */
+    @Test
+    void instanceThatTellsAgainWhatIsHeldBackAlsoRecordsIt() {
+        holdBack("bad");
+        relay.time.advanceMillis(2_000);
+
+        relay.segmentGuard.repeatHeld();
+
+        assertEquals(Set.of(new SegmentId("m", "bad")), links.trialsBySegment.keySet());
+    }
+
+    /** Guards against instances that all tell a begin that one of them has told. */
+    @Test
+    void beginThatAnotherInstanceTellsMeanwhileIsNotToldAgain() {
+        List<String> tellers = new ArrayList<>();
+        links.onBegin = tellers::add;
+        startEngine();
+        assertTrue(isServed(send("f1:100")));
+        relay.time.advanceMillis(1_000);
+        CrashReport crash = new CrashReport("gone", List.of(new BlamedSegment(new SegmentId("m", "f1"), false)));
+        relay.segmentGuard.onPeerCrash(crash, 0, "n3");
+        relay.segmentGuard.onPeerBegin(new SegmentId("m", "f1"), 500, "n3");
+
+        relay.time.advanceMillis(1_000);
+
+        assertEquals(List.of(), tellers);
+    }
+
     @Test
     void operatorLiftsASegment() {
         crashThreeTimes("bad:50");
--- a/src/test/java/org/dogwoodwinch/relay/SegmentLinks.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentLinks.java
@@ -17,6 +17,9 @@
     /** Whether the store does not answer claims until {@link #answerClaims}. */
     boolean delaysClaims;
 
+    /** Receives the name of each instance that tells of a begin. */
+    Consumer<String> onBegin = _instance -> {};
+
     private final Map<String, SegmentGuard> guards = new LinkedHashMap<>();
     private Runnable delayedClaims = () -> {};
 
@@ -38,6 +41,7 @@
 
             @Override
             public void tellBegin(SegmentId segment, long ageMillis) {
+                onBegin.accept(instance);
                 toOthers(instance, (guard, from) -> guard.onPeerBegin(segment, ageMillis, from));
             }
 
