--- a/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.dogwoodwinch.forwarding.CrashReport;
 import org.dogwoodwinch.forwarding.CrashReport.BlamedSegment;
+import org.dogwoodwinch.forwarding.HeldSegment;
 import org.dogwoodwinch.forwarding.SegmentId;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -364,8 +365,7 @@
         startEngine();
         assertTrue(isServed(send("f1:100")));
         relay.time.advanceMillis(1_000);
-        CrashReport crash = new CrashReport("gone", List.of(new BlamedSegment(new SegmentId("m", "f1"), false)));
-        relay.segmentGuard.onPeerCrash(crash, 0, "n3");
+        relay.segmentGuard.onPeerHeld(new HeldSegment(new SegmentId("m", "f1"), 3, 0, 0, 5_000), 0, "n3");
         relay.segmentGuard.onPeerBegin(new SegmentId("m", "f1"), 500, "n3");
 
         relay.time.advanceMillis(1_000);
