Let a lift stand against crashes and words from before it

Crashes that this instance sees are known 0.2 s later, and those from before the lift counted after it; and an instance that had not heard of the lift yet told that it holds the segment back, with one crash more. Now a crash counts from its loss, and what is told within 5 s after a lift is not taken over.

--- a/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -39,6 +39,9 @@
     /** A begin longer ago says little about a segment. Crashes are forgotten after the same time. */
     private static final long MEMORY_MILLIS = 600_000;
 
+    /** The time after which all instances and the store's record know of a lift. */
+    private static final long LIFT_KNOWN_MILLIS = 5_000;
+
     /** Some hundred shared segments for each of about a dozen engines, in about one megabyte. */
     private static final int MAX_BEGUN_SEGMENTS = 8_192;
 
@@ -273,7 +276,10 @@
         if (!held.isEmpty()) {
             lostMillisBySegment.keySet().removeIf(segment -> !held.contains(segment) && hasBegunLately(segment));
         }
-        lostMillisBySegment.entrySet().removeIf(entry -> beginOf(entry.getKey()) >= entry.getValue());
+        lostMillisBySegment
+                .entrySet()
+                .removeIf(entry -> beginOf(entry.getKey()) >= entry.getValue()
+                        || liftedMillis(entry.getKey()) >= entry.getValue());
         if (lostMillisBySegment.isEmpty()) {
             return Optional.empty();
         }
@@ -295,7 +301,7 @@
      */
     public void recordPeerCrash(CrashReport report, long crashMillis) {
         for (BlamedSegment each : report.blamed()) {
-            if (crashMillis > liftedAtMillis.getOrDefault(each.segment(), SegmentEvidence.NEVER_MILLIS)) {
+            if (crashMillis > liftedMillis(each.segment())) {
                 SegmentEvidence evidence = evidenceOf(each.segment());
                 evidence.recordCrash(report.targetStart(), crashMillis);
                 evidence.recordBegunAtPeer(each.hasBegun());
@@ -323,9 +329,12 @@
      * @param held the segment as it was recorded, not null; its remaining time is not used
      */
     public void restore(HeldSegment held) {
-        long crashMillis = clockMillis.getAsLong() - held.lastCrashAgeMillis();
+        long nowMillis = clockMillis.getAsLong();
+        long crashMillis = nowMillis - held.lastCrashAgeMillis();
+        long liftedMillis = liftedMillis(held.segment());
         if (held.lastCrashAgeMillis() > SegmentEvidence.HELD_MEMORY_MILLIS
-                || crashMillis <= liftedAtMillis.getOrDefault(held.segment(), SegmentEvidence.NEVER_MILLIS)
+                || crashMillis <= liftedMillis
+                || nowMillis - liftedMillis < LIFT_KNOWN_MILLIS
                 || beginOf(held.segment()) >= crashMillis) {
             return;
         }
@@ -333,7 +342,11 @@
         for (int i = 0; i < held.crashesCount() && evidence.unclearedCount() < held.crashesCount(); i++) {
             evidence.recordCrash("recorded-" + i, crashMillis);
         }
-        recordTrial(held.segment(), held.trialsCount(), clockMillis.getAsLong());
+        recordTrial(held.segment(), held.trialsCount(), nowMillis);
+    }
+
+    private long liftedMillis(SegmentId segment) {
+        return liftedAtMillis.getOrDefault(segment, SegmentEvidence.NEVER_MILLIS);
     }
 
     /**
--- a/src/test/java/org/dogwoodwinch/forwarding/CrashingSegmentsTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/CrashingSegmentsTest.java
@@ -225,6 +225,32 @@
         assertFalse(segments.lift(BAD, nowMillis));
     }
 
+    /** Guards against a lift that is undone by crashes from before it which are found out later here. */
+    @Test
+    void ownCrashFromBeforeALiftDoesNotCount() {
+        List<LostCall> lostCalls = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            lostCalls.add(lostCall(false, BAD));
+        }
+        segments.lift(BAD, nowMillis);
+        nowMillis += 200;
+        for (LostCall call : lostCalls) {
+            crash(call);
+        }
+        assertClear(BAD);
+    }
+
+    /** Guards against a lift that is undone by an instance that has not heard of it, and has seen one crash more. */
+    @Test
+    void segmentThatIsToldToBeHeldRightAfterItsLiftStaysFree() {
+        crashUnderBad(3);
+        segments.lift(BAD, nowMillis);
+        nowMillis += 300;
+        segments.restore(new HeldSegment(BAD, 4, 0, 100, 0));
+
+        assertClear(BAD);
+    }
+
     @Test
     void restoredSegmentIsHeldBackWithItsTrials() {
         segments.restore(new HeldSegment(BAD, 4, 1, 10_000, 0));
