Share the sockets and settings of daemons in tests

Four tests had settings, the wait for readiness and exchanges of their own, the same to the letter but for two sections. DaemonSockets has them once.

--- a/src/test/java/org/dogwoodwinch/daemon/CutOffInstanceTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/CutOffInstanceTest.java
@@ -1,13 +1,10 @@
 package org.dogwoodwinch.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -15,8 +12,6 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.net.EventLoopTime;
 import org.dogwoodwinch.net.Transport;
-import org.dogwoodwinch.settings.ForwardingSettings;
-import org.dogwoodwinch.settings.SettingsLoader;
 import org.dogwoodwinch.standin.platform.PlatformStandIn;
 import org.dogwoodwinch.standin.platform.TargetFault;
 import org.dogwoodwinch.standin.platform.TargetStandIn;
@@ -29,7 +24,8 @@
 /** Runs two daemons over real sockets, of which one loses its links to all targets. */
 class CutOffInstanceTest {
 
-    private static final int MAX_READY_CHECKS = 20_000;
+    private static final String STOP_SETTINGS = "\"stop\":{\"notReadyMillis\":1000,\"graceSeconds\":20}";
+    private static final int MAX_TAKE_OVER_CHECKS = 20_000;
     private static final int MAX_ATTEMPTS = 200;
     private static final int CALLS_AT_ONCE = 4;
     private static final String PROMPT = "Model: m\r\nToken-Count: 2000,8\r\nPrompt-Prefix: 5c:1500,91:500\r\n";
@@ -48,60 +44,29 @@
         platform = new PlatformStandIn(
                 platformLoop, new EventLoopTime(platformLoop.eventLoopGroup().next()), _request -> TargetFault.NONE);
         cut = new ForwardingDaemon(
-                createSettings("n1"), cutLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(5), connector -> {
+                DaemonSockets.createSettings("n1", platform, STOP_SETTINGS),
+                cutLoop,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(5),
+                connector -> {
                     links = new CuttableLinks(connector);
                     return links;
                 });
-        sound = new ForwardingDaemon(createSettings("n2"), soundLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(6));
+        sound = new ForwardingDaemon(
+                DaemonSockets.createSettings("n2", platform, STOP_SETTINGS),
+                soundLoop,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(6));
         cut.start();
         sound.start();
-        assertTrue(awaitReady(cut) && awaitReady(sound));
+        assertTrue(DaemonSockets.awaitReady(cut) && DaemonSockets.awaitReady(sound));
     }
 
     @AfterEach
     void stop() {
         for (Transport loop : List.of(cutLoop, soundLoop, thirdLoop)) {
-            loop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+            DaemonSockets.shutDown(loop);
         }
         platform.close();
-        platformLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
-    }
-
-    private ForwardingSettings createSettings(String name) {
-        String json = "{\"instance\":{\"name\":\"" + name + "\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
-                + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
-                + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
-                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"stop\":{\"notReadyMillis\":1000,\"graceSeconds\":20}}";
-        return SettingsLoader.parse("test", json)
-                .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
-                    throw new AssertionError(problems);
-                });
-    }
-
-    private static boolean awaitReady(ForwardingDaemon daemon) throws IOException {
-        for (int i = 0; i < MAX_READY_CHECKS; i++) {
-            if (exchange(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                    .startsWith("HTTP/1.1 200 ")) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private static Socket open(int port, String request) throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-        return socket;
-    }
-
-    private static String read(Socket socket) throws IOException {
-        try (socket) {
-            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
-    }
-
-    private static String exchange(int port, String request) throws IOException {
-        return read(open(port, request));
+        DaemonSockets.shutDown(platformLoop);
     }
 
     private static String call(String path, String id, String headers) {
@@ -123,11 +88,12 @@
             List<Socket> calls = new ArrayList<>();
             for (int j = 0; j < CALLS_AT_ONCE; j++) {
                 String path = j % 2 == 0 ? "/once/a" : "/stream/a";
-                calls.add(open(cut.port(), call(path, prefix + i + "-" + j, PROMPT + "Deadline-Ms: 2000\r\n")));
+                calls.add(DaemonSockets.open(
+                        cut.port(), call(path, prefix + i + "-" + j, PROMPT + "Deadline-Ms: 2000\r\n")));
             }
             int servedCount = 0;
             for (Socket waiting : calls) {
-                servedCount += read(waiting).startsWith("HTTP/1.1 200 ") ? 1 : 0;
+                servedCount += DaemonSockets.read(waiting).startsWith("HTTP/1.1 200 ") ? 1 : 0;
             }
             if (servedCount == CALLS_AT_ONCE) {
                 return true;
@@ -137,10 +103,10 @@
     }
 
     private boolean awaitTakesOver(ForwardingDaemon daemon) throws IOException {
-        for (int i = 0; i < MAX_READY_CHECKS; i++) {
-            exchange(cut.port(), call("/once/a", "third" + i, ""));
-            String metrics =
-                    exchange(daemon.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        for (int i = 0; i < MAX_TAKE_OVER_CHECKS; i++) {
+            DaemonSockets.exchange(cut.port(), call("/once/a", "third" + i, ""));
+            String metrics = DaemonSockets.exchange(
+                    daemon.metricsPort(), "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
             if (!metrics.contains("dogwoodwinch_calls_taken_over_total 0.0")) {
                 return true;
             }
@@ -159,10 +125,12 @@
         assertTrue(awaitServed("during"));
 
         for (int i = 0; i < 20; i++) {
-            assertTrue(exchange(cut.port(), call("/once/a", "once" + i, "")).endsWith("done once" + i));
+            assertTrue(DaemonSockets.exchange(cut.port(), call("/once/a", "once" + i, ""))
+                    .endsWith("done once" + i));
             assertEquals(1, countRuns("once" + i));
-            assertTrue(exchange(cut.port(), call("/safe/a", "safe" + i, "")).endsWith("done safe" + i));
-            String stream = exchange(cut.port(), call("/stream/a", "stream" + i, PROMPT));
+            assertTrue(DaemonSockets.exchange(cut.port(), call("/safe/a", "safe" + i, ""))
+                    .endsWith("done safe" + i));
+            String stream = DaemonSockets.exchange(cut.port(), call("/stream/a", "stream" + i, PROMPT));
             assertTrue(stream.contains("id: 8\ndata: word8\n\n") && stream.endsWith("0\r\n\r\n"), stream);
             assertEquals(1, countRuns("stream" + i));
         }
@@ -174,18 +142,20 @@
     /** Guards against calls that are lost with an instance that stops as planned while it has taken them over. */
     @Test
     void callsAreServedWhileTheInstanceThatTakesThemOverStops() throws Exception {
-        ForwardingDaemon third =
-                new ForwardingDaemon(createSettings("n3"), thirdLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+        ForwardingDaemon third = new ForwardingDaemon(
+                DaemonSockets.createSettings("n3", platform, STOP_SETTINGS),
+                thirdLoop,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(7));
         links.setMode(CuttableLinks.Mode.RESET);
         assertTrue(awaitServed("during"));
         third.start();
-        assertTrue(awaitReady(third) && awaitTakesOver(third));
+        assertTrue(DaemonSockets.awaitReady(third) && awaitTakesOver(third));
 
         CompletableFuture<Integer> stopped = sound.stop().toCompletableFuture();
         int callsCount = 0;
         while (!stopped.isDone() && callsCount < MAX_ATTEMPTS) {
             String id = "stop" + callsCount++;
-            String response = exchange(cut.port(), call("/once/a", id, ""));
+            String response = DaemonSockets.exchange(cut.port(), call("/once/a", id, ""));
             assertTrue(response.endsWith("done " + id), response);
             assertEquals(1, countRuns(id));
         }
--- a/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
@@ -1,12 +1,10 @@
 package org.dogwoodwinch.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
@@ -20,7 +18,6 @@
 import org.dogwoodwinch.net.EventLoopTime;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.settings.ForwardingSettings;
-import org.dogwoodwinch.settings.SettingsLoader;
 import org.dogwoodwinch.standin.platform.PlatformStandIn;
 import org.dogwoodwinch.standin.platform.StandInRequest;
 import org.dogwoodwinch.standin.platform.StoreStandIn;
@@ -47,14 +44,14 @@
                 platformLoop, new EventLoopTime(platformLoop.eventLoopGroup().next()), ForwardingDaemonTest::fault);
         daemon = new ForwardingDaemon(createSettings(), daemonLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(5));
         daemon.start();
-        assertTrue(awaitReady());
+        assertTrue(DaemonSockets.awaitReady(daemon));
     }
 
     @AfterEach
     void stop() {
-        daemonLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        DaemonSockets.shutDown(daemonLoop);
         platform.close();
-        platformLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        DaemonSockets.shutDown(platformLoop);
     }
 
     private static TargetFault fault(StandInRequest request) {
@@ -63,34 +60,12 @@
     }
 
     private ForwardingSettings createSettings() {
-        String json = "{\"instance\":{\"name\":\"n1\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
-                + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
-                + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
-                + "\"duties\":{\"address\":\"" + platform.storeAddress()
-                + "\",\"assigned\":\"autoscale,usage_report\",\"usageWindowSeconds\":0.2,\"usageDueSeconds\":1},"
-                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}}";
-        return SettingsLoader.parse("test", json)
-                .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
-                    throw new AssertionError(problems);
-                });
-    }
-
-    private boolean awaitReady() throws IOException {
-        for (int i = 0; i < MAX_ATTEMPTS; i++) {
-            if (exchange(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                    .startsWith("HTTP/1.1 200 ")) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private static String exchange(int port, String request) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            InputStream in = socket.getInputStream();
-            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
+        return DaemonSockets.createSettings(
+                "n1",
+                platform,
+                "\"duties\":{\"address\":\"" + platform.storeAddress()
+                        + "\",\"assigned\":\"autoscale,usage_report\",\"usageWindowSeconds\":0.2,"
+                        + "\"usageDueSeconds\":1},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}");
     }
 
     private String sendCall(String path, String id, String headers) throws IOException {
@@ -98,7 +73,7 @@
     }
 
     private String sendCallWithKey(String path, String id, String headers, String key) throws IOException {
-        return exchange(
+        return DaemonSockets.exchange(
                 daemon.port(),
                 "POST " + path + " HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: " + id + "\r\n"
                         + headers + "X-Api-Key: " + key + "\r\nConnection: close\r\nContent-Length: 5\r\n\r\nhello");
@@ -202,8 +177,8 @@
 
         assertThrows(
                 SocketException.class,
-                () -> exchange(daemon.port(), request.formatted("cut", fault(TargetFault.UNFRAMED_CUT))));
-        String whole = exchange(daemon.port(), request.formatted("whole", ""));
+                () -> DaemonSockets.exchange(daemon.port(), request.formatted("cut", fault(TargetFault.UNFRAMED_CUT))));
+        String whole = DaemonSockets.exchange(daemon.port(), request.formatted("whole", ""));
         assertTrue(whole.endsWith("id: 8\ndata: word8\n\n"), whole);
     }
 
@@ -311,7 +286,8 @@
             assertTrue(remainder.endsWith("0\r\n\r\n"), remainder);
             assertEquals(0, exitCode.get(30, TimeUnit.SECONDS));
         }
-        assertTrue(exchange(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        assertTrue(DaemonSockets.exchange(
+                        daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
                 .startsWith("HTTP/1.1 503 "));
     }
 
--- a/src/test/java/org/dogwoodwinch/daemon/SoftwareVersionsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoftwareVersionsTest.java
@@ -1,24 +1,16 @@
 package org.dogwoodwinch.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.net.EventLoopTime;
 import org.dogwoodwinch.net.Transport;
-import org.dogwoodwinch.settings.ForwardingSettings;
-import org.dogwoodwinch.settings.SettingsLoader;
 import org.dogwoodwinch.standin.platform.PlatformStandIn;
 import org.dogwoodwinch.standin.platform.StandInRequest;
 import org.dogwoodwinch.standin.platform.TargetFault;
@@ -30,7 +22,8 @@
 /** Runs two daemons over real sockets in front of engines of several software versions. */
 class SoftwareVersionsTest {
 
-    private static final int MAX_ATTEMPTS = 20_000;
+    private static final String SETTINGS =
+            "\"retries\":{\"ratio\":4},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}";
     private static final int STREAMS = 40;
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: word\\d+( v\\S+)?\n\n");
 
@@ -53,23 +46,20 @@
     }
 
     private ForwardingDaemon startDaemon(String name) throws IOException {
-        ForwardingDaemon daemon =
-                new ForwardingDaemon(createSettings(name), daemonLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(5));
+        ForwardingDaemon daemon = new ForwardingDaemon(
+                DaemonSockets.createSettings(name, platform, SETTINGS),
+                daemonLoop,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(5));
         daemon.start();
-        boolean ready = false;
-        for (int i = 0; i < MAX_ATTEMPTS && !ready; i++) {
-            ready = exchange(daemon.readyPort(), "GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                    .startsWith("HTTP/1.1 200 ");
-        }
-        assertTrue(ready);
+        assertTrue(DaemonSockets.awaitReady(daemon));
         return daemon;
     }
 
     @AfterEach
     void stop() {
-        daemonLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        DaemonSockets.shutDown(daemonLoop);
         platform.close();
-        platformLoop.eventLoopGroup().shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+        DaemonSockets.shutDown(platformLoop);
     }
 
     /** Breaks off each run that is not resumed, and each run that is asked for it. */
@@ -80,28 +70,8 @@
         return breaksOff ? TargetFault.UNFRAMED_CUT : TargetFault.NONE;
     }
 
-    private ForwardingSettings createSettings(String name) {
-        String json = "{\"instance\":{\"name\":\"" + name + "\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
-                + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
-                + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
-                + "\"peers\":{\"listen\":\"127.0.0.1:0\"},\"retries\":{\"ratio\":4},"
-                + "\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}}";
-        return SettingsLoader.parse("test", json)
-                .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
-                    throw new AssertionError(problems);
-                });
-    }
-
-    private static String exchange(int port, String request) throws IOException {
-        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-            InputStream in = socket.getInputStream();
-            return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
-        }
-    }
-
     private static String sendStream(ForwardingDaemon daemon, String id, String headers) throws IOException {
-        return exchange(
+        return DaemonSockets.exchange(
                 daemon.port(),
                 "POST /resume/a HTTP/1.1\r\nHost: " + PlatformStandIn.HOST + "\r\nRequest-Id: " + id + "\r\n" + headers
                         + "X-Api-Key: " + PlatformStandIn.KEY
