Pass on no calls for want of connections

Its trace has a call that an engine had read and another one rejected at one instance, and that is read and sent again by another instance as a first one: the call was passed on because the first instance used all of its connections, and what targets had received of it was charged to nobody.

--- a/src/main/java/org/dogwoodwinch/relay/CallAttempts.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallAttempts.java
@@ -18,7 +18,6 @@
     private int runsCount;
     private int rejectionsCount;
     private int unsentCount;
-    private boolean connectionsInUse;
     private boolean remotePrefillUsed;
 
     /** Returns the ids of the targets to which the call was sent or could not be sent. */
@@ -36,11 +35,6 @@
         return runsCount + rejectionsCount;
     }
 
-    /** Returns whether the call was not sent to a target because this instance uses all of its connections there. */
-    boolean metConnectionsInUse() {
-        return connectionsInUse;
-    }
-
     /** Returns whether another engine than the one that runs the call may prefill its prompt. */
     boolean mayPrefillRemotely() {
         return !remotePrefillUsed;
@@ -55,15 +49,14 @@
     }
 
     /** Records that no byte reached a target. */
-    void recordUnsent(String targetId, String reason) {
+    void recordUnsent(String targetId) {
         unsentCount++;
-        connectionsInUse |= reason.equals(TargetConnectionPool.CONNECTIONS_IN_USE);
         triedIds.add(targetId);
     }
 
     /** Records that no byte reached a target that was to prefill the prompt: another one may be tried. */
-    void recordUnsentPrefill(String targetId, String reason) {
-        recordUnsent(targetId, reason);
+    void recordUnsentPrefill(String targetId) {
+        recordUnsent(targetId);
         remotePrefillUsed = unsentCount > MAX_UNSENT_PREFILLS;
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -319,7 +319,7 @@
             cacheHolder = prefillTarget;
             sendAfterPrefill(prefillTarget);
         } else if (outcome instanceof PrefillOutcome.NotSent notSent) {
-            attempts.recordUnsentPrefill(prefillTarget.id(), notSent.reason());
+            attempts.recordUnsentPrefill(prefillTarget.id());
             context.report()
                     .prefillFailed(this, prefillTarget, notSent.reason(), new NextStep.SendAgain(), remainingRetries());
             chooseAndSend();
@@ -380,7 +380,7 @@
 
                             @Override
                             public void notAcquired(String reason) {
-                                attempts.recordUnsent(plan.target().id(), reason);
+                                attempts.recordUnsent(plan.target().id());
                                 onEnd(new SendOutcome.NotSent(reason));
                             }
                         });
@@ -629,7 +629,7 @@
     private void execute(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.SendAgain) {
             chooseAndSend();
-        } else if (step instanceof NextStep.Refuse && (passOn() || passOnForConnections())) {
+        } else if (step instanceof NextStep.Refuse && passOn()) {
             return;
         } else if (state == State.STREAMING) {
             caller.abortResponse();
@@ -664,29 +664,7 @@
     }
 
     private boolean mayBePassedOn() {
-        return isOwnAndSending() && context.neighbours().arePassedOn();
-    }
-
-    private boolean isOwnAndSending() {
-        return state == State.SENDING && !takenOver;
-    }
-
-    /**
-     * Passes the call on because this instance uses all of its connections to the targets that it chose, and another one
-     * may have connections left.
-     *
-     * <p>Load: most new connections of callers are handed to one instance, whose share of the targets' connections is that
-     * of any other.
-     */
-    private boolean passOnForConnections() {
-        boolean passedOn = attempts.metConnectionsInUse()
-                && isOwnAndSending()
-                && !attempts.mayHaveRun()
-                && context.neighbours().canTakeOver();
-        if (passedOn) {
-            passOnNow();
-        }
-        return passedOn;
+        return state == State.SENDING && !takenOver && context.neighbours().arePassedOn();
     }
 
     /**
@@ -699,11 +677,6 @@
         if (!mayBePassedOn()) {
             return false;
         }
-        passOnNow();
-        return true;
-    }
-
-    private void passOnNow() {
         state = State.DONE;
         releaseAll();
         suspicion.recordFailure();
@@ -714,6 +687,7 @@
                         caller,
                         context.retryPolicy().retryAfterMillis(),
                         () -> onDone.accept(this));
+        return true;
     }
 
     private void relayBuffered() {
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -60,13 +60,9 @@
 
     /** Returns whether calls of callers are passed on now: this instance is cut off, and another one is not. */
     boolean arePassedOn() {
-        return isIsolated.getAsBoolean() && canTakeOver();
-    }
-
-    /** Returns whether another instance can take over a call of this one. */
-    boolean canTakeOver() {
-        return chooser.canChoose(
-                neighbours.others().get(), neighbours.isolatedNames().get(), this::callsAt);
+        return isIsolated.getAsBoolean()
+                && chooser.canChoose(
+                        neighbours.others().get(), neighbours.isolatedNames().get(), this::callsAt);
     }
 
     /**
