Release held segments, age them and count their fields in one place each

SegmentGuard released a segment in two methods that repeated each other, and took a call's segments in an overload that nothing else used. A held segment was copied with an older crash in two places (now HeldSegment.agedBy), CrashingSegments had two methods for one question, the number of fields was checked beside Packing's own check, and six tests repeated how a trial comes due. The map of what is held back says what it holds by its name. No decision, bound or assertion has changed.

--- a/src/main/java/org/dogwoodwinch/bytes/Packing.java
+++ b/src/main/java/org/dogwoodwinch/bytes/Packing.java
@@ -198,7 +198,17 @@
      * @throws IOException if it has another number of fields
      */
     public static void expectFields(MessageUnpacker unpacker, int fieldsCount) throws IOException {
-        int count = unpacker.unpackArrayHeader();
+        checkFieldsCount(unpacker.unpackArrayHeader(), fieldsCount);
+    }
+
+    /**
+     * Checks the number of fields of an array whose beginning was read.
+     *
+     * @param count the fields that it has
+     * @param fieldsCount the fields that it should have
+     * @throws IOException if the numbers differ
+     */
+    public static void checkFieldsCount(int count, int fieldsCount) throws IOException {
         if (count != fieldsCount) {
             throw new IOException(count + " fields instead of " + fieldsCount);
         }
--- a/src/main/java/org/dogwoodwinch/daemon/SegmentSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/SegmentSharing.java
@@ -73,43 +73,37 @@
         Kind kind = Kind.valueOf(unpacker.unpackString());
         switch (kind) {
             case CRASH -> {
-                expect(CRASH_FIELDS, fieldsCount);
+                Packing.checkFieldsCount(fieldsCount, CRASH_FIELDS);
                 String targetStart = unpacker.unpackString();
                 long ageMillis = unpacker.unpackLong() + update.ageMillis();
                 List<BlamedSegment> blamed = Packing.readAll(unpacker, SegmentSharing::unpackBlamed);
                 guard.onPeerCrash(new CrashReport(targetStart, blamed), ageMillis, update.origin());
             }
             case BEGIN -> {
-                expect(BEGIN_FIELDS, fieldsCount);
+                Packing.checkFieldsCount(fieldsCount, BEGIN_FIELDS);
                 SegmentId segment = unpackSegment(unpacker);
                 guard.onPeerBegin(segment, unpacker.unpackLong() + update.ageMillis(), update.origin());
             }
             case TRIAL -> {
-                expect(TRIAL_FIELDS, fieldsCount);
+                Packing.checkFieldsCount(fieldsCount, TRIAL_FIELDS);
                 SegmentId segment = unpackSegment(unpacker);
                 guard.onPeerTrial(segment, unpacker.unpackInt(), update.ageMillis());
             }
             case HELD -> {
-                expect(HELD_FIELDS, fieldsCount);
+                Packing.checkFieldsCount(fieldsCount, HELD_FIELDS);
                 SegmentId segment = unpackSegment(unpacker);
                 HeldSegment held =
                         new HeldSegment(segment, unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackLong(), 0);
                 guard.onPeerHeld(held, update.ageMillis(), update.origin());
             }
             case LIFT -> {
-                expect(LIFT_FIELDS, fieldsCount);
+                Packing.checkFieldsCount(fieldsCount, LIFT_FIELDS);
                 guard.onPeerLift(unpackSegment(unpacker), update.ageMillis(), update.origin());
             }
         }
         return kind;
     }
 
-    private static void expect(int wanted, int fieldsCount) throws IOException {
-        if (fieldsCount != wanted) {
-            throw new IOException(fieldsCount + " fields instead of " + wanted);
-        }
-    }
-
     private static BlamedSegment unpackBlamed(MessageUnpacker unpacker) throws IOException {
         Packing.expectFields(unpacker, BLAMED_FIELDS);
         return new BlamedSegment(unpackSegment(unpacker), unpacker.unpackBoolean());
--- a/src/main/java/org/dogwoodwinch/daemon/SegmentStore.java
+++ b/src/main/java/org/dogwoodwinch/daemon/SegmentStore.java
@@ -100,14 +100,17 @@
                 snapshot -> {
                     KeptSegment keptHere = kept.get(segment);
                     if (keptHere != null && !snapshot.records.containsKey(segment)) {
-                        append(keptHere.agedAt(time.monotonicMillis()), snapshot.end, appended -> {
-                            if (appended instanceof ConditionalLog.EndOffsetMismatch) {
-                                // Another record was written meanwhile, at times one of this instance.
-                                write(segment);
-                            } else if (!isWrittenIn(snapshot, appended)) {
-                                retryWrite(segment);
-                            }
-                        });
+                        append(
+                                keptHere.held().agedBy(time.monotonicMillis() - keptHere.keptMillis()),
+                                snapshot.end,
+                                appended -> {
+                                    if (appended instanceof ConditionalLog.EndOffsetMismatch) {
+                                        // Another record was written meanwhile, at times one of this instance.
+                                        write(segment);
+                                    } else if (!isWrittenIn(snapshot, appended)) {
+                                        retryWrite(segment);
+                                    }
+                                });
                     }
                 },
                 _reason -> retryWrite(segment));
@@ -249,17 +252,7 @@
     }
 
     /** A segment that this instance records, with the age of its last crash at a moment. */
-    private record KeptSegment(HeldSegment held, long keptMillis) {
-
-        HeldSegment agedAt(long nowMillis) {
-            return new HeldSegment(
-                    held.segment(),
-                    held.crashesCount(),
-                    held.trialsCount(),
-                    held.lastCrashAgeMillis() + nowMillis - keptMillis,
-                    held.remainingMillis());
-        }
-    }
+    private record KeptSegment(HeldSegment held, long keptMillis) {}
 
     private static final class Snapshot {
         private final Map<SegmentId, HeldSegment> records = new HashMap<>();
--- a/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -186,7 +186,8 @@
      * @return whether one has, here or at an instance that told of it, within the time that begins are remembered
      */
     public boolean hasBegun(SegmentId segment) {
-        return hasBegunLately(segment);
+        SegmentEvidence known = blamed.get(segment);
+        return known == null ? clockMillis.getAsLong() - beginOf(segment) < MEMORY_MILLIS : known.hasBegun();
     }
 
     /**
@@ -274,7 +275,7 @@
             call.segments().forEach(segment -> lostMillisBySegment.merge(segment, call.lostAtMillis(), Math::min));
         }
         if (!held.isEmpty()) {
-            lostMillisBySegment.keySet().removeIf(segment -> !held.contains(segment) && hasBegunLately(segment));
+            lostMillisBySegment.keySet().removeIf(segment -> !held.contains(segment) && hasBegun(segment));
         }
         lostMillisBySegment
                 .entrySet()
@@ -412,11 +413,6 @@
                 evidence == null ? SegmentEvidence.NEVER_MILLIS : evidence.lastBeginMillis());
     }
 
-    private boolean hasBegunLately(SegmentId segment) {
-        SegmentEvidence known = blamed.get(segment);
-        return known == null ? clockMillis.getAsLong() - beginOf(segment) < MEMORY_MILLIS : known.hasBegun();
-    }
-
     private SegmentEvidence evidenceOf(SegmentId segment) {
         SegmentEvidence known = blamed.get(segment);
         if (known != null) {
@@ -424,7 +420,7 @@
         }
         removeOutdated();
         SegmentEvidence added =
-                new SegmentEvidence(hasBegunLately(segment) ? beginOf(segment) : SegmentEvidence.NEVER_MILLIS);
+                new SegmentEvidence(hasBegun(segment) ? beginOf(segment) : SegmentEvidence.NEVER_MILLIS);
         blamed.put(segment, added);
         return added;
     }
--- a/src/main/java/org/dogwoodwinch/forwarding/HeldSegment.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/HeldSegment.java
@@ -18,4 +18,14 @@
     public HeldSegment {
         Objects.requireNonNull(segment, "segment");
     }
+
+    /**
+     * Returns the same some time later.
+     *
+     * @param millis the time that has passed since then
+     * @return the segment with an older last crash; the remaining time stays as it was stated
+     */
+    public HeldSegment agedBy(long millis) {
+        return new HeldSegment(segment, crashesCount, trialsCount, lastCrashAgeMillis + millis, remainingMillis);
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/SegmentGuard.java
@@ -1,6 +1,5 @@
 package org.dogwoodwinch.relay;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -55,7 +54,7 @@
     private final ForwardingMetrics metrics;
     private final TimeSource time;
     /** The segments that are held back, and when the fleet was last told so. */
-    private final Map<SegmentId, Long> toldMillisByHeld = new HashMap<>();
+    private final Map<SegmentId, Long> lastToldMillisByHeldSegment = new HashMap<>();
 
     private final Set<SegmentId> keptHere = new HashSet<>();
     private final Set<SegmentId> begunToTell = new HashSet<>();
@@ -119,12 +118,10 @@
 
     /** Returns why a call may not be written to a target now; empty if it may. */
     Optional<Refusal> refusalOf(CallSuspicion call) {
-        return trials.isTrying(call) ? Optional.empty() : refusalOf(call.segments());
-    }
-
-    /** Returns why a call with some segments may not be written to a target now; empty if it may. */
-    Optional<Refusal> refusalOf(Collection<SegmentId> callSegments) {
-        SegmentStanding standing = segments.standingOf(callSegments);
+        if (trials.isTrying(call)) {
+            return Optional.empty();
+        }
+        SegmentStanding standing = segments.standingOf(call.segments());
         if (standing instanceof SegmentStanding.HeldBack back) {
             return Optional.of(new Refusal(back.segment(), back.crashesCount(), back.remainingMillis()));
         }
@@ -235,7 +232,7 @@
                 }
             });
         }
-        metrics.setHeldSegments(toldMillisByHeld.size());
+        metrics.setHeldSegments(lastToldMillisByHeldSegment.size());
     }
 
     /** Keeps a segment in the store, unless this instance has seen to that. */
@@ -247,7 +244,7 @@
 
     /** Returns whether it was not known that a segment is held back. */
     private boolean noteHeld(SegmentId segment) {
-        return toldMillisByHeld.putIfAbsent(segment, time.monotonicMillis()) == null;
+        return lastToldMillisByHeldSegment.putIfAbsent(segment, time.monotonicMillis()) == null;
     }
 
     /**
@@ -259,13 +256,13 @@
      */
     public void repeatHeld() {
         long nowMillis = time.monotonicMillis();
-        for (Map.Entry<SegmentId, Long> each : List.copyOf(toldMillisByHeld.entrySet())) {
+        for (Map.Entry<SegmentId, Long> each : List.copyOf(lastToldMillisByHeldSegment.entrySet())) {
             SegmentId segment = each.getKey();
             Optional<HeldSegment> found = segments.findHeld(segment);
             if (found.isEmpty()) {
-                noteReleased(segment, "forgotten", "");
+                followRelease(segment, "forgotten", "");
             } else if (nowMillis - each.getValue() >= REPEAT_MILLIS + spreadMillis(segment)) {
-                toldMillisByHeld.put(segment, nowMillis);
+                lastToldMillisByHeldSegment.put(segment, nowMillis);
                 news.tellHeld(found.get());
                 keep(found.get());
             }
@@ -283,17 +280,12 @@
     public void onPeerHeld(HeldSegment told, long ageMillis, String peer) {
         SegmentId segment = told.segment();
         boolean wasHeld = segments.isHeldBack(segment);
-        segments.restore(new HeldSegment(
-                segment,
-                told.crashesCount(),
-                told.trialsCount(),
-                told.lastCrashAgeMillis() + ageMillis,
-                told.remainingMillis()));
+        segments.restore(told.agedBy(ageMillis));
         if (segments.isHeldBack(segment)) {
-            toldMillisByHeld.put(segment, time.monotonicMillis());
+            lastToldMillisByHeldSegment.put(segment, time.monotonicMillis());
             if (!wasHeld) {
                 segments.findHeld(segment).ifPresent(found -> logHeld(found, peer));
-                metrics.setHeldSegments(toldMillisByHeld.size());
+                metrics.setHeldSegments(lastToldMillisByHeldSegment.size());
             }
         } else if (segments.hasBegun(segment)) {
             tellBeginLater(segment, segments::hasBegun);
@@ -311,17 +303,22 @@
                 .info(log);
     }
 
+    /** Releases a segment here, and removes its record. */
     private void release(SegmentId segment, String reason, String cause) {
+        noteReleased(segment, reason, cause);
+        keptHere.remove(segment);
+        records.forget(segment);
+    }
+
+    private void noteReleased(SegmentId segment, String reason, String cause) {
         LogEvent.of("segment_released")
                 .with("segment", segment)
                 .with("reason", reason)
                 .with("cause", cause)
                 .info(log);
-        toldMillisByHeld.remove(segment);
-        keptHere.remove(segment);
+        lastToldMillisByHeldSegment.remove(segment);
         trials.release(segment);
-        records.forget(segment);
-        metrics.setHeldSegments(toldMillisByHeld.size());
+        metrics.setHeldSegments(lastToldMillisByHeldSegment.size());
     }
 
     /**
@@ -335,24 +332,17 @@
         begunToTell.remove(segment);
         boolean released = segments.recordPeerBegin(segment, time.monotonicMillis() - ageMillis);
         if (released) {
-            noteReleased(segment, "begun", peer);
+            followRelease(segment, "begun", peer);
         }
     }
 
-    /** The instance that released the segment removes its record, and one that kept it here removes it as well. */
-    private void noteReleased(SegmentId segment, String reason, String peer) {
+    /** Follows a release elsewhere. The instance that released the segment removes its record, and so does one that kept it. */
+    private void followRelease(SegmentId segment, String reason, String peer) {
         if (keptHere.contains(segment)) {
             release(segment, reason, peer);
-            return;
+        } else {
+            noteReleased(segment, reason, peer);
         }
-        LogEvent.of("segment_released")
-                .with("segment", segment)
-                .with("reason", reason)
-                .with("cause", peer)
-                .info(log);
-        toldMillisByHeld.remove(segment);
-        trials.release(segment);
-        metrics.setHeldSegments(toldMillisByHeld.size());
     }
 
     /**
@@ -375,7 +365,7 @@
      */
     public void onPeerLift(SegmentId segment, long ageMillis, String peer) {
         if (segments.lift(segment, time.monotonicMillis() - ageMillis)) {
-            noteReleased(segment, "lifted", peer);
+            followRelease(segment, "lifted", peer);
         }
     }
 
@@ -390,7 +380,7 @@
                 .filter(found -> noteHeld(found.segment()))
                 .ifPresent(found -> {
                     logHeld(found, "store");
-                    metrics.setHeldSegments(toldMillisByHeld.size());
+                    metrics.setHeldSegments(lastToldMillisByHeldSegment.size());
                 });
     }
 
--- a/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
@@ -101,6 +101,12 @@
         }
     }
 
+    private void holdBackUntilTrialIsDue() {
+        crashThreeTimes("bad:50");
+        startEngine();
+        relay.time.advanceMillis(5_000);
+    }
+
     private static void assertRefused(String response) {
         assertTrue(response.startsWith("HTTP/1.1 503 "), response);
     }
@@ -174,9 +180,7 @@
 
     @Test
     void oneCallTriesTheSegmentAndABeginReleasesIt() {
-        crashThreeTimes("bad:50");
-        startEngine();
-        relay.time.advanceMillis(5_000);
+        holdBackUntilTrialIsDue();
 
         RelayFixture.FakeCaller trying = send("bad:50");
         RelayFixture.FakeTargetConnection target = receiver().orElseThrow();
@@ -190,9 +194,7 @@
 
     @Test
     void crashedTrialIsFollowedByALongerPause() {
-        crashThreeTimes("bad:50");
-        startEngine();
-        relay.time.advanceMillis(5_000);
+        holdBackUntilTrialIsDue();
         RelayFixture.FakeCaller trying = send("bad:50");
         crash(receiver().orElseThrow());
         startEngine();
@@ -208,9 +210,7 @@
     /** Guards against a trial that never happens again because its call was turned away. */
     @Test
     void trialThatATargetTurnedAwayIsLeftForTheNextCall() {
-        crashThreeTimes("bad:50");
-        startEngine();
-        relay.time.advanceMillis(5_000);
+        holdBackUntilTrialIsDue();
         RelayFixture.FakeCaller trying = send("bad:50");
         receiver()
                 .orElseThrow()
@@ -224,9 +224,7 @@
     /** Guards against a call that is held until its deadline because the store does not answer. */
     @Test
     void callIsRefusedWhileTheStoreGrantsNoTrialAndTheNextOneTries() {
-        crashThreeTimes("bad:50");
-        startEngine();
-        relay.time.advanceMillis(5_000);
+        holdBackUntilTrialIsDue();
         links.delaysClaims = true;
 
         RelayFixture.FakeCaller waiting = send("bad:50");
@@ -240,9 +238,7 @@
 
     @Test
     void callWhoseCallerLeftWhileItWaitedIsNotSent() {
-        crashThreeTimes("bad:50");
-        startEngine();
-        relay.time.advanceMillis(5_000);
+        holdBackUntilTrialIsDue();
         links.delaysClaims = true;
         RelayFixture.FakeCaller waiting = send("bad:50");
         waiting.disconnect();
@@ -258,9 +254,7 @@
     void oneInstanceOfTheFleetTries() {
         RelayFixture other = new RelayFixture(50, relay.time, "n2", Set.of("n1", "n2"), links).withRoutes();
         other.withEngine("x1", Stage.WHOLE);
-        crashThreeTimes("bad:50");
-        startEngine();
-        relay.time.advanceMillis(5_000);
+        holdBackUntilTrialIsDue();
 
         send("bad:50");
         RelayFixture.FakeCaller caller = other.connectCaller()
