Count the calls to the store by topic and operation

Change: StoreClient announces each call before it is sent; the metric dogwoodwinch_store_calls_total counts them by topic and operation.

Measured: everyCallIsAnnouncedWithTopicAndOperation passes with the other tests of StoreClient. No call is added or left out.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -186,7 +186,8 @@
         StoreClient store = new StoreClient(
                 caller,
                 Addresses.parse(settings.store().address()),
-                settings.store().timeoutMillis());
+                settings.store().timeoutMillis(),
+                (topic, operation) -> metrics.storeCalled(topic, operation.label()));
         FollowerPolicy followerPolicy = new FollowerPolicy(
                 settings.store().waitMillis(),
                 settings.store().pauseMillis(),
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -60,6 +60,7 @@
     private final ControlClient controlCaller;
     private final InetSocketAddress address;
     private final long timeoutMillis;
+    private final StoreCallListener callListener;
     private final List<LongConsumer> eraListeners = new ArrayList<>();
     private long latestEra = UNKNOWN_ERA;
 
@@ -69,11 +70,17 @@
      * @param controlCaller sends the calls, not null
      * @param address the store's address, not null
      * @param timeoutMillis the timeout of a call, in milliseconds, in addition to the time for which the store holds it
+     * @param callListener notified of each call before it is sent, not null
      */
-    public StoreClient(ControlClient controlCaller, InetSocketAddress address, long timeoutMillis) {
+    public StoreClient(
+            ControlClient controlCaller,
+            InetSocketAddress address,
+            long timeoutMillis,
+            StoreCallListener callListener) {
         this.controlCaller = Objects.requireNonNull(controlCaller, "caller");
         this.address = Objects.requireNonNull(address, "address");
         this.timeoutMillis = timeoutMillis;
+        this.callListener = Objects.requireNonNull(callListener, "callListener");
     }
 
     /**
@@ -98,6 +105,7 @@
             public CompletionStage<ReadResult> readSnapshotPage(Optional<String> afterKey) {
                 QueryStringEncoder uri = partitionUri("/log-newest", topic);
                 afterKey.ifPresent(key -> uri.addParam("after", key));
+                callListener.onCall(topic, StoreOperation.SNAPSHOT);
                 return sendGet(uri, timeoutMillis).thenApply(StoreClient.this::parsePage);
             }
 
@@ -106,6 +114,7 @@
                 QueryStringEncoder uri = partitionUri("/log-read", topic);
                 uri.addParam("from", Long.toString(LogPosition.offset(fromOffset)));
                 uri.addParam("waitMs", Long.toString(waitMillis));
+                callListener.onCall(topic, StoreOperation.READ);
                 return sendGet(uri, waitMillis + timeoutMillis).thenApply(reply -> parseBatch(reply, fromOffset));
             }
         };
@@ -124,6 +133,7 @@
                     partitionUri("/log-append", topic).toString(),
                     new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
                     encodeRecord(key, value));
+            callListener.onCall(topic, StoreOperation.APPEND);
             return send(call, timeoutMillis)
                     .thenApply(reply -> reply instanceof ControlReply.Answered answered && answered.status() == OK);
         };
@@ -146,6 +156,7 @@
                     uri.toString(),
                     new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
                     Bytes.of(record.array()));
+            callListener.onCall(topic, StoreOperation.CONDITIONAL_APPEND);
             return send(call, timeoutMillis).thenApply(this::parseAppendReply);
         };
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -45,6 +45,7 @@
     private final Gauge configurationVersion;
     private final Gauge targets;
     private final Gauge rateLimitedTargets;
+    private final Counter storeCalls;
     private final Gauge storeReachable;
     private final Gauge storeEra;
     private final Histogram firstByte;
@@ -130,6 +131,8 @@
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
         this.targets = gauge("dogwoodwinch_targets_ready", "Targets that may get new work.");
         this.rateLimitedTargets = gauge("dogwoodwinch_targets_limited", "Targets that name a limit in their answers.");
+        this.storeCalls =
+                counter("dogwoodwinch_store_calls_total", "Calls to the platform's store.", "topic", "operation");
         this.storeReachable = gauge("dogwoodwinch_store_reachable", "1 while the platform's store answers.");
         this.storeEra = gauge(
                 "dogwoodwinch_store_era",
@@ -181,6 +184,16 @@
         storeReachable.set(reachable ? 1 : 0);
     }
 
+    /**
+     * Counts a call to the platform's store.
+     *
+     * @param topic the topic, not null
+     * @param operation the kind of the call, not null
+     */
+    public void storeCalled(String topic, String operation) {
+        storeCalls.labelValues(topic, operation).inc();
+    }
+
     /**
      * Sets the era of the store after it has come back from a copy.
      *
--- a/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
@@ -34,6 +34,7 @@
     private final EventLoopTime time = new EventLoopTime(loop.eventLoopGroup().next());
     private final StoreStandIn store = new StoreStandIn(time);
     private final List<Long> newEras = new CopyOnWriteArrayList<>();
+    private final List<String> sentCalls = new CopyOnWriteArrayList<>();
 
     /** Eras to state instead of the store's own in the next answers. */
     private final Deque<String> falseEras = new ConcurrentLinkedDeque<>();
@@ -65,7 +66,8 @@
         client = new StoreClient(
                 new ControlClient(loop, loop.eventLoopGroup().next(), time, new ConnectionPolicy(1_000, 1_000, 1_000)),
                 Addresses.parse(listener.address()),
-                10_000);
+                10_000,
+                (topic, operation) -> sentCalls.add(topic + " " + operation.label()));
         client.onNewEra(newEras::add);
     }
 
@@ -97,6 +99,21 @@
         assertEquals(LogPosition.of(2, 2), batch.nextOffset());
     }
 
+    /** Guards against calls to the store that no metric shows, although the store limits and bills them. */
+    @Test
+    void everyCallIsAnnouncedWithTopicAndOperation() throws Exception {
+        readSnapshot();
+        read(LogPosition.of(1, 0));
+        client.writer("keyed.a")
+                .put("key", Optional.of(Bytes.ofUtf8("1")))
+                .toCompletableFuture()
+                .get(10, TimeUnit.SECONDS);
+        await(client.log("b"), Bytes.ofUtf8("2"), 0);
+
+        assertEquals(
+                List.of(TOPIC + " snapshot", TOPIC + " read", "keyed.a append", "b conditional_append"), sentCalls);
+    }
+
     @Test
     void answerOfEarlierEraIsNotUsed() throws Exception {
         onStore(() -> store.comeBackFrom(store.copy()));
