Read the entries of targets at a tenth of the promised drain time

Cause: targets renew their entries about once a second, so with some tens of engines there is always a new record, and each reader of a data centre read again 100 ms after the last answer.

Change: the pause between two reads of targets follows from the promised drain time. The intervals moved from ForwardingDaemon to StorePolling.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -13,7 +13,6 @@
 import java.util.function.UnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowerPolicy;
-import org.dogwoodwinch.follow.ReplicaPolicy;
 import org.dogwoodwinch.follow.StreamFollower;
 import org.dogwoodwinch.forwarding.CrashingSegments;
 import org.dogwoodwinch.forwarding.EngineChooser;
@@ -111,19 +110,6 @@
     /** The time that an order may take to arrive, and the same again for clock differences and network delay. */
     private static final long ORDER_SEPARATION_MARGIN_MILLIS = 2_000;
 
-    /** Covers the delay of a read from a slow platform and that of an update between busy instances. */
-    private static final long REPLICA_AGE_MARGIN_MILLIS = 400;
-
-    /**
-     * The round trip of a read, so that the update of one successor arrives before the next successor starts to read.
-     */
-    private static final long TAKEOVER_STAGGER_MILLIS = 75;
-
-    private static final int MAX_TAKEOVER_STAGGERS = 3;
-
-    private static final long FIRST_BACKOFF_MILLIS = 50;
-    private static final long MAX_BACKOFF_MILLIS = 500;
-
     private final Transport transport;
     private final TimeSource time;
     private final ForwardingMetrics metrics = new ForwardingMetrics(new PrometheusRegistry());
@@ -188,11 +174,8 @@
                 Addresses.parse(settings.store().address()),
                 settings.store().timeoutMillis(),
                 (topic, operation) -> metrics.storeCalled(topic, operation.label()));
-        FollowerPolicy followerPolicy = new FollowerPolicy(
-                settings.store().waitMillis(),
-                settings.store().pauseMillis(),
-                FIRST_BACKOFF_MILLIS,
-                MAX_BACKOFF_MILLIS);
+        StorePolling polling = new StorePolling(settings);
+        FollowerPolicy followerPolicy = polling.follower();
         this.fleet = new FleetExchange(
                 settings,
                 transport,
@@ -308,10 +291,7 @@
         fleet.acceptCalls(new TakenOverCalls(service, time)::accept);
         this.configuration = new StreamFollower(
                 fleet.streams()
-                        .share(
-                                StoreClient.OPERATOR_TOPIC,
-                                store.keyed(StoreClient.OPERATOR_TOPIC),
-                                replicaPolicy(settings)),
+                        .share(StoreClient.OPERATOR_TOPIC, store.keyed(StoreClient.OPERATOR_TOPIC), polling.replica()),
                 followerPolicy,
                 new ConfigurationReader(service, metrics),
                 time,
@@ -351,9 +331,9 @@
                         .share(
                                 StoreClient.TARGETS_TOPIC,
                                 store.keyed(StoreClient.TARGETS_TOPIC),
-                                replicaPolicy(settings),
+                                polling.targetsReplica(),
                                 TargetsReader::targetOf),
-                followerPolicy,
+                polling.targetsFollower(),
                 targetsReader,
                 time,
                 random);
@@ -507,16 +487,6 @@
         return usage.map(UsageComponents::flush).orElseGet(() -> CompletableFuture.completedFuture(true));
     }
 
-    /**
-     * The maximum age plus the longest takeover delay and one read stay below nine tenths of the time limits that
-     * operators are promised.
-     */
-    private static ReplicaPolicy replicaPolicy(ForwardingSettings settings) {
-        long maxReadMillis = settings.store().waitMillis() + settings.store().pauseMillis();
-        return new ReplicaPolicy(
-                maxReadMillis + REPLICA_AGE_MARGIN_MILLIS, TAKEOVER_STAGGER_MILLIS, MAX_TAKEOVER_STAGGERS);
-    }
-
     private static InetSocketAddress parseAddress(String text) {
         return Addresses.parse(text);
     }
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/daemon/StorePolling.java
@@ -0,0 +1,82 @@
+package org.dogwoodwinch.daemon;
+
+import org.dogwoodwinch.follow.FollowerPolicy;
+import org.dogwoodwinch.follow.ReplicaPolicy;
+import org.dogwoodwinch.settings.ForwardingSettings;
+
+/** Derives from the settings how often an instance reads the streams of the platform's store. */
+final class StorePolling {
+
+    /** Covers the delay of a read from a slow platform and that of an update between busy instances. */
+    private static final long REPLICA_AGE_MARGIN_MILLIS = 400;
+
+    /**
+     * The round trip of a read, so that the update of one successor arrives before the next successor starts to read.
+     */
+    private static final long TAKEOVER_STAGGER_MILLIS = 75;
+
+    private static final int MAX_TAKEOVER_STAGGERS = 3;
+
+    private static final long FIRST_BACKOFF_MILLIS = 50;
+    private static final long MAX_BACKOFF_MILLIS = 500;
+
+    /**
+     * Part of the promised drain time for which the entries of targets may be older than at the shortest pause. The rest
+     * of the time is for an instance that takes over reading.
+     */
+    private static final int PAUSES_PER_DRAIN = 10;
+
+    private final ForwardingSettings settings;
+
+    /**
+     * Creates the intervals.
+     *
+     * @param settings the settings, not null
+     */
+    StorePolling(ForwardingSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Returns the intervals for a stream that rarely changes. */
+    FollowerPolicy follower() {
+        return follower(settings.store().pauseMillis());
+    }
+
+    /**
+     * Returns the intervals for the entries of targets.
+     *
+     * <p>Load: each target renews its entry about once a second, so in a large fleet there is always a new record, and a
+     * reader reads again after each pause. With a short pause these reads are most of the calls to the store.
+     */
+    FollowerPolicy targetsFollower() {
+        return follower(targetsPauseMillis());
+    }
+
+    /** Returns the time limits for relying on another reader of a stream that rarely changes. */
+    ReplicaPolicy replica() {
+        return replica(settings.store().pauseMillis());
+    }
+
+    /** Returns the time limits for relying on another reader of the entries of targets. */
+    ReplicaPolicy targetsReplica() {
+        return replica(targetsPauseMillis());
+    }
+
+    private long targetsPauseMillis() {
+        return Math.max(settings.store().pauseMillis(), settings.promises().drainMillis() / PAUSES_PER_DRAIN);
+    }
+
+    private FollowerPolicy follower(long pauseMillis) {
+        return new FollowerPolicy(settings.store().waitMillis(), pauseMillis, FIRST_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS);
+    }
+
+    /**
+     * The maximum age plus the longest takeover delay and one read stay below nine tenths of the time limits that
+     * operators are promised.
+     */
+    private ReplicaPolicy replica(long pauseMillis) {
+        long maxReadMillis = settings.store().waitMillis() + pauseMillis;
+        return new ReplicaPolicy(
+                maxReadMillis + REPLICA_AGE_MARGIN_MILLIS, TAKEOVER_STAGGER_MILLIS, MAX_TAKEOVER_STAGGERS);
+    }
+}
--- a/src/test/java/org/dogwoodwinch/daemon/DaemonSockets.java
+++ b/src/test/java/org/dogwoodwinch/daemon/DaemonSockets.java
@@ -21,9 +21,14 @@
 
     /** Returns the settings of an instance that listens on free ports; {@code sections} are further ones, in JSON. */
     static ForwardingSettings createSettings(String name, PlatformStandIn platform, String sections) {
+        return createSettings(name, platform.storeAddress(), sections);
+    }
+
+    /** Returns the settings of an instance with a store at an address, which need not exist. */
+    static ForwardingSettings createSettings(String name, String storeAddress, String sections) {
         String json = "{\"instance\":{\"name\":\"" + name + "\",\"dataCentre\":\"dc-1\"},\"forwarding\":{"
                 + "\"listen\":\"127.0.0.1:0\",\"readyListen\":\"127.0.0.1:0\",\"metricsListen\":\"127.0.0.1:0\"},"
-                + "\"store\":{\"address\":\"" + platform.storeAddress() + "\"},"
+                + "\"store\":{\"address\":\"" + storeAddress + "\"},"
                 + "\"peers\":{\"listen\":\"127.0.0.1:0\"}," + sections + "}";
         return SettingsLoader.parse("test", json)
                 .match(loaded -> assertInstanceOf(ForwardingSettings.class, loaded), problems -> {
