Derive the price of a stalled stream from what its caller loses

Cause: EngineChooser charged a constant 300 ms for each stream that a long prefill delays.

Change: StreamStallCost derives the price from the stream routes of the service. A stream whose gap was exceeded loses half of the time between objective and time-out. The price is the mean over the routes whose gap the prefill exceeds (routes without a gap count as zero); a more urgent stream is never cheaper than a less urgent one. It is multiplied by the observed share of late streams among those that ran beside a long prefill at their engine, a moving average for each service that starts at 1. The gap is now that of the service's streams instead of the prefilled call's own gap.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -28,10 +28,12 @@
 import org.dogwoodwinch.forwarding.RateLimitShares;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StagePlanPolicy;
 import org.dogwoodwinch.forwarding.StagePlanner;
 import org.dogwoodwinch.forwarding.StreamBegins;
+import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
@@ -181,6 +183,7 @@
         LoadTracker loads = new LoadTracker();
         KvCacheIndex cacheIndex = new KvCacheIndex();
         PrefillRates rates = new PrefillRates(INITIAL_TOKENS_PER_MILLI);
+        StreamStallCost stallCost = new StreamStallCost(this::streamRoutes);
         ControlClient caller =
                 new ControlClient(transport, transport.eventLoopGroup().next(), time, connections);
         StoreClient store = new StoreClient(
@@ -274,11 +277,13 @@
                                 cacheIndex,
                                 rates,
                                 EngineCostModel.DEFAULT,
+                                stallCost,
                                 new LeastLoadedChooser(directory, loads, random),
                                 settings.instance().dataCentre()),
                         loads,
                         cacheIndex,
                         rates,
+                        stallCost,
                         new RetryPolicy(
                                 MAX_FAILED_CONNECTS,
                                 MAX_REJECTIONS,
@@ -494,6 +499,10 @@
         return directory.find(targetId).map(Incarnation::startedMillis).orElse(0L);
     }
 
+    private List<ServiceRoute> streamRoutes(String serviceName) {
+        return service.streamRoutes(serviceName);
+    }
+
     private long streamLifetimeMillis() {
         return service.longestResumableMillis() + VIEW_DIFFERENCE_MILLIS;
     }
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -21,17 +21,12 @@
     /** The platform states that a KV cache transfer takes twice as long between data centres. */
     private static final double CROSS_DATA_CENTRE_RATIO = 2;
 
-    /**
-     * Ratio of the gap between two events to the prefill that fits into it: the decode steps of the event's own
-     * tokens take about half of the gap.
-     */
-    private static final double GAP_TO_PREFILL_RATIO = 2;
-
     private final TargetDirectory directory;
     private final LoadTracker loads;
     private final KvCacheIndex cacheIndex;
     private final PrefillRates prefillRates;
     private final EngineCostModel costModel;
+    private final StreamStallCost stallCost;
     private final TargetChooser fallback;
     private final String dataCentre;
 
@@ -43,6 +38,7 @@
      * @param cacheIndex the prompt segments in the targets' KV caches, not null
      * @param prefillRates the prefill rates of the targets, not null
      * @param costModel the cost model, not null
+     * @param stallCost the cost of prefilling beside streams, not null
      * @param fallback the chooser for calls without a prompt, not null
      * @param dataCentre the data centre of this instance, not null
      */
@@ -52,6 +48,7 @@
             KvCacheIndex cacheIndex,
             PrefillRates prefillRates,
             EngineCostModel costModel,
+            StreamStallCost stallCost,
             TargetChooser fallback,
             String dataCentre) {
         this.directory = Objects.requireNonNull(directory, "directory");
@@ -59,6 +56,7 @@
         this.cacheIndex = Objects.requireNonNull(cacheIndex, "cacheIndex");
         this.prefillRates = Objects.requireNonNull(prefillRates, "prefillRates");
         this.costModel = Objects.requireNonNull(costModel, "costModel");
+        this.stallCost = Objects.requireNonNull(stallCost, "stallCost");
         this.fallback = Objects.requireNonNull(fallback, "fallback");
         this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
     }
@@ -196,7 +194,7 @@
                 + decodeStartMillis(engine, query, prompt);
         double crossDataCentreMillis = engine.dataCentre().equals(dataCentre) ? 0 : costModel.crossDataCentreMillis();
         double costToOthersMillis = queueingCostMillis(prefillTokens / tokensPerMilli(engine))
-                + streamStallMillis(engine, query, prefillTokens / tokensPerMilli(engine))
+                + streamStallMillis(engine, prefillTokens / tokensPerMilli(engine))
                 + (isAffinityEngine ? 0 : affinityMissMillis(engine, prompt, prefillTokens));
         return new Candidate(engine, prefillTokens, cacheSource, expected + crossDataCentreMillis + costToOthersMillis);
     }
@@ -211,15 +209,15 @@
      *
      * <p>Failure: a decoding engine prefills a prompt in chunks between decode steps, and an event contains several
      * tokens. One long prompt delays the next event of every stream on the engine beyond the gap that its caller
-     * accepts, so all of them are late although their first events were on time.
+     * accepts, so all of them are late although their first events were on time. One stream more is counted than is
+     * known, since another instance may send one before it is informed of the prefill.
      */
-    private double streamStallMillis(Incarnation engine, TargetQuery query, double prefillMillis) {
-        boolean exceedsGap =
-                query.maxEventGapMillis() > 0 && prefillMillis * GAP_TO_PREFILL_RATIO > query.maxEventGapMillis();
-        if (engine.stage() == Stage.PREFILL || !exceedsGap) {
+    private double streamStallMillis(Incarnation engine, double prefillMillis) {
+        if (engine.stage() == Stage.PREFILL) {
             return 0;
         }
-        return costModel.streamStallMillis() * (1 + loads.totalAt(engine.id()).callsCount());
+        return stallCost.millisPerStream(engine.service(), prefillMillis)
+                * (1 + loads.totalAt(engine.id()).callsCount());
     }
 
     /** Returns the cost to other calls of caching shared tokens on a second engine. */
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineCostModel.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineCostModel.java
@@ -10,8 +10,6 @@
  * @param interarrivalMillis mean time between two calls at one engine; calls that arrive during a prefill wait for it
  * @param runningCallDelayMillis delay that each call running on an engine adds to the next one
  * @param crossDataCentreMillis cost of crossing from one data centre to another
- * @param streamStallMillis cost of one stream whose gap between events exceeds its objective, for each stream that the
- *     engine decodes
  */
 public record EngineCostModel(
         double affinityMissRatio,
@@ -19,9 +17,8 @@
         double kvFetchMillis,
         double interarrivalMillis,
         double runningCallDelayMillis,
-        double crossDataCentreMillis,
-        double streamStallMillis) {
+        double crossDataCentreMillis) {
 
     /** Used unless the settings define others. */
-    public static final EngineCostModel DEFAULT = new EngineCostModel(3, 30, 15, 150, 3, 5, 300);
+    public static final EngineCostModel DEFAULT = new EngineCostModel(3, 30, 15, 150, 3, 5);
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
@@ -1,7 +1,9 @@
 package org.dogwoodwinch.forwarding;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
@@ -15,6 +17,7 @@
     private final long version;
     private final Map<String, Map<String, ServiceRoute>> routesByHost;
     private final Map<String, ServiceEntry> services;
+    private final Map<String, List<ServiceRoute>> streamRoutes;
     private final CallerLimits limits;
     private final Optional<OwnerKeys> ownerKeys;
     private final int routesCount;
@@ -44,6 +47,9 @@
         }
         this.services = new HashMap<>();
         services.forEach(service -> this.services.put(service.name(), service));
+        this.streamRoutes = new HashMap<>();
+        routes.stream().filter(route -> route.kind() == RouteKind.STREAM).forEach(this::indexStreamRoute);
+        streamRoutes.replaceAll((_service, indexed) -> List.copyOf(indexed));
         this.routesCount = routes.size();
         this.longestResumableMillis = routes.stream()
                 .filter(ServiceRoute::resumable)
@@ -101,6 +107,16 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Returns the routes whose streams run at a service.
+     *
+     * @param serviceName the service's name, not null
+     * @return the routes, unmodifiable
+     */
+    public List<ServiceRoute> streamRoutes(String serviceName) {
+        return streamRoutes.getOrDefault(serviceName, List.of());
+    }
+
     /**
      * Returns the longest time-out of a route whose streams may be resumed.
      *
@@ -156,6 +172,16 @@
         return Optional.empty();
     }
 
+    private void indexStreamRoute(ServiceRoute route) {
+        route.services().stream()
+                .filter(each -> each.weight() > 0)
+                .map(WeightedService::service)
+                .distinct()
+                .forEach(service -> streamRoutes
+                        .computeIfAbsent(service, _service -> new ArrayList<>())
+                        .add(route));
+    }
+
     private static String stripPort(String host) {
         int colon = host.lastIndexOf(':');
         return colon < 0 || host.endsWith("]") ? host : host.substring(0, colon);
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -486,7 +486,11 @@
     }
 
     private void relayEvents(ByteBuf chunk) {
+        int earlierEventsCount = eventFramer.eventsCount();
         byte[] whole = eventFramer.append(chunk);
+        if (eventFramer.eventsCount() > earlierEventsCount) {
+            inFlight.ifPresent(started -> started.recordEvents(route.maxEventGapMillis()));
+        }
         if (eventFramer.eventsCount() > 0) {
             suspicion.recordBegin();
             continuity.onEvents(plan.target());
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -32,6 +32,7 @@
     private final Counter keptCalls;
     private final Counter endedResponses;
     private final Counter takenUpStreams;
+    private final Counter streamsBesidePrefills;
     private final Counter passedOnCalls;
     private final Counter takenOverCalls;
     private final Counter blamedCrashes;
@@ -109,6 +110,11 @@
                 "dogwoodwinch_streams_taken_up_total",
                 "Streams that callers took up, by how the software version that began them was known.",
                 "known_by");
+        this.streamsBesidePrefills = counter(
+                "dogwoodwinch_streams_beside_prefills_total",
+                "Streams that ran beside a long prefill at their target, by whether an event came too late.",
+                "service",
+                "late");
         this.passedOnCalls = counter(
                 "dogwoodwinch_calls_passed_on_total",
                 "Calls passed on to another instance because this one was cut off from all targets, by their end.",
@@ -256,6 +262,10 @@
         takenUpStreams.labelValues(knownBy).inc();
     }
 
+    void streamBesidePrefill(String service, boolean late) {
+        streamsBesidePrefills.labelValues(service, Boolean.toString(late)).inc();
+    }
+
     void callPassedOn(String outcome) {
         passedOnCalls.labelValues(outcome).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -114,6 +114,7 @@
                 decisions.loads(),
                 decisions.cacheIndex(),
                 decisions.prefillRates(),
+                decisions.stallCost(),
                 decisions.retryPolicy(),
                 decisions.budget(),
                 suspicions,
@@ -239,6 +240,16 @@
         return routeTable.map(RouteTable::longestResumableMillis).orElse(0L);
     }
 
+    /**
+     * Returns the routes whose streams run at a service.
+     *
+     * @param serviceName the service's name, not null
+     * @return the routes in the configuration in force; the same list while that is the same
+     */
+    public List<ServiceRoute> streamRoutes(String serviceName) {
+        return routeTable.map(current -> current.streamRoutes(serviceName)).orElseGet(List::of);
+    }
+
     /**
      * Returns how long an engine is unavailable during a stage change.
      *
--- a/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
+++ b/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
@@ -5,6 +5,7 @@
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Prompt;
+import org.dogwoodwinch.forwarding.StreamStallCost;
 
 /**
  * A send that is under way at a target. Counts towards the target's load until the send ends, and towards its prefill
@@ -20,6 +21,10 @@
     private final long sentMillis;
     private boolean prefillPending = true;
     private boolean open = true;
+    private long lastEventMillis = -1;
+    private boolean longPrefillAtLastEvent;
+    private boolean ranBesideLongPrefill;
+    private boolean stalledByPrefill;
 
     private InFlightSend(
             RelayContext context, Incarnation target, Optional<Prompt> prompt, ForwardingPlan.PrefillWork prefillWork) {
@@ -81,6 +86,29 @@
         });
     }
 
+    /**
+     * Records that the target wrote events of a stream, and whether a long prefill at the target, as far as it is known
+     * here, made them late.
+     *
+     * @param maxEventGapMillis the gap between events that the caller accepts; zero if it accepts any
+     */
+    void recordEvents(long maxEventGapMillis) {
+        if (maxEventGapMillis <= 0) {
+            return;
+        }
+        long nowMillis = context.time().monotonicMillis();
+        double prefillMillis =
+                context.loads().totalAt(target.id()).prefillQueue().totalTokens()
+                        / context.prefillRates().tokensPerMilli(target.service(), target.stage());
+        boolean longPrefill = StreamStallCost.exceedsGap(prefillMillis, maxEventGapMillis);
+        if (lastEventMillis >= 0 && (longPrefill || longPrefillAtLastEvent)) {
+            ranBesideLongPrefill = true;
+            stalledByPrefill |= nowMillis - lastEventMillis > maxEventGapMillis;
+        }
+        lastEventMillis = nowMillis;
+        longPrefillAtLastEvent = longPrefill;
+    }
+
     /** Records the end of the send, whatever its outcome. */
     void end() {
         if (!open) {
@@ -88,6 +116,10 @@
         }
         open = false;
         settlePrefill();
+        if (ranBesideLongPrefill) {
+            context.stallCost().observe(target.service(), stalledByPrefill);
+            context.report().ranBesidePrefill(target.service(), stalledByPrefill);
+        }
         context.loads().recordEnd(target.id());
         context.isolation().recordEnded(target.id());
     }
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -153,6 +153,11 @@
         }
     }
 
+    @Override
+    public void ranBesidePrefill(String service, boolean stalled) {
+        metrics.streamBesidePrefill(service, stalled);
+    }
+
     @Override
     public void succeeded(CallRelay call) {
         metrics.answered(routeKind(call), call.ageMillis());
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.ServiceEntry;
+import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetIsolation;
@@ -28,6 +29,7 @@
  * @param loads tracks the calls under way at targets, not null
  * @param cacheIndex prompt segments in the KV caches of engines, not null
  * @param prefillRates estimated prefill rates of engines, not null
+ * @param stallCost the cost of prefilling beside streams, which learns from the streams relayed here, not null
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
  * @param suspicions tracks calls suspected of crashing targets, not null
@@ -54,6 +56,7 @@
         LoadTracker loads,
         KvCacheIndex cacheIndex,
         PrefillRates prefillRates,
+        StreamStallCost stallCost,
         RetryPolicy retryPolicy,
         RetryBudget budget,
         Suspicions suspicions,
@@ -81,6 +84,7 @@
         Objects.requireNonNull(loads, "loads");
         Objects.requireNonNull(cacheIndex, "cacheIndex");
         Objects.requireNonNull(prefillRates, "prefillRates");
+        Objects.requireNonNull(stallCost, "stallCost");
         Objects.requireNonNull(retryPolicy, "retryPolicy");
         Objects.requireNonNull(budget, "budget");
         Objects.requireNonNull(suspicions, "suspicions");
--- a/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
@@ -9,6 +9,7 @@
 import org.dogwoodwinch.forwarding.PrefillRates;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
@@ -23,6 +24,7 @@
  * @param loads tracks the calls under way at targets, not null
  * @param cacheIndex prompt segments in the KV caches of engines, not null
  * @param prefillRates estimated prefill rates of engines, not null
+ * @param stallCost the cost of prefilling beside streams, which learns from the streams relayed here, not null
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
  * @param quarantine status of calls that crash targets, not null
@@ -44,6 +46,7 @@
         LoadTracker loads,
         KvCacheIndex cacheIndex,
         PrefillRates prefillRates,
+        StreamStallCost stallCost,
         RetryPolicy retryPolicy,
         RetryBudget budget,
         Quarantine quarantine,
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -55,6 +55,9 @@
     /** A chosen target left, restarted or asked for a rest before a byte was written to it; another one is chosen. */
     void keptFromTarget(String requestId, Incarnation target, SendCheck check);
 
+    /** A stream ended beside which its target prefilled for longer than fits into the stream's accepted gap. */
+    void ranBesidePrefill(String service, boolean stalled);
+
     /** A complete response was received. */
     void succeeded(CallRelay call);
 
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -24,6 +24,7 @@
 import org.dogwoodwinch.forwarding.PromptSegment;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
+import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.platform.PlatformHeaders;
@@ -72,6 +73,7 @@
                         loads,
                         cacheIndex,
                         new PrefillRates(30),
+                        new StreamStallCost(_service -> List.of()),
                         new RetryPolicy(1, 1, 1, 1),
                         new RetryBudget(0, () -> 0, 1_000, 0),
                         Quarantine.NONE,
--- a/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
@@ -14,6 +14,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class EngineChooserTest {
 
@@ -40,12 +42,17 @@
     }
 
     private EngineChooser chooser(long seed) {
+        return chooser(seed, List.of());
+    }
+
+    private EngineChooser chooser(long seed, List<ServiceRoute> streamRoutes) {
         return new EngineChooser(
                 directory,
                 loads,
                 cacheIndex,
                 new PrefillRates(30),
                 EngineCostModel.DEFAULT,
+                new StreamStallCost(_service -> streamRoutes),
                 new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(seed)),
                 "dc");
     }
@@ -243,23 +250,50 @@
             loads.recordSend("d" + i, 0, 0);
         }
         TargetQuery query = query("shared", "own");
-        TargetQuery withGapObjective = new TargetQuery(SERVICE, query.prompt(), 1, 5_000, 150, Set.of(), true);
 
-        assertTrue(chooser(1).choose(query).orElseThrow().prefillTarget().isEmpty());
-        assertTrue(chooser(1)
-                .choose(withGapObjective)
+        assertTrue(chooser(1, List.of(StreamRoutes.route("chat", 0, 300, 3_000, 0)))
+                .choose(query)
+                .orElseThrow()
+                .prefillTarget()
+                .isEmpty());
+        assertTrue(chooser(1, List.of(StreamRoutes.route("chat", 0, 300, 3_000, 150)))
+                .choose(query)
                 .orElseThrow()
                 .prefillTarget()
                 .isPresent());
     }
 
+    /** A long prompt waits for a prefill engine until the wait costs more than the streams beside it would lose. */
+    @ParameterizedTest
+    @CsvSource({"0, 0, true", "0, 60000, true", "0, 120000, false", "3, 120000, true", "3, 400000, false"})
+    void longPromptWaitsForAsLongAsStreamsWouldLose(int streams, int queuedTokens, boolean waits) {
+        // A late stream loses 1,500 ms; 30 tokens take 1 ms at an engine that prefills only.
+        List<ServiceRoute> routes = List.of(StreamRoutes.route("chat", 0, 500, 3_500, 250));
+        Map<String, TargetLoad> busy = new HashMap<>();
+        for (int i = 0; i < 3; i++) {
+            busy.put("p" + i, new TargetLoad(1, PrefillQueue.ofPrompt(0, queuedTokens + 1_000 * i)));
+        }
+        for (int i = 0; i < 5; i++) {
+            busy.put("d" + i, new TargetLoad(streams, PrefillQueue.EMPTY));
+        }
+        loads.replacePeerLoads("peer", busy);
+        Prompt prompt = new Prompt("m", 6_000, 20, List.of(new PromptSegment("own", 6_000)));
+        TargetQuery query = new TargetQuery(SERVICE, Optional.of(prompt), 1, 500, 250, Set.of(), true);
+
+        ForwardingPlan plan = chooser(1, routes).choose(query).orElseThrow();
+
+        assertEquals(waits, plan.prefillTarget().isPresent());
+    }
+
     /** A short prefill fits into a gap, so a decode engine with streams may do it. */
     @Test
     void shortPromptIsPrefilledWhereItRuns() {
         loads.recordSend("d0", 0, 0);
         Prompt prompt = new Prompt("m", 400, 5, List.of(new PromptSegment("q", 400)));
         TargetQuery query = new TargetQuery(SERVICE, Optional.of(prompt), 0, 250, 150, Set.of(), true);
-        assertTrue(chooser(1).choose(query).orElseThrow().prefillTarget().isEmpty());
+        List<ServiceRoute> routes = List.of(StreamRoutes.route("chat", 0, 300, 3_000, 150));
+        assertTrue(
+                chooser(1, routes).choose(query).orElseThrow().prefillTarget().isEmpty());
     }
 
     /** The segment moves with all its calls, not only with those that find no share of the limit left. */
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -41,6 +41,7 @@
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.StreamId;
+import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
@@ -73,6 +74,7 @@
     /** Targets that answer no attempt to connect. */
     final Set<String> silentTargetIds = new HashSet<>();
 
+    final StreamStallCost stallCost = new StreamStallCost(this::streamRoutes);
     final List<String> releasedCaches = new ArrayList<>();
     /** Targets whose connections open only in {@link #completeDelayedConnects}. */
     final Set<String> delayedTargetIds = new HashSet<>();
@@ -146,6 +148,7 @@
                 cacheIndex,
                 rates,
                 EngineCostModel.DEFAULT,
+                stallCost,
                 new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(7)),
                 "dc-1");
         service = new ForwardingService(
@@ -161,6 +164,7 @@
                         loads,
                         cacheIndex,
                         rates,
+                        stallCost,
                         new RetryPolicy(2, 2, 30, RETRY_AFTER_MILLIS),
                         new RetryBudget(0, () -> slackShare, 10_000, -10_000),
                         suspects,
@@ -277,6 +281,10 @@
         connects.forEach(Runnable::run);
     }
 
+    private List<ServiceRoute> streamRoutes(String serviceName) {
+        return service.streamRoutes(serviceName);
+    }
+
     private static ServiceRoute route(
             String prefix, RouteKind kind, boolean resumable, int attempts, String service, long timeoutMillis) {
         return new ServiceRoute(
