Count only known streams as stalled by a prefill

Cause: the price of a stalled stream was charged for one stream more than is known, so a decode engine without streams was avoided as if it had one, and at small fleets prompts waited at the prefill engines beside idle decode engines.

Change: only calls whose prompts have been prefilled count. A call that is sent to the engine during the prefill waits for its first event, not between events.

--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -209,15 +209,14 @@
      *
      * <p>Failure: a decoding engine prefills a prompt in chunks between decode steps, and an event contains several
      * tokens. One long prompt delays the next event of every stream on the engine beyond the gap that its caller
-     * accepts, so all of them are late although their first events were on time. One stream more is counted than is
-     * known, since another instance may send one before it is informed of the prefill.
+     * accepts, so all of them are late although their first events were on time.
      */
     private double streamStallMillis(Incarnation engine, double prefillMillis) {
         if (engine.stage() == Stage.PREFILL) {
             return 0;
         }
         return stallCost.millisPerStream(engine.service(), prefillMillis)
-                * (1 + loads.totalAt(engine.id()).callsCount());
+                * loads.totalAt(engine.id()).streamsCount();
     }
 
     /** Returns the cost to other calls of caching shared tokens on a second engine. */
--- a/src/main/java/org/dogwoodwinch/forwarding/PrefillQueue.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/PrefillQueue.java
@@ -78,6 +78,15 @@
         return Arrays.stream(tokens).sum();
     }
 
+    /**
+     * Returns the number of prompts of all levels.
+     *
+     * @return the sum
+     */
+    public int totalPrompts() {
+        return Arrays.stream(prompts).sum();
+    }
+
     /**
      * Returns the tokens of a level.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetLoad.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetLoad.java
@@ -27,6 +27,15 @@
         return callsCount == 0 && prefillQueue.equals(PrefillQueue.EMPTY);
     }
 
+    /**
+     * Returns the number of calls whose prompts have been prefilled, which is that of the streams that are decoded.
+     *
+     * @return the number, not negative
+     */
+    public int streamsCount() {
+        return Math.max(0, callsCount - prefillQueue.totalPrompts());
+    }
+
     /**
      * Returns the sum of this load and another.
      *
