Split the relay of a call by its jobs

Change: the answer to the caller (CallerAnswer), the choice of targets (CallTargets), the remote prefill with its KV cache (CallPrefill), the requests to targets (CallRequests), the part in the retry budget (CallRetries) and passing on (CallPassing) are classes of their own. Behaviour is unchanged: the order of sends, log events and counts is as before, and start() and chooseAndSend() keep their structure.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -3,12 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
-import org.dogwoodwinch.forwarding.ApiKey;
 import org.dogwoodwinch.forwarding.CallOwner;
 import org.dogwoodwinch.forwarding.CallProgress;
 import org.dogwoodwinch.forwarding.ForwardingPlan;
@@ -20,7 +17,6 @@
 import org.dogwoodwinch.forwarding.SendOutcome;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
-import org.dogwoodwinch.forwarding.TargetQuery;
 import org.dogwoodwinch.time.Cancellable;
 
 /**
@@ -29,44 +25,30 @@
  */
 final class CallRelay implements ResponseSink, ActiveCall {
 
-    /**
-     * Responses without streaming up to this size are buffered until they are complete, so that a truncated one can
-     * still be replaced by another response.
-     */
-    private static final int MAX_BUFFERED_BODY_BYTES = 262_144;
-
-    private enum State {
-        SENDING,
-        STREAMING,
-        DONE
-    }
-
     private final RelayContext context;
     private final IncomingCall call;
     private final CallAttributes attributes;
     private final Optional<CallOwner> owner;
     private final ServiceRoute route;
     private final ServiceEntry service;
-    private final CallerResponse caller;
     private final long deadlineMillis;
     private final CallSuspicion suspicion;
-    private final Optional<ApiKey> key;
-    private final boolean takenOver;
     private final Consumer<CallRelay> onDone;
     private final CallStartRecorder startRecorder;
     private final StreamContinuity continuity;
     private final CallAttempts attempts = new CallAttempts();
-    private State state = State.SENDING;
+    private final CallRetries retries;
+    private final CallRequests requests;
+    private final CallTargets targets;
+    private final CallPrefill prefill;
+    private final CallPassing passing;
+    private final CallerAnswer answer;
     private Cancellable deadlineTimer;
     private ForwardingPlan plan;
     private TargetConnection connection;
     private Optional<InFlightSend> inFlight = Optional.empty();
-    private TargetResponse response;
     private EventFramer eventFramer;
-    private Optional<RemotePrefill> remotePrefill = Optional.empty();
-    private Optional<KvCacheHandle> cacheHandle = Optional.empty();
-    private Incarnation cacheHolder;
-    private ActiveCall successor = ActiveCall.NONE;
+    private boolean done;
 
     /**
      * Creates a relay that sends nothing before {@link #start}.
@@ -79,24 +61,28 @@
     CallRelay(RelayContext context, RoutedCall routed, CallerResponse caller, Consumer<CallRelay> onDone) {
         this.context = Objects.requireNonNull(context, "context");
         this.call = routed.call();
-        this.key = routed.key();
-        this.takenOver = routed.takenOver();
         this.attributes = routed.attributes();
         this.owner = routed.owner();
         this.route = routed.route();
         this.service = routed.service();
-        this.caller = Objects.requireNonNull(caller, "caller");
         this.onDone = Objects.requireNonNull(onDone, "onDone");
         this.deadlineMillis = call.deadlineMillis(route, attributes);
         this.eventFramer = new EventFramer(attributes.lastEventId());
         this.suspicion = CallSuspicion.of(context, routed);
         this.continuity = new StreamContinuity(context.streamOrigins(), routed);
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
+        this.retries = new CallRetries(context, service.name(), suspicion);
+        this.requests = new CallRequests(context, routed);
+        this.targets = new CallTargets(context, routed, attempts, suspicion, continuity);
+        this.prefill = new CallPrefill(context, routed, attempts, suspicion, this::handlePrefillOutcome);
+        this.passing = new CallPassing(context.neighbours(), routed, attempts, caller);
+        this.answer = new CallerAnswer(
+                caller, context.callHeaders(), () -> context.report().firstByte(this), this::pauseReading);
     }
 
     /** Sends the call, or refuses it at once if it or a segment of its prompt crashes targets. */
     void start() {
-        context.budget().countRequest(service.name(), nowMillis());
+        retries.countRequest();
         // Recorded once per call: if each send recorded it, the call's own last segment would look like a session's.
         attributes.prompt().ifPresent(context.cacheIndex().sharedSegments()::recordPrompt);
         deadlineTimer = context.time().schedule(remainingMillis(), this::handleDeadline);
@@ -114,13 +100,10 @@
     /** Ends the call because it must not be written to a target. */
     private void refuse(CallSuspicion.Refusal refusal) {
         context.report().heldBack(this, refusal);
-        if (state == State.STREAMING) {
-            caller.abortResponse();
-        } else if (attempts.mayHaveRun()) {
-            LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
+        if (attempts.mayHaveRun()) {
+            answer.fail(LocalResponses.BAD_GATEWAY);
         } else {
-            LocalResponses.sendRetryable(
-                    caller, LocalResponses.UNAVAILABLE, refusal.reason(), refusal.retryAfterMillis());
+            answer.refuse(refusal.reason(), refusal.retryAfterMillis());
         }
         finish();
     }
@@ -142,16 +125,14 @@
      * not run then.
      */
     private void handleOrigin(StreamOrigin origin) {
-        if (state == State.DONE) {
+        if (done) {
             return;
         }
         context.report().streamTakenUp(this, attributes.resumes().orElse(""), origin);
         if (origin instanceof StreamOrigin.Known) {
             chooseAndSend();
         } else {
-            LocalResponses.sendRetryable(
-                    caller,
-                    LocalResponses.UNAVAILABLE,
+            answer.refuse(
                     "not run: the begin of the stream is not known",
                     context.retryPolicy().retryAfterMillis());
             finish();
@@ -160,8 +141,8 @@
 
     @Override
     public void onCallerClosed() {
-        successor.onCallerClosed();
-        if (state == State.DONE) {
+        passing.onCallerClosed();
+        if (done) {
             return;
         }
         context.report().callerDisconnected(this);
@@ -170,7 +151,7 @@
 
     @Override
     public void onCallerWritable() {
-        successor.onCallerWritable();
+        passing.onCallerWritable();
         if (connection != null) {
             connection.setReading(true);
         }
@@ -199,13 +180,13 @@
 
     /** Returns the current stage of the call for log lines. */
     String stage() {
-        if (remotePrefill.isPresent()) {
-            return "prompt_read_by_" + remotePrefill.get().engine().id();
+        if (prefill.engine().isPresent()) {
+            return "prompt_read_by_" + prefill.engine().get().id();
         }
         if (inFlight.isEmpty()) {
             return "not_sent";
         }
-        return state == State.STREAMING ? "answering" : "sent";
+        return answer.isBegun() ? "answering" : "sent";
     }
 
     /** Returns the time since the call was sent to its current target, in milliseconds; -1 if no send is under way. */
@@ -229,56 +210,22 @@
         return deadlineMillis - nowMillis();
     }
 
-    private long remainingObjectiveMillis() {
-        return route.latencyObjectiveMillis() <= 0
-                ? Long.MAX_VALUE
-                : call.arrivalMillis() + route.latencyObjectiveMillis() - nowMillis();
-    }
-
-    private TargetQuery query() {
-        return query(attempts.triedIds());
-    }
-
-    private TargetQuery query(Set<String> avoided) {
-        return new TargetQuery(
-                service,
-                attributes.prompt(),
-                owner.map(known -> known.priorityOn(route)).orElseGet(route::priority),
-                remainingObjectiveMillis(),
-                route.maxEventGapMillis(),
-                avoided,
-                attempts.mayPrefillRemotely(),
-                continuity.softwareVersion());
-    }
-
-    /**
-     * Chooses a target. A call suspected of crashing targets avoids targets that run other suspects, unless there is no
-     * other target.
-     */
-    private Optional<ForwardingPlan> choose() {
-        Set<String> suspectTargets = suspicion.targetsToAvoid();
-        if (suspectTargets.isEmpty()) {
-            return context.chooser().choose(query());
-        }
-        Set<String> avoided = new HashSet<>(attempts.triedIds());
-        avoided.addAll(suspectTargets);
-        return context.chooser()
-                .choose(query(avoided))
-                .or(() -> context.chooser().choose(query()));
-    }
-
     private void chooseAndSend() {
         if (refuseIfHeldBack() || passOn()) {
             return;
         }
-        Optional<ForwardingPlan> chosen = choose();
+        Optional<ForwardingPlan> chosen = targets.choose();
         if (chosen.isEmpty()) {
             handleNoTarget();
             return;
         }
         plan = chosen.get();
         if (plan.prefillTarget().isPresent()) {
-            startRemotePrefill(plan.prefillTarget().get());
+            Incarnation engine = plan.prefillTarget().get();
+            prefill.start(
+                    engine,
+                    plan.prefillWork(),
+                    () -> requests.forPrefill(engine, plan.prefillWork(), eventFramer.lastEventId()));
         } else {
             connect();
         }
@@ -289,51 +236,21 @@
         execute(new SendOutcome.NotSent("no_target"), context.retryPolicy().giveUp(progress()));
     }
 
-    /**
-     * Prefills the prompt on a separate engine. Done once per call, since each remote prefill is one more request to a
-     * target: the next attempt lets the target that runs the call prefill it.
-     */
-    private void startRemotePrefill(Incarnation prefillTarget) {
-        attempts.recordRemotePrefill();
-        RemotePrefill started = new RemotePrefill(
-                context,
-                service,
-                prefillTarget,
-                attributes.prompt().orElseThrow(),
-                plan.prefillWork(),
-                () -> suspicion.refusal().isEmpty(),
-                this::handlePrefillOutcome);
-        remotePrefill = Optional.of(started);
-        started.start(call.arrivalMillis(), () -> outbound(prefillTarget, true));
-    }
-
     /**
      * Continues after a remote prefill. If it gave no usable cache handle, the call has not run and is sent to a target
      * that also prefills the prompt.
      */
-    private void handlePrefillOutcome(PrefillOutcome outcome) {
-        Incarnation prefillTarget = remotePrefill.orElseThrow().engine();
-        remotePrefill = Optional.empty();
-        if (outcome instanceof PrefillOutcome.Completed read) {
-            cacheHandle = Optional.of(read.cacheHandle());
-            cacheHolder = prefillTarget;
-            sendAfterPrefill(prefillTarget);
-        } else if (outcome instanceof PrefillOutcome.NotSent notSent) {
-            attempts.recordUnsentPrefill(prefillTarget.id());
-            context.report()
-                    .prefillFailed(this, prefillTarget, notSent.reason(), new NextStep.SendAgain(), remainingRetries());
-            chooseAndSend();
-        } else if (outcome instanceof PrefillOutcome.NoCacheHandle noHandle) {
-            context.report()
-                    .prefillFailed(
-                            this, prefillTarget, noHandle.reason(), new NextStep.SendAgain(), remainingRetries());
-            chooseAndSend();
+    private void handlePrefillOutcome(Incarnation engine, PrefillOutcome outcome) {
+        if (outcome instanceof PrefillOutcome.Completed) {
+            sendAfterPrefill(engine);
+        } else if (outcome instanceof PrefillOutcome.Failed failed) {
+            handlePrefillFailure(engine, failed.reason());
         } else {
-            PrefillOutcome.Failed failed = (PrefillOutcome.Failed) outcome;
-            if (failed.connectionLost()) {
-                suspicion.recordPrefillLost(prefillTarget);
-            }
-            handlePrefillFailure(prefillTarget, failed.reason());
+            String reason = outcome instanceof PrefillOutcome.NotSent notSent
+                    ? notSent.reason()
+                    : ((PrefillOutcome.NoCacheHandle) outcome).reason();
+            context.report().prefillFailed(this, engine, reason, new NextStep.SendAgain(), retries.remaining());
+            chooseAndSend();
         }
     }
 
@@ -341,7 +258,7 @@
         if (refuseIfHeldBack()) {
             return;
         }
-        Optional<Incarnation> runner = context.chooser().chooseDecodeTarget(query(), prefillTarget);
+        Optional<Incarnation> runner = targets.chooseAfterPrefill(prefillTarget);
         if (runner.isEmpty()) {
             handleNoTarget();
             return;
@@ -359,11 +276,9 @@
      * limits that. The service then receives twice its calls at the moment when a part of it is broken.
      */
     private void handlePrefillFailure(Incarnation prefillTarget, String reason) {
-        attempts.recordNotRun();
-        attempts.recordSent(prefillTarget.id());
         SendOutcome outcome = new SendOutcome.NotPrefilled(reason);
-        NextStep step = context.retryPolicy().nextStep(outcome, progress(), () -> tryTakeRetry(false));
-        context.report().prefillFailed(this, prefillTarget, reason, step, remainingRetries());
+        NextStep step = context.retryPolicy().nextStep(outcome, progress(), () -> retries.tryTake(false));
+        context.report().prefillFailed(this, prefillTarget, reason, step, retries.remaining());
         execute(outcome, step);
     }
 
@@ -387,7 +302,7 @@
     }
 
     private void send(TargetConnection acquired) {
-        if (state == State.DONE) {
+        if (done) {
             context.connections().release(acquired);
             return;
         }
@@ -412,22 +327,21 @@
         connection = acquired;
         startRecorder.onSent();
         attempts.recordSent(plan.target().id());
-        response = null;
-        Optional<Prompt> promptToPrefill = cacheHandle.isPresent() ? Optional.empty() : attributes.prompt();
+        answer.beginSend();
+        Optional<Prompt> promptToPrefill = prefill.cacheHandle().isPresent() ? Optional.empty() : attributes.prompt();
         InFlightSend started = InFlightSend.start(context, plan.target(), promptToPrefill, plan.prefillWork());
         inFlight = Optional.of(started);
         context.report().sent(requestId(), plan.target(), plan.prefillWork(), started.aheadTokens(), sendPurpose());
         suspicion.recordSent(plan.target());
-        OutboundCall outbound = outbound(plan.target(), false);
-        // A cache handle can be used only once.
-        cacheHandle = Optional.empty();
+        OutboundCall outbound = requests.forRun(plan, prefill.cacheHandle(), eventFramer.lastEventId());
+        prefill.recordCacheUsed();
         acquired.send(outbound, this);
     }
 
     /** Chooses another target. Nothing was sent, so this takes nothing from the retry budget. */
     private void chooseAgain() {
-        if (cacheHandle.isPresent()) {
-            sendAfterPrefill(cacheHolder);
+        if (prefill.cacheHandle().isPresent()) {
+            sendAfterPrefill(prefill.cacheHolder());
         } else {
             chooseAndSend();
         }
@@ -437,51 +351,30 @@
         return sendsCount() > 0 ? SendPurpose.REPEAT : SendPurpose.RUN;
     }
 
-    private OutboundCall outbound(Incarnation target, boolean prefillOnly) {
-        SendAttributes sending = new SendAttributes(
-                target,
-                Math.max(1, remainingMillis()),
-                attributes.prompt().map(_prompt -> plan.prefillWork().level()),
-                prefillOnly,
-                cacheHandle,
-                plan.prefillWork().cacheSource().filter(context.chooser()::isCurrent),
-                owner.map(CallOwner::name),
-                eventFramer.lastEventId());
-        HttpHeaders headers = context.callHeaders().targetHeaders(call.headers(), sending);
-        return new OutboundCall(requestId(), call.method(), call.uri(), headers, call.body(), call.framed());
-    }
-
     @Override
     public void onHead(ResponseAttributes responseAttributes, HttpHeaders headers) {
-        response = new TargetResponse(responseAttributes, headers);
+        answer.onHead(responseAttributes, headers);
         inFlight.ifPresent(started -> started.recordResponseHead(responseAttributes));
     }
 
     @Override
     public void onBody(ByteBuf chunk) {
-        if (state == State.DONE) {
+        if (done) {
             return;
         }
-        if (!response.isSuccess()) {
-            bufferFailure(chunk);
+        if (!answer.isSuccess()) {
+            if (!answer.bufferFailure(chunk)) {
+                abandonSend();
+                onEnd(new SendOutcome.Unknown("failure_too_long"));
+            }
             return;
         }
         inFlight.ifPresent(InFlightSend::recordPrefillDone);
         if (route.kind() == RouteKind.STREAM) {
             startRecorder.onStreamEvent();
             relayEvents(chunk);
-        } else if (state == State.STREAMING) {
-            relayBody(chunk.retain());
-        } else if (response.buffer(chunk) > MAX_BUFFERED_BODY_BYTES) {
-            beginCallerResponse();
-            relayBody(context.copy(response.takeBuffered()));
-        }
-    }
-
-    private void bufferFailure(ByteBuf chunk) {
-        if (response.buffer(chunk) > MAX_BUFFERED_BODY_BYTES) {
-            abandonSend();
-            onEnd(new SendOutcome.Unknown("failure_too_long"));
+        } else {
+            answer.relayOrBuffer(chunk);
         }
     }
 
@@ -491,43 +384,31 @@
             suspicion.recordBegin();
             continuity.onEvents(plan.target());
         }
-        if (whole.length > 0) {
-            beginCallerResponse();
-            relayBody(context.copy(whole));
-        }
+        answer.relay(whole);
         if (eventFramer.hasRepeatedEvent() || eventFramer.isEventTooLong()) {
             abandonSend();
             onEnd(new SendOutcome.Unknown(eventFramer.hasRepeatedEvent() ? "repeated_event" : "event_too_long"));
         }
     }
 
-    private void beginCallerResponse() {
-        if (state == State.SENDING) {
-            state = State.STREAMING;
-            context.report().firstByte(this);
-            caller.beginResponse(response.status(), context.callHeaders().callerHeaders(response.headers()));
-        }
-    }
-
-    private void relayBody(ByteBuf chunk) {
-        caller.writeBody(chunk);
-        if (!caller.isWritable()) {
+    private void pauseReading() {
+        if (connection != null) {
             connection.setReading(false);
         }
     }
 
     @Override
     public void onEnd(ResponseEnd end) {
-        context.recordResponse(plan.target().id(), response.isMisdirected());
+        context.recordResponse(plan.target().id(), answer.isMisdirected());
         releaseSend();
-        if (state == State.DONE) {
+        if (done) {
             return;
         }
-        if (response.isSuccess()) {
+        if (answer.isSuccess()) {
             handleSuccess(end);
         } else {
             suspicion.recordFailure();
-            onEnd(response.failure());
+            onEnd(answer.failure());
         }
     }
 
@@ -539,16 +420,12 @@
             onEnd(new SendOutcome.Unknown(verdict.reason()));
             return;
         }
-        relayTrailingComments();
+        answer.relay(eventFramer.takeTrailing());
         startRecorder.onMayHaveRun();
         suspicion.recordComplete();
         context.report().succeeded(this);
-        if (state == State.STREAMING) {
-            caller.endResponse();
-            finish();
-        } else {
-            relayBuffered();
-        }
+        answer.complete();
+        finish();
     }
 
     private ResponseVerdict judge(ResponseEnd end) {
@@ -559,19 +436,11 @@
                 : ResponseVerdict.COMPLETE;
     }
 
-    private void relayTrailingComments() {
-        byte[] trailing = eventFramer.takeTrailing();
-        if (trailing.length > 0) {
-            beginCallerResponse();
-            caller.writeBody(context.copy(trailing));
-        }
-    }
-
     @Override
     public void onLost(String reason, boolean connectionAborted) {
         releaseSend();
         context.recordLoss(plan.target().id(), connectionAborted);
-        if (state != State.DONE) {
+        if (!done) {
             recordLostCall();
             onEnd(new SendOutcome.Unknown(reason));
         }
@@ -584,7 +453,7 @@
     }
 
     private void onEnd(SendOutcome outcome) {
-        if (state == State.DONE) {
+        if (done) {
             return;
         }
         if (outcome instanceof SendOutcome.Rejected) {
@@ -596,53 +465,31 @@
         }
         eventFramer.beginResponse();
         NextStep step = context.retryPolicy()
-                .nextStep(outcome, progress(), () -> tryTakeRetry(outcome instanceof SendOutcome.Unknown));
-        context.report().sendFailed(this, outcome, step, remainingRetries());
+                .nextStep(outcome, progress(), () -> retries.tryTake(outcome instanceof SendOutcome.Unknown));
+        context.report().sendFailed(this, outcome, step, retries.remaining());
         execute(outcome, step);
     }
 
-    /**
-     * Takes a retry from the budget, if the call may be sent again.
-     *
-     * @param isLost whether the call was lost at a target that may have begun to run it
-     */
-    private boolean tryTakeRetry(boolean isLost) {
-        if (!suspicion.mayBeSentAgain(isLost)) {
-            return false;
-        }
-        boolean taken = context.budget().tryTakeRetry(service.name(), nowMillis());
-        context.report()
-                .retryDecided(
-                        service.name(),
-                        taken ? RelayReport.RetryDecision.TAKEN : RelayReport.RetryDecision.NOT_GRANTED);
-        return taken;
-    }
-
-    private double remainingRetries() {
-        return context.budget().remaining(service.name(), nowMillis());
-    }
-
     private CallProgress progress() {
-        return attempts.toProgress(route, remainingMillis(), context.chooser().millisUntilCapacity(query()));
+        return attempts.toProgress(route, remainingMillis(), targets.millisUntilCapacity());
     }
 
     private void execute(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.SendAgain) {
             chooseAndSend();
-        } else if (step instanceof NextStep.Refuse && passOn()) {
             return;
-        } else if (state == State.STREAMING) {
-            caller.abortResponse();
-            finish();
-        } else if (step instanceof NextStep.Refuse refuse) {
-            LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", refuse.retryAfterMillis());
-            finish();
+        }
+        if (step instanceof NextStep.Refuse && passOn()) {
+            return;
+        }
+        if (step instanceof NextStep.Refuse refuse) {
+            answer.refuse("not run", refuse.retryAfterMillis());
         } else if (step instanceof NextStep.RelayFailure && outcome instanceof SendOutcome.RanAndFailed) {
-            relayBuffered();
+            answer.relayFailure();
         } else {
-            LocalResponses.sendError(caller, LocalResponses.BAD_GATEWAY, "may have run");
-            finish();
+            answer.fail(LocalResponses.BAD_GATEWAY);
         }
+        finish();
     }
 
     /**
@@ -651,9 +498,9 @@
      * that was written this is a retry.
      */
     void passOnWaiting() {
-        boolean isWritten = inFlight.isPresent() || remotePrefill.isPresent();
+        boolean isWritten = inFlight.isPresent() || prefill.engine().isPresent();
         boolean mayRunTwice = inFlight.isEmpty() || route.isIdempotent();
-        if (!mayBePassedOn() || response != null || !mayRunTwice || (isWritten && !tryTakeRetry(false))) {
+        if (!mayBePassedOn() || answer.hasHead() || !mayRunTwice || (isWritten && !retries.tryTake(false))) {
             return;
         }
         if (inFlight.isPresent()) {
@@ -664,7 +511,7 @@
     }
 
     private boolean mayBePassedOn() {
-        return state == State.SENDING && !takenOver && context.neighbours().arePassedOn();
+        return !done && !answer.isBegun() && passing.isDueToIsolation();
     }
 
     /**
@@ -677,41 +524,24 @@
         if (!mayBePassedOn()) {
             return false;
         }
-        state = State.DONE;
+        done = true;
         releaseAll();
         suspicion.recordFailure();
         suspicion.close();
-        successor = context.neighbours()
-                .passOn(
-                        new PassedOnCall(call, key, attributes, route, attempts.mayHaveRun()),
-                        caller,
-                        context.retryPolicy().retryAfterMillis(),
-                        () -> onDone.accept(this));
+        passing.passOn(context.retryPolicy().retryAfterMillis(), () -> onDone.accept(this));
         return true;
     }
 
-    private void relayBuffered() {
-        caller.sendResponse(
-                response.status(), context.callHeaders().callerHeaders(response.headers()), response.body());
-        finish();
-    }
-
     private void handleDeadline() {
-        if (state == State.DONE) {
+        if (done) {
             return;
         }
         boolean mayHaveRun = attempts.mayHaveRun() || inFlight.isPresent();
         context.report().deadlineExceeded(this, mayHaveRun);
-        if (state == State.STREAMING) {
-            caller.abortResponse();
-        } else if (mayHaveRun) {
-            LocalResponses.sendError(caller, LocalResponses.GATEWAY_TIMEOUT, "may have run");
+        if (mayHaveRun) {
+            answer.fail(LocalResponses.GATEWAY_TIMEOUT);
         } else {
-            LocalResponses.sendRetryable(
-                    caller,
-                    LocalResponses.UNAVAILABLE,
-                    "not run",
-                    context.retryPolicy().retryAfterMillis());
+            answer.refuse("not run", context.retryPolicy().retryAfterMillis());
         }
         finish();
     }
@@ -730,10 +560,10 @@
     }
 
     private void finish() {
-        if (state == State.DONE) {
+        if (done) {
             return;
         }
-        state = State.DONE;
+        done = true;
         if (inFlight.isPresent()) {
             startRecorder.onMayHaveRun();
         }
@@ -745,8 +575,6 @@
     private void releaseAll() {
         deadlineTimer.cancel();
         abandonSend();
-        remotePrefill.ifPresent(RemotePrefill::cancel);
-        // A KV cache that is never fetched would stay allocated on the prefill target until it expires.
-        cacheHandle.ifPresent(unused -> context.control().releaseCache(cacheHolder, unused));
+        prefill.release();
     }
 }
