Pass on calls for which no connection is left, before anything is written

Cause: an instance has an equal share of each target's connections.

Change: CallPassing passes a call on that would be refused for want of connections, if nothing of it was written to a target and a neighbour may take it over. An instance without a free connection gives a call that it took over back (not taken over), and the next one is tried, up to three. If none takes it over, the caller gets the refusal of before. CallRetries counts a call at its first write instead of on arrival, so the instance that sends it counts it, and no other does: a call that was sent here before carries x-dogwoodwinch-counted. If a neighbour is lost with a call that may run twice, the next one gets it when the budget here allows a retry. A cut-off instance no longer passes on a call of which a target has received something unless a retry was taken for it: before, a refusal after a rejection and a send after a prefill without a usable handle were passed on and sent as first ones. given_up was documented and never logged; now it is.

PassedOnCallsTest got a test of a begun stream that is sent again, which fails without the check of the begin.

--- a/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RetryBudget.java
@@ -8,7 +8,8 @@
 
 /**
  * Limits the retries for each service without a counter shared among instances: an instance may spend a ratio of the
- * requests that it received itself, and its own share of the slack.
+ * requests that it sent to targets itself, and its own share of the slack. A request that one instance passes on to
+ * another is counted by the one that sends it first, and by no other.
  *
  * <p>A restarted instance does not know what it spent before. Its share of the slack is therefore available only one
  * window after its start. The ratio needs no such delay, because requests and retries are lost together.
@@ -40,7 +41,7 @@
     /**
      * Creates a budget.
      *
-     * @param ratio the retries allowed per request received by this instance
+     * @param ratio the retries allowed per request counted by this instance
      * @param slackShare this instance's share of the additional retries per window; read at each use because it falls
      *     as the number of instances grows, not null
      * @param windowMillis the length of the window
@@ -56,14 +57,14 @@
     /**
      * Changes the ratio. Retries already spent remain counted.
      *
-     * @param newRatio the retries allowed per request received by this instance
+     * @param newRatio the retries allowed per request counted by this instance
      */
     public void setRatio(double newRatio) {
         ratio = newRatio * USABLE_RATIO;
     }
 
     /**
-     * Counts a request that a caller sent to a service.
+     * Counts a request when this instance first writes it to a target of a service.
      *
      * @param service the service's name, not null
      * @param nowMillis monotonic milliseconds
--- a/src/main/java/org/dogwoodwinch/relay/CallAttempts.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallAttempts.java
@@ -19,6 +19,9 @@
     private int rejectionsCount;
     private int unsentCount;
     private boolean remotePrefillUsed;
+    private boolean written;
+    private boolean retryTaken;
+    private boolean connectionsInUse;
 
     /** Returns the ids of the targets to which the call was sent or could not be sent. */
     Set<String> triedIds() {
@@ -40,6 +43,43 @@
         return !remotePrefillUsed;
     }
 
+    /** Returns whether anything of the call was written to a target, for a run or for a prefill. */
+    boolean isWritten() {
+        return written;
+    }
+
+    /**
+     * Returns whether the next write to a target is accounted for: it is the first one, or a retry was taken for it.
+     *
+     * <p>Failure: a call that a target has rejected or prefilled is passed on, and the other instance sends it as a first
+     * one. No retry budget limits such sends.
+     */
+    boolean mayBeWritten() {
+        return !written || retryTaken;
+    }
+
+    /** Returns whether a target was not used because this instance uses all of its connections there. */
+    boolean metConnectionsInUse() {
+        return connectionsInUse;
+    }
+
+    /** Records that a retry was taken from the budget for the next write. */
+    void recordRetryTaken() {
+        retryTaken = true;
+    }
+
+    /**
+     * Records that the call, or its prompt for a prefill, is written to a target.
+     *
+     * @return whether this is the first write
+     */
+    boolean recordWritten() {
+        boolean first = !written;
+        written = true;
+        retryTaken = false;
+        return first;
+    }
+
     void recordRemotePrefill() {
         remotePrefillUsed = true;
     }
@@ -49,14 +89,15 @@
     }
 
     /** Records that no byte reached a target. */
-    void recordUnsent(String targetId) {
+    void recordUnsent(String targetId, String reason) {
         unsentCount++;
+        connectionsInUse |= reason.equals(TargetConnectionPool.CONNECTIONS_IN_USE);
         triedIds.add(targetId);
     }
 
     /** Records that no byte reached a target that was to prefill the prompt: another one may be tried. */
-    void recordUnsentPrefill(String targetId) {
-        recordUnsent(targetId);
+    void recordUnsentPrefill(String targetId, String reason) {
+        recordUnsent(targetId, reason);
         remotePrefillUsed = unsentCount > MAX_UNSENT_PREFILLS;
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/CallPassing.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallPassing.java
@@ -1,46 +1,138 @@
 package org.dogwoodwinch.relay;
 
 import java.util.Objects;
+import org.dogwoodwinch.forwarding.NextStep;
 
-/** Passes one call on to another instance, if that may take it over. Confined to one event loop. */
+/**
+ * Decides whether one call is passed on to another instance, and passes it on. Confined to one event loop.
+ *
+ * <p>Load: most callers connect to one of many instances. Its share of the targets' connections is that of any other, so
+ * it has none for most of its calls while the shares of the others are free.
+ *
+ * <p>A call of which a target has received anything is not passed on for want of connections: the other instance would
+ * send it as a first one, which no retry budget limits.
+ */
 final class CallPassing implements ActiveCall {
 
-    private final NeighbourCalls neighbours;
+    /** What becomes of a call that this instance would refuse. */
+    enum Refusal {
+        /** The caller is refused. */
+        FINAL,
+        /** Another instance may have connections left. */
+        PASS_ON,
+        /** The instance that passed the call on is told so, and tries another one. */
+        NOT_TAKEN_OVER
+    }
+
+    private final RelayContext context;
     private final RoutedCall routed;
     private final CallAttempts attempts;
+    private final CallRetries retries;
     private final CallerResponse caller;
+    private final Runnable onLeave;
+    private final Runnable onDone;
     private ActiveCall passedOn = ActiveCall.NONE;
 
     /**
      * Creates the state of a call that was not passed on.
      *
-     * @param neighbours the calls that are passed on to other instances, not null
+     * @param context the services that all relays share, not null
      * @param routed the call, not null
      * @param attempts the attempts made for the call, not null
+     * @param retries takes retries for the call from the budget, not null
      * @param caller writes the response to the caller, not null
+     * @param onLeave run directly before the call is left to another instance; ends all work for it here, not null
+     * @param onDone run exactly once, when a call that was left to another instance has ended in any way, not null
      */
-    CallPassing(NeighbourCalls neighbours, RoutedCall routed, CallAttempts attempts, CallerResponse caller) {
-        this.neighbours = Objects.requireNonNull(neighbours, "neighbours");
+    CallPassing(
+            RelayContext context,
+            RoutedCall routed,
+            CallAttempts attempts,
+            CallRetries retries,
+            CallerResponse caller,
+            Runnable onLeave,
+            Runnable onDone) {
+        this.context = Objects.requireNonNull(context, "context");
         this.routed = Objects.requireNonNull(routed, "routed");
         this.attempts = Objects.requireNonNull(attempts, "attempts");
+        this.retries = Objects.requireNonNull(retries, "retries");
         this.caller = Objects.requireNonNull(caller, "caller");
+        this.onLeave = Objects.requireNonNull(onLeave, "onLeave");
+        this.onDone = Objects.requireNonNull(onDone, "onDone");
+    }
+
+    private boolean isCutOff() {
+        return !routed.takenOver() && context.neighbours().arePassedOn();
     }
 
-    /** Returns whether the call is passed on because this instance is cut off from all targets and another one is not. */
-    boolean isDueToIsolation() {
-        return !routed.takenOver() && neighbours.arePassedOn();
+    /**
+     * Returns whether a call that waits for a target may be passed on because this instance is cut off from all targets.
+     * Takes a retry if a target has received anything of the call.
+     */
+    boolean mayPassOnWaiting() {
+        return isCutOff() && (attempts.mayBeWritten() || retries.tryTake(false));
     }
 
     /**
-     * Passes the call on, which ends it here. Nothing of the response may have been sent to the caller.
+     * Passes the call on if this instance is cut off from all targets and another one is not. Nothing of the response may
+     * have been sent to the caller.
      *
-     * @param retryAfterMillis when a caller that is refused may come back
-     * @param onDone run exactly once, when the call has ended in any way, not null
+     * @return whether it was passed on, which ends the call here
      */
-    void passOn(long retryAfterMillis, Runnable onDone) {
+    boolean passOnIfCutOff() {
+        boolean isDue = isCutOff() && attempts.mayBeWritten();
+        if (isDue) {
+            passOn(PassReason.CUT_OFF, context.retryPolicy().retryAfterMillis());
+        }
+        return isDue;
+    }
+
+    /**
+     * Leaves a call that would be refused to another instance, if this one refuses it for want of connections. A call of
+     * a caller is passed on. One that was taken over is not: the instance that passed it on is told and tries another
+     * one. Nothing of the response may have been sent to the caller.
+     *
+     * @param refuse the refusal, not null
+     * @return whether it was left to others, which ends the call here
+     */
+    boolean leaveToNeighbours(NextStep.Refuse refuse) {
+        if (!attempts.metConnectionsInUse()) {
+            return false;
+        }
+        Refusal refusal = judgeRefusal();
+        context.neighbours().recordWithoutConnection(routed.attributes(), refusal);
+        if (refusal == Refusal.PASS_ON) {
+            passOn(PassReason.NO_CONNECTION, refuse.retryAfterMillis());
+        } else if (refusal == Refusal.NOT_TAKEN_OVER) {
+            onLeave.run();
+            LocalResponses.sendNotTakenOver(caller, TargetConnectionPool.CONNECTIONS_IN_USE);
+            onDone.run();
+        }
+        return refusal != Refusal.FINAL;
+    }
+
+    private Refusal judgeRefusal() {
+        if (attempts.isWritten()) {
+            return Refusal.FINAL;
+        }
+        if (routed.takenOver()) {
+            return Refusal.NOT_TAKEN_OVER;
+        }
+        return context.neighbours().canTakeOver() ? Refusal.PASS_ON : Refusal.FINAL;
+    }
+
+    private void passOn(PassReason reason, long retryAfterMillis) {
+        onLeave.run();
         PassedOnCall call = new PassedOnCall(
-                routed.call(), routed.key(), routed.attributes(), routed.route(), attempts.mayHaveRun());
-        passedOn = neighbours.passOn(call, caller, retryAfterMillis, onDone);
+                routed.call(),
+                routed.key(),
+                routed.attributes(),
+                routed.route(),
+                reason,
+                attempts.isWritten(),
+                attempts.mayHaveRun(),
+                () -> retries.tryTake(true));
+        passedOn = context.neighbours().passOn(call, caller, retryAfterMillis, onDone);
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/relay/CallPrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallPrefill.java
@@ -19,6 +19,7 @@
     private final RelayContext context;
     private final RoutedCall routed;
     private final CallAttempts attempts;
+    private final CallRetries retries;
     private final CallSuspicion suspicion;
     private final BiConsumer<Incarnation, PrefillOutcome> onOutcome;
     private Optional<RemotePrefill> underWay = Optional.empty();
@@ -31,6 +32,7 @@
      * @param context the services that all relays share, not null
      * @param routed the call, not null
      * @param attempts the attempts made for the call, not null
+     * @param retries counts the call for the retry budget, not null
      * @param suspicion decides whether the call may be sent, not null
      * @param onOutcome receives the engine and the outcome, unless {@link #release} is called before, not null
      */
@@ -38,11 +40,13 @@
             RelayContext context,
             RoutedCall routed,
             CallAttempts attempts,
+            CallRetries retries,
             CallSuspicion suspicion,
             BiConsumer<Incarnation, PrefillOutcome> onOutcome) {
         this.context = Objects.requireNonNull(context, "context");
         this.routed = Objects.requireNonNull(routed, "routed");
         this.attempts = Objects.requireNonNull(attempts, "attempts");
+        this.retries = Objects.requireNonNull(retries, "retries");
         this.suspicion = Objects.requireNonNull(suspicion, "suspicion");
         this.onOutcome = Objects.requireNonNull(onOutcome, "onOutcome");
     }
@@ -65,7 +69,7 @@
                 () -> suspicion.refusal().isEmpty(),
                 outcome -> handleOutcome(engine, outcome));
         underWay = Optional.of(started);
-        started.start(routed.call().arrivalMillis(), outbound);
+        started.start(routed.call().arrivalMillis(), outbound, retries::recordWritten);
     }
 
     private void handleOutcome(Incarnation engine, PrefillOutcome outcome) {
@@ -73,8 +77,8 @@
         if (outcome instanceof PrefillOutcome.Completed read) {
             cacheHandle = Optional.of(read.cacheHandle());
             cacheHolder = engine;
-        } else if (outcome instanceof PrefillOutcome.NotSent) {
-            attempts.recordUnsentPrefill(engine.id());
+        } else if (outcome instanceof PrefillOutcome.NotSent notSent) {
+            attempts.recordUnsentPrefill(engine.id(), notSent.reason());
         } else if (outcome instanceof PrefillOutcome.Failed failed) {
             if (failed.connectionLost()) {
                 suspicion.recordPrefillLost(engine);
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -71,18 +71,18 @@
         this.suspicion = CallSuspicion.of(context, routed);
         this.continuity = new StreamContinuity(context.streamOrigins(), routed);
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
-        this.retries = new CallRetries(context, service.name(), suspicion);
+        this.retries = new CallRetries(context, routed, suspicion, attempts);
         this.requests = new CallRequests(context, routed);
         this.targets = new CallTargets(context, routed, attempts, suspicion, continuity);
-        this.prefill = new CallPrefill(context, routed, attempts, suspicion, this::handlePrefillOutcome);
-        this.passing = new CallPassing(context.neighbours(), routed, attempts, caller);
+        this.prefill = new CallPrefill(context, routed, attempts, retries, suspicion, this::handlePrefillOutcome);
+        this.passing = new CallPassing(
+                context, routed, attempts, retries, caller, this::endWithoutAnswer, () -> onDone.accept(this));
         this.answer = new CallerAnswer(
                 caller, context.callHeaders(), () -> context.report().firstByte(this), this::pauseReading);
     }
 
     /** Sends the call, or refuses it at once if it or a segment of its prompt crashes targets. */
     void start() {
-        retries.countRequest();
         // Recorded once per call: if each send recorded it, the call's own last segment would look like a session's.
         attributes.prompt().ifPresent(context.cacheIndex().sharedSegments()::recordPrompt);
         deadlineTimer = context.time().schedule(remainingMillis(), this::handleDeadline);
@@ -211,7 +211,7 @@
     }
 
     private void chooseAndSend() {
-        if (refuseIfHeldBack() || passOn()) {
+        if (refuseIfHeldBack() || (!answer.isBegun() && passing.passOnIfCutOff())) {
             return;
         }
         Optional<ForwardingPlan> chosen = targets.choose();
@@ -232,8 +232,11 @@
     }
 
     private void handleNoTarget() {
-        context.report().noTarget(this);
-        execute(new SendOutcome.NotSent("no_target"), context.retryPolicy().giveUp(progress()));
+        NextStep step = context.retryPolicy().giveUp(progress());
+        if (!leaveToNeighbours(step)) {
+            context.report().noTarget(this);
+            end(new SendOutcome.NotSent("no_target"), step);
+        }
     }
 
     /**
@@ -295,7 +298,7 @@
 
                             @Override
                             public void notAcquired(String reason) {
-                                attempts.recordUnsent(plan.target().id());
+                                attempts.recordUnsent(plan.target().id(), reason);
                                 onEnd(new SendOutcome.NotSent(reason));
                             }
                         });
@@ -326,6 +329,7 @@
         }
         connection = acquired;
         startRecorder.onSent();
+        retries.recordWritten();
         attempts.recordSent(plan.target().id());
         answer.beginSend();
         Optional<Prompt> promptToPrefill = prefill.cacheHandle().isPresent() ? Optional.empty() : attributes.prompt();
@@ -477,11 +481,19 @@
     private void execute(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.SendAgain) {
             chooseAndSend();
-            return;
-        }
-        if (step instanceof NextStep.Refuse && passOn()) {
-            return;
+        } else if (!leaveToNeighbours(step)) {
+            end(outcome, step);
         }
+    }
+
+    /** Leaves a call that would be refused to another instance, which ends it here, if that may serve it. */
+    private boolean leaveToNeighbours(NextStep step) {
+        return step instanceof NextStep.Refuse refuse
+                && !answer.isBegun()
+                && (passing.passOnIfCutOff() || passing.leaveToNeighbours(refuse));
+    }
+
+    private void end(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.Refuse refuse) {
             answer.refuse("not run", refuse.retryAfterMillis());
         } else if (step instanceof NextStep.RelayFailure && outcome instanceof SendOutcome.RanAndFailed) {
@@ -498,38 +510,23 @@
      * that was written this is a retry.
      */
     void passOnWaiting() {
-        boolean isWritten = inFlight.isPresent() || prefill.engine().isPresent();
         boolean mayRunTwice = inFlight.isEmpty() || route.isIdempotent();
-        if (!mayBePassedOn() || answer.hasHead() || !mayRunTwice || (isWritten && !retries.tryTake(false))) {
+        if (done || answer.isBegun() || answer.hasHead() || !mayRunTwice || !passing.mayPassOnWaiting()) {
             return;
         }
         if (inFlight.isPresent()) {
             attempts.recordMayHaveRun();
             abandonSend();
         }
-        passOn();
-    }
-
-    private boolean mayBePassedOn() {
-        return !done && !answer.isBegun() && passing.isDueToIsolation();
+        passing.passOnIfCutOff();
     }
 
-    /**
-     * Passes the call on to another instance if this one is cut off from all targets and another one is not. Nothing of
-     * the response may have been sent to the caller.
-     *
-     * @return whether it was passed on, which ends the call here
-     */
-    private boolean passOn() {
-        if (!mayBePassedOn()) {
-            return false;
-        }
+    /** Ends the call here without an answer, since another instance answers the caller, or finds one that does. */
+    private void endWithoutAnswer() {
         done = true;
         releaseAll();
         suspicion.recordFailure();
         suspicion.close();
-        passing.passOn(context.retryPolicy().retryAfterMillis(), () -> onDone.accept(this));
-        return true;
     }
 
     private void handleDeadline() {
--- a/src/main/java/org/dogwoodwinch/relay/CallRetries.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRetries.java
@@ -8,17 +8,29 @@
 
     private final RelayContext context;
     private final String service;
+    private final boolean counted;
     private final CallSuspicion suspicion;
+    private final CallAttempts attempts;
 
-    CallRetries(RelayContext context, String service, CallSuspicion suspicion) {
+    CallRetries(RelayContext context, RoutedCall routed, CallSuspicion suspicion, CallAttempts attempts) {
         this.context = Objects.requireNonNull(context, "context");
-        this.service = Objects.requireNonNull(service, "service");
+        this.service = routed.service().name();
+        this.counted = routed.counted();
         this.suspicion = Objects.requireNonNull(suspicion, "suspicion");
+        this.attempts = Objects.requireNonNull(attempts, "attempts");
     }
 
-    /** Counts the call as a request. */
-    void countRequest() {
-        budget().countRequest(service, nowMillis());
+    /**
+     * Records that the call, or its prompt for a prefill, is written to a target. The first write counts the call as a
+     * request.
+     *
+     * <p>Failure: a call counts as a request at the instance that received it and at the one that took it over, and the
+     * fleet may retry twice as often as its budget allows.
+     */
+    void recordWritten() {
+        if (attempts.recordWritten() && !counted) {
+            budget().countRequest(service, nowMillis());
+        }
     }
 
     /**
@@ -32,6 +44,9 @@
             return false;
         }
         boolean taken = budget().tryTakeRetry(service, nowMillis());
+        if (taken) {
+            attempts.recordRetryTaken();
+        }
         context.report()
                 .retryDecided(service, taken ? RelayReport.RetryDecision.TAKEN : RelayReport.RetryDecision.NOT_GRANTED);
         return taken;
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -34,6 +34,7 @@
     private final Counter takenUpStreams;
     private final Counter passedOnCalls;
     private final Counter takenOverCalls;
+    private final Counter callsWithoutConnection;
     private final Counter blamedCrashes;
     private final Counter segmentTrials;
     private final Gauge heldSegments;
@@ -111,10 +112,15 @@
                 "known_by");
         this.passedOnCalls = counter(
                 "dogwoodwinch_calls_passed_on_total",
-                "Calls passed on to another instance because this one was cut off from all targets, by their end.",
+                "Calls passed on to another instance because this one was cut off from all targets or had no connection to"
+                        + " them left, by their end.",
                 "outcome");
-        this.takenOverCalls = counter(
-                "dogwoodwinch_calls_taken_over_total", "Calls of instances that were cut off from all targets.");
+        this.takenOverCalls =
+                counter("dogwoodwinch_calls_taken_over_total", "Calls that other instances passed on to this one.");
+        this.callsWithoutConnection = counter(
+                "dogwoodwinch_calls_without_connection_total",
+                "Calls for which this instance had no connection to targets left, by what became of them.",
+                "next");
         this.blamedCrashes = counter(
                 "dogwoodwinch_segment_crashes_total",
                 "Crashes of targets that are blamed on segments of prompts, by who saw them.",
@@ -264,6 +270,10 @@
         takenOverCalls.inc();
     }
 
+    void callWithoutConnection(String next) {
+        callsWithoutConnection.labelValues(next).inc();
+    }
+
     void segmentsBlamed(String source) {
         blamedCrashes.labelValues(source).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -412,7 +412,7 @@
 
     @Override
     public ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone) {
-        return handle(call, caller, onDone, false);
+        return handle(call, caller, onDone, false, false);
     }
 
     /**
@@ -420,6 +420,7 @@
      * because of its own state, the other instance is told so and finds another one.
      */
     ActiveCall takeOver(IncomingCall call, CallerResponse caller, Runnable onDone) {
+        boolean counted = NeighbourCalls.takeCounted(call.headers());
         Optional<String> obstacle = obstacleToTakeOver();
         LogEvent.of("call_taken_over")
                 .with(
@@ -433,7 +434,7 @@
             return ActiveCall.NONE;
         }
         metrics.callTakenOver();
-        return handle(call, caller, onDone, true);
+        return handle(call, caller, onDone, true, counted);
     }
 
     private Optional<String> obstacleToTakeOver() {
@@ -446,7 +447,8 @@
         return isolation.isIsolated() ? Optional.of("cut_off_from_targets") : Optional.empty();
     }
 
-    private ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone, boolean takenOver) {
+    private ActiveCall handle(
+            IncomingCall call, CallerResponse caller, Runnable onDone, boolean takenOver, boolean counted) {
         CallAttributes attributes = callHeaders.parseCall(call.headers());
         if (!accepting) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "stopping");
@@ -466,7 +468,7 @@
         if (!takenOver && neighbourCalls.arePassedOn()) {
             openCallsCount++;
             return neighbourCalls.passOn(
-                    new PassedOnCall(call, key, attributes, route.get(), false),
+                    new PassedOnCall(call, key, attributes, route.get(), PassReason.CUT_OFF, false, false, () -> false),
                     caller,
                     context.retryPolicy().retryAfterMillis(),
                     () -> {
@@ -484,7 +486,8 @@
         if (service.isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "unknown service");
         }
-        RoutedCall routed = new RoutedCall(call, key, attributes, owner, route.get(), service.get(), takenOver);
+        RoutedCall routed =
+                new RoutedCall(call, key, attributes, owner, route.get(), service.get(), takenOver, counted);
         return begin(routed, caller, onDone);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -1,6 +1,9 @@
 package org.dogwoodwinch.relay;
 
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -17,7 +20,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The calls that this instance passes on to others while it is cut off from all targets. The instance that takes over a
+ * The calls that this instance passes on to others while it is cut off from all targets, or for want of connections. The instance that takes over a
  * call decides about it as about its own: route, key, quarantine, retry budget, limits and the choice of targets.
  * Confined to one event loop.
  */
@@ -25,6 +28,9 @@
 
     private static final Logger log = LoggerFactory.getLogger(NeighbourCalls.class);
 
+    /** Marks a call that was sent to a target before and that the instance that passes it on has counted. */
+    private static final AsciiString COUNTED = AsciiString.cached("x-dogwoodwinch-counted");
+
     private final Neighbours neighbours;
     private final NeighbourChooser chooser;
     private final BooleanSupplier isIsolated;
@@ -60,9 +66,13 @@
 
     /** Returns whether calls of callers are passed on now: this instance is cut off, and another one is not. */
     boolean arePassedOn() {
-        return isIsolated.getAsBoolean()
-                && chooser.canChoose(
-                        neighbours.others().get(), neighbours.isolatedNames().get(), this::callsAt);
+        return isIsolated.getAsBoolean() && canTakeOver();
+    }
+
+    /** Returns whether another instance may take over a call of this one. */
+    boolean canTakeOver() {
+        return chooser.canChoose(
+                neighbours.others().get(), neighbours.isolatedNames().get(), this::callsAt);
     }
 
     /**
@@ -98,15 +108,23 @@
         connections.release(connection);
     }
 
-    OutboundCall outbound(PassedOnCall passedOn, long remainingMillis) {
+    /** Builds the request to the other instance; {@code counted} tells whether an instance has counted the call. */
+    OutboundCall outbound(PassedOnCall passedOn, boolean counted, long remainingMillis) {
         IncomingCall call = passedOn.call();
-        return new OutboundCall(
-                passedOn.requestId(),
-                call.method(),
-                call.uri(),
-                callHeaders.neighbourHeaders(call.headers(), passedOn.key(), remainingMillis),
-                call.body(),
-                call.framed());
+        HttpHeaders headers = callHeaders.neighbourHeaders(call.headers(), passedOn.key(), remainingMillis);
+        if (counted) {
+            headers.set(COUNTED, "true");
+        } else {
+            headers.remove(COUNTED);
+        }
+        return new OutboundCall(passedOn.requestId(), call.method(), call.uri(), headers, call.body(), call.framed());
+    }
+
+    /** Removes the mark of a call that another instance has counted from its headers, and returns whether it was there. */
+    static boolean takeCounted(HttpHeaders headers) {
+        boolean counted = headers.contains(COUNTED);
+        headers.remove(COUNTED);
+        return counted;
     }
 
     CallHeaders callHeaders() {
@@ -117,10 +135,21 @@
         return time;
     }
 
-    void recordBegin(String requestId, Neighbour neighbour, int attemptsCount) {
+    /** Records that this instance would refuse a call for want of connections, and what becomes of the call. */
+    void recordWithoutConnection(CallAttributes attributes, CallPassing.Refusal refusal) {
+        String next = refusal.name().toLowerCase(Locale.ROOT);
+        metrics.callWithoutConnection(next);
+        LogEvent.of("call_without_connection")
+                .with("request", attributes.requestId().orElse(""))
+                .with("next", next)
+                .info(log);
+    }
+
+    void recordBegin(PassedOnCall call, Neighbour neighbour, int attemptsCount) {
         callsByName.merge(neighbour.name(), 1, Integer::sum);
         LogEvent.of("call_passed_on")
-                .with("request", requestId)
+                .with("request", call.requestId())
+                .with("reason", call.reason().name().toLowerCase(Locale.ROOT))
                 .with("neighbour", neighbour.name())
                 .with("attempts", attemptsCount)
                 .info(log);
@@ -128,10 +157,19 @@
 
     void recordEnd(String requestId, Neighbour neighbour, String outcome, long ageMillis) {
         callsByName.computeIfPresent(neighbour.name(), (_name, count) -> count > 1 ? count - 1 : null);
+        recordEnd(requestId, neighbour.name(), outcome, ageMillis);
+    }
+
+    /** Records that no instance took a call over. */
+    void recordGivenUp(String requestId, long ageMillis) {
+        recordEnd(requestId, "", "given_up", ageMillis);
+    }
+
+    private void recordEnd(String requestId, String neighbourName, String outcome, long ageMillis) {
         metrics.callPassedOn(outcome);
         LogEvent.of("passed_on_call_ended")
                 .with("request", requestId)
-                .with("neighbour", neighbour.name())
+                .with("neighbour", neighbourName)
                 .with("outcome", outcome)
                 .with("ageMillis", ageMillis)
                 .info(log);
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -16,8 +16,8 @@
  * loop.
  *
  * <p>The other instance has the whole decision about the call, so whatever it answers is final, unless it states that
- * it did not take the call over. Another instance is tried only then, or if no byte of the call was written. After that, the call may run there, and a repeat would take
- * from a retry budget that only the other instance knows.
+ * it did not take the call over. Another instance is tried only then, if no byte of the call was written, or if the other
+ * instance was lost with the call, the call may run twice and the retry budget of this instance allows it.
  */
 final class NeighbourRelay implements ResponseSink, ActiveCall {
 
@@ -50,6 +50,11 @@
     private Cancellable deadlineTimer;
     private boolean mayHaveRun;
 
+    /** Whether the call may have run at a target or at an instance that was tried before the current one. */
+    private boolean mayHaveRunBefore;
+
+    private int possibleRunsCount;
+
     /**
      * Creates a relay that sends nothing before {@link #start}.
      *
@@ -72,6 +77,8 @@
         this.onDone = Objects.requireNonNull(onDone, "onDone");
         this.deadlineMillis = call.deadlineMillis();
         this.mayHaveRun = call.mayHaveRun();
+        this.mayHaveRunBefore = call.mayHaveRun();
+        this.possibleRunsCount = call.mayHaveRun() ? 1 : 0;
     }
 
     /** Passes the call on, or refuses it if no instance can take it over. */
@@ -93,7 +100,7 @@
         }
         neighbour = chosen;
         triedNames.add(chosen.get().name());
-        neighbours.recordBegin(call.requestId(), chosen.get(), triedNames.size());
+        neighbours.recordBegin(call, chosen.get(), triedNames.size());
         neighbours.acquire(chosen.get(), new TargetConnectionPool.AcquireCallback() {
             @Override
             public void acquired(TargetConnection acquired) {
@@ -118,7 +125,8 @@
         connection = acquired;
         response = null;
         mayHaveRun = true;
-        acquired.send(neighbours.outbound(call, Math.max(1, remainingMillis())), this);
+        boolean counted = call.counted() || mayHaveRunBefore;
+        acquired.send(neighbours.outbound(call, counted, Math.max(1, remainingMillis())), this);
     }
 
     @Override
@@ -163,14 +171,14 @@
             return;
         }
         if (state == State.SENDING && LocalResponses.isNotTakenOver(response.headers())) {
-            mayHaveRun = call.mayHaveRun();
+            mayHaveRun = mayHaveRunBefore;
             endAttempt("not_taken_over");
             passOn();
             return;
         }
         if (state == State.STREAMING) {
             caller.endResponse();
-        } else if (call.mayHaveRun() && LocalResponses.guaranteesNotRun(response.status())) {
+        } else if (mayHaveRunBefore && LocalResponses.guaranteesNotRun(response.status())) {
             sendMayHaveRun(LocalResponses.BAD_GATEWAY);
         } else {
             caller.sendResponse(
@@ -186,11 +194,24 @@
             caller.abortResponse();
             finish(reason);
         } else if (state == State.SENDING) {
+            mayHaveRunBefore = true;
+            possibleRunsCount++;
+            if (isAnotherRunAllowed()) {
+                endAttempt(reason);
+                passOn();
+                return;
+            }
             sendMayHaveRun(LocalResponses.BAD_GATEWAY);
             finish(reason);
         }
     }
 
+    private boolean isAnotherRunAllowed() {
+        return call.route().isIdempotent()
+                && possibleRunsCount < call.route().maxAttemptsCount()
+                && call.tryTakeRetry().getAsBoolean();
+    }
+
     @Override
     public void onCallerClosed() {
         finish("caller_gone");
@@ -205,7 +226,8 @@
 
     /** Ends a call that no instance takes over. */
     private void giveUp() {
-        if (call.mayHaveRun()) {
+        neighbours.recordGivenUp(call.requestId(), ageMillis());
+        if (mayHaveRunBefore) {
             sendMayHaveRun(LocalResponses.BAD_GATEWAY);
         } else {
             LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
@@ -233,14 +255,14 @@
 
     /** Ends the attempt at the current instance. */
     private void endAttempt(String outcome) {
-        neighbour.ifPresent(each -> neighbours.recordEnd(
-                call.requestId(),
-                each,
-                outcome,
-                neighbours.time().monotonicMillis() - call.call().arrivalMillis()));
+        neighbour.ifPresent(each -> neighbours.recordEnd(call.requestId(), each, outcome, ageMillis()));
         neighbour = Optional.empty();
     }
 
+    private long ageMillis() {
+        return neighbours.time().monotonicMillis() - call.call().arrivalMillis();
+    }
+
     private void finish(String outcome) {
         if (state == State.DONE) {
             return;
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -74,13 +74,14 @@
      *
      * @param arrivalMillis when the call arrived, in monotonic milliseconds
      * @param outbound supplies the request to the engine, evaluated when it is sent, not null
+     * @param onWrite run directly before the request is written, not null
      */
-    void start(long arrivalMillis, Supplier<OutboundCall> outbound) {
+    void start(long arrivalMillis, Supplier<OutboundCall> outbound, Runnable onWrite) {
         context.connections()
                 .acquire(engine, context.connectionsPerTarget(service), new TargetConnectionPool.AcquireCallback() {
                     @Override
                     public void acquired(TargetConnection acquired) {
-                        context.afterCallerReads(arrivalMillis, () -> send(acquired, outbound));
+                        context.afterCallerReads(arrivalMillis, () -> send(acquired, outbound, onWrite));
                     }
 
                     @Override
@@ -90,7 +91,7 @@
                 });
     }
 
-    private void send(TargetConnection acquired, Supplier<OutboundCall> call) {
+    private void send(TargetConnection acquired, Supplier<OutboundCall> call, Runnable onWrite) {
         if (ended) {
             context.connections().release(acquired);
             return;
@@ -112,6 +113,7 @@
         InFlightSend started = InFlightSend.start(context, engine, Optional.of(prompt), prefillWork);
         inFlight = Optional.of(started);
         context.report().sent(outbound.requestId(), engine, prefillWork, started.aheadTokens(), SendPurpose.READING);
+        onWrite.run();
         acquired.send(outbound, this);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/RoutedCall.java
+++ b/src/main/java/org/dogwoodwinch/relay/RoutedCall.java
@@ -17,6 +17,7 @@
  * @param route the route that matches the request, not null
  * @param service the service chosen for it, not null
  * @param takenOver whether another instance passed the call on to this one, so that it is not passed on again
+ * @param counted whether the retry budget of another instance has counted it as a request
  */
 record RoutedCall(
         IncomingCall call,
@@ -25,7 +26,8 @@
         Optional<CallOwner> owner,
         ServiceRoute route,
         ServiceEntry service,
-        boolean takenOver) {
+        boolean takenOver,
+        boolean counted) {
 
     RoutedCall {
         Objects.requireNonNull(call, "call");
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
@@ -23,6 +23,9 @@
  */
 final class TargetConnectionPool {
 
+    /** The reason why there is none: this instance uses all of its connections to the target. */
+    static final String CONNECTIONS_IN_USE = "connections_in_use";
+
     /** Receives a connection, or the reason why there is none. In the latter case, no byte was written. */
     interface AcquireCallback {
 
@@ -112,7 +115,7 @@
         TargetPool pool = pools.computeIfAbsent(target.id(), _id -> new TargetPool());
         Optional<TargetConnection> pooled = pollUsable(pool);
         if (pooled.isEmpty() && pool.openCount >= maxConnections) {
-            callback.notAcquired("connections_in_use");
+            callback.notAcquired(CONNECTIONS_IN_USE);
         } else if (!rateLimit.test(target.id())) {
             pooled.ifPresent(pool.idle::addFirst);
             removeIfEmpty(target.id(), pool);
--- a/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
+++ b/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
@@ -20,14 +20,20 @@
     /** The instances that do not accept connections. */
     final Set<String> unreachableNames = new HashSet<>();
 
+    /** The instances that answer no attempt to connect, which fails after its time-out. */
+    final Set<String> silentNames = new HashSet<>();
+
     /** The instances that have told that they are cut off from all targets. */
     final Set<String> isolatedNames = new HashSet<>();
 
     /** What this instance told the others about itself. */
     final List<Boolean> toldIsolation = new ArrayList<>();
 
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
     private final List<Neighbour> neighbours = new ArrayList<>();
     private final Map<String, TakenOverCalls> acceptors = new HashMap<>();
+    private final Map<String, RelayFixture> instances = new HashMap<>();
     private final List<Link> links = new ArrayList<>();
 
     Neighbours asNeighbours() {
@@ -36,6 +42,7 @@
 
     void add(String name, RelayFixture instance) {
         neighbours.add(new Neighbour(name, "10.9.9.9", 7_000, "dc-1"));
+        instances.put(name, instance);
         acceptors.put(name, new TakenOverCalls(instance.service, instance.time));
     }
 
@@ -44,6 +51,10 @@
             outcome.failed();
             return;
         }
+        if (silentNames.contains(neighbour.id())) {
+            instances.get(neighbour.id()).time.schedule(CONNECT_TIMEOUT_MILLIS, outcome::failed);
+            return;
+        }
         TakenOverCalls acceptor = acceptors.get(neighbour.id());
         EmbeddedChannel remote = new EmbeddedChannel(new ChannelInitializer<Channel>() {
             @Override
--- a/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/PassedOnCallsTest.java
@@ -311,6 +311,25 @@
         return instance;
     }
 
+    /** Guards against a second response head within a stream that has begun and is sent again. */
+    @Test
+    void waitingStreamThatHasBegunIsNotPassedOn() {
+        RelayFixture instance = instanceBesideSoundOne();
+        RelayFixture.FakeCaller caller = instance.connectCaller().send(RelayFixture.getRequest("/resume/p", "p1"));
+        RelayFixture.FakeTargetConnection first = instance.latestTargetConnection();
+        first.respond(RelayFixture.streamResponseHead("p1") + RelayFixture.chunk("id: 1\ndata: a\n\n"));
+        first.reset();
+        assertEquals(2, instance.targetConnections.size());
+        instance.connectCaller().send(RelayFixture.postRequest("/stream/p", "o1", "", "q"));
+        instance.silentTargetIds.addAll(TARGETS);
+        time.advanceMillis(2_000);
+        assertTrue(instance.service.isIsolated());
+        instance.neighbourLinks.deliver();
+
+        assertTrue(sound.targetConnections.isEmpty());
+        assertTrue(caller.takeReceived().endsWith("data: a\n\n\r\n"));
+    }
+
     /** Guards against callers that wait until their deadline for targets that cannot answer this instance. */
     @Test
     void waitingCallsThatMayRunTwiceArePassedOnWhenASilentCutIsFound() {
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -98,6 +98,9 @@
     /** The segments that are held back. */
     final SegmentGuard segmentGuard;
 
+    /** Limits the retries of this instance; its ratio is zero unless a test sets it. */
+    final RetryBudget budget;
+
     final ForwardingService service;
     int sharingInstancesCount = 1;
     private long nextOffset;
@@ -139,6 +142,7 @@
                 metrics,
                 time);
         segmentLinks.add(instanceId, segmentGuard);
+        this.budget = new RetryBudget(0, () -> slackShare, 10_000, -10_000);
         PrefillRates rates = new PrefillRates(30);
         EngineChooser chooser = new EngineChooser(
                 directory,
@@ -162,7 +166,7 @@
                         cacheIndex,
                         rates,
                         new RetryPolicy(2, 2, 30, RETRY_AFTER_MILLIS),
-                        new RetryBudget(0, () -> slackShare, 10_000, -10_000),
+                        budget,
                         suspects,
                         segmentGuard,
                         health,
