Test that a trial that the store does not grant is not begun

Cause: a change to SegmentTrials that begins a trial of a held-back segment although the store has not granted it passed all tests: where another instance had the trial, its news had always arrived before the claim was decided.

Change: a test in which the store has granted the trial to another instance that was not heard yet. Calls with the segment are refused, now and later, and no target receives one.

Measured: with the mutant (begin whether granted or not) the new test fails and the other 19 of SegmentGuardTest pass; without it all 20 pass.

--- a/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
@@ -249,6 +249,18 @@
         assertTrue(isServed(send("bad:50")));
     }
 
+    /** Guards against a trial that is begun though the store has granted it to another instance, which was not heard yet. */
+    @Test
+    void trialThatTheStoreDoesNotGrantIsNotBegun() {
+        holdBackUntilTrialIsDue();
+        links.trialsBySegment.replaceAll((_segment, count) -> count + 1);
+
+        for (int i = 0; i < 3; i++) {
+            assertRefused(send("bad:50").takeReceived());
+            assertTrue(receiver().isEmpty());
+        }
+    }
+
     /** Guards against instances that each try a segment. */
     @Test
     void oneInstanceOfTheFleetTries() {
