Decide the number, places and kinds of a service's engines

Cause: a service keeps all engines that exist, at the on-demand price, however many of them its demand needs.

Change: ScalePlanner counts the demand in busy engines (prompts that wait behind another one count as up to one more engine), averages it over 1 s and keeps the peak of the last 15 s plus the boot time. The desired number is the peak over a utilisation of 0.6; spot engines are taken up to the number at which the reclaim of the worst data centre leaves the peak over 0.8. Scale-out is immediate, and at most a fifth of the engines is released each two boot times. Engines are released only as far as more than the wanted number are ready, so that on-demand engines stay until their replacements serve. While ordered spot engines are missing, on-demand engines fill what the recent demand needs. Package scaling is now in the list of DecisionsArePureTest.

--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
@@ -0,0 +1,193 @@
+package org.dogwoodwinch.scaling;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides how many engines a service has, where, and of which kind. Not thread-safe.
+ *
+ * <p>Load: bursts of several seconds return every few seconds, while the mean demand needs only a part of the engines;
+ * the platform reclaims the spot engines of a data centre within seconds, and has none for some time. Between bursts the
+ * planner keeps the engines that the last bursts needed, and it orders only as many spot engines that the reclaim of the
+ * worst data centre leaves what the demand needs.
+ */
+public final class ScalePlanner implements ScaleStrategy {
+
+    /**
+     * Share of the engines that are busy at the recent peak. Prompts that arrive at random at engines of which three in
+     * five are busy seldom wait behind another one.
+     */
+    private static final double TARGET_UTILISATION = 0.6;
+
+    /** Share of the remaining engines that are busy at the recent peak after a reclaim, until the others are replaced. */
+    private static final double RECLAIM_UTILISATION = 0.8;
+
+    /** Two prefill engines and three decode engines, so that the failure of one does not interrupt the service. */
+    private static final int MIN_ENGINES = 5;
+
+    /** At most one engine of so many is released at a time: the KV caches of the released ones are lost. */
+    private static final int ENGINES_PER_RELEASE = 5;
+
+    /** A smaller change than one engine of so many is not ordered: it is within the random variation of the demand. */
+    private static final int ENGINES_PER_CHANGE = 16;
+
+    /**
+     * The number of engines is not lowered by less than one engine of so many. With the bound of other changes, random
+     * peaks of a constant load caused a scale-out and a scale-in in turn.
+     */
+    private static final int ENGINES_PER_SCALE_IN = 8;
+
+    private SpotShortage shortage = new SpotShortage();
+    private DemandHistory history = new DemandHistory(0);
+    private RecentPeak desiredPeak = new RecentPeak();
+    private int total;
+    private long nextReleaseMillis;
+    private int lastMissingCount;
+
+    /** Creates a planner that has observed nothing. */
+    public ScalePlanner() {}
+
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Without ready engines there is no plan: after a restart they are not known yet. After an interruption of more
+     * than two boot times, the planner starts anew.
+     */
+    @Override
+    public Optional<ScalePlan> plan(ScaleObservation observed, ScalingLimits limits, long nowMillis) {
+        List<String> dataCentres = PoolCounts.dataCentres(observed, limits);
+        if (observed.ready().isEmpty() || dataCentres.isEmpty() || limits.maxCount() == 0) {
+            return Optional.empty();
+        }
+        PoolCounts planned = PoolCounts.planned(dataCentres, observed);
+        PoolCounts ready = planned.min(PoolCounts.ready(dataCentres, observed));
+        if (total == 0 || nowMillis - history.lastMillis() > settleMillis(limits)) {
+            history = new DemandHistory(nowMillis);
+            desiredPeak = new RecentPeak();
+            shortage = new SpotShortage();
+            total = presentTotal(planned, ready);
+        }
+        history.record(EngineDemand.total(observed.ready(), observed.loadOf()), limits.bootMillis(), nowMillis);
+        int desired = desiredTotal(planned.size(), limits);
+        desiredPeak.add(desired, settleMillis(limits), nowMillis);
+
+        int missingCount = missingSpotCount(planned, ready, observed, limits, nowMillis);
+        if (missingCount > 0 && lastMissingCount == 0) {
+            // Spot engines that are missing are mostly available again within this time. Until then, the on-demand
+            // engines that are there may have to replace them.
+            nextReleaseMillis = Math.max(nextReleaseMillis, nowMillis + 2 * settleMillis(limits));
+        }
+        lastMissingCount = missingCount;
+        boolean isDemandKnown = history.isSufficient(settleMillis(limits), nowMillis);
+        if (isDemandKnown) {
+            changeTotal(desired, limits, nowMillis);
+        } else {
+            total = Math.max(total, planned.onDemandTotal());
+        }
+        total = withinLimits(total, planned.size(), limits);
+        int spotCount = spotCount(planned, isDemandKnown ? desired : total, isDemandKnown, limits);
+        int neededCount = isDemandKnown ? Math.min(total, (int) desiredPeak.value()) : total;
+        int substitutesCount = Math.min(missingCount, Math.max(0, neededCount + missingCount - total));
+        PoolCounts target = EnginePlacement.place(
+                planned, total - spotCount + Math.min(spotCount, substitutesCount), spotCount, limits);
+        PoolCounts next = EnginePlacement.approach(planned, ready, target, total, limits);
+        return isWorthOrdering(planned, next, limits) ? Optional.of(next.toPlan(observed)) : Optional.empty();
+    }
+
+    /**
+     * Returns how many engines the orders of a predecessor were meant for. While it replaced on-demand engines by spot
+     * engines, it had ordered both; while spot engines are missing, fewer engines than it wanted are ready.
+     */
+    private static int presentTotal(PoolCounts planned, PoolCounts ready) {
+        int withoutReplaced = Math.max(planned.onDemandTotal(), planned.spotTotal() + planned.size());
+        return Math.min(planned.total(), Math.max(ready.total(), withoutReplaced));
+    }
+
+    private int desiredTotal(int dataCentresCount, ScalingLimits limits) {
+        int forDemand = (int) Math.ceil(history.peak() / TARGET_UTILISATION);
+        return withinLimits(Math.max(MIN_ENGINES, forDemand), dataCentresCount, limits);
+    }
+
+    private void changeTotal(int desired, ScalingLimits limits, long nowMillis) {
+        int lastingDesired = (int) desiredPeak.value();
+        if (isWorthChanging(desired - total, total, ENGINES_PER_CHANGE)) {
+            total = desired;
+        } else if (isWorthChanging(total - lastingDesired, total, ENGINES_PER_SCALE_IN)
+                && nowMillis >= nextReleaseMillis) {
+            total = Math.max(lastingDesired, total - Math.max(1, total / ENGINES_PER_RELEASE));
+            nextReleaseMillis = nowMillis + settleMillis(limits);
+        }
+    }
+
+    /**
+     * Returns the number of spot engines. During a scale-in, spot engines that are already there stay, but none are
+     * added that the desired number of engines does not need.
+     */
+    private int spotCount(PoolCounts planned, int desired, boolean isDemandKnown, ScalingLimits limits) {
+        if (limits.spotPriceRatio().orElse(1) >= 1) {
+            return 0;
+        }
+        int size = planned.size();
+        if (!isDemandKnown) {
+            // The reclaim of all spot engines then leaves half of the engines.
+            int half = Math.min(total - size, total / 2);
+            return Math.max(0, Math.min(Math.max(planned.spotTotal(), half), size * (limits.maxCount() - 1)));
+        }
+        int min = maxSpotCount(Math.min(desired, total), size, limits);
+        int max = maxSpotCount(total, size, limits);
+        return Math.max(min, Math.min(planned.spotTotal(), max));
+    }
+
+    /** Returns how many of a number of engines may be spot engines, so that the worst reclaim leaves what is needed. */
+    private int maxSpotCount(int enginesCount, int dataCentresCount, ScalingLimits limits) {
+        int neededAfterReclaim = (int) Math.ceil(history.peak() / RECLAIM_UTILISATION);
+        int maxInDataCentre = Math.min(limits.maxCount() - 1, enginesCount - neededAfterReclaim);
+        return Math.max(0, Math.min(enginesCount - dataCentresCount, dataCentresCount * maxInDataCentre));
+    }
+
+    private int missingSpotCount(
+            PoolCounts planned, PoolCounts ready, ScaleObservation observed, ScalingLimits limits, long nowMillis) {
+        int sum = 0;
+        for (int i = 0; i < planned.size(); i++) {
+            String dataCentre = planned.dataCentre(i);
+            Long untilMillis = observed.unavailableUntilMillis().get(new EnginePool(dataCentre, EngineKind.SPOT));
+            sum += shortage.record(
+                    dataCentre,
+                    planned.spot()[i],
+                    ready.spot()[i],
+                    untilMillis != null && nowMillis < untilMillis,
+                    settleMillis(limits),
+                    nowMillis);
+        }
+        return sum;
+    }
+
+    private boolean isWorthOrdering(PoolCounts planned, PoolCounts next, ScalingLimits limits) {
+        int change = Math.max(next.increaseOver(planned), planned.increaseOver(next));
+        return isWorthChanging(change, Math.min(total, planned.total()), ENGINES_PER_CHANGE)
+                || (change > 0 && !isWithinLimits(planned, limits));
+    }
+
+    private static boolean isWithinLimits(PoolCounts planned, ScalingLimits limits) {
+        for (int i = 0; i < planned.size(); i++) {
+            if (planned.at(i) < limits.minCount() || planned.at(i) > limits.maxCount()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isWorthChanging(int change, int enginesCount, int enginesPerChange) {
+        return change > 0 && change * enginesPerChange > enginesCount;
+    }
+
+    private static int withinLimits(int enginesCount, int dataCentresCount, ScalingLimits limits) {
+        int min = dataCentresCount * Math.max(1, limits.minCount());
+        return Math.max(min, Math.min(dataCentresCount * limits.maxCount(), enginesCount));
+    }
+
+    /** The effect of a change of the number of engines shows when those ordered then have booted and taken load. */
+    private static long settleMillis(ScalingLimits limits) {
+        return 2 * limits.bootMillis();
+    }
+}
--- a/src/test/java/org/dogwoodwinch/architecture/DecisionsArePureTest.java
+++ b/src/test/java/org/dogwoodwinch/architecture/DecisionsArePureTest.java
@@ -20,6 +20,7 @@
         "..dogwoodwinch.request..",
         "..dogwoodwinch.roles..",
         "..dogwoodwinch.routing..",
+        "..dogwoodwinch.scaling..",
         "..dogwoodwinch.usage.."
     };
 
--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/scaling/ScalePlannerTest.java
@@ -0,0 +1,206 @@
+package org.dogwoodwinch.scaling;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.TargetLoad;
+import org.junit.jupiter.api.Test;
+
+class ScalePlannerTest {
+
+    private static final String[] DATA_CENTRES = {"a", "b", "c", "d"};
+
+    private final ModelPlatform platform = new ModelPlatform(16, DATA_CENTRES);
+
+    /** The load is unknown before the traffic starts: all engines were released, or all of them were on-demand. */
+    @Test
+    void unknownDemandKeepsTheTotalAndReplacesHalfBySpotEngines() {
+        for (int i = 0; i < 40; i++) {
+            platform.runFor(ModelPlatform.STEP_MILLIS);
+            assertTrue(
+                    platform.ready().size() >= 64,
+                    "ready engines: " + platform.ready().size());
+        }
+        assertEquals(64, platform.engines.size());
+        assertEquals(32, platform.count(EngineKind.SPOT));
+        for (String dataCentre : DATA_CENTRES) {
+            assertEquals(8, platform.count(new EnginePool(dataCentre, EngineKind.SPOT)));
+            assertTrue(platform.count(new EnginePool(dataCentre, EngineKind.ON_DEMAND)) >= 1);
+        }
+        assertTrue(platform.plans.size() <= 2, "plans: " + platform.plans);
+    }
+
+    /** Engines of data centres that are not seen yet would be released by a plan that names all pools. */
+    @Test
+    void firstPlanOrdersOnlySpotEngines() {
+        ScalePlan first = platform.step().orElseThrow();
+        assertTrue(first.desiredCounts().keySet().stream().allMatch(pool -> pool.kind() == EngineKind.SPOT));
+    }
+
+    /** After a restart, no engine is known, and a plan for none of them would release all. */
+    @Test
+    void noReadyEnginesCauseNoPlan() {
+        platform.engines.clear();
+        platform.runFor(20_000);
+        assertTrue(platform.plans.isEmpty());
+    }
+
+    /** On-demand engines were released although the platform had no spot engines to replace them. */
+    @Test
+    void onDemandEnginesStayWhileSpotEnginesAreMissing() {
+        platform.spotUnavailableUntilMillis = Long.MAX_VALUE;
+        platform.setBusy(30);
+        platform.runFor(16_000);
+        assertEquals(64, platform.count(EngineKind.ON_DEMAND));
+        platform.runFor(60_000);
+        assertEquals(50, platform.count(EngineKind.ON_DEMAND), 3);
+    }
+
+    /** The holder of the duty is replaced while engines are replaced, and its successor takes both kinds as wanted. */
+    @Test
+    void successorContinuesFromTheLastPlan() {
+        platform.runFor(2_000);
+        platform.planner = new ScalePlanner();
+        platform.runFor(8_000);
+        assertEquals(64, platform.engines.size());
+        assertEquals(32, platform.count(EngineKind.SPOT));
+    }
+
+    /** With two thirds busy, a burst finds no idle engine; releasing many at once loses the KV caches of a service. */
+    @Test
+    void fewBusyEnginesCauseReleasesInStepsDownToTheHeadroom() {
+        platform.setBusy(12);
+        platform.runFor(7_000);
+        int last = 64;
+        for (int i = 0; i < 80; i++) {
+            platform.runFor(1_000);
+            int count = platform.ready().size();
+            assertTrue(count >= last - last / 5, "released at once: " + (last - count) + " of " + last);
+            last = count;
+        }
+        assertEquals(20, platform.engines.size(), 1);
+        assertEquals(4, platform.count(EngineKind.ON_DEMAND), 1);
+    }
+
+    /** An idle service keeps two prefill and three decode engines. */
+    @Test
+    void idleServiceKeepsFiveEngines() {
+        platform.setBusy(1);
+        platform.runFor(200_000);
+        assertEquals(5, platform.engines.size());
+    }
+
+    /** With all engines busy and prompts waiting, the utilisation alone says that no more than 1.0 is needed. */
+    @Test
+    void waitingPromptsAreDemandBeyondTheEngines() {
+        settle(12);
+        platform.setBusy(80);
+        platform.runFor(2_500);
+        assertTrue(platform.engines.size() >= 40, "engines: " + platform.engines.size());
+    }
+
+    /** A burst that returns after 14 s finds the engines that the last one needed. */
+    @Test
+    void burstsThatReturnCauseNoRelease() {
+        settle(30);
+        int plansCount = platform.plans.size();
+        for (int i = 0; i < 4; i++) {
+            platform.setBusy(10);
+            platform.runFor(14_000);
+            platform.setBusy(30);
+            platform.runFor(14_000);
+        }
+        assertEquals(plansCount, platform.plans.size());
+    }
+
+    /** The reclaim of a data centre's spot engines left too few engines for the demand. */
+    @Test
+    void worstReclaimLeavesWhatTheDemandNeedsAndIsFilled() {
+        settle(24);
+        int before = platform.engines.size();
+        int reclaimed = platform.reclaimWorst(10_000);
+        assertTrue(reclaimed > 0);
+        assertTrue(
+                platform.ready().size() * 0.8 >= 24,
+                "engines after the reclaim: " + platform.ready().size());
+        platform.runFor(5_000);
+        assertEquals(before, platform.ready().size(), 2, "on-demand engines replace the reclaimed ones");
+        platform.runFor(20_000);
+        assertEquals(before, platform.engines.size(), 2, "and are released when there are spot engines again");
+        assertEquals(4, platform.count(EngineKind.ON_DEMAND), 2);
+    }
+
+    /** The operator lowers the limit, and the next plan still exceeded it. */
+    @Test
+    void changedLimitsAreObeyedAtOnce() {
+        settle(24);
+        platform.limits = limits(2, 8, OptionalDouble.of(0.22));
+        platform.runFor(ModelPlatform.STEP_MILLIS);
+        for (String dataCentre : DATA_CENTRES) {
+            assertTrue(platform.count(dataCentre) <= 8, dataCentre + ": " + platform.count(dataCentre));
+        }
+        platform.limits = limits(20, 32, OptionalDouble.of(0.22));
+        platform.runFor(ModelPlatform.STEP_MILLIS);
+        for (String dataCentre : DATA_CENTRES) {
+            assertTrue(platform.count(dataCentre) >= 20, dataCentre + ": " + platform.count(dataCentre));
+        }
+    }
+
+    /** Without spot engines, all engines went to the cheapest data centre, whose failure took the service. */
+    @Test
+    void withoutSpotEnginesNoDataCentreHoldsMoreThanHalf() {
+        for (OptionalDouble ratio : List.of(OptionalDouble.empty(), OptionalDouble.of(1))) {
+            ModelPlatform onDemandOnly = new ModelPlatform(16, DATA_CENTRES);
+            onDemandOnly.limits = limits(1, 32, ratio);
+            onDemandOnly.setBusy(12);
+            onDemandOnly.runFor(100_000);
+            int total = onDemandOnly.engines.size();
+            assertEquals(20, total, 1);
+            assertEquals(0, onDemandOnly.count(EngineKind.SPOT));
+            assertEquals(total, 2 * onDemandOnly.count("b"), 2);
+            assertEquals(1, onDemandOnly.count("d"));
+        }
+    }
+
+    /** A step that looks up loads for pairs of engines takes too long for a service of thousands. */
+    @Test
+    void eachEngineIsLookedUpOnce() {
+        AtomicInteger lookups = new AtomicInteger();
+        List<Incarnation> ready =
+                platform.ready().stream().map(engine -> engine.incarnation).toList();
+        Function<String, TargetLoad> loadOf = _id -> {
+            lookups.incrementAndGet();
+            return TargetLoad.EMPTY;
+        };
+        Map<EnginePool, Integer> counts = Map.of(new EnginePool("a", EngineKind.ON_DEMAND), ready.size());
+        new ScalePlanner()
+                .plan(new ScaleObservation(ready, loadOf, ScalePlan.NONE, counts, Map.of()), ModelPlatform.LIMITS, 0);
+        assertEquals(ready.size(), lookups.get());
+    }
+
+    private void settle(int busyCount) {
+        platform.setBusy(busyCount);
+        platform.runFor(90_000);
+    }
+
+    private static ScalingLimits limits(int min, int max, OptionalDouble spotPriceRatio) {
+        Map<String, Double> prices = ModelPlatform.LIMITS.priceByDataCentre();
+        return new ScalingLimits(min, max, ModelPlatform.BOOT_MILLIS, spotPriceRatio, prices);
+    }
+
+    @Test
+    void peakOfASlidingWindow() {
+        RecentPeak peak = new RecentPeak();
+        peak.add(5, 10, 0);
+        peak.add(3, 10, 4);
+        assertEquals(5, peak.value());
+        peak.add(1, 10, 11);
+        assertEquals(3, peak.value());
+    }
+}
