Replace engines of failed data centres, and test the planner's rules one by one

Cause: only missing spot engines were replaced. When the cheapest data centre failed, its on-demand engines were not, and more were ordered there. A data centre whose on-demand engines had never been ordered was not named in any plan and was forgotten when it failed. Leftovers of two hysteresis bounds together kept 35 engines where 29 were needed (trial with 2 data centres).

Change: EngineShortage (before: SpotShortage) records both kinds; on-demand engines are not added where some do not come. Once the demand is known, a plan names all pools; before, it names only those that change, so that an incomplete view releases nothing. The number of engines is raised to those seen only within the first boot time. A scale-in starts from the engines that are ready if these are more than wanted.

--- a/src/main/java/org/dogwoodwinch/scaling/DemandHistory.java
+++ b/src/main/java/org/dogwoodwinch/scaling/DemandHistory.java
@@ -59,6 +59,15 @@
         return peak.value();
     }
 
+    /**
+     * Returns when the history was begun.
+     *
+     * @return monotonic milliseconds
+     */
+    long startMillis() {
+        return startMillis;
+    }
+
     /**
      * Returns when the last sample was recorded.
      *
--- a/src/main/java/org/dogwoodwinch/scaling/EnginePlacement.java
+++ b/src/main/java/org/dogwoodwinch/scaling/EnginePlacement.java
@@ -13,13 +13,17 @@
      * added at the cheapest data centres and removed from the most expensive ones; those that remain stay where they
      * are, because they would lose their KV caches.
      *
+     * <p>Failure: the cheapest data centre fails or has no on-demand engines. More that are ordered there do not come.
+     *
      * @param present the present engines, not null
+     * @param missing those of them that do not come; on-demand engines are not added where some are missing, not null
      * @param onDemandCount number of on-demand engines; more or fewer are placed where the limits require it
      * @param spotCount number of spot engines, at most one less than the maximum for each data centre
      * @param limits the limits of each data centre, not null
      * @return the engines of each pool
      */
-    static PoolCounts place(PoolCounts present, int onDemandCount, int spotCount, ScalingLimits limits) {
+    static PoolCounts place(
+            PoolCounts present, PoolCounts missing, int onDemandCount, int spotCount, ScalingLimits limits) {
         int size = present.size();
         PoolCounts target = present.min(present);
         int max = limits.maxCount();
@@ -33,7 +37,7 @@
             excess += target.onDemand()[i];
         }
         for (int i = 0; i < size && excess < 0; i++) {
-            int added = Math.min(-excess, max - target.at(i));
+            int added = missing.onDemand()[i] > 0 ? 0 : Math.min(-excess, max - target.at(i));
             target.onDemand()[i] += added;
             excess += added;
         }
--- a/src/main/java/org/dogwoodwinch/scaling/PoolCounts.java
+++ b/src/main/java/org/dogwoodwinch/scaling/PoolCounts.java
@@ -127,6 +127,16 @@
         return spot;
     }
 
+    /**
+     * Returns the engines of one kind in each data centre.
+     *
+     * @param kind the kind, not null
+     * @return the counts, which may be changed
+     */
+    int[] of(EngineKind kind) {
+        return kind == EngineKind.SPOT ? spot : onDemand;
+    }
+
     /**
      * Returns the number of engines of both kinds in a data centre.
      *
@@ -190,27 +200,28 @@
     }
 
     /**
-     * Returns the counts as a plan. A pool that the last plan leaves alone is named only if its count changes: its
-     * present count is that of the engines seen, and an order of an incomplete view would release the others.
+     * Returns the counts as a plan.
      *
      * @param observed what is known of the service's engines, not null
+     * @param isViewComplete whether all engines are known; otherwise, a pool that the last plan leaves alone is named only
+     *     if its count changes: an order of the number of engines seen would release the others
      * @return the plan
      */
-    ScalePlan toPlan(ScaleObservation observed) {
+    ScalePlan toPlan(ScaleObservation observed, boolean isViewComplete) {
         Map<EnginePool, Integer> desired = new HashMap<>(observed.lastPlan().desiredCounts());
         for (int i = 0; i < size(); i++) {
-            put(desired, new EnginePool(dataCentres.get(i), EngineKind.ON_DEMAND), onDemand[i], observed);
-            put(desired, new EnginePool(dataCentres.get(i), EngineKind.SPOT), spot[i], observed);
+            for (EngineKind kind : EngineKind.values()) {
+                EnginePool pool = new EnginePool(dataCentres.get(i), kind);
+                int count = of(kind)[i];
+                boolean isChanged = count != observed.readyCounts().getOrDefault(pool, 0);
+                if (isViewComplete || isChanged || desired.containsKey(pool)) {
+                    desired.put(pool, count);
+                }
+            }
         }
         return new ScalePlan(desired);
     }
 
-    private static void put(Map<EnginePool, Integer> desired, EnginePool pool, int count, ScaleObservation observed) {
-        if (desired.containsKey(pool) || count != observed.readyCounts().getOrDefault(pool, 0)) {
-            desired.put(pool, count);
-        }
-    }
-
     private static int sum(int[] counts) {
         int sum = 0;
         for (int count : counts) {
--- a/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
+++ b/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
@@ -8,7 +8,7 @@
  *
  * <p>Load: bursts of several seconds return every few seconds, while the mean demand needs only a part of the engines;
  * the platform reclaims the spot engines of a data centre within seconds, and has none for some time. Between bursts the
- * planner keeps the engines that the last bursts needed, and it orders only as many spot engines that the reclaim of the
+ * planner keeps the engines that the last bursts needed, and it orders only so many spot engines that the reclaim of the
  * worst data centre leaves what the demand needs.
  */
 public final class ScalePlanner implements ScaleStrategy {
@@ -37,7 +37,7 @@
      */
     private static final int ENGINES_PER_SCALE_IN = 8;
 
-    private SpotShortage shortage = new SpotShortage();
+    private EngineShortage shortage = new EngineShortage();
     private DemandHistory history = new DemandHistory(0);
     private RecentPeak desiredPeak = new RecentPeak();
     private int total;
@@ -64,34 +64,38 @@
         if (total == 0 || nowMillis - history.lastMillis() > settleMillis(limits)) {
             history = new DemandHistory(nowMillis);
             desiredPeak = new RecentPeak();
-            shortage = new SpotShortage();
+            shortage = new EngineShortage();
             total = presentTotal(planned, ready);
         }
         history.record(EngineDemand.total(observed.ready(), observed.loadOf()), limits.bootMillis(), nowMillis);
         int desired = desiredTotal(planned.size(), limits);
         desiredPeak.add(desired, settleMillis(limits), nowMillis);
 
-        int missingCount = missingSpotCount(planned, ready, observed, limits, nowMillis);
-        if (missingCount > 0 && lastMissingCount == 0) {
-            // Spot engines that are missing are mostly available again within this time. Until then, the on-demand
-            // engines that are there may have to replace them.
+        PoolCounts missing = missing(planned, ready, observed, limits, nowMillis);
+        if (missing.total() > 0 && lastMissingCount == 0) {
+            // Missing engines mostly return within this time. Until then, those that are there may have to replace
+            // them.
             nextReleaseMillis = Math.max(nextReleaseMillis, nowMillis + 2 * settleMillis(limits));
         }
-        lastMissingCount = missingCount;
+        lastMissingCount = missing.total();
         boolean isDemandKnown = history.isSufficient(settleMillis(limits), nowMillis);
         if (isDemandKnown) {
-            changeTotal(desired, limits, nowMillis);
-        } else {
-            total = Math.max(total, planned.onDemandTotal());
+            changeTotal(desired, ready.total(), limits, nowMillis);
+        } else if (nowMillis - history.startMillis() < limits.bootMillis()) {
+            // The first observations after a start may be incomplete. Engines that are ordered now are ready later.
+            total = Math.max(total, ready.onDemandTotal());
         }
         total = withinLimits(total, planned.size(), limits);
         int spotCount = spotCount(planned, isDemandKnown ? desired : total, isDemandKnown, limits);
         int neededCount = isDemandKnown ? Math.min(total, (int) desiredPeak.value()) : total;
+        int missingCount = Math.min(spotCount, missing.spotTotal()) + missing.onDemandTotal();
         int substitutesCount = Math.min(missingCount, Math.max(0, neededCount + missingCount - total));
-        PoolCounts target = EnginePlacement.place(
-                planned, total - spotCount + Math.min(spotCount, substitutesCount), spotCount, limits);
+        PoolCounts target =
+                EnginePlacement.place(planned, missing, total - spotCount + substitutesCount, spotCount, limits);
         PoolCounts next = EnginePlacement.approach(planned, ready, target, total, limits);
-        return isWorthOrdering(planned, next, limits) ? Optional.of(next.toPlan(observed)) : Optional.empty();
+        return isWorthOrdering(planned, next, limits)
+                ? Optional.of(next.toPlan(observed, isDemandKnown))
+                : Optional.empty();
     }
 
     /**
@@ -108,11 +112,12 @@
         return withinLimits(Math.max(MIN_ENGINES, forDemand), dataCentresCount, limits);
     }
 
-    private void changeTotal(int desired, ScalingLimits limits, long nowMillis) {
+    private void changeTotal(int desired, int readyCount, ScalingLimits limits, long nowMillis) {
         int lastingDesired = (int) desiredPeak.value();
         if (isWorthChanging(desired - total, total, ENGINES_PER_CHANGE)) {
             total = desired;
-        } else if (isWorthChanging(total - lastingDesired, total, ENGINES_PER_SCALE_IN)
+        } else if (lastingDesired < total
+                && isWorthChanging(Math.max(total, readyCount) - lastingDesired, total, ENGINES_PER_SCALE_IN)
                 && nowMillis >= nextReleaseMillis) {
             total = Math.max(lastingDesired, total - Math.max(1, total / ENGINES_PER_RELEASE));
             nextReleaseMillis = nowMillis + settleMillis(limits);
@@ -145,21 +150,23 @@
         return Math.max(0, Math.min(enginesCount - dataCentresCount, dataCentresCount * maxInDataCentre));
     }
 
-    private int missingSpotCount(
+    private PoolCounts missing(
             PoolCounts planned, PoolCounts ready, ScaleObservation observed, ScalingLimits limits, long nowMillis) {
-        int sum = 0;
+        PoolCounts missing = planned.min(planned);
         for (int i = 0; i < planned.size(); i++) {
-            String dataCentre = planned.dataCentre(i);
-            Long untilMillis = observed.unavailableUntilMillis().get(new EnginePool(dataCentre, EngineKind.SPOT));
-            sum += shortage.record(
-                    dataCentre,
-                    planned.spot()[i],
-                    ready.spot()[i],
-                    untilMillis != null && nowMillis < untilMillis,
-                    settleMillis(limits),
-                    nowMillis);
+            for (EngineKind kind : EngineKind.values()) {
+                EnginePool pool = new EnginePool(planned.dataCentre(i), kind);
+                Long unavailableUntilMillis = observed.unavailableUntilMillis().get(pool);
+                missing.of(kind)[i] = shortage.record(
+                        pool,
+                        planned.of(kind)[i],
+                        ready.of(kind)[i],
+                        unavailableUntilMillis != null && nowMillis < unavailableUntilMillis,
+                        settleMillis(limits),
+                        nowMillis);
+            }
         }
-        return sum;
+        return missing;
     }
 
     private boolean isWorthOrdering(PoolCounts planned, PoolCounts next, ScalingLimits limits) {
--- a/src/test/java/org/dogwoodwinch/scaling/ModelPlatform.java
+++ b/src/test/java/org/dogwoodwinch/scaling/ModelPlatform.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.PrefillQueue;
@@ -29,6 +31,7 @@
     ScalingLimits limits = LIMITS;
     ScalePlan lastPlan = ScalePlan.NONE;
     Consumer<List<Engine>> load = _ready -> {};
+    final Set<EnginePool> unavailablePools = new HashSet<>();
     long spotUnavailableUntilMillis;
     long nowMillis;
     long engineMillis;
@@ -110,7 +113,8 @@
     private void order(EnginePool pool, int desired) {
         int missing = desired - count(pool);
         if (missing > 0 && nowMillis >= refusedUntilMillis.getOrDefault(pool, 0L)) {
-            if (pool.kind() == EngineKind.SPOT && nowMillis < spotUnavailableUntilMillis) {
+            boolean isSpotMissing = pool.kind() == EngineKind.SPOT && nowMillis < spotUnavailableUntilMillis;
+            if (isSpotMissing || unavailablePools.contains(pool)) {
                 refusedUntilMillis.put(pool, nowMillis + 2_000);
             } else {
                 add(pool, missing, nowMillis + BOOT_MILLIS);
--- a/src/test/java/org/dogwoodwinch/scaling/ScalePlannerTest.java
+++ b/src/test/java/org/dogwoodwinch/scaling/ScalePlannerTest.java
@@ -5,10 +5,15 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.PrefillQueue;
+import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.TargetLoad;
 import org.junit.jupiter.api.Test;
 
@@ -43,12 +48,17 @@
         assertTrue(first.desiredCounts().keySet().stream().allMatch(pool -> pool.kind() == EngineKind.SPOT));
     }
 
-    /** After a restart, no engine is known, and a plan for none of them would release all. */
+    /** After a restart, no engine is known, and a plan for none of them would replace or release all. */
     @Test
     void noReadyEnginesCauseNoPlan() {
-        platform.engines.clear();
-        platform.runFor(20_000);
-        assertTrue(platform.plans.isEmpty());
+        settle(12);
+        for (int i = 0; i < 80; i++) {
+            platform.nowMillis += ModelPlatform.STEP_MILLIS;
+            ScaleObservation empty =
+                    new ScaleObservation(List.of(), _id -> TargetLoad.EMPTY, platform.lastPlan, Map.of(), Map.of());
+            ScalingLimits more = limits(20, 32, OptionalDouble.empty());
+            assertEquals(Optional.empty(), platform.planner.plan(empty, more, platform.nowMillis));
+        }
     }
 
     /** On-demand engines were released although the platform had no spot engines to replace them. */
@@ -152,6 +162,17 @@
         }
     }
 
+    /** A limit that was exceeded by a single engine of many was taken for a change that is not worth an order. */
+    @Test
+    void smallExcessOverALimitIsOrdered() {
+        platform.limits = limits(1, 32, OptionalDouble.empty());
+        settle(24);
+        int max = platform.count("b") - 1;
+        platform.limits = limits(1, max, OptionalDouble.empty());
+        platform.runFor(ModelPlatform.STEP_MILLIS);
+        assertEquals(max, platform.count("b"));
+    }
+
     /** Without spot engines, all engines went to the cheapest data centre, whose failure took the service. */
     @Test
     void withoutSpotEnginesNoDataCentreHoldsMoreThanHalf() {
@@ -168,6 +189,109 @@
         }
     }
 
+    /** The cheapest data centre fails, and the engines that replace its own were ordered there again. */
+    @Test
+    void failedDataCentreIsReplacedByOthers() {
+        ModelPlatform pair = new ModelPlatform(10, "a", "b");
+        pair.limits = limits(1, 32, OptionalDouble.empty());
+        pair.setBusy(9);
+        pair.runFor(60_000);
+        int before = pair.engines.size();
+        EnginePool cheapest = new EnginePool("b", EngineKind.ON_DEMAND);
+        pair.unavailablePools.add(cheapest);
+        pair.engines.removeIf(engine -> engine.pool.equals(cheapest));
+        pair.runFor(6_000);
+        assertEquals(before, pair.ready().size(), 1);
+        assertEquals(10, pair.lastPlan.desiredCounts().get(cheapest), "no more are ordered where none come");
+        pair.unavailablePools.clear();
+        pair.runFor(20_000);
+        assertEquals(before, pair.engines.size(), 1);
+    }
+
+    /** With two data centres, half of the spot engines are reclaimed at once, and most engines were spot engines. */
+    @Test
+    void fewerDataCentresHaveFewerSpotEngines() {
+        ModelPlatform pair = new ModelPlatform(20, "a", "b");
+        pair.setBusy(12);
+        pair.runFor(90_000);
+        assertTrue(pair.reclaimWorst(10_000) > 0);
+        assertTrue(
+                pair.ready().size() * 0.8 >= 12,
+                "engines after the reclaim: " + pair.ready().size());
+    }
+
+    /** Each time the refusal of an order had expired, the substitutes were ordered back. */
+    @Test
+    void shortageLastsUntilTheEnginesAreReady() {
+        EngineShortage shortage = new EngineShortage();
+        EnginePool pool = new EnginePool("a", EngineKind.SPOT);
+        assertEquals(0, shortage.record(pool, 8, 2, false, 8_000, 0), "booting");
+        assertEquals(6, shortage.record(pool, 8, 2, true, 8_000, 250), "refused");
+        assertEquals(6, shortage.record(pool, 8, 2, false, 8_000, 2_250), "refusal expired");
+        assertEquals(1, shortage.record(pool, 8, 7, false, 8_000, 6_250));
+        assertEquals(0, shortage.record(pool, 8, 8, false, 8_000, 6_500));
+        assertEquals(0, shortage.record(pool, 8, 7, false, 8_000, 7_000));
+        assertEquals(1, shortage.record(pool, 8, 7, false, 8_000, 15_250), "does not come");
+    }
+
+    /**
+     * While spot engines were reclaimed and missing in changing data centres, plans exceeded the limits of a data centre
+     * or released engines that the demand needed.
+     */
+    @Test
+    void randomEventsKeepTheLimitsAndTheNeededEngines() {
+        for (int seed = 1; seed <= 20; seed++) {
+            UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+            ModelPlatform played = new ModelPlatform(1 + random.nextInt(20), DATA_CENTRES);
+            played.limits = limits(random.nextInt(4), 12 + random.nextInt(20), OptionalDouble.of(0.22));
+            int busy = 5;
+            int busyEngines = busy;
+            played.setBusy(busy);
+            played.runFor(20_000);
+            for (int i = 0; i < 60; i++) {
+                if (random.nextInt(4) == 0) {
+                    busy = random.nextInt(25);
+                    busyEngines = Math.min(busy, played.ready().size());
+                    played.setBusy(busy);
+                    played.runFor(3_000);
+                }
+                if (random.nextInt(6) == 0) {
+                    played.reclaimWorst(random.nextInt(20_000));
+                }
+                for (int j = 0; j < 16; j++) {
+                    int readyBefore = played.ready().size();
+                    Optional<ScalePlan> plan = played.step();
+                    String seen = "seed " + seed + " at " + played.nowMillis + " ms, busy " + busy + ": " + plan;
+                    double needed = busyEngines / 0.6 * 15 / 16 - 1;
+                    assertTrue(played.ready().size() >= Math.min(readyBefore, needed), seen);
+                    for (String dataCentre : DATA_CENTRES) {
+                        assertTrue(played.count(dataCentre) <= played.limits.maxCount(), seen);
+                        assertTrue(played.count(new EnginePool(dataCentre, EngineKind.ON_DEMAND)) >= 1, seen);
+                    }
+                    played.nowMillis += ModelPlatform.STEP_MILLIS;
+                }
+            }
+            played.runFor(150_000);
+            double needed = Math.max(5, Math.max(DATA_CENTRES.length * played.limits.minCount(), busy / 0.6));
+            assertEquals(needed, played.engines.size(), busy / 0.6 / 8 + 1.5, "seed " + seed);
+            int plansCount = played.plans.size();
+            played.runFor(40_000);
+            assertEquals(plansCount, played.plans.size(), "plans without a change, seed " + seed);
+        }
+    }
+
+    /** Decode engines with most slots in use were taken for idle ones, as no prompt waits there. */
+    @Test
+    void decodeEnginesCountByTheirSlots() {
+        Incarnation decode = new Incarnation("e1", "s", "10.0.0.1", 80, "a", 64, false, Stage.DECODE, 1);
+        Incarnation prefill = new Incarnation("e2", "s", "10.0.0.1", 80, "a", 64, false, Stage.PREFILL, 1);
+        TargetLoad running = new TargetLoad(48, PrefillQueue.EMPTY);
+        TargetLoad reading = new TargetLoad(6, PrefillQueue.EMPTY.plusPrompts(2, 9_000, 3));
+        assertEquals(0.75, EngineDemand.total(List.of(decode), _id -> running));
+        assertEquals(0, EngineDemand.total(List.of(prefill), _id -> running));
+        assertEquals(3, EngineDemand.total(List.of(decode, prefill), _id -> reading));
+    }
+
     /** A step that looks up loads for pairs of engines takes too long for a service of thousands. */
     @Test
     void eachEngineIsLookedUpOnce() {
