Order engines for scaled services on one instance

Cause: services with scaling are billed for each second of an engine, and the daemon uses whatever engines exist; nothing sends POST /scale.

Change: the decoders read scaling of a service and spot of a target's entry. ScaleOrders asks a strategy four times a second on the instance to which autoscale is assigned, appends a plan to keyed.scale-plans under one lease for all services and sends the orders that are not confirmed, spot increases first and releases last. PoolOrders decides what is due: refused, unanswered and late orders are sent again, on-demand engines are kept while ordered spot engines are missing. A record states the era of its plan, so that the plan of a store's copy is not sent again. The planner is not merged yet; until then the daemon's strategy keeps all engines.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowerPolicy;
@@ -60,6 +61,7 @@
 import org.dogwoodwinch.relay.TargetConnector;
 import org.dogwoodwinch.relay.TcpTargetConnector;
 import org.dogwoodwinch.request.QuarantineEndpoint;
+import org.dogwoodwinch.scaling.ScaleStrategy;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.SettingsChange;
 import org.dogwoodwinch.time.TimeSource;
@@ -75,6 +77,9 @@
     /** The time by which the views that two instances have of the targets may differ. */
     private static final long VIEW_DIFFERENCE_MILLIS = 3_000;
 
+    /** Orders no change of the number of engines. */
+    private static final ScaleStrategy KEEP_ENGINES = (_observed, _limits, _nowMillis) -> Optional.empty();
+
     private static final Logger log = LoggerFactory.getLogger(ForwardingDaemon.class);
 
     /**
@@ -138,6 +143,7 @@
     private final FleetExchange fleet;
     private final ClockWatch clockWatch;
     private final Optional<UsageComponents> usage;
+    private final Optional<ScaleComponents> scaling;
     private final RetryBudget budget;
     private final SegmentGuard segments;
     private final SegmentStore segmentStore;
@@ -170,6 +176,24 @@
             Transport transport,
             UniformRandomProvider random,
             UnaryOperator<TargetConnector> targetLinks) {
+        this(settings, transport, random, targetLinks, () -> KEEP_ENGINES);
+    }
+
+    /**
+     * Creates a daemon whose connections to targets are opened, and whose engines are planned, in another way.
+     *
+     * @param settings the settings, not null
+     * @param transport the sockets, with a single event loop, not null
+     * @param random the source of randomness, not null
+     * @param targetLinks replaces the connector of targets, not null
+     * @param strategyFactory creates the strategy by which the engines of a service are planned, not null
+     */
+    ForwardingDaemon(
+            ForwardingSettings settings,
+            Transport transport,
+            UniformRandomProvider random,
+            UnaryOperator<TargetConnector> targetLinks,
+            Supplier<ScaleStrategy> strategyFactory) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.time = new EventLoopTime(transport.eventLoopGroup().next());
@@ -356,6 +380,21 @@
                 targetsReader,
                 time,
                 random);
+        this.scaling = settings.duties()
+                .filter(duties -> duties.isAssigned(DutyClient.AUTOSCALE_DUTY))
+                .map(_duties -> new ScaleComponents(
+                        settings,
+                        () -> fleet.exchange().isFleetTaskAssignedToSelf(ScaleOrders.TOPIC),
+                        new ScaleComponents.Observed(
+                                service::scaledServices,
+                                targetsReader::hasReadSnapshot,
+                                directory::readyTargets,
+                                loads::totalAt),
+                        strategyFactory,
+                        caller,
+                        store,
+                        metrics,
+                        time));
     }
 
     /**
@@ -384,6 +423,7 @@
             fleet.start(self);
             clockWatch.start();
             usage.ifPresent(UsageComponents::start);
+            scaling.ifPresent(ScaleComponents::start);
         });
         LogEvent.of("started")
                 .with("instance", settings.instance().name())
@@ -484,6 +524,7 @@
         fleet.beginEra(era);
         segmentStore.beginEra();
         usage.ifPresent(UsageComponents::beginEra);
+        scaling.ifPresent(ScaleComponents::beginEra);
     }
 
     private void closeIdleConnections(String targetId) {
--- a/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/Incarnation.java
@@ -19,6 +19,7 @@
  * @param startedMillis start time, in milliseconds of the platform's clock; zero if not stated
  * @param softwareVersion the version of the target's software, which has no order; a stream may go on only at targets of
  *     the version that began it; empty if not stated, not null
+ * @param spot whether the target is a spot engine, which the platform may reclaim
  */
 public record Incarnation(
         String id,
@@ -31,7 +32,8 @@
         Stage stage,
         long weightVersion,
         long startedMillis,
-        String softwareVersion) {
+        String softwareVersion,
+        boolean spot) {
 
     /** Validates the components. */
     public Incarnation {
@@ -43,6 +45,48 @@
         Objects.requireNonNull(softwareVersion, "softwareVersion");
     }
 
+    /**
+     * Creates an incarnation that is not a spot engine.
+     *
+     * @param id the target's id, not null
+     * @param service the service to which the target belongs, not null
+     * @param host the target's IP address, not null
+     * @param port the target's port
+     * @param dataCentre the target's data centre, not null
+     * @param slotsCount maximum number of requests that run at the same time, at least one
+     * @param leaving whether the target is draining
+     * @param stage the stage that the target serves, not null
+     * @param weightVersion the version of the model's weights; zero if not stated
+     * @param startedMillis start time, in milliseconds of the platform's clock; zero if not stated
+     * @param softwareVersion the version of the target's software; empty if not stated, not null
+     */
+    public Incarnation(
+            String id,
+            String service,
+            String host,
+            int port,
+            String dataCentre,
+            int slotsCount,
+            boolean leaving,
+            Stage stage,
+            long weightVersion,
+            long startedMillis,
+            String softwareVersion) {
+        this(
+                id,
+                service,
+                host,
+                port,
+                dataCentre,
+                slotsCount,
+                leaving,
+                stage,
+                weightVersion,
+                startedMillis,
+                softwareVersion,
+                false);
+    }
+
     /**
      * Creates an incarnation without a stated version of its software.
      *
@@ -118,7 +162,8 @@
                 && stage == that.stage
                 && weightVersion == that.weightVersion
                 && startedMillis == that.startedMillis
-                && softwareVersion.equals(that.softwareVersion);
+                && softwareVersion.equals(that.softwareVersion)
+                && spot == that.spot;
     }
 
     @Override
@@ -143,7 +188,8 @@
                 stage,
                 weightVersion,
                 startedMillis,
-                softwareVersion);
+                softwareVersion,
+                spot);
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
@@ -7,7 +7,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.dogwoodwinch.scaling.ScalingLimits;
 
 /** One version of the operator's configuration. Immutable, so that all decisions for a call use the same version. */
 public final class RouteTable {
@@ -101,6 +104,19 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Returns the services whose engines are ordered.
+     *
+     * @return the limits by the name of the service, in the order of the names
+     */
+    public SortedMap<String, ScalingLimits> scaledServices() {
+        SortedMap<String, ScalingLimits> limitsByService = new TreeMap<>();
+        services.values()
+                .forEach(service ->
+                        service.scaling().ifPresent(scaling -> limitsByService.put(service.name(), scaling)));
+        return limitsByService;
+    }
+
     /**
      * Returns the longest time-out of a route whose streams may be resumed.
      *
--- a/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
@@ -10,6 +10,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.JsonTrees;
@@ -23,12 +24,16 @@
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.WeightedService;
+import org.dogwoodwinch.scaling.ScalingLimits;
 
 /** Decodes the operator's configuration from JSON. */
 public final class ConfigurationDecoder {
 
     private static final int MILLIS_PER_SECOND = 1_000;
 
+    /** More than any price or boot time in seconds; a larger number would overflow sums of times. */
+    private static final int MAX_SCALING_NUMBER = 1_000_000;
+
     private ConfigurationDecoder() {}
 
     /**
@@ -115,7 +120,47 @@
         return new ServiceEntry(
                 service.path("name").asText(),
                 service.path("maxConnections").asInt(1),
-                engine.isObject() ? Optional.of(decodeEngine(engine)) : Optional.empty());
+                engine.isObject() ? Optional.of(decodeEngine(engine)) : Optional.empty(),
+                decodeScaling(service.path("scaling")));
+    }
+
+    private static Optional<ScalingLimits> decodeScaling(JsonNode scaling) {
+        if (scaling.isMissingNode() || scaling.isNull()) {
+            return Optional.empty();
+        }
+        JsonNode prices = scaling.path("zonePrices");
+        if (!prices.isObject()) {
+            throw new IllegalArgumentException("scaling.zonePrices is not an object: " + prices);
+        }
+        Map<String, Double> priceByDataCentre = new HashMap<>();
+        prices.properties()
+                .forEach(price -> priceByDataCentre.put(
+                        price.getKey(), requireNumber("zonePrices." + price.getKey(), price.getValue())));
+        JsonNode spotPrice = scaling.path("spotPrice");
+        return Optional.of(new ScalingLimits(
+                requireCount(scaling, "min"),
+                requireCount(scaling, "max"),
+                Math.round(requireNumber("bootS", scaling.path("bootS")) * MILLIS_PER_SECOND),
+                spotPrice.isMissingNode() || spotPrice.isNull()
+                        ? OptionalDouble.empty()
+                        : OptionalDouble.of(requireNumber("spotPrice", spotPrice)),
+                priceByDataCentre));
+    }
+
+    private static int requireCount(JsonNode scaling, String field) {
+        JsonNode value = scaling.path(field);
+        if (!value.isInt()) {
+            throw new IllegalArgumentException("scaling." + field + " is not an integer: " + value);
+        }
+        return value.asInt();
+    }
+
+    private static double requireNumber(String field, JsonNode value) {
+        if (!value.isNumber() || !(value.asDouble() >= 0 && value.asDouble() <= MAX_SCALING_NUMBER)) {
+            throw new IllegalArgumentException(
+                    "scaling." + field + " is not a number from 0 to " + MAX_SCALING_NUMBER + ": " + value);
+        }
+        return value.asDouble();
     }
 
     private static EngineTraits decodeEngine(JsonNode engine) {
--- a/src/main/java/org/dogwoodwinch/platform/DutyClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/DutyClient.java
@@ -15,16 +15,23 @@
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ControlReply;
 import org.dogwoodwinch.relay.ControlRequest;
+import org.dogwoodwinch.scaling.EngineKind;
+import org.dogwoodwinch.scaling.ScaleDestination;
+import org.dogwoodwinch.scaling.ScaleOrder;
+import org.dogwoodwinch.scaling.ScaleOutcome;
 import org.dogwoodwinch.usage.DutyOutcome;
 import org.dogwoodwinch.usage.UsageDestination;
 import org.dogwoodwinch.usage.UsageReport;
 
 /** Sends the platform the calls of which one instance at a time has the duty. */
-public final class DutyClient implements UsageDestination {
+public final class DutyClient implements UsageDestination, ScaleDestination {
 
     /** The platform's name of the duty to report usage. */
     public static final String USAGE_DUTY = "usage_report";
 
+    /** The platform's name of the duty to order engines. */
+    public static final String AUTOSCALE_DUTY = "autoscale";
+
     private static final int OK = 200;
     private static final int CONFLICT = 409;
     private static final int TOO_MANY_REQUESTS = 429;
@@ -53,16 +60,40 @@
         ObjectNode counts = body.putObject("counts");
         // Ordered, so that a repetition has the same bytes.
         new TreeMap<>(report.counts()).forEach(counts::put);
+        return post("/usage", holder, fencingToken, body).thenApply(DutyClient::toOutcome);
+    }
+
+    @Override
+    public CompletionStage<ScaleOutcome> send(String holder, long fencingToken, ScaleOrder order) {
+        ObjectNode body = JsonNodeFactory.instance
+                .objectNode()
+                .put("service", order.service())
+                .put("zone", order.pool().dataCentre())
+                .put("desired", order.desiredCount());
+        if (order.pool().kind() == EngineKind.SPOT) {
+            body.put("spot", true);
+        }
+        return post("/scale", holder, fencingToken, body).thenApply(DutyClient::toScaleOutcome);
+    }
+
+    private CompletionStage<ControlReply> post(String path, String holder, long fencingToken, ObjectNode body) {
         HttpHeaders headers = new DefaultHttpHeaders()
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
                 .set(HeaderNames.DUTY_HOLDER, holder)
                 .set(HeaderNames.FENCING_TOKEN, fencingToken);
-        return controlCaller
-                .call(
-                        address,
-                        new ControlRequest(HttpMethod.POST, "/usage", headers, Bytes.ofUtf8(body.toString())),
-                        timeoutMillis)
-                .thenApply(DutyClient::toOutcome);
+        return controlCaller.call(
+                address,
+                new ControlRequest(HttpMethod.POST, path, headers, Bytes.ofUtf8(body.toString())),
+                timeoutMillis);
+    }
+
+    private static ScaleOutcome toScaleOutcome(ControlReply reply) {
+        return switch (toOutcome(reply)) {
+            case ACCEPTED -> ScaleOutcome.ACCEPTED;
+            case FENCED -> ScaleOutcome.CONFLICT;
+            case REJECTED -> ScaleOutcome.REJECTED;
+            case UNKNOWN -> ScaleOutcome.UNKNOWN;
+        };
     }
 
     private static DutyOutcome toOutcome(ControlReply reply) {
--- a/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
@@ -58,7 +58,8 @@
                 entry.path("models").path(0).path("version").asLong(),
                 decodeStartMillis(entry),
                 // The entry's field version is the software's version; the version of the weights is in each model.
-                requireText(entry, "version"));
+                requireText(entry, "version"),
+                decodeSpot(entry));
     }
 
     /**
@@ -122,6 +123,15 @@
         };
     }
 
+    /** Engines that existed before the operator had spot engines do not state the field. */
+    private static boolean decodeSpot(JsonNode entry) throws IOException {
+        JsonNode spot = entry.path("spot");
+        if (!spot.isMissingNode() && !spot.isBoolean()) {
+            throw new IOException("spot is not a boolean: " + spot);
+        }
+        return spot.asBoolean();
+    }
+
     /** Returns {@link Stage#WHOLE} if no stage is stated, as with plain services. */
     private static Stage decodeOptionalStage(JsonNode entry) throws IOException {
         JsonNode value = entry.path("stage");
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -37,6 +37,8 @@
     private final Counter blamedCrashes;
     private final Counter segmentTrials;
     private final Gauge heldSegments;
+    private final Counter scaleOrders;
+    private final Gauge desiredEngines;
     private final Gauge isolated;
     private final Counter peerBytes;
     private final Counter peerDropped;
@@ -125,6 +127,13 @@
                 "outcome");
         this.heldSegments =
                 gauge("dogwoodwinch_segments_held_back", "Segments of prompts whose calls are refused for crashes.");
+        this.scaleOrders =
+                counter("dogwoodwinch_scale_orders_total", "Orders for engines that this instance sent.", "outcome");
+        this.desiredEngines = Gauge.builder()
+                .name("dogwoodwinch_scale_desired_engines")
+                .help("Engines of the last recorded plan, where this instance holds the duty to order them.")
+                .labelNames("service", "data_centre", "kind")
+                .register(registry);
         this.isolated = gauge("dogwoodwinch_targets_cut_off", "1 while this instance is cut off from all targets.");
         this.configurationVersion =
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
@@ -248,6 +257,32 @@
         targetStatements.labelValues(statement, source).inc();
     }
 
+    /**
+     * Counts an order for engines.
+     *
+     * @param outcome what is known of it, not null
+     */
+    public void scaleOrdered(String outcome) {
+        scaleOrders.labelValues(outcome).inc();
+    }
+
+    /**
+     * Sets the number of engines that a pool should have.
+     *
+     * @param service the service's name, not null
+     * @param dataCentre the data centre, not null
+     * @param kind the kind of engines, not null
+     * @param count the number of engines
+     */
+    public void setDesiredEngines(String service, String dataCentre, String kind, int count) {
+        desiredEngines.labelValues(service, dataCentre, kind).set(count);
+    }
+
+    /** Removes the numbers of desired engines, because another instance may order them now. */
+    public void clearDesiredEngines() {
+        desiredEngines.clear();
+    }
+
     void responseEnded(String by, String verdict) {
         endedResponses.labelValues(by, verdict).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -3,11 +3,13 @@
 import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Collections;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -26,6 +28,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.request.QuarantineEndpoint;
+import org.dogwoodwinch.scaling.ScalingLimits;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -230,6 +233,15 @@
         return routeTable.map(RouteTable::modelServices).orElseGet(Set::of);
     }
 
+    /**
+     * Returns the services whose engines are ordered.
+     *
+     * @return the limits by the name of the service, from the configuration in force; empty before the first one
+     */
+    public SortedMap<String, ScalingLimits> scaledServices() {
+        return routeTable.map(RouteTable::scaledServices).orElseGet(Collections::emptySortedMap);
+    }
+
     /**
      * Returns the longest time for which a caller may take up a stream after its begin.
      *
--- a/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
@@ -113,6 +113,23 @@
      * @param keys the keys of the owner, not null; all others are revoked
      */
     public void configure(long version, List<String> keys) {
+        configure(version, keys, JSON.createObjectNode());
+    }
+
+    /**
+     * Writes a configuration in which the number of engines may change.
+     *
+     * @param version its version
+     * @param maxCount the highest number of engines in a data centre
+     */
+    public void configureScaling(long version, int maxCount) {
+        ObjectNode service = JSON.createObjectNode();
+        ObjectNode scaling = service.putObject("scaling").put("min", 1).put("max", maxCount);
+        scaling.put("bootS", 0.1).put("spotPrice", 0.2).putObject("zonePrices").put("dc-1", 1);
+        configure(version, List.of(KEY), service);
+    }
+
+    private void configure(long version, List<String> keys, ObjectNode engineService) {
         ObjectNode configuration = JSON.createObjectNode().put("version", version);
         ArrayNode routes = configuration.putArray("routes");
         route(routes, "/safe/", "safe", PLAIN, 2, false);
@@ -121,10 +138,9 @@
         route(routes, "/resume/", "streaming", ENGINES, 2, true);
         ArrayNode services = configuration.putArray("services");
         services.addObject().put("name", PLAIN).put("maxConnections", 960);
-        ObjectNode engine = services.addObject()
-                .put("name", ENGINES)
-                .put("maxConnections", 3_600)
-                .putObject("engine");
+        services.add(engineService);
+        ObjectNode engine =
+                engineService.put("name", ENGINES).put("maxConnections", 3_600).putObject("engine");
         engine.put("slots", 64).put("kvCapacity", 400_000).put("kvTokenBytes", 18_432);
         engine.put("linkMbps", 370_000).put("handleTtlS", 5);
         configuration
--- a/src/main/java/org/dogwoodwinch/standin/platform/StoreStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StoreStandIn.java
@@ -47,6 +47,9 @@
     private final Map<String, Topic> topics = new HashMap<>();
     private final List<String> usageReports = new CopyOnWriteArrayList<>();
     private long highestUsageToken = -1;
+    private final List<String> scaleOrders = new CopyOnWriteArrayList<>();
+    private long highestScaleToken = -1;
+    private int scaleStatus = 200;
     private Mode mode = Mode.UP;
     private long era = 1;
     private int answersToLose;
@@ -178,6 +181,7 @@
             case "/log-newest" -> newest(topic, request, answer);
             // The platform takes the calls of duties at another address; here one listener serves both.
             case "/usage" -> recordUsage(request, answer);
+            case "/scale" -> recordScaling(request, answer);
             case "/log-trim" -> trim(topic, request, answer);
             default -> answer.whole(404, Map.of(), new byte[0]);
         }
@@ -203,6 +207,36 @@
         return List.copyOf(usageReports);
     }
 
+    private void recordScaling(StandInRequest request, StandInAnswer answer) {
+        long token = Long.parseLong(request.header("fence-token"));
+        if (token < highestScaleToken) {
+            answer.whole(409, Map.of(), new byte[0]);
+            return;
+        }
+        highestScaleToken = token;
+        scaleOrders.add(
+                request.header("duty-holder") + " " + new String(request.body().toByteArray(), StandardCharsets.UTF_8));
+        answer.whole(scaleStatus, Map.of(), new byte[0]);
+    }
+
+    /**
+     * Changes how orders for engines are answered that have no lower token than earlier ones.
+     *
+     * @param status the HTTP status
+     */
+    public void answerScaling(int status) {
+        scaleStatus = status;
+    }
+
+    /**
+     * Returns the orders for engines that had no lower token than earlier ones.
+     *
+     * @return holder and body of each, in the order of their arrival
+     */
+    public List<String> scaleOrders() {
+        return List.copyOf(scaleOrders);
+    }
+
     private void append(String name, StandInRequest request, StandInAnswer answer) {
         Topic topic = topic(name);
         if (name.equals("keyed.op") || name.equals("keyed.servers")) {
--- a/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ForwardingDaemonTest.java
@@ -11,12 +11,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.UnaryOperator;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.net.EventLoopTime;
 import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.scaling.EngineKind;
+import org.dogwoodwinch.scaling.EnginePool;
+import org.dogwoodwinch.scaling.ScaleObservation;
+import org.dogwoodwinch.scaling.ScalePlan;
+import org.dogwoodwinch.scaling.ScalingLimits;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.standin.platform.PlatformStandIn;
 import org.dogwoodwinch.standin.platform.StandInRequest;
@@ -42,7 +50,12 @@
     void start() throws IOException {
         platform = new PlatformStandIn(
                 platformLoop, new EventLoopTime(platformLoop.eventLoopGroup().next()), ForwardingDaemonTest::fault);
-        daemon = new ForwardingDaemon(createSettings(), daemonLoop, RandomSource.XO_RO_SHI_RO_128_PP.create(5));
+        daemon = new ForwardingDaemon(
+                createSettings(),
+                daemonLoop,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(5),
+                UnaryOperator.identity(),
+                () -> ForwardingDaemonTest::planMaxCount);
         daemon.start();
         assertTrue(DaemonSockets.awaitReady(daemon));
     }
@@ -54,6 +67,11 @@
         DaemonSockets.shutDown(platformLoop);
     }
 
+    private static Optional<ScalePlan> planMaxCount(ScaleObservation observed, ScalingLimits limits, long _nowMillis) {
+        String dataCentre = observed.ready().get(0).dataCentre();
+        return Optional.of(new ScalePlan(Map.of(new EnginePool(dataCentre, EngineKind.SPOT), limits.maxCount())));
+    }
+
     private static TargetFault fault(StandInRequest request) {
         String faultName = request.header(FAULT_HEADER);
         return faultName.isEmpty() ? TargetFault.NONE : TargetFault.valueOf(faultName);
@@ -65,7 +83,7 @@
                 platform,
                 "\"duties\":{\"address\":\"" + platform.storeAddress()
                         + "\",\"assigned\":\"autoscale,usage_report\",\"usageWindowSeconds\":0.2,"
-                        + "\"usageDueSeconds\":1},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}");
+                        + "\"usageDueSeconds\":1},\"promises\":{\"holdersApartMillis\":100},\"stop\":{\"notReadyMillis\":0,\"graceSeconds\":20}");
     }
 
     private String sendCall(String path, String id, String headers) throws IOException {
@@ -138,6 +156,18 @@
         assertTrue(report.matches("\\{\"windowId\":\\d+,\"counts\":\\{\"owner-1\":\\d+}}"), report);
     }
 
+    @Test
+    void enginesOfScaledServiceAreOrderedAtPlatform() throws IOException {
+        platformLoop.eventLoopGroup().next().execute(() -> platform.configureScaling(2, 7));
+        for (int i = 0; i < MAX_ATTEMPTS && platform.store().scaleOrders().isEmpty(); i++) {
+            sendCall("/once/a", "v" + i, "");
+        }
+
+        assertEquals(
+                List.of("n1 {\"service\":\"reader\",\"zone\":\"dc-1\",\"desired\":7,\"spot\":true}"),
+                platform.store().scaleOrders());
+    }
+
     /**
      * Targets lose, corrupt, truncate or fail responses. An unsafe call runs at most once and is reported as not run
      * only if it did not run.
--- a/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
@@ -7,7 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.ApiKey;
@@ -19,6 +21,7 @@
 import org.dogwoodwinch.forwarding.RouteTable;
 import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.scaling.ScalingLimits;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationDecoderTest {
@@ -56,6 +59,50 @@
         assertEquals(15_000, table.limits().idleTimeoutMillis());
     }
 
+    private static final String SCALING =
+            "{\"min\":1,\"max\":32,\"bootS\":4.0,\"spotPrice\":0.22,\"zonePrices\":{\"a\":1.0,\"b\":0.8}}";
+
+    private static String withScaling(String scaling) {
+        return CONFIGURATION.replace("\"maxConnections\":96", "\"maxConnections\":96,\"scaling\":" + scaling);
+    }
+
+    @Test
+    void decodesLimitsOfScaling() throws IOException {
+        ScalingLimits limits = new ScalingLimits(1, 32, 4_000, OptionalDouble.of(0.22), Map.of("a", 1.0, "b", 0.8));
+
+        RouteTable scaled = ConfigurationDecoder.decode(Bytes.ofUtf8(withScaling(SCALING)));
+        assertEquals(Map.of("t", limits), scaled.scaledServices());
+        assertEquals(
+                OptionalDouble.empty(),
+                ConfigurationDecoder.decode(Bytes.ofUtf8(withScaling(SCALING.replace("\"spotPrice\":0.22,", ""))))
+                        .scaledServices()
+                        .get("t")
+                        .spotPriceRatio());
+        assertEquals(
+                Map.of(),
+                ConfigurationDecoder.decode(Bytes.ofUtf8(CONFIGURATION)).scaledServices());
+    }
+
+    /** Failure: a wrong limit counts as zero, and engines are released. */
+    @Test
+    void errorOfInvalidScalingNamesTheField() {
+        Map.of(
+                        "scaling.min", SCALING.replace("\"min\":1", "\"min\":\"1\""),
+                        "scaling.max", SCALING.replace("\"max\":32,", ""),
+                        "max 0", SCALING.replace("\"max\":32", "\"max\":0"),
+                        "scaling.bootS", SCALING.replace("4.0", "-4"),
+                        "scaling.spotPrice", SCALING.replace("0.22", "1e300"),
+                        "scaling.zonePrices.b", SCALING.replace("0.8", "null"),
+                        "scaling.zonePrices", SCALING.replace("{\"a\":1.0,\"b\":0.8}", "[1]"))
+                .forEach((field, scaling) -> {
+                    IOException error = assertThrows(
+                            IOException.class,
+                            () -> ConfigurationDecoder.decode(Bytes.ofUtf8(withScaling(scaling))),
+                            scaling);
+                    assertTrue(error.getMessage().contains(field), error.getMessage());
+                });
+    }
+
     @Test
     void decodesOwnersAndTheirKeys() throws IOException {
         RouteTable table = ConfigurationDecoder.decode(Bytes.ofUtf8(withOwners("""
--- a/src/test/java/org/dogwoodwinch/platform/MutatedEntriesTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/MutatedEntriesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -55,6 +56,10 @@
         assertEquals(
                 Stage.WHOLE, decode(ENTRY.replace("\"stage\":\"decode\",", "")).stage());
         assertTrue(decode(ENTRY.replace("ready", "draining")).draining());
+        assertFalse(target.spot());
+        Incarnation spot = decode(ENTRY.replace("\"slots\"", "\"spot\":true,\"slots\""));
+        assertTrue(spot.spot() && spot.asDraining().spot());
+        assertNotEquals(target, spot);
     }
 
     static Stream<String> invalidEntries() {
@@ -82,6 +87,7 @@
                 ENTRY.replace("ready", "READY"),
                 ENTRY.replace("\"decode\"", "\"encode\""),
                 ENTRY.replace("\"decode\"", "{}"),
+                ENTRY.replace("\"slots\"", "\"spot\":\"true\",\"slots\""),
                 ENTRY.replace("v1", "x".repeat(70_000)));
     }
 
