Merge the planner and the orders of engines, and count prompts by their work

Cause: the planner took an engine for busy while it had any prompt. A prompt of 20 ms is on its way for 60 ms more, so a service of short prompts ordered nearly twice its engines in bursts.

Change: the daemon plans with ScalePlanner. A prompt counts by the share of its prefill in the time for which it is known; shortPromptsCountByTheirWork expects 0.25 engines for a prompt of 20 ms, where 1 was counted before. The kinds of calls to the store moved to package follow, so that the platform's package keeps its size.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowerPolicy;
@@ -61,6 +62,8 @@
 import org.dogwoodwinch.relay.TargetConnector;
 import org.dogwoodwinch.relay.TcpTargetConnector;
 import org.dogwoodwinch.request.QuarantineEndpoint;
+import org.dogwoodwinch.scaling.ScalePlanner;
+import org.dogwoodwinch.scaling.ScaleStrategy;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.SettingsChange;
 import org.dogwoodwinch.time.TimeSource;
@@ -126,6 +129,7 @@
     private final FleetExchange fleet;
     private final ClockWatch clockWatch;
     private final Optional<UsageComponents> usage;
+    private final Optional<ScaleComponents> scaling;
     private final RetryBudget budget;
     private final SegmentGuard segments;
     private final SegmentStore segmentStore;
@@ -158,6 +162,25 @@
             Transport transport,
             UniformRandomProvider random,
             UnaryOperator<TargetConnector> targetLinks) {
+        this(settings, transport, random, targetLinks, ScalePlanner::new);
+    }
+
+    /**
+     * Creates a daemon whose connections to targets are opened, and whose engines are planned, in another way.
+     *
+     * @param settings the settings, not null
+     * @param transport the sockets, with a single event loop, not null
+     * @param random the source of randomness, not null
+     * @param targetLinks replaces the connector of targets, not null
+     * @param strategyFactory creates the strategy by which the engines of a service are planned, from their prefill
+     *     rates, not null
+     */
+    ForwardingDaemon(
+            ForwardingSettings settings,
+            Transport transport,
+            UniformRandomProvider random,
+            UnaryOperator<TargetConnector> targetLinks,
+            Function<PrefillRates, ScaleStrategy> strategyFactory) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.transport = Objects.requireNonNull(transport, "transport");
         this.time = new EventLoopTime(transport.eventLoopGroup().next());
@@ -342,6 +365,22 @@
                 targetsReader,
                 time,
                 random);
+        this.scaling = settings.duties()
+                .filter(duties -> duties.isAssigned(DutyClient.AUTOSCALE_DUTY))
+                .map(_duties -> new ScaleComponents(
+                        settings,
+                        () -> fleet.exchange().isFleetTaskAssignedToSelf(ScaleOrders.TOPIC),
+                        new ScaleComponents.Observed(
+                                service::scaledServices,
+                                targetsReader::hasReadSnapshot,
+                                directory::readyTargets,
+                                directory::all,
+                                loads::totalAt),
+                        () -> strategyFactory.apply(rates),
+                        caller,
+                        store,
+                        metrics,
+                        time));
     }
 
     /**
@@ -370,6 +409,7 @@
             fleet.start(self);
             clockWatch.start();
             usage.ifPresent(UsageComponents::start);
+            scaling.ifPresent(ScaleComponents::start);
         });
         LogEvent.of("started")
                 .with("instance", settings.instance().name())
@@ -470,6 +510,7 @@
         fleet.beginEra(era);
         segmentStore.beginEra();
         usage.ifPresent(UsageComponents::beginEra);
+        scaling.ifPresent(ScaleComponents::beginEra);
     }
 
     private void closeIdleConnections(String targetId) {
--- a/src/main/java/org/dogwoodwinch/platform/StoreCallListener.java
+++ b/src/main/java/org/dogwoodwinch/follow/StoreCallListener.java
@@ -1,4 +1,4 @@
-package org.dogwoodwinch.platform;
+package org.dogwoodwinch.follow;
 
 /** Receives notice of calls to the platform's store, which are limited for the whole fleet and may be billed. */
 @FunctionalInterface
--- a/src/main/java/org/dogwoodwinch/platform/StoreOperation.java
+++ b/src/main/java/org/dogwoodwinch/follow/StoreOperation.java
@@ -1,4 +1,4 @@
-package org.dogwoodwinch.platform;
+package org.dogwoodwinch.follow;
 
 import java.util.Locale;
 
--- a/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -9,7 +10,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
+import org.dogwoodwinch.scaling.ScalingLimits;
 
 /** One version of the operator's configuration. Immutable, so that all decisions for a call use the same version. */
 public final class RouteTable {
@@ -20,6 +24,7 @@
     private final Map<String, List<ServiceRoute>> streamRoutes;
     private final CallerLimits limits;
     private final Optional<OwnerKeys> ownerKeys;
+    private final SortedMap<String, ScalingLimits> scaledServices;
     private final int routesCount;
     private final long longestResumableMillis;
 
@@ -50,6 +55,10 @@
         this.streamRoutes = new HashMap<>();
         routes.stream().filter(route -> route.kind() == RouteKind.STREAM).forEach(this::indexStreamRoute);
         streamRoutes.replaceAll((_service, indexed) -> List.copyOf(indexed));
+        SortedMap<String, ScalingLimits> limitsByService = new TreeMap<>();
+        services.forEach(
+                service -> service.scaling().ifPresent(scaling -> limitsByService.put(service.name(), scaling)));
+        this.scaledServices = Collections.unmodifiableSortedMap(limitsByService);
         this.routesCount = routes.size();
         this.longestResumableMillis = routes.stream()
                 .filter(ServiceRoute::resumable)
@@ -117,6 +126,15 @@
         return streamRoutes.getOrDefault(serviceName, List.of());
     }
 
+    /**
+     * Returns the services whose engines are ordered.
+     *
+     * @return the limits by the name of the service, in the order of the names
+     */
+    public SortedMap<String, ScalingLimits> scaledServices() {
+        return scaledServices;
+    }
+
     /**
      * Returns the longest time-out of a route whose streams may be resumed.
      *
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -27,6 +27,8 @@
 import org.dogwoodwinch.follow.KeyedWriter;
 import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
+import org.dogwoodwinch.follow.StoreCallListener;
+import org.dogwoodwinch.follow.StoreOperation;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ControlReply;
--- a/src/main/java/org/dogwoodwinch/scaling/EngineDemand.java
+++ b/src/main/java/org/dogwoodwinch/scaling/EngineDemand.java
@@ -3,8 +3,7 @@
 import java.util.List;
 import java.util.function.Function;
 import org.dogwoodwinch.forwarding.Incarnation;
-import org.dogwoodwinch.forwarding.PrefillQueue;
-import org.dogwoodwinch.forwarding.QueueLevel;
+import org.dogwoodwinch.forwarding.PrefillRates;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.TargetLoad;
 
@@ -23,6 +22,13 @@
      */
     private static final double MAX_DEMAND = 2;
 
+    /**
+     * Time for which a prompt counts as waiting in addition to its prefill: its way to the engine and back, the decoding
+     * of the first event, and the update of the load. Without it, an engine that now and then prefills a prompt of 20 ms
+     * would count as busy all the while.
+     */
+    private static final double OVERHEAD_MILLIS = 60;
+
     private EngineDemand() {}
 
     /**
@@ -31,28 +37,28 @@
      *
      * @param ready the engines that accept calls, not null
      * @param loadOf returns the load of an engine, by its id, not null
+     * @param prefillRates the prefill rates of the engines, not null
      * @return the demand in engines
      */
-    static double total(List<Incarnation> ready, Function<String, TargetLoad> loadOf) {
+    static double total(List<Incarnation> ready, Function<String, TargetLoad> loadOf, PrefillRates prefillRates) {
         double sum = 0;
         for (Incarnation engine : ready) {
-            sum += at(engine, loadOf.apply(engine.id()));
+            sum += at(engine, loadOf.apply(engine.id()), prefillRates.tokensPerMilli(engine.service(), engine.stage()));
         }
         return sum;
     }
 
-    private static double at(Incarnation engine, TargetLoad load) {
-        int prompts = promptsCount(load.prefillQueue());
-        double prefill = prompts > 0 ? 1 + (prompts - 1) / WAITING_PROMPTS_PER_ENGINE : 0;
+    private static double at(Incarnation engine, TargetLoad load, double tokensPerMilli) {
+        int prompts = load.prefillQueue().totalPrompts();
+        double prefill =
+                prompts > 0 ? prefillDemand(prompts, load.prefillQueue().totalTokens() / tokensPerMilli) : 0;
         double decode = engine.stage() == Stage.PREFILL ? 0 : load.callsCount() / (double) engine.slotsCount();
         return Math.min(MAX_DEMAND, Math.max(prefill, decode));
     }
 
-    private static int promptsCount(PrefillQueue queue) {
-        int sum = 0;
-        for (int level = 0; level < QueueLevel.COUNT; level++) {
-            sum += queue.promptsAt(level);
-        }
-        return sum;
+    /** Returns the share of the time for which the engine prefills, and what waits behind the first prompt. */
+    private static double prefillDemand(int promptsCount, double workMillis) {
+        double busyShare = workMillis / (workMillis + promptsCount * OVERHEAD_MILLIS);
+        return Math.min(1, promptsCount * busyShare) + (promptsCount - 1) * busyShare / WAITING_PROMPTS_PER_ENGINE;
     }
 }
--- a/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
+++ b/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
@@ -1,7 +1,9 @@
 package org.dogwoodwinch.scaling;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
+import org.dogwoodwinch.forwarding.PrefillRates;
 
 /**
  * Decides how many engines a service has, where, and of which kind. Not thread-safe.
@@ -37,6 +39,7 @@
      */
     private static final int ENGINES_PER_SCALE_IN = 8;
 
+    private final PrefillRates prefillRates;
     private EngineShortage shortage = new EngineShortage();
     private DemandHistory history = new DemandHistory(0);
     private RecentPeak desiredPeak = new RecentPeak();
@@ -44,8 +47,14 @@
     private long nextReleaseMillis;
     private int lastMissingCount;
 
-    /** Creates a planner that has observed nothing. */
-    public ScalePlanner() {}
+    /**
+     * Creates a planner that has observed nothing.
+     *
+     * @param prefillRates the prefill rates of the engines, not null
+     */
+    public ScalePlanner(PrefillRates prefillRates) {
+        this.prefillRates = Objects.requireNonNull(prefillRates, "prefillRates");
+    }
 
     /**
      * {@inheritDoc}
@@ -67,7 +76,8 @@
             shortage = new EngineShortage();
             total = presentTotal(planned, ready);
         }
-        history.record(EngineDemand.total(observed.ready(), observed.loadOf()), limits.bootMillis(), nowMillis);
+        history.record(
+                EngineDemand.total(observed.ready(), observed.loadOf(), prefillRates), limits.bootMillis(), nowMillis);
         int desired = desiredTotal(planned.size(), limits);
         desiredPeak.add(desired, settleMillis(limits), nowMillis);
 
