Follow the speed and the failures of each incarnation of a target

Cause: all targets of a service counted as equal. A slow target made its calls late, and one that failed its calls at once looked idle and received most of them. One instance of a large fleet calls a target once in many seconds and cannot know it from its own calls.

Change: TargetPerformance compares each time with the median of the instance's last times of the same kind of work, and failures (own 5xx without Not-Run, lost and missing responses) with those of the service's targets. Observations lose weight within seconds, so slow and failing targets get calls again; slowness has to last a second. EngineChooser and LeastLoadedChooser multiply expected times and add for failures; a target that does not stand out changes no cost. PerformanceSharing publishes what stands out in the existing rounds (TARGET_PERFORMANCE, at most 40 reports a second of the whole fleet); lost and missing responses are not published, as the instance's own link may be the cause. PrefillRates receives a slow engine's times divided by its ratio.

No run of a whole deployment.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowerPolicy;
@@ -36,8 +37,10 @@
 import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetPerformance;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
 import org.dogwoodwinch.forwarding.TargetRests;
+import org.dogwoodwinch.forwarding.TargetStanding;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.net.EventLoopTime;
@@ -219,6 +222,19 @@
         IsolationSharing isolationSharing = new IsolationSharing(
                 settings.instance().name(), fleet.exchange(), time, brokenTargets::forgetStatementsOf);
         isolationSharing.start();
+        TargetPerformance performance =
+                new TargetPerformance(service -> directory.readyTargets(service).size());
+        Function<Incarnation, TargetStanding> standings =
+                target -> performance.standing(target, time.monotonicMillis());
+        new PerformanceSharing(
+                        performance,
+                        fleet.exchange(),
+                        this::activeTargets,
+                        directory::find,
+                        fleet::maxInstanceCount,
+                        metrics,
+                        time)
+                .start();
         TargetStatementRecorder statements =
                 new TargetStatementRecorder(fleet.exchange(), directory, rests, metrics, this::closeIdleConnections);
         statements.start();
@@ -278,11 +294,13 @@
                                 rates,
                                 EngineCostModel.DEFAULT,
                                 stallCost,
-                                new LeastLoadedChooser(directory, loads, random),
+                                standings,
+                                new LeastLoadedChooser(directory, loads, random, standings),
                                 settings.instance().dataCentre()),
                         loads,
                         cacheIndex,
                         rates,
+                        performance,
                         stallCost,
                         new RetryPolicy(
                                 MAX_FAILED_CONNECTS,
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Chooses among model engines by the expected time to the first event. It is estimated from the prefill queue of the
@@ -27,6 +28,7 @@
     private final PrefillRates prefillRates;
     private final EngineCostModel costModel;
     private final StreamStallCost stallCost;
+    private final Function<Incarnation, TargetStanding> standings;
     private final TargetChooser fallback;
     private final String dataCentre;
 
@@ -39,6 +41,7 @@
      * @param prefillRates the prefill rates of the targets, not null
      * @param costModel the cost model, not null
      * @param stallCost the cost of prefilling beside streams, not null
+     * @param standings returns how an engine differs from the others, evaluated on each use, not null
      * @param fallback the chooser for calls without a prompt, not null
      * @param dataCentre the data centre of this instance, not null
      */
@@ -49,6 +52,7 @@
             PrefillRates prefillRates,
             EngineCostModel costModel,
             StreamStallCost stallCost,
+            Function<Incarnation, TargetStanding> standings,
             TargetChooser fallback,
             String dataCentre) {
         this.directory = Objects.requireNonNull(directory, "directory");
@@ -57,6 +61,7 @@
         this.prefillRates = Objects.requireNonNull(prefillRates, "prefillRates");
         this.costModel = Objects.requireNonNull(costModel, "costModel");
         this.stallCost = Objects.requireNonNull(stallCost, "stallCost");
+        this.standings = Objects.requireNonNull(standings, "standings");
         this.fallback = Objects.requireNonNull(fallback, "fallback");
         this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
     }
@@ -123,8 +128,10 @@
             if (engine.stage() == Stage.PREFILL || !isEligible(engine, query) || !query.isVersionAllowed(engine)) {
                 continue;
             }
-            double cost = queueWaitMillis(engine, query)
-                    + loads.totalAt(engine.id()).callsCount() * costModel.runningCallDelayMillis();
+            TargetStanding standing = standings.apply(engine);
+            double cost = queueWaitMillis(engine, query) * standing.timeRatio()
+                    + loads.totalAt(engine.id()).callsCount() * costModel.runningCallDelayMillis()
+                    + inequalityMillis(engine, standing);
             if (!engine.dataCentre().equals(prefillTarget.dataCentre())) {
                 cost += costModel.crossDataCentreMillis();
             }
@@ -188,10 +195,12 @@
             }
         }
         int prefillTokens = prompt.inputTokens() - reusableTokens;
-        double expected = queueWaitMillis(engine, query)
-                + prefillTokens / tokensPerMilli(engine)
-                + kvFetchMillis
-                + decodeStartMillis(engine, query, prompt);
+        TargetStanding standing = standings.apply(engine);
+        double expected =
+                (queueWaitMillis(engine, query) + prefillTokens / tokensPerMilli(engine)) * standing.timeRatio()
+                        + kvFetchMillis
+                        + decodeStartMillis(engine, query, prompt)
+                        + inequalityMillis(engine, standing);
         double crossDataCentreMillis = engine.dataCentre().equals(dataCentre) ? 0 : costModel.crossDataCentreMillis();
         double costToOthersMillis = queueingCostMillis(prefillTokens / tokensPerMilli(engine))
                 + streamStallMillis(engine, prefillTokens / tokensPerMilli(engine))
@@ -220,6 +229,19 @@
                 * (1 + loads.totalAt(engine.id()).callsCount());
     }
 
+    /**
+     * Returns the cost of what a slow or failing engine does besides prefilling: one that decodes needs longer to take a
+     * prompt over and between events, and a failed call loses the time in which it could have been served.
+     */
+    private double inequalityMillis(Incarnation engine, TargetStanding standing) {
+        double slownessMillis =
+                engine.stage() == Stage.PREFILL ? 0 : (standing.timeRatio() - 1) * costModel.kvHandoffMillis();
+        double failureMillis = standing.failureShare() > 0
+                ? standing.failureShare() * stallCost.failedCallMillis(engine.service())
+                : 0;
+        return slownessMillis + failureMillis;
+    }
+
     /** Returns the cost to other calls of caching shared tokens on a second engine. */
     private double affinityMissMillis(Incarnation engine, Prompt prompt, int prefillTokens) {
         int ownTokens = prompt.segments().isEmpty()
--- a/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -4,23 +4,52 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Function;
 import org.apache.commons.rng.UniformRandomProvider;
 
-/** Chooses the target with the fewest calls in flight per slot, with random tie-breaking. */
+/**
+ * Chooses the target with the fewest calls in flight per slot, with random tie-breaking. A slow target counts as having
+ * as many calls more as the call itself and those in flight take longer there, and a failing one as having its slots in
+ * use several times.
+ */
 public final class LeastLoadedChooser implements TargetChooser {
 
+    /**
+     * The load of a target that fails all calls, as a multiple of its slots: it receives calls when all others have
+     * that many calls waiting.
+     */
+    private static final double FAILURE_LOAD = 2;
+
     private final TargetDirectory directory;
     private final LoadTracker loads;
     private final UniformRandomProvider random;
+    private final Function<Incarnation, TargetStanding> standings;
 
     /**
-     * Creates a chooser.
+     * Creates a chooser that treats all targets as equal.
      *
      * @param directory the targets, not null
      * @param loads the calls in flight at the targets, not null
      * @param random breaks ties, so that the instances do not all begin with the same target, not null
      */
     public LeastLoadedChooser(TargetDirectory directory, LoadTracker loads, UniformRandomProvider random) {
+        this(directory, loads, random, TargetStanding.ALL_EQUAL);
+    }
+
+    /**
+     * Creates a chooser.
+     *
+     * @param directory the targets, not null
+     * @param loads the calls in flight at the targets, not null
+     * @param random breaks ties, so that the instances do not all begin with the same target, not null
+     * @param standings returns how a target differs from the others, evaluated on each use, not null
+     */
+    public LeastLoadedChooser(
+            TargetDirectory directory,
+            LoadTracker loads,
+            UniformRandomProvider random,
+            Function<Incarnation, TargetStanding> standings) {
+        this.standings = Objects.requireNonNull(standings, "standings");
         this.directory = Objects.requireNonNull(directory, "directory");
         this.loads = Objects.requireNonNull(loads, "loads");
         this.random = Objects.requireNonNull(random, "random");
@@ -37,7 +66,7 @@
                     || !directory.hasCapacity(target)) {
                 continue;
             }
-            double load = loads.totalAt(target.id()).callsCount() / (double) Math.max(1, target.slotsCount());
+            double load = load(target);
             if (load < lowestLoad) {
                 lowestLoad = load;
                 best.clear();
@@ -52,6 +81,15 @@
                         best.get(random.nextInt(best.size())), Optional.empty(), ForwardingPlan.PrefillWork.NONE));
     }
 
+    private double load(Incarnation target) {
+        int callsCount = loads.totalAt(target.id()).callsCount();
+        double slotsCount = Math.max(1, target.slotsCount());
+        TargetStanding standing = standings.apply(target);
+        return callsCount / slotsCount
+                + (standing.timeRatio() - 1) * (callsCount + 1) / slotsCount
+                + FAILURE_LOAD * standing.failureShare();
+    }
+
     @Override
     public boolean isCurrent(Incarnation target) {
         return directory.isCurrent(target);
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamStallCost.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamStallCost.java
@@ -65,6 +65,17 @@
         return lossMillis == 0 ? 0 : lossMillis * stalledRatio(service);
     }
 
+    /**
+     * Returns the cost of a call that fails.
+     *
+     * @param service the service, not null
+     * @return the mean time between objective and time-out of the service's routes of streams, in milliseconds; zero
+     *     if it has none
+     */
+    public double failedCallMillis(String service) {
+        return losses(service).failureMillis;
+    }
+
     /**
      * Returns whether a prefill stretches a stream's gap beyond the accepted one.
      *
@@ -112,8 +123,10 @@
      *
      * @param routes the routes from which this was computed
      * @param meanLossesMillis the mean loss of all streams by the largest gap that is exceeded
+     * @param failureMillis the mean loss of all streams if they fail
      */
-    private record RouteLosses(List<ServiceRoute> routes, NavigableMap<Double, Double> meanLossesMillis) {
+    private record RouteLosses(
+            List<ServiceRoute> routes, NavigableMap<Double, Double> meanLossesMillis, double failureMillis) {
 
         static RouteLosses of(List<ServiceRoute> routes) {
             List<ServiceRoute> withGap = routes.stream()
@@ -128,7 +141,11 @@
                 sum += Math.max(ownLossMillis(route), lessUrgent == null ? 0 : lessUrgent.getValue());
                 meanLosses.put((double) route.maxEventGapMillis(), sum / routes.size());
             }
-            return new RouteLosses(routes, meanLosses);
+            double failureMillis = routes.stream()
+                    .mapToDouble(RouteLosses::waitableMillis)
+                    .average()
+                    .orElse(0);
+            return new RouteLosses(routes, meanLosses, failureMillis);
         }
 
         double meanMillis(double prefillMillis) {
@@ -149,7 +166,11 @@
         }
 
         private static double ownLossMillis(ServiceRoute route) {
-            return LATE_LOSS_RATIO * Math.max(0, route.timeoutMillis() - route.latencyObjectiveMillis());
+            return LATE_LOSS_RATIO * waitableMillis(route);
+        }
+
+        private static double waitableMillis(ServiceRoute route) {
+            return Math.max(0, route.timeoutMillis() - route.latencyObjectiveMillis());
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -12,6 +12,8 @@
     BROKEN_TARGET,
     /** Rate limits that targets state. */
     TARGET_LIMIT,
+    /** Targets that are slow or fail calls. */
+    TARGET_PERFORMANCE,
     /** Targets that state in an answer that they are leaving. */
     TARGET_LEAVES,
     /** Whether an instance is cut off from all targets. */
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -67,6 +67,7 @@
             PeerTopic.LEAVING,
             PeerTopic.BROKEN_TARGET,
             PeerTopic.TARGET_LIMIT,
+            PeerTopic.TARGET_PERFORMANCE,
             PeerTopic.TARGET_LEAVES,
             PeerTopic.TARGETS_CUT_OFF);
 
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -573,6 +573,7 @@
 
     @Override
     public void onLost(String reason, boolean connectionAborted) {
+        inFlight.ifPresent(InFlightSend::recordLost);
         releaseSend();
         context.recordLoss(plan.target().id(), connectionAborted);
         if (state != State.DONE) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -46,6 +46,8 @@
     private final Gauge configurationVersion;
     private final Gauge targets;
     private final Gauge rateLimitedTargets;
+    private final Gauge slowTargets;
+    private final Gauge failingTargets;
     private final Gauge storeReachable;
     private final Gauge storeEra;
     private final Histogram firstByte;
@@ -136,6 +138,10 @@
                 gauge("dogwoodwinch_configuration_version", "The configuration in force here; -1 without one.");
         this.targets = gauge("dogwoodwinch_targets_ready", "Targets that may get new work.");
         this.rateLimitedTargets = gauge("dogwoodwinch_targets_limited", "Targets that name a limit in their answers.");
+        this.slowTargets =
+                gauge("dogwoodwinch_targets_slow", "Targets that need longer than the others of their service.");
+        this.failingTargets =
+                gauge("dogwoodwinch_targets_failing", "Targets that fail more calls than the others of their service.");
         this.storeReachable = gauge("dogwoodwinch_store_reachable", "1 while the platform's store answers.");
         this.storeEra = gauge(
                 "dogwoodwinch_store_era",
@@ -244,6 +250,17 @@
         rateLimitedTargets.set(count);
     }
 
+    /**
+     * Sets the numbers of targets that are avoided because they differ from the others of their service.
+     *
+     * @param slowCount the number of targets that are slower
+     * @param failingCount the number of targets that fail more calls
+     */
+    public void setUnequalTargets(long slowCount, long failingCount) {
+        slowTargets.set((double) slowCount);
+        failingTargets.set((double) failingCount);
+    }
+
     /**
      * Counts a statement of a target about itself that was unknown to this instance.
      *
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -114,6 +114,7 @@
                 decisions.loads(),
                 decisions.cacheIndex(),
                 decisions.prefillRates(),
+                decisions.performance(),
                 decisions.stallCost(),
                 decisions.retryPolicy(),
                 decisions.budget(),
--- a/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
+++ b/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
@@ -5,7 +5,9 @@
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Prompt;
+import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.forwarding.StreamStallCost;
+import org.dogwoodwinch.forwarding.WorkKind;
 
 /**
  * A send that is under way at a target. Counts towards the target's load until the send ends, and towards its prefill
@@ -13,14 +15,22 @@
  */
 final class InFlightSend {
 
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** The part of the time to a first event that does not depend on the prompt: the first decode steps and the way. */
+    private static final double FIXED_PROMPT_MILLIS = 20;
+
     private final RelayContext context;
     private final Incarnation target;
     private final Optional<Prompt> prompt;
     private final ForwardingPlan.PrefillWork prefillWork;
     private final long aheadTokens;
     private final long sentMillis;
+    private final WorkKind workKind;
+    private final double work;
     private boolean prefillPending = true;
     private boolean open = true;
+    private boolean responded;
     private long lastEventMillis = -1;
     private boolean longPrefillAtLastEvent;
     private boolean ranBesideLongPrefill;
@@ -34,6 +44,9 @@
         this.prefillWork = prefillWork;
         this.aheadTokens = context.loads().totalAt(target.id()).prefillQueue().tokensAheadOf(prefillWork.level());
         this.sentMillis = context.time().monotonicMillis();
+        boolean hasPrompt = prompt.isPresent() || prefillWork.prefillTokens() > 0;
+        this.workKind = workKind(hasPrompt);
+        this.work = hasPrompt ? promptMillis() : queuedRuns();
         context.rests().recordSend(target);
         context.loads().recordSend(target.id(), prefillWork.level(), prefillWork.prefillTokens());
         context.isolation().recordSent(target.id(), sentMillis);
@@ -55,6 +68,28 @@
         return new InFlightSend(context, target, prompt, prefillWork);
     }
 
+    private WorkKind workKind(boolean hasPrompt) {
+        if (hasPrompt) {
+            return WorkKind.ofPrompt(aheadTokens + prefillWork.prefillTokens());
+        }
+        boolean isPlain = target.stage() == Stage.WHOLE && prefillWork.equals(ForwardingPlan.PrefillWork.NONE);
+        return isPlain ? WorkKind.PLAIN : WorkKind.PREFILLED_PROMPT;
+    }
+
+    private double promptMillis() {
+        return FIXED_PROMPT_MILLIS + (aheadTokens + prefillWork.prefillTokens()) / tokensPerMilli();
+    }
+
+    /** Returns the runs that the send takes at the target, one after the other. */
+    private double queuedRuns() {
+        double runs = (context.loads().totalAt(target.id()).callsCount() + 1.0) / Math.max(1, target.slotsCount());
+        return Math.max(1, runs);
+    }
+
+    private double tokensPerMilli() {
+        return context.prefillRates().tokensPerMilli(target.service(), target.stage());
+    }
+
     Incarnation target() {
         return target;
     }
@@ -67,9 +102,25 @@
         return aheadTokens;
     }
 
-    /** Records the rate limit that the head of the response states. */
+    /** Records the rate limit that the head of the response states, and how the target performs. */
     void recordResponseHead(ResponseAttributes attributes) {
         context.recordResponseHead(target, attributes, sentMillis);
+        responded = true;
+        if (attributes.isSuccess() && workKind == WorkKind.PLAIN) {
+            recordTime();
+        } else if (attributes.status() >= FIRST_SERVER_ERROR && !attributes.isRejected()) {
+            context.performance().recordFailure(target, true, sentMillis + ageMillis());
+        }
+    }
+
+    /** Records that the response was lost. */
+    void recordLost() {
+        responded = true;
+        context.performance().recordFailure(target, false, sentMillis + ageMillis());
+    }
+
+    private void recordTime() {
+        context.performance().recordTime(target, workKind, Math.max(1, ageMillis()) / work, sentMillis + ageMillis());
     }
 
     /** Records that the prompt is prefilled and its segments are cached, and derives the target's prefill rate. */
@@ -78,10 +129,20 @@
             return;
         }
         settlePrefill();
+        if (workKind != WorkKind.PLAIN) {
+            recordTime();
+        }
         prompt.ifPresent(read -> {
-            long millis = ageMillis();
+            // A slow engine's own time would make all engines of the service look slower than they are.
+            double timeRatio = context.performance()
+                    .standing(target, sentMillis + ageMillis())
+                    .timeRatio();
             context.prefillRates()
-                    .observe(target.service(), target.stage(), aheadTokens + prefillWork.prefillTokens(), millis);
+                    .observe(
+                            target.service(),
+                            target.stage(),
+                            aheadTokens + prefillWork.prefillTokens(),
+                            Math.round(ageMillis() / timeRatio));
             context.cacheIndex().recordPrefill(target.id(), read);
         });
     }
@@ -98,8 +159,7 @@
         }
         long nowMillis = context.time().monotonicMillis();
         double prefillMillis =
-                context.loads().totalAt(target.id()).prefillQueue().totalTokens()
-                        / context.prefillRates().tokensPerMilli(target.service(), target.stage());
+                context.loads().totalAt(target.id()).prefillQueue().totalTokens() / tokensPerMilli();
         boolean longPrefill = StreamStallCost.exceedsGap(prefillMillis, maxEventGapMillis);
         if (lastEventMillis >= 0 && (longPrefill || longPrefillAtLastEvent)) {
             ranBesideLongPrefill = true;
@@ -116,6 +176,9 @@
         }
         open = false;
         settlePrefill();
+        if (!responded) {
+            context.performance().recordUnanswered(target, workKind, ageMillis() / work, sentMillis + ageMillis());
+        }
         if (ranBesideLongPrefill) {
             context.stallCost().observe(target.service(), stalledByPrefill);
             context.report().ranBesidePrefill(target.service(), stalledByPrefill);
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -15,6 +15,7 @@
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetIsolation;
+import org.dogwoodwinch.forwarding.TargetPerformance;
 import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -29,6 +30,7 @@
  * @param loads tracks the calls under way at targets, not null
  * @param cacheIndex prompt segments in the KV caches of engines, not null
  * @param prefillRates estimated prefill rates of engines, not null
+ * @param performance what is known of targets that are slow or fail calls, not null
  * @param stallCost the cost of prefilling beside streams, which learns from the streams relayed here, not null
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
@@ -56,6 +58,7 @@
         LoadTracker loads,
         KvCacheIndex cacheIndex,
         PrefillRates prefillRates,
+        TargetPerformance performance,
         StreamStallCost stallCost,
         RetryPolicy retryPolicy,
         RetryBudget budget,
@@ -84,6 +87,7 @@
         Objects.requireNonNull(loads, "loads");
         Objects.requireNonNull(cacheIndex, "cacheIndex");
         Objects.requireNonNull(prefillRates, "prefillRates");
+        Objects.requireNonNull(performance, "performance");
         Objects.requireNonNull(stallCost, "stallCost");
         Objects.requireNonNull(retryPolicy, "retryPolicy");
         Objects.requireNonNull(budget, "budget");
--- a/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
@@ -12,6 +12,7 @@
 import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetChooser;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetPerformance;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
 import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.request.Quarantine;
@@ -24,6 +25,7 @@
  * @param loads tracks the calls under way at targets, not null
  * @param cacheIndex prompt segments in the KV caches of engines, not null
  * @param prefillRates estimated prefill rates of engines, not null
+ * @param performance what is known of targets that are slow or fail calls, not null
  * @param stallCost the cost of prefilling beside streams, which learns from the streams relayed here, not null
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
@@ -46,6 +48,7 @@
         LoadTracker loads,
         KvCacheIndex cacheIndex,
         PrefillRates prefillRates,
+        TargetPerformance performance,
         StreamStallCost stallCost,
         RetryPolicy retryPolicy,
         RetryBudget budget,
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -162,6 +162,7 @@
 
     @Override
     public void onLost(String reason, boolean connectionAborted) {
+        inFlight.ifPresent(InFlightSend::recordLost);
         releaseSend();
         context.recordLoss(engine.id(), connectionAborted);
         finish(new PrefillOutcome.Failed(reason, true));
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -27,6 +27,7 @@
 import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetPerformance;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.relay.CallStarts;
 import org.dogwoodwinch.relay.ConnectionPolicy;
@@ -73,6 +74,7 @@
                         loads,
                         cacheIndex,
                         new PrefillRates(30),
+                        new TargetPerformance(_service -> 1),
                         new StreamStallCost(_service -> List.of()),
                         new RetryPolicy(1, 1, 1, 1),
                         new RetryBudget(0, () -> 0, 1_000, 0),
--- a/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/EngineChooserTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Function;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,7 @@
     private final TargetDirectory directory = new TargetDirectory(new TargetHealth(() -> 0), limits, NoRests.create());
     private final LoadTracker loads = new LoadTracker();
     private final KvCacheIndex cacheIndex = new KvCacheIndex();
+    private Function<Incarnation, TargetStanding> standings = TargetStanding.ALL_EQUAL;
 
     @BeforeEach
     void registerEngines() {
@@ -53,6 +55,7 @@
                 new PrefillRates(30),
                 EngineCostModel.DEFAULT,
                 new StreamStallCost(_service -> streamRoutes),
+                standings,
                 new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(seed)),
                 "dc");
     }
@@ -285,6 +288,40 @@
         assertEquals(waits, plan.prefillTarget().isPresent());
     }
 
+    /** Failure: all calls that share a segment wait for one slow engine, since it is their affinity engine. */
+    @Test
+    void slowAffinityEngineIsNotChosen() {
+        String affinityEngineId =
+                prefillTargetId(chooser(1).choose(query("part", "x")).orElseThrow());
+
+        standings = engine -> engine.id().equals(affinityEngineId) ? new TargetStanding(8, 0) : TargetStanding.EQUAL;
+
+        assertNotEquals(
+                affinityEngineId,
+                prefillTargetId(chooser(1).choose(query("part", "x")).orElseThrow()));
+    }
+
+    /** Failure: an engine that fails its calls at once has the lowest load, and receives most calls. */
+    @Test
+    void slowOrFailingEngineDoesNotDecodeWhileOthersAreLittleLoaded() {
+        for (int i = 2; i < 5; i++) {
+            loads.recordSend("d" + i, 0, 0);
+        }
+        standings = engine -> switch (engine.id()) {
+            case "d0" -> new TargetStanding(1, 0.5);
+            case "d1" -> new TargetStanding(4, 0);
+            default -> TargetStanding.EQUAL;
+        };
+        List<ServiceRoute> routes = List.of(StreamRoutes.route("chat", 0, 300, 3_000, 0));
+
+        String decodeTargetId = chooser(1, routes)
+                .chooseDecodeTarget(query("a", "b"), directory.find("p0").orElseThrow())
+                .orElseThrow()
+                .id();
+
+        assertTrue(Set.of("d2", "d3", "d4").contains(decodeTargetId), decodeTargetId);
+    }
+
     /** A short prefill fits into a gap, so a decode engine with streams may do it. */
     @Test
     void shortPromptIsPrefilledWhereItRuns() {
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallerLimits;
@@ -44,8 +45,10 @@
 import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
+import org.dogwoodwinch.forwarding.TargetPerformance;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
 import org.dogwoodwinch.forwarding.TargetRests;
+import org.dogwoodwinch.forwarding.TargetStanding;
 import org.dogwoodwinch.forwarding.WeightedService;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.request.SuspectRegistry;
@@ -74,6 +77,7 @@
     /** Targets that answer no attempt to connect. */
     final Set<String> silentTargetIds = new HashSet<>();
 
+    final TargetPerformance performance = new TargetPerformance(this::targetsCount);
     final StreamStallCost stallCost = new StreamStallCost(this::streamRoutes);
     final List<String> releasedCaches = new ArrayList<>();
     /** Targets whose connections open only in {@link #completeDelayedConnects}. */
@@ -142,6 +146,8 @@
                 time);
         segmentLinks.add(instanceId, segmentGuard);
         PrefillRates rates = new PrefillRates(30);
+        Function<Incarnation, TargetStanding> standings =
+                target -> performance.standing(target, time.monotonicMillis());
         EngineChooser chooser = new EngineChooser(
                 directory,
                 loads,
@@ -149,7 +155,8 @@
                 rates,
                 EngineCostModel.DEFAULT,
                 stallCost,
-                new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(7)),
+                standings,
+                new LeastLoadedChooser(directory, loads, RandomSource.XO_RO_SHI_RO_128_PP.create(7), standings),
                 "dc-1");
         service = new ForwardingService(
                 this::connect,
@@ -164,6 +171,7 @@
                         loads,
                         cacheIndex,
                         rates,
+                        performance,
                         stallCost,
                         new RetryPolicy(2, 2, 30, RETRY_AFTER_MILLIS),
                         new RetryBudget(0, () -> slackShare, 10_000, -10_000),
@@ -281,6 +289,10 @@
         connects.forEach(Runnable::run);
     }
 
+    private int targetsCount(String serviceName) {
+        return directory.readyTargets(serviceName).size();
+    }
+
     private List<ServiceRoute> streamRoutes(String serviceName) {
         return service.streamRoutes(serviceName);
     }
