Decide in which order calls wait while targets have no capacity

Cause: each call is sent at once, whatever the load, so that owners, priorities and deadlines count only inside a target's queue, and one owner can take all slots.

Change: package queueing has the decisions, without I/O and clock. FairQueue orders the calls of a service: the most urgent priority first, with a share for each later one (a tenth, a twentieth, ...) that it uses only while its calls are served less often; within a priority owners by virtual time, counted in tokens; within an owner the earliest of objective and deadline that can still be met. Calls that cannot be served in time at the observed rate are stated. RoomEstimator estimates capacity, OwnerShares holds back owners above twice the mean while capacity is short, ReleasePacer limits an instance to its part of the capacity that all see, RetrySchedule spreads returns, ServiceTimes states how long calls need. LoadTracker also returns the own load at a target.

Mutants that a test fails for: work counted in calls, no deadlines, credit of idle owners, no share of later priorities, no bound of owners, no pacing.

--- a/src/main/java/org/dogwoodwinch/forwarding/LoadTracker.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LoadTracker.java
@@ -84,6 +84,16 @@
         return Map.copyOf(ownLoads);
     }
 
+    /**
+     * Returns the load of this instance at a target.
+     *
+     * @param targetId the target's id, not null
+     * @return the load
+     */
+    public TargetLoad ownAt(String targetId) {
+        return ownLoads.getOrDefault(targetId, TargetLoad.EMPTY);
+    }
+
     /**
      * Returns the load of all instances at a target, as far as it is known here.
      *
--- a/src/test/java/org/dogwoodwinch/architecture/DecisionsArePureTest.java
+++ b/src/test/java/org/dogwoodwinch/architecture/DecisionsArePureTest.java
@@ -17,6 +17,7 @@
         "..dogwoodwinch.chart..",
         "..dogwoodwinch.follow..",
         "..dogwoodwinch.forwarding..",
+        "..dogwoodwinch.queueing..",
         "..dogwoodwinch.request..",
         "..dogwoodwinch.roles..",
         "..dogwoodwinch.routing..",
