Hold calls of owners while their service has no capacity

No call is refused for load.

Change: CallRelay asks for its turn (QueuedCall) before it chooses a target for the first time. Only calls with an owner are queued; without owners in the configuration, for streams that are taken up, for calls that were passed on, while this instance is cut off from all targets and where no target may receive the call, the way is as before. A call that cannot be answered in time gets 503 with a Retry-After of its own; a caller that returns to the same instance at that time, recognised by the fingerprint of its call, goes before newcomers of its priority. The deadline and the caller's leaving end a waiting call as any other. At SIGTERM waiting calls are sent on, and those that still wait 1.5 s before calls are closed are refused as not run.

Conclusion: instances do not yet tell each other what owners use (OwnerShares.takeReport and recordReport have no caller); each goes by its own callers.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -46,6 +46,7 @@
 import org.dogwoodwinch.platform.EngineClient;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.platform.StoreClient;
+import org.dogwoodwinch.queueing.RoomEstimator;
 import org.dogwoodwinch.relay.CacheWatch;
 import org.dogwoodwinch.relay.CallStarts;
 import org.dogwoodwinch.relay.ConnectionPolicy;
@@ -295,6 +296,7 @@
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
                         streamBegins,
+                        new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         fleet::connectionSharerCount),
                 new Neighbours(
                         new NeighbourConnector(transport, time),
--- a/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
+++ b/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
@@ -19,6 +19,12 @@
     /** Calls that have not finished are closed in an orderly way this long before the platform kills the process. */
     private static final long FORCED_CLOSE_LEAD_MILLIS = 500;
 
+    /**
+     * Calls that wait for capacity are refused this long before the calls under way are closed, since most calls that are
+     * sent later would be cut off.
+     */
+    private static final long REFUSAL_LEAD_MILLIS = 1_500;
+
     private final ForwardingService service;
     private final Supplier<GraceSettings> settings;
     private final Supplier<CompletionStage<Boolean>> lastWrites;
@@ -66,7 +72,11 @@
         long elapsedMillis = time.monotonicMillis() - requestedAtMillis;
         if (elapsedMillis >= settings.get().notReadyMillis()) {
             service.stopAccepting();
-            boolean graceElapsed = elapsedMillis >= settings.get().graceMillis() - FORCED_CLOSE_LEAD_MILLIS;
+            long forcedCloseMillis = settings.get().graceMillis() - FORCED_CLOSE_LEAD_MILLIS;
+            if (elapsedMillis >= forcedCloseMillis - REFUSAL_LEAD_MILLIS) {
+                service.refuseWaitingCalls();
+            }
+            boolean graceElapsed = elapsedMillis >= forcedCloseMillis;
             boolean drained = service.openCallsCount() == 0 && service.callerConnectionsCount() == 0;
             if (graceElapsed || drained) {
                 service.logState("stopped");
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -50,6 +50,7 @@
     private final CallerResponse caller;
     private final long deadlineMillis;
     private final CallSuspicion suspicion;
+    private final QueuedCall queued;
     private final Optional<ApiKey> key;
     private final boolean takenOver;
     private final Consumer<CallRelay> onDone;
@@ -90,6 +91,7 @@
         this.deadlineMillis = call.deadlineMillis(route, attributes);
         this.eventFramer = new EventFramer(attributes.lastEventId());
         this.suspicion = CallSuspicion.of(context, routed);
+        this.queued = context.queue().placeOf(routed, deadlineMillis, suspicion.fingerprint());
         this.continuity = new StreamContinuity(context.streamOrigins(), routed);
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
     }
@@ -106,7 +108,7 @@
             } else if (continuity.takesUpStream()) {
                 continuity.findOrigin(this::handleOrigin);
             } else {
-                chooseAndSend();
+                queued.awaitCapacity(this::chooseAndSend, this::refuseQueued);
             }
         });
     }
@@ -125,6 +127,13 @@
         finish();
     }
 
+    /** Ends the call because it cannot be served before its caller leaves. */
+    private void refuseQueued(long retryAfterMillis) {
+        LocalResponses.sendRetryable(
+                caller, LocalResponses.UNAVAILABLE, "not run: no capacity in time", retryAfterMillis);
+        finish();
+    }
+
     /**
      * Refuses the call if it may no longer be written to a target.
      *
@@ -438,6 +447,7 @@
     }
 
     private OutboundCall outbound(Incarnation target, boolean prefillOnly) {
+        queued.recordSent();
         SendAttributes sending = new SendAttributes(
                 target,
                 Math.max(1, remainingMillis()),
@@ -505,6 +515,7 @@
         if (state == State.SENDING) {
             state = State.STREAMING;
             context.report().firstByte(this);
+            queued.recordFirstEvent();
             caller.beginResponse(response.status(), context.callHeaders().callerHeaders(response.headers()));
         }
     }
@@ -543,6 +554,7 @@
         startRecorder.onMayHaveRun();
         suspicion.recordComplete();
         context.report().succeeded(this);
+        queued.recordCompletion();
         if (state == State.STREAMING) {
             caller.endResponse();
             finish();
@@ -745,6 +757,7 @@
     private void releaseAll() {
         deadlineTimer.cancel();
         abandonSend();
+        queued.close();
         remotePrefill.ifPresent(RemotePrefill::cancel);
         // A KV cache that is never fetched would stay allocated on the prefill target until it expires.
         cacheHandle.ifPresent(unused -> context.control().releaseCache(cacheHolder, unused));
--- a/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
@@ -68,6 +68,10 @@
         }
     }
 
+    long fingerprint() {
+        return fingerprint;
+    }
+
     String requestId() {
         return requestId;
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -47,6 +47,8 @@
     private final Gauge rateLimitedTargets;
     private final Gauge storeReachable;
     private final Gauge storeEra;
+    private final Gauge waitingCalls;
+    private final Histogram callWait;
     private final Histogram firstByte;
     private final Histogram complete;
 
@@ -134,6 +136,13 @@
         this.storeEra = gauge(
                 "dogwoodwinch_store_era",
                 "The store's era since it last came back from a copy; 0 while it has not since this process started.");
+        this.waitingCalls = Gauge.builder()
+                .name("dogwoodwinch_calls_waiting")
+                .help("Calls that wait for capacity, by service.")
+                .labelNames("service")
+                .register(registry);
+        this.callWait = histogram(
+                "dogwoodwinch_call_wait_seconds", "Arrival to the release of calls that had to wait for capacity.");
         this.firstByte = histogram("dogwoodwinch_forwarded_first_byte_seconds", "Arrival to the answer's first byte.");
         this.complete = histogram("dogwoodwinch_forwarded_whole_seconds", "Arrival to the answer's end.");
         configurationVersion.set(-1);
@@ -280,6 +289,14 @@
         isolated.set(isIsolated ? 1 : 0);
     }
 
+    void setWaitingCalls(String service, int count) {
+        waitingCalls.labelValues(service).set(count);
+    }
+
+    void callWaited(long millis) {
+        callWait.observe(millis / MILLIS_PER_SECOND);
+    }
+
     void callKept(String reason) {
         keptCalls.labelValues(reason).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -51,6 +51,7 @@
     private final TargetIsolation isolation;
     private final IsolationWatch isolationWatch;
     private final NeighbourCalls neighbourCalls;
+    private final CallQueue callQueue;
     private final ForwardingMetrics metrics;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
@@ -98,6 +99,13 @@
         });
         this.neighbourCalls =
                 new NeighbourCalls(neighbours, random, isolation::isIsolated, callHeaders, time, policy, metrics);
+        this.callQueue = new CallQueue(new CallQueue.Dependencies(
+                decisions.room(),
+                random,
+                neighbourCalls::arePassedOn,
+                decisions.sharingInstancesCount(),
+                metrics,
+                time));
         this.context = new RelayContext(
                 time,
                 callHeaders,
@@ -127,6 +135,7 @@
                 isolation,
                 new CrashProbe(this::probe, isolation::isIsolated, links::unreachable),
                 neighbourCalls,
+                callQueue,
                 report,
                 decisions.sharingInstancesCount());
         this.isolationWatch = links.watch(decisions.targets(), this::probe, context.connections()::closeIdle);
@@ -368,6 +377,20 @@
         closeIdle();
     }
 
+    /**
+     * Refuses the calls that wait for capacity, so that their callers return to other instances.
+     *
+     * <p>Failure: a call is sent shortly before the process has to exit, and is cut off while it runs.
+     */
+    public void refuseWaitingCalls() {
+        callQueue.refuseAll();
+    }
+
+    /** Returns the number of calls that wait for capacity. */
+    int waitingCallsCount() {
+        return callQueue.waitingCount();
+    }
+
     private void closeIdle() {
         listener.ifPresent(CallerListener::closeIdle);
     }
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -41,6 +41,7 @@
  * @param isolation decides whether this instance is cut off from all targets, not null
  * @param crashProbe finds out whether a target has crashed at which a call was lost, not null
  * @param neighbours the calls that are passed on to other instances, not null
+ * @param queue the calls that wait because targets have no capacity, not null
  * @param report receives decisions about calls for metrics and logs, not null
  * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on each
  *     use, not null
@@ -67,6 +68,7 @@
         TargetIsolation isolation,
         CrashProbe crashProbe,
         NeighbourCalls neighbours,
+        CallQueue queue,
         RelayReport report,
         IntSupplier sharingInstancesCount) {
 
@@ -94,6 +96,7 @@
         Objects.requireNonNull(isolation, "isolation");
         Objects.requireNonNull(crashProbe, "crashProbe");
         Objects.requireNonNull(neighbours, "neighbours");
+        Objects.requireNonNull(queue, "queue");
         Objects.requireNonNull(report, "report");
         Objects.requireNonNull(sharingInstancesCount, "sharingInstancesCount");
     }
--- a/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
@@ -13,6 +13,7 @@
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetRateLimits;
 import org.dogwoodwinch.forwarding.TargetRests;
+import org.dogwoodwinch.queueing.RoomEstimator;
 import org.dogwoodwinch.request.Quarantine;
 
 /**
@@ -35,6 +36,7 @@
  * @param connectionAborts tracks targets that close new connections without a response, not null
  * @param callStarts receives calls that began to run, for the usage of their owners, not null
  * @param streamOrigins the software versions that began the streams of all instances, not null
+ * @param room estimates whether targets can take a call, not null
  * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on
  *     each use, not null
  */
@@ -56,4 +58,5 @@
         ConnectionAborts connectionAborts,
         CallStarts callStarts,
         StreamOrigins streamOrigins,
+        RoomEstimator room,
         IntSupplier sharingInstancesCount) {}
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -27,6 +27,7 @@
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.platform.PlatformHeaders;
+import org.dogwoodwinch.queueing.RoomEstimator;
 import org.dogwoodwinch.relay.CallStarts;
 import org.dogwoodwinch.relay.ConnectionPolicy;
 import org.dogwoodwinch.relay.ForwardingMetrics;
@@ -91,6 +92,7 @@
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
                         new LocalStreamOrigins(),
+                        new RoomEstimator(directory, loads, new PrefillRates(30), RoomEstimator.UPDATE_HORIZON_MILLIS),
                         () -> 1),
                 new Neighbours(
                         (_target, _handler, outcome) -> outcome.failed(), "dc", List::of, Set::of, _isolated -> {}),
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -47,6 +47,7 @@
 import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.forwarding.WeightedService;
 import org.dogwoodwinch.platform.PlatformHeaders;
+import org.dogwoodwinch.queueing.RoomEstimator;
 import org.dogwoodwinch.request.SuspectRegistry;
 import org.dogwoodwinch.time.VirtualTimeSource;
 
@@ -184,6 +185,7 @@
                                 streamOriginsDelegate.find(serviceName, stream, onFound);
                             }
                         },
+                        new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         () -> sharingInstancesCount),
                 neighbourLinks.asNeighbours(),
                 metrics);
