--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -48,6 +48,7 @@
 import org.dogwoodwinch.platform.EngineClient;
 import org.dogwoodwinch.platform.PlatformHeaders;
 import org.dogwoodwinch.platform.StoreClient;
+import org.dogwoodwinch.queueing.RoomEstimator;
 import org.dogwoodwinch.relay.CacheWatch;
 import org.dogwoodwinch.relay.CallStarts;
 import org.dogwoodwinch.relay.ConnectionPolicy;
@@ -307,6 +308,7 @@
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
                         streamBegins,
+                        new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         fleet::connectionSharerCount),
                 new Neighbours(
                         new NeighbourConnector(transport, time),
