--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -33,6 +33,7 @@
     private final ServiceEntry service;
     private final long deadlineMillis;
     private final CallSuspicion suspicion;
+    private final QueuedCall queued;
     private final Consumer<CallRelay> onDone;
     private final CallStartRecorder startRecorder;
     private final StreamContinuity continuity;
@@ -69,6 +70,7 @@
         this.deadlineMillis = call.deadlineMillis(route, attributes);
         this.eventFramer = new EventFramer(attributes.lastEventId());
         this.suspicion = CallSuspicion.of(context, routed);
+        this.queued = context.queue().placeOf(routed, deadlineMillis, suspicion.fingerprint());
         this.continuity = new StreamContinuity(context.streamOrigins(), routed);
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
         this.retries = new CallRetries(context, routed, suspicion, attempts);
@@ -77,8 +79,7 @@
         this.prefill = new CallPrefill(context, routed, attempts, retries, suspicion, this::handlePrefillOutcome);
         this.passing = new CallPassing(
                 context, routed, attempts, retries, caller, this::endWithoutAnswer, () -> onDone.accept(this));
-        this.answer = new CallerAnswer(
-                caller, context.callHeaders(), () -> context.report().firstByte(this), this::pauseReading);
+        this.answer = new CallerAnswer(caller, context.callHeaders(), this::recordFirstByte, this::pauseReading);
     }
 
     /** Sends the call, or refuses it at once if it or a segment of its prompt crashes targets. */
@@ -92,7 +93,7 @@
             } else if (continuity.takesUpStream()) {
                 continuity.findOrigin(this::handleOrigin);
             } else {
-                chooseAndSend();
+                queued.awaitCapacity(this::chooseAndSend, this::refuseQueued);
             }
         });
     }
@@ -108,6 +109,12 @@
         finish();
     }
 
+    /** Ends the call because it cannot be served before its caller leaves. */
+    private void refuseQueued(long retryAfterMillis) {
+        answer.refuse("not run: no capacity in time", retryAfterMillis);
+        finish();
+    }
+
     /**
      * Refuses the call if it may no longer be written to a target.
      *
@@ -222,10 +229,10 @@
         plan = chosen.get();
         if (plan.prefillTarget().isPresent()) {
             Incarnation engine = plan.prefillTarget().get();
-            prefill.start(
-                    engine,
-                    plan.prefillWork(),
-                    () -> requests.forPrefill(engine, plan.prefillWork(), eventFramer.lastEventId()));
+            prefill.start(engine, plan.prefillWork(), () -> {
+                queued.recordSent();
+                return requests.forPrefill(engine, plan.prefillWork(), eventFramer.lastEventId());
+            });
         } else {
             connect();
         }
@@ -337,6 +344,7 @@
         inFlight = Optional.of(started);
         context.report().sent(requestId(), plan.target(), plan.prefillWork(), started.aheadTokens(), sendPurpose());
         suspicion.recordSent(plan.target());
+        queued.recordSent();
         OutboundCall outbound = requests.forRun(plan, prefill.cacheHandle(), eventFramer.lastEventId());
         prefill.recordCacheUsed();
         acquired.send(outbound, this);
@@ -399,6 +407,11 @@
         }
     }
 
+    private void recordFirstByte() {
+        context.report().firstByte(this);
+        queued.recordFirstEvent();
+    }
+
     private void pauseReading() {
         if (connection != null) {
             connection.setReading(false);
@@ -432,6 +445,7 @@
         startRecorder.onMayHaveRun();
         suspicion.recordComplete();
         context.report().succeeded(this);
+        queued.recordCompletion();
         answer.complete();
         finish();
     }
@@ -577,6 +591,7 @@
     private void releaseAll() {
         deadlineTimer.cancel();
         abandonSend();
+        queued.close();
         prefill.release();
     }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -29,6 +29,7 @@
 import org.dogwoodwinch.forwarding.TargetHealth;
 import org.dogwoodwinch.forwarding.TargetPerformance;
 import org.dogwoodwinch.platform.PlatformHeaders;
+import org.dogwoodwinch.queueing.RoomEstimator;
 import org.dogwoodwinch.relay.CallStarts;
 import org.dogwoodwinch.relay.ConnectionPolicy;
 import org.dogwoodwinch.relay.ForwardingMetrics;
@@ -95,6 +96,7 @@
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
                         new LocalStreamOrigins(),
+                        new RoomEstimator(directory, loads, new PrefillRates(30), RoomEstimator.UPDATE_HORIZON_MILLIS),
                         () -> 1),
                 new Neighbours(
                         (_target, _handler, outcome) -> outcome.failed(), "dc", List::of, Set::of, _isolated -> {}),
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -51,6 +51,7 @@
 import org.dogwoodwinch.forwarding.TargetStanding;
 import org.dogwoodwinch.forwarding.WeightedService;
 import org.dogwoodwinch.platform.PlatformHeaders;
+import org.dogwoodwinch.queueing.RoomEstimator;
 import org.dogwoodwinch.request.SuspectRegistry;
 import org.dogwoodwinch.time.VirtualTimeSource;
 
@@ -200,6 +201,7 @@
                                 streamOriginsDelegate.find(serviceName, stream, onFound);
                             }
                         },
+                        new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         () -> sharingInstancesCount),
                 neighbourLinks.asNeighbours(),
                 metrics);
