--- a/src/test/java/org/dogwoodwinch/daemon/SoftwareVersionsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoftwareVersionsTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
@@ -105,15 +107,17 @@
     /** Failure: a caller takes its stream up at another instance, and gets events of another version. */
     @Test
     void callerTakesStreamUpAtAnotherInstanceOnlyAtTheVersionThatBeganIt() throws IOException {
-        int wholeCount = 0;
+        List<String> broken = new ArrayList<>();
         for (int i = 0; i < STREAMS; i++) {
             String begin = sendStream(first, "b" + i, "X-Fault: always\r\n");
             assertTrue(begin.contains("id: 4\n") && !begin.endsWith("0\r\n\r\n"), begin);
             String rest = sendStream(second, "c" + i, "Last-Event-Id: 4\r\nResumes: b" + i + "\r\n");
             assertTrue(versionsIn(begin + rest).size() <= 1, begin + rest);
-            wholeCount += rest.contains("id: 8\n") && rest.endsWith("0\r\n\r\n") ? 1 : 0;
+            if (!rest.contains("id: 8\n") || !rest.endsWith("0\r\n\r\n")) {
+                broken.add("b" + i + ": " + rest);
+            }
         }
-        assertEquals(STREAMS, wholeCount);
+        assertEquals(List.of(), broken);
     }
 
     /** Failure: a stream whose begin nobody knows goes on at any version. */
