Explain the new packages and constants to newcomers

Some comments tell how a constant was tuned, cite the size of one deployment, use figurative words or leave the unit open, and a few private names need explaining (patienceMillis, newsValue, inequalityMillis, outstandingSinceMillis).

Change: comments and Javadoc state the reason, the unit and the present behaviour in whole sentences. Behaviour, settings, log events, metrics and tests are unchanged.

--- a/src/main/java/org/dogwoodwinch/daemon/PerformanceSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/PerformanceSharing.java
@@ -28,8 +28,8 @@
  * Publishes to all instances what one of them has observed of targets that stand out, and logs which targets stand out
  * here.
  *
- * <p>Load: with 90 instances, one of them calls one engine once in 18 s, and would learn of a slow engine when the
- * slowness is over. With all their observations, each instance knows an engine after a second or two.
+ * <p>Load: an instance of a large fleet calls one engine once in many seconds, and would detect a slow engine only
+ * after the slowness is over. The observations of all instances together suffice within a second or two.
  *
  * <p>The reports of all instances together are bounded, since each instance receives all of them: the more instances
  * there are, the fewer reports each of them publishes. They are published with the other messages of a round.
@@ -38,7 +38,7 @@
 
     private static final Logger log = LoggerFactory.getLogger(PerformanceSharing.class);
 
-    /** The reports of the whole fleet in a second; with some 60 bytes each, they take 2.4 KB of each link. */
+    /** The reports of the whole fleet in a second; with some 60 bytes each, they take 2.4 KB a second of each link. */
     private static final double FLEET_REPORTS_PER_SECOND = 40;
 
     /** An instance that starts receives the observations that still have most of their weight. */
--- a/src/main/java/org/dogwoodwinch/daemon/ScaleComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ScaleComponents.java
@@ -19,7 +19,7 @@
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.time.TimeSource;
 
-/** Constructs what orders engines where the platform assigns this duty. */
+/** Constructs the components that order engines, where the platform assigns this duty. */
 final class ScaleComponents {
 
     /** Well above the round trip of a record to the store and of some calls to the platform. */
@@ -92,6 +92,7 @@
                 time);
     }
 
+    /** Starts to plan and to order. */
     void start() {
         orders.start();
     }
--- a/src/main/java/org/dogwoodwinch/daemon/ScaleOrders.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ScaleOrders.java
@@ -53,7 +53,7 @@
     /** The log of the plans, by service; its offsets are the fencing tokens. */
     static final String TOPIC = "keyed.scale-plans";
 
-    /** The loads change within some tenths of a second; a plan takes microseconds. */
+    /** Interval between two plans: the loads change within some tenths of a second. */
     private static final long PLAN_INTERVAL_MILLIS = 250;
 
     /** Each try appends a billed record, and an engine takes seconds to start, so that a longer outage costs few tries. */
@@ -121,7 +121,7 @@
     }
 
     /**
-     * Creates what orders engines.
+     * Creates an instance that sends nothing before {@link #start}.
      *
      * @param dependencies the collaborators, not null
      * @param lease keeps the orders of two holders apart, not null
@@ -181,7 +181,7 @@
         }
     }
 
-    /** Another instance may plan and order from now on, so that what is known here becomes outdated. */
+    /** Discards the plans and strategies, because another instance may plan and order from now on. */
     private void giveUp() {
         if (preparedSinceMillis.isPresent()) {
             preparedSinceMillis = Optional.empty();
@@ -212,7 +212,7 @@
         });
     }
 
-    /** Engines that change their stage, or that this instance cannot reach, exist all the same. */
+    /** Counts the listed engines, including those that change their stage or that this instance cannot reach. */
     private Map<String, Map<EnginePool, Integer>> countListed() {
         return dependencies.listedTargets().get().stream()
                 .filter(target -> !target.draining())
--- a/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/EngineChooser.java
@@ -131,7 +131,7 @@
             TargetStanding standing = standings.apply(engine);
             double cost = queueWaitMillis(engine, query) * standing.timeRatio()
                     + loads.totalAt(engine.id()).callsCount() * costModel.runningCallDelayMillis()
-                    + inequalityMillis(engine, standing);
+                    + standingCostMillis(engine, standing);
             if (!engine.dataCentre().equals(prefillTarget.dataCentre())) {
                 cost += costModel.crossDataCentreMillis();
             }
@@ -200,7 +200,7 @@
                 (queueWaitMillis(engine, query) + prefillTokens / tokensPerMilli(engine)) * standing.timeRatio()
                         + kvFetchMillis
                         + decodeStartMillis(engine, query, prompt)
-                        + inequalityMillis(engine, standing);
+                        + standingCostMillis(engine, standing);
         double crossDataCentreMillis = engine.dataCentre().equals(dataCentre) ? 0 : costModel.crossDataCentreMillis();
         double costToOthersMillis = queueingCostMillis(prefillTokens / tokensPerMilli(engine))
                 + streamStallMillis(engine, prefillTokens / tokensPerMilli(engine))
@@ -232,7 +232,7 @@
      * Returns the cost of what a slow or failing engine does besides prefilling: one that decodes needs longer to take a
      * prompt over and between events, and a failed call loses the time in which it could have been served.
      */
-    private double inequalityMillis(Incarnation engine, TargetStanding standing) {
+    private double standingCostMillis(Incarnation engine, TargetStanding standing) {
         double slownessMillis =
                 engine.stage() == Stage.PREFILL ? 0 : (standing.timeRatio() - 1) * costModel.kvHandoffMillis();
         double failureMillis = standing.failureShare() > 0
--- a/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/LeastLoadedChooser.java
@@ -8,9 +8,9 @@
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Chooses the target with the fewest calls in flight per slot, with random tie-breaking. A slow target counts as having
- * as many calls more as the call itself and those in flight take longer there, and a failing one as having its slots in
- * use several times.
+ * Chooses the target with the fewest calls in flight per slot, with random tie-breaking. For a slow
+ * target, the calls in flight and the new one count in addition by the excess of its time ratio over one. The load of a
+ * target that fails calls is increased in proportion to its share of failures.
  */
 public final class LeastLoadedChooser implements TargetChooser {
 
--- a/src/main/java/org/dogwoodwinch/forwarding/TargetPerformance.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetPerformance.java
@@ -56,6 +56,7 @@
     /** A single failure may be that of the call. */
     private static final double MIN_FAILURES_WEIGHT = 1.2;
 
+    /** Slowness that is shorter is over before calls are sent elsewhere. */
     private static final long MIN_LASTING_MILLIS = 1_000;
 
     /** A target that was slow for long is avoided after its first slow call again. */
@@ -88,7 +89,7 @@
      *
      * @param target the target, not null
      * @param kind the kind of work, not null
-     * @param timePerWork the time for a unit of work, greater than zero
+     * @param timePerWork milliseconds per unit of work, in the unit of the kind; ignored unless greater than zero
      * @param nowMillis monotonic milliseconds
      */
     public void recordTime(Incarnation target, WorkKind kind, double timePerWork, long nowMillis) {
@@ -112,7 +113,7 @@
      *
      * @param target the target, not null
      * @param kind the kind of work, not null
-     * @param timePerWork the time without a response for a unit of work
+     * @param timePerWork milliseconds without a response per unit of work
      * @param nowMillis monotonic milliseconds
      */
     public void recordUnanswered(Incarnation target, WorkKind kind, double timePerWork, long nowMillis) {
@@ -196,7 +197,7 @@
         }
         List<Map.Entry<String, Evidence>> notable = evidenceById.entrySet().stream()
                 .filter(entry -> isNotable(entry.getValue(), nowMillis))
-                .sorted(Comparator.comparingDouble(entry -> -entry.getValue().newsValue()))
+                .sorted(Comparator.comparingDouble(entry -> -entry.getValue().reportPriority()))
                 .limit(maxCount)
                 .toList();
         List<PerformanceReport> reports = new ArrayList<>();
@@ -290,7 +291,7 @@
         });
     }
 
-    /** Returns the evidence of an incarnation; null for one that another one of the same id has followed. */
+    /** Returns the evidence of an incarnation; null if a later incarnation of the same id is known. */
     private Evidence evidence(Incarnation target, long nowMillis) {
         Evidence known = evidenceById.get(target.id());
         if (known != null && known.startedMillis > target.startedMillis()) {
@@ -391,7 +392,7 @@
         private long lastObservedMillis;
         private long firstUnreportedMillis;
         private long lastUnreportedMillis;
-        private long outstandingSinceMillis = Long.MAX_VALUE;
+        private long standsOutSinceMillis = Long.MAX_VALUE;
         private long lastingUntilMillis = Long.MIN_VALUE;
 
         private Evidence(String service, long startedMillis, long nowMillis) {
@@ -424,18 +425,18 @@
             pooled.timesWeight += weight;
             boolean standsOut = Math.abs(logRatioSum) >= NOISE_LOG_RATIO * weight;
             if (standsOut) {
-                outstandingSinceMillis = Math.min(outstandingSinceMillis, firstMillis);
-                if (lastMillis - outstandingSinceMillis >= MIN_LASTING_MILLIS) {
+                standsOutSinceMillis = Math.min(standsOutSinceMillis, firstMillis);
+                if (lastMillis - standsOutSinceMillis >= MIN_LASTING_MILLIS) {
                     lastingUntilMillis = Math.max(lastingUntilMillis, lastMillis + LASTING_MEMORY_MILLIS);
                 }
             } else if (Math.abs(pooled.meanLogRatio(0)) < NOISE_LOG_RATIO) {
-                outstandingSinceMillis = Long.MAX_VALUE;
+                standsOutSinceMillis = Long.MAX_VALUE;
                 lastingUntilMillis = Long.MIN_VALUE;
             }
         }
 
         /** Returns how much the unreported observations differ from what is known of the incarnation. */
-        double newsValue() {
+        double reportPriority() {
             double known = pooled.meanLogRatio(0);
             return Math.abs(unreported.logRatioSum - known * unreported.timesWeight)
                     + MAX_LOG_RATIO * unreported.failuresWeight;
--- a/src/main/java/org/dogwoodwinch/forwarding/TypicalTimes.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TypicalTimes.java
@@ -21,7 +21,7 @@
      *
      * @param target a target of the service, not null
      * @param kind the kind of work, not null
-     * @return the median; empty while too few observations are known
+     * @return the median in milliseconds per unit of work; empty while too few observations are known
      */
     OptionalDouble median(Incarnation target, WorkKind kind) {
         MedianWindow window = windows.get(new Key(target.service(), target.stage(), kind));
@@ -33,7 +33,7 @@
      *
      * @param target the target, not null
      * @param kind the kind of work, not null
-     * @param time the time for a unit of work
+     * @param time milliseconds per unit of work
      */
     void record(Incarnation target, WorkKind kind, double time) {
         windows.computeIfAbsent(new Key(target.service(), target.stage(), kind), _key -> new MedianWindow())
--- a/src/main/java/org/dogwoodwinch/forwarding/WorkKind.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/WorkKind.java
@@ -1,6 +1,9 @@
 package org.dogwoodwinch.forwarding;
 
-/** Kinds of work whose times are compared with each other only. */
+/**
+ * Kinds of work whose times are compared with each other only. The unit of work is one expected millisecond until the
+ * first event, or until the end of a separate prefill, where the target prefills a prompt, and one run at it otherwise.
+ */
 public enum WorkKind {
     /** A call without a prompt, until the head of its response. */
     PLAIN,
--- a/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/TargetEntryDecoder.java
@@ -123,7 +123,7 @@
         };
     }
 
-    /** Engines that existed before the operator had spot engines do not state the field. */
+    /** Returns whether the target is a spot engine; entries without the field are those of on-demand engines. */
     private static boolean decodeSpot(JsonNode entry) throws IOException {
         JsonNode spot = entry.path("spot");
         if (!spot.isMissingNode() && !spot.isBoolean()) {
--- a/src/main/java/org/dogwoodwinch/queueing/BusyRate.java
+++ b/src/main/java/org/dogwoodwinch/queueing/BusyRate.java
@@ -8,7 +8,7 @@
  */
 final class BusyRate {
 
-    /** Long enough to average over the calls of one instance of a large fleet, shorter than a shift of the mix. */
+    /** Long enough to average over the calls of one instance of a large fleet, shorter than a shift of the demand. */
     private static final double TIME_CONSTANT_MILLIS = 4_000;
 
     /** Minimum busy time: two updates of the loads of other instances, since calls are released in bursts after one. */
@@ -26,11 +26,12 @@
         observedMillis = nowMillis;
     }
 
+    /** Records that a call was released, with its work in the unit of {@link WaitingCall#work}. */
     void recordRelease(long released, long nowMillis) {
         work.add((double) released, nowMillis);
     }
 
-    /** Returns the rate; empty if it was not observed for long enough. */
+    /** Returns the released work per millisecond of busy time; empty if it was not observed for long enough. */
     OptionalDouble perMilli(long nowMillis) {
         double busy = busyMillis.at(nowMillis);
         return busy < MIN_BUSY_MILLIS ? OptionalDouble.empty() : OptionalDouble.of(work.at(nowMillis) / busy);
--- a/src/main/java/org/dogwoodwinch/queueing/FairQueue.java
+++ b/src/main/java/org/dogwoodwinch/queueing/FairQueue.java
@@ -29,8 +29,9 @@
     private static final double SECOND_PRIORITY_SHARE = 0.1;
 
     /**
-     * Part of the served ratio of more urgent priorities up to which a less urgent one uses its share. Its calls often have
-     * later deadlines, and those that still wait when a burst ends are served too.
+     * A less urgent priority uses its share only while its served ratio is below this part of the lowest served ratio
+     * of the more urgent ones. Its calls often have later deadlines, so that those still waiting when a burst ends are
+     * served as well.
      */
     private static final double MAX_RATIO_OF_MORE_URGENT = 0.4;
 
--- a/src/main/java/org/dogwoodwinch/queueing/OwnerShares.java
+++ b/src/main/java/org/dogwoodwinch/queueing/OwnerShares.java
@@ -22,7 +22,7 @@
     /** Number of owners that a report names. */
     public static final int MAX_NAMED_OWNERS = 16;
 
-    /** As long as calls wait under overload, so that a burst of one owner does not outlive its calls. */
+    /** About the time for which calls wait under overload, so that a burst is forgotten once its calls were served. */
     private static final double TIME_CONSTANT_MILLIS = 4_000;
 
     /** Multiple of the mean use from which an owner is held back; random arrivals vary by less. */
@@ -37,6 +37,7 @@
     /** Part of all work below which an owner does not count as active. */
     private static final double MIN_ACTIVE_RATIO = 0.001;
 
+    /** Interval between removals of inactive owners: a removal examines all owners, which is too much for each call. */
     private static final long PRUNE_INTERVAL_MILLIS = 500;
 
     private final Map<String, DecayingSum> usedWork = new HashMap<>();
--- a/src/main/java/org/dogwoodwinch/queueing/PriorityClass.java
+++ b/src/main/java/org/dogwoodwinch/queueing/PriorityClass.java
@@ -10,16 +10,18 @@
 
 /**
  * The waiting calls of one priority, in fair order over their owners: each owner has a virtual time that advances with
- * the work of its calls divided by its weight, and the owner with the lowest one is served next. Owners that get more than
- * their share of the fleet come last. Calls of returning callers come first, and calls that can
- * still meet their objective before late ones, which have lost most of their value.
+ * the work of its calls divided by its weight, and the owner with the lowest one is served next. Owners that get more
+ * than their share of the fleet come last. Calls of returning callers come first, and calls that can still meet their
+ * objective come before late ones, which have lost most of their value.
  */
 final class PriorityClass {
 
     /** Long enough to compare the calls of one instance of a large fleet, short enough to follow a burst of 10 s. */
     private static final double OUTCOMES_TIME_CONSTANT_MILLIS = 10_000;
 
+    /** Equal to the time constant of the released work, from which the arrived work is subtracted. */
     private static final double ARRIVALS_TIME_CONSTANT_MILLIS = 4_000;
+    /** Number of idle owners above which those that the class has caught up with are removed, to bound the memory. */
     private static final int MAX_IDLE_OWNERS = 256;
 
     private final ToDoubleFunction<String> weightOf;
--- a/src/main/java/org/dogwoodwinch/queueing/ReleasePacer.java
+++ b/src/main/java/org/dogwoodwinch/queueing/ReleasePacer.java
@@ -1,9 +1,10 @@
 package org.dogwoodwinch.queueing;
 
 /**
- * Limits what one instance sends from its queue to its part of the capacity that all instances see. Not thread-safe.
+ * Limits the calls that one instance sends from its queue to its part of the capacity that all instances observe. Not
+ * thread-safe.
  *
- * <p>Failure: loads of other instances are known late. When one target has capacity again, each of 90 instances sends a
+ * <p>Failure: loads of other instances are known late. When one target has capacity again, every instance sends a
  * waiting call there, and the calls wait at the target, where neither owners nor deadlines count.
  */
 public final class ReleasePacer {
--- a/src/main/java/org/dogwoodwinch/queueing/RoomEstimator.java
+++ b/src/main/java/org/dogwoodwinch/queueing/RoomEstimator.java
@@ -25,8 +25,8 @@
     public static final long UPDATE_HORIZON_MILLIS = 300;
 
     /**
-     * Time within which all instances together may use the free capacity. Much longer ones leave engines idle after an
-     * update, shorter ones let more calls wait at engines than fit there.
+     * Time within which all instances together may use the free capacity. A much longer time leaves engines idle after
+     * an update, and a shorter one lets more calls wait at engines than fit there.
      */
     public static final long TURNOVER_MILLIS = 40;
 
@@ -63,7 +63,7 @@
      * @param query the call, with the priority at which prefill queues are examined, not null
      * @param unsent what this instance has released but not yet written to a target, not null
      * @param owner the name of the owner, not null
-     * @param shares what owners use, which learns whether capacity is short, not null
+     * @param shares what owners use, where a shortage of capacity is recorded, not null
      * @param nowMillis the time in monotonic milliseconds
      * @return what the targets can take
      */
--- a/src/main/java/org/dogwoodwinch/queueing/ServiceTimes.java
+++ b/src/main/java/org/dogwoodwinch/queueing/ServiceTimes.java
@@ -26,7 +26,7 @@
      * Records the time from the send of a call to its first event, or to the answer if it has no events.
      *
      * @param route the name of the call's route, not null
-     * @param millis the time
+     * @param millis the time in milliseconds
      */
     public void recordFirstEvent(String route, long millis) {
         firstEvents.computeIfAbsent(route, _route -> new Average()).record(millis);
@@ -36,7 +36,7 @@
      * Records the time from the send of a call to the end of its answer.
      *
      * @param route the name of the call's route, not null
-     * @param millis the time
+     * @param millis the time in milliseconds
      */
     public void recordCompletion(String route, long millis) {
         completions.computeIfAbsent(route, _route -> new Average()).record(millis);
--- a/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallSuspicion.java
@@ -68,6 +68,7 @@
         }
     }
 
+    /** Returns the fingerprint of the call, which is the same for equal calls of one caller. */
     long fingerprint() {
         return fingerprint;
     }
--- a/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
+++ b/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
@@ -17,7 +17,10 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
 
-    /** The part of the time to a first event that does not depend on the prompt: the first decode steps and the way. */
+    /**
+     * The part of the time to a first event that does not depend on the prompt: the first decode steps and the round
+     * trip.
+     */
     private static final double FIXED_PROMPT_MILLIS = 20;
 
     private final RelayContext context;
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -20,9 +20,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The calls that this instance passes on to others while it is cut off from all targets, or for want of connections. The instance that takes over a
- * call decides about it as about its own: route, key, quarantine, retry budget, limits and the choice of targets.
- * Confined to one event loop.
+ * The calls that this instance passes on to others while it is cut off from all targets, or for want of connections.
+ * The instance that takes over a call decides about it as about its own: route, key, quarantine, retry budget, limits
+ * and the choice of targets. Confined to one event loop.
  */
 final class NeighbourCalls {
 
--- a/src/main/java/org/dogwoodwinch/relay/QueuedCall.java
+++ b/src/main/java/org/dogwoodwinch/relay/QueuedCall.java
@@ -36,8 +36,7 @@
     /**
      * Creates a call that has not asked for capacity.
      *
-     * @param queue the queue of its service; empty if the call is not queued, so that all methods have no effect but that
-     *     it is released at once, not null
+     * @param queue the queue of its service; empty if the call is not queued but released at once, not null
      * @param routed the call, not null
      * @param deadlineMillis when the caller must have an answer, in monotonic milliseconds
      * @param fingerprint identifies equal calls of one caller
@@ -66,7 +65,7 @@
         }
     }
 
-    /** Records that the call, or its prompt, is written to a target and from now on counts in the load of that. */
+    /** Records that the call, or its prompt, is written to a target and counts in the target's load from now on. */
     void recordSent() {
         if (state == State.RELEASED) {
             state = State.SENT;
--- a/src/main/java/org/dogwoodwinch/relay/RefusedCallers.java
+++ b/src/main/java/org/dogwoodwinch/relay/RefusedCallers.java
@@ -14,6 +14,7 @@
 
     private final Map<Long, Long> returnMillis = new LinkedHashMap<>();
 
+    /** Records a refused caller and when it was asked to return, in monotonic milliseconds. */
     void recordRefusal(long fingerprint, long returnAtMillis) {
         returnMillis.remove(fingerprint);
         returnMillis.put(fingerprint, returnAtMillis);
@@ -22,7 +23,7 @@
         }
     }
 
-    /** Returns whether a call is that of a refused caller, who has waited as long as it was told. */
+    /** Removes a refused caller's record, and returns whether there was one whose time of return has come. */
     boolean takeReturn(long fingerprint, long nowMillis) {
         Long returnAtMillis = returnMillis.remove(fingerprint);
         return returnAtMillis != null && nowMillis >= returnAtMillis;
--- a/src/main/java/org/dogwoodwinch/relay/RelayContext.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayContext.java
@@ -31,7 +31,7 @@
  * @param cacheIndex prompt segments in the KV caches of engines, not null
  * @param prefillRates estimated prefill rates of engines, not null
  * @param performance what is known of targets that are slow or fail calls, not null
- * @param stallCost the cost of prefilling beside streams, which learns from the streams relayed here, not null
+ * @param stallCost the cost of prefilling beside streams, updated by the streams relayed here, not null
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
  * @param suspicions tracks calls suspected of crashing targets, not null
@@ -160,8 +160,9 @@
     }
 
     /**
-     * Records the rate limit that the head of a response states, and that a rest is over if it asks for none. A response from another target at the same address is
-     * ignored, and the absence of a rate limit counts only in a successful response.
+     * Records the rate limit that the head of a response states, and that a rest is over if it asks for none. A
+     * response from another target at the same address is ignored, and the absence of a rate limit counts only in a
+     * successful response.
      */
     void recordResponseHead(Incarnation target, ResponseAttributes attributes, long sentMillis) {
         if (attributes.restMillis().isEmpty()) {
--- a/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
@@ -27,7 +27,7 @@
  * @param cacheIndex prompt segments in the KV caches of engines, not null
  * @param prefillRates estimated prefill rates of engines, not null
  * @param performance what is known of targets that are slow or fail calls, not null
- * @param stallCost the cost of prefilling beside streams, which learns from the streams relayed here, not null
+ * @param stallCost the cost of prefilling beside streams, updated by the streams relayed here, not null
  * @param retryPolicy chooses the next step after a failed send, not null
  * @param budget limits retries, not null
  * @param quarantine status of calls that crash targets, not null
--- a/src/main/java/org/dogwoodwinch/relay/ServiceCallQueue.java
+++ b/src/main/java/org/dogwoodwinch/relay/ServiceCallQueue.java
@@ -60,6 +60,7 @@
         return queue.size();
     }
 
+    /** Returns the time since a moment in monotonic milliseconds. */
     long millisSince(long millis) {
         return nowMillis() - millis;
     }
--- a/src/main/java/org/dogwoodwinch/scaling/DemandHistory.java
+++ b/src/main/java/org/dogwoodwinch/scaling/DemandHistory.java
@@ -4,8 +4,9 @@
 final class DemandHistory {
 
     /**
-     * Time constant of the average: short enough to reach the demand of a burst of 3 s, and long enough that prompts which
-     * happen to arrive together do not show as a peak. With 1.5 s, the demand of such bursts was read too low.
+     * Time constant of the average: short enough to reach the demand of a burst of 3 s, and long enough that prompts
+     * which happen to arrive together do not show as a peak. A longer time constant underestimates the demand of such
+     * bursts.
      */
     private static final long HORIZON_MILLIS = 1_000;
 
@@ -14,7 +15,7 @@
 
     /**
      * Without any call, the demand is unknown rather than zero: engines are ordered before the traffic starts. After
-     * this time, the service is taken to be unused.
+     * this time, the service counts as unused.
      */
     private static final long MAX_UNKNOWN_MILLIS = 60_000;
 
--- a/src/main/java/org/dogwoodwinch/scaling/EngineDemand.java
+++ b/src/main/java/org/dogwoodwinch/scaling/EngineDemand.java
@@ -11,21 +11,21 @@
 final class EngineDemand {
 
     /**
-     * So many prompts that wait behind another count as the work of one more engine. A prompt of 17,000 tokens takes
-     * about 150 ms, so that four of them use up the 500 ms in which urgent calls expect their first event.
+     * Number of prompts, waiting behind another one, that count as the work of one more engine. A prompt of 17,000
+     * tokens takes about 150 ms, so that four of them use up the 500 ms in which urgent calls expect their first event.
      */
     private static final double WAITING_PROMPTS_PER_ENGINE = 4;
 
     /**
-     * Maximum demand at one engine. Callers leave a long queue, so its length does not show how many engines are
-     * missing; with twice the engines the demand becomes visible.
+     * Maximum demand at one engine, in engines. Callers leave a long queue, so its length does not show how many
+     * engines are missing; with twice the engines the demand becomes visible.
      */
     private static final double MAX_DEMAND = 2;
 
     /**
-     * Time for which a prompt counts as waiting in addition to its prefill: its way to the engine and back, the decoding
-     * of the first event, and the update of the load. Without it, an engine that now and then prefills a prompt of 20 ms
-     * would count as busy all the while.
+     * Time for which a prompt counts as waiting in addition to its prefill: the round trip to the engine, the decoding
+     * of the first event, and the update of the load. Without it, an engine that occasionally prefills a short prompt
+     * would count as constantly busy.
      */
     private static final double OVERHEAD_MILLIS = 60;
 
@@ -56,7 +56,9 @@
         return Math.min(MAX_DEMAND, Math.max(prefill, decode));
     }
 
-    /** Returns the share of the time for which the engine prefills, and what waits behind the first prompt. */
+    /**
+     * Returns the share of the time for which the engine prefills, plus the demand of prompts that wait, in engines.
+     */
     private static double prefillDemand(int promptsCount, double workMillis) {
         double busyShare = workMillis / (workMillis + promptsCount * OVERHEAD_MILLIS);
         return Math.min(1, promptsCount * busyShare) + (promptsCount - 1) * busyShare / WAITING_PROMPTS_PER_ENGINE;
--- a/src/main/java/org/dogwoodwinch/scaling/EnginePlacement.java
+++ b/src/main/java/org/dogwoodwinch/scaling/EnginePlacement.java
@@ -1,9 +1,12 @@
 package org.dogwoodwinch.scaling;
 
-/** Places numbers of engines in data centres, and decides how far the present ones may be changed towards it. */
+/** Distributes engines over data centres, and limits how far an order may change the present distribution. */
 final class EnginePlacement {
 
-    /** From so many data centres, none holds more than half of the engines if it cannot be reclaimed as a whole. */
+    /**
+     * Minimum number of data centres at which none holds more than half of a service's engines if all of them are
+     * on-demand engines, so that the failure of a data centre leaves the other half.
+     */
     private static final int MIN_DATA_CENTRES_TO_SPREAD = 3;
 
     private EnginePlacement() {}
@@ -13,10 +16,12 @@
      * added at the cheapest data centres and removed from the most expensive ones; those that remain stay where they
      * are, because they would lose their KV caches.
      *
-     * <p>Failure: the cheapest data centre fails or has no on-demand engines. More that are ordered there do not come.
+     * <p>Failure: the cheapest data centre fails or has no on-demand engines, and engines ordered there do not
+     * start. Where on-demand engines are missing, none are added.
      *
      * @param present the present engines, not null
-     * @param missing those of them that do not come; on-demand engines are not added where some are missing, not null
+     * @param missing those of them that are not expected to become ready; on-demand engines are not added where some
+     *     are missing, not null
      * @param onDemandCount number of on-demand engines; more or fewer are placed where the limits require it
      * @param spotCount number of spot engines, at most one less than the maximum for each data centre
      * @param limits the limits of each data centre, not null
--- a/src/main/java/org/dogwoodwinch/scaling/EngineShortage.java
+++ b/src/main/java/org/dogwoodwinch/scaling/EngineShortage.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * Which ordered engines do not come. Not thread-safe.
+ * Determines which ordered engines are not expected to become ready. Not thread-safe.
  *
  * <p>Once a pool is short of engines, it remains so until all of them are ready: between two orders that the platform
  * refuses, it is not known whether there are engines again, and substitutes that were released then would be ordered
@@ -21,7 +21,7 @@
      * @param plannedCount the number of engines that the last plan orders there
      * @param readyCount the number of them that accept calls
      * @param unavailable whether the platform has no more of them at the moment
-     * @param patienceMillis time after which an ordered engine is no longer expected
+     * @param startTimeoutMillis time after which an ordered engine is no longer expected
      * @param nowMillis monotonic milliseconds
      * @return the number of engines that are ordered and not expected
      */
@@ -30,7 +30,7 @@
             int plannedCount,
             int readyCount,
             boolean unavailable,
-            long patienceMillis,
+            long startTimeoutMillis,
             long nowMillis) {
         if (readyCount >= plannedCount) {
             missingByPool.remove(pool);
@@ -39,7 +39,7 @@
         Missing last = missingByPool.get(pool);
         boolean hasProgress = last == null || plannedCount > last.plannedCount || readyCount > last.readyCount;
         long sinceMillis = hasProgress ? nowMillis : last.sinceMillis;
-        boolean isShort = unavailable || (last != null && last.isShort) || nowMillis - sinceMillis > patienceMillis;
+        boolean isShort = unavailable || (last != null && last.isShort) || nowMillis - sinceMillis > startTimeoutMillis;
         missingByPool.put(pool, new Missing(plannedCount, readyCount, sinceMillis, isShort));
         return isShort ? plannedCount - readyCount : 0;
     }
--- a/src/main/java/org/dogwoodwinch/scaling/PoolOrders.java
+++ b/src/main/java/org/dogwoodwinch/scaling/PoolOrders.java
@@ -25,8 +25,9 @@
 public final class PoolOrders {
 
     /**
-     * Spot engines can be unavailable everywhere for 10 s. Engines that are available again are ordered within this
-     * time, and refused orders use a small part of the 50 calls per second that the platform accepts.
+     * Time for which no engine is ordered in a pool after the platform had none there. Spot engines can be unavailable
+     * everywhere for 10 s. Engines that are available again are ordered within this time, and refused orders use a
+     * small part of the 50 calls per second that the platform accepts.
      */
     public static final long UNAVAILABLE_MILLIS = 3_000;
 
--- a/src/main/java/org/dogwoodwinch/scaling/RecordedPlan.java
+++ b/src/main/java/org/dogwoodwinch/scaling/RecordedPlan.java
@@ -11,8 +11,8 @@
 import org.msgpack.core.MessageUnpacker;
 
 /**
- * A plan as the log holds it. It is recorded before its orders are sent, so that a successor knows what its predecessor
- * may have ordered.
+ * A plan and the era for which it was decided, as they are stored in the log. It is recorded before its orders are
+ * sent, so that a successor knows what its predecessor may have ordered.
  *
  * <p>Failure: the store comes back from a copy whose newest plan is an old one, and a holder that sends it again releases
  * the engines that were ordered since. A record therefore states the era of the store in which it was decided.
@@ -24,6 +24,7 @@
 
     private static final int FIELD_COUNT = 2;
     private static final int POOL_FIELD_COUNT = 3;
+    /** More engines than any pool has; a larger number shows that the record is corrupt. */
     private static final int MAX_COUNT = 1_000_000;
 
     /** Validates the components. */
--- a/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
+++ b/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
@@ -9,9 +9,9 @@
  * Decides how many engines a service has, where, and of which kind. Not thread-safe.
  *
  * <p>Load: bursts of several seconds return every few seconds, while the mean demand needs only a part of the engines;
- * the platform reclaims the spot engines of a data centre within seconds, and has none for some time. Between bursts the
- * planner keeps the engines that the last bursts needed, and it orders only so many spot engines that the reclaim of the
- * worst data centre leaves what the demand needs.
+ * the platform reclaims the spot engines of a data centre within seconds, and has none for some time. Between bursts
+ * the planner keeps the engines that the last bursts needed, and it limits the spot engines so that the remaining
+ * engines still meet the demand after the reclaim of the data centre that has most of them.
  */
 public final class ScalePlanner implements ScaleStrategy {
 
@@ -27,15 +27,18 @@
     /** Two prefill engines and three decode engines, so that the failure of one does not interrupt the service. */
     private static final int MIN_ENGINES = 5;
 
-    /** At most one engine of so many is released at a time: the KV caches of the released ones are lost. */
+    /** Number of engines of which at most one is released at a time: the KV caches of released engines are lost. */
     private static final int ENGINES_PER_RELEASE = 5;
 
-    /** A smaller change than one engine of so many is not ordered: it is within the random variation of the demand. */
+    /**
+     * Number of engines of which more than one has to change before a change is ordered: a smaller one is within the
+     * random variation of the demand.
+     */
     private static final int ENGINES_PER_CHANGE = 16;
 
     /**
-     * The number of engines is not lowered by less than one engine of so many. With the bound of other changes, random
-     * peaks of a constant load caused a scale-out and a scale-in in turn.
+     * Number of engines of which more than one has to be superfluous before engines are released. With the bound of
+     * other changes, random peaks of a constant load cause scale-outs and scale-ins by turns.
      */
     private static final int ENGINES_PER_SCALE_IN = 8;
 
