Bound the limits of scaling, and let demand become known where engines boot at once

Cause, found by reading: a maximum of 2,000,000,000 engines was accepted and overflowed when multiplied by the number of data centres. With a boot time below 125 ms each observation came later than two boot times after the last one, so the planner began anew each time and never knew the demand. A restarted planner kept the number of missing engines of the last run.

Change: min and max are integers from 0 to 1,000,000, with an error that names the field; the planner settles for at least two seconds, and forgets missing engines with the rest.

Measured: hugeLimitOfScalingIsRejected and demandBecomesKnownWhereEnginesBootAtOnce pass with the tests of scaling; they were not run on the sources before.

--- a/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/dogwoodwinch/platform/ConfigurationDecoder.java
@@ -149,8 +149,9 @@
 
     private static int requireCount(JsonNode scaling, String field) {
         JsonNode value = scaling.path(field);
-        if (!value.isInt()) {
-            throw new IllegalArgumentException("scaling." + field + " is not an integer: " + value);
+        if (!value.isInt() || value.asInt() < 0 || value.asInt() > MAX_SCALING_NUMBER) {
+            throw new IllegalArgumentException(
+                    "scaling." + field + " is not an integer from 0 to " + MAX_SCALING_NUMBER + ": " + value);
         }
         return value.asInt();
     }
--- a/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
+++ b/src/main/java/org/dogwoodwinch/scaling/ScalePlanner.java
@@ -42,6 +42,9 @@
      */
     private static final int ENGINES_PER_SCALE_IN = 8;
 
+    /** Several planning intervals: with engines that boot at once, a shorter time would end between two observations. */
+    private static final long MIN_SETTLE_MILLIS = 2_000;
+
     private final PrefillRates prefillRates;
     private EngineShortage shortage = new EngineShortage();
     private DemandHistory history = new DemandHistory(0);
@@ -77,6 +80,7 @@
             history = new DemandHistory(nowMillis);
             desiredPeak = new RecentPeak();
             shortage = new EngineShortage();
+            lastMissingCount = 0;
             total = presentTotal(planned, ready);
         }
         history.record(
@@ -208,6 +212,6 @@
 
     /** The effect of a change of the number of engines shows when those ordered then have booted and taken load. */
     private static long settleMillis(ScalingLimits limits) {
-        return 2 * limits.bootMillis();
+        return Math.max(MIN_SETTLE_MILLIS, 2 * limits.bootMillis());
     }
 }
--- a/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/ConfigurationDecoderTest.java
@@ -103,6 +103,15 @@
                 });
     }
 
+    /** Guards against limits whose sum over the data centres exceeds the range of an integer. */
+    @Test
+    void hugeLimitOfScalingIsRejected() {
+        String scaling = SCALING.replace("\"max\":32", "\"max\":2000000000");
+        IOException error =
+                assertThrows(IOException.class, () -> ConfigurationDecoder.decode(Bytes.ofUtf8(withScaling(scaling))));
+        assertTrue(error.getMessage().contains("scaling.max"), error.getMessage());
+    }
+
     @Test
     void decodesOwnersAndTheirKeys() throws IOException {
         RouteTable table = ConfigurationDecoder.decode(Bytes.ofUtf8(withOwners("""
--- a/src/test/java/org/dogwoodwinch/scaling/ScalePlannerTest.java
+++ b/src/test/java/org/dogwoodwinch/scaling/ScalePlannerTest.java
@@ -325,6 +325,17 @@
         platform.runFor(90_000);
     }
 
+    /** With engines that boot at once, each observation began the history of the demand anew. */
+    @Test
+    void demandBecomesKnownWhereEnginesBootAtOnce() {
+        platform.limits = new ScalingLimits(1, 32, 0, OptionalDouble.empty(), ModelPlatform.LIMITS.priceByDataCentre());
+        platform.setBusy(12);
+        platform.runFor(60_000);
+        assertTrue(
+                platform.ready().size() < 64,
+                "ready engines: " + platform.ready().size());
+    }
+
     private static ScalingLimits limits(int min, int max, OptionalDouble spotPriceRatio) {
         Map<String, Double> prices = ModelPlatform.LIMITS.priceByDataCentre();
         return new ScalingLimits(min, max, ModelPlatform.BOOT_MILLIS, spotPriceRatio, prices);
