--- a/src/main/java/org/dogwoodwinch/daemon/ScalePlanReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ScalePlanReader.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
@@ -29,11 +28,10 @@
     }
 
     /**
-     * The last plans. The end is that of the first page: if a plan was appended while the other pages were read, the next
-     * claim fails, and all are read again.
+     * The last plans.
      *
      * @param byService the plans by service, without those that cannot be used
-     * @param endOffset the end of the topic
+     * @param endOffset the end of the topic before the first plan was read
      */
     record Plans(Map<String, ScalePlan> byService, long endOffset) {}
 
@@ -43,35 +41,25 @@
      * @return a stage that completes with the plans, or empty if they could not be read whole; never exceptionally
      */
     CompletionStage<Optional<Plans>> read() {
-        return readPage(Optional.empty(), Optional.empty());
-    }
-
-    private CompletionStage<Optional<Plans>> readPage(Optional<String> afterKey, Optional<Plans> before) {
-        return topic.readSnapshotPage(afterKey).thenCompose(read -> {
+        return topic.readSnapshot().thenApply(read -> {
             if (!(read instanceof ReadResult.Page page)) {
                 LogEvent.of("scale_plans_not_read").with("result", read).info(log);
-                return CompletableFuture.completedFuture(Optional.empty());
+                return Optional.empty();
             }
             // A log that has an end but no record was not read whole; it must not be taken for one without plans.
-            if (before.isEmpty() && page.records().isEmpty() && LogPosition.offset(page.endOffset()) != 0) {
+            if (page.records().isEmpty() && LogPosition.offset(page.endOffset()) != 0) {
                 LogEvent.of("scale_plans_missing")
                         .with("endOffset", LogPosition.describe(page.endOffset()))
                         .warn(log);
-                return CompletableFuture.completedFuture(Optional.empty());
-            }
-            Plans found = before.orElseGet(() -> new Plans(new HashMap<>(), page.endOffset()));
-            page.records()
-                    .forEach(each ->
-                            decode(each).ifPresent(plan -> found.byService().put(each.key(), plan)));
-            if (page.hasMore() && !page.records().isEmpty()) {
-                String last = page.records().get(page.records().size() - 1).key();
-                return readPage(Optional.of(last), Optional.of(found));
+                return Optional.empty();
             }
+            Map<String, ScalePlan> found = new HashMap<>();
+            page.records().forEach(each -> decode(each).ifPresent(plan -> found.put(each.key(), plan)));
             LogEvent.of("scale_plans_read")
-                    .with("services", found.byService().size())
-                    .with("endOffset", LogPosition.describe(found.endOffset()))
+                    .with("services", found.size())
+                    .with("endOffset", LogPosition.describe(page.endOffset()))
                     .info(log);
-            return CompletableFuture.completedFuture(Optional.of(found));
+            return Optional.of(new Plans(found, page.endOffset()));
         });
     }
 
--- a/src/main/java/org/dogwoodwinch/daemon/UsageReporter.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsageReporter.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 import org.dogwoodwinch.follow.ConditionalLog;
@@ -134,7 +133,7 @@
                 stopStep("usage_lease_held_by_other", page.endOffset());
                 return;
             }
-            readCounts(Optional.empty(), new TreeMap<>())
+            readCounts()
                     .thenAccept(counts -> counts.ifPresentOrElse(
                             instances -> decide(reported.get(), instances, expectedEnd.getAsLong()),
                             () -> pending = false));
@@ -163,19 +162,15 @@
         return Optional.empty();
     }
 
-    private CompletionStage<Optional<Map<String, InstanceUsage>>> readCounts(
-            Optional<String> afterKey, Map<String, InstanceUsage> found) {
-        return dependencies.counts().readSnapshotPage(afterKey).thenCompose(read -> {
+    private CompletionStage<Optional<Map<String, InstanceUsage>>> readCounts() {
+        return dependencies.counts().readSnapshot().thenApply(read -> {
             if (!(read instanceof ReadResult.Page page)) {
                 LogEvent.of("usage_counts_not_read").with("result", read).info(log);
-                return CompletableFuture.completedFuture(Optional.empty());
+                return Optional.empty();
             }
+            Map<String, InstanceUsage> found = new TreeMap<>();
             page.records().forEach(each -> decodeCounts(each).ifPresent(usage -> found.put(each.key(), usage)));
-            if (!page.hasMore() || page.records().isEmpty()) {
-                return CompletableFuture.completedFuture(Optional.of(found));
-            }
-            String last = page.records().get(page.records().size() - 1).key();
-            return readCounts(Optional.of(last), found);
+            return Optional.of(found);
         });
     }
 
