Compute the rate of a priority once for all of its waiting calls

Cause: a look for calls that cannot be served in time computed the released rate, the arrivals of more urgent priorities and their waiting work anew for each call, and a pass that released nothing made the look twice.

Change: FairQueue computes them once for each priority; ServiceCallQueue looks again only if it released a call. PriorityClass.first had a twin that it only called. The order of owners above their share can change within a pass that first finds no capacity; a call that becomes unmeetable by that is refused in the next pass, 25 ms later.

The saved time was not measured.

--- a/src/main/java/org/dogwoodwinch/queueing/FairQueue.java
+++ b/src/main/java/org/dogwoodwinch/queueing/FairQueue.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.TreeMap;
+import java.util.function.LongUnaryOperator;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -150,9 +151,10 @@
     public List<Unmeetable> removeUnmeetable(long nowMillis) {
         List<Unmeetable> removed = new ArrayList<>();
         classes.forEach((priority, priorityClass) -> {
+            LongUnaryOperator waitMillisBehind = waitMillisBehind(priority, nowMillis);
             long aheadWork = 0;
             for (WaitingCall call : priorityClass.inOrder(nowMillis)) {
-                long waitMillis = waitMillis(priority, aheadWork, nowMillis);
+                long waitMillis = waitMillisBehind.applyAsLong(aheadWork);
                 if (isUnmeetable(call, waitMillis, nowMillis)) {
                     removed.add(new Unmeetable(call, waitMillis));
                 } else {
@@ -232,19 +234,24 @@
         return waitMillis(call.priority(), aheadWork, nowMillis);
     }
 
-    /** Returns the wait of a call with the given work ahead of it in its own priority. */
     private long waitMillis(int priority, long aheadWork, long nowMillis) {
+        return waitMillisBehind(priority, nowMillis).applyAsLong(aheadWork);
+    }
+
+    /** Returns a function from the work ahead of a call in its own priority to the wait of the call. */
+    private LongUnaryOperator waitMillisBehind(int priority, long nowMillis) {
         OptionalDouble left = workPerMilli(priority, nowMillis);
         if (left.isEmpty()) {
-            return 0;
+            return _aheadWork -> 0;
         }
-        double allPerMilli = rate.perMilli(nowMillis).orElseThrow();
+        double leftPerMilli = left.getAsDouble();
+        double onSharePerMilli = rate.perMilli(nowMillis).orElseThrow() * share(priority);
         long moreUrgentWork = waitingWorkUntil(priority - 1);
-        double afterOthersMillis = (moreUrgentWork + aheadWork) / left.getAsDouble();
-        double onShareMillis = aheadWork / (allPerMilli * share(priority));
-        double waitMillis = Math.min(afterOthersMillis, onShareMillis);
-        // Without any release in the observed time, a call waits for as long as it may.
-        return Double.isFinite(waitMillis) ? Math.round(waitMillis) : Integer.MAX_VALUE;
+        return aheadWork -> {
+            double waitMillis = Math.min((moreUrgentWork + aheadWork) / leftPerMilli, aheadWork / onSharePerMilli);
+            // Without any release in the observed time, a call waits for as long as it may.
+            return Double.isFinite(waitMillis) ? Math.round(waitMillis) : Integer.MAX_VALUE;
+        };
     }
 
     private long waitingWorkUntil(int priority) {
--- a/src/main/java/org/dogwoodwinch/queueing/PriorityClass.java
+++ b/src/main/java/org/dogwoodwinch/queueing/PriorityClass.java
@@ -21,12 +21,14 @@
 
     /** Equal to the time constant of the released work, from which the arrived work is subtracted. */
     private static final double ARRIVALS_TIME_CONSTANT_MILLIS = 4_000;
+
     /** Number of idle owners above which those that the class has caught up with are removed, to bound the memory. */
     private static final int MAX_IDLE_OWNERS = 256;
 
     private final ToDoubleFunction<String> weightOf;
     private final OwnerShares shares;
     private final Map<String, OwnerQueue> owners = new LinkedHashMap<>();
+
     /** The virtual times of owners without waiting calls that are ahead of the class. */
     private final Map<String, Double> idleOwners = new HashMap<>();
 
@@ -85,7 +87,19 @@
 
     /** Returns the call that is served next. */
     WaitingCall first(long nowMillis) {
-        return firstOf(nowMillis);
+        Tagged first = null;
+        for (Map.Entry<String, OwnerQueue> entry : owners.entrySet()) {
+            WaitingCall call = entry.getValue().peek(nowMillis);
+            Tagged tagged = new Tagged(
+                    shares.isAboveShare(entry.getKey(), nowMillis),
+                    call.onTimeReleaseMillis() < nowMillis,
+                    entry.getValue().virtualTime(),
+                    call);
+            if (first == null || Tagged.ORDER.compare(tagged, first) < 0) {
+                first = tagged;
+            }
+        }
+        return first.call();
     }
 
     /** Removes a call that is sent, and advances the virtual time of its owner. */
@@ -137,22 +151,6 @@
         return tagged.stream().map(Tagged::call).toList();
     }
 
-    private WaitingCall firstOf(long nowMillis) {
-        Tagged first = null;
-        for (Map.Entry<String, OwnerQueue> entry : owners.entrySet()) {
-            WaitingCall call = entry.getValue().peek(nowMillis);
-            Tagged tagged = new Tagged(
-                    shares.isAboveShare(entry.getKey(), nowMillis),
-                    call.onTimeReleaseMillis() < nowMillis,
-                    entry.getValue().virtualTime(),
-                    call);
-            if (first == null || Tagged.ORDER.compare(tagged, first) < 0) {
-                first = tagged;
-            }
-        }
-        return first.call();
-    }
-
     private void putIdle(String owner, double ownerVirtualTime) {
         if (ownerVirtualTime > virtualTime) {
             idleOwners.put(owner, ownerVirtualTime);
--- a/src/main/java/org/dogwoodwinch/relay/ServiceCallQueue.java
+++ b/src/main/java/org/dogwoodwinch/relay/ServiceCallQueue.java
@@ -136,7 +136,8 @@
     private void releaseCalls() {
         long nowMillis = nowMillis();
         // The only waiting call is sent, if there is capacity, even if it is expected to be too late.
-        if (queue.size() > 1) {
+        boolean isUnmeetableRefused = queue.size() > 1;
+        if (isUnmeetableRefused) {
             refuseUnmeetable(nowMillis);
         }
         while (!queue.isEmpty()) {
@@ -156,8 +157,11 @@
                     .with("onShare", turn.isOnShare())
                     .info(log);
             release(call, nowMillis);
+            isUnmeetableRefused = false;
+        }
+        if (!isUnmeetableRefused) {
+            refuseUnmeetable(nowMillis);
         }
-        refuseUnmeetable(nowMillis);
         updateMetrics();
     }
 
