Remove repeated checks, parameters and set-ups of hard load

Cause: RoomEstimator repeated the check of StreamStallCost whether a prefill exceeds a gap, with a constant of its own; ScaleComponents and ScaleOrders documented the same five suppliers; InFlightSend derived the present time from the age of the send, which reads the clock, and added two token counts in four places; two tests of SegmentGuard repeated one set-up.

A comment of EngineDemand gives its reason without figures of one deployment; a comment of a test has one line. No change of behaviour.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -389,7 +389,7 @@
                 .map(_duties -> new ScaleComponents(
                         settings,
                         () -> fleet.exchange().isFleetTaskAssignedToSelf(ScaleOrders.TOPIC),
-                        new ScaleComponents.Observed(
+                        new ScaleOrders.Observed(
                                 service::scaledServices,
                                 targetsReader::hasReadSnapshot,
                                 directory::readyTargets,
--- a/src/main/java/org/dogwoodwinch/daemon/ScaleComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ScaleComponents.java
@@ -1,21 +1,15 @@
 package org.dogwoodwinch.daemon;
 
-import java.util.List;
 import java.util.Objects;
-import java.util.SortedMap;
 import java.util.function.BooleanSupplier;
-import java.util.function.Function;
 import java.util.function.Supplier;
-import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.OrderLease;
-import org.dogwoodwinch.forwarding.TargetLoad;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.platform.DutyClient;
 import org.dogwoodwinch.platform.StoreClient;
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.scaling.ScaleStrategy;
-import org.dogwoodwinch.scaling.ScalingLimits;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -33,22 +27,6 @@
 
     private final ScaleOrders orders;
 
-    /**
-     * What is known of the services and their engines.
-     *
-     * @param scaledServices the limits of the services whose engines are ordered, by name, not null
-     * @param areTargetsKnown whether the list of targets was read, not null
-     * @param readyTargets returns the targets of a service that accept calls, not null
-     * @param listedTargets returns all listed targets, draining or not, not null
-     * @param loadOf returns the load of all instances at a target, by its id, not null
-     */
-    record Observed(
-            Supplier<SortedMap<String, ScalingLimits>> scaledServices,
-            BooleanSupplier areTargetsKnown,
-            Function<String, List<Incarnation>> readyTargets,
-            Supplier<List<Incarnation>> listedTargets,
-            Function<String, TargetLoad> loadOf) {}
-
     /**
      * Creates the components.
      *
@@ -64,7 +42,7 @@
     ScaleComponents(
             ForwardingSettings settings,
             BooleanSupplier isAssigned,
-            Observed observed,
+            ScaleOrders.Observed observed,
             Supplier<ScaleStrategy> strategyFactory,
             ControlClient caller,
             StoreClient store,
@@ -77,11 +55,7 @@
                 new ScaleOrders.Dependencies(
                         settings.instance().name(),
                         isAssigned,
-                        observed.areTargetsKnown(),
-                        observed.scaledServices(),
-                        observed.readyTargets(),
-                        observed.listedTargets(),
-                        observed.loadOf(),
+                        observed,
                         strategyFactory,
                         store.keyed(ScaleOrders.TOPIC),
                         service -> store.keyedLog(ScaleOrders.TOPIC, service),
--- a/src/main/java/org/dogwoodwinch/daemon/ScaleOrders.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ScaleOrders.java
@@ -78,15 +78,27 @@
     private boolean pending;
 
     /**
-     * The collaborators.
+     * What is known of the services and their engines.
      *
-     * @param ownName the name of this instance, not null
-     * @param isAssigned whether the duty is assigned to this instance, not null
-     * @param areTargetsKnown whether the list of targets was read, not null
      * @param scaledServices the limits of the services whose engines are ordered, by name, not null
+     * @param areTargetsKnown whether the list of targets was read, not null
      * @param readyTargets returns the targets of a service that accept calls, not null
      * @param listedTargets returns all listed targets, draining or not, not null
      * @param loadOf returns the load of all instances at a target, by its id, not null
+     */
+    record Observed(
+            Supplier<SortedMap<String, ScalingLimits>> scaledServices,
+            BooleanSupplier areTargetsKnown,
+            Function<String, List<Incarnation>> readyTargets,
+            Supplier<List<Incarnation>> listedTargets,
+            Function<String, TargetLoad> loadOf) {}
+
+    /**
+     * The collaborators.
+     *
+     * @param ownName the name of this instance, not null
+     * @param isAssigned whether the duty is assigned to this instance, not null
+     * @param observed what is known of the services and their engines, not null
      * @param strategyFactory creates the strategy of a service, not null
      * @param plans the plans that were decided, by service, not null
      * @param planLog returns the log of a service's plans, in the same topic, not null
@@ -96,11 +108,7 @@
     record Dependencies(
             String ownName,
             BooleanSupplier isAssigned,
-            BooleanSupplier areTargetsKnown,
-            Supplier<SortedMap<String, ScalingLimits>> scaledServices,
-            Function<String, List<Incarnation>> readyTargets,
-            Supplier<List<Incarnation>> listedTargets,
-            Function<String, TargetLoad> loadOf,
+            Observed observed,
             Supplier<ScaleStrategy> strategyFactory,
             KeyedStream plans,
             Function<String, ConditionalLog> planLog,
@@ -149,9 +157,9 @@
 
     private void step() {
         SortedMap<String, ScalingLimits> services =
-                dependencies.scaledServices().get();
+                dependencies.observed().scaledServices().get();
         boolean isPrepared = !services.isEmpty()
-                && dependencies.areTargetsKnown().getAsBoolean()
+                && dependencies.observed().areTargetsKnown().getAsBoolean()
                 && dependencies.isAssigned().getAsBoolean();
         if (!isPrepared) {
             giveUp();
@@ -214,7 +222,7 @@
 
     /** Counts the listed engines, including those that change their stage or that this instance cannot reach. */
     private Map<String, Map<EnginePool, Integer>> countListed() {
-        return dependencies.listedTargets().get().stream()
+        return dependencies.observed().listedTargets().get().stream()
                 .filter(target -> !target.draining())
                 .collect(Collectors.groupingBy(Incarnation::service, countByPool()));
     }
@@ -228,11 +236,11 @@
 
     private Decision decide(
             String service, ScalingLimits limits, Map<EnginePool, Integer> listedCounts, long nowMillis) {
-        List<Incarnation> ready = dependencies.readyTargets().apply(service);
+        List<Incarnation> ready = dependencies.observed().readyTargets().apply(service);
         ScalePlan previous = lastPlans.map(plans -> plans.get(service)).orElse(ScalePlan.NONE);
         ScaleObservation observed = new ScaleObservation(
                 ready,
-                dependencies.loadOf(),
+                dependencies.observed().loadOf(),
                 previous,
                 ready.stream().collect(countByPool()),
                 ordersOf(service).unavailableUntilMillis(nowMillis));
--- a/src/main/java/org/dogwoodwinch/queueing/RoomEstimator.java
+++ b/src/main/java/org/dogwoodwinch/queueing/RoomEstimator.java
@@ -7,6 +7,7 @@
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.QueueLevel;
 import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetLoad;
 import org.dogwoodwinch.forwarding.TargetQuery;
@@ -33,9 +34,6 @@
     /** Part of slots and prefill queues that an owner above its share may fill. */
     private static final double ABOVE_SHARE_RATIO = 0.5;
 
-    /** A long prompt is prefilled in place only if this multiple of its prefill fits into a gap between two events. */
-    private static final double GAP_TO_PREFILL_RATIO = 2;
-
     private final TargetDirectory directory;
     private final LoadTracker loads;
     private final PrefillRates prefillRates;
@@ -146,6 +144,6 @@
     private boolean stallsStreams(TargetQuery query) {
         double prefillMillis = query.prompt().map(Prompt::inputTokens).orElse(0)
                 / prefillRates.tokensPerMilli(query.service().name(), Stage.DECODE);
-        return query.maxEventGapMillis() > 0 && prefillMillis * GAP_TO_PREFILL_RATIO > query.maxEventGapMillis();
+        return StreamStallCost.exceedsGap(prefillMillis, query.maxEventGapMillis());
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
+++ b/src/main/java/org/dogwoodwinch/relay/InFlightSend.java
@@ -73,14 +73,19 @@
 
     private WorkKind workKind(boolean hasPrompt) {
         if (hasPrompt) {
-            return WorkKind.ofPrompt(aheadTokens + prefillWork.prefillTokens());
+            return WorkKind.ofPrompt(promptTokens());
         }
         boolean isPlain = target.stage() == Stage.WHOLE && prefillWork.equals(ForwardingPlan.PrefillWork.NONE);
         return isPlain ? WorkKind.PLAIN : WorkKind.PREFILLED_PROMPT;
     }
 
+    /** Returns the tokens that the target prefills before the first event of this send. */
+    private long promptTokens() {
+        return aheadTokens + prefillWork.prefillTokens();
+    }
+
     private double promptMillis() {
-        return FIXED_PROMPT_MILLIS + (aheadTokens + prefillWork.prefillTokens()) / tokensPerMilli();
+        return FIXED_PROMPT_MILLIS + promptTokens() / tokensPerMilli();
     }
 
     /** Returns the runs that the send takes at the target, one after the other. */
@@ -98,7 +103,11 @@
     }
 
     long ageMillis() {
-        return context.time().monotonicMillis() - sentMillis;
+        return nowMillis() - sentMillis;
+    }
+
+    private long nowMillis() {
+        return context.time().monotonicMillis();
     }
 
     long aheadTokens() {
@@ -112,18 +121,18 @@
         if (attributes.isSuccess() && workKind == WorkKind.PLAIN) {
             recordTime();
         } else if (attributes.status() >= FIRST_SERVER_ERROR && !attributes.isRejected()) {
-            context.performance().recordFailure(target, true, sentMillis + ageMillis());
+            context.performance().recordFailure(target, true, nowMillis());
         }
     }
 
     /** Records that the response was lost. */
     void recordLost() {
         responded = true;
-        context.performance().recordFailure(target, false, sentMillis + ageMillis());
+        context.performance().recordFailure(target, false, nowMillis());
     }
 
     private void recordTime() {
-        context.performance().recordTime(target, workKind, Math.max(1, ageMillis()) / work, sentMillis + ageMillis());
+        context.performance().recordTime(target, workKind, Math.max(1, ageMillis()) / work, nowMillis());
     }
 
     /** Records that the prompt is prefilled and its segments are cached, and derives the target's prefill rate. */
@@ -137,15 +146,10 @@
         }
         prompt.ifPresent(read -> {
             // A slow engine's own time would make all engines of the service look slower than they are.
-            double timeRatio = context.performance()
-                    .standing(target, sentMillis + ageMillis())
-                    .timeRatio();
+            double timeRatio =
+                    context.performance().standing(target, nowMillis()).timeRatio();
             context.prefillRates()
-                    .observe(
-                            target.service(),
-                            target.stage(),
-                            aheadTokens + prefillWork.prefillTokens(),
-                            Math.round(ageMillis() / timeRatio));
+                    .observe(target.service(), target.stage(), promptTokens(), Math.round(ageMillis() / timeRatio));
             context.cacheIndex().recordPrefill(target.id(), read);
         });
     }
@@ -160,7 +164,7 @@
         if (maxEventGapMillis <= 0) {
             return;
         }
-        long nowMillis = context.time().monotonicMillis();
+        long nowMillis = nowMillis();
         double prefillMillis =
                 context.loads().totalAt(target.id()).prefillQueue().totalTokens() / tokensPerMilli();
         boolean longPrefill = StreamStallCost.exceedsGap(prefillMillis, maxEventGapMillis);
@@ -180,7 +184,7 @@
         open = false;
         settlePrefill();
         if (!responded) {
-            context.performance().recordUnanswered(target, workKind, ageMillis() / work, sentMillis + ageMillis());
+            context.performance().recordUnanswered(target, workKind, ageMillis() / work, nowMillis());
         }
         if (ranBesideLongPrefill) {
             context.stallCost().observe(target.service(), stalledByPrefill);
--- a/src/main/java/org/dogwoodwinch/scaling/EngineDemand.java
+++ b/src/main/java/org/dogwoodwinch/scaling/EngineDemand.java
@@ -11,8 +11,8 @@
 final class EngineDemand {
 
     /**
-     * Number of prompts, waiting behind another one, that count as the work of one more engine. A prompt of 17,000
-     * tokens takes about 150 ms, so that four of them use up the 500 ms in which urgent calls expect their first event.
+     * Number of prompts, waiting behind another one, that count as the work of one more engine. A long prompt takes more
+     * than a tenth of a second, so that four of them use up the half second in which urgent calls expect a first event.
      */
     private static final double WAITING_PROMPTS_PER_ENGINE = 4;
 
--- a/src/main/java/org/dogwoodwinch/scaling/RecordedPlan.java
+++ b/src/main/java/org/dogwoodwinch/scaling/RecordedPlan.java
@@ -24,6 +24,7 @@
 
     private static final int FIELD_COUNT = 2;
     private static final int POOL_FIELD_COUNT = 3;
+
     /** More engines than any pool has; a larger number shows that the record is corrupt. */
     private static final int MAX_COUNT = 1_000_000;
 
--- a/src/test/java/org/dogwoodwinch/daemon/ScaleOrdersTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ScaleOrdersTest.java
@@ -337,11 +337,7 @@
         assertEquals(3, platform.received.size());
     }
 
-    /**
-     * Failure: instances take the duty from each other, die, lose answers and the store comes back from copies, and a
-     * lower token follows a higher one, a token has two holders or is used again, holders take turns, or the engines
-     * never reach the plan. The platform checks each order.
-     */
+    /** Guards against lower tokens after higher ones, tokens of two holders and holders that take turns, under faults. */
     @Test
     void tokensRiseAndHoldersStayApartUnderFaults() {
         int receivedCount = 0;
--- a/src/test/java/org/dogwoodwinch/daemon/ScaledPlatform.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ScaledPlatform.java
@@ -114,13 +114,14 @@
                     new ScaleOrders.Dependencies(
                             name,
                             () -> isAssigned && isAlive,
-                            () -> knowsTargets,
-                            () -> services,
-                            ScaledPlatform.this::readyEngines,
-                            () -> services.keySet().stream()
-                                    .flatMap(service -> readyEngines(service).stream())
-                                    .toList(),
-                            _id -> TargetLoad.EMPTY,
+                            new ScaleOrders.Observed(
+                                    () -> services,
+                                    () -> knowsTargets,
+                                    ScaledPlatform.this::readyEngines,
+                                    () -> services.keySet().stream()
+                                            .flatMap(service -> readyEngines(service).stream())
+                                            .toList(),
+                                    _id -> TargetLoad.EMPTY),
                             () -> this::plan,
                             this,
                             key -> (content, end) -> append(key, content, end),
--- a/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SegmentGuardTest.java
@@ -292,15 +292,20 @@
         assertTrue(isServed(send("f1:100")));
     }
 
-    /** Guards against a lost call that ends a second target at once although its segment is suspected. */
-    @Test
-    void lostCallWithASuspectedSegmentIsNotSentAgain() {
+    /** Sends a call to one of two targets after another instance has told of a crash that its segment may have caused. */
+    private void sendCallWithSuspectedSegment() {
         relay.segmentGuard.onPeerCrash(
                 new CrashReport("gone", List.of(new BlamedSegment(new SegmentId("m", "bad"), false))), 0, "n2");
         relay.withPlainTarget("t1").withPlainTarget("t2");
         relay.connectCaller()
                 .send(RelayFixture.postRequest(
                         "/safe/p", "s", "Model: m\r\nToken-Count: 9,8\r\nPrompt-Prefix: bad:50,s:9\r\n", "s"));
+    }
+
+    /** Guards against a lost call that ends a second target at once although its segment is suspected. */
+    @Test
+    void lostCallWithASuspectedSegmentIsNotSentAgain() {
+        sendCallWithSuspectedSegment();
 
         relay.latestTargetConnection().close();
 
@@ -339,12 +344,7 @@
     /** Guards against a rejected call that is not sent again because its segment was in flight during one crash. */
     @Test
     void rejectedCallWithASuspectedSegmentIsSentAgain() {
-        relay.segmentGuard.onPeerCrash(
-                new CrashReport("gone", List.of(new BlamedSegment(new SegmentId("m", "bad"), false))), 0, "n2");
-        relay.withPlainTarget("t1").withPlainTarget("t2");
-        relay.connectCaller()
-                .send(RelayFixture.postRequest(
-                        "/safe/p", "s", "Model: m\r\nToken-Count: 9,8\r\nPrompt-Prefix: bad:50,s:9\r\n", "s"));
+        sendCallWithSuspectedSegment();
 
         relay.latestTargetConnection()
                 .respond("HTTP/1.1 503 Busy\r\nRequest-Id: s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
