Log how old the entries of targets are, and by whom they were read

Cause: the logs could not tell whether a removal was known late, was held back, or had been read by another instance: target_lapsed_in_outage and target_listed named neither the time since the acknowledgement nor the reader, and nothing showed how old the knowledge was by which a call was sent.

Change: StreamCoverage tracks the moment before which every acknowledged record has been delivered, StreamReading hands it to the follower with the source of the records. Both log lines carry maxAgeMillis and via; the histogram dogwoodwinch_target_entries_age_seconds and the line call_sent_on_old_entries show it at each send. TargetsReader depends on the interface TargetEvents instead of the whole service. No decision changes.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -14,6 +14,7 @@
 import java.util.function.UnaryOperator;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.follow.FollowerPolicy;
+import org.dogwoodwinch.follow.ReplicatedStream;
 import org.dogwoodwinch.follow.StreamFollower;
 import org.dogwoodwinch.forwarding.CrashingSegments;
 import org.dogwoodwinch.forwarding.EngineChooser;
@@ -63,6 +64,7 @@
 import org.dogwoodwinch.relay.SegmentGuard;
 import org.dogwoodwinch.relay.TakenOverCalls;
 import org.dogwoodwinch.relay.TargetConnector;
+import org.dogwoodwinch.relay.TargetEntriesAge;
 import org.dogwoodwinch.relay.TcpTargetConnector;
 import org.dogwoodwinch.request.QuarantineEndpoint;
 import org.dogwoodwinch.scaling.ScalePlanner;
@@ -285,6 +287,12 @@
                 metrics,
                 time);
         segmentSharing.start(segments);
+        ReplicatedStream targetEntries = fleet.streams()
+                .share(
+                        StoreClient.TARGETS_TOPIC,
+                        store.keyed(StoreClient.TARGETS_TOPIC),
+                        polling.targetsReplica(),
+                        TargetsReader::targetOf);
         this.service = new ForwardingService(
                 targetLinks.apply(new TcpTargetConnector(transport, connections)),
                 time,
@@ -325,6 +333,9 @@
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
                         streamBegins,
+                        new TargetEntriesAge(
+                                targetEntries::deliveredAgeMillis,
+                                settings.promises().drainMillis()),
                         new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         fleet::connectionSharerCount),
                 new Neighbours(
@@ -372,18 +383,13 @@
                         settings.promises().holdersApartMillis() + ORDER_SEPARATION_MARGIN_MILLIS),
                 time);
         this.targetsReader = new TargetsReader(
-                directory, service, metrics, time, settings.promises().drainMillis() * 4 / 5);
-        this.targets = new StreamFollower(
-                fleet.streams()
-                        .share(
-                                StoreClient.TARGETS_TOPIC,
-                                store.keyed(StoreClient.TARGETS_TOPIC),
-                                polling.targetsReplica(),
-                                TargetsReader::targetOf),
-                polling.targetsFollower(),
-                targetsReader,
+                directory,
+                service,
+                metrics,
                 time,
-                random);
+                targetEntries::lastReading,
+                settings.promises().drainMillis() * 4 / 5);
+        this.targets = new StreamFollower(targetEntries, polling.targetsFollower(), targetsReader, time, random);
         this.scaling = settings.duties()
                 .filter(duties -> duties.isAssigned(DutyClient.AUTOSCALE_DUTY))
                 .map(_duties -> new ScaleComponents(
--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -5,15 +5,17 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.StreamListener;
+import org.dogwoodwinch.follow.StreamReading;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.platform.TargetEntryDecoder;
 import org.dogwoodwinch.relay.ForwardingMetrics;
-import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.relay.TargetEvents;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,9 +37,10 @@
     private static final Logger log = LoggerFactory.getLogger(TargetsReader.class);
 
     private final TargetDirectory directory;
-    private final ForwardingService service;
+    private final TargetEvents events;
     private final ForwardingMetrics metrics;
     private final TimeSource time;
+    private final Supplier<StreamReading> reading;
     private final long expiryGraceMillis;
     private final Set<String> pendingExpiries = new HashSet<>();
     private long reconnectedAtMillis = Long.MIN_VALUE / 2;
@@ -45,16 +48,28 @@
     private boolean hasReadSnapshot;
     private boolean readingCopy;
 
+    /**
+     * Creates a reader.
+     *
+     * @param directory receives the entries, not null
+     * @param events notified of targets that change or leave, not null
+     * @param metrics counts the ready targets, not null
+     * @param time the clock and timers, not null
+     * @param reading supplies what is known of the records that are being handled, not null
+     * @param expiryGraceMillis how long a removal around an outage is held back
+     */
     TargetsReader(
             TargetDirectory directory,
-            ForwardingService service,
+            TargetEvents events,
             ForwardingMetrics metrics,
             TimeSource time,
+            Supplier<StreamReading> reading,
             long expiryGraceMillis) {
         this.directory = Objects.requireNonNull(directory, "directory");
-        this.service = Objects.requireNonNull(service, "service");
+        this.events = Objects.requireNonNull(events, "events");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.time = Objects.requireNonNull(time, "time");
+        this.reading = Objects.requireNonNull(reading, "reading");
         this.expiryGraceMillis = expiryGraceMillis;
     }
 
@@ -66,6 +81,7 @@
     @Override
     public void onRecord(KeyedRecord record) {
         Optional<Incarnation> listed = decode(record);
+        StreamReading readIn = reading.get();
         if (readingCopy && listed.isPresent() && directory.isRemoved(record.key())) {
             LogEvent.of("target_only_in_copy")
                     .with("target", record.key())
@@ -78,12 +94,15 @@
             LogEvent.of("target_lapsed_in_outage")
                     .with("target", record.key())
                     .with("offset", LogPosition.describe(record.offset()))
+                    .with("maxAgeMillis", maxAgeMillis(readIn))
+                    .with("via", readIn.source().label())
+                    .with("heldMillis", expiryGraceMillis)
                     .info(log);
-            time.schedule(expiryGraceMillis, () -> applyExpiry(record));
+            time.schedule(expiryGraceMillis, () -> applyExpiry(record, readIn));
             return;
         }
         pendingExpiries.remove(record.key());
-        apply(record.key(), record.offset(), listed);
+        apply(record.key(), record.offset(), listed, readIn);
     }
 
     /** Returns whether an expiry may be caused by an outage. A target that announced its stop gets no grace period. */
@@ -93,13 +112,13 @@
                 && directory.find(id).filter(target -> !target.draining()).isPresent();
     }
 
-    private void applyExpiry(KeyedRecord record) {
+    private void applyExpiry(KeyedRecord record, StreamReading readIn) {
         if (pendingExpiries.remove(record.key())) {
-            apply(record.key(), record.offset(), Optional.empty());
+            apply(record.key(), record.offset(), Optional.empty(), readIn);
         }
     }
 
-    private void apply(String id, long offset, Optional<Incarnation> listed) {
+    private void apply(String id, long offset, Optional<Incarnation> listed, StreamReading readIn) {
         Optional<Incarnation> previous = directory.find(id);
         boolean wasReady = previous.filter(target -> !target.draining()).isPresent();
         if (!directory.apply(id, offset, listed)) {
@@ -119,16 +138,23 @@
                         current.map(each -> each.draining() ? "leaving" : "ready")
                                 .orElse("gone"))
                 .with("bornMillis", current.map(Incarnation::startedMillis).orElse(0L))
+                .with("maxAgeMillis", maxAgeMillis(readIn))
+                .with("via", readIn.source().label())
                 .info(log);
         if (isRestarted(previous, current)) {
-            service.handleTargetRestart(id);
+            events.handleTargetRestart(id);
         }
         if (previous.isPresent() && !previous.map(Incarnation::stage).equals(current.map(Incarnation::stage))) {
-            service.handleStageChange(id);
+            events.handleStageChange(id);
         }
         updateAvailability(id, current, wasReady);
     }
 
+    /** Returns the longest time that may have passed since the records of a reading were acknowledged. */
+    private long maxAgeMillis(StreamReading readIn) {
+        return time.monotonicMillis() - readIn.acknowledgedAfterMillis();
+    }
+
     private static boolean isRestarted(Optional<Incarnation> previous, Optional<Incarnation> listed) {
         return previous.isPresent()
                 && listed.isPresent()
@@ -137,10 +163,10 @@
 
     private void updateAvailability(String id, Optional<Incarnation> listed, boolean wasReady) {
         if (listed.isEmpty() || listed.get().draining()) {
-            service.removeTarget(id);
+            events.removeTarget(id);
         }
         if (listed.isEmpty() && wasReady) {
-            service.handleTargetLost(id);
+            events.handleTargetLost(id);
         }
         metrics.setReadyTargets(directory.readyCount());
     }
--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -62,7 +62,9 @@
     private final Publisher publisher;
     private final RedundantRecordTracker redundantRecords;
     private final StreamBacklog backlog = new StreamBacklog(MAX_BACKLOG_RECORDS);
+    private final StreamCoverage coverage = new StreamCoverage();
     private final Map<String, KeyedRecord> delivered = new LinkedHashMap<>();
+    private StreamReading lastReading = StreamReading.NONE;
     private long era;
     private long deliveredEndOffset = -1;
     private boolean snapshotDelivered;
@@ -74,6 +76,7 @@
     private Optional<CompletableFuture<ReadResult>> pendingSnapshotRead = Optional.empty();
     private Optional<StreamUpdate> receivedSnapshot = Optional.empty();
     private long receivedSnapshotUntilMillis = Long.MIN_VALUE;
+    private long receivedSnapshotAsOfMillis = StreamCoverage.UNKNOWN_MILLIS;
 
     /**
      * Creates a stream.
@@ -141,7 +144,9 @@
                 if (page instanceof ReadResult.Unavailable) {
                     publisher.requestSnapshot();
                 }
-                deliveredPage(afterKey, page);
+                if (page instanceof ReadResult.Page stored) {
+                    deliveredPage(afterKey, stored, StreamReading.Source.STORE, lastContactMillis);
+                }
                 result.complete(page);
             }
         });
@@ -151,11 +156,11 @@
     @Override
     public CompletionStage<ReadResult> read(long fromOffset, long waitMillis) {
         if (LogPosition.era(fromOffset) < era) {
-            return CompletableFuture.completedFuture(delivered(new ReadResult.Expired()));
+            return CompletableFuture.completedFuture(delivered(new ReadResult.Expired(), StreamReading.Source.STORE));
         }
         Optional<ReadResult> known = backlog.read(fromOffset);
         if (known.isPresent()) {
-            return CompletableFuture.completedFuture(delivered(known.get()));
+            return CompletableFuture.completedFuture(delivered(known.get(), StreamReading.Source.UPDATE));
         }
         PendingRead newRead = new PendingRead(fromOffset, waitMillis);
         pendingRead = Optional.of(newRead);
@@ -237,6 +242,25 @@
         return lastAnyContactMillis == Long.MIN_VALUE ? -1 : Math.max(0, nowMillis - lastAnyContactMillis);
     }
 
+    /**
+     * Returns how long the delivered state is not known to be complete.
+     *
+     * @return milliseconds since a moment before which every acknowledged record has been delivered; very large before
+     *     any record was delivered
+     */
+    public long deliveredAgeMillis() {
+        return time.monotonicMillis() - coverage.coveredMillis();
+    }
+
+    /**
+     * Returns what is known of the records that were delivered last. A follower may ask while it handles them.
+     *
+     * @return the reading
+     */
+    public StreamReading lastReading() {
+        return lastReading;
+    }
+
     /**
      * Begins a new era of the store, unless it is already known: what was received of an earlier one is discarded, and a
      * pending read of an earlier one ends, so that the follower reads a snapshot.
@@ -261,7 +285,7 @@
         receivedSnapshot = Optional.empty();
         pendingRead
                 .filter(read -> LogPosition.era(read.fromOffset) < era)
-                .ifPresent(read -> complete(read, new ReadResult.Expired()));
+                .ifPresent(read -> complete(read, new ReadResult.Expired(), StreamReading.Source.STORE));
     }
 
     /** Returns whether a position belongs to the latest known era, after beginning a later one. */
@@ -281,12 +305,14 @@
         if (update.isSnapshot()) {
             receivedSnapshot = Optional.of(update);
             receivedSnapshotUntilMillis = time.monotonicMillis() + policy.maxAgeMillis();
+            receivedSnapshotAsOfMillis = time.monotonicMillis() - update.contactAgeMillis();
             if (pendingSnapshotRead.isPresent()) {
                 completeSnapshotRead(update);
             }
             return;
         }
         backlog.add(update.records(), update.firstOffset(), update.nextOffset());
+        coverage.recordEnd(update.nextOffset(), time.monotonicMillis() - update.contactAgeMillis());
         pendingRead.ifPresent(this::completeFromBacklog);
     }
 
@@ -300,7 +326,7 @@
         }
         Optional<ReadResult> known = backlog.read(read.fromOffset);
         if (known.isPresent()) {
-            complete(read, known.get());
+            complete(read, known.get(), StreamReading.Source.UPDATE);
         } else if (!read.readingPlatform && backlog.endsAfter(read.fromOffset)) {
             read.timer.cancel();
             readPlatform(read, 0);
@@ -312,7 +338,7 @@
         pendingSnapshotRead = Optional.empty();
         receivedSnapshot = Optional.empty();
         ReadResult.Page page = new ReadResult.Page(update.records(), false, update.nextOffset());
-        deliveredPage(Optional.empty(), page);
+        deliveredPage(Optional.empty(), page, StreamReading.Source.SNAPSHOT, receivedSnapshotAsOfMillis);
         LogEvent.of("stream_told_whole")
                 .with("stream", name)
                 .with("records", update.records().size())
@@ -344,11 +370,11 @@
         });
     }
 
-    private void complete(PendingRead read, ReadResult result) {
+    private void complete(PendingRead read, ReadResult result, StreamReading.Source source) {
         read.timer.cancel();
         pendingRead = pendingRead.filter(other -> other != read);
         if (!read.result.isDone()) {
-            read.result.complete(delivered(result));
+            read.result.complete(delivered(result, source));
         }
     }
 
@@ -365,9 +391,10 @@
             if (result instanceof ReadResult.Batch batch) {
                 boolean changed = redundantRecords.observe(read.fromOffset, batch.nextOffset(), batch.records());
                 backlog.add(batch.records(), read.fromOffset, batch.nextOffset());
+                coverage.recordEnd(batch.nextOffset(), lastContactMillis);
                 publishBatch(read.fromOffset, batch.nextOffset(), changed);
             }
-            complete(read, result);
+            complete(read, result, StreamReading.Source.STORE);
         });
     }
 
@@ -401,26 +428,32 @@
      * Records a result that is delivered to the follower, so that snapshots for other instances match what the follower
      * received.
      */
-    private ReadResult delivered(ReadResult result) {
+    private ReadResult delivered(ReadResult result, StreamReading.Source source) {
         if (result instanceof ReadResult.Batch batch) {
+            lastReading = new StreamReading(source, coverage.coveredMillis());
             batch.records().forEach(this::deliver);
             deliveredEndOffset = Math.max(deliveredEndOffset, batch.nextOffset());
+            coverage.recordDelivered(deliveredEndOffset);
         } else if (!(result instanceof ReadResult.Unavailable)) {
             snapshotDelivered = false;
         }
         return result;
     }
 
-    private void deliveredPage(Optional<String> afterKey, ReadResult result) {
-        if (!(result instanceof ReadResult.Page page)) {
-            return;
-        }
+    /** Later pages of a snapshot keep the reading of the first one, whose end offset is that of the snapshot. */
+    private void deliveredPage(
+            Optional<String> afterKey, ReadResult.Page page, StreamReading.Source source, long asOfMillis) {
         if (afterKey.isEmpty()) {
+            lastReading = new StreamReading(source, coverage.coveredMillis());
             delivered.clear();
             deliveredEndOffset = page.endOffset();
+            coverage.recordEnd(deliveredEndOffset, asOfMillis);
         }
         page.records().forEach(this::deliver);
         snapshotDelivered = !page.hasMore();
+        if (snapshotDelivered) {
+            coverage.recordDelivered(deliveredEndOffset);
+        }
     }
 
     private void deliver(KeyedRecord record) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -20,6 +20,9 @@
     private static final double[] LATENCY_SECONDS = {0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8, 15
     };
 
+    /** With the bounds within which a leaving target gets no more calls. */
+    private static final double[] ENTRIES_AGE_SECONDS = {0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 1.8, 2, 2.7, 3, 3.6, 4, 8};
+
     private final PrometheusRegistry registry;
     private final Counter answers;
     private final Counter refusals;
@@ -58,6 +61,7 @@
     private final Histogram callWait;
     private final Histogram firstByte;
     private final Histogram complete;
+    private final Histogram entriesAge;
 
     /**
      * Registers the metrics.
@@ -174,6 +178,10 @@
         this.callWait = histogram(
                 "dogwoodwinch_call_wait_seconds", "Arrival to the release of calls that had to wait for capacity.");
         this.firstByte = histogram("dogwoodwinch_forwarded_first_byte_seconds", "Arrival to the answer's first byte.");
+        this.entriesAge = histogram(
+                "dogwoodwinch_target_entries_age_seconds",
+                "How long the entries of targets were not known to be complete when a call was sent.",
+                ENTRIES_AGE_SECONDS);
         this.complete = histogram("dogwoodwinch_forwarded_whole_seconds", "Arrival to the answer's end.");
         configurationVersion.set(-1);
     }
@@ -386,8 +394,9 @@
         keptCalls.labelValues(reason).inc();
     }
 
-    void sent(String purpose, boolean limitedTarget) {
+    void sent(String purpose, boolean limitedTarget, long entriesAgeMillis) {
         sends.labelValues(purpose, Boolean.toString(limitedTarget)).inc();
+        entriesAge.observe(entriesAgeMillis / MILLIS_PER_SECOND);
     }
 
     void retryDecided(String service, String decision) {
@@ -428,11 +437,15 @@
     }
 
     private Histogram histogram(String name, String help) {
+        return histogram(name, help, LATENCY_SECONDS);
+    }
+
+    private Histogram histogram(String name, String help, double[] upperBoundsSeconds) {
         return Histogram.builder()
                 .name(name)
                 .help(help)
                 .classicOnly()
-                .classicUpperBounds(LATENCY_SECONDS)
+                .classicUpperBounds(upperBoundsSeconds)
                 .register(registry);
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -34,7 +34,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Forwards callers' requests to targets by the configuration in force. Confined to one event loop. */
-public final class ForwardingService implements RequestHandler {
+public final class ForwardingService implements RequestHandler, TargetEvents {
 
     private static final Logger log = LoggerFactory.getLogger(ForwardingService.class);
 
@@ -91,7 +91,7 @@
         this.random = Objects.requireNonNull(random, "random");
         this.time = Objects.requireNonNull(time, "time");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests());
+        this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests(), decisions.entriesAge());
         this.isolation = new TargetIsolation(() -> decisions.targets().get().size(), random);
         this.health = decisions.health();
         this.statements = decisions.statements();
@@ -295,35 +295,26 @@
         return routeTable.isPresent();
     }
 
-    /**
-     * Handles a target that disappeared without having announced that it drains.
-     *
-     * @param targetId its id, not null
-     */
+    @Override
     public void handleTargetLost(String targetId) {
         context.connectionAborts().removeTarget(targetId);
         context.statedLimits().removeTarget(targetId);
         context.suspicions().handleTargetLost(targetId);
     }
 
-    /**
-     * Handles a target that completed a stage change and accepts calls again.
-     *
-     * @param targetId its id, not null
-     */
+    @Override
     public void handleStageChange(String targetId) {
         health.endStageChange(targetId);
     }
 
     /**
-     * Handles a target that restarted under the same id and so lost all earlier state.
+     * {@inheritDoc}
      *
      * <p>Failure: state of the earlier incarnation is applied to the new one. Calls are routed to it for cached prompts
      * that it has to prefill again, pooled connections belong to a process that no longer exists, and the target is
      * avoided because of errors of the earlier incarnation.
-     *
-     * @param targetId its id, not null
      */
+    @Override
     public void handleTargetRestart(String targetId) {
         handleTargetLost(targetId);
         removeTarget(targetId);
@@ -371,11 +362,7 @@
         context.connections().closeIdle();
     }
 
-    /**
-     * Closes the idle connections to a target that is gone.
-     *
-     * @param targetId its id, not null
-     */
+    @Override
     public void removeTarget(String targetId) {
         context.connections().removeTarget(targetId);
     }
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -21,8 +21,10 @@
     private final ForwardingMetrics metrics;
     private final TargetRateLimits limits;
     private final TargetRests rests;
+    private final TargetEntriesAge entriesAge;
 
-    LoggingReport(ForwardingMetrics metrics, TargetRateLimits limits, TargetRests rests) {
+    LoggingReport(ForwardingMetrics metrics, TargetRateLimits limits, TargetRests rests, TargetEntriesAge entriesAge) {
+        this.entriesAge = Objects.requireNonNull(entriesAge, "entriesAge");
         this.rests = Objects.requireNonNull(rests, "rests");
         this.limits = Objects.requireNonNull(limits, "limits");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
@@ -116,7 +118,16 @@
             ForwardingPlan.PrefillWork prefillWork,
             long aheadTokens,
             SendPurpose purpose) {
-        metrics.sent(lowerCaseName(purpose), limits.isRateLimited(target.id()));
+        long ageMillis = entriesAge.ageMillis().getAsLong();
+        metrics.sent(lowerCaseName(purpose), limits.isRateLimited(target.id()), ageMillis);
+        if (entriesAge.isOld(ageMillis)) {
+            LogEvent.of("call_sent_on_old_entries")
+                    .with("request", requestId)
+                    .with("target", target.id())
+                    .with("ageMillis", ageMillis)
+                    .with("promisedMillis", entriesAge.promisedMillis())
+                    .info(log);
+        }
         if (log.isDebugEnabled()) {
             LogEvent.of("call_sent")
                     .with("request", requestId)
--- a/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayDecisions.java
@@ -40,6 +40,7 @@
  * @param connectionAborts tracks targets that close new connections without a response, not null
  * @param callStarts receives calls that began to run, for the usage of their owners, not null
  * @param streamOrigins the software versions that began the streams of all instances, not null
+ * @param entriesAge how old the entries of targets are, not null
  * @param room estimates whether targets can take a call, not null
  * @param sharingInstancesCount supplies the number of instances that share a target's connections, evaluated on
  *     each use, not null
@@ -64,5 +65,6 @@
         ConnectionAborts connectionAborts,
         CallStarts callStarts,
         StreamOrigins streamOrigins,
+        TargetEntriesAge entriesAge,
         RoomEstimator room,
         IntSupplier sharingInstancesCount) {}
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -12,6 +12,7 @@
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.LogPosition;
+import org.dogwoodwinch.follow.StreamReading;
 import org.dogwoodwinch.forwarding.CrashingSegments;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.KvCacheIndex;
@@ -43,6 +44,7 @@
 import org.dogwoodwinch.relay.SegmentGuard;
 import org.dogwoodwinch.relay.SegmentNews;
 import org.dogwoodwinch.relay.SegmentRecords;
+import org.dogwoodwinch.relay.TargetEntriesAge;
 import org.dogwoodwinch.relay.UnresponsiveEngineControl;
 import org.dogwoodwinch.request.Quarantine;
 import org.dogwoodwinch.time.VirtualTimeSource;
@@ -57,7 +59,12 @@
     private final TargetDirectory directory =
             new TargetDirectory(new TargetHealth(() -> 0), NoRateLimits.create(), NoRests.create());
     private final TargetsReader reader = new TargetsReader(
-            directory, createService(), new ForwardingMetrics(new PrometheusRegistry()), time, LAPSE_GRACE_MILLIS);
+            directory,
+            createService(),
+            new ForwardingMetrics(new PrometheusRegistry()),
+            time,
+            () -> new StreamReading(StreamReading.Source.STORE, time.monotonicMillis()),
+            LAPSE_GRACE_MILLIS);
     private long offset;
 
     private ForwardingService createService() {
@@ -96,6 +103,7 @@
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
                         new LocalStreamOrigins(),
+                        new TargetEntriesAge(() -> 0, 2_000),
                         new RoomEstimator(directory, loads, new PrefillRates(30), RoomEstimator.UPDATE_HORIZON_MILLIS),
                         () -> 1),
                 new Neighbours(
