Remove a target whose entry lapses twice around an outage

Callers saw: calls to a target that is gone, for as long as the process runs, if its entry lapsed twice within the grace period.

Cause: held back removals were remembered by target only. The first timer took the mark of the second removal, applied its own record, which the renewal had made obsolete, and the second timer found no mark.

Change: the pending removals are kept by their records, and a timer applies only its own.

Evidence: entryThatLapsesTwiceIsRemovedAfterSecondLapse fails on the code before (expected: <[]> but was: <[a]>) and passes with the change; the other 12 tests of TargetsReader pass.

--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -1,7 +1,8 @@
 package org.dogwoodwinch.daemon;
 
 import java.io.IOException;
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -42,7 +43,7 @@
     private final TimeSource time;
     private final Supplier<StreamReading> reading;
     private final long expiryGraceMillis;
-    private final Set<String> pendingExpiries = new HashSet<>();
+    private final Map<String, KeyedRecord> pendingExpiries = new HashMap<>();
     private long reconnectedAtMillis = Long.MIN_VALUE / 2;
     private boolean connected = true;
     private boolean hasReadSnapshot;
@@ -90,7 +91,7 @@
             return;
         }
         if (listed.isEmpty() && isExpiredInOutage(record.key())) {
-            pendingExpiries.add(record.key());
+            pendingExpiries.put(record.key(), record);
             LogEvent.of("target_lapsed_in_outage")
                     .with("target", record.key())
                     .with("offset", LogPosition.describe(record.offset()))
@@ -113,7 +114,7 @@
     }
 
     private void applyExpiry(KeyedRecord record, StreamReading readIn) {
-        if (pendingExpiries.remove(record.key())) {
+        if (pendingExpiries.remove(record.key(), record)) {
             apply(record.key(), record.offset(), Optional.empty(), readIn);
         }
     }
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -170,6 +170,21 @@
         assertEquals(List.of("a"), readyTargetIds());
     }
 
+    /** Failure: a target lapses, is renewed and lapses for good, and the second removal is lost with the first one. */
+    @Test
+    void entryThatLapsesTwiceIsRemovedAfterSecondLapse() {
+        putEntry("a", "ready");
+        reader.onDisconnected("timeout");
+        reader.onReconnected();
+        removeEntry("a");
+        time.advanceMillis(LAPSE_GRACE_MILLIS / 2);
+        putEntry("a", "ready");
+        removeEntry("a");
+        time.advanceMillis(LAPSE_GRACE_MILLIS);
+
+        assertEquals(List.of(), readyTargetIds());
+    }
+
     /** Failure: the store tells late what a target wrote before its answer, and the target gets calls again. */
     @Test
     void entryBehindAnswerKeepsLeavingTargetOut() {
