Forward records taken from another data centre to those that follow the relay

Callers saw: calls to targets that had left, up to 1.4 s longer than at the relay of the same data centre. With the time that a removal was held back this went beyond the drain time.

Cause: relays send their updates to each other. A relay that found such records in its backlog took them from there in place of a read, and published nothing, since only its own reads are published. The instances that follow it learned of them when they no longer relied on it, after the maximum age and their turn; while other data centres published at each pause, the relay did not read for seconds.

Change: a relay forwards what it has taken, within its data centre, at most one update in a read pause, so that its messages stay as many as with its own reads.

Evidence: recordsTakenFromOtherDataCentreAreForwardedInOwnOne failed on the code before (longest delay 1104 ms, 310 allowed) and passes.

--- a/src/main/java/org/dogwoodwinch/daemon/StorePolling.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StorePolling.java
@@ -77,6 +77,6 @@
     private ReplicaPolicy replica(long pauseMillis) {
         long maxReadMillis = settings.store().waitMillis() + pauseMillis;
         return new ReplicaPolicy(
-                maxReadMillis + REPLICA_AGE_MARGIN_MILLIS, TAKEOVER_STAGGER_MILLIS, MAX_TAKEOVER_STAGGERS);
+                maxReadMillis + REPLICA_AGE_MARGIN_MILLIS, TAKEOVER_STAGGER_MILLIS, MAX_TAKEOVER_STAGGERS, pauseMillis);
     }
 }
--- a/src/main/java/org/dogwoodwinch/follow/ReplicaPolicy.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicaPolicy.java
@@ -8,8 +8,10 @@
  *     that counts from an acknowledgement
  * @param takeoverStaggerMillis the additional takeover delay for each further position in the succession order
  * @param maxStaggers the maximum number of such delays, regardless of the number of instances
+ * @param readPauseMillis the pause between two reads of a reader, and the shortest time between two updates by which it
+ *     forwards records of another data centre
  */
-public record ReplicaPolicy(long maxAgeMillis, long takeoverStaggerMillis, int maxStaggers) {
+public record ReplicaPolicy(long maxAgeMillis, long takeoverStaggerMillis, int maxStaggers, long readPauseMillis) {
 
     /**
      * Returns how long an instance waits before it takes over reading, in addition to the maximum age of updates.
--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -71,6 +71,8 @@
     private long otherReaderFreshUntilMillis = Long.MIN_VALUE;
     private long lastContactMillis = Long.MIN_VALUE;
     private long lastPublishMillis = Long.MIN_VALUE;
+    private long takenContactMillis = Long.MIN_VALUE;
+    private boolean isForwardScheduled;
     private long unpublishedFromOffset = -1;
     private Optional<PendingRead> pendingRead = Optional.empty();
     private Optional<CompletableFuture<ReadResult>> pendingSnapshotRead = Optional.empty();
@@ -190,8 +192,9 @@
     }
 
     /**
-     * Processes an update from a reader in another data centre. It is forwarded within this data centre only if the
-     * reads of this data centre fail; otherwise these are as current, and the update is not forwarded.
+     * Processes an update from a reader in another data centre. If the reads of this data centre fail, its reader
+     * forwards each update; otherwise its own reads are as current, and it forwards only records that it has taken from
+     * an update.
      *
      * @param update the update, not null
      */
@@ -201,12 +204,62 @@
         }
         long currentAgeMillis = ageMillis();
         boolean ownReadsFail = currentAgeMillis < 0 || currentAgeMillis > policy.maxAgeMillis();
+        boolean isNewsTaken = update.nextOffset() > backlog.endOffset() && !isOwnReadUnderWay();
+        long takenFromOffset = Math.max(update.firstOffset(), backlog.endOffset());
         apply(update);
-        if (ownReadsFail && !isCoveredByOtherReader() && !update.isSnapshot()) {
+        if (update.isSnapshot() || isCoveredByOtherReader()) {
+            return;
+        }
+        if (ownReadsFail) {
             publisher.publish(update, false);
+        } else if (isNewsTaken) {
+            takenContactMillis = time.monotonicMillis() - update.contactAgeMillis();
+            scheduleForward(takenFromOffset);
         }
     }
 
+    /**
+     * Forwards records of another data centre within this one, at most one update in a read pause.
+     *
+     * <p>Failure: the reader has taken the records from another data centre, so it does not read them, and the instances
+     * that rely on it learn of them only once they no longer do.
+     */
+    private void scheduleForward(long fromOffset) {
+        markUnpublished(fromOffset);
+        if (!isForwardScheduled) {
+            isForwardScheduled = true;
+            long elapsedMillis = lastPublishMillis == Long.MIN_VALUE
+                    ? policy.readPauseMillis()
+                    : time.monotonicMillis() - lastPublishMillis;
+            time.schedule(Math.max(0, policy.readPauseMillis() - elapsedMillis), this::forwardUnpublished);
+        }
+    }
+
+    private void forwardUnpublished() {
+        isForwardScheduled = false;
+        if (unpublishedFromOffset >= 0 && !isCoveredByOtherReader()) {
+            long contactMillis = Math.max(lastContactMillis, takenContactMillis);
+            publishUnpublished(backlog.endOffset(), time.monotonicMillis() - contactMillis, false);
+        }
+    }
+
+    private void markUnpublished(long fromOffset) {
+        if (unpublishedFromOffset < 0 || unpublishedFromOffset > fromOffset) {
+            unpublishedFromOffset = fromOffset;
+        }
+    }
+
+    private void publishUnpublished(long nextOffset, long contactAgeMillis, boolean ownReading) {
+        long firstOffset = Math.max(unpublishedFromOffset, backlog.firstOffset());
+        List<KeyedRecord> records = backlog.recordsFrom(firstOffset).stream()
+                .filter(record -> !redundantRecords.isRedundant(record.offset()))
+                .toList();
+        lastPublishMillis = time.monotonicMillis();
+        unpublishedFromOffset = -1;
+        publisher.publish(
+                new StreamUpdate(name, false, records, firstOffset, nextOffset, contactAgeMillis), ownReading);
+    }
+
     /**
      * Returns a snapshot of the state that was delivered to the follower.
      *
@@ -321,7 +374,7 @@
      * since its reply is about to arrive.
      */
     private void completeFromBacklog(PendingRead read) {
-        if (read.readingPlatform && lastContactMillis > time.monotonicMillis() - policy.maxAgeMillis()) {
+        if (isOwnReadUnderWay()) {
             return;
         }
         Optional<ReadResult> known = backlog.read(read.fromOffset);
@@ -333,6 +386,11 @@
         }
     }
 
+    private boolean isOwnReadUnderWay() {
+        return pendingRead.filter(read -> read.readingPlatform).isPresent()
+                && lastContactMillis > time.monotonicMillis() - policy.maxAgeMillis();
+    }
+
     private void completeSnapshotRead(StreamUpdate update) {
         CompletableFuture<ReadResult> snapshotRead = pendingSnapshotRead.orElseThrow();
         pendingSnapshotRead = Optional.empty();
@@ -407,21 +465,13 @@
             unpublishedFromOffset = -1;
             return;
         }
-        if (unpublishedFromOffset < 0 || unpublishedFromOffset > fromOffset) {
-            unpublishedFromOffset = fromOffset;
-        }
+        markUnpublished(fromOffset);
         boolean isHeartbeatDue = lastPublishMillis == Long.MIN_VALUE
                 || time.monotonicMillis() - lastPublishMillis >= policy.maxAgeMillis() / HEARTBEATS_PER_MAX_AGE;
         if (!changed && !isHeartbeatDue) {
             return;
         }
-        long firstOffset = Math.max(unpublishedFromOffset, backlog.firstOffset());
-        List<KeyedRecord> records = backlog.recordsFrom(firstOffset).stream()
-                .filter(record -> !redundantRecords.isRedundant(record.offset()))
-                .toList();
-        lastPublishMillis = time.monotonicMillis();
-        unpublishedFromOffset = -1;
-        publisher.publish(new StreamUpdate(name, false, records, firstOffset, nextOffset, 0), true);
+        publishUnpublished(nextOffset, 0, true);
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/follow/StreamBacklog.java
+++ b/src/main/java/org/dogwoodwinch/follow/StreamBacklog.java
@@ -83,6 +83,11 @@
         return offset < endOffset;
     }
 
+    /** Returns the offset after the known range; -1 without one. */
+    long endOffset() {
+        return endOffset;
+    }
+
     /** Returns the offset at which the known range begins; -1 without one. */
     long firstOffset() {
         return firstOffset;
--- a/src/test/java/org/dogwoodwinch/daemon/StreamSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamSharingTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -25,6 +26,9 @@
     /** The time for which an instance must have been healthy before the delay bound applies to it again. */
     private static final long MIN_HEALTHY_MILLIS = 3_000;
 
+    /** Three read pauses: that of a reader, that of a forwarding relay, and that of an instance that follows it. */
+    private static final long MAX_FORWARDED_MILLIS = 310;
+
     private static final int SCHEDULE_COUNT = 200;
     private static final int STEP_COUNT = 12;
 
@@ -120,6 +124,36 @@
         });
     }
 
+    /** Guards against a relay that takes records from another data centre's relay and lets its own wait for a takeover. */
+    @Test
+    void recordsTakenFromOtherDataCentreAreForwardedInOwnOne() {
+        SimulatedFleet fleet = new SimulatedFleet(9, 3, 7);
+        fleet.time.advanceMillis(5_000);
+        shiftReadsOfRelays(fleet);
+        for (int i = 0; i < 60; i++) {
+            fleet.writeRecord();
+            fleet.time.advanceMillis(37);
+        }
+        fleet.time.advanceMillis(MAX_DELAY_MILLIS);
+
+        long worstMillis = fleet.members.stream()
+                .mapToLong(member -> worstDelayMillis(fleet, member, 1, 61))
+                .max()
+                .orElseThrow();
+        assertTrue(worstMillis <= MAX_FORWARDED_MILLIS, "longest delay " + worstMillis + " ms");
+    }
+
+    /** Lets the relays read at different moments, as those of a fleet whose instances start one after the other. */
+    private static void shiftReadsOfRelays(SimulatedFleet fleet) {
+        List<SimulatedFleet.Member> relays = List.of(fleet.relay("dc1"), fleet.relay("dc2"));
+        relays.forEach(relay -> relay.setPaused(true));
+        fleet.writeRecord();
+        for (SimulatedFleet.Member relay : relays) {
+            fleet.time.advanceMillis(35);
+            relay.setPaused(false);
+        }
+    }
+
     /** Each data centre has its own relay, which is replaced by another instance when it dies. */
     @Test
     void failedRelayIsReplaced() {
--- a/src/test/java/org/dogwoodwinch/follow/ReplicatedStreamEraTest.java
+++ b/src/test/java/org/dogwoodwinch/follow/ReplicatedStreamEraTest.java
@@ -34,7 +34,7 @@
                     return new CompletableFuture<>();
                 }
             },
-            new ReplicaPolicy(1_100, 75, 3),
+            new ReplicaPolicy(1_100, 75, 3, 100),
             time,
             () -> 1,
             new ReplicatedStream.Publisher() {
