Hold a removal back within the promised time, and only around an outage of the store

Callers saw: a call reached a target 2,010 ms after the store had acknowledged that it leaves; 2,000 ms are promised. And after an outage of the store, calls to sound targets ended for some hundred milliseconds.

Cause: an instance whose own read had failed took each removal of the next 1,600 ms for a lapse and held it back for 1,600 ms, counted from its reading, although all other instances reached the store. The promise counts from the acknowledgement, so what lay between the two, pauses and ways, came on top. 1,600 ms were also shorter than the two seconds after which the platform has the entries of sound targets back.

Change: StoreAvailability tells an outage from a failed read: the contacts of other instances count like its own. RemovalHold holds a removal back only after an outage; until the promised time if that can be kept at all, counted from the last moment at which the stream was known to be without it, and else until two seconds and the time of a read after the store's return. The two durations stand in StorePolling.

The tests of TargetsReader name the outage by what was observed in place of a call of onReconnected; what they assert stands, and two new ones hold the new bound.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -382,13 +382,8 @@
                         ORDER_VALIDITY_MILLIS,
                         settings.promises().holdersApartMillis() + ORDER_SEPARATION_MARGIN_MILLIS),
                 time);
-        this.targetsReader = new TargetsReader(
-                directory,
-                service,
-                metrics,
-                time,
-                targetEntries::lastReading,
-                settings.promises().drainMillis() * 4 / 5);
+        this.targetsReader =
+                new TargetsReader(directory, service, metrics, time, targetEntries::lastReading, polling.removalHold());
         this.targets = new StreamFollower(targetEntries, polling.targetsFollower(), targetsReader, time, random);
         this.scaling = settings.duties()
                 .filter(duties -> duties.isAssigned(DutyClient.AUTOSCALE_DUTY))
--- a/src/main/java/org/dogwoodwinch/daemon/StorePolling.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StorePolling.java
@@ -2,6 +2,7 @@
 
 import org.dogwoodwinch.follow.FollowerPolicy;
 import org.dogwoodwinch.follow.ReplicaPolicy;
+import org.dogwoodwinch.forwarding.RemovalHold;
 import org.dogwoodwinch.settings.ForwardingSettings;
 
 /** Derives from the settings how often an instance reads the streams of the platform's store. */
@@ -26,6 +27,14 @@
      */
     private static final int PAUSES_PER_DRAIN = 10;
 
+    /** Within which, as the platform states, the entries of sound targets are back after the store's return. */
+    private static final long ENTRY_RENEWAL_MILLIS = 2_000;
+
+    /** The part of a promised time by which it is kept; the rest is for the way of a call. */
+    private static final int USABLE_TENTHS = 9;
+
+    private static final int TENTHS = 10;
+
     private final ForwardingSettings settings;
 
     /**
@@ -62,6 +71,13 @@
         return replica(targetsPauseMillis());
     }
 
+    /** Returns how long the removal of a target around an outage of the store is held back. */
+    RemovalHold removalHold() {
+        return new RemovalHold(
+                settings.promises().drainMillis() * USABLE_TENTHS / TENTHS,
+                ENTRY_RENEWAL_MILLIS + targetsPauseMillis() + REPLICA_AGE_MARGIN_MILLIS);
+    }
+
     private long targetsPauseMillis() {
         return Math.max(settings.store().pauseMillis(), settings.promises().drainMillis() / PAUSES_PER_DRAIN);
     }
--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -9,9 +9,11 @@
 import java.util.function.Supplier;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.LogPosition;
+import org.dogwoodwinch.follow.StreamCoverage;
 import org.dogwoodwinch.follow.StreamListener;
 import org.dogwoodwinch.follow.StreamReading;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.RemovalHold;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.platform.TargetEntryDecoder;
@@ -26,12 +28,12 @@
  *
  * <p>Failure: during an outage of the store, entries of healthy targets expire because their renewals do not arrive.
  * When the store returns, all targets seem to be gone for a moment, and every call would be refused. The entries return
- * within about two seconds, so an expiry that is read just after an outage takes effect only after a grace period. The
- * grace period stays below the time within which a target that is really gone must get no more calls.
+ * within about two seconds, so a removal around an outage is held back ({@link RemovalHold}). A failed read of this
+ * instance is no outage as long as another instance reaches the store.
  *
  * <p>Failure: the store comes back from a copy, in which a target that was removed since is still listed, and calls are
  * sent to an address that nobody or another target has. Such an entry counts only when it is written again, which a
- * target that is alive does about once a second; and what the copy lacks is removed only after the grace period.
+ * target that is alive does about once a second; and what the copy lacks is removed only if it is not written again.
  */
 final class TargetsReader implements StreamListener {
 
@@ -42,10 +44,9 @@
     private final ForwardingMetrics metrics;
     private final TimeSource time;
     private final Supplier<StreamReading> reading;
-    private final long expiryGraceMillis;
+    private final RemovalHold hold;
     private final Map<String, KeyedRecord> pendingExpiries = new HashMap<>();
-    private long reconnectedAtMillis = Long.MIN_VALUE / 2;
-    private boolean connected = true;
+    private long copyReadMillis = StreamCoverage.UNKNOWN_MILLIS;
     private boolean hasReadSnapshot;
     private boolean readingCopy;
 
@@ -57,7 +58,7 @@
      * @param metrics counts the ready targets, not null
      * @param time the clock and timers, not null
      * @param reading supplies what is known of the records that are being handled, not null
-     * @param expiryGraceMillis how long a removal around an outage is held back
+     * @param hold decides how long a removal around an outage is held back, not null
      */
     TargetsReader(
             TargetDirectory directory,
@@ -65,13 +66,13 @@
             ForwardingMetrics metrics,
             TimeSource time,
             Supplier<StreamReading> reading,
-            long expiryGraceMillis) {
+            RemovalHold hold) {
         this.directory = Objects.requireNonNull(directory, "directory");
         this.events = Objects.requireNonNull(events, "events");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.time = Objects.requireNonNull(time, "time");
         this.reading = Objects.requireNonNull(reading, "reading");
-        this.expiryGraceMillis = expiryGraceMillis;
+        this.hold = Objects.requireNonNull(hold, "hold");
     }
 
     /** Returns whether the complete list was read at least once. */
@@ -90,27 +91,32 @@
                     .info(log);
             return;
         }
-        if (listed.isEmpty() && isExpiredInOutage(record.key())) {
+        long heldMillis = listed.isEmpty() ? heldMillis(record.key(), readIn) : 0;
+        if (heldMillis > 0) {
             pendingExpiries.put(record.key(), record);
             LogEvent.of("target_lapsed_in_outage")
                     .with("target", record.key())
                     .with("offset", LogPosition.describe(record.offset()))
                     .with("maxAgeMillis", maxAgeMillis(readIn))
                     .with("via", readIn.source().label())
-                    .with("heldMillis", expiryGraceMillis)
+                    .with("heldMillis", heldMillis)
                     .info(log);
-            time.schedule(expiryGraceMillis, () -> applyExpiry(record, readIn));
+            time.schedule(heldMillis, () -> applyExpiry(record, readIn));
             return;
         }
         pendingExpiries.remove(record.key());
         apply(record.key(), record.offset(), listed, readIn);
     }
 
-    /** Returns whether an expiry may be caused by an outage. A target that announced its stop gets no grace period. */
-    private boolean isExpiredInOutage(String id) {
-        boolean recentlyDisconnected = !connected || time.monotonicMillis() - reconnectedAtMillis < expiryGraceMillis;
-        return recentlyDisconnected
-                && directory.find(id).filter(target -> !target.draining()).isPresent();
+    /** Returns how long a removal is held back: not at all if the target announced its stop. */
+    private long heldMillis(String id, StreamReading readIn) {
+        return directory.find(id).filter(target -> !target.draining()).isPresent() ? heldMillis(readIn) : 0;
+    }
+
+    private long heldMillis(StreamReading readIn) {
+        long nowMillis = time.monotonicMillis();
+        long returnedMillis = Math.max(copyReadMillis, readIn.storeReturnedMillis());
+        return hold.heldUntilMillis(nowMillis, readIn.acknowledgedAfterMillis(), returnedMillis) - nowMillis;
     }
 
     private void applyExpiry(KeyedRecord record, StreamReading readIn) {
@@ -202,8 +208,9 @@
     public void onSnapshotComplete(Set<String> keys, long endOffset) {
         hasReadSnapshot = true;
         readingCopy = false;
-        if (time.monotonicMillis() - reconnectedAtMillis < expiryGraceMillis) {
-            time.schedule(expiryGraceMillis, () -> retainListed(keys, endOffset));
+        long heldMillis = heldMillis(reading.get());
+        if (heldMillis > 0) {
+            time.schedule(heldMillis, () -> retainListed(keys, endOffset));
         } else {
             retainListed(keys, endOffset);
         }
@@ -219,20 +226,17 @@
     @Override
     public void onStoreCameBack() {
         readingCopy = true;
-        reconnectedAtMillis = time.monotonicMillis();
+        copyReadMillis = time.monotonicMillis();
         LogEvent.of("store_came_back").with("stream", "targets").info(log);
     }
 
     @Override
     public void onReconnected() {
-        connected = true;
-        reconnectedAtMillis = time.monotonicMillis();
         LogEvent.of("store_regained").with("stream", "targets").info(log);
     }
 
     @Override
     public void onDisconnected(String reason) {
-        connected = false;
         LogEvent.of("store_lost")
                 .with("stream", "targets")
                 .with("reason", reason)
--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -63,6 +63,7 @@
     private final RedundantRecordTracker redundantRecords;
     private final StreamBacklog backlog = new StreamBacklog(MAX_BACKLOG_RECORDS);
     private final StreamCoverage coverage = new StreamCoverage();
+    private final StoreAvailability availability;
     private final Map<String, KeyedRecord> delivered = new LinkedHashMap<>();
     private StreamReading lastReading = StreamReading.NONE;
     private long era;
@@ -107,6 +108,7 @@
         this.ownRank = Objects.requireNonNull(ownRank, "ownRank");
         this.publisher = Objects.requireNonNull(publisher, "publisher");
         this.redundantRecords = new RedundantRecordTracker(stateFunction, MAX_BACKLOG_RECORDS);
+        this.availability = new StoreAvailability(policy.maxAgeMillis(), time.monotonicMillis());
     }
 
     /** Sends updates and snapshot requests to other instances. */
@@ -139,7 +141,7 @@
         platform.readSnapshotPage(afterKey).thenAccept(read -> {
             ReadResult page = withoutEarlierEra(read);
             if (!(page instanceof ReadResult.Unavailable)) {
-                lastContactMillis = time.monotonicMillis();
+                recordContact();
             }
             if (!result.isDone()) {
                 pendingSnapshotRead = Optional.empty();
@@ -354,7 +356,18 @@
         return read;
     }
 
+    private void recordContact() {
+        lastContactMillis = time.monotonicMillis();
+        availability.recordContact(lastContactMillis);
+    }
+
     private void apply(StreamUpdate update) {
+        long nowMillis = time.monotonicMillis();
+        if (update.contactAgeMillis() >= StreamUpdate.UNKNOWN_AGE_MILLIS) {
+            availability.recordContactOfUnknownAge(nowMillis);
+        } else {
+            availability.recordContact(nowMillis - update.contactAgeMillis());
+        }
         if (update.isSnapshot()) {
             receivedSnapshot = Optional.of(update);
             receivedSnapshotUntilMillis = time.monotonicMillis() + policy.maxAgeMillis();
@@ -444,7 +457,7 @@
                 return;
             }
             if (!(result instanceof ReadResult.Unavailable)) {
-                lastContactMillis = time.monotonicMillis();
+                recordContact();
             }
             if (result instanceof ReadResult.Batch batch) {
                 boolean changed = redundantRecords.observe(read.fromOffset, batch.nextOffset(), batch.records());
@@ -480,7 +493,7 @@
      */
     private ReadResult delivered(ReadResult result, StreamReading.Source source) {
         if (result instanceof ReadResult.Batch batch) {
-            lastReading = new StreamReading(source, coverage.coveredMillis());
+            lastReading = new StreamReading(source, coverage.coveredMillis(), availability.returnedMillis());
             batch.records().forEach(this::deliver);
             deliveredEndOffset = Math.max(deliveredEndOffset, batch.nextOffset());
             coverage.recordDelivered(deliveredEndOffset);
@@ -494,7 +507,7 @@
     private void deliveredPage(
             Optional<String> afterKey, ReadResult.Page page, StreamReading.Source source, long asOfMillis) {
         if (afterKey.isEmpty()) {
-            lastReading = new StreamReading(source, coverage.coveredMillis());
+            lastReading = new StreamReading(source, coverage.coveredMillis(), availability.returnedMillis());
             delivered.clear();
             deliveredEndOffset = page.endOffset();
             coverage.recordEnd(deliveredEndOffset, asOfMillis);
--- a/src/main/java/org/dogwoodwinch/follow/StreamCoverage.java
+++ b/src/main/java/org/dogwoodwinch/follow/StreamCoverage.java
@@ -4,10 +4,10 @@
  * Tracks up to which moment the records that were delivered to a follower are known to be complete: whatever was
  * acknowledged before it has been delivered. Times are monotonic milliseconds of this process. Not thread-safe.
  */
-final class StreamCoverage {
+public final class StreamCoverage {
 
-    /** The moment before anything is known; far enough from the limits of the type to be subtracted from. */
-    static final long UNKNOWN_MILLIS = Long.MIN_VALUE / 2;
+    /** The time of what is not known, before every other time; far enough from the limits of the type to be subtracted from. */
+    public static final long UNKNOWN_MILLIS = Long.MIN_VALUE / 2;
 
     private long coveredMillis = UNKNOWN_MILLIS;
     private long deliveredEndOffset = -1;
--- a/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
@@ -4,12 +4,14 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import java.util.function.LongUnaryOperator;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
@@ -22,6 +24,7 @@
 import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
 import org.dogwoodwinch.follow.ReplicaPolicy;
+import org.dogwoodwinch.follow.ReplicatedStream;
 import org.dogwoodwinch.follow.StreamFollower;
 import org.dogwoodwinch.follow.StreamListener;
 import org.dogwoodwinch.peer.PeerMember;
@@ -46,11 +49,13 @@
 
     private static final FollowerPolicy FOLLOWER_POLICY = new FollowerPolicy(600, 100, 50, 500);
     private static final ReplicaPolicy REPLICA_POLICY = new ReplicaPolicy(1_100, 75, 3, 100);
+    private static final Optional<Bytes> VALUE = Optional.of(Bytes.ofUtf8("v"));
 
     final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
     final List<Member> members = new ArrayList<>();
     private final UniformRandomProvider random;
-    private final List<Long> writtenAtMillis = new ArrayList<>();
+    private final StreamSetup setup;
+    private final List<StoredRecord> stored = new ArrayList<>();
     private int era;
     private final List<Runnable> pendingReads = new ArrayList<>();
     final Map<String, Integer> storeCallsByMember = new HashMap<>();
@@ -68,6 +73,15 @@
 
     /** Creates one instance for each entry, in the data centre that the entry names. */
     SimulatedFleet(List<String> dataCentres, long seed) {
+        this(
+                dataCentres,
+                seed,
+                new StreamSetup(FOLLOWER_POLICY, REPLICA_POLICY, _record -> new Object(), Optional.empty()));
+    }
+
+    /** Creates one instance for each entry, which follows the stream in a way of its own. */
+    SimulatedFleet(List<String> dataCentres, long seed, StreamSetup setup) {
+        this.setup = setup;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         for (int i = 0; i < dataCentres.size(); i++) {
             members.add(new Member("i" + i, dataCentres.get(i)));
@@ -77,7 +91,12 @@
 
     /** Appends a record to the store at the current time and completes the pending reads. */
     void writeRecord() {
-        writtenAtMillis.add(time.monotonicMillis());
+        write("k" + stored.size(), VALUE);
+    }
+
+    /** Appends a record of a key to the store at the current time and completes the pending reads. */
+    void write(String key, Optional<Bytes> value) {
+        stored.add(new StoredRecord(key, value, time.monotonicMillis()));
         List<Runnable> reads = List.copyOf(pendingReads);
         pendingReads.clear();
         reads.forEach(Runnable::run);
@@ -88,20 +107,20 @@
      * reads go on.
      */
     void loseLastRecords(int count) {
-        int remaining = Math.max(0, writtenAtMillis.size() - count);
-        writtenAtMillis.subList(remaining, writtenAtMillis.size()).clear();
+        int remaining = Math.max(0, stored.size() - count);
+        stored.subList(remaining, stored.size()).clear();
         era++;
     }
 
     /** Returns the positions of all records that the store holds. */
     List<Long> positions() {
-        return IntStream.range(0, writtenAtMillis.size())
+        return IntStream.range(0, stored.size())
                 .mapToObj(offset -> LogPosition.of(era, offset))
                 .toList();
     }
 
     long writtenAtMillis(long offset) {
-        return writtenAtMillis.get((int) offset);
+        return stored.get((int) offset).writtenMillis();
     }
 
     /** Returns the relay of a data centre, which reads the store for it. */
@@ -120,6 +139,7 @@
         RelayExchange exchange;
         final Map<Long, Long> appliedAtMillis = new HashMap<>();
         private StreamFollower follower;
+        ReplicatedStream stream;
         private int incarnation;
         private final Set<String> connectedTo = new HashSet<>();
         /** Whether the instance knows the addresses of the others without having read or received them. */
@@ -145,6 +165,13 @@
         long storeLatencyMillis = STORE_LATENCY_MILLIS;
 
         boolean storeUnreachable;
+
+        /** How the store treats the calls of this instance. */
+        StoreFault storeFault = StoreFault.NONE;
+
+        /** The number of calls after which {@link #storeFault} ends. */
+        int storeFaultCallsCount = Integer.MAX_VALUE;
+
         boolean dropsReceived;
         boolean dropsSent;
         boolean paused;
@@ -172,14 +199,21 @@
                             .toList(),
                     new SentBytesCounter(sentBytesByTopic));
             StreamSharing sharing = new StreamSharing(exchange, time);
+            this.stream = sharing.share(STREAM, new SimulatedStore(this), setup.replicaPolicy(), setup.content());
             this.follower = new StreamFollower(
-                    sharing.share(STREAM, new SimulatedStore(this), REPLICA_POLICY),
-                    FOLLOWER_POLICY,
-                    new AppliedRecordListener(this),
+                    stream,
+                    setup.followerPolicy(),
+                    setup.listeners()
+                            .map(listeners -> listeners.apply(this))
+                            .orElseGet(() -> new AppliedRecordListener(this)),
                     time,
                     random);
         }
 
+        VirtualTimeSource time() {
+            return time;
+        }
+
         void start() {
             follower.start();
             exchange.start();
@@ -261,6 +295,31 @@
         }
     }
 
+    /** How the store treats the calls of one instance. */
+    enum StoreFault {
+        NONE,
+        /** It refuses them at once. */
+        REFUSED,
+        /** It never answers them. */
+        SILENT
+    }
+
+    /**
+     * How the instances follow the stream.
+     *
+     * @param followerPolicy the polling intervals
+     * @param replicaPolicy the time limits for relying on another reader
+     * @param content extracts the content of a record; equal contents are not published again
+     * @param listeners creates the listener of an instance; empty for one that records when each offset was applied
+     */
+    record StreamSetup(
+            FollowerPolicy followerPolicy,
+            ReplicaPolicy replicaPolicy,
+            Function<KeyedRecord, Object> content,
+            Optional<Function<Member, StreamListener>> listeners) {}
+
+    private record StoredRecord(String key, Optional<Bytes> value, long writtenMillis) {}
+
     private static final class SentBytesCounter implements PeerObserver {
 
         private final Map<PeerTopic, Long> bytesByTopic;
@@ -285,21 +344,26 @@
 
         @Override
         public CompletionStage<ReadResult> readSnapshotPage(Optional<String> _afterKey) {
-            return completeLater(
-                    0, () -> new ReadResult.Page(recordsFrom(0), false, LogPosition.of(era, writtenAtMillis.size())));
+            return failedCall(0)
+                    .orElseGet(() -> completeLater(
+                            0, () -> new ReadResult.Page(newestRecords(), false, LogPosition.of(era, stored.size()))));
         }
 
         @Override
         public CompletionStage<ReadResult> read(long fromOffset, long waitMillis) {
             storeCallCount++;
             storeCallsByMember.merge(reader.name, 1, Integer::sum);
+            Optional<CompletionStage<ReadResult>> failed = failedCall(waitMillis);
+            if (failed.isPresent()) {
+                return failed.get();
+            }
             CompletableFuture<ReadResult> result = new CompletableFuture<>();
             Runnable[] completion = new Runnable[1];
             completion[0] = () -> {
                 pendingReads.remove(completion[0]);
                 completeLater(0, () -> readBatch(fromOffset)).thenAccept(result::complete);
             };
-            if (LogPosition.era(fromOffset) != era || LogPosition.offset(fromOffset) < writtenAtMillis.size()) {
+            if (LogPosition.era(fromOffset) != era || LogPosition.offset(fromOffset) < stored.size()) {
                 completion[0].run();
             } else {
                 pendingReads.add(completion[0]);
@@ -317,17 +381,44 @@
                 return new ReadResult.Expired();
             }
             long from = LogPosition.offset(fromOffset);
-            return new ReadResult.Batch(recordsFrom(from), LogPosition.of(era, Math.max(from, writtenAtMillis.size())));
+            return new ReadResult.Batch(recordsFrom(from), LogPosition.of(era, Math.max(from, stored.size())));
         }
 
         private List<KeyedRecord> recordsFrom(long fromOffset) {
             List<KeyedRecord> records = new ArrayList<>();
-            for (long offset = fromOffset; offset < writtenAtMillis.size(); offset++) {
-                records.add(new KeyedRecord("k" + offset, LogPosition.of(era, offset), Optional.of(Bytes.ofUtf8("v"))));
+            for (long offset = fromOffset; offset < stored.size(); offset++) {
+                StoredRecord record = stored.get((int) offset);
+                records.add(new KeyedRecord(record.key(), LogPosition.of(era, offset), record.value()));
             }
             return records;
         }
 
+        private List<KeyedRecord> newestRecords() {
+            Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+            for (KeyedRecord record : recordsFrom(0)) {
+                newest.remove(record.key());
+                if (record.value().isPresent()) {
+                    newest.put(record.key(), record);
+                }
+            }
+            return List.copyOf(newest.values());
+        }
+
+        /** Returns the failure of a call that the store refuses or never answers. */
+        private Optional<CompletionStage<ReadResult>> failedCall(long waitMillis) {
+            if (reader.storeFault == StoreFault.NONE || reader.storeFaultCallsCount <= 0) {
+                return Optional.empty();
+            }
+            reader.storeFaultCallsCount--;
+            CompletableFuture<ReadResult> result = new CompletableFuture<>();
+            boolean refused = reader.storeFault == StoreFault.REFUSED;
+            ReadResult outcome = new ReadResult.Unavailable(refused ? "status 429" : "timeout");
+            time.schedule(
+                    refused ? reader.storeLatencyMillis : waitMillis + STORE_TIMEOUT_MILLIS,
+                    () -> reader.runUnlessPaused(() -> result.complete(outcome)));
+            return Optional.of(result);
+        }
+
         private CompletionStage<ReadResult> completeLater(long extraDelayMillis, Supplier<ReadResult> resultSupplier) {
             CompletableFuture<ReadResult> result = new CompletableFuture<>();
             boolean unreachable = reader.storeUnreachable;
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -12,6 +12,7 @@
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.LogPosition;
+import org.dogwoodwinch.follow.StreamCoverage;
 import org.dogwoodwinch.follow.StreamReading;
 import org.dogwoodwinch.forwarding.CrashingSegments;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -23,6 +24,7 @@
 import org.dogwoodwinch.forwarding.PrefillRates;
 import org.dogwoodwinch.forwarding.Prompt;
 import org.dogwoodwinch.forwarding.PromptSegment;
+import org.dogwoodwinch.forwarding.RemovalHold;
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.StreamStallCost;
@@ -52,7 +54,8 @@
 
 class TargetsReaderTest {
 
-    private static final long LAPSE_GRACE_MILLIS = 1_600;
+    private static final long PROMISED_MILLIS = 1_800;
+    private static final long RENEWAL_MILLIS = 2_600;
 
     private final VirtualTimeSource time = new VirtualTimeSource(0);
     private final KvCacheIndex cacheIndex = new KvCacheIndex();
@@ -63,9 +66,11 @@
             createService(),
             new ForwardingMetrics(new PrometheusRegistry()),
             time,
-            () -> new StreamReading(StreamReading.Source.STORE, time.monotonicMillis()),
-            LAPSE_GRACE_MILLIS);
+            this::reading,
+            new RemovalHold(PROMISED_MILLIS, RENEWAL_MILLIS));
     private long offset;
+    private Optional<Long> acknowledgedAfterMillis = Optional.empty();
+    private long storeReturnedMillis = StreamCoverage.UNKNOWN_MILLIS;
 
     private ForwardingService createService() {
         LoadTracker loads = new LoadTracker();
@@ -111,6 +116,27 @@
                 new ForwardingMetrics(new PrometheusRegistry()));
     }
 
+    private StreamReading reading() {
+        return new StreamReading(
+                StreamReading.Source.STORE,
+                acknowledgedAfterMillis.orElseGet(time::monotonicMillis),
+                storeReturnedMillis);
+    }
+
+    /** Lets the reads fail for five seconds, in which no instance reaches the store. */
+    private void loseStore() {
+        long lostMillis = time.monotonicMillis();
+        failOwnReads();
+        acknowledgedAfterMillis = Optional.of(lostMillis);
+        storeReturnedMillis = time.monotonicMillis();
+    }
+
+    private void failOwnReads() {
+        reader.onDisconnected("timeout");
+        time.advanceMillis(5_000);
+        reader.onReconnected();
+    }
+
     private void putEntry(String id, String state) {
         String json = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"dc\",\"version\":\"v1\",\"slots\":6,"
                 + "\"state\":\"" + state + "\",\"coldLeftMs\":0,\"seq\":4}";
@@ -156,31 +182,53 @@
     void entryThatLapsedDuringOutageIsRemovedUnlessRenewed() {
         putEntry("a", "ready");
         putEntry("b", "ready");
-        reader.onDisconnected("timeout");
-        time.advanceMillis(5_000);
-        reader.onReconnected();
+        loseStore();
         removeEntry("a");
         removeEntry("b");
         assertEquals(List.of("a", "b"), readyTargetIds());
 
         time.advanceMillis(1_000);
         putEntry("a", "ready");
-        time.advanceMillis(LAPSE_GRACE_MILLIS);
+        time.advanceMillis(RENEWAL_MILLIS);
+
+        assertEquals(List.of("a"), readyTargetIds());
+    }
+
+    /** Failure: the store turned only this instance away, and a target that has left gets calls for longer than promised. */
+    @Test
+    void removalAfterOwnFailedReadsTakesEffectAtOnceWhileOthersReachStore() {
+        putEntry("a", "ready");
+        failOwnReads();
+        removeEntry("a");
 
+        assertEquals(List.of(), readyTargetIds());
+    }
+
+    /** Failure: a removal that is read late is held back for as long as one that is read early. */
+    @Test
+    void removalAcknowledgedAfterStoreReturnedIsHeldWithinPromisedTime() {
+        putEntry("a", "ready");
+        loseStore();
+        acknowledgedAfterMillis = Optional.of(time.monotonicMillis());
+        time.advanceMillis(500);
+        removeEntry("a");
+        time.advanceMillis(PROMISED_MILLIS - 501);
         assertEquals(List.of("a"), readyTargetIds());
+
+        time.advanceMillis(1);
+        assertEquals(List.of(), readyTargetIds());
     }
 
     /** Failure: a target lapses, is renewed and lapses for good, and the second removal is lost with the first one. */
     @Test
     void entryThatLapsesTwiceIsRemovedAfterSecondLapse() {
         putEntry("a", "ready");
-        reader.onDisconnected("timeout");
-        reader.onReconnected();
+        loseStore();
         removeEntry("a");
-        time.advanceMillis(LAPSE_GRACE_MILLIS / 2);
+        time.advanceMillis(RENEWAL_MILLIS / 2);
         putEntry("a", "ready");
         removeEntry("a");
-        time.advanceMillis(LAPSE_GRACE_MILLIS);
+        time.advanceMillis(RENEWAL_MILLIS);
 
         assertEquals(List.of(), readyTargetIds());
     }
@@ -191,12 +239,10 @@
         putEntryWithStartTime("a", "10.0.0.1:80", 5_000);
         directory.recordLeaving("a", 5_000);
 
-        reader.onDisconnected("timeout");
-        time.advanceMillis(13_000);
-        reader.onReconnected();
+        loseStore();
         putEntryWithStartTime("a", "10.0.0.1:80", 5_000);
         removeEntry("a");
-        time.advanceMillis(LAPSE_GRACE_MILLIS);
+        time.advanceMillis(RENEWAL_MILLIS);
         putEntryWithStartTime("a", "10.0.0.1:80", 5_000);
         assertEquals(List.of(), readyTargetIds());
 
@@ -216,9 +262,9 @@
         reader.onSnapshotComplete(Set.of("c"), offset);
         assertEquals(List.of("a", "b", "c"), readyTargetIds());
 
-        time.advanceMillis(LAPSE_GRACE_MILLIS / 2);
+        time.advanceMillis(RENEWAL_MILLIS / 2);
         putEntry("a", "ready");
-        time.advanceMillis(LAPSE_GRACE_MILLIS);
+        time.advanceMillis(RENEWAL_MILLIS);
 
         assertEquals(List.of("a", "c"), readyTargetIds());
     }
@@ -246,15 +292,13 @@
     void snapshotAfterOutageTakesEffectAfterGracePeriod() {
         putEntry("a", "ready");
         putEntry("b", "ready");
-        reader.onDisconnected("timeout");
-        time.advanceMillis(5_000);
-        reader.onReconnected();
+        loseStore();
         offset = 20;
         reader.onSnapshotComplete(Set.of(), 20);
         assertEquals(List.of("a", "b"), readyTargetIds());
 
         putEntry("a", "ready");
-        time.advanceMillis(LAPSE_GRACE_MILLIS);
+        time.advanceMillis(RENEWAL_MILLIS);
 
         assertEquals(List.of("a"), readyTargetIds());
     }
@@ -264,8 +308,7 @@
     void drainingTargetIsRemovedImmediately() {
         putEntry("a", "ready");
         putEntry("a", "draining");
-        reader.onDisconnected("timeout");
-        reader.onReconnected();
+        loseStore();
         removeEntry("a");
 
         assertTrue(directory.find("a").isEmpty());
