Log one call a second that is sent on old entries

Change: one line a second, with the number of calls that wrote none.

Measured: CallRelayTest passes; the number of lines was not measured again.

--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -91,7 +91,7 @@
         this.random = Objects.requireNonNull(random, "random");
         this.time = Objects.requireNonNull(time, "time");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests(), decisions.entriesAge());
+        this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests(), decisions.entriesAge(), time);
         this.isolation = new TargetIsolation(() -> decisions.targets().get().size(), random);
         this.health = decisions.health();
         this.statements = decisions.statements();
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -10,6 +10,7 @@
 import org.dogwoodwinch.forwarding.TargetRateLimits;
 import org.dogwoodwinch.forwarding.TargetRests;
 import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -17,13 +18,23 @@
 final class LoggingReport implements RelayReport {
 
     private static final Logger log = LoggerFactory.getLogger(LoggingReport.class);
+    private static final long OLD_ENTRIES_LOG_MILLIS = 1_000;
 
     private final ForwardingMetrics metrics;
     private final TargetRateLimits limits;
     private final TargetRests rests;
     private final TargetEntriesAge entriesAge;
+    private final TimeSource time;
+    private long lastOldEntriesLogMillis = Long.MIN_VALUE / 2;
+    private int unloggedOldEntriesCount;
 
-    LoggingReport(ForwardingMetrics metrics, TargetRateLimits limits, TargetRests rests, TargetEntriesAge entriesAge) {
+    LoggingReport(
+            ForwardingMetrics metrics,
+            TargetRateLimits limits,
+            TargetRests rests,
+            TargetEntriesAge entriesAge,
+            TimeSource time) {
+        this.time = Objects.requireNonNull(time, "time");
         this.entriesAge = Objects.requireNonNull(entriesAge, "entriesAge");
         this.rests = Objects.requireNonNull(rests, "rests");
         this.limits = Objects.requireNonNull(limits, "limits");
@@ -121,12 +132,7 @@
         long ageMillis = entriesAge.ageMillis().getAsLong();
         metrics.sent(lowerCaseName(purpose), limits.isRateLimited(target.id()), ageMillis);
         if (entriesAge.isOld(ageMillis)) {
-            LogEvent.of("call_sent_on_old_entries")
-                    .with("request", requestId)
-                    .with("target", target.id())
-                    .with("ageMillis", ageMillis)
-                    .with("promisedMillis", entriesAge.promisedMillis())
-                    .info(log);
+            logSentOnOldEntries(requestId, target, ageMillis);
         }
         if (log.isDebugEnabled()) {
             LogEvent.of("call_sent")
@@ -145,6 +151,24 @@
         }
     }
 
+    /** While the store is away each call is sent so; one in a second is enough to show it. */
+    private void logSentOnOldEntries(String requestId, Incarnation target, long ageMillis) {
+        long nowMillis = time.monotonicMillis();
+        if (nowMillis - lastOldEntriesLogMillis < OLD_ENTRIES_LOG_MILLIS) {
+            unloggedOldEntriesCount++;
+            return;
+        }
+        LogEvent.of("call_sent_on_old_entries")
+                .with("request", requestId)
+                .with("target", target.id())
+                .with("ageMillis", ageMillis)
+                .with("promisedMillis", entriesAge.promisedMillis())
+                .with("unlogged", unloggedOldEntriesCount)
+                .info(log);
+        lastOldEntriesLogMillis = nowMillis;
+        unloggedOldEntriesCount = 0;
+    }
+
     @Override
     public void keptFromTarget(String requestId, Incarnation target, SendCheck check) {
         boolean left = check == SendCheck.LEFT;
