Let the tests of late answers and of a back-off see what they are for

Cause: the mutant that does not end a back-off passed, as the test failed one of two reads under way; the delay of the late answers was below the maximum age.

Change: each failed read is failed when it is sent; the answers are 900 ms late.

Measured: the mutant fails updateDuringBackOffIsAppliedAtOnce. A contact that is dated when its answer is handled fails cutAnswerIsFollowedByNextReadAtOnce only: the fleet of the tests kept the drain time with it.

--- a/src/test/java/org/dogwoodwinch/daemon/ArrivedUpdatesTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/ArrivedUpdatesTest.java
@@ -53,9 +53,10 @@
     /** Guards against records that wait for the back-off of an instance that the store turns away. */
     @Test
     void updateDuringBackOffIsAppliedAtOnce() {
-        for (int i = 0; i < 6; i++) {
-            pendingRead.complete(new ReadResult.Unavailable("status 429"));
-            time.advanceMillis(i < 5 ? 500 : 1);
+        for (int failuresCount = 0; failuresCount < 6; time.advanceMillis(1)) {
+            if (pendingRead.complete(new ReadResult.Unavailable("status 429"))) {
+                failuresCount++;
+            }
         }
         stream.onUpdate(new StreamUpdate("s", false, List.of(record("a", 3)), 3, 4, 0), false);
 
--- a/src/test/java/org/dogwoodwinch/daemon/LeavingTargetsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/LeavingTargetsTest.java
@@ -20,6 +20,9 @@
     /** What the platform states of entries that lapsed while the store was away. */
     private static final long MAX_RENEWAL_MILLIS = 2_000;
 
+    /** Less than the time limit of a read that the store may hold. */
+    private static final long LATE_ANSWER_MILLIS = 900;
+
     private static final int SCHEDULES_COUNT = 12;
     private static final int STEPS_COUNT = 10;
 
@@ -92,13 +95,14 @@
     @Test
     void stateFromLateAnswersIsNotTakenForCurrent() {
         long worstMillis = 0;
-        for (int delayMillis = 0; delayMillis < 1_200; delayMillis += 50) {
+        for (int delayMillis = 0; delayMillis < 1_600; delayMillis += 10) {
             TargetFleet fleet = new TargetFleet(9, 3, delayMillis);
             fleet.advanceMillis(5_000);
             SimulatedFleet.Member relay = fleet.relay("dc0");
-            relay.storeLatencyMillis = 900;
+            relay.storeLatencyMillis = LATE_ANSWER_MILLIS;
             fleet.advanceMillis(3_000 + delayMillis);
             fleet.leave("t0", true);
+            fleet.advanceMillis(LATE_ANSWER_MILLIS - 5);
             relay.setIsolated(true);
             fleet.advanceMillis(3 * DRAIN_MILLIS);
             worstMillis = Math.max(worstMillis, fleet.worstDelayMillis("t0", member -> member != relay));
