Split the publishing and the delivered records off the replicated stream

Change: UpdatePublisher and DeliveredRecords hold the last two. An update carries the latest contact that its records are complete for, read here or taken; before, a forwarded update did and an own one carried the own contact alone. No other change of behaviour.

Measured: 86 tests of follow, LeavingTargets, ArrivedUpdates, StreamSharing, StoreCopy, WarmStart, DelayedUpdates, RelayBandwidth, SlowLink, StorePolling and ForwardingDaemon pass.

--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -1,8 +1,5 @@
 package org.dogwoodwinch.follow;
 
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -54,32 +51,21 @@
      */
     private static final int MAX_BACKLOG_RECORDS = 256;
 
-    /** The number of updates that a reader publishes within the maximum update age when there are no changes. */
-    private static final int HEARTBEATS_PER_MAX_AGE = 2;
-
     private final String name;
     private final KeyedStream platform;
     private final ReplicaPolicy policy;
     private final TimeSource time;
     private final IntSupplier ownRank;
     private final Publisher publisher;
-    private final RedundantRecordTracker redundantRecords;
     private final StreamBacklog backlog = new StreamBacklog(MAX_BACKLOG_RECORDS);
-    private final StreamCoverage coverage = new StreamCoverage();
     private final StoreAvailability availability;
-    private final Map<String, KeyedRecord> delivered = new LinkedHashMap<>();
-    private StreamReading lastReading = StreamReading.NONE;
+    private final DeliveredRecords delivered;
+    private final UpdatePublisher updates;
     private Runnable recordsListener = () -> {};
     private long era;
-    private long deliveredEndOffset = -1;
-    private boolean snapshotDelivered;
     private long otherReaderFreshUntilMillis = Long.MIN_VALUE;
     private long lastContactMillis = StreamCoverage.UNKNOWN_MILLIS;
     private long nextReadMillis = Long.MIN_VALUE / 2;
-    private long lastPublishMillis = Long.MIN_VALUE;
-    private long takenContactMillis = StreamCoverage.UNKNOWN_MILLIS;
-    private boolean isForwardScheduled;
-    private long unpublishedFromOffset = -1;
     private Optional<PendingRead> pendingRead = Optional.empty();
     private Optional<CompletableFuture<ReadResult>> pendingSnapshotRead = Optional.empty();
     private Optional<StreamUpdate> receivedSnapshot = Optional.empty();
@@ -112,8 +98,17 @@
         this.time = Objects.requireNonNull(time, "time");
         this.ownRank = Objects.requireNonNull(ownRank, "ownRank");
         this.publisher = Objects.requireNonNull(publisher, "publisher");
-        this.redundantRecords = new RedundantRecordTracker(stateFunction, MAX_BACKLOG_RECORDS);
         this.availability = new StoreAvailability(policy.maxAgeMillis(), time.monotonicMillis());
+        this.delivered = new DeliveredRecords(availability);
+        this.updates = new UpdatePublisher(
+                name,
+                policy,
+                time,
+                backlog,
+                publisher,
+                this::isCoveredByOtherReader,
+                stateFunction,
+                MAX_BACKLOG_RECORDS);
     }
 
     /** Sends updates and snapshot requests to other instances. */
@@ -155,7 +150,7 @@
                     publisher.requestSnapshot();
                 }
                 if (page instanceof ReadResult.Page stored) {
-                    deliveredPage(afterKey, stored, StreamReading.Source.STORE, sentMillis);
+                    delivered.addPage(afterKey.isEmpty(), stored, StreamReading.Source.STORE, sentMillis);
                 }
                 result.complete(page);
             }
@@ -222,71 +217,23 @@
         if (ownReadsFail) {
             publisher.publish(update, false);
         } else if (isNewsTaken) {
-            takenContactMillis = time.monotonicMillis() - update.contactAgeMillis();
-            scheduleForward(takenFromOffset);
-        }
-    }
-
-    /**
-     * Forwards records of another data centre within this one, at most one update in a read pause.
-     *
-     * <p>Failure: the reader has taken the records from another data centre, so it does not read them, and the instances
-     * that rely on it learn of them only once they no longer do.
-     */
-    private void scheduleForward(long fromOffset) {
-        markUnpublished(fromOffset);
-        if (!isForwardScheduled) {
-            isForwardScheduled = true;
-            long elapsedMillis = lastPublishMillis == Long.MIN_VALUE
-                    ? policy.readPauseMillis()
-                    : time.monotonicMillis() - lastPublishMillis;
-            time.schedule(Math.max(0, policy.readPauseMillis() - elapsedMillis), this::forwardUnpublished);
-        }
-    }
-
-    private void forwardUnpublished() {
-        isForwardScheduled = false;
-        if (unpublishedFromOffset >= 0 && !isCoveredByOtherReader()) {
-            long contactMillis = Math.max(lastContactMillis, takenContactMillis);
-            publishUnpublished(backlog.endOffset(), time.monotonicMillis() - contactMillis, false);
-        }
-    }
-
-    private void markUnpublished(long fromOffset) {
-        if (unpublishedFromOffset < 0 || unpublishedFromOffset > fromOffset) {
-            unpublishedFromOffset = fromOffset;
+            updates.recordContact(time.monotonicMillis() - update.contactAgeMillis());
+            updates.forwardFrom(takenFromOffset);
         }
     }
 
-    private void publishUnpublished(long nextOffset, long contactAgeMillis, boolean ownReading) {
-        long firstOffset = Math.max(unpublishedFromOffset, backlog.firstOffset());
-        List<KeyedRecord> records = backlog.recordsFrom(firstOffset).stream()
-                .filter(record -> !redundantRecords.isRedundant(record.offset()))
-                .toList();
-        lastPublishMillis = time.monotonicMillis();
-        unpublishedFromOffset = -1;
-        publisher.publish(
-                new StreamUpdate(name, false, records, firstOffset, nextOffset, contactAgeMillis), ownReading);
-    }
-
     /**
      * Returns a snapshot of the state that was delivered to the follower.
      *
      * @return the newest record of each key, empty before the first complete snapshot
      */
     public Optional<StreamUpdate> snapshot() {
-        if (!snapshotDelivered) {
-            return Optional.empty();
-        }
-        List<KeyedRecord> records = List.copyOf(delivered.values());
         long ageMillis = ageMillis();
-        return Optional.of(new StreamUpdate(
-                name,
-                true,
-                records,
-                deliveredEndOffset,
-                deliveredEndOffset,
-                ageMillis < 0 ? StreamUpdate.UNKNOWN_AGE_MILLIS : ageMillis));
+        long publishedAgeMillis = ageMillis < 0 ? StreamUpdate.UNKNOWN_AGE_MILLIS : ageMillis;
+        return delivered
+                .snapshot()
+                .map(records -> new StreamUpdate(
+                        name, true, records, delivered.endOffset(), delivered.endOffset(), publishedAgeMillis));
     }
 
     /**
@@ -313,7 +260,7 @@
      *     any record was delivered
      */
     public long deliveredAgeMillis() {
-        return time.monotonicMillis() - coverage.coveredMillis();
+        return time.monotonicMillis() - delivered.coveredMillis();
     }
 
     /**
@@ -322,7 +269,7 @@
      * @return the reading
      */
     public StreamReading lastReading() {
-        return lastReading;
+        return delivered.lastReading();
     }
 
     /**
@@ -344,7 +291,7 @@
                 .info(log);
         era = newEra;
         backlog.clear();
-        unpublishedFromOffset = -1;
+        updates.clear();
         otherReaderFreshUntilMillis = Long.MIN_VALUE;
         receivedSnapshot = Optional.empty();
         pendingRead
@@ -375,6 +322,7 @@
      */
     private void recordContact(long asOfMillis) {
         lastContactMillis = Math.max(lastContactMillis, asOfMillis);
+        updates.recordContact(asOfMillis);
         availability.recordContact(asOfMillis);
     }
 
@@ -395,10 +343,10 @@
             return;
         }
         backlog.add(update.records(), update.firstOffset(), update.nextOffset());
-        coverage.recordEnd(update.nextOffset(), time.monotonicMillis() - update.contactAgeMillis());
+        delivered.recordEnd(update.nextOffset(), time.monotonicMillis() - update.contactAgeMillis());
         if (pendingRead.isPresent()) {
             completeFromBacklog(pendingRead.get());
-        } else if (backlog.read(deliveredEndOffset).isPresent()) {
+        } else if (backlog.read(delivered.endOffset()).isPresent()) {
             recordsListener.run();
         }
     }
@@ -430,7 +378,7 @@
         pendingSnapshotRead = Optional.empty();
         receivedSnapshot = Optional.empty();
         ReadResult.Page page = new ReadResult.Page(update.records(), false, update.nextOffset());
-        deliveredPage(Optional.empty(), page, StreamReading.Source.SNAPSHOT, receivedSnapshotAsOfMillis);
+        delivered.addPage(true, page, StreamReading.Source.SNAPSHOT, receivedSnapshotAsOfMillis);
         LogEvent.of("stream_told_whole")
                 .with("stream", name)
                 .with("records", update.records().size())
@@ -520,7 +468,7 @@
     }
 
     private void processBatch(long fromOffset, ReadResult.Batch batch, long asOfMillis) {
-        coverage.recordEnd(batch.endOffset(), asOfMillis);
+        delivered.recordEnd(batch.endOffset(), asOfMillis);
         if (batch.isCut()) {
             availability.recordContact(asOfMillis);
             nextReadMillis = time.monotonicMillis();
@@ -528,27 +476,8 @@
             recordContact(asOfMillis);
             nextReadMillis = time.monotonicMillis() + policy.readPauseMillis();
         }
-        boolean changed = redundantRecords.observe(fromOffset, batch.nextOffset(), batch.records());
         backlog.add(batch.records(), fromOffset, batch.nextOffset());
-        publishBatch(fromOffset, batch.nextOffset(), changed);
-    }
-
-    /**
-     * Publishes a batch: immediately if it contains changes, otherwise as a heartbeat, which carries the current
-     * offset, before the last update becomes too old.
-     */
-    private void publishBatch(long fromOffset, long nextOffset, boolean changed) {
-        if (isCoveredByOtherReader()) {
-            unpublishedFromOffset = -1;
-            return;
-        }
-        markUnpublished(fromOffset);
-        boolean isHeartbeatDue = lastPublishMillis == Long.MIN_VALUE
-                || time.monotonicMillis() - lastPublishMillis >= policy.maxAgeMillis() / HEARTBEATS_PER_MAX_AGE;
-        if (!changed && !isHeartbeatDue) {
-            return;
-        }
-        publishUnpublished(nextOffset, time.monotonicMillis() - lastContactMillis, true);
+        updates.publishBatch(fromOffset, batch);
     }
 
     /**
@@ -557,40 +486,13 @@
      */
     private ReadResult delivered(ReadResult result, StreamReading.Source source) {
         if (result instanceof ReadResult.Batch batch) {
-            lastReading = new StreamReading(source, coverage.coveredMillis(), availability.returnedMillis());
-            batch.records().forEach(this::deliver);
-            deliveredEndOffset = Math.max(deliveredEndOffset, batch.nextOffset());
-            coverage.recordDelivered(deliveredEndOffset);
+            delivered.addBatch(batch, source);
         } else if (!(result instanceof ReadResult.Unavailable)) {
-            snapshotDelivered = false;
+            delivered.discard();
         }
         return result;
     }
 
-    /** Later pages of a snapshot keep the reading of the first one, whose end offset is that of the snapshot. */
-    private void deliveredPage(
-            Optional<String> afterKey, ReadResult.Page page, StreamReading.Source source, long asOfMillis) {
-        if (afterKey.isEmpty()) {
-            lastReading = new StreamReading(source, coverage.coveredMillis(), availability.returnedMillis());
-            delivered.clear();
-            deliveredEndOffset = page.endOffset();
-            coverage.recordEnd(deliveredEndOffset, asOfMillis);
-        }
-        page.records().forEach(this::deliver);
-        snapshotDelivered = !page.hasMore();
-        if (snapshotDelivered) {
-            coverage.recordDelivered(deliveredEndOffset);
-        }
-    }
-
-    private void deliver(KeyedRecord record) {
-        if (record.value().isPresent()) {
-            delivered.put(record.key(), record);
-        } else {
-            delivered.remove(record.key());
-        }
-    }
-
     private static final class PendingRead {
         private final long fromOffset;
         private final long waitMillis;
