--- a/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/TargetsReader.java
@@ -45,7 +45,7 @@
     private final TimeSource time;
     private final Supplier<StreamReading> reading;
     private final RemovalHold hold;
-    private final Map<String, KeyedRecord> pendingExpiries = new HashMap<>();
+    private final Map<String, KeyedRecord> heldRemovals = new HashMap<>();
     private long copyReadMillis = StreamCoverage.UNKNOWN_MILLIS;
     private boolean hasReadSnapshot;
     private boolean readingCopy;
@@ -93,7 +93,7 @@
         }
         long heldMillis = listed.isEmpty() ? heldMillis(record.key(), readIn) : 0;
         if (heldMillis > 0) {
-            pendingExpiries.put(record.key(), record);
+            heldRemovals.put(record.key(), record);
             LogEvent.of("target_lapsed_in_outage")
                     .with("target", record.key())
                     .with("offset", LogPosition.describe(record.offset()))
@@ -101,10 +101,10 @@
                     .with("via", readIn.source().label())
                     .with("heldMillis", heldMillis)
                     .info(log);
-            time.schedule(heldMillis, () -> applyExpiry(record, readIn));
+            time.schedule(heldMillis, () -> applyHeldRemoval(record, readIn));
             return;
         }
-        pendingExpiries.remove(record.key());
+        heldRemovals.remove(record.key());
         apply(record.key(), record.offset(), listed, readIn);
     }
 
@@ -119,8 +119,8 @@
         return hold.heldUntilMillis(nowMillis, readIn.acknowledgedAfterMillis(), returnedMillis) - nowMillis;
     }
 
-    private void applyExpiry(KeyedRecord record, StreamReading readIn) {
-        if (pendingExpiries.remove(record.key(), record)) {
+    private void applyHeldRemoval(KeyedRecord record, StreamReading readIn) {
+        if (heldRemovals.remove(record.key(), record)) {
             apply(record.key(), record.offset(), Optional.empty(), readIn);
         }
     }
--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -36,10 +36,6 @@
  *
  * <p>Failure: records that have arrived wait until the pause between two reads of the platform is over. The pause is
  * therefore kept here, before each read of the platform, and a follower reads again at once.
- *
- * <p>Load: targets renew their entries about once a second, which changes nothing. Sending these records to each
- * instance and decoding them there accounted for a third of the message cost of an idle fleet. The reader omits such
- * records from its updates, and an update without other records is delayed until the next heartbeat is due.
  */
 public final class ReplicatedStream implements KeyedStream {
 
--- a/src/main/java/org/dogwoodwinch/follow/UpdatePublisher.java
+++ b/src/main/java/org/dogwoodwinch/follow/UpdatePublisher.java
@@ -9,8 +9,9 @@
  * Publishes what the reader of a data centre has read, or has taken from another data centre, to the instances that follow
  * it. Confined to one thread.
  *
- * <p>Load: a record that leaves the state of its key unchanged is omitted, and an update without other records is delayed
- * until the next heartbeat is due.
+ * <p>Load: targets renew their entries about once a second, which changes nothing. Sending these records to each
+ * instance and decoding them there accounted for a third of the message cost of an idle fleet. The reader omits such
+ * records from its updates, and an update without other records is delayed until the next heartbeat is due.
  */
 final class UpdatePublisher {
 
