--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -64,7 +64,6 @@
 import org.dogwoodwinch.relay.SegmentGuard;
 import org.dogwoodwinch.relay.TakenOverCalls;
 import org.dogwoodwinch.relay.TargetConnector;
-import org.dogwoodwinch.relay.TargetEntriesAge;
 import org.dogwoodwinch.relay.TcpTargetConnector;
 import org.dogwoodwinch.request.QuarantineEndpoint;
 import org.dogwoodwinch.scaling.ScalePlanner;
@@ -333,9 +332,7 @@
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
                         streamBegins,
-                        new TargetEntriesAge(
-                                targetEntries::deliveredAgeMillis,
-                                settings.promises().drainMillis()),
+                        polling.targetEntriesAge(targetEntries::deliveredAgeMillis),
                         new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         fleet::connectionSharerCount),
                 new Neighbours(
--- a/src/main/java/org/dogwoodwinch/daemon/StorePolling.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StorePolling.java
@@ -1,8 +1,10 @@
 package org.dogwoodwinch.daemon;
 
+import java.util.function.LongSupplier;
 import org.dogwoodwinch.follow.FollowerPolicy;
 import org.dogwoodwinch.follow.ReplicaPolicy;
 import org.dogwoodwinch.forwarding.RemovalHold;
+import org.dogwoodwinch.relay.TargetEntriesAge;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.dogwoodwinch.settings.StoreReadBudget;
 
@@ -56,6 +58,11 @@
                 ENTRY_RENEWAL_MILLIS + targets.pauseMillis() + StoreReadBudget.UPDATE_MARGIN_MILLIS);
     }
 
+    /** Returns the age of the entries of targets, beside the age from which a call on them may come too late. */
+    TargetEntriesAge targetEntriesAge(LongSupplier ageMillis) {
+        return new TargetEntriesAge(ageMillis, targets.promisedMillis(), targets.usableMillis());
+    }
+
     private static ReplicaPolicy replica(StoreReadBudget budget) {
         return new ReplicaPolicy(
                 budget.maxAgeMillis(),
--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -65,8 +65,7 @@
     private Optional<PendingRead> pendingRead = Optional.empty();
     private Optional<CompletableFuture<ReadResult>> pendingSnapshotRead = Optional.empty();
     private Optional<StreamUpdate> receivedSnapshot = Optional.empty();
-    private long receivedSnapshotUntilMillis = Long.MIN_VALUE;
-    private long receivedSnapshotAsOfMillis = StreamCoverage.UNKNOWN_MILLIS;
+    private long snapshotReceivedMillis = StreamCoverage.UNKNOWN_MILLIS;
 
     /**
      * Creates a stream.
@@ -129,7 +128,8 @@
         CompletableFuture<ReadResult> result = new CompletableFuture<>();
         if (afterKey.isEmpty()) {
             pendingSnapshotRead = Optional.of(result);
-            if (receivedSnapshot.isPresent() && time.monotonicMillis() < receivedSnapshotUntilMillis) {
+            if (receivedSnapshot.isPresent()
+                    && time.monotonicMillis() < snapshotReceivedMillis + policy.maxAgeMillis()) {
                 completeSnapshotRead(receivedSnapshot.get());
                 return result;
             }
@@ -324,22 +324,22 @@
 
     private void apply(StreamUpdate update) {
         long nowMillis = time.monotonicMillis();
+        long contactMillis = nowMillis - update.contactAgeMillis();
         if (update.contactAgeMillis() >= StreamUpdate.UNKNOWN_AGE_MILLIS) {
             availability.recordContactOfUnknownAge(nowMillis);
         } else {
-            availability.recordContact(nowMillis - update.contactAgeMillis());
+            availability.recordContact(contactMillis);
         }
         if (update.isSnapshot()) {
             receivedSnapshot = Optional.of(update);
-            receivedSnapshotUntilMillis = time.monotonicMillis() + policy.maxAgeMillis();
-            receivedSnapshotAsOfMillis = time.monotonicMillis() - update.contactAgeMillis();
+            snapshotReceivedMillis = nowMillis;
             if (pendingSnapshotRead.isPresent()) {
                 completeSnapshotRead(update);
             }
             return;
         }
         backlog.add(update.records(), update.firstOffset(), update.nextOffset());
-        delivered.recordEnd(update.nextOffset(), time.monotonicMillis() - update.contactAgeMillis());
+        delivered.recordEnd(update.nextOffset(), contactMillis);
         if (pendingRead.isPresent()) {
             completeFromBacklog(pendingRead.get());
         } else if (backlog.read(delivered.endOffset()).isPresent()) {
@@ -374,7 +374,8 @@
         pendingSnapshotRead = Optional.empty();
         receivedSnapshot = Optional.empty();
         ReadResult.Page page = new ReadResult.Page(update.records(), false, update.nextOffset());
-        delivered.addPage(true, page, StreamReading.Source.SNAPSHOT, receivedSnapshotAsOfMillis);
+        delivered.addPage(
+                true, page, StreamReading.Source.SNAPSHOT, snapshotReceivedMillis - update.contactAgeMillis());
         LogEvent.of("stream_told_whole")
                 .with("stream", name)
                 .with("records", update.records().size())
--- a/src/main/java/org/dogwoodwinch/relay/TargetEntriesAge.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetEntriesAge.java
@@ -8,21 +8,22 @@
  *
  * @param ageMillis supplies the time for which the entries are not known to be complete, evaluated on each send, not null
  * @param promisedMillis within which a leaving target gets no more calls, counted from the store's acknowledgement
+ * @param usableMillis by which an instance has to know; the rest of the promised time is for the way of a call
  */
-public record TargetEntriesAge(LongSupplier ageMillis, long promisedMillis) {
-
-    /** Tenths of the promised time beyond which entries are old: what remains is as long as the way of a call. */
-    private static final int OLD_TENTHS = 9;
-
-    private static final int TENTHS = 10;
+public record TargetEntriesAge(LongSupplier ageMillis, long promisedMillis, long usableMillis) {
 
     /** Checks that the supplier is not null. */
     public TargetEntriesAge {
         Objects.requireNonNull(ageMillis, "ageMillis");
     }
 
-    /** Returns whether a call that is sent on entries of this age may reach a target after the promised time. */
-    boolean isOld(long millis) {
-        return millis > promisedMillis * OLD_TENTHS / TENTHS;
+    /**
+     * Returns whether a call that is sent on entries of an age may reach a target after the promised time.
+     *
+     * @param millis the age
+     * @return whether an instance has to know more by then
+     */
+    public boolean isOld(long millis) {
+        return millis > usableMillis;
     }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/StorePollingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StorePollingTest.java
@@ -1,9 +1,11 @@
 package org.dogwoodwinch.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.dogwoodwinch.follow.ReplicaPolicy;
+import org.dogwoodwinch.relay.TargetEntriesAge;
 import org.dogwoodwinch.settings.ForwardingSettings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -33,6 +35,15 @@
                 100, new StorePolling(settings(3_000)).configurationReplica().readPauseMillis());
     }
 
+    /** Guards against a late call of which no line tells. */
+    @Test
+    void entriesAreOldBeyondNineTenthsOfPromisedTime() {
+        TargetEntriesAge age = new StorePolling(settings(2_000)).targetEntriesAge(() -> 0);
+
+        assertFalse(age.isOld(1_800));
+        assertTrue(age.isOld(1_801));
+    }
+
     private static ForwardingSettings settings(long drainMillis) {
         return DaemonSockets.createSettings(
                 "front-1", "127.0.0.1:9", "\"promises\":{\"drainMillis\":" + drainMillis + "}");
--- a/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/TargetsReaderTest.java
@@ -108,7 +108,7 @@
                         new LocalConnectionFailureRecorder(new TargetHealth(() -> 0)),
                         CallStarts.NONE,
                         new LocalStreamOrigins(),
-                        new TargetEntriesAge(() -> 0, 2_000),
+                        new TargetEntriesAge(() -> 0, 2_000, 1_800),
                         new RoomEstimator(directory, loads, new PrefillRates(30), RoomEstimator.UPDATE_HORIZON_MILLIS),
                         () -> 1),
                 new Neighbours(
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -201,7 +201,7 @@
                                 streamOriginsDelegate.find(serviceName, stream, onFound);
                             }
                         },
-                        new TargetEntriesAge(() -> 0, 2_000),
+                        new TargetEntriesAge(() -> 0, 2_000, 1_800),
                         new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         () -> sharingInstancesCount),
                 neighbourLinks.asNeighbours(),
