Review case 2: streams go on at another software version after all machines have lost power

Cause, as far as known: an instance that has just started takes the versions that are listed now for the only ones that a service has had (SoftwareVersionHistory.onlyVersion).

Change: a script with a release whose second half ends as all machines lose power, and clients that take their streams up. Nothing of the product is changed.

--- a/review/src/Case.java
+++ b/review/src/Case.java
@@ -13,6 +13,7 @@
             record.line("case " + args[0] + ", " + (trouble ? "with" : "without") + " the disruption");
             try (Daemons processes = new Daemons(root)) {
                 status = switch (args[0]) {
+                    case "versions" -> VersionsCase.run(record, trouble, processes);
                     case "memory" -> MemoryCase.run(record, trouble, processes);
                     default -> throw new IllegalArgumentException("no such case: " + args[0]);
                 };
--- a/review/src/Daemons.java
+++ b/review/src/Daemons.java
@@ -98,6 +98,10 @@
             process.destroyForcibly().waitFor();
         }
 
+        void awaitEnd(long millis) throws InterruptedException {
+            process.waitFor(millis, java.util.concurrent.TimeUnit.MILLISECONDS);
+        }
+
         /** SIGTERM. */
         void term() {
             process.destroy();
