--- a/review/src/Case.java
+++ b/review/src/Case.java
@@ -13,6 +13,11 @@
             record.line("case " + args[0] + ", " + (trouble ? "with" : "without") + " the disruption");
             try (Daemons processes = new Daemons(root)) {
                 status = switch (args[0]) {
+                    case "usage" -> UsageCase.run(
+                            record,
+                            trouble && !"drill".equals(System.getenv("WITHOUT")),
+                            trouble && !"restart".equals(System.getenv("WITHOUT")),
+                            processes);
                     case "versions" -> VersionsCase.run(record, trouble, processes);
                     case "memory" -> MemoryCase.run(record, trouble, processes);
                     default -> throw new IllegalArgumentException("no such case: " + args[0]);
