--- a/review/src/MemoryCase.java
+++ b/review/src/MemoryCase.java
@@ -153,6 +153,7 @@
         Thread.sleep(CALM_MILLIS);
         reusing = false;
         Thread.sleep(2 * WAIT_MILLIS);
+        record.line(platform.runs());
         return judge();
     }
 
--- a/review/src/Platform.java
+++ b/review/src/Platform.java
@@ -2,6 +2,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -24,6 +27,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    private final List<Engine> engines = new ArrayList<>();
     private final Transport transport = Transport.start(1);
     private final EventLoopTime time =
             new EventLoopTime(transport.eventLoopGroup().next());
@@ -70,7 +74,21 @@
     }
 
     Engine engine(String id, String version, TargetTraits traits) throws IOException {
-        return new Engine(id, version, traits);
+        Engine engine = new Engine(id, version, traits);
+        engines.add(engine);
+        return engine;
+    }
+
+    /** Returns what ran at each engine, for the record. */
+    String runs() throws Exception {
+        StringBuilder text = new StringBuilder();
+        for (Engine engine : engines) {
+            Map<String, Integer> runs = onLoop(engine.target::runs);
+            text.append(engine.id).append(" (").append(engine.version).append("): ").append(runs.size());
+            text.append(" requests ran, the most often ");
+            text.append(runs.values().stream().max(Integer::compare).orElse(0)).append(" times; ");
+        }
+        return text.toString();
     }
 
     String storeAddress() {
--- a/review/src/TakeUpCase.java
+++ b/review/src/TakeUpCase.java
@@ -53,6 +53,7 @@
         for (Thread client : clients) {
             client.join();
         }
+        record.line(platform.runs());
         return judge(record, streams, fresh);
     }
 
--- a/review/src/UsageCase.java
+++ b/review/src/UsageCase.java
@@ -125,6 +125,10 @@
         }
         Thread.sleep(WATCH_MILLIS);
         ended = true;
+        long ran = onLoop(() -> platform.targets().stream()
+                .mapToLong(target -> target.runs().size())
+                .sum());
+        record.line(ran + " requests ran at the targets");
         return judge();
     }
 
--- a/review/src/VersionsCase.java
+++ b/review/src/VersionsCase.java
@@ -76,6 +76,7 @@
         for (Thread client : clients) {
             client.join();
         }
+        record.line(platform.runs());
         return judge(streams);
     }
 
