Let a send open a connection while states wait to be sent

Seen: with several members waiting for the state of an instance, a send to one of them that opens its connection adds it to those that wait, and the loop over them ends with a ConcurrentModificationException, in the middle of a round, which then never runs again.

Change: the loop takes the first of those that wait until none is left.

With real sockets connections open later than the send returns, so the fault was only seen in the simulated fleet.

--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -335,15 +334,15 @@
      * for seconds.
      */
     private void sendPendingSnapshots() {
-        Iterator<PeerMember> recipients = pendingSnapshots.iterator();
-        while (recipients.hasNext()) {
+        // A send may open a connection, which adds its member to those that wait.
+        while (!pendingSnapshots.isEmpty()) {
             List<PeerEntry> entries = store.snapshot(time.monotonicMillis(), settings.maxMessageBytes() / 2);
             if (!outbox.hasBudgetFor(
                     entries.stream().mapToLong(PeerCodec::sizeOf).sum())) {
                 return;
             }
-            PeerMember member = recipients.next();
-            recipients.remove();
+            PeerMember member = pendingSnapshots.iterator().next();
+            pendingSnapshots.remove(member);
             send(entries, List.of(member));
         }
     }
