Take a software version for the only one only where that was observed for a stream's lifetime

Cause: the history of versions answered from its first update on. It noted a change only where it had known something before, so a process that had just started took the one listed version for the only one that the service had had. Two other instances were told of a begin only while the history knew of several versions, so a young instance's begins were lost with it.

Change: an observation has a beginning. A version is the only one when it was observed alone for longer than a stream lives; before that, begins are told to two others, and what nobody recorded is refused with 503 at once. An instance that lacks the past asks eight others, and continues the observation of one that sees the same single version, so a rolling restart passes the past on; answers to questions for a stream bring the same. Older programs ignore the two new topics, and their answers vouch for nothing.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -263,13 +263,19 @@
                         caller,
                         store,
                         time));
-        StreamBeginSharing streamBegins = new StreamBeginSharing(
+        VersionHistorySharing versions = new VersionHistorySharing(
                 settings.instance().name(),
                 fleet.exchange(),
-                () -> fleet.neighbours().stream().map(Neighbour::name).toList(),
+                this::otherNames,
                 directory::softwareVersions,
+                new SoftwareVersionHistory(this::streamLifetimeMillis, VIEW_DIFFERENCE_MILLIS),
+                time);
+        StreamBeginSharing streamBegins = new StreamBeginSharing(
+                settings.instance().name(),
+                fleet.exchange(),
+                this::otherNames,
+                versions,
                 new StreamBegins(this::streamLifetimeMillis),
-                new SoftwareVersionHistory(this::streamLifetimeMillis),
                 time);
         SegmentSharing segmentSharing = new SegmentSharing(fleet.exchange());
         this.segmentStore = new SegmentStore(
@@ -342,7 +348,8 @@
                         isolationSharing::isolatedNames,
                         isolationSharing::set),
                 metrics);
-        streamBegins.start(service::modelServices);
+        versions.start(service::modelServices);
+        streamBegins.start();
         fleet.acceptCalls(new TakenOverCalls(service, time)::accept);
         this.configuration = new StreamFollower(
                 fleet.streams()
@@ -384,7 +391,12 @@
                 time);
         this.targetsReader =
                 new TargetsReader(directory, service, metrics, time, targetEntries::lastReading, polling.removalHold());
-        this.targets = new StreamFollower(targetEntries, followerPolicy, targetsReader, time, random);
+        this.targets = new StreamFollower(
+                targetEntries,
+                followerPolicy,
+                new SnapshotGapListener(targetsReader, versions::beginAnew),
+                time,
+                random);
         this.scaling = settings.duties()
                 .filter(duties -> duties.isAssigned(DutyClient.AUTOSCALE_DUTY))
                 .map(_duties -> new ScaleComponents(
@@ -537,6 +549,10 @@
         service.removeTarget(targetId);
     }
 
+    private List<String> otherNames() {
+        return fleet.neighbours().stream().map(Neighbour::name).toList();
+    }
+
     private long startedMillis(String targetId) {
         return directory.find(targetId).map(Incarnation::startedMillis).orElse(0L);
     }
--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -7,13 +7,10 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.Packing;
-import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamId;
 import org.dogwoodwinch.forwarding.StreamRecorders;
@@ -55,9 +52,8 @@
     private final String ownName;
     private final RelayExchange exchange;
     private final Supplier<List<String>> otherNames;
-    private final Function<String, Set<String>> listedVersions;
+    private final VersionHistorySharing versions;
     private final StreamBegins begins;
-    private final SoftwareVersionHistory history;
     private final TimeSource time;
     private final Map<Long, Question> questions = new HashMap<>();
     private long nextQuestion;
@@ -68,50 +64,38 @@
      * @param ownName the name of this instance, not null
      * @param exchange the bus between the instances, not null
      * @param otherNames supplies the names of the other instances, not null
-     * @param listedVersions returns the software versions of a service's listed targets, not null
+     * @param versions the versions that services have had, not null
      * @param begins the streams that this instance knows, not null
-     * @param history the versions that services have had, not null
      * @param time the clock and timers, not null
      */
     StreamBeginSharing(
             String ownName,
             RelayExchange exchange,
             Supplier<List<String>> otherNames,
-            Function<String, Set<String>> listedVersions,
+            VersionHistorySharing versions,
             StreamBegins begins,
-            SoftwareVersionHistory history,
             TimeSource time) {
         this.ownName = Objects.requireNonNull(ownName, "ownName");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.otherNames = Objects.requireNonNull(otherNames, "otherNames");
-        this.listedVersions = Objects.requireNonNull(listedVersions, "listedVersions");
+        this.versions = Objects.requireNonNull(versions, "versions");
         this.begins = Objects.requireNonNull(begins, "begins");
-        this.history = Objects.requireNonNull(history, "history");
         this.time = Objects.requireNonNull(time, "time");
     }
 
-    /**
-     * Starts to receive begins and questions.
-     *
-     * @param services supplies the services whose versions are followed, not null
-     */
-    void start(Supplier<Set<String>> services) {
+    /** Starts to receive begins and questions. */
+    void start() {
         exchange.subscribe(PeerTopic.STREAM_BEGIN, this::onBegin);
         exchange.subscribe(PeerTopic.STREAM_QUESTION, this::onQuestion);
         exchange.subscribe(PeerTopic.STREAM_ANSWER, this::onAnswer);
-        exchange.beforeEachRound(() -> services.get().forEach(this::updateVersions));
-    }
-
-    private void updateVersions(String service) {
-        history.update(service, listedVersions.apply(service), time.monotonicMillis());
     }
 
     @Override
     public void recordBegin(StreamId stream, String softwareVersion) {
         long nowMillis = time.monotonicMillis();
         begins.record(stream, softwareVersion, nowMillis);
-        updateVersions(stream.service());
-        if (stream.isRecordable() && history.areSeveral(stream.service(), nowMillis)) {
+        versions.update(stream.service());
+        if (stream.isRecordable() && versions.maybeSeveral(stream.service())) {
             List<String> told = StreamRecorders.toldOf(stream, memberNames(), ownName);
             exchange.sendDirectly(PeerTopic.STREAM_BEGIN, encodeBegin(stream, softwareVersion), told);
             LogEvent.of("stream_began")
@@ -125,7 +109,7 @@
 
     @Override
     public void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
-        updateVersions(service);
+        versions.update(service);
         if (stream.isEmpty() || !stream.get().isRecordable()) {
             onFound.accept(withoutRecord(service));
             return;
@@ -164,8 +148,9 @@
         if (!exchange.hearsOthers()) {
             return new StreamOrigin.Unknown("cut_off");
         }
-        return history.onlyVersion(service, time.monotonicMillis())
-                .<StreamOrigin>map(version -> new StreamOrigin.Known(version, StreamOrigin.Source.ONLY_VERSION, 0))
+        return versions.onlyVersion(service)
+                .<StreamOrigin>map(version -> new StreamOrigin.Known(
+                        version, StreamOrigin.Source.ONLY_VERSION, versions.observedMillis(service)))
                 .orElseGet(() -> new StreamOrigin.Unknown("no_record"));
     }
 
@@ -211,6 +196,10 @@
 
     private void answer(String asker, long number, StreamId stream) {
         Optional<StreamBegins.KnownBegin> begin = begins.find(stream, time.monotonicMillis());
+        if (begin.isEmpty()) {
+            // Sent first, because the asker decides with the last answer.
+            versions.tell(asker, List.of(stream.service()));
+        }
         Bytes payload = Packing.pack(begin, (packer, known) -> {
             packer.packArrayHeader(ANSWER_FIELDS);
             packer.packLong(number);
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamRecorders.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamRecorders.java
@@ -57,6 +57,17 @@
                 .toList();
     }
 
+    /**
+     * Returns the instances that an instance asks for what it has not observed itself.
+     *
+     * @param ownName the name of the instance, not null
+     * @param otherNames the names of the other instances, not null
+     * @return the names; those of all others in a small fleet
+     */
+    public static List<String> witnessesFor(String ownName, Collection<String> otherNames) {
+        return highest(ownName, otherNames, ASKED_COUNT);
+    }
+
     private static List<String> ranked(StreamId stream, Collection<String> names) {
         List<String> recorders = highest(stream.service(), names, RECORDERS_PER_SERVICE);
         return highest(stream.requestId(), recorders, recorders.size());
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -61,7 +61,13 @@
     STREAM_QUESTION,
 
     /** The answer to such a question. */
-    STREAM_ANSWER;
+    STREAM_ANSWER,
+
+    /** A question for how long services have had one software version, from an instance that has just started. */
+    VERSIONS_QUESTION,
+
+    /** The answer to such a question. */
+    VERSIONS_ANSWER;
 
     /**
      * Returns the topic with a name.
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -71,8 +71,12 @@
             PeerTopic.TARGETS_CUT_OFF);
 
     /** Topics whose updates are for their recipients alone: they are neither kept for instances that start nor forwarded. */
-    private static final Set<PeerTopic> DIRECT_TOPICS =
-            Set.of(PeerTopic.STREAM_BEGIN, PeerTopic.STREAM_QUESTION, PeerTopic.STREAM_ANSWER);
+    private static final Set<PeerTopic> DIRECT_TOPICS = Set.of(
+            PeerTopic.STREAM_BEGIN,
+            PeerTopic.STREAM_QUESTION,
+            PeerTopic.STREAM_ANSWER,
+            PeerTopic.VERSIONS_QUESTION,
+            PeerTopic.VERSIONS_ANSWER);
 
     private static final long DIRECT_TTL_MILLIS = 1_000;
 
--- a/src/main/java/org/dogwoodwinch/relay/StreamOrigin.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamOrigin.java
@@ -20,7 +20,8 @@
      *
      * @param softwareVersion the version, not null
      * @param source how it is known, not null
-     * @param ageMillis the age of a record, in milliseconds; zero without a record
+     * @param ageMillis the age of a record; without a record, for how long the service is known to have had no other
+     *     version; in milliseconds
      */
     record Known(String softwareVersion, Source source, long ageMillis) implements StreamOrigin {
         /** Validates the components. */
