Record in the log which usage windows an era of the store leaves out

Cause: which windows the copy may have lost was known only to processes that had seen the era change. One that started after it took the decisions in the copy for all that were made. StoreClient tells its listeners nothing of a process's first era, and the record of decisions states none.

Change: the log of reports holds the start of the era under a key of its own: the era, and the first window that may be decided in it. The first holder of an era writes it, under the lease, before it decides; later ones read it, so further restarts leave out nothing more. The bound is the window in which its writer first saw the era. An empty log of a store with eras needs it too. Programs without it ignore the key, and decide by the same records as before.

--- a/src/main/java/org/dogwoodwinch/daemon/LogLease.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LogLease.java
@@ -49,9 +49,21 @@
      * @return a stage that completes with the outcome, never exceptionally
      */
     CompletionStage<Outcome> claim(Bytes content, long expectedEnd) {
+        return claim(records, content, expectedEnd);
+    }
+
+    /**
+     * Appends a record of another key to the same log, which claims the lease too.
+     *
+     * @param otherRecords appends records of the other key, not null
+     * @param content the record, not null
+     * @param expectedEnd the end that the log must have
+     * @return a stage that completes with the outcome, never exceptionally
+     */
+    CompletionStage<Outcome> claim(ConditionalLog otherRecords, Bytes content, long expectedEnd) {
         long claimedMillis = time.monotonicMillis();
         long claimedWallMillis = time.wallMillis();
-        return records.append(content, expectedEnd).thenApply(appended -> {
+        return otherRecords.append(content, expectedEnd).thenApply(appended -> {
             if (appended instanceof ConditionalLog.Written written && isOfOtherEra(written.offset(), expectedEnd)) {
                 lease.recordForeignEnd(written.offset() + 1, time.monotonicMillis());
                 return new Outcome(appended, Optional.empty());
--- a/src/main/java/org/dogwoodwinch/daemon/UsageComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsageComponents.java
@@ -61,10 +61,12 @@
                         store.writer(UsagePublisher.TOPIC),
                         store.keyed(UsageReporter.TOPIC),
                         store.keyedLog(UsageReporter.TOPIC, UsageReporter.KEY),
+                        store.keyedLog(UsageReporter.TOPIC, UsageReporter.ERA_KEY),
                         new DutyClient(caller, Addresses.parse(settings.address()), CLAIM_VALIDITY_MILLIS)),
                 new UsagePlanner(windowMillis, SETTLE_MILLIS, settings.usageDueMillis()),
                 new OrderLease(CLAIM_VALIDITY_MILLIS, holdersApartMillis + SEPARATION_MARGIN_MILLIS),
                 time);
+        store.onEra(reporter::observeEra);
     }
 
     CallStarts callStarts() {
@@ -76,10 +78,9 @@
         reporter.start();
     }
 
-    /** Writes what this instance has counted once more, because the store may have lost it, as it may decisions. */
+    /** Writes what this instance has counted once more, because the store may have lost it. */
     void beginEra() {
         publisher.publishAgain();
-        reporter.beginEra();
     }
 
     /** Writes what has been counted since the last window, because this process ends. */
--- a/src/main/java/org/dogwoodwinch/daemon/UsageReporter.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsageReporter.java
@@ -19,6 +19,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.time.TimeSource;
 import org.dogwoodwinch.usage.DutyOutcome;
+import org.dogwoodwinch.usage.EraStart;
 import org.dogwoodwinch.usage.InstanceUsage;
 import org.dogwoodwinch.usage.ReportedUsage;
 import org.dogwoodwinch.usage.UsageDestination;
@@ -37,16 +38,21 @@
  * which counts were decided, and sends those again.
  *
  * <p>Failure: the store comes back from a copy that lacks the newest decisions, and the same windows would be decided
- * once more, from other counts. An instance therefore decides no window that was over when it learned of the copy.
+ * once more, from other counts. Whether that has happened is told by the log and not by what this process remembers,
+ * which may have started since: before anything is decided in an era of the store, the log holds an {@link EraStart} of
+ * that era, which leaves out the windows that were over when its writer learned of the era.
  */
 final class UsageReporter {
 
     /** The log of the reports; its offsets are the fencing tokens. */
     static final String TOPIC = "keyed.usage-reports";
 
-    /** The key of the only record that counts. */
+    /** The key of the newest reports. */
     static final String KEY = "reports";
 
+    /** The key of the start of the era; programs without it ignore the record and decide by the newest reports alone. */
+    static final String ERA_KEY = "era";
+
     private static final Logger log = LoggerFactory.getLogger(UsageReporter.class);
     private static final long CHECK_INTERVAL_MILLIS = 1_000;
 
@@ -54,7 +60,9 @@
     private final UsagePlanner planner;
     private final LogLease lease;
     private final TimeSource time;
-    private long firstWindow = Long.MIN_VALUE;
+    private long era;
+    private long firstWindowSeen = Long.MIN_VALUE;
+    private long startedEra;
     private Optional<Long> knownDecided = Optional.empty();
     private Optional<Long> confirmedThrough = Optional.empty();
     private boolean pending;
@@ -68,6 +76,7 @@
      * @param countsWriter deletes what instances published that have long been silent, not null
      * @param reports the reports that were decided, not null
      * @param reportLog appends to the same topic, not null
+     * @param eraLog appends the start of an era to the same topic, not null
      * @param destination receives the reports, not null
      */
     record Dependencies(
@@ -77,6 +86,7 @@
             KeyedWriter countsWriter,
             KeyedStream reports,
             ConditionalLog reportLog,
+            ConditionalLog eraLog,
             UsageDestination destination) {}
 
     /**
@@ -99,19 +109,29 @@
         boolean isUnconfirmed = !confirmedThrough.equals(knownDecided);
         if (!pending
                 && dependencies.isAssigned().getAsBoolean()
-                && (isUnconfirmed || planner.isReportPossible(knownDecided, time.wallMillis()))) {
+                && (isUnconfirmed || startedEra < era || planner.isReportPossible(knownDecided, time.wallMillis()))) {
             pending = true;
             readReports();
         }
         time.schedule(CHECK_INTERVAL_MILLIS, this::start);
     }
 
-    /** Leaves out the windows that are over, because the store came back from a copy and may have lost decisions. */
-    void beginEra() {
-        firstWindow = planner.windowAt(time.wallMillis());
+    /**
+     * Learns of an era of the store. What was decided in earlier ones was decided by now, so a window that is not over
+     * yet was not.
+     *
+     * @param newEra the era; one that is known already is disregarded
+     */
+    void observeEra(long newEra) {
+        if (newEra <= era) {
+            return;
+        }
+        era = newEra;
+        firstWindowSeen = planner.windowAt(time.wallMillis());
         LogEvent.of("usage_decisions_uncertain")
+                .with("era", era)
                 .with("decidedThrough", knownDecided.orElse(-1L))
-                .with("firstWindow", firstWindow)
+                .with("firstWindow", firstWindowSeen)
                 .info(log);
     }
 
@@ -121,6 +141,7 @@
                 stopStep("usage_reports_not_read", read);
                 return;
             }
+            observeEra(LogPosition.era(page.endOffset()));
             lease.recordReadEnd(page.endOffset());
             Optional<ReportedUsage> reported = findReports(page);
             if (reported.isEmpty()) {
@@ -133,14 +154,58 @@
                 stopStep("usage_lease_held_by_other", page.endOffset());
                 return;
             }
+            Optional<EraStart> eraStart = findEraStart(page);
+            if (eraStart.isEmpty()) {
+                startEra(LogPosition.era(page.endOffset()), expectedEnd.getAsLong());
+                return;
+            }
+            startedEra = eraStart.get().era();
+            long firstWindow = eraStart.get().firstWindow();
             readCounts()
                     .thenAccept(counts -> counts.ifPresentOrElse(
-                            instances -> decide(reported.get(), instances, expectedEnd.getAsLong()),
+                            instances -> decide(reported.get(), firstWindow, instances, expectedEnd.getAsLong()),
                             () -> pending = false));
         });
     }
 
-    /** A log that has an end but no record was not read whole; it must not be taken for one without reports. */
+    /** Returns the start of the era of a page; empty if nobody has recorded it. A store without eras loses nothing. */
+    private static Optional<EraStart> findEraStart(ReadResult.Page page) {
+        long era = LogPosition.era(page.endOffset());
+        if (era == 0) {
+            return Optional.of(new EraStart(0, Long.MIN_VALUE));
+        }
+        for (KeyedRecord each : page.records()) {
+            if (each.key().equals(ERA_KEY) && each.value().isPresent()) {
+                try {
+                    return Optional.of(EraStart.decode(each.value().get())).filter(start -> start.era() == era);
+                } catch (IOException e) {
+                    LogEvent.of("usage_era_not_understood")
+                            .with("offset", LogPosition.describe(each.offset()))
+                            .with("error", e.getMessage())
+                            .warn(log);
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Records which windows are left out in an era; the next step decides. */
+    private void startEra(long newEra, long expectedEnd) {
+        EraStart start = new EraStart(newEra, firstWindowSeen);
+        lease.claim(dependencies.eraLog(), start.encode(), expectedEnd).thenAccept(outcome -> {
+            LogEvent.of("usage_era_started")
+                    .with("era", start.era())
+                    .with("firstWindow", start.firstWindow())
+                    .with("outcome", outcome.appended())
+                    .info(log);
+            pending = false;
+        });
+    }
+
+    /**
+     * A log that has an end but no record was not read whole; it must not be taken for one without reports. One that has
+     * the start of an era alone was.
+     */
     private static Optional<ReportedUsage> findReports(ReadResult.Page page) {
         for (KeyedRecord each : page.records()) {
             if (each.key().equals(KEY) && each.value().isPresent()) {
@@ -155,7 +220,9 @@
                 }
             }
         }
-        if (LogPosition.offset(page.endOffset()) == 0) {
+        boolean hasEraStart =
+                page.records().stream().anyMatch(each -> each.key().equals(ERA_KEY));
+        if (LogPosition.offset(page.endOffset()) == 0 || (hasEraStart && !page.hasMore())) {
             return Optional.of(ReportedUsage.NONE);
         }
         LogEvent.of("usage_reports_missing").with("endOffset", page.endOffset()).warn(log);
@@ -189,7 +256,8 @@
         }
     }
 
-    private void decide(ReportedUsage reported, Map<String, InstanceUsage> instances, long expectedEnd) {
+    private void decide(
+            ReportedUsage reported, long firstWindow, Map<String, InstanceUsage> instances, long expectedEnd) {
         deleteOneObsolete(instances);
         Optional<UsageReport> next = planner.nextReport(reported, instances.values(), firstWindow, time.wallMillis());
         ReportedUsage decided = next.map(reported::with).orElse(reported);
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -64,6 +64,7 @@
     private final long timeoutMillis;
     private final StoreCallListener callListener;
     private final List<LongConsumer> eraListeners = new ArrayList<>();
+    private final List<LongConsumer> anyEraListeners = new ArrayList<>();
     private long latestEra = UNKNOWN_ERA;
 
     /**
@@ -95,6 +96,16 @@
         eraListeners.add(Objects.requireNonNull(listener, "listener"));
     }
 
+    /**
+     * Registers a listener that is notified of each era when an answer first states it, also of the first one that this
+     * process sees: the store may have come back from a copy before this process started.
+     *
+     * @param listener receives the era, not null
+     */
+    public void onEra(LongConsumer listener) {
+        anyEraListeners.add(Objects.requireNonNull(listener, "listener"));
+    }
+
     /**
      * Returns a reader of a keyed stream.
      *
@@ -250,6 +261,7 @@
         long previous = latestEra;
         latestEra = era;
         LogEvent.of("store_era").with("old", previous).with("new", era).info(log);
+        anyEraListeners.forEach(listener -> listener.accept(era));
         if (previous != UNKNOWN_ERA) {
             eraListeners.forEach(listener -> listener.accept(era));
         }
--- a/src/test/java/org/dogwoodwinch/daemon/UsageReporterTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/UsageReporterTest.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.daemon;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,7 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -24,6 +27,8 @@
 import org.dogwoodwinch.forwarding.OrderLease;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.dogwoodwinch.usage.DutyOutcome;
+import org.dogwoodwinch.usage.EraStart;
+import org.dogwoodwinch.usage.ReportedUsage;
 import org.dogwoodwinch.usage.UsageCounter;
 import org.dogwoodwinch.usage.UsagePlanner;
 import org.dogwoodwinch.usage.UsageReport;
@@ -40,7 +45,9 @@
 
     private final VirtualTimeSource time = new VirtualTimeSource(1_000_000);
     private final TreeMap<String, KeyedRecord> counts = new TreeMap<>();
-    private final List<Bytes> reportLog = new ArrayList<>();
+    private final List<LoggedRecord> reportLog = new ArrayList<>();
+    private final List<EraStart> eraStarts = new ArrayList<>();
+    private final Set<Long> decided = new TreeSet<>();
     private final List<Received> received = new ArrayList<>();
     private final List<Instance> instances = new ArrayList<>();
     private UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(0);
@@ -48,6 +55,8 @@
     private boolean reportsAreHidden;
     private int era;
 
+    private record LoggedRecord(String key, Bytes value) {}
+
     private record Received(String holder, long token, UsageReport report, long atMillis, boolean isLate) {}
 
     private final class Instance {
@@ -66,11 +75,13 @@
                             stream(() -> new ReadResult.Page(List.copyOf(counts.values()), false, 0)),
                             (key, _deleted) -> CompletableFuture.completedFuture(counts.remove(key) != null),
                             stream(UsageReporterTest.this::reportsPage),
-                            reportAppender(),
+                            reportAppender(UsageReporter.KEY),
+                            reportAppender(UsageReporter.ERA_KEY),
                             this::send),
                     new UsagePlanner(WINDOW_MILLIS, 2_500, DUE_MILLIS),
                     new OrderLease(1_000, HOLDERS_APART_MILLIS + 500),
                     time);
+            reporter.observeEra(era);
             reporter.start();
         }
 
@@ -125,31 +136,36 @@
     }
 
     private ReadResult reportsPage() {
-        int end = reportLog.size();
-        return new ReadResult.Page(
-                end == 0 || reportsAreHidden
-                        ? List.of()
-                        : List.of(new KeyedRecord(
-                                UsageReporter.KEY, LogPosition.of(era, end - 1), Optional.of(reportLog.get(end - 1)))),
-                false,
-                LogPosition.of(era, end));
+        Map<String, KeyedRecord> newest = new TreeMap<>();
+        for (int i = 0; i < reportLog.size() && !reportsAreHidden; i++) {
+            LoggedRecord each = reportLog.get(i);
+            newest.put(each.key(), new KeyedRecord(each.key(), LogPosition.of(era, i), Optional.of(each.value())));
+        }
+        return new ReadResult.Page(List.copyOf(newest.values()), false, LogPosition.of(era, reportLog.size()));
     }
 
-    private ConditionalLog reportAppender() {
+    private ConditionalLog reportAppender(String key) {
         return (content, end) -> {
             if (random.nextDouble() >= faultRate) {
-                return CompletableFuture.completedFuture(append(content, end));
+                return CompletableFuture.completedFuture(append(key, content, end));
             }
-            time.schedule((long) (random.nextDouble() * 3_000), () -> append(content, end));
+            time.schedule((long) (random.nextDouble() * 3_000), () -> append(key, content, end));
             return laterReply(new ConditionalLog.Unknown("timeout"));
         };
     }
 
-    private ConditionalLog.Appended append(Bytes content, long end) {
+    private ConditionalLog.Appended append(String key, Bytes content, long end) {
         if (LogPosition.offset(end) != reportLog.size()) {
             return new ConditionalLog.EndOffsetMismatch(LogPosition.of(era, reportLog.size()));
         }
-        reportLog.add(content);
+        reportLog.add(new LoggedRecord(key, content));
+        if (key.equals(UsageReporter.ERA_KEY)) {
+            eraStarts.add(assertDoesNotThrow(() -> EraStart.decode(content)));
+        } else {
+            assertDoesNotThrow(() -> ReportedUsage.decode(content))
+                    .recent()
+                    .forEach(each -> decided.add(each.window()));
+        }
         return new ConditionalLog.Written(LogPosition.of(era, reportLog.size() - 1));
     }
 
@@ -288,10 +304,137 @@
         assertTokensRise();
     }
 
+    /** Failure: an instance that starts after the copy takes the decisions in it for all that were made. */
+    @Test
+    void windowThatCopyDoesNotKnowIsNotDecidedAgainByInstanceThatStartsAfterIt() {
+        startInstances();
+        play(30, () -> {});
+        stop(0);
+        loseLastDecisions(2);
+        instances.get(2).counter.recordStart("late", time.wallMillis() - 2 * WINDOW_MILLIS);
+        long copyWindow = time.wallMillis() / WINDOW_MILLIS;
+        time.advanceMillis(1_000);
+        startAnew(0).isAssigned = true;
+        Map<Long, Map<String, Long>> truth = play(30, () -> {});
+
+        Map<Long, Map<String, Long>> accepted = acceptedCounts();
+        truth.keySet().stream()
+                .filter(window -> window > copyWindow && window < copyWindow + 5)
+                .forEach(window -> assertEquals(truth.get(window), accepted.get(window), "window " + window));
+        assertTokensRise();
+    }
+
+    /** Failure: all instances start after the copy, again and again, and each time leave out more windows. */
+    @Test
+    void furtherRestartsAfterCopyLeaveOutNoMoreWindows() {
+        startInstances();
+        play(30, () -> {});
+        loseLastDecisions(3);
+        long copyWindow = time.wallMillis() / WINDOW_MILLIS;
+        for (int i = 0; i < 5; i++) {
+            stop(0);
+            startAnew(0).isAssigned = true;
+            play(9, () -> {});
+        }
+        play(20, () -> {});
+
+        Map<Long, Map<String, Long>> accepted = acceptedCounts();
+        for (long window = copyWindow; window < copyWindow + 10; window++) {
+            assertTrue(accepted.containsKey(window), "window " + window + " of " + accepted.keySet());
+        }
+    }
+
+    /** Failure: the copy is older than all decisions, and its empty log is taken for one in which nothing was decided. */
+    @Test
+    void emptyLogOfLaterEraIsNotTakenForNoReports() {
+        startInstances();
+        play(30, () -> {});
+        stop(0);
+        loseLastDecisions(reportLog.size());
+        instances.get(2).counter.recordStart("late", time.wallMillis() - 3 * WINDOW_MILLIS);
+        startAnew(0).isAssigned = true;
+        play(30, () -> {});
+
+        acceptedCounts();
+        assertTokensRise();
+    }
+
+    /** Failure: a second copy is older than the record of the first, and what was decided in between is decided again. */
+    @Test
+    void secondCopyThatIsOlderThanTheStartOfTheEraLeavesItsDecisionsOut() {
+        startInstances();
+        play(30, () -> {});
+        int beforeFirstCopy = reportLog.size();
+        loseLastDecisions(1);
+        play(15, () -> {});
+        stop(0);
+        loseLastDecisions(reportLog.size() - beforeFirstCopy + 2);
+        instances.get(2).counter.recordStart("late", time.wallMillis() - 2 * WINDOW_MILLIS);
+        startAnew(0).isAssigned = true;
+        play(30, () -> {});
+
+        acceptedCounts();
+        assertTokensRise();
+    }
+
+    /** Failure: copies, restarts, handovers and lost answers overlap, and a window gets two different counts. */
+    @Test
+    void windowHasOneCountUnderCopiesRestartsAndFaults() {
+        for (int seed = 1; seed <= SEED_COUNT; seed++) {
+            UsageReporterTest fleet = new UsageReporterTest();
+            fleet.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+            fleet.faultRate = 0.1;
+            fleet.startInstances();
+            fleet.play(120, fleet::disruptAtRandom);
+            fleet.faultRate = 0;
+            fleet.instances.forEach(instance -> instance.isAssigned = false);
+            fleet.startAnew(0).isAssigned = true;
+            fleet.play(30, () -> {});
+            fleet.assertOnlyUncertainWindowsAreLeftOut("seed " + seed);
+        }
+    }
+
+    /** Each window was decided, or was over when the holder of an era learned of it. */
+    private void assertOnlyUncertainWindowsAreLeftOut(String story) {
+        acceptedCounts();
+        long settledBefore = time.wallMillis() / WINDOW_MILLIS - 3;
+        for (long each = 1_000_000 / WINDOW_MILLIS; each < settledBefore; each++) {
+            long window = each;
+            assertTrue(
+                    decided.contains(window) || eraStarts.stream().anyMatch(start -> start.firstWindow() > window),
+                    () -> story + ", window " + window + ": " + decided + " " + eraStarts);
+        }
+    }
+
+    private void disruptAtRandom() {
+        int index = random.nextInt(INSTANCE_COUNT);
+        if (random.nextDouble() < 0.1) {
+            stop(index);
+            time.advanceMillis(random.nextInt(1_000));
+            startAnew(index).isAssigned = random.nextBoolean();
+        }
+        if (random.nextDouble() < 0.05) {
+            loseLastDecisions(Math.min(reportLog.size(), random.nextInt(4)));
+        }
+        if (random.nextDouble() < 0.2) {
+            instances.forEach(instance -> instance.isAssigned = random.nextDouble() < 0.5);
+        }
+    }
+
+    private void stop(int index) {
+        instances.get(index).isAlive = false;
+    }
+
+    private Instance startAnew(int index) {
+        Instance started = new Instance("i" + index);
+        instances.set(index, started);
+        return started;
+    }
+
     private void loseLastDecisions(int count) {
         reportLog.subList(reportLog.size() - count, reportLog.size()).clear();
         era++;
-        instances.forEach(instance -> instance.reporter.beginEra());
+        instances.forEach(instance -> instance.reporter.observeEra(era));
     }
 
     private void assertTokensRise() {
