--- a/src/main/java/org/dogwoodwinch/relay/ReceiveLimits.java
+++ b/src/main/java/org/dogwoodwinch/relay/ReceiveLimits.java
@@ -15,7 +15,10 @@
     /** The fields of a head. */
     static final int MAX_HEADER_BYTES = 65_536;
 
-    /** An answer that is kept in memory until it is complete, such as one that is not a success. */
+    /**
+     * An answer without streaming that is kept in memory until it is complete, so that a truncated one can still be
+     * replaced by another. A longer success is begun, and a longer failure is given up.
+     */
     static final int MAX_BUFFERED_BODY_BYTES = 262_144;
 
     /**
