Let an instance whose view is late take no version for the only one

What callers saw: a stream that began at a new version goes on at the one before the release, where the instance that is asked has not read of the release yet and the begin's records are lost with the instances that had them.

Cause: the others that are asked answer "no record", and state the versions that they see only where it is a single one; a statement of another version was disregarded. So the late view alone decided.

Change: an answer without a record states every version that its sender sees. A version that the asker does not see counts as a change of the service: nothing is taken for the only version for the lifetime of a stream, and begins are told. An older program takes these statements as observations of 0 ms, which change nothing there. The line versions_differ names the other instance.

--- a/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
@@ -31,6 +32,9 @@
  * its streams live, so every stream that is taken up is refused. An instance that lacks the past of a service therefore
  * asks a few others, and what they have observed counts as its own from then on, also for those that ask it later.
  *
+ * <p>Failure: an instance whose view is late takes the version before a release for the only one. What it hears of others
+ * that see another version counts as a change.
+ *
  * <p>Load: the questions of a fleet that has lost power as a whole, in which nobody knows more, become rarer and end
  * after the lifetime of a stream.
  */
@@ -139,21 +143,15 @@
     }
 
     /**
-     * Tells another instance what this one has observed of services. Nothing is sent if they all have several versions.
+     * Tells another instance which versions this one sees, and for how long it has seen no other than a single one.
      *
      * @param name the other instance, not null
      * @param services the services, not null
      */
     void tell(String name, Collection<String> services) {
         services.forEach(this::update);
-        long nowMillis = time.monotonicMillis();
-        List<Statement> statements = services.stream()
-                .flatMap(service ->
-                        history
-                                .singleVersion(service, nowMillis)
-                                .map(single -> new Statement(service, single))
-                                .stream())
-                .toList();
+        List<Statement> statements =
+                services.stream().flatMap(this::statementsOf).toList();
         if (!statements.isEmpty()) {
             Bytes payload = Packing.pack(
                     statements, (packer, all) -> Packing.writeAll(packer, all, VersionHistorySharing::writeStatement));
@@ -161,6 +159,15 @@
         }
     }
 
+    /** Returns one statement for each version; none of several versions vouches for a past. */
+    private Stream<Statement> statementsOf(String service) {
+        long observedMillis = history.singleVersion(service, time.monotonicMillis())
+                .map(SingleVersion::observedMillis)
+                .orElse(0L);
+        return history.currentVersions(service).stream()
+                .map(version -> new Statement(service, new SingleVersion(version, observedMillis)));
+    }
+
     private void askForPast(Set<String> services) {
         long nowMillis = time.monotonicMillis();
         List<String> unknown = services.stream()
@@ -198,26 +205,33 @@
             Packing.unpack(
                             update.payload().toByteArray(),
                             unpacker -> Packing.readAll(unpacker, VersionHistorySharing::readStatement))
-                    .forEach(statement -> continueObservation(update.origin(), statement));
+                    .forEach(statement -> considerStatement(update.origin(), statement));
         } catch (IOException e) {
             logNotUnderstood(update, e);
         }
     }
 
-    private void continueObservation(String origin, Statement statement) {
-        update(statement.service());
-        boolean lackedPast = history.lacksPast(statement.service(), time.monotonicMillis());
-        history.continueObservation(statement.service(), statement.single(), time.monotonicMillis());
-        if (lackedPast && !history.lacksPast(statement.service(), time.monotonicMillis())) {
-            LogEvent.of("versions_known")
-                    .with("service", statement.service())
-                    .with("version", statement.single().softwareVersion())
-                    .with("observedMillis", statement.single().observedMillis())
-                    .with("peer", origin)
-                    .info(log);
+    private void considerStatement(String origin, Statement statement) {
+        String service = statement.service();
+        update(service);
+        boolean lackedPast = history.lacksPast(service, time.monotonicMillis());
+        boolean wasKnown = !maybeSeveral(service);
+        history.considerStatement(service, statement.single(), time.monotonicMillis());
+        if (lackedPast && !history.lacksPast(service, time.monotonicMillis())) {
+            statementEvent("versions_known", origin, statement).info(log);
+        } else if (wasKnown && maybeSeveral(service)) {
+            statementEvent("versions_differ", origin, statement).info(log);
         }
     }
 
+    private static LogEvent statementEvent(String event, String origin, Statement statement) {
+        return LogEvent.of(event)
+                .with("service", statement.service())
+                .with("version", statement.single().softwareVersion())
+                .with("observedMillis", statement.single().observedMillis())
+                .with("peer", origin);
+    }
+
     private static void writeStatement(MessagePacker packer, Statement statement) throws IOException {
         packer.packArrayHeader(STATEMENT_FIELDS);
         packer.packString(statement.service());
--- a/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
@@ -132,18 +132,37 @@
     }
 
     /**
-     * Continues the observation of another instance, which ends after that of this instance began. It is disregarded
-     * unless both see the same single version.
+     * Returns the versions that a service has now.
      *
      * @param service the service, not null
-     * @param single what the other instance has observed, not null
+     * @return the versions of its targets when some were listed last; empty if the service is not known
+     */
+    public Set<String> currentVersions(String service) {
+        Versions versions = versionsByService.get(service);
+        return versions == null ? Set.of() : versions.current;
+    }
+
+    /**
+     * Considers what another instance states of a service. If both see the same single version, the observation of the
+     * other instance, which ends after that of this instance began, is continued. If the other sees a version that this
+     * instance does not, one of them is late: its streams may have begun at the other version until now, as after a
+     * change.
+     *
+     * @param service the service, not null
+     * @param stated a version that the other instance sees, and for how long it has seen no other; zero if it sees
+     *     several, not null
      * @param nowMillis the monotonic time
      */
-    public void continueObservation(String service, SingleVersion single, long nowMillis) {
+    public void considerStatement(String service, SingleVersion stated, long nowMillis) {
         Versions versions = versionsByService.get(service);
-        if (versions != null && versions.current.equals(Set.of(single.softwareVersion()))) {
+        if (versions == null) {
+            return;
+        }
+        if (!versions.current.contains(stated.softwareVersion())) {
+            versions.changedMillis = nowMillis;
+        } else if (versions.current.size() == 1) {
             versions.observedSinceMillis =
-                    Math.min(versions.observedSinceMillis, nowMillis - Math.max(0, single.observedMillis()));
+                    Math.min(versions.observedSinceMillis, nowMillis - Math.max(0, stated.observedMillis()));
         }
     }
 
--- a/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
@@ -9,9 +9,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.IntStream;
 import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamId;
+import org.dogwoodwinch.forwarding.StreamRecorders;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.relay.StreamOrigin;
 import org.junit.jupiter.api.Test;
@@ -263,10 +265,40 @@
         assertKnown("v2", instances.get(4).find(Optional.of(stream(1))));
     }
 
+    /** Failure: an instance whose view is late takes the old version for the only one, though others see the release. */
+    @Test
+    void wordOfOthersThatSeeAnotherVersionLeavesNoOnlyVersion() {
+        start(6);
+        listVersions(ONE);
+        for (int i = 0; i < 5; i++) {
+            instances.get(i).listed = TWO;
+        }
+        fleet.time.advanceMillis(300);
+        StreamId lost = streamOfWhichOnlyAreTold(instances.subList(1, 4));
+        instances.get(0).sharing.recordBegin(lost, "v2");
+        fleet.time.advanceMillis(5);
+        instances.subList(0, 4).forEach(Instance::restart);
+
+        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(5).find(Optional.of(lost)));
+        assertTrue(instances.get(5).maybeSeveral(), "begins are not told though others see another version");
+    }
+
+    private StreamId streamOfWhichOnlyAreTold(List<Instance> told) {
+        List<String> names = told.stream().map(each -> each.member.name).toList();
+        List<String> allNames =
+                fleet.members.stream().map(member -> member.name).toList();
+        return IntStream.iterate(1, number -> number + 1)
+                .mapToObj(StreamBeginSharingTest::stream)
+                .filter(each -> names.containsAll(StreamRecorders.toldOf(each, allNames, allNames.get(0))))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private final class Instance {
         private final SimulatedFleet.Member member;
         private Set<String> listed = ONE;
         private StreamBeginSharing sharing;
+        private VersionHistorySharing versions;
 
         Instance(SimulatedFleet.Member member) {
             this.member = member;
@@ -274,7 +306,7 @@
         }
 
         private void begin() {
-            VersionHistorySharing versions = new VersionHistorySharing(
+            versions = new VersionHistorySharing(
                     member.name,
                     member.exchange,
                     this::otherNames,
@@ -304,6 +336,10 @@
             begin();
         }
 
+        boolean maybeSeveral() {
+            return versions.maybeSeveral("reader");
+        }
+
         StreamOrigin find(Optional<StreamId> stream) {
             AtomicReference<StreamOrigin> found = new AtomicReference<>();
             sharing.find("reader", stream, found::set);
--- a/src/test/java/org/dogwoodwinch/forwarding/SoftwareVersionHistoryTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/SoftwareVersionHistoryTest.java
@@ -49,7 +49,7 @@
     void observationOfAnotherInstanceIsContinued() {
         observe(Set.of("v1"), 0, 1_000);
         assertTrue(history.lacksPast("s", 1_000));
-        history.continueObservation("s", new SingleVersion("v1", 20_000), 1_000);
+        history.considerStatement("s", new SingleVersion("v1", 20_000), 1_000);
 
         assertEquals(Optional.of("v1"), history.onlyVersion("s", 1_000));
         assertEquals(Optional.of(new SingleVersion("v1", 20_500)), history.singleVersion("s", 1_500));
@@ -60,11 +60,11 @@
     @Test
     void observationOfOtherVersionsIsNotContinued() {
         observe(Set.of("v2"), 0, 1_000);
-        history.continueObservation("s", new SingleVersion("v1", 20_000), 1_000);
+        history.considerStatement("s", new SingleVersion("v1", 20_000), 1_000);
         assertEquals(Optional.empty(), history.onlyVersion("s", 1_000));
 
         observe(Set.of("v1", "v2"), 2_000, 3_000);
-        history.continueObservation("s", new SingleVersion("v1", 20_000), 3_000);
+        history.considerStatement("s", new SingleVersion("v1", 20_000), 3_000);
         assertEquals(Optional.empty(), history.onlyVersion("s", 3_000));
     }
 
