Look at the listed versions again when the others have been asked

What callers saw: a stream goes on at the version before a release that the asked instance read of while it waited for the others.

Cause: find() looked at the listed versions when the question began.

Change: the versions are looked at again when the question ends.

Evidence: StreamBeginSharingTest #versionThatIsListedWhileTheOthersAreAskedLeavesNoOnlyVersion failed on the code as it was (the version before was answered) and passes.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -145,6 +145,8 @@
      * missed a release too, so it does not know that there was none.
      */
     private StreamOrigin withoutRecord(String service) {
+        // A release may have been seen while the others were asked.
+        versions.update(service);
         if (!exchange.hearsOthers()) {
             return new StreamOrigin.Unknown("cut_off");
         }
--- a/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
@@ -283,6 +283,17 @@
         assertTrue(instances.get(5).maybeSeveral(), "begins are not told though others see another version");
     }
 
+    /** Failure: a release is seen while the others are asked, and the version before it is answered. */
+    @Test
+    void versionThatIsListedWhileTheOthersAreAskedLeavesNoOnlyVersion() {
+        start(6);
+        listVersions(ONE);
+        fleet.members.subList(0, 5).forEach(member -> member.setIsolated(true));
+        fleet.time.schedule(ANSWER_MILLIS / 2, () -> instances.get(5).listed = TWO);
+
+        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(5).find(Optional.of(stream(1))));
+    }
+
     private StreamId streamOfWhichOnlyAreTold(List<Instance> told) {
         List<String> names = told.stream().map(each -> each.member.name).toList();
         List<String> allNames =
