Let streams outlive the configuration under which they began

What callers saw: streams that were taken up again held a first part of one software version and the rest of another, answered 200, where a configuration had lowered the route's time-out while they ran. No loss of power is needed.

Cause: how long a stream lives was the longest time-out in the configuration in force, and 3 s. Lowered, it made the instances forget the begins of streams that ran under the time-out before, and the version that was left count as the only one. A caller whose own deadline is longer than the time-out of its route was never covered.

ForwardingDaemon hands the construction of these parts to StreamComponents, which the tests use too.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -30,10 +30,8 @@
 import org.dogwoodwinch.forwarding.RetryBudget;
 import org.dogwoodwinch.forwarding.RetryPolicy;
 import org.dogwoodwinch.forwarding.ServiceRoute;
-import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StagePlanPolicy;
 import org.dogwoodwinch.forwarding.StagePlanner;
-import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamStallCost;
 import org.dogwoodwinch.forwarding.TargetDirectory;
 import org.dogwoodwinch.forwarding.TargetHealth;
@@ -80,9 +78,6 @@
  */
 public final class ForwardingDaemon {
 
-    /** The time by which the views that two instances have of the targets may differ. */
-    private static final long VIEW_DIFFERENCE_MILLIS = 3_000;
-
     private static final Logger log = LoggerFactory.getLogger(ForwardingDaemon.class);
 
     /**
@@ -263,19 +258,12 @@
                         caller,
                         store,
                         time));
-        VersionHistorySharing versions = new VersionHistorySharing(
+        StreamComponents streams = new StreamComponents(
                 settings.instance().name(),
                 fleet.exchange(),
                 this::otherNames,
                 directory::softwareVersions,
-                new SoftwareVersionHistory(this::streamLifetimeMillis, VIEW_DIFFERENCE_MILLIS),
-                time);
-        StreamBeginSharing streamBegins = new StreamBeginSharing(
-                settings.instance().name(),
-                fleet.exchange(),
-                this::otherNames,
-                versions,
-                new StreamBegins(this::streamLifetimeMillis),
+                this::longestResumableMillis,
                 time);
         SegmentSharing segmentSharing = new SegmentSharing(fleet.exchange());
         this.segmentStore = new SegmentStore(
@@ -337,7 +325,7 @@
                         statements,
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
-                        streamBegins,
+                        streams.origins(),
                         polling.targetEntriesAge(targetEntries::deliveredAgeMillis),
                         new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         fleet::connectionSharerCount),
@@ -348,8 +336,7 @@
                         isolationSharing::isolatedNames,
                         isolationSharing::set),
                 metrics);
-        versions.start(service::modelServices);
-        streamBegins.start();
+        streams.start(service::modelServices);
         fleet.acceptCalls(new TakenOverCalls(service, time)::accept);
         this.configuration = new StreamFollower(
                 fleet.streams()
@@ -394,7 +381,7 @@
         this.targets = new StreamFollower(
                 targetEntries,
                 followerPolicy,
-                new SnapshotGapListener(targetsReader, versions::beginAnew),
+                new SnapshotGapListener(targetsReader, streams::beginAnew),
                 time,
                 random);
         this.scaling = settings.duties()
@@ -561,8 +548,8 @@
         return service.streamRoutes(serviceName);
     }
 
-    private long streamLifetimeMillis() {
-        return service.longestResumableMillis() + VIEW_DIFFERENCE_MILLIS;
+    private long longestResumableMillis() {
+        return service.longestResumableMillis();
     }
 
     private boolean isReady() {
--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -7,12 +7,14 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.Packing;
 import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamId;
+import org.dogwoodwinch.forwarding.StreamLifetime;
 import org.dogwoodwinch.forwarding.StreamRecorders;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerTopic;
@@ -54,6 +56,7 @@
     private final Supplier<List<String>> otherNames;
     private final VersionHistorySharing versions;
     private final StreamBegins begins;
+    private final StreamLifetime lifetime;
     private final TimeSource time;
     private final Map<Long, Question> questions = new HashMap<>();
     private long nextQuestion;
@@ -66,6 +69,7 @@
      * @param otherNames supplies the names of the other instances, not null
      * @param versions the versions that services have had, not null
      * @param begins the streams that this instance knows, not null
+     * @param lifetime receives how long callers may come back, not null
      * @param time the clock and timers, not null
      */
     StreamBeginSharing(
@@ -74,12 +78,14 @@
             Supplier<List<String>> otherNames,
             VersionHistorySharing versions,
             StreamBegins begins,
+            StreamLifetime lifetime,
             TimeSource time) {
         this.ownName = Objects.requireNonNull(ownName, "ownName");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.otherNames = Objects.requireNonNull(otherNames, "otherNames");
         this.versions = Objects.requireNonNull(versions, "versions");
         this.begins = Objects.requireNonNull(begins, "begins");
+        this.lifetime = Objects.requireNonNull(lifetime, "lifetime");
         this.time = Objects.requireNonNull(time, "time");
     }
 
@@ -91,8 +97,9 @@
     }
 
     @Override
-    public void recordBegin(StreamId stream, String softwareVersion) {
+    public void recordBegin(StreamId stream, String softwareVersion, OptionalLong callerMillis) {
         long nowMillis = time.monotonicMillis();
+        callerMillis.ifPresent(millis -> lifetime.recordDeadline(millis, nowMillis));
         begins.record(stream, softwareVersion, nowMillis);
         versions.update(stream.service());
         if (stream.isRecordable() && versions.maybeSeveral(stream.service())) {
--- a/src/main/java/org/dogwoodwinch/relay/StreamContinuity.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamContinuity.java
@@ -61,7 +61,10 @@
         }
         softwareVersion = Optional.of(target.softwareVersion());
         if (isResumable) {
-            attributes.requestId().ifPresent(id -> origins.recordBegin(streamOf(id), target.softwareVersion()));
+            attributes
+                    .requestId()
+                    .ifPresent(id ->
+                            origins.recordBegin(streamOf(id), target.softwareVersion(), attributes.deadlineMillis()));
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/StreamOrigins.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamOrigins.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.relay;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.StreamId;
 
@@ -12,8 +13,10 @@
      *
      * @param stream the stream, not null
      * @param softwareVersion the version of the target that made the event, not null
+     * @param callerMillis how long the caller waits, and may take the stream up, in milliseconds; empty if it does not
+     *     state it, not null
      */
-    void recordBegin(StreamId stream, String softwareVersion);
+    void recordBegin(StreamId stream, String softwareVersion, OptionalLong callerMillis);
 
     /**
      * Finds the version that began a stream which a caller takes up. The answer comes within a bounded time, at once if
