Log which target of which version brings the first event of a stream

Seen by callers: streams that hold events of two software versions after a loss of power. The logs could not tell the hypotheses apart: stream_taken_up says by what a version is known and since when, but not which target of which version then ran the call, under which configuration the service was found, after which event the caller came back, and with which one the stream went on; in quiet times no line at all says at which version a stream began (stream_began only where others are told).

Change: stream_first_event, one line for each response that brings an event to a stream that may be resumed or is taken up, with the version demanded, the target and its version, the ids of the events between which it goes on, and the configuration's version; stream_take_up_without_event for a take-up that ends without one; lastEventId and configVersion at the end of stream_taken_up and stream_not_taken_up. Ids of events, which targets and callers choose, are cut to 128 characters. The lines go through the bounded queue as all others. Existing events and fields are as they were. dogwoodwinch_stream_take_ups_ended_total counts went_on, other_version (a fault) and no_event.

Cost, by division and not measured: at 15 resumable streams that begin a second at an instance, some 15 lines of about 330 bytes a second.

The outcome other_version has no test, since no known way leads to it.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -31,6 +31,7 @@
     private final Optional<CallOwner> owner;
     private final ServiceRoute route;
     private final ServiceEntry service;
+    private final long configVersion;
     private final long deadlineMillis;
     private final CallSuspicion suspicion;
     private final QueuedCall queued;
@@ -71,7 +72,8 @@
         this.eventFramer = new EventFramer(attributes.lastEventId());
         this.suspicion = CallSuspicion.of(context, routed);
         this.queued = context.queue().placeOf(routed, deadlineMillis, suspicion.fingerprint());
-        this.continuity = new StreamContinuity(context.streamOrigins(), routed);
+        this.continuity = new StreamContinuity(context.streamOrigins(), routed, this::reportFirstEvent);
+        this.configVersion = routed.configVersion();
         this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
         this.retries = new CallRetries(context, routed, suspicion, attempts);
         this.requests = new CallRequests(context, routed);
@@ -135,7 +137,7 @@
         if (done) {
             return;
         }
-        context.report().streamTakenUp(this, attributes.resumes().orElse(""), origin);
+        context.report().streamTakenUp(this, resumes(), origin);
         if (origin instanceof StreamOrigin.Known) {
             chooseAndSend();
         } else {
@@ -185,6 +187,21 @@
         return continuity.softwareVersion();
     }
 
+    /** Returns the id of the stream that the caller takes up, as the caller names it; empty if it names none. */
+    String resumes() {
+        return attributes.resumes().orElse("");
+    }
+
+    /** Returns the id of the last event that the caller has received, as the caller names it. */
+    Optional<String> namedLastEventId() {
+        return attributes.lastEventId();
+    }
+
+    /** Returns the version of the configuration that decided the route and the service. */
+    long configVersion() {
+        return configVersion;
+    }
+
     /** Returns the current stage of the call for log lines. */
     String stage() {
         if (prefill.engine().isPresent()) {
@@ -339,6 +356,7 @@
         retries.recordWritten();
         attempts.recordSent(plan.target().id());
         answer.beginSend();
+        continuity.beginSend(eventFramer.lastEventId());
         Optional<Prompt> promptToPrefill = prefill.cacheHandle().isPresent() ? Optional.empty() : attributes.prompt();
         InFlightSend started = InFlightSend.start(context, plan.target(), promptToPrefill, plan.prefillWork());
         inFlight = Optional.of(started);
@@ -556,6 +574,7 @@
     /** Ends the call here without an answer, since another instance answers the caller, or finds one that does. */
     private void endWithoutAnswer() {
         done = true;
+        reportTakeUpWithoutEvent();
         releaseAll();
         suspicion.recordFailure();
         suspicion.close();
@@ -596,11 +615,22 @@
         if (inFlight.isPresent()) {
             startRecorder.onMayHaveRun();
         }
+        reportTakeUpWithoutEvent();
         releaseAll();
         suspicion.close();
         onDone.accept(this);
     }
 
+    private void reportFirstEvent(StreamContinuity.FirstEvent event) {
+        context.report().streamFirstEvent(this, event, eventFramer.firstEventId());
+    }
+
+    private void reportTakeUpWithoutEvent() {
+        if (continuity.isTakenUpWithoutEvent()) {
+            context.report().streamTakeUpWithoutEvent(this);
+        }
+    }
+
     private void releaseAll() {
         deadlineTimer.cancel();
         abandonSend();
--- a/src/main/java/org/dogwoodwinch/relay/EventFramer.java
+++ b/src/main/java/org/dogwoodwinch/relay/EventFramer.java
@@ -45,6 +45,7 @@
 
     private Optional<String> idOfEvent = Optional.empty();
     private Optional<String> lastEventId;
+    private Optional<String> firstEventId = Optional.empty();
     private int eventsCount;
     private boolean hasRepeatedEvent;
     private boolean atStreamStart = true;
@@ -60,6 +61,11 @@
         return lastEventId;
     }
 
+    /** Returns the id of the first event of the current response; empty before it, or if it has none. */
+    Optional<String> firstEventId() {
+        return firstEventId;
+    }
+
     /** Returns the number of complete events of the current response. */
     int eventsCount() {
         return eventsCount;
@@ -99,6 +105,7 @@
     void beginResponse() {
         clearPending();
         eventsCount = 0;
+        firstEventId = Optional.empty();
         hasRepeatedEvent = false;
         atStreamStart = true;
         hasCrLf = false;
@@ -158,6 +165,7 @@
 
     private void endEvent() {
         lastEventId = idOfEvent.isPresent() ? idOfEvent : lastEventId;
+        firstEventId = hasField && eventsCount == 0 ? idOfEvent : firstEventId;
         eventsCount += hasField ? 1 : 0;
         idOfEvent = Optional.empty();
         hasField = false;
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -35,6 +35,7 @@
     private final Counter keptCalls;
     private final Counter endedResponses;
     private final Counter takenUpStreams;
+    private final Counter streamTakeUps;
     private final Counter streamsBesidePrefills;
     private final Counter passedOnCalls;
     private final Counter takenOverCalls;
@@ -122,6 +123,10 @@
                 "dogwoodwinch_streams_taken_up_total",
                 "Streams that callers took up, by how the software version that began them was known.",
                 "known_by");
+        this.streamTakeUps = counter(
+                "dogwoodwinch_stream_take_ups_ended_total",
+                "Streams that callers took up, by what came of it.",
+                "outcome");
         this.streamsBesidePrefills = counter(
                 "dogwoodwinch_streams_beside_prefills_total",
                 "Streams that ran beside a long prefill at their target, by whether an event came too late.",
@@ -350,6 +355,10 @@
         takenUpStreams.labelValues(knownBy).inc();
     }
 
+    void streamTakeUpEnded(String outcome) {
+        streamTakeUps.labelValues(outcome).inc();
+    }
+
     void streamBesidePrefill(String service, boolean late) {
         streamsBesidePrefills.labelValues(service, Boolean.toString(late)).inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -520,8 +520,8 @@
         if (service.isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "unknown service");
         }
-        RoutedCall routed =
-                new RoutedCall(call, key, attributes, owner, route.get(), service.get(), takenOver, counted);
+        RoutedCall routed = new RoutedCall(
+                call, key, attributes, owner, route.get(), service.get(), current.version(), takenOver, counted);
         return begin(routed, caller, onDone);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
@@ -20,6 +21,9 @@
     private static final Logger log = LoggerFactory.getLogger(LoggingReport.class);
     private static final long OLD_ENTRIES_LOG_MILLIS = 1_000;
 
+    /** Targets choose the ids of events, and callers name them. */
+    private static final int MAX_LOGGED_EVENT_ID_LENGTH = 128;
+
     private final ForwardingMetrics metrics;
     private final TargetRateLimits limits;
     private final TargetRests rests;
@@ -219,6 +223,8 @@
                     .with("version", known.softwareVersion())
                     .with("knownBy", lowerCaseName(known.source()))
                     .with("recordMillis", known.ageMillis())
+                    .with("lastEventId", shortened(call.namedLastEventId()))
+                    .with("configVersion", call.configVersion())
                     .info(log);
         } else {
             String reason = ((StreamOrigin.Unknown) origin).reason();
@@ -226,10 +232,43 @@
             callEvent("stream_not_taken_up", call)
                     .with("resumes", resumes)
                     .with("reason", reason)
+                    .with("lastEventId", shortened(call.namedLastEventId()))
+                    .with("configVersion", call.configVersion())
                     .info(log);
         }
     }
 
+    @Override
+    public void streamFirstEvent(CallRelay call, StreamContinuity.FirstEvent event, Optional<String> eventId) {
+        if (event.isFirstOfTakeUp()) {
+            metrics.streamTakeUpEnded(event.isOfVersionDemanded() ? "went_on" : "other_version");
+        }
+        callEvent("stream_first_event", call)
+                .with("resumes", call.resumes())
+                .with("version", event.versionDemanded().orElse(""))
+                .with("targetVersion", event.target().softwareVersion())
+                .with("lastEventId", shortened(event.lastEventId()))
+                .with("firstEventId", shortened(eventId))
+                .with("configVersion", call.configVersion())
+                .info(log);
+    }
+
+    @Override
+    public void streamTakeUpWithoutEvent(CallRelay call) {
+        metrics.streamTakeUpEnded("no_event");
+        callEvent("stream_take_up_without_event", call)
+                .with("resumes", call.resumes())
+                .with("version", call.softwareVersion().orElse(""))
+                .with("lastEventId", shortened(call.namedLastEventId()))
+                .with("configVersion", call.configVersion())
+                .info(log);
+    }
+
+    private static String shortened(Optional<String> eventId) {
+        String text = eventId.orElse("");
+        return text.substring(0, Math.min(text.length(), MAX_LOGGED_EVENT_ID_LENGTH));
+    }
+
     @Override
     public void callerDisconnected(CallRelay call) {
         metrics.callerDisconnected(routeKind(call));
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.relay;
 
+import java.util.Optional;
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.NextStep;
@@ -80,6 +81,19 @@
      */
     void streamTakenUp(CallRelay call, String resumes, StreamOrigin origin);
 
+    /**
+     * The first event of a target's response to a call whose stream can be taken up, or is taken up, is about to be
+     * passed on.
+     *
+     * @param call the call, not null
+     * @param event the target of the event and what was demanded of it, not null
+     * @param eventId the id of the event; empty if it has none, not null
+     */
+    void streamFirstEvent(CallRelay call, StreamContinuity.FirstEvent event, Optional<String> eventId);
+
+    /** A call for which a stream was taken up has ended, or was left to another instance, without an event. */
+    void streamTakeUpWithoutEvent(CallRelay call);
+
     /** The caller disconnected before the end of the response. */
     void callerDisconnected(CallRelay call);
 }
--- a/src/main/java/org/dogwoodwinch/relay/StreamContinuity.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamContinuity.java
@@ -23,9 +23,24 @@
     private final boolean isResumable;
     private final String service;
     private final String owner;
+    private final Consumer<FirstEvent> onFirstEvent;
     private Optional<String> softwareVersion = Optional.empty();
 
-    StreamContinuity(StreamOrigins origins, RoutedCall call) {
+    private Optional<String> lastEventId = Optional.empty();
+    private boolean isTakenUp;
+    private boolean hasEvent;
+    private boolean hasEventOfSend;
+
+    /**
+     * Creates the state of a call that was not sent.
+     *
+     * @param origins the versions that began the streams of all instances, not null
+     * @param call the call, not null
+     * @param onFirstEvent receives the first event of each response, if the stream can be taken up or is taken up, not
+     *     null
+     */
+    StreamContinuity(StreamOrigins origins, RoutedCall call, Consumer<FirstEvent> onFirstEvent) {
+        this.onFirstEvent = Objects.requireNonNull(onFirstEvent, "onFirstEvent");
         this.origins = Objects.requireNonNull(origins, "origins");
         this.attributes = call.attributes();
         this.isStream = call.route().kind() == RouteKind.STREAM;
@@ -39,6 +54,11 @@
         return isStream && attributes.lastEventId().isPresent();
     }
 
+    /** Returns whether the call takes up a stream whose version is known, and has brought no event of it. */
+    boolean isTakenUpWithoutEvent() {
+        return isTakenUp && !hasEvent;
+    }
+
     /** Returns the version of the targets that may run the call; empty if any may. */
     Optional<String> softwareVersion() {
         return softwareVersion;
@@ -49,26 +69,66 @@
         origins.find(service, attributes.resumes().map(this::streamOf), origin -> {
             if (origin instanceof StreamOrigin.Known known) {
                 softwareVersion = Optional.of(known.softwareVersion());
+                isTakenUp = true;
             }
             onFound.accept(origin);
         });
     }
 
-    /** Records the version of the target that makes the first event. Called before the event is passed on. */
+    /** Records that the call is sent to a target, which goes on after the given event if there is one. */
+    void beginSend(Optional<String> newLastEventId) {
+        lastEventId = newLastEventId;
+        hasEventOfSend = false;
+    }
+
+    /**
+     * Records the version of the target that makes the first event. Called before the event is passed on, and for all
+     * later ones.
+     *
+     * @param target the target that made the events, not null
+     */
     void onEvents(Incarnation target) {
-        if (softwareVersion.isPresent()) {
+        if (hasEventOfSend) {
             return;
         }
-        softwareVersion = Optional.of(target.softwareVersion());
-        if (isResumable) {
-            attributes
-                    .requestId()
-                    .ifPresent(id ->
-                            origins.recordBegin(streamOf(id), target.softwareVersion(), attributes.deadlineMillis()));
+        hasEventOfSend = true;
+        FirstEvent event = new FirstEvent(target, softwareVersion, lastEventId, isTakenUpWithoutEvent());
+        hasEvent = true;
+        if (softwareVersion.isEmpty()) {
+            softwareVersion = Optional.of(target.softwareVersion());
+            if (isResumable) {
+                attributes
+                        .requestId()
+                        .ifPresent(id -> origins.recordBegin(
+                                streamOf(id), target.softwareVersion(), attributes.deadlineMillis()));
+            }
+        }
+        if (isResumable || isTakenUp) {
+            onFirstEvent.accept(event);
         }
     }
 
     private StreamId streamOf(String requestId) {
         return new StreamId(owner, service, requestId);
     }
+
+    /**
+     * The first event of one response.
+     *
+     * @param target the target that made it, not null
+     * @param versionDemanded the software version that the target had to have; empty if any would do, not null
+     * @param lastEventId the id of the event after which the target was to go on; empty if it began the stream, not null
+     * @param isFirstOfTakeUp whether it is the first one of a call that takes up a stream
+     */
+    record FirstEvent(
+            Incarnation target,
+            Optional<String> versionDemanded,
+            Optional<String> lastEventId,
+            boolean isFirstOfTakeUp) {
+
+        /** Returns whether the target has the software version that was demanded of it. */
+        boolean isOfVersionDemanded() {
+            return versionDemanded.isEmpty() || versionDemanded.get().equals(target.softwareVersion());
+        }
+    }
 }
