Break a stream off where the ids of its events go back

What callers saw: a target that repeats events, or goes back to earlier ones, after the first event of its response has them passed on again, and the stream is completed.

Cause: only the first event of a response was compared with the last one that was passed on. An event without a number at the begin switched the comparison off too.

Change: each numbered event is compared. The events before are passed on, the send is abandoned, and the stream goes on at another target after the last good event, or is broken off where it may not: as for a response that begins anew. Ids that skip numbers are passed on as before, as one event may hold several tokens.

--- a/src/main/java/org/dogwoodwinch/relay/EventFramer.java
+++ b/src/main/java/org/dogwoodwinch/relay/EventFramer.java
@@ -72,8 +72,8 @@
     }
 
     /**
-     * Returns whether the response, which should go on after the last event, began with an event that was passed on
-     * before, because its target does not know of the others. Nothing of it is passed on.
+     * Returns whether the response has an event that is not after the last one that was passed on: its target began anew
+     * instead of going on, or went back. Nothing is passed on from this event on.
      */
     boolean hasRepeatedEvent() {
         return hasRepeatedEvent;
@@ -129,7 +129,7 @@
                 break;
             }
             if (lineEnd == lineStart) {
-                hasRepeatedEvent |= eventsCount == 0 && isPassedOn(idOfEvent);
+                hasRepeatedEvent |= isPassedOn(idOfEvent);
                 if (hasRepeatedEvent) {
                     break;
                 }
