Drop the byte order mark of a response that goes on with a stream

What callers saw: where the targets of a stream begin their responses with a byte order mark, a joined stream has one inside. A reader takes it for a part of the next line, misses the id of that event, and takes the stream up after an earlier one.

Cause: the bytes of each response were passed on as they were, while the mark has its meaning only at the start of a stream.

Change: once events were passed on, the mark of a later response is dropped. The first response, and that to a caller which takes a stream up, keep theirs.

No target of the platform is known to write such a mark.

--- a/src/main/java/org/dogwoodwinch/relay/EventFramer.java
+++ b/src/main/java/org/dogwoodwinch/relay/EventFramer.java
@@ -49,6 +49,7 @@
     private int eventsCount;
     private boolean hasRepeatedEvent;
     private boolean atStreamStart = true;
+    private boolean hasPassedOn;
     private boolean hasCrLf;
     private boolean mayEndWithLf;
 
@@ -120,6 +121,7 @@
      */
     byte[] append(ByteBuf chunk) {
         addPending(chunk);
+        dropByteOrderMarkInsideStream();
         int end = takeSecondHalfOfLineEnd();
         lineStart = Math.max(lineStart, end == 0 ? byteOrderMarkLength() : end);
         while (lineStart < pendingLength) {
@@ -192,6 +194,7 @@
             lineStart -= end;
             searchedUntil = Math.max(0, searchedUntil - end);
             atStreamStart = false;
+            hasPassedOn = true;
             mayEndWithLf = whole[end - 1] == '\r';
         }
         return whole;
@@ -208,6 +211,20 @@
         return startsWithLf ? 1 : 0;
     }
 
+    /**
+     * Drops the mark with which a response begins that goes on with the stream. Inside the stream, its caller would take it
+     * for a part of the next line and miss the id of that event.
+     */
+    private void dropByteOrderMarkInsideStream() {
+        int length = hasPassedOn ? byteOrderMarkLength() : 0;
+        if (length > 0) {
+            pendingLength -= length;
+            System.arraycopy(pending, length, pending, 0, pendingLength);
+            searchedUntil = 0;
+            atStreamStart = false;
+        }
+    }
+
     private int byteOrderMarkLength() {
         boolean begins = atStreamStart
                 && pendingLength >= BYTE_ORDER_MARK.length
--- a/src/test/java/org/dogwoodwinch/relay/JoinedStreamTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/JoinedStreamTest.java
@@ -20,6 +20,7 @@
 class JoinedStreamTest {
 
     private static final String LAST_CHUNK = "0\r\n\r\n";
+    private static final String BYTE_ORDER_MARK = "\u00EF\u00BB\u00BF";
     private static final int EVENTS_COUNT = 5;
     private static final Pattern DATA = Pattern.compile("data: word(\\d+)\n\n");
 
@@ -173,4 +174,19 @@
         assertEquals(List.of(2, 3, 4, 5), receivedIds(received));
         assertTrue(received.endsWith(LAST_CHUNK), received);
     }
+
+    /** Failure: a byte order mark inside a joined stream hides the id of the event after it from the caller. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 1_000})
+    void byteOrderMarkOfResponseThatGoesOnIsNotPassedOn(int chunkLength) {
+        RelayFixture.FakeCaller caller = connect("/resume/a");
+        respond(BYTE_ORDER_MARK + events(1), chunkLength);
+        breakOff(true);
+        respond(BYTE_ORDER_MARK + eventsAfter(1), chunkLength);
+        relay.latestTargetConnection().respond(LAST_CHUNK);
+
+        String received = caller.takeReceived();
+        assertEquals(List.of(1, 2, 3, 4, 5), receivedIds(received));
+        assertEquals(2, received.split(BYTE_ORDER_MARK, -1).length, received);
+    }
 }
