Break a stream off where the head of another answer stands in it

What callers saw: a target whose answer ends with its connection writes another answer after it. Its head and its events reach the caller as a part of the stream, which is completed.

Cause: no framing separates the two, and the framer took the head for an event without an id.

Change: a line that begins as the head of an answer does, where an event should begin, ends the response: the events before it are passed on, and the stream goes on elsewhere or is broken off, with the reason other_answer. It is not completed, since nothing shows whether the first answer was whole.

Evidence: JoinedStreamTest.streamIsBrokenOffWhereAnotherAnswerFollows... fails on the code before, for the same call's answer and for another one's ("expected [1, 2] but was [1, 2, 3, 4]"), and passes. With it pass EventFramerTest, EventFramerReferenceTest, BrokenOffAnswerTest, EndlessBytesTest, CallRelayTest, PassedOnCallsTest, StreamContinuityTest, SoftwareVersionsTest, CallRetriesTest, MutatedMessagesTest, FailingTargetsTest and DecisionsArePureTest. Answers with chunks or a length never reached this: what follows them ends their connection.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -419,13 +419,12 @@
             continuity.onEvents(plan.target());
         }
         answer.relay(whole);
-        if (eventFramer.hasRepeatedEvent() || eventFramer.isEventTooLong()) {
-            if (eventFramer.isEventTooLong()) {
-                abandonEndless("event");
-            } else {
-                abandonSend();
-            }
-            onEnd(new SendOutcome.Unknown(eventFramer.hasRepeatedEvent() ? "repeated_event" : "event_too_long"));
+        if (eventFramer.isEventTooLong()) {
+            abandonEndless("event");
+            onEnd(new SendOutcome.Unknown("event_too_long"));
+        } else if (eventFramer.hasRepeatedEvent() || eventFramer.hasOtherAnswer()) {
+            abandonSend();
+            onEnd(new SendOutcome.Unknown(eventFramer.hasRepeatedEvent() ? "repeated_event" : "other_answer"));
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/EventFramer.java
+++ b/src/main/java/org/dogwoodwinch/relay/EventFramer.java
@@ -25,6 +25,7 @@
     private static final int MAX_ID_DIGITS = 18;
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] ANSWER_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
     private static final byte[] BYTE_ORDER_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
 
     private static final int FIRST_CAPACITY_BYTES = 256;
@@ -48,6 +49,7 @@
     private Optional<String> firstEventId = Optional.empty();
     private int eventsCount;
     private boolean hasRepeatedEvent;
+    private boolean hasOtherAnswer;
     private boolean atStreamStart = true;
     private boolean hasPassedOn;
     private boolean hasCrLf;
@@ -80,6 +82,16 @@
         return hasRepeatedEvent;
     }
 
+    /**
+     * Returns whether the head of another answer stands where an event should begin. Nothing is passed on from there on.
+     *
+     * <p>Failure: a target writes another answer after one that ends with its connection. No framing separates them, and the
+     * caller gets the events of both as one stream.
+     */
+    boolean hasOtherAnswer() {
+        return hasOtherAnswer;
+    }
+
     /** Returns whether the bytes so far end inside an event or a line. Complete lines of comment are not an event. */
     boolean isInsideEvent() {
         return hasField || (lineStart < pendingLength && !endsWithCommentAndCr());
@@ -108,6 +120,7 @@
         eventsCount = 0;
         firstEventId = Optional.empty();
         hasRepeatedEvent = false;
+        hasOtherAnswer = false;
         atStreamStart = true;
         hasCrLf = false;
         mayEndWithLf = false;
@@ -137,8 +150,11 @@
                 }
                 end = next;
                 endEvent();
+            } else if (!hasField && startsWith(ANSWER_START, lineStart, lineEnd)) {
+                hasOtherAnswer = true;
+                break;
             } else if (pending[lineStart] != ':') {
-                Optional<String> id = parseId(pending, lineStart, lineEnd);
+                Optional<String> id = parseId(lineStart, lineEnd);
                 idOfEvent = id.isPresent() ? id : idOfEvent;
                 hasField = true;
             }
@@ -226,9 +242,7 @@
     }
 
     private int byteOrderMarkLength() {
-        boolean begins = atStreamStart
-                && pendingLength >= BYTE_ORDER_MARK.length
-                && Arrays.equals(pending, 0, BYTE_ORDER_MARK.length, BYTE_ORDER_MARK, 0, BYTE_ORDER_MARK.length);
+        boolean begins = atStreamStart && startsWith(BYTE_ORDER_MARK, 0, pendingLength);
         return begins ? BYTE_ORDER_MARK.length : 0;
     }
 
@@ -258,12 +272,16 @@
         return endsWithLf ? lineEnd + 2 : lineEnd + 1;
     }
 
-    private static Optional<String> parseId(byte[] buffered, int start, int end) {
-        if (end - start < ID_FIELD.length
-                || !Arrays.equals(buffered, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
+    private Optional<String> parseId(int start, int end) {
+        if (!startsWith(ID_FIELD, start, end)) {
             return Optional.empty();
         }
         int valueStart = start + ID_FIELD.length;
-        return Optional.of(new String(buffered, valueStart, end - valueStart, StandardCharsets.UTF_8).strip());
+        return Optional.of(new String(pending, valueStart, end - valueStart, StandardCharsets.UTF_8).strip());
+    }
+
+    private boolean startsWith(byte[] prefix, int start, int end) {
+        return end - start >= prefix.length
+                && Arrays.equals(pending, start, start + prefix.length, prefix, 0, prefix.length);
     }
 }
--- a/src/test/java/org/dogwoodwinch/relay/JoinedStreamTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/JoinedStreamTest.java
@@ -40,6 +40,10 @@
         return events(IntStream.rangeClosed(lastId + 1, EVENTS_COUNT).toArray());
     }
 
+    private static String unframedHead(String id) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s\r\n\r\n";
+    }
+
     private static List<Integer> receivedIds(String received) {
         List<Integer> ids = new ArrayList<>();
         Matcher data = DATA.matcher(received);
@@ -189,4 +193,25 @@
         assertEquals(List.of(1, 2, 3, 4, 5), receivedIds(received));
         assertEquals(2, received.split(BYTE_ORDER_MARK, -1).length, received);
     }
+
+    /** Failure: another answer on the connection of a stream without framing is passed on as a part of it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"a1", "z9"})
+    void streamIsBrokenOffWhereAnotherAnswerFollowsOnItsConnection(String answeredId) {
+        for (int chunkLength : new int[] {1, 30, 1_000}) {
+            RelayFixture.FakeCaller caller = connect("/stream/a");
+            String bytes = unframedHead("a1") + events(1, 2) + unframedHead(answeredId) + events(3, 4);
+            RelayFixture.FakeTargetConnection target = relay.latestTargetConnection();
+            for (int from = 0; from < bytes.length() && target.isOpen(); from += chunkLength) {
+                target.respond(bytes.substring(from, Math.min(bytes.length(), from + chunkLength)));
+            }
+            target.close();
+
+            String received = caller.takeReceived();
+            assertEquals(List.of(1, 2), receivedIds(received));
+            assertEquals(1, received.split("HTTP/1.1 200", -1).length - 1, received);
+            assertFalse(received.endsWith(LAST_CHUNK), received);
+            assertTrue(caller.isClosed());
+        }
+    }
 }
