Test that the late bytes of an aborted run do not reach its caller

What callers saw: nothing. A run that was aborted may have written more, in the same read too, while another one goes on with its stream.

Cause: the relay takes bytes from whichever connection brings them, and relies on an aborted connection to bring none; no test showed that it does.

Change: JoinedStreamTest.lateBytesOfAbortedRunDoNotReachCaller.

Evidence: it passes on this code, and fails ("expected [1, 2, 3, 4, 5] but was [1]") on a trial mutant whose TargetConnection.abort keeps its sink.

--- a/src/test/java/org/dogwoodwinch/relay/JoinedStreamTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/JoinedStreamTest.java
@@ -214,4 +214,26 @@
             assertTrue(caller.isClosed());
         }
     }
+
+    /** Failure: what a run still writes after it was aborted reaches the caller beside the run that goes on. */
+    @Test
+    void lateBytesOfAbortedRunDoNotReachCaller() {
+        RelayFixture.FakeCaller caller = connect("/resume/a");
+        RelayFixture.FakeTargetConnection first = relay.latestTargetConnection();
+        first.respond(RelayFixture.streamResponseHead("a1")
+                + RelayFixture.chunk(events(1, 1))
+                + RelayFixture.chunk(events(2) + "data: word9\n\n")
+                + LAST_CHUNK
+                + RelayFixture.streamResponseHead("a1")
+                + RelayFixture.chunk(events(8))
+                + LAST_CHUNK);
+        assertFalse(first.isOpen());
+        respond(eventsAfter(1), 1_000);
+        relay.latestTargetConnection().respond(LAST_CHUNK);
+
+        String received = caller.takeReceived();
+        assertEquals(2, relay.targetConnections.size());
+        assertEquals(List.of(1, 2, 3, 4, 5), receivedIds(received));
+        assertTrue(received.endsWith(LAST_CHUNK), received);
+    }
 }
