--- a/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SimulatedFleet.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import java.util.function.LongUnaryOperator;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -63,6 +64,9 @@
     long messageCount;
     long messageBytes;
 
+    /** Whether a message is lost on the way. */
+    Predicate<Bytes> isLost = _message -> false;
+
     SimulatedFleet(int memberCount, int dataCentreCount, long seed) {
         this(
                 IntStream.range(0, memberCount)
@@ -250,7 +254,7 @@
             }
         }
 
-        private void runUnlessPaused(Runnable task) {
+        void runUnlessPaused(Runnable task) {
             if (paused) {
                 deferredTasks.add(task);
             } else {
@@ -265,6 +269,7 @@
             messageCount++;
             messageBytes += message.length();
             sentBytes += message.length();
+            boolean lost = isLost.test(message);
             Member receiver = members.stream()
                     .filter(member -> member.name.equals(to.name()))
                     .findFirst()
@@ -274,7 +279,7 @@
                     lastArrivalMillisByReceiver.getOrDefault(receiver.name, 0L));
             lastArrivalMillisByReceiver.put(receiver.name, arrivalMillis);
             time.schedule(arrivalMillis - time.monotonicMillis(), () -> {
-                if (!receiver.dropsReceived) {
+                if (!receiver.dropsReceived && !lost) {
                     receiver.runUnlessPaused(() -> receiver.exchange.receive(message));
                 }
             });
