Repeat state transfers by a list of their own

What is seen: a round of an instance ends with a ConcurrentModificationException where a repeated state transfer opens a connection, which adds a transfer to the map that is being walked.

Change: what is due is listed first; only the transfer that was made is removed, not the one that it added.

--- a/src/main/java/org/dogwoodwinch/peer/StateTransfers.java
+++ b/src/main/java/org/dogwoodwinch/peer/StateTransfers.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Predicate;
@@ -55,10 +56,14 @@
      */
     void retryPending(Predicate<String> hasMessageFrom, long currentRound, Predicate<PeerMember> transfer) {
         pending.values().removeIf(pendingTransfer -> hasMessageFrom.test(pendingTransfer.member.name()));
-        pending.values()
-                .removeIf(pendingTransfer -> currentRound - pendingTransfer.startRound >= RETRY_ROUNDS
-                        && (currentRound - pendingTransfer.startRound) % RETRY_ROUNDS == 0
-                        && transfer.test(pendingTransfer.member));
+        // A transfer may open a connection, which adds a pending transfer.
+        List<PendingTransfer> due = pending.values().stream()
+                .filter(each -> currentRound - each.startRound >= RETRY_ROUNDS
+                        && (currentRound - each.startRound) % RETRY_ROUNDS == 0)
+                .toList();
+        due.stream()
+                .filter(each -> transfer.test(each.member))
+                .forEach(each -> pending.remove(each.member.name(), each));
     }
 
     /** Returns whether a message is the first state request of its sender's incarnation. */
--- a/src/test/java/org/dogwoodwinch/daemon/StreamVersionsSoakTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamVersionsSoakTest.java
@@ -33,25 +33,61 @@
         play(Set.of(SoakDisturbance.SINGLE_SURVIVORS_AND_SECOND_LOSSES));
     }
 
-    private static void play(Set<SoakDisturbance> disturbances) {
+    @Test
+    void aViewThatIsLateIsNotTakenForAllVersionsOfAService() {
+        play(Set.of(SoakDisturbance.LATE_VIEWS), new Setup(6, 22), new Setup(48, 5));
+    }
+
+    @Test
+    void aFirstViewFromALateNeighbourIsNotTakenForAllVersionsOfAService() {
+        play(Set.of(SoakDisturbance.FIRST_VIEWS_FROM_NEIGHBOURS), new Setup(6, 10), new Setup(6, 16), new Setup(6, 29));
+    }
+
+    @Test
+    void aSuspendedInstanceNeitherDecidesByItsOldViewNorAnswersQuestionsOfEndedProcesses() {
+        play(Set.of(SoakDisturbance.LONG_FREEZES), new Setup(6, 19), new Setup(6, 20), new Setup(6, 68));
+    }
+
+    @Test
+    void streamsThatBeginAtAnInstanceThatIsCutOffFromAllAreNotTakenForThoseOfTheListedVersion() {
+        play(Set.of(SoakDisturbance.LONG_CUTS), new Setup(6, 4), new Setup(6, 25), new Setup(6, 72), new Setup(48, 2));
+    }
+
+    @Test
+    void aLowerTimeoutDoesNotForgetStreamsOfTheHigherOne() {
+        play(Set.of(SoakDisturbance.CHANGED_TIMEOUTS), new Setup(6, 14), new Setup(6, 26));
+    }
+
+    @Test
+    void lostBeginsAndAnswersAreNotTakenForTheAbsenceOfARecord() {
+        play(Set.of(SoakDisturbance.LOST_MESSAGES), new Setup(6, 11));
+    }
+
+    private static void play(Set<SoakDisturbance> disturbances, Setup... further) {
         int seeds = Integer.getInteger("soak.seeds", DEFAULT_SEEDS);
         int onlyInstancesCount = Integer.getInteger("soak.instances", 0);
-        List<String> failures = new ArrayList<>();
+        List<Setup> setups = new ArrayList<>();
         for (int instancesCount : INSTANCES_COUNTS) {
             for (int seed = 1; seed <= seeds; seed++) {
-                if (onlyInstancesCount == 0 || onlyInstancesCount == instancesCount) {
-                    failures.addAll(failuresOf(instancesCount, seed, disturbances));
-                }
+                setups.add(new Setup(instancesCount, seed));
             }
         }
+        setups.addAll(List.of(further));
+        List<String> failures = setups.stream()
+                .filter(setup -> onlyInstancesCount == 0 || onlyInstancesCount == setup.instancesCount())
+                .distinct()
+                .flatMap(setup -> failuresOf(setup, disturbances).stream())
+                .toList();
         assertEquals(List.of(), failures, () -> String.join("\n", failures));
     }
 
-    private static List<String> failuresOf(int instancesCount, int seed, Set<SoakDisturbance> disturbances) {
-        SoakResult result = new SoakDay(instancesCount, seed, disturbances).play();
+    private static List<String> failuresOf(Setup setup, Set<SoakDisturbance> disturbances) {
+        SoakResult result = new SoakDay(setup.instancesCount(), setup.seed(), disturbances).play();
         if (Boolean.getBoolean("soak.report")) {
             System.out.println(result.report());
         }
         return result.failures();
     }
+
+    private record Setup(int instancesCount, int seed) {}
 }
