Take late answers, old views and absent knowledge for no proof of a version

What callers saw: streams joined of two software versions after a loss of power, after a suspension or a cut of an instance, or after a route moved.

Causes, one class: the absence of a contradiction is taken for knowledge. - Questions are numbered from zero in each process and answers matched by number alone: a suspended instance answers the question of an ended process, and its successor takes that for the version of another stream (source asked). - An instance whose view is old and that nobody answers decides alone. - A stream without a usable id is looked up without asking anybody. - An instance that is cut off begins streams at targets whose entries were removed and which serve on; the others count from the removal. - A record under another service, or an ambiguous one, counts as none. - A machine that is suspended stops its monotonic clock, so no gap is seen. - A time-out is noted only while somebody asks for the lifetime of a stream, and the difference of views ends with it.

Change: numbers begin at random; no answer and old entries of targets (older than the promise on leaving targets allows) leave a stream unknown; witnesses are asked also without an id; a change of versions counts from 30 s later, and statements carry what is left of it to an instance that has not seen the change; records are found by the id alone and contradict another service; a clock jump begins observations anew; the time-out is noted each round.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -62,6 +62,7 @@
 import org.dogwoodwinch.relay.SegmentGuard;
 import org.dogwoodwinch.relay.TakenOverCalls;
 import org.dogwoodwinch.relay.TargetConnector;
+import org.dogwoodwinch.relay.TargetEntriesAge;
 import org.dogwoodwinch.relay.TcpTargetConnector;
 import org.dogwoodwinch.request.QuarantineEndpoint;
 import org.dogwoodwinch.scaling.ScalePlanner;
@@ -132,6 +133,7 @@
     private final RetryBudget budget;
     private final SegmentGuard segments;
     private final SegmentStore segmentStore;
+    private final StreamComponents streams;
     private ForwardingSettings settings;
     private Channel readyListener;
     private Channel metricsListener;
@@ -258,12 +260,21 @@
                         caller,
                         store,
                         time));
-        StreamComponents streams = new StreamComponents(
+        ReplicatedStream targetEntries = fleet.streams()
+                .share(
+                        StoreClient.TARGETS_TOPIC,
+                        store.keyed(StoreClient.TARGETS_TOPIC),
+                        polling.targetsReplica(),
+                        TargetsReader::targetOf);
+        TargetEntriesAge entriesAge = polling.targetEntriesAge(targetEntries::deliveredAgeMillis);
+        this.streams = new StreamComponents(
                 settings.instance().name(),
                 fleet.exchange(),
                 this::otherNames,
                 directory::softwareVersions,
                 this::longestResumableMillis,
+                entriesAge::isOld,
+                random,
                 time);
         SegmentSharing segmentSharing = new SegmentSharing(fleet.exchange());
         this.segmentStore = new SegmentStore(
@@ -280,12 +291,6 @@
                 metrics,
                 time);
         segmentSharing.start(segments);
-        ReplicatedStream targetEntries = fleet.streams()
-                .share(
-                        StoreClient.TARGETS_TOPIC,
-                        store.keyed(StoreClient.TARGETS_TOPIC),
-                        polling.targetsReplica(),
-                        TargetsReader::targetOf);
         this.service = new ForwardingService(
                 targetLinks.apply(new TcpTargetConnector(transport, connections)),
                 time,
@@ -326,7 +331,7 @@
                         brokenTargets,
                         usage.map(UsageComponents::callStarts).orElse(CallStarts.NONE),
                         streams.origins(),
-                        polling.targetEntriesAge(targetEntries::deliveredAgeMillis),
+                        entriesAge,
                         new RoomEstimator(directory, loads, rates, RoomEstimator.UPDATE_HORIZON_MILLIS),
                         fleet::connectionSharerCount),
                 new Neighbours(
@@ -442,6 +447,7 @@
     private void onClockJump() {
         service.closeIdleConnections();
         fleet.exchange().onSuspension();
+        streams.beginAnew();
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
@@ -47,16 +48,26 @@
     /** Questions at the same moment; more come only from callers that invent streams. */
     private static final int MAX_QUESTIONS = 2_000;
 
+    /** The request id in a question for a stream without a usable one; nobody has a record of it. */
+    private static final String UNNAMED = "";
+
     private static final int BEGIN_FIELDS = 4;
     private static final int QUESTION_FIELDS = 4;
     private static final int ANSWER_FIELDS = 3;
 
+    /**
+     * The age in an answer without a version, if the id is recorded but says nothing about the version. An older program
+     * takes it for an answer without a record.
+     */
+    private static final long CONTRADICTED_AGE_MILLIS = -1;
+
     private final String ownName;
     private final RelayExchange exchange;
     private final Supplier<List<String>> otherNames;
     private final VersionHistorySharing versions;
     private final StreamBegins begins;
     private final StreamLifetime lifetime;
+    private final BooleanSupplier viewIsOld;
     private final TimeSource time;
     private final Map<Long, Question> questions = new HashMap<>();
     private long nextQuestion;
@@ -70,6 +81,10 @@
      * @param versions the versions that services have had, not null
      * @param begins the streams that this instance knows, not null
      * @param lifetime receives how long callers may come back, not null
+     * @param viewIsOld whether the entries of targets may lack what others have read; nobody's answer then leaves a stream
+     *     unknown, not null
+     * @param firstQuestion the number of the first question, another one for each process, so that a late answer to an
+     *     ended process is not taken for one to its successor
      * @param time the clock and timers, not null
      */
     StreamBeginSharing(
@@ -79,6 +94,8 @@
             VersionHistorySharing versions,
             StreamBegins begins,
             StreamLifetime lifetime,
+            BooleanSupplier viewIsOld,
+            long firstQuestion,
             TimeSource time) {
         this.ownName = Objects.requireNonNull(ownName, "ownName");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
@@ -86,6 +103,8 @@
         this.versions = Objects.requireNonNull(versions, "versions");
         this.begins = Objects.requireNonNull(begins, "begins");
         this.lifetime = Objects.requireNonNull(lifetime, "lifetime");
+        this.viewIsOld = Objects.requireNonNull(viewIsOld, "viewIsOld");
+        this.nextQuestion = firstQuestion;
         this.time = Objects.requireNonNull(time, "time");
     }
 
@@ -117,26 +136,26 @@
     @Override
     public void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
         versions.update(service);
-        if (stream.isEmpty() || !stream.get().isRecordable()) {
-            onFound.accept(withoutRecord(service));
-            return;
-        }
-        StreamId named = stream.get();
+        // Without an id, the others are still asked which versions they see.
+        StreamId named = stream.filter(StreamId::isRecordable).orElseGet(() -> new StreamId("", service, UNNAMED));
         Optional<StreamOrigin> recorded = begins.find(named, time.monotonicMillis())
                 .map(begin -> new StreamOrigin.Known(
                         begin.softwareVersion(), StreamOrigin.Source.RECORDED, begin.ageMillis()));
         if (recorded.isPresent()) {
             onFound.accept(recorded.get());
-        } else if (begins.isAmbiguous(named)) {
-            onFound.accept(new StreamOrigin.Unknown("ambiguous"));
-        } else {
-            ask(named, onFound);
+            return;
         }
+        begins.contradiction(named)
+                .ifPresentOrElse(reason -> onFound.accept(new StreamOrigin.Unknown(reason)), () -> ask(named, onFound));
     }
 
     private void ask(StreamId stream, Consumer<StreamOrigin> onFound) {
         List<String> asked = StreamRecorders.askedFor(stream, memberNames(), ownName);
-        if (asked.isEmpty() || questions.size() >= MAX_QUESTIONS) {
+        if (questions.size() >= MAX_QUESTIONS) {
+            onFound.accept(new StreamOrigin.Unknown("too_many_questions"));
+            return;
+        }
+        if (asked.isEmpty()) {
             onFound.accept(withoutRecord(stream.service()));
             return;
         }
@@ -159,7 +178,7 @@
         }
         return versions.onlyVersion(service)
                 .<StreamOrigin>map(version -> new StreamOrigin.Known(
-                        version, StreamOrigin.Source.ONLY_VERSION, versions.observedMillis(service)))
+                        version, StreamOrigin.Source.ONLY_VERSION, versions.singleMillis(service)))
                 .orElseGet(() -> new StreamOrigin.Unknown("no_record"));
     }
 
@@ -167,7 +186,10 @@
         Question question = questions.remove(number);
         if (question != null) {
             question.timeout.cancel();
-            question.onFound.accept(withoutRecord(question.stream.service()));
+            question.onFound.accept(
+                    question.isAnswered || !viewIsOld.getAsBoolean()
+                            ? withoutRecord(question.stream.service())
+                            : new StreamOrigin.Unknown("old_view"));
         }
     }
 
@@ -205,6 +227,7 @@
 
     private void answer(String asker, long number, StreamId stream) {
         Optional<StreamBegins.KnownBegin> begin = begins.find(stream, time.monotonicMillis());
+        long ageWithoutBeginMillis = begins.contradiction(stream).isPresent() ? CONTRADICTED_AGE_MILLIS : 0;
         if (begin.isEmpty()) {
             // Sent first, because the asker decides with the last answer.
             versions.tell(asker, List.of(stream.service()));
@@ -217,7 +240,7 @@
             } else {
                 packer.packNil();
             }
-            packer.packLong(known.map(StreamBegins.KnownBegin::ageMillis).orElse(0L));
+            packer.packLong(known.map(StreamBegins.KnownBegin::ageMillis).orElse(ageWithoutBeginMillis));
         });
         exchange.sendDirectly(PeerTopic.STREAM_ANSWER, payload, List.of(asker));
     }
@@ -251,7 +274,14 @@
                     new StreamOrigin.Known(softwareVersion.get(), StreamOrigin.Source.ASKED, ageMillis));
             return;
         }
+        if (ageMillis == CONTRADICTED_AGE_MILLIS) {
+            questions.remove(number);
+            question.timeout.cancel();
+            question.onFound.accept(new StreamOrigin.Unknown("contradicted"));
+            return;
+        }
         question.openCount--;
+        question.isAnswered = true;
         if (question.openCount == 0) {
             endWithoutRecord(number);
         }
@@ -294,6 +324,7 @@
         private final StreamId stream;
         private final Consumer<StreamOrigin> onFound;
         private int openCount;
+        private boolean isAnswered;
         private Cancellable timeout;
 
         Question(StreamId stream, Consumer<StreamOrigin> onFound, int openCount) {
--- a/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamLifetime;
@@ -19,8 +21,12 @@
     /** The time by which the views that two instances have of the targets may differ. */
     private static final long VIEW_DIFFERENCE_MILLIS = 3_000;
 
-    private final StreamLifetime lifetime = new StreamLifetime();
+    /** A target that leaves serves on for the drain time and, at times, many seconds more. */
+    static final long REMOVED_SERVES_MILLIS = 30_000;
+
+    private final StreamLifetime lifetime = new StreamLifetime(VIEW_DIFFERENCE_MILLIS);
     private final LongSupplier longestTimeoutMillis;
+    private final RelayExchange exchange;
     private final TimeSource time;
     private final VersionHistorySharing versions;
     private final StreamBeginSharing begins;
@@ -34,6 +40,8 @@
      * @param listedVersions returns the software versions of a service's listed targets, not null
      * @param longestTimeoutMillis supplies the longest time-out, in the configuration in force, of a route whose streams
      *     may be resumed, in milliseconds, not null
+     * @param viewIsOld whether the entries of targets may lack what other instances have read, not null
+     * @param random the source of randomness, not null
      * @param time the clock and timers, not null
      */
     StreamComponents(
@@ -42,18 +50,29 @@
             Supplier<List<String>> otherNames,
             Function<String, Set<String>> listedVersions,
             LongSupplier longestTimeoutMillis,
+            BooleanSupplier viewIsOld,
+            UniformRandomProvider random,
             TimeSource time) {
         this.longestTimeoutMillis = Objects.requireNonNull(longestTimeoutMillis, "longestTimeoutMillis");
+        this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.time = Objects.requireNonNull(time, "time");
         this.versions = new VersionHistorySharing(
                 ownName,
                 exchange,
                 otherNames,
                 listedVersions,
-                new SoftwareVersionHistory(this::lifetimeMillis, VIEW_DIFFERENCE_MILLIS),
+                new SoftwareVersionHistory(this::lifetimeMillis, VIEW_DIFFERENCE_MILLIS, REMOVED_SERVES_MILLIS),
                 time);
         this.begins = new StreamBeginSharing(
-                ownName, exchange, otherNames, versions, new StreamBegins(this::lifetimeMillis), lifetime, time);
+                ownName,
+                exchange,
+                otherNames,
+                versions,
+                new StreamBegins(this::lifetimeMillis),
+                lifetime,
+                viewIsOld,
+                random.nextLong(),
+                time);
     }
 
     /**
@@ -62,6 +81,7 @@
      * @param services supplies the services whose versions are observed, not null
      */
     void start(Supplier<Set<String>> services) {
+        exchange.beforeEachRound(this::recordTimeout);
         versions.start(services);
         begins.start();
     }
@@ -76,10 +96,13 @@
         versions.beginAnew();
     }
 
-    /** Returns how long a stream may live, including the time by which the views of two instances may differ. */
+    /** Records the time-out in force, also while nobody asks how long a stream lives. */
+    private void recordTimeout() {
+        lifetime.recordTimeout(longestTimeoutMillis.getAsLong(), time.monotonicMillis());
+    }
+
     private long lifetimeMillis() {
-        long nowMillis = time.monotonicMillis();
-        lifetime.recordTimeout(longestTimeoutMillis.getAsLong(), nowMillis);
-        return lifetime.millis(nowMillis) + VIEW_DIFFERENCE_MILLIS;
+        recordTimeout();
+        return lifetime.millis(time.monotonicMillis());
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
@@ -133,13 +133,15 @@
     }
 
     /**
-     * Returns for how long a service has been observed, for logs.
+     * Returns for how long a service is known to have had no other version, for logs.
      *
      * @param service the service, not null
-     * @return the time without a gap, in milliseconds; zero if the service is not known
+     * @return the time, in milliseconds; zero if the service has several versions or is not known
      */
-    long observedMillis(String service) {
-        return history.observedMillis(service, time.monotonicMillis()).orElse(0);
+    long singleMillis(String service) {
+        return history.singleVersion(service, time.monotonicMillis())
+                .map(SingleVersion::observedMillis)
+                .orElse(0L);
     }
 
     /**
@@ -161,11 +163,9 @@
 
     /** Returns one statement for each version; none of several versions vouches for a past. */
     private Stream<Statement> statementsOf(String service) {
-        long observedMillis = history.singleVersion(service, time.monotonicMillis())
-                .map(SingleVersion::observedMillis)
-                .orElse(0L);
+        long singleMillis = singleMillis(service);
         return history.currentVersions(service).stream()
-                .map(version -> new Statement(service, new SingleVersion(version, observedMillis)));
+                .map(version -> new Statement(service, new SingleVersion(version, singleMillis)));
     }
 
     private void askForPast(Set<String> services) {
--- a/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
@@ -26,6 +26,7 @@
 
     private final LongSupplier lifetimeMillis;
     private final long maxUpdateGapMillis;
+    private final long removedServesMillis;
     private final Map<String, Versions> versionsByService = new HashMap<>();
 
     /**
@@ -35,10 +36,13 @@
      *     instances may differ, in milliseconds, not null
      * @param maxUpdateGapMillis the longest time between two updates within which no version comes and goes unseen, in
      *     milliseconds; after a longer one, as after a suspension of the process, the observation begins anew
+     * @param removedServesMillis the longest time for which a target serves on after its entry was removed, in
+     *     milliseconds; an instance that is cut off from all others begins streams there until then
      */
-    public SoftwareVersionHistory(LongSupplier lifetimeMillis, long maxUpdateGapMillis) {
+    public SoftwareVersionHistory(LongSupplier lifetimeMillis, long maxUpdateGapMillis, long removedServesMillis) {
         this.lifetimeMillis = Objects.requireNonNull(lifetimeMillis, "lifetimeMillis");
         this.maxUpdateGapMillis = maxUpdateGapMillis;
+        this.removedServesMillis = removedServesMillis;
     }
 
     /**
@@ -51,7 +55,7 @@
     public void update(String service, Set<String> listedVersions, long nowMillis) {
         Versions versions = versionsByService.get(service);
         if (versions != null) {
-            versions.update(listedVersions, nowMillis, maxUpdateGapMillis);
+            versions.update(listedVersions, nowMillis, maxUpdateGapMillis, nowMillis + removedServesMillis);
         } else if (!listedVersions.isEmpty()) {
             versionsByService.put(service, new Versions(listedVersions, nowMillis));
         }
@@ -93,7 +97,7 @@
     }
 
     /**
-     * Returns the version that a service has now, if it is one, and for how long it has had no other.
+     * Returns the version that a service has now, if it is one, and for how long streams began at no other.
      *
      * @param service the service, not null
      * @param nowMillis the monotonic time
@@ -104,11 +108,11 @@
                 .filter(versions -> versions.current.size() == 1)
                 .map(versions -> new SingleVersion(
                         versions.current.iterator().next(),
-                        nowMillis - Math.max(versions.observedSinceMillis, versions.changedMillis)));
+                        nowMillis - Math.max(versions.observedSinceMillis, versions.singleFromMillis)));
     }
 
     /**
-     * Returns for how long a service has been observed.
+     * Returns for how long a service has been observed, whatever versions it had.
      *
      * @param service the service, not null
      * @param nowMillis the monotonic time
@@ -159,10 +163,14 @@
             return;
         }
         if (!versions.current.contains(stated.softwareVersion())) {
-            versions.changedMillis = nowMillis;
+            versions.singleFromMillis = nowMillis + removedServesMillis;
         } else if (versions.current.size() == 1) {
             versions.observedSinceMillis =
                     Math.min(versions.observedSinceMillis, nowMillis - Math.max(0, stated.observedMillis()));
+            if (stated.observedMillis() < 0 && versions.singleFromMillis == NEVER) {
+                // Who has seen the change knows its time, and statements that are passed to and fro would prolong it.
+                versions.singleFromMillis = nowMillis - stated.observedMillis();
+            }
         }
     }
 
@@ -170,7 +178,8 @@
      * The single version that a service has.
      *
      * @param softwareVersion the version, not null
-     * @param observedMillis for how long it was observed that the service has no other, in milliseconds
+     * @param observedMillis for how long it was observed that no stream can begin at another, in milliseconds; negative
+     *     while targets of another one, whose entries were removed, may still serve
      */
     public record SingleVersion(String softwareVersion, long observedMillis) {
         /** Validates the components. */
@@ -183,7 +192,9 @@
         private Set<String> current;
         private long observedSinceMillis;
         private long updatedMillis;
-        private long changedMillis = NEVER;
+
+        /** When no target of an earlier version serves any more. */
+        private long singleFromMillis = NEVER;
 
         Versions(Set<String> listed, long nowMillis) {
             this.current = Set.copyOf(listed);
@@ -191,14 +202,14 @@
             this.updatedMillis = nowMillis;
         }
 
-        void update(Set<String> listed, long nowMillis, long maxGapMillis) {
+        void update(Set<String> listed, long nowMillis, long maxGapMillis, long removedServeUntilMillis) {
             if (nowMillis - updatedMillis > maxGapMillis) {
                 observedSinceMillis = nowMillis;
             }
             updatedMillis = nowMillis;
             if (!listed.isEmpty() && !current.equals(listed)) {
                 // Streams of versions that are gone may still be taken up.
-                changedMillis = nowMillis;
+                singleFromMillis = removedServeUntilMillis;
                 current = Set.copyOf(listed);
             }
         }
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamBegins.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamBegins.java
@@ -18,7 +18,7 @@
     private static final int MAX_STREAMS = 50_000;
 
     private final LongSupplier lifetimeMillis;
-    private final Map<StreamId, Begin> begins = new LinkedHashMap<>();
+    private final Map<Key, Begin> begins = new LinkedHashMap<>();
 
     /**
      * Creates an object without streams.
@@ -30,8 +30,8 @@
     }
 
     /**
-     * Records the version at which a stream began. If one id began at two versions, because a caller used it for two
-     * streams, neither version is known to be the one that is meant.
+     * Records the version at which a stream began. If one id began at two versions or services, because a caller used it
+     * for two streams, none of them is known to be the one that is meant.
      *
      * @param stream the stream, not null
      * @param softwareVersion the version of the target that made its first event, not null
@@ -42,10 +42,9 @@
             return;
         }
         expire(nowMillis);
-        Begin previous = begins.remove(stream);
-        boolean ambiguous =
-                previous != null && (previous.ambiguous || !previous.softwareVersion.equals(softwareVersion));
-        begins.put(stream, new Begin(softwareVersion, nowMillis, ambiguous));
+        Begin previous = begins.remove(Key.of(stream));
+        boolean ambiguous = previous != null && !previous.isAt(stream.service(), softwareVersion);
+        begins.put(Key.of(stream), new Begin(stream.service(), softwareVersion, nowMillis, ambiguous));
     }
 
     /**
@@ -57,20 +56,19 @@
      */
     public Optional<KnownBegin> find(StreamId stream, long nowMillis) {
         expire(nowMillis);
-        return Optional.ofNullable(begins.get(stream))
-                .filter(begin -> !begin.ambiguous)
+        return Optional.ofNullable(begins.get(Key.of(stream)))
+                .filter(begin -> begin.contradiction(stream).isEmpty())
                 .map(begin -> new KnownBegin(begin.softwareVersion, nowMillis - begin.recordedMillis));
     }
 
     /**
-     * Returns whether one id began at two versions.
+     * Returns why the id of a stream says nothing about its version, although a begin is recorded under it.
      *
      * @param stream the stream, not null
-     * @return whether the id says nothing about the version
+     * @return the reason for logs; empty if there is no such record
      */
-    public boolean isAmbiguous(StreamId stream) {
-        Begin begin = begins.get(stream);
-        return begin != null && begin.ambiguous;
+    public Optional<String> contradiction(StreamId stream) {
+        return Optional.ofNullable(begins.get(Key.of(stream))).flatMap(begin -> begin.contradiction(stream));
     }
 
     private void expire(long nowMillis) {
@@ -93,5 +91,23 @@
      */
     public record KnownBegin(String softwareVersion, long ageMillis) {}
 
-    private record Begin(String softwareVersion, long recordedMillis, boolean ambiguous) {}
+    /** A caller names its stream by the id alone; the service is that to which its route leads now. */
+    private record Key(String owner, String requestId) {
+        static Key of(StreamId stream) {
+            return new Key(stream.owner(), stream.requestId());
+        }
+    }
+
+    private record Begin(String service, String softwareVersion, long recordedMillis, boolean ambiguous) {
+        boolean isAt(String otherService, String otherVersion) {
+            return !ambiguous && service.equals(otherService) && softwareVersion.equals(otherVersion);
+        }
+
+        Optional<String> contradiction(StreamId stream) {
+            if (ambiguous) {
+                return Optional.of("ambiguous");
+            }
+            return service.equals(stream.service()) ? Optional.empty() : Optional.of("other_service");
+        }
+    }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamId.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamId.java
@@ -25,9 +25,9 @@
     /**
      * Returns whether the begin of the stream can be recorded.
      *
-     * @return false if its request id is too long
+     * @return false if its request id is empty or too long
      */
     public boolean isRecordable() {
-        return requestId.length() <= MAX_REQUEST_ID_LENGTH;
+        return !requestId.isEmpty() && requestId.length() <= MAX_REQUEST_ID_LENGTH;
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamLifetime.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamLifetime.java
@@ -12,15 +12,27 @@
  */
 public final class StreamLifetime {
 
-    /** Callers that state more are not followed further, since each of them would keep the begins of all streams. */
+    /** A longer deadline counts as this one, since one caller makes an instance keep the begins of all streams. */
     private static final long MAX_DEADLINE_MILLIS = 600_000;
 
     /** Deadlines are what is left of a caller's time, so nearly each has another value. */
     private static final long DEADLINE_STEP_MILLIS = 500;
 
+    private final long viewDifferenceMillis;
+
     /** From the longest bound, which was recorded first, to the shortest. */
     private final Deque<Bound> bounds = new ArrayDeque<>();
 
+    /**
+     * Creates an object that knows no bound.
+     *
+     * @param viewDifferenceMillis the time by which two instances may differ in what they see, which is added to each bound,
+     *     in milliseconds
+     */
+    public StreamLifetime(long viewDifferenceMillis) {
+        this.viewDifferenceMillis = viewDifferenceMillis;
+    }
+
     /**
      * Records a time-out that is in force, and under which streams may begin now.
      *
@@ -47,16 +59,17 @@
      * Returns the longest time for which a stream that has begun may be taken up.
      *
      * @param nowMillis the monotonic time
-     * @return milliseconds; zero before anything was recorded
+     * @return milliseconds; the difference of views alone while nothing is recorded
      */
     public long millis(long nowMillis) {
         while (!bounds.isEmpty() && bounds.getFirst().untilMillis < nowMillis) {
             bounds.removeFirst();
         }
-        return bounds.isEmpty() ? 0 : bounds.getFirst().millis;
+        return bounds.isEmpty() ? viewDifferenceMillis : bounds.getFirst().millis;
     }
 
-    private void record(long millis, long nowMillis) {
+    private void record(long ownMillis, long nowMillis) {
+        long millis = ownMillis + viewDifferenceMillis;
         while (!bounds.isEmpty() && bounds.getLast().millis <= millis) {
             bounds.removeLast();
         }
--- a/src/main/java/org/dogwoodwinch/relay/TargetEntriesAge.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetEntriesAge.java
@@ -26,4 +26,13 @@
     public boolean isOld(long millis) {
         return millis > usableMillis;
     }
+
+    /**
+     * Returns whether the entries are that old now.
+     *
+     * @return whether an instance has to know more than they say
+     */
+    public boolean isOld() {
+        return isOld(ageMillis.getAsLong());
+    }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
@@ -8,13 +8,19 @@
 import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamId;
+import org.dogwoodwinch.forwarding.StreamLifetime;
 import org.dogwoodwinch.forwarding.StreamRecorders;
 import org.dogwoodwinch.time.TimeSource;
 
 /** An instance of a {@link SoakDay} with its view of the targets and what it knows of streams. */
 final class SoakInstance {
 
-    private static final long LIFETIME_MILLIS = 8_000;
+    /** With the time by which views may differ, a stream lives for 8 s. */
+    private static final long TIMEOUT_MILLIS = 5_000;
+
+    /** The age at which entries of targets are old for a drain time of 2 s. */
+    private static final long OLD_VIEW_MILLIS = 1_800;
+
     private static final int MAX_VIEW_DELAY_MILLIS = 900;
     private static final long MAX_LATENESS_MILLIS = 2_900;
     private static final long RESTART_MILLIS = 1_200;
@@ -32,6 +38,7 @@
     private final long viewDelayMillis;
     private VersionHistorySharing versions;
     private StreamBegins begins;
+    private StreamLifetime lifetime;
     private SoakProcessTime process;
     private long startedMillis;
     private boolean isCutFromStore;
@@ -57,19 +64,34 @@
                 member.exchange,
                 this::otherNames,
                 _service -> versionsInView(),
-                new SoftwareVersionHistory(this::lifetimeMillis, SoakDay.VIEW_DIFFERENCE_MILLIS),
+                new SoftwareVersionHistory(
+                        this::lifetimeMillis, SoakDay.VIEW_DIFFERENCE_MILLIS, StreamComponents.REMOVED_SERVES_MILLIS),
                 time);
         begins = new StreamBegins(this::lifetimeMillis);
-        sharing = new StreamBeginSharing(member.name, member.exchange, this::otherNames, versions, begins, time);
+        lifetime = new StreamLifetime(SoakDay.VIEW_DIFFERENCE_MILLIS);
+        sharing = new StreamBeginSharing(
+                member.name,
+                member.exchange,
+                this::otherNames,
+                versions,
+                begins,
+                lifetime,
+                () -> lateMillis() > OLD_VIEW_MILLIS,
+                day.random.nextLong(),
+                time);
         // The rounds of the simulated bus go on while a process is suspended.
         versions.start(() -> member.paused && day.playsMore() ? Set.of() : Set.of("reader"));
         sharing.start();
     }
 
     private long lifetimeMillis() {
-        return day.plays(SoakDisturbance.CHANGED_TIMEOUTS)
-                ? timeoutMillis + SoakDay.VIEW_DIFFERENCE_MILLIS
-                : LIFETIME_MILLIS;
+        long nowMillis = day.nowMillis();
+        lifetime.recordTimeout(day.plays(SoakDisturbance.CHANGED_TIMEOUTS) ? timeoutMillis : TIMEOUT_MILLIS, nowMillis);
+        return lifetime.millis(nowMillis);
+    }
+
+    private long lateMillis() {
+        return day.playsMore() ? day.nowMillis() - viewedMillis : viewDelayMillis;
     }
 
     private List<String> otherNames() {
@@ -212,9 +234,8 @@
                 + (isDown ? " down" : "")
                 + (member.exchange.hearsOthers() ? "" : " hears nobody");
         long nowMillis = day.nowMillis();
-        long lateMillis = day.playsMore() ? nowMillis - viewedMillis : viewDelayMillis;
-        return member.name + state + " (view " + new TreeSet<>(versionsInView()) + " late by " + lateMillis
-                + " ms, observed " + versions.observedMillis("reader") + " ms, up " + (nowMillis - startedMillis)
+        return member.name + state + " (view " + new TreeSet<>(versionsInView()) + " late by " + lateMillis()
+                + " ms, observed " + versions.singleMillis("reader") + " ms, up " + (nowMillis - startedMillis)
                 + " ms, calm for " + (isDisrupted ? 0 : nowMillis - calmSinceMillis) + " ms, lifetime "
                 + lifetimeMillis() + " ms)";
     }
--- a/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
@@ -4,51 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.IntStream;
-import org.dogwoodwinch.forwarding.StreamId;
-import org.dogwoodwinch.forwarding.StreamRecorders;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.relay.StreamOrigin;
 import org.junit.jupiter.api.Test;
 
-class StreamBeginSharingTest {
-
-    private static final long TIMEOUT_MILLIS = 5_000;
-
-    /** The time-out and that by which the views of two instances may differ. */
-    private static final long LIFETIME_MILLIS = TIMEOUT_MILLIS + 3_000;
-
-    private static final long ANSWER_MILLIS = 200;
-    private static final Set<String> ONE = Set.of("v1");
-    private static final Set<String> TWO = Set.of("v1", "v2");
-
-    private SimulatedFleet fleet;
-    private final List<Instance> instances = new ArrayList<>();
-
-    private void start(int count) {
-        fleet = new SimulatedFleet(count, 3, 7);
-        fleet.members.forEach(member -> instances.add(new Instance(member)));
-        fleet.time.advanceMillis(LIFETIME_MILLIS + 3_000);
-    }
-
-    private void listVersions(Set<String> versions) {
-        instances.forEach(each -> each.listed = versions);
-        fleet.time.advanceMillis(300);
-    }
-
-    private static StreamId stream(int number) {
-        return new StreamId("owner", "reader", "a" + number);
-    }
-
-    private static void assertKnown(String version, StreamOrigin origin) {
-        assertEquals(version, assertInstanceOf(StreamOrigin.Known.class, origin).softwareVersion());
-    }
+class StreamBeginSharingTest extends StreamBeginFixture {
 
     /** Failure: a caller comes back at another instance, which does not know its stream. */
     @Test
@@ -267,122 +229,4 @@
 
         assertKnown("v2", instances.get(4).find(Optional.of(stream(1))));
     }
-
-    /** Failure: an instance whose view is late takes the old version for the only one, though others see the release. */
-    @Test
-    void wordOfOthersThatSeeAnotherVersionLeavesNoOnlyVersion() {
-        start(6);
-        listVersions(ONE);
-        for (int i = 0; i < 5; i++) {
-            instances.get(i).listed = TWO;
-        }
-        fleet.time.advanceMillis(300);
-        StreamId lost = streamOfWhichOnlyAreTold(instances.subList(1, 4));
-        instances.get(0).begin(lost, "v2");
-        fleet.time.advanceMillis(5);
-        instances.subList(0, 4).forEach(Instance::restart);
-
-        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(5).find(Optional.of(lost)));
-        instances.get(5).begin(stream(2), "v1");
-        assertTrue(fleet.members.get(5).sentBytesByTopic.containsKey(PeerTopic.STREAM_BEGIN), "begins are not told");
-    }
-
-    /** Failure: a release is seen while the others are asked, and the version before it is answered. */
-    @Test
-    void versionThatIsListedWhileTheOthersAreAskedLeavesNoOnlyVersion() {
-        start(6);
-        listVersions(ONE);
-        fleet.members.subList(0, 5).forEach(member -> member.setIsolated(true));
-        fleet.time.schedule(ANSWER_MILLIS / 2, () -> instances.get(5).listed = TWO);
-
-        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(5).find(Optional.of(stream(1))));
-    }
-
-    /** Failure: a configuration lowers the time-out, and streams that began before it go on at the next version. */
-    @Test
-    void streamOutlivesTheConfigurationUnderWhichItBegan() {
-        start(6);
-        listVersions(TWO);
-        instances.get(0).begin(stream(1), "v1");
-        listVersions(Set.of("v2"));
-        instances.forEach(each -> each.timeoutMillis = 300);
-        fleet.time.advanceMillis(TIMEOUT_MILLIS - 600);
-
-        for (Instance instance : instances) {
-            assertKnown("v1", instance.find(Optional.of(stream(1))));
-        }
-    }
-
-    /** Failure: a caller has more time than its route, and its stream goes on at the version that came meanwhile. */
-    @Test
-    void streamLivesAsLongAsItsCallerMayComeBack() {
-        start(6);
-        listVersions(TWO);
-        OptionalLong callerMillis = OptionalLong.of(3 * LIFETIME_MILLIS);
-        instances.get(0).streams.origins().recordBegin(stream(1), "v1", callerMillis);
-        listVersions(Set.of("v2"));
-        fleet.time.advanceMillis(2 * LIFETIME_MILLIS);
-
-        assertKnown("v1", instances.get(0).find(Optional.of(stream(1))));
-        instances.get(1).streams.origins().recordBegin(stream(2), "v2", callerMillis);
-        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(1).find(Optional.of(stream(3))));
-    }
-
-    private StreamId streamOfWhichOnlyAreTold(List<Instance> told) {
-        List<String> names = told.stream().map(each -> each.member.name).toList();
-        List<String> allNames =
-                fleet.members.stream().map(member -> member.name).toList();
-        return IntStream.iterate(1, number -> number + 1)
-                .mapToObj(StreamBeginSharingTest::stream)
-                .filter(each -> names.containsAll(StreamRecorders.toldOf(each, allNames, allNames.get(0))))
-                .findFirst()
-                .orElseThrow();
-    }
-
-    private final class Instance {
-        private final SimulatedFleet.Member member;
-        private Set<String> listed = ONE;
-        private long timeoutMillis = TIMEOUT_MILLIS;
-        private StreamComponents streams;
-
-        Instance(SimulatedFleet.Member member) {
-            this.member = member;
-            begin();
-        }
-
-        private void begin() {
-            streams = new StreamComponents(
-                    member.name,
-                    member.exchange,
-                    this::otherNames,
-                    _service -> listed,
-                    () -> timeoutMillis,
-                    fleet.time);
-            streams.start(() -> Set.of("reader"));
-        }
-
-        void begin(StreamId stream, String version) {
-            streams.origins().recordBegin(stream, version, OptionalLong.empty());
-        }
-
-        private List<String> otherNames() {
-            return fleet.members.stream()
-                    .filter(other -> other != member)
-                    .map(other -> other.name)
-                    .toList();
-        }
-
-        void restart() {
-            member.restart();
-            begin();
-        }
-
-        StreamOrigin find(Optional<StreamId> stream) {
-            AtomicReference<StreamOrigin> found = new AtomicReference<>();
-            streams.origins().find("reader", stream, found::set);
-            fleet.time.advanceMillis(ANSWER_MILLIS);
-            assertTrue(found.get() != null, "no answer in time");
-            return found.get();
-        }
-    }
 }
--- a/src/test/java/org/dogwoodwinch/forwarding/SoftwareVersionHistoryTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/SoftwareVersionHistoryTest.java
@@ -16,7 +16,7 @@
     private static final long MAX_UPDATE_GAP_MILLIS = 3_000;
 
     private final SoftwareVersionHistory history =
-            new SoftwareVersionHistory(() -> LIFETIME_MILLIS, MAX_UPDATE_GAP_MILLIS);
+            new SoftwareVersionHistory(() -> LIFETIME_MILLIS, MAX_UPDATE_GAP_MILLIS, 0);
 
     /** Updates the versions each second, both times included. */
     private void observe(Set<String> versions, long fromMillis, long toMillis) {
@@ -137,4 +137,43 @@
 
         assertEquals(Optional.of("v1"), history.onlyVersion("s", 25_000));
     }
+
+    /** Failure: an instance that is cut off begins streams at targets that have left, and they go on at the version left. */
+    @Test
+    void versionThatIsLeftIsNotTheOnlyOneWhileRemovedTargetsMayServe() {
+        SoftwareVersionHistory serving =
+                new SoftwareVersionHistory(() -> LIFETIME_MILLIS, MAX_UPDATE_GAP_MILLIS, 30_000);
+        for (long millis = -50_000; millis < 0; millis += 1_000) {
+            serving.update("s", Set.of("v1"), millis);
+        }
+        for (long millis = 0; millis <= 39_000; millis += 1_000) {
+            serving.update("s", Set.of("v2"), millis);
+        }
+
+        assertEquals(Optional.empty(), serving.onlyVersion("s", 30_000 + LIFETIME_MILLIS));
+        assertEquals(Optional.of("v2"), serving.onlyVersion("s", 30_001 + LIFETIME_MILLIS));
+        assertEquals(Optional.of(new SingleVersion("v2", -10_000)), serving.singleVersion("s", 20_000));
+    }
+
+    /** Failure: an instance that starts after a release vouches sooner than those that have seen the release. */
+    @Test
+    void instanceThatStartsAfterReleaseWaitsUntilRemovedTargetsHaveEnded() {
+        observe(Set.of("v2"), 0, 20_000);
+        history.considerStatement("s", new SingleVersion("v2", -10_000), 20_000);
+        observe(Set.of("v2"), 21_000, 39_000);
+
+        assertEquals(Optional.empty(), history.onlyVersion("s", 30_000 + LIFETIME_MILLIS));
+        assertEquals(Optional.of("v2"), history.onlyVersion("s", 30_001 + LIFETIME_MILLIS));
+    }
+
+    /** Failure: another instance sees a version that this one does not, and its word is disregarded. */
+    @Test
+    void versionThatAnotherInstanceSeesCountsAsChange() {
+        observe(Set.of("v1"), 0, 20_000);
+        history.considerStatement("s", new SingleVersion("v2", 0), 20_000);
+        observe(Set.of("v1"), 21_000, 29_000);
+
+        assertEquals(Optional.empty(), history.onlyVersion("s", 20_000 + LIFETIME_MILLIS));
+        assertEquals(Optional.of("v1"), history.onlyVersion("s", 20_001 + LIFETIME_MILLIS));
+    }
 }
--- a/src/test/java/org/dogwoodwinch/forwarding/StreamBeginsTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/StreamBeginsTest.java
@@ -1,7 +1,6 @@
 package org.dogwoodwinch.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Optional;
@@ -32,7 +31,7 @@
         begins.record(STREAM, "v2", 2);
 
         assertEquals(Optional.empty(), begins.find(STREAM, 3));
-        assertTrue(begins.isAmbiguous(STREAM));
+        assertEquals(Optional.of("ambiguous"), begins.contradiction(STREAM));
     }
 
     /** Failure: an owner's id steers the stream of another owner, or of another service. */
@@ -43,7 +42,7 @@
         assertEquals(Optional.empty(), begins.find(new StreamId("other", "reader", "a1"), 1));
         assertEquals(Optional.empty(), begins.find(new StreamId("owner", "other", "a1"), 1));
         begins.record(new StreamId("other", "reader", "a1"), "v2", 1);
-        assertFalse(begins.isAmbiguous(STREAM));
+        assertEquals(Optional.empty(), begins.contradiction(STREAM));
     }
 
     /** Failure: callers invent ids, and the records of all other streams take the memory. */
@@ -60,4 +59,15 @@
         assertEquals(Optional.empty(), begins.find(STREAM, 2));
         assertTrue(begins.find(new StreamId("owner", "reader", "b59999"), 2).isPresent());
     }
+
+    /** Failure: a route leads to another service now, and what is recorded of the one before is not found. */
+    @Test
+    void streamThatBeganAtAnotherServiceIsNotUnrecorded() {
+        begins.record(STREAM, "v1", 0);
+        StreamId moved = new StreamId(STREAM.owner(), "another", STREAM.requestId());
+
+        assertEquals(Optional.empty(), begins.find(moved, 1));
+        assertEquals(Optional.of("other_service"), begins.contradiction(moved));
+        assertEquals(Optional.empty(), begins.contradiction(new StreamId("other", "another", STREAM.requestId())));
+    }
 }
--- a/src/test/java/org/dogwoodwinch/forwarding/StreamLifetimeTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/StreamLifetimeTest.java
@@ -6,7 +6,7 @@
 
 class StreamLifetimeTest {
 
-    private final StreamLifetime lifetime = new StreamLifetime();
+    private final StreamLifetime lifetime = new StreamLifetime(0);
 
     @Test
     void nothingIsKnownBeforeTheFirstConfiguration() {
@@ -66,4 +66,15 @@
         assertEquals(600_000, lifetime.millis(600_000));
         assertEquals(0, lifetime.millis(600_001));
     }
+
+    /** Failure: another instance reads the lower time-out later, and what it begins until then is forgotten too early. */
+    @Test
+    void differenceOfViewsCountsUntilTheEndOfEachBound() {
+        StreamLifetime differing = new StreamLifetime(3_000);
+        differing.recordTimeout(60_000, 0);
+        differing.recordTimeout(2_000, 10);
+
+        assertEquals(63_000, differing.millis(63_000));
+        assertEquals(3_000, differing.millis(63_001));
+    }
 }
--- a/src/test/java/org/dogwoodwinch/relay/StreamLogsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/StreamLogsTest.java
@@ -9,6 +9,7 @@
 import ch.qos.logback.core.read.ListAppender;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Stage;
@@ -142,7 +143,7 @@
     private static StreamOrigins unknown() {
         return new StreamOrigins() {
             @Override
-            public void recordBegin(StreamId _stream, String _softwareVersion) {}
+            public void recordBegin(StreamId _stream, String _softwareVersion, OptionalLong _callerMillis) {}
 
             @Override
             public void find(String _service, Optional<StreamId> _stream, Consumer<StreamOrigin> onFound) {
--- a/src/test/java/org/dogwoodwinch/relay/TakenUpStreamTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/TakenUpStreamTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -293,7 +294,7 @@
     /** Knows that the stream a1 of the service that is asked for began at v1, and no other stream. */
     private static final class BeganAtOldVersion implements StreamOrigins {
         @Override
-        public void recordBegin(StreamId _stream, String _softwareVersion) {}
+        public void recordBegin(StreamId _stream, String _softwareVersion, OptionalLong _callerMillis) {}
 
         @Override
         public void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
