Count a move of routes as a change of the versions it leads to

What callers saw: a configuration moved a route to a second service between two tries of a caller, and the stream went on at that service's version.

Cause: the id of a stream holds the service of the route now. After a move it names a stream of the other service, nobody has a record there, and that service's only version was taken for the one that began the stream.

Change: RouteMoves compares the configuration in force with the next one at the prefix of each stream route of either. Where a path leads elsewhere or the split decides otherwise (shares, their order, with several services also the route's name, which the choice by id depends on), each service to which it leads now counts as changed: for the lifetime of a stream its version is not the only one, and begins are told. Equal proportions, another name of a route to one service, and paths without streams before move nothing. The first configuration of a process moves nothing. ConfigurationReader reports moves before any call is routed by the new configuration; the log line is stream_routes_moved.

--- a/src/main/java/org/dogwoodwinch/daemon/ConfigurationReader.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ConfigurationReader.java
@@ -2,16 +2,19 @@
 
 import java.io.IOException;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.ObjLongConsumer;
+import java.util.function.Predicate;
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.StreamListener;
+import org.dogwoodwinch.forwarding.RouteMoves;
 import org.dogwoodwinch.forwarding.RouteTable;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.platform.ConfigurationDecoder;
 import org.dogwoodwinch.platform.StoreClient;
 import org.dogwoodwinch.relay.ForwardingMetrics;
-import org.dogwoodwinch.relay.ForwardingService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,12 +23,25 @@
 
     private static final Logger log = LoggerFactory.getLogger(ConfigurationReader.class);
 
-    private final ForwardingService service;
+    private final Predicate<RouteTable> configure;
     private final ForwardingMetrics metrics;
+    private final ObjLongConsumer<Set<String>> onRoutesMoved;
+    private Optional<RouteTable> tableInForce = Optional.empty();
 
-    ConfigurationReader(ForwardingService service, ForwardingMetrics metrics) {
-        this.service = Objects.requireNonNull(service, "service");
+    /**
+     * Creates a reader without a configuration.
+     *
+     * @param configure applies a configuration unless a newer one is in force, and returns whether it is applied, not
+     *     null
+     * @param metrics the metrics, not null
+     * @param onRoutesMoved receives the services to which a new configuration leads streams that may have begun at
+     *     others, at least one, and its version, before any call is routed by it, not null
+     */
+    ConfigurationReader(
+            Predicate<RouteTable> configure, ForwardingMetrics metrics, ObjLongConsumer<Set<String>> onRoutesMoved) {
+        this.configure = Objects.requireNonNull(configure, "configure");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.onRoutesMoved = Objects.requireNonNull(onRoutesMoved, "onRoutesMoved");
     }
 
     @Override
@@ -36,9 +52,11 @@
         }
         try {
             RouteTable table = ConfigurationDecoder.decode(record.value().get());
-            boolean inForce = service.configure(table);
+            boolean inForce = configure.test(table);
             if (inForce) {
                 metrics.setConfigurationVersion(table.version());
+                reportMoves(table);
+                tableInForce = Optional.of(table);
             }
             LogEvent.of("configuration_read")
                     .with("version", table.version())
@@ -55,6 +73,15 @@
         }
     }
 
+    private void reportMoves(RouteTable table) {
+        Set<String> services = tableInForce
+                .map(previous -> RouteMoves.servicesOfMovedStreams(previous, table))
+                .orElseGet(Set::of);
+        if (!services.isEmpty()) {
+            onRoutesMoved.accept(services, table.version());
+        }
+    }
+
     /** A configuration is never removed: the last one stays in force until a newer one is read. */
     @Override
     public void onSnapshotComplete(Set<String> _keys, long endOffset) {
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -350,7 +350,7 @@
                                 store.keyed(StoreClient.OPERATOR_TOPIC),
                                 polling.configurationReplica()),
                 followerPolicy,
-                new ConfigurationReader(service, metrics),
+                new ConfigurationReader(service::configure, metrics, streams::onRoutesMoved),
                 time,
                 random);
         this.clockWatch =
--- a/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
@@ -101,6 +101,16 @@
         lifetime.recordTimeout(longestTimeoutMillis.getAsLong(), time.monotonicMillis());
     }
 
+    /**
+     * Counts the only versions of services for nothing until streams that began before a move of routes have ended.
+     *
+     * @param services the services to which routes of streams lead now, and led elsewhere before, not null
+     * @param configurationVersion the version of the configuration that has moved them
+     */
+    void onRoutesMoved(Set<String> services, long configurationVersion) {
+        versions.onRoutesMoved(services, configurationVersion);
+    }
+
     private long lifetimeMillis() {
         recordTimeout();
         return lifetime.millis(time.monotonicMillis());
--- a/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
@@ -112,6 +112,23 @@
         history.beginAnew(time.monotonicMillis());
     }
 
+    /**
+     * Counts streams that began at other services as those of several versions, because a configuration has moved them.
+     *
+     * @param services the services to which their routes lead now, not null
+     * @param configurationVersion the version of the configuration, for logs
+     */
+    void onRoutesMoved(Set<String> services, long configurationVersion) {
+        LogEvent.of("stream_routes_moved")
+                .with("services", services)
+                .with("version", configurationVersion)
+                .info(log);
+        services.forEach(service -> {
+            update(service);
+            history.recordMove(service, time.monotonicMillis());
+        });
+    }
+
     /**
      * Returns whether other instances have to be told at which version a stream begins.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteTable.java
@@ -126,6 +126,18 @@
         return streamRoutes.getOrDefault(serviceName, List.of());
     }
 
+    /**
+     * Returns all routes of streams.
+     *
+     * @return the routes, unmodifiable, in no order
+     */
+    public List<ServiceRoute> streamRoutes() {
+        return routesByHost.values().stream()
+                .flatMap(routes -> routes.values().stream())
+                .filter(route -> route.kind() == RouteKind.STREAM)
+                .toList();
+    }
+
     /**
      * Returns the services whose engines are ordered.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
@@ -70,6 +70,18 @@
         versionsByService.values().forEach(versions -> versions.observedSinceMillis = nowMillis);
     }
 
+    /**
+     * Records that a configuration leads streams to a service that may have begun at another one, whose versions are not
+     * those of this service. Counts as a change of its versions, also if none is known yet.
+     *
+     * @param service the service to which they lead now, not null
+     * @param nowMillis the monotonic time
+     */
+    public void recordMove(String service, long nowMillis) {
+        Versions versions = versionsByService.computeIfAbsent(service, _service -> new Versions(Set.of(), nowMillis));
+        versions.singleFromMillis = Math.max(versions.singleFromMillis, nowMillis);
+    }
+
     /**
      * Returns whether other instances have to be told at which version a stream of a service begins.
      *
--- a/src/test/java/org/dogwoodwinch/daemon/SoakDay.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakDay.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Stream;
@@ -260,8 +259,7 @@
             StreamId id = new StreamId("owner", "reader", "s" + streamsCount++);
             long deadlineMillis = playsMore() ? nowMillis() + instance.timeoutMillis : Long.MAX_VALUE;
             SoakStream stream = new SoakStream(id, target.get().version, nowMillis(), deadlineMillis);
-            instance.sharing.recordBegin(
-                    id, stream.version, playsMore() ? OptionalLong.of(instance.timeoutMillis) : OptionalLong.empty());
+            instance.recordBegin(stream);
             stream.trace
                     .append("began " + now() + " at " + instance.describe())
                     .append(", told " + instance.toldOf(id));
--- a/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -90,6 +91,11 @@
         return lifetime.millis(nowMillis);
     }
 
+    void recordBegin(SoakStream stream) {
+        OptionalLong callerMillis = day.playsMore() ? OptionalLong.of(timeoutMillis) : OptionalLong.empty();
+        sharing.recordBegin(stream.id, stream.version, callerMillis);
+    }
+
     private long lateMillis() {
         return day.playsMore() ? day.nowMillis() - viewedMillis : viewDelayMillis;
     }
--- a/src/test/java/org/dogwoodwinch/forwarding/SoftwareVersionHistoryTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/SoftwareVersionHistoryTest.java
@@ -130,6 +130,40 @@
         assertTrue(history.maybeSeveral("s", 5_000 + LIFETIME_MILLIS));
     }
 
+    /** Failure: a route moves here from another service, whose streams go on at the only version of this one. */
+    @Test
+    void versionIsNotTheOnlyOneUntilStreamsOfTheRouteBeforeTheMoveHaveEnded() {
+        observe(Set.of("v1"), -20_000, 5_000);
+        history.recordMove("s", 5_000);
+        history.considerStatement("s", new SingleVersion("v1", 90_000), 5_000);
+        observe(Set.of("v1"), 6_000, 5_000 + LIFETIME_MILLIS);
+
+        assertTrue(history.maybeSeveral("s", 5_000 + LIFETIME_MILLIS));
+        assertEquals(Optional.of(new SingleVersion("v1", 1_000)), history.singleVersion("s", 6_000));
+        assertEquals(Optional.empty(), history.onlyVersion("s", 5_000 + LIFETIME_MILLIS));
+        assertEquals(Optional.of("v1"), history.onlyVersion("s", 5_001 + LIFETIME_MILLIS));
+    }
+
+    /** Failure: a route moves to a service before its targets are seen, and another instance vouches for their past. */
+    @Test
+    void moveToServiceThatIsNotKnownYetCountsToo() {
+        history.recordMove("s", 0);
+        assertEquals(Set.of(), history.currentVersions("s"));
+        observe(Set.of("v1"), 1_000, 2_000);
+        history.considerStatement("s", new SingleVersion("v1", 90_000), 2_000);
+
+        assertTrue(history.maybeSeveral("s", 2_000));
+        assertEquals(Optional.empty(), history.onlyVersion("s", 2_000));
+    }
+
+    @Test
+    void moveIsThatOfOneService() {
+        observe(Set.of("v1"), 0, 9_000);
+        history.recordMove("other", 9_000);
+
+        assertEquals(Optional.of("v1"), history.onlyVersion("s", 9_001));
+    }
+
     @Test
     void listWithoutTargetsKeepsTheVersionsKnown() {
         observe(Set.of("v1"), 0, 19_000);
