Take no time-out in force for that of streams before the start of a process

What callers saw: streams joined of two software versions after a loss of power of all instances, where a configuration had lowered the route's time-out before.

Cause: a process that has just started knows the configuration in force alone, and took its lowered time-out for the life of streams that began before: after 0.3 s and 3 s the version listed now counted as the only one, while the callers came back 4.3 s after their begin.

Change: in its first 33 s a process takes 30 s for the time-outs and deadlines that it has not seen. Begins are told meanwhile, and what others have observed for longer still counts, so a rolling restart costs no stream.

DoubtfulStreamOriginTest #processThatStartsDoesNotTakeTheTimeoutInForceForThatOfStreamsBefore.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
@@ -24,6 +24,9 @@
     /** A target that leaves serves on for the drain time and, at times, many seconds more. */
     static final long REMOVED_SERVES_MILLIS = 30_000;
 
+    /** A process does not know the time-outs and deadlines under which streams began before its start. */
+    static final long UNKNOWN_TIMEOUT_MILLIS = 30_000;
+
     private final StreamLifetime lifetime = new StreamLifetime(VIEW_DIFFERENCE_MILLIS);
     private final LongSupplier longestTimeoutMillis;
     private final RelayExchange exchange;
@@ -56,6 +59,7 @@
         this.longestTimeoutMillis = Objects.requireNonNull(longestTimeoutMillis, "longestTimeoutMillis");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
         this.time = Objects.requireNonNull(time, "time");
+        lifetime.recordTimeout(UNKNOWN_TIMEOUT_MILLIS, time.monotonicMillis());
         this.versions = new VersionHistorySharing(
                 ownName,
                 exchange,
--- a/src/test/java/org/dogwoodwinch/daemon/DoubtfulStreamOriginTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/DoubtfulStreamOriginTest.java
@@ -117,6 +117,22 @@
         assertKnown("v2", instances.get(3).find(Optional.of(stream(1_000_000))));
     }
 
+    /** Failure: all lose power after a configuration has lowered the time-out, and know only the lower one afterwards. */
+    @Test
+    void processThatStartsDoesNotTakeTheTimeoutInForceForThatOfStreamsBefore() {
+        start(6);
+        listVersions(TWO);
+        instances.get(0).begin(stream(1), "v1");
+        listVersions(Set.of("v2"));
+        instances.forEach(each -> {
+            each.timeoutMillis = 300;
+            each.restart();
+        });
+        fleet.time.advanceMillis(TIMEOUT_MILLIS - 300);
+
+        assertInstanceOf(StreamOrigin.Unknown.class, instances.get(3).find(Optional.of(stream(1))));
+    }
+
     /** Failure: a late answer to a question of an ended process is taken for one about another stream. */
     @Test
     void answerToAnEndedProcessIsNotTakenForOneToItsSuccessor() {
--- a/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
@@ -19,6 +19,9 @@
     /** With the time by which views may differ, a stream lives for 8 s. */
     private static final long TIMEOUT_MILLIS = 5_000;
 
+    /** The longest time-out under which a stream may have begun before an instance started. */
+    private static final long MAX_TIMEOUT_MILLIS = 10_000;
+
     /** The age at which entries of targets are old for a drain time of 2 s. */
     private static final long OLD_VIEW_MILLIS = 1_800;
 
@@ -70,6 +73,7 @@
                 time);
         begins = new StreamBegins(this::lifetimeMillis);
         lifetime = new StreamLifetime(SoakDay.VIEW_DIFFERENCE_MILLIS);
+        lifetime.recordTimeout(MAX_TIMEOUT_MILLIS, day.nowMillis());
         sharing = new StreamBeginSharing(
                 member.name,
                 member.exchange,
