End a question for a stream in one place

The set-up of two instances stood twice in TakenUpStreamTest. Behaviour and assertions are unchanged.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -183,16 +183,22 @@
     }
 
     private void endWithoutRecord(long number) {
-        Question question = questions.remove(number);
+        Question question = questions.get(number);
         if (question != null) {
-            question.timeout.cancel();
-            question.onFound.accept(
+            end(
+                    number,
                     question.isAnswered || !viewIsOld.getAsBoolean()
                             ? withoutRecord(question.stream.service())
                             : new StreamOrigin.Unknown("old_view"));
         }
     }
 
+    private void end(long number, StreamOrigin origin) {
+        Question question = questions.remove(number);
+        question.timeout.cancel();
+        question.onFound.accept(origin);
+    }
+
     private List<String> memberNames() {
         List<String> names = new ArrayList<>(otherNames.get());
         names.add(ownName);
@@ -267,17 +273,12 @@
             return;
         }
         if (softwareVersion.isPresent()) {
-            questions.remove(number);
-            question.timeout.cancel();
             begins.record(question.stream, softwareVersion.get(), time.monotonicMillis());
-            question.onFound.accept(
-                    new StreamOrigin.Known(softwareVersion.get(), StreamOrigin.Source.ASKED, ageMillis));
+            end(number, new StreamOrigin.Known(softwareVersion.get(), StreamOrigin.Source.ASKED, ageMillis));
             return;
         }
         if (ageMillis == CONTRADICTED_AGE_MILLIS) {
-            questions.remove(number);
-            question.timeout.cancel();
-            question.onFound.accept(new StreamOrigin.Unknown("contradicted"));
+            end(number, new StreamOrigin.Unknown("contradicted"));
             return;
         }
         question.openCount--;
--- a/src/test/java/org/dogwoodwinch/relay/TakenUpStreamTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/TakenUpStreamTest.java
@@ -249,14 +249,18 @@
         assertTrue(relay.latestTargetConnection().takeReceived().contains("kv-from: 10.0.0.2:80/h7"));
     }
 
+    private static RelayFixture oneOfTwo(String name, VirtualTimeSource time) {
+        RelayFixture instance = new RelayFixture(50, time, name, Set.of("a", "b")).withRoutes();
+        addTargets(instance, "old0");
+        return instance;
+    }
+
     /** Failure: the instance that takes the call over runs it anywhere, or does not learn which stream is meant. */
     @Test
     void callThatIsPassedOnRunsAtItsVersion() {
         VirtualTimeSource time = new VirtualTimeSource(1_000_000);
-        RelayFixture cut = new RelayFixture(50, time, "a", Set.of("a", "b")).withRoutes();
-        RelayFixture sound = new RelayFixture(50, time, "b", Set.of("a", "b")).withRoutes();
-        addTargets(cut, "old0");
-        addTargets(sound, "old0");
+        RelayFixture sound = oneOfTwo("b", time);
+        RelayFixture cut = oneOfTwo("a", time);
         cut.service.startIsolationWatch();
         cut.neighbourLinks.add("b", sound);
         cut.unreachableTargetIds.addAll(Set.of("old0", "new0", "new1", "new2", "new3"));
@@ -274,10 +278,8 @@
     @Test
     void callThatIsPassedOnWhileItWaitsRunsAtItsVersion() {
         VirtualTimeSource time = new VirtualTimeSource(1_000_000);
-        RelayFixture cut = new RelayFixture(50, time, "a", Set.of("a", "b")).withRoutes();
-        RelayFixture sound = new RelayFixture(50, time, "b", Set.of("a", "b")).withRoutes();
-        addTargets(cut, "old0");
-        addTargets(sound, "old0");
+        RelayFixture sound = oneOfTwo("b", time);
+        RelayFixture cut = oneOfTwo("a", time);
         cut.service.startIsolationWatch();
         cut.neighbourLinks.add("b", sound);
         cut.connectCaller().send(takeUp("x"));
