Log answers that nothing proves to belong to the call that waits

What callers saw: a success where the target had answered a failure, with no line in the logs that told why. A head that was read from the beginning of a late second answer and the call's own answer left no trace, since its id agrees.

Change: what a head states about its call is read as a whole (all its ids, and whether the text of another status line stands in it, and where), and a pure verdict is logged as answer_not_proved with the reason and the number of calls on the connection. stray_answer and stranger_answer_passed_over state that number too. No answer is treated differently yet.

--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -22,6 +22,7 @@
 import org.dogwoodwinch.relay.CallAttributes;
 import org.dogwoodwinch.relay.CallHeaders;
 import org.dogwoodwinch.relay.ResponseAttributes;
+import org.dogwoodwinch.relay.ResponseIdentity;
 import org.dogwoodwinch.relay.SendAttributes;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -128,7 +129,7 @@
         HttpHeaders headers = answer.headers();
         return new ResponseAttributes(
                 answer.status().code(),
-                Optional.ofNullable(headers.get(HeaderNames.REQUEST_ID)),
+                ResponseIdentity.of(answer, HeaderNames.REQUEST_ID),
                 headers.contains(HeaderNames.SERVER_STAMP),
                 headers.contains(HeaderNames.NOT_RUN),
                 headers.contains(HttpHeaderNames.CONTENT_ENCODING),
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/InnerStatusLine.java
@@ -0,0 +1,11 @@
+package org.dogwoodwinch.relay;
+
+/** Where the head of a response holds the text of another status line, beside its own first line. */
+public enum InnerStatusLine {
+    /** Nowhere. */
+    NONE,
+    /** In the reason phrase, or in a field that is not after the one with the request id. */
+    BEFORE_ID,
+    /** Only in fields after the one with the request id. */
+    AFTER_ID
+}
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.http.Channels;
@@ -189,9 +190,22 @@
         LogEvent.of("stray_answer")
                 .with("target", target.id())
                 .with("state", state)
+                .with("request", requestId)
+                .with("calls", callsCount)
                 .info(log);
     }
 
+    private void logUnproved(String reason, ResponseAttributes attributes) {
+        LogEvent.of("answer_not_proved")
+                .with("target", target.id())
+                .with("request", requestId)
+                .with("reason", reason)
+                .with("status", attributes.status())
+                .with("answers", attributes.identity().requestIds())
+                .with("calls", callsCount)
+                .warn(log);
+    }
+
     private void logEndless(String kind) {
         LogEvent.of("bytes_without_answer")
                 .with("target", target.id())
@@ -264,7 +278,12 @@
         responseEnd = expectedEnd(response);
         idleLimitMillis = attributes.idleTimeoutMillis().orElse(Long.MAX_VALUE);
         onResponseHead.accept(attributes);
-        if (attributes.requestId().isPresent() && !attributes.requestId().get().equals(requestId)) {
+        HeadVerdict verdict = HeadVerdict.of(attributes.identity(), requestId, callsCount == 1);
+        if (verdict instanceof HeadVerdict.Unproved unproved) {
+            logUnproved(unproved.reason(), attributes);
+        }
+        Optional<String> firstId = attributes.identity().requestIds().stream().findFirst();
+        if (firstId.isPresent() && !firstId.get().equals(requestId)) {
             skipResponse(attributes);
             return;
         }
@@ -288,7 +307,8 @@
         LogEvent.of("stranger_answer_passed_over")
                 .with("target", target.id())
                 .with("request", requestId)
-                .with("answers", attributes.requestId().orElse(""))
+                .with("answers", attributes.identity().requestIds())
+                .with("calls", callsCount)
                 .info(log);
         if (skippedCount > ReceiveLimits.MAX_SKIPPED_ANSWERS || !keepAlive) {
             failCall("answers_of_others");
