Play a late second answer that is cut at each byte before the own answer of the next call

Cause: on a kept connection a target may answer an earlier call a second time where the next call's answer is expected, and it may break off at any byte. The decoder then reads one head from the beginning of the one and the own answer behind it. No test played that.

Change: tests only. LateSecondAnswerTest plays 26 kinds of second answers (200 with a length, with a long body, chunked with extensions and trailers, without framing, 204, 304, 500, 503 with Not-Run; each with the earlier call's id as first field, as last field, and without it; 100 and 103), cut at each byte, before each of four own answers (200, 500, an empty 504, 503 with Not-Run), on a route that runs once, a safe one and a stream, in one read, in two, and in reads of 1, 2, 3 and 7 bytes. In other situations the second answer begins in the read of the first one, or while the connection is idle, wholly or half of it, and the methods are HEAD after GET, GET after HEAD and HEAD after HEAD. Each cut is played after the write with each own answer; routes and reads take turns (-Dlate.answers=all plays all combinations). What a caller receives is parsed without the product's decoders and compared with what the same call leads to undisturbed.

That the own answer must arrive as it is (OWN_ANSWER_LOST) is asked where it is alone, where it follows a whole interim head, and where it follows a whole answer that states the earlier id and whose end does not depend on the method of the earlier call. It is not asked behind a whole answer without an id, since nothing shows whose that is. Waiting is a fault in each play: where a declared length would still admit more bytes, the bytes that have arrived hold the waiting call's own id and status line, and no other answer to it will come.

--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/relay/OwnAnswer.java
@@ -0,0 +1,48 @@
+package org.dogwoodwinch.relay;
+
+/** The answer that a target gives to the call that waits. */
+enum OwnAnswer {
+    SUCCESS("200 OK", "own body"),
+    FAILURE("500 Internal Server Error", "own failure"),
+    EMPTY_FAILURE("504 Gateway Timeout", ""),
+    NOT_RUN("503 Busy", "");
+
+    private static final String STREAM_BODY = "id: 1\ndata: own\n\nid: 2\ndata: end\n\n";
+
+    private final String status;
+    private final String body;
+
+    OwnAnswer(String status, String body) {
+        this.status = status;
+        this.body = body;
+    }
+
+    /** Returns whether a caller received the status, the signature and the body of this answer. */
+    boolean isReceivedAs(ReceivedAnswer received, String method, String stamp) {
+        return status.startsWith(received.status() + " ")
+                && received.stamp().equals(stamp)
+                && received.body().equals(method.equals("HEAD") ? "" : body);
+    }
+
+    /**
+     * Returns the bytes of this answer.
+     *
+     * @param path the path of the call; a success of a stream is chunked
+     * @param method the method of the call
+     * @param id the id of the call
+     * @param stamp the signature of the target
+     */
+    String text(String path, String method, String id, String stamp) {
+        boolean isStream = this == SUCCESS && path.startsWith("/stream/");
+        String head = "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\nServer-Stamp: " + stamp
+                + "\r\nX-Own: " + stamp + "\r\n"
+                + (this == NOT_RUN ? "Not-Run: 1\r\n" : "")
+                + (isStream
+                        ? "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        : "Content-Length: " + body.length() + "\r\n\r\n");
+        if (method.equals("HEAD")) {
+            return head;
+        }
+        return head + (isStream ? RelayFixture.chunk(STREAM_BODY) + "0\r\n\r\n" : body);
+    }
+}
