Write no body after the head of a response to a HEAD request

What callers saw: after a refusal or a failure of this instance, such as 404, 502 or 504, to a HEAD request, the text of the refusal followed the head without a length. A caller that keeps its connection takes it for the beginning of its next response.

Cause: the responses of this instance carry a text, and the encoder does not know the method of the request.

Change: the encoder writes no content, and no last chunk, while the request under way is a HEAD request.

--- a/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
@@ -93,6 +93,11 @@
         this.limits = Objects.requireNonNull(limits, "limits");
     }
 
+    /** Returns whether the request under way asks for a response without a body. */
+    boolean answersHeadRequest() {
+        return current != null && current.call().method().equals(HttpMethod.HEAD);
+    }
+
     /** Returns whether no request is being read, queued or under way. */
     boolean isIdle() {
         return current == null && queue.isEmpty() && requestStartMillis < 0;
@@ -316,7 +321,7 @@
                 EmptyHttpHeaders.INSTANCE);
         boolean bodyless = status == HttpResponseStatus.NO_CONTENT.code()
                 || status == HttpResponseStatus.NOT_MODIFIED.code()
-                || current.call().method().equals(HttpMethod.HEAD);
+                || answersHeadRequest();
         if (!bodyless) {
             HttpUtil.setContentLength(response, content.length());
         }
--- a/src/main/java/org/dogwoodwinch/relay/CallerPipeline.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerPipeline.java
@@ -3,7 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -25,7 +24,10 @@
         CallerConnection connection = new CallerConnection(handler, time, limits);
         channel.pipeline()
                 .addLast(new ArrivalRecorder(connection))
-                .addLast(new HttpResponseEncoder(), new StrictRequestDecoder(limits), connection);
+                .addLast(
+                        new CallerResponseEncoder(connection::answersHeadRequest),
+                        new StrictRequestDecoder(limits),
+                        connection);
         return connection;
     }
 
