Take a response for that of a call only if its head proves it

What callers saw: a success, with the stamp and body of a failure, where the target had answered 500 or 504 (MIXED); a run-once call that was sent to a second target though the first one had run it (TWICE); no answer until the deadline though the target had written all it would write.

Cause: a connection took what came next on it for the answer to the call that waited. A target that answers an earlier call a second time, late and cut off, puts the beginning of a head before the next answer, and the decoder reads one head of both: the status of the first, the id, stamp and body of the second. The id agrees. The beginning may also arrive in one read with the end of the answer before; it stayed in the decoder while the connection was in the pool. An answer without an id, and one to an earlier send with the same id, were believed.

Change: one rule for all connections that carry calls. A head belongs to the call if it names that call alone and holds no other status line before the id; on the first call of a connection there is no earlier answer, and its head is accepted as it is. Whole answers to other calls are skipped as before. All else ends the connection at once, and the outcome of the call is unknown: it is sent again only if it may run twice. Bytes behind a complete answer end the connection too, and a call is not sent on a connection that has carried its id. A skipped answer that holds the waiting call's own one ends the wait. Refusals of an instance to another one name the call. A 204, 304 or HEAD response keeps its connection without a length; a failed or aborted call ignores what is still decoded.

--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -124,12 +124,17 @@
         return headers;
     }
 
+    @Override
+    public ResponseIdentity parseIdentity(HttpResponse answer) {
+        return ResponseIdentity.of(answer, HeaderNames.REQUEST_ID);
+    }
+
     @Override
     public ResponseAttributes parseResponse(HttpResponse answer) {
         HttpHeaders headers = answer.headers();
         return new ResponseAttributes(
                 answer.status().code(),
-                ResponseIdentity.of(answer, HeaderNames.REQUEST_ID),
+                headers.contains(HeaderNames.REQUEST_ID),
                 headers.contains(HeaderNames.SERVER_STAMP),
                 headers.contains(HeaderNames.NOT_RUN),
                 headers.contains(HttpHeaderNames.CONTENT_ENCODING),
@@ -139,6 +144,13 @@
                 statesLeaving(headers));
     }
 
+    @Override
+    public void stateRequestId(HttpHeaders headers, String requestId) {
+        if (!headers.contains(HeaderNames.REQUEST_ID)) {
+            headers.set(HeaderNames.REQUEST_ID, requestId);
+        }
+    }
+
     /**
      * Returns the time for which a target wants no request, if it turned a request away and states one. A value that is
      * no number of seconds is taken for a short rest, since the target did ask for one.
--- a/src/main/java/org/dogwoodwinch/relay/CallHeaders.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallHeaders.java
@@ -46,6 +46,14 @@
      */
     HttpHeaders neighbourHeaders(HttpHeaders callerHeaders, Optional<ApiKey> key, long remainingMillis);
 
+    /**
+     * Reads from the head of a target's response to which call it belongs.
+     *
+     * @param responseHead the head of the response with all its fields, not null
+     * @return what it states about the call
+     */
+    ResponseIdentity parseIdentity(HttpResponse responseHead);
+
     /**
      * Parses the head of a target's response.
      *
@@ -54,6 +62,14 @@
      */
     ResponseAttributes parseResponse(HttpResponse responseHead);
 
+    /**
+     * Names the call in the headers of a response of this instance, unless they name one.
+     *
+     * @param headers the headers of the response, not null; modified
+     * @param requestId the id of the call, not null
+     */
+    void stateRequestId(HttpHeaders headers, String requestId);
+
     /**
      * Builds the headers of a response to a caller from those of the target, without hop-by-hop headers.
      *
--- a/src/main/java/org/dogwoodwinch/relay/CallPrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallPrefill.java
@@ -69,7 +69,8 @@
                 () -> suspicion.refusal().isEmpty(),
                 outcome -> handleOutcome(engine, outcome));
         underWay = Optional.of(started);
-        started.start(routed.call().arrivalMillis(), outbound, retries::recordWritten);
+        String requestId = routed.attributes().requestId().orElse("");
+        started.start(requestId, routed.call().arrivalMillis(), outbound, retries::recordWritten);
     }
 
     private void handleOutcome(Incarnation engine, PrefillOutcome outcome) {
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -313,6 +313,7 @@
         context.connections()
                 .acquire(
                         plan.target(),
+                        requestId(),
                         context.connectionsPerTarget(service),
                         new TargetConnectionPool.AcquireCallback() {
                             @Override
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -29,6 +29,7 @@
     private final Counter failedSends;
     private final Counter callerDisconnects;
     private final Counter connections;
+    private final Counter repeatedAnswers;
     private final Counter retries;
     private final Counter sends;
     private final Counter targetStatements;
@@ -87,6 +88,10 @@
         this.callerDisconnects = counter(
                 "dogwoodwinch_forwarded_callers_gone_total", "Callers that left before their answer's end.", "kind");
         this.connections = counter("dogwoodwinch_target_connections_opened_total", "Connections opened to targets.");
+        this.repeatedAnswers = counter(
+                "dogwoodwinch_target_answers_repeated_total",
+                "Bytes of targets that do not belong to the call under way, or that nothing proves to, by reason.",
+                "reason");
         this.retries = counter(
                 "dogwoodwinch_forwarded_repeats_total",
                 "Repeats by service: taken from its quota, or not granted.",
@@ -433,6 +438,10 @@
         callerDisconnects.labelValues(kind).inc();
     }
 
+    void answerRepeated(String reason) {
+        repeatedAnswers.labelValues(reason).inc();
+    }
+
     void connectionOpened() {
         connections.inc();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -456,19 +456,19 @@
     ActiveCall takeOver(IncomingCall call, CallerResponse caller, Runnable onDone) {
         boolean counted = NeighbourCalls.takeCounted(call.headers());
         Optional<String> obstacle = obstacleToTakeOver();
+        String requestId = callHeaders.parseCall(call.headers()).requestId().orElse("");
+        CallerResponse identified = new IdentifiedResponse(caller, callHeaders, requestId);
         LogEvent.of("call_taken_over")
-                .with(
-                        "request",
-                        callHeaders.parseCall(call.headers()).requestId().orElse(""))
+                .with("request", requestId)
                 .with("obstacle", obstacle.orElse(""))
                 .info(log);
         if (obstacle.isPresent()) {
-            LocalResponses.sendNotTakenOver(caller, obstacle.get());
+            LocalResponses.sendNotTakenOver(identified, obstacle.get());
             onDone.run();
             return ActiveCall.NONE;
         }
         metrics.callTakenOver();
-        return handle(call, caller, onDone, true, counted);
+        return handle(call, identified, onDone, true, counted);
     }
 
     private Optional<String> obstacleToTakeOver() {
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -100,8 +100,8 @@
         return callsByName.getOrDefault(name, 0);
     }
 
-    void acquire(Neighbour neighbour, TargetConnectionPool.AcquireCallback callback) {
-        connections.acquire(asTarget(neighbour), NeighbourChooser.MAX_CALLS_PER_NEIGHBOUR, callback);
+    void acquire(Neighbour neighbour, String requestId, TargetConnectionPool.AcquireCallback callback) {
+        connections.acquire(asTarget(neighbour), requestId, NeighbourChooser.MAX_CALLS_PER_NEIGHBOUR, callback);
     }
 
     void release(TargetConnection connection) {
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -98,7 +98,7 @@
         neighbour = chosen;
         triedNames.add(chosen.get().name());
         neighbours.recordBegin(call, chosen.get(), triedNames.size());
-        neighbours.acquire(chosen.get(), new TargetConnectionPool.AcquireCallback() {
+        neighbours.acquire(chosen.get(), call.requestId(), new TargetConnectionPool.AcquireCallback() {
             @Override
             public void acquired(TargetConnection acquired) {
                 send(acquired);
--- a/src/main/java/org/dogwoodwinch/relay/OutboundCall.java
+++ b/src/main/java/org/dogwoodwinch/relay/OutboundCall.java
@@ -1,7 +1,13 @@
 package org.dogwoodwinch.relay;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.util.Objects;
 import org.dogwoodwinch.bytes.Bytes;
 
@@ -26,4 +32,19 @@
         Objects.requireNonNull(headers, "headers");
         Objects.requireNonNull(body, "body");
     }
+
+    /** Returns the request as it is written. */
+    FullHttpRequest toRequest() {
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                method,
+                uri,
+                Unpooled.wrappedBuffer(body.toByteArray()),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
+        if (body.length() > 0 || lengthStated) {
+            HttpUtil.setContentLength(request, body.length());
+        }
+        return request;
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -70,23 +70,28 @@
     /**
      * Sends the prefill request.
      *
+     * @param requestId the id of the call, not null
      * @param arrivalMillis when the call arrived, in monotonic milliseconds
      * @param outbound supplies the request to the engine, evaluated when it is sent, not null
      * @param onWrite run directly before the request is written, not null
      */
-    void start(long arrivalMillis, Supplier<OutboundCall> outbound, Runnable onWrite) {
+    void start(String requestId, long arrivalMillis, Supplier<OutboundCall> outbound, Runnable onWrite) {
         context.connections()
-                .acquire(engine, context.connectionsPerTarget(service), new TargetConnectionPool.AcquireCallback() {
-                    @Override
-                    public void acquired(TargetConnection acquired) {
-                        context.afterCallerReads(arrivalMillis, () -> send(acquired, outbound, onWrite));
-                    }
+                .acquire(
+                        engine,
+                        requestId,
+                        context.connectionsPerTarget(service),
+                        new TargetConnectionPool.AcquireCallback() {
+                            @Override
+                            public void acquired(TargetConnection acquired) {
+                                context.afterCallerReads(arrivalMillis, () -> send(acquired, outbound, onWrite));
+                            }
 
-                    @Override
-                    public void notAcquired(String reason) {
-                        finish(new PrefillOutcome.NotSent(reason));
-                    }
-                });
+                            @Override
+                            public void notAcquired(String reason) {
+                                finish(new PrefillOutcome.NotSent(reason));
+                            }
+                        });
     }
 
     private void send(TargetConnection acquired, Supplier<OutboundCall> call, Runnable onWrite) {
--- a/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
@@ -8,7 +8,7 @@
  * The attributes of a call that a target states in the head of its response.
  *
  * @param status the HTTP status
- * @param identity what it states about the call that the response belongs to, not null
+ * @param identified whether the response states the id of a call
  * @param signed whether the response carries the target's signature
  * @param statesNotRun whether the response states that the call did not run
  * @param encoded whether the body is encoded and so differs from the target's own bytes
@@ -21,7 +21,7 @@
  */
 public record ResponseAttributes(
         int status,
-        ResponseIdentity identity,
+        boolean identified,
         boolean signed,
         boolean statesNotRun,
         boolean encoded,
@@ -36,7 +36,6 @@
 
     /** Validates the components. */
     public ResponseAttributes {
-        Objects.requireNonNull(identity, "identity");
         Objects.requireNonNull(idleTimeoutMillis, "idleMillis");
         Objects.requireNonNull(rateLimitPerSecond, "limitPerSecond");
         Objects.requireNonNull(restMillis, "restMillis");
@@ -47,11 +46,6 @@
         return status == MISDIRECTED;
     }
 
-    /** Returns whether the response states the id of a call. */
-    boolean hasRequestId() {
-        return !identity.requestIds().isEmpty();
-    }
-
     /** Returns whether the status is 2xx; does not check the other conditions of a proven success. */
     boolean isSuccess() {
         return status / CLASS_DIVISOR == SUCCESS_CLASS;
--- /dev/null
+++ b/src/main/java/org/dogwoodwinch/relay/SkippedAnswer.java
@@ -0,0 +1,49 @@
+package org.dogwoodwinch.relay;
+
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * An answer to an earlier call that is skipped while another call waits.
+ *
+ * <p>Failure: the skipped answer was cut off, and the call's own answer is read as the rest of its body. Nothing else will
+ * come, and the caller would wait until its deadline.
+ */
+final class SkippedAnswer {
+
+    private final String waitingId;
+    private final ByteSequenceSearch search;
+
+    /**
+     * Begins with the body of the answer.
+     *
+     * @param waitingId the id of the call that waits, not null
+     */
+    SkippedAnswer(String waitingId) {
+        this.waitingId = Objects.requireNonNull(waitingId, "waitingId");
+        // An id alone may be short and stand in any body; a field ends with it.
+        this.search = new ByteSequenceSearch((": " + waitingId + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /**
+     * Reads the next part of the answer.
+     *
+     * @param content the part, not null
+     * @return whether a field with the id of the waiting call stands in it, so that the answer holds that call's own one
+     */
+    boolean holdsOwnAnswer(HttpContent content) {
+        return search.find(content.content()) || (content instanceof LastHttpContent last && isNamedIn(last));
+    }
+
+    private boolean isNamedIn(LastHttpContent last) {
+        for (Map.Entry<String, String> field : last.trailingHeaders()) {
+            if (field.getValue().equals(waitingId)) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -1,42 +1,32 @@
 package org.dogwoodwinch.relay;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Objects;
-import java.util.Optional;
-import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.http.Channels;
-import org.dogwoodwinch.logging.LogEvent;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * A connection to a target that carries one call at a time. Confined to its event loop.
  *
- * <p>If bytes arrive while no call waits for a response, they belong to no call and the connection is closed. A
- * response with another call's id is skipped, since a target may send a duplicate response to an earlier call before
- * the response to the current one.
+ * <p>A target may answer a call twice, the second time late and cut off at any byte. So a response belongs to the call
+ * that waits only if its head proves it ({@link HeadVerdict}). Bytes that arrive while no call waits, also behind a complete
+ * response, close the connection. A whole response to an earlier call is skipped, and the connection is closed after the
+ * call's own one. A call with an id that the connection has carried before is not sent on it.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-    private static final Logger log = LoggerFactory.getLogger(TargetConnection.class);
-
     private static final String TIMED_OUT = "timed out";
     private static final int MIN_STATUS = 100;
     private static final int MAX_STATUS = 599;
@@ -52,43 +42,52 @@
 
     private final Incarnation target;
     private final CallHeaders callHeaders;
-    private final TargetResponseDecoder decoder;
-    private final Runnable onHeard;
-    private final Consumer<ResponseAttributes> onResponseHead;
-    private final Consumer<TargetConnection> onIdle;
-    private final Consumer<TargetConnection> onClosed;
+    private final TargetConnectionListener listener;
+    private final CarriedCalls carried = new CarriedCalls();
+    private final TargetConnectionLog log;
     private Channel channel;
     private State state = State.IDLE;
     private ResponseSink sink;
     private String requestId = "";
     private ChannelFuture writeFuture;
-    private boolean keepAlive;
+    private boolean isKept;
     private boolean failed;
+    private ResponseIdentity identity;
+    private HeadVerdict verdict;
     private boolean withoutBody;
     private boolean closedHere;
     private ResponseEnd responseEnd = ResponseEnd.CONNECTION;
     private int skippedCount;
+    private SkippedAnswer skipped;
     private int interimCount;
     private long besideAnswerBytes;
     private long idleLimitMillis = Long.MAX_VALUE;
     private long idleSinceMillis;
-    private int callsCount;
-
-    TargetConnection(
-            Incarnation target,
-            CallHeaders callHeaders,
-            TargetResponseDecoder decoder,
-            Runnable onHeard,
-            Consumer<ResponseAttributes> onResponseHead,
-            Consumer<TargetConnection> onIdle,
-            Consumer<TargetConnection> onClosed) {
+
+    TargetConnection(Incarnation target, CallHeaders callHeaders, TargetConnectionListener listener) {
         this.target = Objects.requireNonNull(target, "target");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
-        this.decoder = Objects.requireNonNull(decoder, "decoder");
-        this.onHeard = Objects.requireNonNull(onHeard, "onHeard");
-        this.onResponseHead = Objects.requireNonNull(onResponseHead, "onResponseHead");
-        this.onIdle = Objects.requireNonNull(onIdle, "onIdle");
-        this.onClosed = Objects.requireNonNull(onClosed, "onClosed");
+        this.listener = Objects.requireNonNull(listener, "listener");
+        this.log = new TargetConnectionLog(target, carried);
+    }
+
+    /** Returns the handlers of the connection in their order. */
+    ChannelHandler[] newHandlers() {
+        return new ChannelHandler[] {
+            new ReceiveGuard(this::mayDecode),
+            new HttpRequestEncoder(),
+            new TargetResponseDecoder(this::expectsBytes, this::handleStrayBytes, this::isWithoutBody),
+            this
+        };
+    }
+
+    /** Returns whether the connection has carried a call with this id, whose answer may come a second time. */
+    boolean hasCarried(String id) {
+        return carried.contains(id);
+    }
+
+    boolean hasCarriedAny() {
+        return carried.count() > 0;
     }
 
     Incarnation target() {
@@ -127,25 +126,14 @@
         interimCount = 0;
         besideAnswerBytes = 0;
         state = State.WAITING;
-        callsCount++;
-        withoutBody = call.method().equals(HttpMethod.HEAD);
-        decoder.expectWithoutBody(withoutBody);
-        FullHttpRequest request = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                call.method(),
-                call.uri(),
-                Unpooled.wrappedBuffer(call.body().toByteArray()),
-                call.headers(),
-                EmptyHttpHeaders.INSTANCE);
-        if (call.body().length() > 0 || call.lengthStated()) {
-            HttpUtil.setContentLength(request, call.body().length());
-        }
-        writeFuture = channel.writeAndFlush(request);
+        carried.add(requestId, call.method().equals(HttpMethod.HEAD));
+        writeFuture = channel.writeAndFlush(call.toRequest());
     }
 
     /** Cancels the call by closing the connection, on which the target drops the work. */
     void abort() {
         sink = null;
+        failed = true;
         close();
     }
 
@@ -155,7 +143,7 @@
      * @param kind what was too long, for logs, not null
      */
     void abortEndless(String kind) {
-        logEndless(kind);
+        log.endless(requestId, kind, besideAnswerBytes);
         abort();
     }
 
@@ -175,8 +163,7 @@
         }
         besideAnswerBytes += bytes;
         if (state == State.IDLE) {
-            logStray();
-            failCall("stray_bytes");
+            handleStrayBytes();
             return false;
         }
         if (besideAnswerBytes > ReceiveLimits.MAX_BYTES_BESIDE_ANSWER) {
@@ -186,38 +173,34 @@
         return true;
     }
 
-    private void logStray() {
-        LogEvent.of("stray_answer")
-                .with("target", target.id())
-                .with("state", state)
-                .with("request", requestId)
-                .with("calls", callsCount)
-                .info(log);
+    private boolean expectsBytes() {
+        return !failed && (state == State.WAITING || state == State.RECEIVING || state == State.PASSING_OVER);
     }
 
-    private void logUnproved(String reason, ResponseAttributes attributes) {
-        LogEvent.of("answer_not_proved")
-                .with("target", target.id())
-                .with("request", requestId)
-                .with("reason", reason)
-                .with("status", attributes.status())
-                .with("answers", attributes.identity().requestIds())
-                .with("calls", callsCount)
-                .warn(log);
+    private void handleStrayBytes() {
+        if (!failed) {
+            log.stray(requestId, state.name());
+            listener.repeated(this, "stray_bytes");
+            failCall("stray_bytes");
+        }
     }
 
-    private void logEndless(String kind) {
-        LogEvent.of("bytes_without_answer")
-                .with("target", target.id())
-                .with("request", requestId)
-                .with("kind", kind)
-                .with("bytes", besideAnswerBytes)
-                .warn(log);
+    /**
+     * Judges a head as it arrived, since the decoder then removes fields that contradict the framing, and returns whether
+     * the answered call, which may be an earlier one, asked for no body.
+     */
+    private boolean isWithoutBody(HttpResponse head) {
+        identity = callHeaders.parseIdentity(head);
+        verdict = HeadVerdict.of(identity, requestId, carried.isFirst());
+        withoutBody = verdict instanceof HeadVerdict.OfOtherCall other
+                ? carried.isWithoutBody(other.requestId())
+                : carried.isWithoutBody(requestId);
+        return withoutBody;
     }
 
     /** Fails the call as one that the target broke off, so that the target is left out for a while. */
     private void failEndless(String kind) {
-        logEndless(kind);
+        log.endless(requestId, kind, besideAnswerBytes);
         failCall("endless_bytes", true);
     }
 
@@ -242,9 +225,9 @@
         if (failed) {
             return;
         }
-        onHeard.run();
+        listener.heard();
         if (message.decoderResult().isFailure()) {
-            failCall("garbled");
+            failGarbled();
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -256,76 +239,90 @@
     }
 
     private void handleHead(HttpResponse response) {
-        if (state != State.WAITING) {
-            logStray();
-            failCall("stray_bytes");
-            return;
-        }
         if (response.status().code() < MIN_STATUS || response.status().code() > MAX_STATUS) {
-            failCall("garbled");
+            failGarbled();
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            interimCount++;
-            if (interimCount > ReceiveLimits.MAX_INTERIM_HEADS) {
-                failEndless("interim_heads");
-            }
+            handleInterimHead(response);
             return;
         }
-        ResponseAttributes attributes = callHeaders.parseResponse(response);
-        keepAlive = HttpUtil.isKeepAlive(response)
-                && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
-        responseEnd = expectedEnd(response);
-        idleLimitMillis = attributes.idleTimeoutMillis().orElse(Long.MAX_VALUE);
-        onResponseHead.accept(attributes);
-        HeadVerdict verdict = HeadVerdict.of(attributes.identity(), requestId, callsCount == 1);
         if (verdict instanceof HeadVerdict.Unproved unproved) {
-            logUnproved(unproved.reason(), attributes);
+            failUnproved(unproved.reason(), response.status().code());
+            return;
         }
-        Optional<String> firstId = attributes.identity().requestIds().stream().findFirst();
-        if (firstId.isPresent() && !firstId.get().equals(requestId)) {
-            skipResponse(attributes);
+        ResponseAttributes attributes = callHeaders.parseResponse(response);
+        responseEnd = ResponseEnd.expectedOf(response, withoutBody);
+        isKept = responseEnd != ResponseEnd.CONNECTION
+                && HttpUtil.isKeepAlive(response)
+                && !identity.requestIds().isEmpty()
+                && identity.innerStatusLine() != InnerStatusLine.BEFORE_ID;
+        idleLimitMillis = attributes.idleTimeoutMillis().orElse(Long.MAX_VALUE);
+        listener.responseHead(attributes);
+        if (verdict instanceof HeadVerdict.OfOtherCall other) {
+            skipResponse(other.requestId());
             return;
         }
         state = State.RECEIVING;
         sink.onHead(attributes, response.headers());
     }
 
-    private ResponseEnd expectedEnd(HttpResponse response) {
-        int status = response.status().code();
-        boolean bodyless = withoutBody
-                || status == HttpResponseStatus.NO_CONTENT.code()
-                || status == HttpResponseStatus.NOT_MODIFIED.code();
-        if (!bodyless && HttpUtil.isTransferEncodingChunked(response)) {
-            return ResponseEnd.CHUNKS;
+    private void handleInterimHead(HttpResponse response) {
+        interimCount++;
+        if (identity.innerStatusLine() != InnerStatusLine.NONE) {
+            failUnproved(HeadVerdict.INNER_STATUS_LINE, response.status().code());
+        } else if (interimCount > ReceiveLimits.MAX_INTERIM_HEADS) {
+            failEndless("interim_heads");
         }
-        return bodyless || HttpUtil.isContentLengthSet(response) ? ResponseEnd.LENGTH : ResponseEnd.CONNECTION;
     }
 
-    private void skipResponse(ResponseAttributes attributes) {
+    /** On a connection that has carried other calls, bytes that are no answer may be a part of a second answer to one. */
+    private void failGarbled() {
+        if (!carried.isFirst()) {
+            listener.repeated(this, "garbled");
+        }
+        failCall("garbled");
+    }
+
+    private void failUnproved(String reason, int status) {
+        log.unproved(requestId, reason, status, identity.requestIds());
+        listener.repeated(this, reason);
+        failCall("answer_not_proved");
+    }
+
+    private void skipResponse(String answeredId) {
         skippedCount++;
-        LogEvent.of("stranger_answer_passed_over")
-                .with("target", target.id())
-                .with("request", requestId)
-                .with("answers", attributes.identity().requestIds())
-                .with("calls", callsCount)
-                .info(log);
-        if (skippedCount > ReceiveLimits.MAX_SKIPPED_ANSWERS || !keepAlive) {
+        log.skipped(requestId, answeredId);
+        listener.repeated(this, "answer_of_other");
+        if (skippedCount > ReceiveLimits.MAX_SKIPPED_ANSWERS || !isKept) {
             failCall("answers_of_others");
             return;
         }
+        skipped = new SkippedAnswer(requestId);
         state = State.PASSING_OVER;
     }
 
+    private void skipContent(HttpContent content) {
+        if (skipped.holdsOwnAnswer(content)) {
+            log.swallowed(requestId);
+            failCall("answer_swallowed");
+        } else if (content instanceof LastHttpContent) {
+            state = State.WAITING;
+        }
+    }
+
     private void handleContent(HttpContent content) {
-        boolean last = content instanceof LastHttpContent;
+        if (failed) {
+            return;
+        }
         if (state == State.PASSING_OVER) {
-            state = last ? State.WAITING : state;
+            skipContent(content);
             return;
         }
-        if (state != State.RECEIVING || failed) {
+        if (state != State.RECEIVING) {
             return;
         }
+        boolean last = content instanceof LastHttpContent;
         if (content.content().isReadable()) {
             sink.onBody(content.content());
         }
@@ -358,8 +355,8 @@
         ResponseSink completed = sink;
         sink = null;
         state = State.SETTLING;
-        boolean reusable = keepAlive && writeFuture.isDone() && writeFuture.isSuccess();
-        if (!reusable) {
+        isKept &= skippedCount == 0 && writeFuture.isDone() && writeFuture.isSuccess();
+        if (!isKept) {
             close();
         }
         completed.onEnd(responseEnd);
@@ -371,10 +368,10 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (state == State.SETTLING && channel.isActive() && keepAlive) {
+        if (state == State.SETTLING && channel.isActive() && isKept && !failed) {
             state = State.IDLE;
             channel.config().setAutoRead(true);
-            onIdle.accept(this);
+            listener.idle(this);
         }
         context.fireChannelReadComplete();
     }
@@ -402,7 +399,7 @@
     }
 
     private boolean isFirstCallUnanswered() {
-        return state == State.WAITING && callsCount == 1;
+        return state == State.WAITING && carried.isFirst();
     }
 
     /**
@@ -412,12 +409,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext _context, Throwable cause) {
         if (sink != null || state != State.IDLE) {
-            LogEvent.of("target_connection_failed")
-                    .with("target", target.id())
-                    .with("request", requestId)
-                    .with("calls", callsCount)
-                    .with("error", cause)
-                    .info(log);
+            log.failed(requestId, cause);
         }
         failCall("connection_failed", isFirstCallUnanswered() && !isTimeout(cause));
     }
@@ -427,7 +419,7 @@
         boolean connectionAborted = isFirstCallUnanswered();
         state = State.CLOSED;
         failCall("connection_closed", connectionAborted);
-        onClosed.accept(this);
+        listener.closed(this);
         context.fireChannelInactive();
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
@@ -2,10 +2,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -13,6 +13,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.dogwoodwinch.forwarding.ConnectionReuse;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -57,6 +58,9 @@
 
             @Override
             public void heard() {}
+
+            @Override
+            public void answerRepeated(String _targetId, String _reason) {}
         };
 
         /**
@@ -75,12 +79,21 @@
 
         /** Bytes of a response arrived from any target. */
         void heard();
+
+        /**
+         * A target sent bytes that do not belong to the call under way, or that nothing proves to belong to it.
+         *
+         * @param targetId the target's id, not null
+         * @param reason the reason for metrics, not null
+         */
+        void answerRepeated(String targetId, String reason);
     }
 
     private final TargetConnector connector;
     private final CallHeaders callHeaders;
     private final TimeSource time;
     private final ConnectionPolicy policy;
+    private final ConnectionReuse reuse = new ConnectionReuse();
     private final Predicate<String> rateLimit;
     private final Events events;
     private final BiConsumer<Incarnation, ResponseAttributes> onResponseHead;
@@ -108,12 +121,13 @@
      * the target's rate limit exactly once.
      *
      * @param target the target to connect to, not null
+     * @param requestId the id of the call, not null; a connection that has carried it is not used
      * @param maxConnections the maximum number of connections from this instance to the target
      * @param callback receives the outcome on the event loop, possibly before this method returns, not null
      */
-    void acquire(Incarnation target, int maxConnections, AcquireCallback callback) {
+    void acquire(Incarnation target, String requestId, int maxConnections, AcquireCallback callback) {
         TargetPool pool = pools.computeIfAbsent(target.id(), _id -> new TargetPool());
-        Optional<TargetConnection> pooled = pollUsable(pool);
+        Optional<TargetConnection> pooled = pollUsable(pool, requestId);
         if (pooled.isEmpty() && pool.openCount >= maxConnections) {
             callback.notAcquired(CONNECTIONS_IN_USE);
         } else if (!rateLimit.test(target.id())) {
@@ -127,14 +141,21 @@
         }
     }
 
-    private Optional<TargetConnection> pollUsable(TargetPool pool) {
+    private Optional<TargetConnection> pollUsable(TargetPool pool, String requestId) {
         long nowMillis = time.monotonicMillis();
-        TargetConnection pooled = pool.idle.pollFirst();
-        while (pooled != null && (!pooled.isOpen() || pooled.isStale(nowMillis, policy.idleMarginMillis()))) {
-            pooled.close();
-            pooled = pool.idle.pollFirst();
+        Iterator<TargetConnection> pooled = pool.idle.iterator();
+        while (pooled.hasNext()) {
+            TargetConnection connection = pooled.next();
+            boolean usable = connection.isOpen() && !connection.isStale(nowMillis, policy.idleMarginMillis());
+            if (!usable) {
+                pooled.remove();
+                connection.close();
+            } else if (!connection.hasCarried(requestId)) {
+                pooled.remove();
+                return Optional.of(connection);
+            }
         }
-        return Optional.ofNullable(pooled);
+        return Optional.empty();
     }
 
     /**
@@ -157,19 +178,20 @@
             return;
         }
         pool.removed = true;
-        List<TargetConnection> pooled = List.copyOf(pool.idle);
-        pool.idle.clear();
-        pooled.forEach(TargetConnection::close);
+        reuse.removeTarget(id);
+        closeIdle(pool);
         removeIfEmpty(id, pool);
     }
 
     /** Closes all idle connections; calls under way continue. */
     void closeIdle() {
-        for (TargetPool pool : List.copyOf(pools.values())) {
-            List<TargetConnection> pooled = List.copyOf(pool.idle);
-            pool.idle.clear();
-            pooled.forEach(TargetConnection::close);
-        }
+        List.copyOf(pools.values()).forEach(TargetConnectionPool::closeIdle);
+    }
+
+    private static void closeIdle(TargetPool pool) {
+        List<TargetConnection> pooled = List.copyOf(pool.idle);
+        pool.idle.clear();
+        pooled.forEach(TargetConnection::close);
     }
 
     /**
@@ -218,16 +240,8 @@
     private void open(Incarnation target, TargetPool pool, ConnectOutcome outcome) {
         pool.openCount++;
         pool.removed = false;
-        TargetResponseDecoder decoder = new TargetResponseDecoder();
-        TargetConnection connection = new TargetConnection(
-                target,
-                callHeaders,
-                decoder,
-                events::heard,
-                attributes -> onResponseHead.accept(target, attributes),
-                this::returnToPool,
-                closed -> closed(closed.target(), pool));
-        connector.connect(target, new Pipeline(decoder, connection), new TargetConnector.Outcome() {
+        TargetConnection connection = new TargetConnection(target, callHeaders, new PoolListener(target, pool));
+        connector.connect(target, new Pipeline(connection), new TargetConnector.Outcome() {
             @Override
             public void connected() {
                 events.opened(target.id());
@@ -244,7 +258,9 @@
 
     private void returnToPool(TargetConnection connection) {
         TargetPool pool = pools.get(connection.target().id());
-        if (pool == null || pool.removed || !connection.isOpen()) {
+        boolean isUsed = connection.hasCarriedAny();
+        boolean reusable = !isUsed || reuse.isAllowed(connection.target().id(), time.monotonicMillis());
+        if (pool == null || pool.removed || !connection.isOpen() || !reusable) {
             connection.close();
             return;
         }
@@ -277,19 +293,54 @@
         private boolean removed;
     }
 
+    /** Passes on what happens on a connection. */
+    private final class PoolListener implements TargetConnectionListener {
+        private final Incarnation target;
+        private final TargetPool pool;
+
+        PoolListener(Incarnation target, TargetPool pool) {
+            this.target = target;
+            this.pool = pool;
+        }
+
+        @Override
+        public void heard() {
+            events.heard();
+        }
+
+        @Override
+        public void responseHead(ResponseAttributes attributes) {
+            onResponseHead.accept(target, attributes);
+        }
+
+        @Override
+        public void repeated(TargetConnection _connection, String reason) {
+            reuse.recordRepeated(target.id(), time.monotonicMillis());
+            closeIdle(pool);
+            events.answerRepeated(target.id(), reason);
+        }
+
+        @Override
+        public void idle(TargetConnection connection) {
+            returnToPool(connection);
+        }
+
+        @Override
+        public void closed(TargetConnection _connection) {
+            TargetConnectionPool.this.closed(target, pool);
+        }
+    }
+
     private static final class Pipeline extends ChannelInitializer<Channel> {
-        private final TargetResponseDecoder decoder;
         private final TargetConnection connection;
 
-        Pipeline(TargetResponseDecoder decoder, TargetConnection connection) {
-            this.decoder = decoder;
+        Pipeline(TargetConnection connection) {
             this.connection = connection;
         }
 
         @Override
         protected void initChannel(Channel channel) {
-            channel.pipeline()
-                    .addLast(new ReceiveGuard(connection::mayDecode), new HttpRequestEncoder(), decoder, connection);
+            channel.pipeline().addLast(connection.newHandlers());
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/TargetLinkGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetLinkGuard.java
@@ -98,6 +98,11 @@
         });
     }
 
+    @Override
+    public void answerRepeated(String _targetId, String reason) {
+        metrics.answerRepeated(reason);
+    }
+
     @Override
     public void heard() {
         isolation.recordHeard(time.monotonicMillis());
--- a/src/main/java/org/dogwoodwinch/relay/TargetResponse.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetResponse.java
@@ -52,7 +52,7 @@
      * its body was not re-encoded on the way.
      */
     boolean isSuccess() {
-        return attributes.isSuccess() && attributes.signed() && !attributes.encoded() && attributes.hasRequestId();
+        return attributes.isSuccess() && attributes.signed() && !attributes.encoded() && attributes.identified();
     }
 
     /** Returns whether the response states that the call reached the wrong target. */
