--- a/src/main/java/org/dogwoodwinch/relay/TargetConnectionLog.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnectionLog.java
@@ -10,7 +10,7 @@
 /** Logs what a target does wrong on one connection. */
 final class TargetConnectionLog {
 
-    private static final Logger log = LoggerFactory.getLogger(TargetConnection.class);
+    private static final Logger log = LoggerFactory.getLogger(TargetConnectionLog.class);
 
     private final Incarnation target;
     private final CarriedCalls carried;
