Choose again if a connection closes before the write of its call

What callers saw: a call that had waited for more than 100 ms, and whose next connection closed between its choice and the write, got 504 at its deadline although nothing of it had been written.

Cause: the write of an older call is deferred until pending input was read. The call was recorded as sent before the connection refused the write with an exception.

Change: a call whose connection has closed meanwhile chooses again; a prefill counts as not sent.

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -345,6 +345,10 @@
             refuse(refusal.get());
             return;
         }
+        if (!acquired.isOpen()) {
+            chooseAgain();
+            return;
+        }
         SendCheck check = context.chooser().checkSend(plan.target());
         if (check != SendCheck.ALLOWED) {
             context.connections().release(acquired);
--- a/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
+++ b/src/main/java/org/dogwoodwinch/relay/RemotePrefill.java
@@ -104,6 +104,10 @@
             finish(new PrefillOutcome.NotSent("held_back"));
             return;
         }
+        if (!acquired.isOpen()) {
+            finish(new PrefillOutcome.NotSent("connection_closed"));
+            return;
+        }
         OutboundCall outbound = call.get();
         SendCheck check = context.chooser().checkSend(engine);
         if (check != SendCheck.ALLOWED) {
