Find the call's own answer in a skipped one however its id is written

What callers saw: no answer until their deadline, if the rest of a skipped answer ended behind the id of the call's own one, or if the target writes the id without a space or with one behind it.

Cause: the search wanted a space before the id and a line end behind it.

Change: the id of usual length counts wherever it stands behind a colon. A short one may stand in any body, and still needs the line end.

--- a/src/main/java/org/dogwoodwinch/relay/SkippedAnswer.java
+++ b/src/main/java/org/dogwoodwinch/relay/SkippedAnswer.java
@@ -14,8 +14,12 @@
  */
 final class SkippedAnswer {
 
+    /** A shorter id may stand behind a colon in any body; it counts only where a line ends with it. */
+    private static final int MIN_DISTINCT_ID_LENGTH = 8;
+
     private final String waitingId;
     private final ByteSequenceSearch search;
+    private final ByteSequenceSearch searchWithoutSpace;
 
     /**
      * Begins with the body of the answer.
@@ -24,8 +28,9 @@
      */
     SkippedAnswer(String waitingId) {
         this.waitingId = Objects.requireNonNull(waitingId, "waitingId");
-        // An id alone may be short and stand in any body; a field ends with it.
-        this.search = new ByteSequenceSearch((": " + waitingId + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        String lineEnd = waitingId.length() < MIN_DISTINCT_ID_LENGTH ? "\r\n" : "";
+        this.search = searchFor(": " + waitingId + lineEnd);
+        this.searchWithoutSpace = searchFor(":" + waitingId + lineEnd);
     }
 
     /**
@@ -35,7 +40,12 @@
      * @return whether a field with the id of the waiting call stands in it, so that the answer holds that call's own one
      */
     boolean holdsOwnAnswer(HttpContent content) {
-        return search.find(content.content()) || (content instanceof LastHttpContent last && isNamedIn(last));
+        boolean found = search.find(content.content()) | searchWithoutSpace.find(content.content());
+        return found || (content instanceof LastHttpContent last && isNamedIn(last));
+    }
+
+    private static ByteSequenceSearch searchFor(String text) {
+        return new ByteSequenceSearch(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     private boolean isNamedIn(LastHttpContent last) {
