Refuse heads that were joined of two answers to the waiting call

No answer until the deadline behind a head that switches protocols. 502 for a call that another instance had refused unread on a link that had carried a call.

Cause: on the first call of a connection, and behind the id, another status line in a head was taken for text.

Change: another status line before the only id, or beside a second id or signature, makes a head unproved on each call of a connection, unless it is the first one and the line states the same status. Forms that the decoder accepts count as well. A success with Not-Run is no rejection. 101 is refused, as nobody asks for it. Other instances answer each call once and may name none, so their refusals are accepted without an id.

--- a/src/main/java/org/dogwoodwinch/forwarding/ConnectionReuse.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/ConnectionReuse.java
@@ -28,6 +28,7 @@
      * @param nowMillis the monotonic time
      */
     public void recordRepeated(String targetId, long nowMillis) {
+        singleUseUntilMillis.values().removeIf(untilMillis -> untilMillis <= nowMillis);
         singleUseUntilMillis.put(Objects.requireNonNull(targetId, "targetId"), nowMillis + SINGLE_USE_MILLIS);
     }
 
--- a/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
+++ b/src/main/java/org/dogwoodwinch/platform/PlatformHeaders.java
@@ -126,7 +126,7 @@
 
     @Override
     public ResponseIdentity parseIdentity(HttpResponse answer) {
-        return ResponseIdentity.of(answer, HeaderNames.REQUEST_ID);
+        return ResponseIdentity.of(answer, HeaderNames.REQUEST_ID, HeaderNames.SERVER_STAMP);
     }
 
     @Override
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -115,6 +115,7 @@
                 new TargetConnectionPool(
                         connector,
                         callHeaders,
+                        HeadVerdict::ofTarget,
                         time,
                         policy,
                         decisions.limits()::tryTake,
--- a/src/main/java/org/dogwoodwinch/relay/InnerStatusLine.java
+++ b/src/main/java/org/dogwoodwinch/relay/InnerStatusLine.java
@@ -4,8 +4,8 @@
 public enum InnerStatusLine {
     /** Nowhere. */
     NONE,
-    /** In the reason phrase, or in a field that is not after the one with the request id. */
+    /** In the reason phrase, or in a field that is not after the only one with a request id. */
     BEFORE_ID,
-    /** Only in fields after the one with the request id. */
+    /** Only in fields after the only one with a request id. */
     AFTER_ID
 }
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -57,6 +57,7 @@
         this.connections = new TargetConnectionPool(
                 neighbours.connector(),
                 callHeaders,
+                HeadVerdict::ofInstance,
                 time,
                 policy,
                 _name -> true,
--- a/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseAttributes.java
@@ -51,8 +51,8 @@
         return status / CLASS_DIVISOR == SUCCESS_CLASS;
     }
 
-    /** Returns whether the call has not run and never will. */
+    /** Returns whether the call has not run and never will. A success does not state that, whatever its fields say. */
     boolean isRejected() {
-        return statesNotRun || isMisdirected();
+        return (statesNotRun && !isSuccess()) || isMisdirected();
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ResponseIdentity.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseIdentity.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalInt;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
@@ -12,16 +14,21 @@
  *
  * @param requestIds the request ids in the order of their fields; empty if it states none
  * @param innerStatusLine where it holds the text of another status line
+ * @param innerStatus the status in that line; empty if it holds none
  */
-public record ResponseIdentity(List<String> requestIds, InnerStatusLine innerStatusLine) {
+public record ResponseIdentity(List<String> requestIds, InnerStatusLine innerStatusLine, OptionalInt innerStatus) {
 
-    private static final String PROTOCOL = "HTTP/1.";
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}( |$)");
+    /** As lenient as the decoder, which accepts other white space, lower case and leading zeros. */
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.[01]\\s+0*([1-5][0-9]{2})(\\s|$)", Pattern.CASE_INSENSITIVE);
+
+    private static final String VERSION_START = "/1.";
 
     /** Copies the list. */
     public ResponseIdentity {
         requestIds = List.copyOf(requestIds);
         Objects.requireNonNull(innerStatusLine, "innerStatusLine");
+        Objects.requireNonNull(innerStatus, "innerStatus");
     }
 
     /**
@@ -29,25 +36,34 @@
      *
      * @param head the head of a response, not null
      * @param requestIdName the name of the field with the request id, not null
+     * @param signatureName the name of the field with the target's signature, not null
      * @return the identity
      */
-    public static ResponseIdentity of(HttpResponse head, CharSequence requestIdName) {
+    public static ResponseIdentity of(HttpResponse head, CharSequence requestIdName, CharSequence signatureName) {
         List<String> ids = new ArrayList<>();
-        InnerStatusLine inner =
-                holdsStatusLine(head.status().reasonPhrase()) ? InnerStatusLine.BEFORE_ID : InnerStatusLine.NONE;
+        OptionalInt innerStatus = findStatus(head.status().reasonPhrase());
+        boolean isBeforeId = innerStatus.isPresent();
         for (Map.Entry<String, String> field : head.headers()) {
-            boolean isId = field.getKey().equalsIgnoreCase(requestIdName.toString());
-            if (inner == InnerStatusLine.NONE && holdsStatusLine(field.getValue())) {
-                inner = ids.isEmpty() ? InnerStatusLine.BEFORE_ID : InnerStatusLine.AFTER_ID;
+            if (innerStatus.isEmpty()) {
+                innerStatus = findStatus(field.getValue());
+                isBeforeId = ids.isEmpty();
             }
-            if (isId) {
+            if (field.getKey().equalsIgnoreCase(requestIdName.toString())) {
                 ids.add(field.getValue());
             }
         }
-        return new ResponseIdentity(ids, inner);
+        // A sound head states its id and its signature once: a second one belongs to the inner status line.
+        boolean isRepeated =
+                ids.size() > 1 || head.headers().getAll(signatureName).size() > 1;
+        InnerStatusLine position = isBeforeId || isRepeated ? InnerStatusLine.BEFORE_ID : InnerStatusLine.AFTER_ID;
+        return new ResponseIdentity(ids, innerStatus.isEmpty() ? InnerStatusLine.NONE : position, innerStatus);
     }
 
-    private static boolean holdsStatusLine(String text) {
-        return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
+    private static OptionalInt findStatus(String text) {
+        if (!text.contains(VERSION_START)) {
+            return OptionalInt.empty();
+        }
+        Matcher matcher = STATUS_LINE.matcher(text);
+        return matcher.find() ? OptionalInt.of(Integer.parseInt(matcher.group(1))) : OptionalInt.empty();
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -42,6 +43,7 @@
 
     private final Incarnation target;
     private final CallHeaders callHeaders;
+    private final HeadVerdict.Judge judge;
     private final TargetConnectionListener listener;
     private final CarriedCalls carried = new CarriedCalls();
     private final TargetConnectionLog log;
@@ -64,9 +66,11 @@
     private long idleLimitMillis = Long.MAX_VALUE;
     private long idleSinceMillis;
 
-    TargetConnection(Incarnation target, CallHeaders callHeaders, TargetConnectionListener listener) {
+    TargetConnection(
+            Incarnation target, CallHeaders callHeaders, HeadVerdict.Judge judge, TargetConnectionListener listener) {
         this.target = Objects.requireNonNull(target, "target");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
+        this.judge = Objects.requireNonNull(judge, "judge");
         this.listener = Objects.requireNonNull(listener, "listener");
         this.log = new TargetConnectionLog(target, carried);
     }
@@ -191,7 +195,7 @@
      */
     private boolean isWithoutBody(HttpResponse head) {
         identity = callHeaders.parseIdentity(head);
-        verdict = HeadVerdict.of(identity, requestId, carried.isFirst());
+        verdict = judge.judge(head.status().code(), identity, requestId, carried.isFirst());
         withoutBody = verdict instanceof HeadVerdict.OfOtherCall other
                 ? carried.isWithoutBody(other.requestId())
                 : carried.isWithoutBody(requestId);
@@ -239,7 +243,8 @@
     }
 
     private void handleHead(HttpResponse response) {
-        if (response.status().code() < MIN_STATUS || response.status().code() > MAX_STATUS) {
+        int status = response.status().code();
+        if (status < MIN_STATUS || status > MAX_STATUS || status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
             failGarbled();
             return;
         }
@@ -248,7 +253,7 @@
             return;
         }
         if (verdict instanceof HeadVerdict.Unproved unproved) {
-            failUnproved(unproved.reason(), response.status().code());
+            failUnproved(unproved.reason(), status);
             return;
         }
         ResponseAttributes attributes = callHeaders.parseResponse(response);
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
@@ -91,6 +91,7 @@
 
     private final TargetConnector connector;
     private final CallHeaders callHeaders;
+    private final HeadVerdict.Judge judge;
     private final TimeSource time;
     private final ConnectionPolicy policy;
     private final ConnectionReuse reuse = new ConnectionReuse();
@@ -102,6 +103,7 @@
     TargetConnectionPool(
             TargetConnector connector,
             CallHeaders callHeaders,
+            HeadVerdict.Judge judge,
             TimeSource time,
             ConnectionPolicy policy,
             Predicate<String> mayArrive,
@@ -109,6 +111,7 @@
             BiConsumer<Incarnation, ResponseAttributes> onResponseHead) {
         this.connector = Objects.requireNonNull(connector, "connector");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
+        this.judge = Objects.requireNonNull(judge, "judge");
         this.time = Objects.requireNonNull(time, "time");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.rateLimit = Objects.requireNonNull(mayArrive, "mayArrive");
@@ -240,7 +243,7 @@
     private void open(Incarnation target, TargetPool pool, ConnectOutcome outcome) {
         pool.openCount++;
         pool.removed = false;
-        TargetConnection connection = new TargetConnection(target, callHeaders, new PoolListener(target, pool));
+        TargetConnection connection = new TargetConnection(target, callHeaders, judge, new PoolListener(target, pool));
         connector.connect(target, new Pipeline(connection), new TargetConnector.Outcome() {
             @Override
             public void connected() {
--- a/src/test/java/org/dogwoodwinch/relay/KeptConnectionTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/KeptConnectionTest.java
@@ -89,4 +89,52 @@
 
         assertFalse(relay.targetConnections.get(0).isOpen());
     }
+
+    /** Failure: a call whose own answer was taken for the rest of a skipped one waits until its deadline. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Request-Id: %s\r\n", "Request-Id:%s\r\n", "Request-Id: %s \r\n", "request-id: %s"})
+    void callIsAnsweredAtOnceIfItsOwnAnswerIsReadAsTheRestOfAnother(String field) {
+        String id = "0123456789abcdef";
+        callWell("a0");
+        String ownHead = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n" + String.format(field, id);
+        String cutHead = "HTTP/1.1 200 OK\r\nRequest-Id: a0\r\nContent-Length: " + ownHead.length() + "\r\n\r\n";
+
+        assertTrue(call(id, cutHead + ownHead + "\r\n\r\n").startsWith("HTTP/1.1 502 "));
+    }
+
+    /** Failure: a head that switches protocols ends the decoding, and the caller waits until its deadline. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "websocket"})
+    void callIsAnsweredAtOnceAfterAHeadThatSwitchesProtocols(String protocol) {
+        callWell("a0");
+        String head = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: " + protocol + "\r\n\r\n";
+
+        assertTrue(call("a1", head + RelayFixture.successResponse("a1", "one")).startsWith("HTTP/1.1 502 "));
+    }
+
+    /** Failure: a call counts as sent on a connection that has closed before the write, and waits until its deadline. */
+    @Test
+    void callIsSentElsewhereIfItsConnectionClosesBeforeTheWrite() {
+        relay.withPlainTarget("t2");
+        RelayFixture.FakeCaller first = relay.connectCaller().send(RelayFixture.getRequest("/safe/a", "a1"));
+        RelayFixture.FakeCaller second = relay.connectCaller().send(RelayFixture.getRequest("/safe/a", "a2"));
+        relay.targetConnections.get(0).respond(RelayFixture.successResponse("a1", "one"));
+        relay.targetConnections.get(1).respond(RelayFixture.successResponse("a2", "two"));
+        assertTrue(first.takeReceived().endsWith("one") && second.takeReceived().endsWith("two"));
+        relay.targetConnections.forEach(RelayFixture.FakeTargetConnection::takeReceived);
+
+        RelayFixture.FakeCaller caller = relay.connectCaller().send(RelayFixture.getRequest("/safe/a", "a3"));
+        boolean isFirst = relay.targetConnections.get(0).takeReceived().contains("a3");
+        relay.time.advanceMillis(150);
+        relay.targetConnections
+                .get(isFirst ? 0 : 1)
+                .respond("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: a3\r\nContent-Length: 0\r\n\r\n");
+        relay.targetConnections.get(isFirst ? 1 : 0).close();
+        relay.time.advanceMillis(1);
+
+        assertEquals(3, relay.targetConnections.size());
+        assertTrue(relay.latestTargetConnection().takeReceived().contains("a3"));
+        relay.latestTargetConnection().respond(RelayFixture.successResponse("a3", "three"));
+        assertTrue(caller.takeReceived().endsWith("three"));
+    }
 }
