Let control calls be tested without a network

Cause: ControlClient opened its connections by itself, so what a server sends could only be played through sockets, where one cannot choose which bytes arrive in one read.

--- /dev/null
+++ b/src/test/java/org/dogwoodwinch/relay/ControlClientTest.java
@@ -0,0 +1,106 @@
+package org.dogwoodwinch.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.time.VirtualTimeSource;
+import org.junit.jupiter.api.Test;
+
+/** Plays servers that send bytes that belong to no answer, or an answer a second time. */
+class ControlClientTest {
+
+    private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("10.0.0.1", 80);
+    private static final long TIMEOUT_MILLIS = 1_000;
+
+    private final VirtualTimeSource time = new VirtualTimeSource(0);
+    private final FakeControlServer server = new FakeControlServer();
+    private final ControlClient client = new ControlClient(server, time);
+    private final List<String> replies = new ArrayList<>();
+
+    private static ControlRequest request(String uri) {
+        return new ControlRequest(HttpMethod.GET, uri, new DefaultHttpHeaders(), Bytes.EMPTY);
+    }
+
+    private static String describe(ControlReply reply) {
+        return reply instanceof ControlReply.Answered answered
+                ? answered.status() + " " + new String(answered.body().toByteArray(), StandardCharsets.UTF_8)
+                : ((ControlReply.Lost) reply).reason();
+    }
+
+    private void ask(String uri) {
+        client.call(ADDRESS, request(uri), TIMEOUT_MILLIS).thenAccept(reply -> replies.add(describe(reply)));
+    }
+
+    private static String answer(String body) {
+        return FakeControlServer.answer("200 OK", body);
+    }
+
+    @Test
+    void connectionOfWholeAnswerIsKept() {
+        ask("/a");
+        server.latest().send(answer("a"));
+        ask("/b");
+        server.latest().send(answer("b"));
+
+        assertEquals(List.of("200 a", "200 b"), replies);
+        assertEquals(1, server.connectionsCount());
+    }
+
+    @Test
+    void oddButLegalAnswersAreAccepted() {
+        List<String> sound = List.of(
+                "HTTP/1.1 200 \r\nContent-Length: 1\r\n\r\na",
+                "HTTP/1.1 200 All is well: 1.1/2\r\nContent-Length: 1\r\n\r\na",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX-A:\r\nX-B: c:d/1.1\r\nContent-Length: 1\r\n\r\na",
+                "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 1\r\n\r\na");
+        for (String each : sound) {
+            for (int cut = 1; cut < each.length(); cut++) {
+                replies.clear();
+                ask("/a");
+                server.latest().send(each.substring(0, cut));
+                server.latest().send(each.substring(cut));
+                assertEquals(List.of("200 a"), replies, each + " cut at " + cut);
+            }
+        }
+        assertEquals(1, server.connectionsCount());
+    }
+
+    @Test
+    void bytesOnIdleConnectionEndIt() {
+        ask("/a");
+        server.latest().send(answer("a"));
+        server.latest().send("\r\n");
+
+        assertFalse(server.latest().isOpen());
+    }
+
+    @Test
+    void answerThatEndsWithItsConnectionIsDelivered() {
+        ask("/a");
+        server.latest().send("HTTP/1.1 200 OK\r\n\r\na");
+        server.latest().close();
+
+        assertEquals(List.of("200 a"), replies);
+    }
+
+    @Test
+    void timeOutEndsConnection() {
+        ask("/a");
+        time.advanceMillis(TIMEOUT_MILLIS);
+
+        assertEquals(List.of("timeout"), replies);
+        assertFalse(server.latest().isOpen());
+        ask("/b");
+        assertTrue(server.latest().takeReceived().startsWith("GET /b "));
+        assertEquals(2, server.connectionsCount());
+    }
+}
