Keep a connection for control calls only if nothing follows the answer

Cause: ControlClient put a connection back into its pool inside the read that brought the answer, and completed the call there. A caller that asked again at once got its question written before the rest of the read was decoded, and a second answer in the rest was taken for the answer to the new question. The beginning of one stayed in the decoder and was read as one with the next answer.

Change: an answer is delivered, and its connection kept, when the whole read was processed and no byte followed the answer. Bytes that follow end the connection. The answer is still delivered if it is the first on its connection. On a connection that has carried an earlier call it may be a second answer to that call, and the own one is what follows, so the call counts as lost. A server that always sends more bytes than its answer is thus asked on a new connection each time and loses no answer.

--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -10,11 +10,12 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.function.Consumer;
@@ -24,7 +25,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** A connection that carries one control call at a time. Confined to its event loop. */
+/**
+ * A connection that carries one control call at a time. Confined to its event loop.
+ *
+ * <p>Nothing in an answer names its question, so the connection alone ties them: an answer belongs to the question that
+ * was written last if nothing else is due. A server that answers a question twice breaks this rule for the next one.
+ * The connection is therefore kept only if no byte follows an answer in the turn of the event loop in which the answer
+ * was read.
+ */
 final class ControlConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
     private static final Logger log = LoggerFactory.getLogger(ControlConnection.class);
@@ -36,8 +44,13 @@
     private final InetSocketAddress address;
     private final Consumer<ControlConnection> onIdle;
     private Channel channel;
+    private final ControlResponseDecoder decoder = new ControlResponseDecoder();
     private ControlExchange current;
+    private ControlReply.Answered answer;
+    private boolean keepAlive;
     private long receivedBytes;
+    private int callsCount;
+    private String path = "";
 
     /**
      * Creates a connection that is not open yet.
@@ -58,7 +71,8 @@
                 opened.pipeline()
                         .addLast(
                                 new ReceiveGuard(ControlConnection.this::mayDecode),
-                                new HttpClientCodec(),
+                                new HttpRequestEncoder(),
+                                decoder,
                                 new HttpObjectAggregator(ReceiveLimits.MAX_CONTROL_BODY_BYTES),
                                 ControlConnection.this);
             }
@@ -86,8 +100,11 @@
     void send(ControlExchange exchange) {
         current = exchange;
         receivedBytes = 0;
+        callsCount++;
+        decoder.expectAnswer();
         exchange.recordSent(() -> Channels.close(channel));
         ControlRequest call = exchange.request();
+        path = new QueryStringDecoder(call.uri()).rawPath();
         FullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 call.method(),
@@ -106,32 +123,94 @@
             return true;
         }
         if (channel.isActive()) {
-            LogEvent.of("bytes_without_answer")
-                    .with("target", address)
-                    .with("kind", current == null ? "idle" : "control")
-                    .with("bytes", receivedBytes)
-                    .warn(log);
+            logBytesWithoutAnswer(current == null ? "idle" : "control", receivedBytes);
             Channels.close(channel);
         }
         return false;
     }
 
+    private void logBytesWithoutAnswer(String kind, long bytes) {
+        LogEvent.of("bytes_without_answer")
+                .with("target", address)
+                .with("path", path)
+                .with("calls", callsCount)
+                .with("kind", kind)
+                .with("bytes", bytes)
+                .warn(log);
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext _context, FullHttpResponse response) {
+        if (current == null) {
+            Channels.close(channel);
+        } else if (response.decoderResult().isFailure()) {
+            refuseAnswer("garbled");
+        } else {
+            Bytes body = Bytes.of(ByteBufUtil.getBytes(response.content()));
+            answer = new ControlReply.Answered(response.status().code(), response.headers(), body);
+            keepAlive = HttpUtil.isKeepAlive(response);
+        }
+    }
+
+    /** Delivers an answer only after all received bytes were processed, since stray bytes may follow it. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        deliverAnswer();
+        context.fireChannelReadComplete();
+    }
+
+    private void deliverAnswer() {
+        if (answer == null) {
+            return;
+        }
+        if (decoder.bytesAfterAnswer() > 0) {
+            deliverFollowedAnswer();
+            return;
+        }
         ControlExchange done = current;
-        current = null;
-        boolean usable = done != null && response.decoderResult().isSuccess();
-        if (usable && HttpUtil.isKeepAlive(response)) {
+        ControlReply.Answered delivered = answer;
+        clearCall();
+        if (keepAlive) {
             onIdle.accept(this);
         } else {
             Channels.close(channel);
         }
-        if (usable) {
-            Bytes body = Bytes.of(ByteBufUtil.getBytes(response.content()));
-            done.end(new ControlReply.Answered(response.status().code(), response.headers(), body));
-        } else if (done != null) {
-            done.end(new ControlReply.Lost("garbled"));
+        done.end(delivered);
+    }
+
+    /**
+     * Delivers an answer that more bytes follow if it is the first on its connection. On a connection that has carried
+     * another call, it may be a second answer to that call, and the own answer may be what follows it.
+     */
+    private void deliverFollowedAnswer() {
+        if (callsCount > 1) {
+            refuseAnswer("bytes_after_answer");
+            return;
         }
+        logBytesWithoutAnswer("after_answer", decoder.bytesAfterAnswer());
+        ControlExchange done = current;
+        ControlReply.Answered delivered = answer;
+        clearCall();
+        Channels.close(channel);
+        done.end(delivered);
+    }
+
+    private void refuseAnswer(String reason) {
+        LogEvent.of("control_answer_refused")
+                .with("target", address)
+                .with("path", path)
+                .with("reason", reason)
+                .with("calls", callsCount)
+                .warn(log);
+        ControlExchange refused = current;
+        clearCall();
+        Channels.close(channel);
+        refused.end(new ControlReply.Lost(reason));
+    }
+
+    private void clearCall() {
+        current = null;
+        answer = null;
     }
 
     @Override
@@ -146,8 +225,9 @@
     }
 
     private void failExchange(String reason) {
+        deliverAnswer();
         ControlExchange lost = current;
-        current = null;
+        clearCall();
         if (lost != null) {
             lost.end(new ControlReply.Lost(reason));
         }
--- a/src/test/java/org/dogwoodwinch/relay/ControlClientTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/ControlClientTest.java
@@ -39,6 +39,13 @@
         client.call(ADDRESS, request(uri), TIMEOUT_MILLIS).thenAccept(reply -> replies.add(describe(reply)));
     }
 
+    private void askOnceAnswered(String uri, String nextUri) {
+        client.call(ADDRESS, request(uri), TIMEOUT_MILLIS).thenAccept(reply -> {
+            replies.add(describe(reply));
+            ask(nextUri);
+        });
+    }
+
     private static String answer(String body) {
         return FakeControlServer.answer("200 OK", body);
     }
@@ -54,6 +61,47 @@
         assertEquals(1, server.connectionsCount());
     }
 
+    @Test
+    void secondAnswerInSameReadIsNotTakenForNextQuestion() {
+        askOnceAnswered("/a", "/b");
+        server.latest().send(answer("a") + answer("a"));
+
+        assertEquals(List.of("200 a"), replies);
+        assertFalse(server.connection(0).isOpen());
+        server.latest().send(answer("b"));
+        assertEquals(List.of("200 a", "200 b"), replies);
+        assertEquals(2, server.connectionsCount());
+    }
+
+    @Test
+    void beginningOfSecondAnswerInSameReadIsNotGluedToNextAnswer() {
+        String second = answer("a");
+        for (int cut = 1; cut < second.length(); cut++) {
+            replies.clear();
+            askOnceAnswered("/a", "/b");
+            int connectionsCount = server.connectionsCount();
+            server.latest().send(answer("a") + second.substring(0, cut));
+
+            assertEquals(List.of("200 a"), replies, "cut at " + cut);
+            assertEquals(connectionsCount + 1, server.connectionsCount(), "cut at " + cut);
+            server.latest().send(FakeControlServer.answer("409 Conflict", "b"));
+            assertEquals(List.of("200 a", "409 b"), replies, "cut at " + cut);
+            server.latest().close();
+        }
+    }
+
+    /** The answer of before is not told from the own one that follows it. */
+    @Test
+    void firstOfTwoAnswersOnUsedConnectionIsNotTakenForQuestion() {
+        ask("/a");
+        server.latest().send(answer("a"));
+        ask("/b");
+        server.latest().send(answer("a") + FakeControlServer.answer("409 Conflict", "b"));
+
+        assertEquals(List.of("200 a", "bytes_after_answer"), replies);
+        assertFalse(server.latest().isOpen());
+    }
+
     @Test
     void oddButLegalAnswersAreAccepted() {
         List<String> sound = List.of(
