Refuse heads that are read from two answers to control calls

Cause: a server sends the beginning of an answer a second time after the next question was written, and then the answer to that question. The decoder reads one head from both: the status of the first, and the fields and the body of the second. A refused order was read as an accepted one.

Change: an answer counts as lost, and its connection is closed, if a status line stands in its reason phrase or fields. The check is that for calls (ResponseIdentity).

--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -41,6 +41,9 @@
     private static final long MAX_RECEIVED_BYTES =
             2L * ReceiveLimits.MAX_CONTROL_BODY_BYTES + ReceiveLimits.MAX_HEADER_BYTES;
 
+    /** Control answers state no request id, so the position of a status line in a head does not matter. */
+    private static final String WITHOUT_ID = "";
+
     private final InetSocketAddress address;
     private final Consumer<ControlConnection> onIdle;
     private Channel channel;
@@ -145,6 +148,8 @@
             Channels.close(channel);
         } else if (response.decoderResult().isFailure()) {
             refuseAnswer("garbled");
+        } else if (ResponseIdentity.of(response, WITHOUT_ID).innerStatusLine() != InnerStatusLine.NONE) {
+            refuseAnswer(HeadVerdict.INNER_STATUS_LINE);
         } else {
             Bytes body = Bytes.of(ByteBufUtil.getBytes(response.content()));
             answer = new ControlReply.Answered(response.status().code(), response.headers(), body);
--- a/src/test/java/org/dogwoodwinch/relay/ControlClientTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/ControlClientTest.java
@@ -102,6 +102,31 @@
         assertFalse(server.latest().isOpen());
     }
 
+    @Test
+    void beginningOfSecondAnswerIsNotGluedToAnswerOfQuestion() {
+        String second = FakeControlServer.answer("200 OK", "aaaaaaaa");
+        for (int cut = 1; cut < second.length(); cut++) {
+            for (boolean oneRead : new boolean[] {true, false}) {
+                replies.clear();
+                ask("/a");
+                server.latest().send(answer("a"));
+                ask("/b");
+                String own = FakeControlServer.answer("409 Conflict", "b");
+                if (oneRead) {
+                    server.latest().send(second.substring(0, cut) + own);
+                } else {
+                    server.latest().send(second.substring(0, cut));
+                    server.latest().send(own);
+                }
+                time.advanceMillis(TIMEOUT_MILLIS);
+
+                String outcome = replies.get(1);
+                assertFalse(outcome.startsWith("200"), "cut at " + cut + ": " + outcome);
+                assertFalse(server.latest().isOpen(), "cut at " + cut + ": " + outcome);
+            }
+        }
+    }
+
     @Test
     void oddButLegalAnswersAreAccepted() {
         List<String> sound = List.of(
--- a/src/test/java/org/dogwoodwinch/relay/FakeControlServer.java
+++ b/src/test/java/org/dogwoodwinch/relay/FakeControlServer.java
@@ -41,8 +41,9 @@
 
     /** Returns an answer with a length. */
     public static String answer(String status, String body) {
-        return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
-                + "\r\n\r\n" + body;
+        return "HTTP/1.1 " + status
+                + "\r\nDate: Sat, 05 Dec 2026 10:00:00 GMT\r\nContent-Type: application/json\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
     }
 
     /** The server's end of a connection. */
