Send orders and duties on connections of their own

Cause: the answer to an order of an engine and to a duty is a status that states nothing of the call. On a kept connection, a second answer to an earlier call that arrived after the order was written was taken for it: a refused order counted as accepted, and its engine got no calls until a report showed that it had not changed.

Change: ControlClient.callOnOwnConnection opens a connection on which nothing was asked before, and closes it after the answer. Orders for a stage, orders for engines and reports of usage use it: one instance at a time sends them, after a record of its own in the log. Polls and releases stay on kept connections, since engines take few new ones; nothing is decided by the answer to a release.

--- a/src/main/java/org/dogwoodwinch/platform/DutyClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/DutyClient.java
@@ -23,7 +23,10 @@
 import org.dogwoodwinch.usage.UsageDestination;
 import org.dogwoodwinch.usage.UsageReport;
 
-/** Sends the platform the calls of which one instance at a time has the duty. */
+/**
+ * Sends the platform the calls of which one instance at a time has the duty. Their acknowledgements do not state what
+ * they acknowledge, so each call has a connection of its own.
+ */
 public final class DutyClient implements UsageDestination, ScaleDestination {
 
     /** The platform's name of the duty to report usage. */
@@ -81,7 +84,7 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
                 .set(HeaderNames.DUTY_HOLDER, holder)
                 .set(HeaderNames.FENCING_TOKEN, fencingToken);
-        return controlCaller.call(
+        return controlCaller.callOnOwnConnection(
                 address,
                 new ControlRequest(HttpMethod.POST, path, headers, Bytes.ofUtf8(body.toString())),
                 timeoutMillis);
--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -36,7 +37,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Calls the control interface of engines: KV cache state, stage orders and the release of KV caches. */
+/**
+ * Calls the control interface of engines: KV cache state, stage orders and the release of KV caches.
+ *
+ * <p>Failure: an engine answers a call twice, and the second answer is taken for that to the next call. The answer to an
+ * order is a status that states no order, so an order that was refused counts as accepted, and the engine gets no
+ * calls until a report shows that it has not changed. Orders are rare and have a connection of their own. The answer to a release decides
+ * nothing, so releases share the connections of the polls.
+ */
 public final class EngineClient implements EngineControl {
 
     private static final Logger log = LoggerFactory.getLogger(EngineClient.class);
@@ -49,6 +57,12 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final String LONG_POLL_HEADER = "wait-ms";
 
+    /** Sends a call on a connection of its choice. */
+    @FunctionalInterface
+    private interface ControlSender {
+        CompletionStage<ControlReply> send(InetSocketAddress address, ControlRequest request, long timeoutMillis);
+    }
+
     /** Columns of a cache event: sequence number, sign, unused, segment id, cached tokens, model. */
     private static final int EVENT_SEGMENT_COLUMN = 3;
 
@@ -162,7 +176,8 @@
         HttpHeaders headers =
                 controlHeaders(engine).set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         ControlRequest request = new ControlRequest(HttpMethod.POST, "/order", headers, Bytes.ofUtf8(body.toString()));
-        return call(engine, request, timeoutMillis).thenApply(EngineClient::toOrderOutcome);
+        return send(engine, request, timeoutMillis, controlCaller::callOnOwnConnection)
+                .thenApply(EngineClient::toOrderOutcome);
     }
 
     private static OrderOutcome toOrderOutcome(ControlReply reply) {
@@ -179,15 +194,15 @@
 
     private CompletionStage<ControlReply> call(
             Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers) {
-        return call(engine, new ControlRequest(method, uri, headers, Bytes.EMPTY), timeout);
+        return send(engine, new ControlRequest(method, uri, headers, Bytes.EMPTY), timeout, controlCaller::call);
     }
 
-    private CompletionStage<ControlReply> call(Incarnation engine, ControlRequest request, long timeout) {
+    private CompletionStage<ControlReply> send(
+            Incarnation engine, ControlRequest request, long timeout, ControlSender sender) {
         if (statements.isResting(engine.id(), engine.startedMillis())) {
             return CompletableFuture.completedFuture(new ControlReply.Lost("engine_rests"));
         }
-        return controlCaller
-                .call(Addresses.of(engine.host(), engine.port()), request, timeout)
+        return sender.send(Addresses.of(engine.host(), engine.port()), request, timeout)
                 .thenApply(reply -> recordStatements(engine, reply));
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/ControlClient.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlClient.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.dogwoodwinch.net.Transport;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -59,11 +60,28 @@
         if (kept != null) {
             kept.send(exchange);
         } else {
-            open(address, exchange);
+            open(address, exchange, this::returnToPool);
         }
         return exchange.reply();
     }
 
+    /**
+     * Sends a call on a new connection that carries no other call and is closed afterwards. No other server's answer and
+     * no answer to an earlier question can arrive there, so the answer needs no other proof. Meant for rare calls that
+     * change something and whose answers do not name them: a server takes few new connections.
+     *
+     * @param address the address of the server, not null
+     * @param call the call to send, not null
+     * @param timeoutMillis the time-out for the response, including the time to open a connection
+     * @return a stage that completes on the event loop, never exceptionally
+     */
+    public CompletionStage<ControlReply> callOnOwnConnection(
+            InetSocketAddress address, ControlRequest call, long timeoutMillis) {
+        ControlExchange exchange = new ControlExchange(call, time, timeoutMillis);
+        open(address, exchange, ControlConnection::close);
+        return exchange.reply();
+    }
+
     private ControlConnection pollIdle(InetSocketAddress address) {
         Deque<ControlConnection> connections = idle.get(address);
         if (connections == null) {
@@ -79,13 +97,13 @@
         return connection;
     }
 
-    private void open(InetSocketAddress address, ControlExchange exchange) {
-        ControlConnection connection = new ControlConnection(address, this::returnToPool);
+    private void open(InetSocketAddress address, ControlExchange exchange, Consumer<ControlConnection> onIdle) {
+        ControlConnection connection = new ControlConnection(address, onIdle);
         connector.connect(address, connection.newInitializer(), new TargetConnector.Outcome() {
             @Override
             public void connected() {
                 if (exchange.hasEnded()) {
-                    returnToPool(connection);
+                    onIdle.accept(connection);
                 } else {
                     connection.send(exchange);
                 }
--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -90,6 +90,10 @@
         return channel.isActive();
     }
 
+    void close() {
+        Channels.close(channel);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -105,7 +109,7 @@
         receivedBytes = 0;
         callsCount++;
         decoder.expectAnswer();
-        exchange.recordSent(() -> Channels.close(channel));
+        exchange.recordSent(this::close);
         ControlRequest call = exchange.request();
         path = new QueryStringDecoder(call.uri()).rawPath();
         FullHttpRequest request = new DefaultFullHttpRequest(
@@ -127,7 +131,7 @@
         }
         if (channel.isActive()) {
             logBytesWithoutAnswer(current == null ? "idle" : "control", receivedBytes);
-            Channels.close(channel);
+            close();
         }
         return false;
     }
@@ -145,7 +149,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext _context, FullHttpResponse response) {
         if (current == null) {
-            Channels.close(channel);
+            close();
         } else if (response.decoderResult().isFailure()) {
             refuseAnswer("garbled");
         } else if (ResponseIdentity.of(response, WITHOUT_ID).innerStatusLine() != InnerStatusLine.NONE) {
@@ -178,7 +182,7 @@
         if (keepAlive) {
             onIdle.accept(this);
         } else {
-            Channels.close(channel);
+            close();
         }
         done.end(delivered);
     }
