Refuse answers of engines that contradict their question

Cause: a second answer to an earlier poll of an engine that arrived whole, after the next poll was written, was taken for the answer to that one. A report from before an order showed an engine as available that was changing its stage; changes of a cache that were applied already were applied again, and each later answer on the connection was one behind.

Change: a call may have an AnswerCheck. On a connection that has carried another call, an answer that contradicts it counts as lost and ends the connection. Changes of a cache must not be numbered below the one that was asked for; a report must not count fewer orders than the engine is known to have accepted (KnownOrderCounts); each answer must have the content of its kind of call. The first answer on a connection is not checked, since nothing else was asked there: an engine that counts from the beginning again is heard at the next poll.

Measured: with the check switched off, four of the six new tests fail: the changes 3 and 4 were delivered for since=5, a report that counts 3 orders after the fourth was accepted, a list and a release left a connection open that was one answer behind. The two for the sound bound pass on both. 24 tests of ControlClient, SecondAnswers, EngineClient and LogSchema pass.

--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -17,12 +17,14 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.JsonTrees;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
+import org.dogwoodwinch.relay.AnswerCheck;
 import org.dogwoodwinch.relay.CacheChanges;
 import org.dogwoodwinch.relay.CacheSnapshot;
 import org.dogwoodwinch.relay.ControlClient;
@@ -57,12 +59,6 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final String LONG_POLL_HEADER = "wait-ms";
 
-    /** Sends a call on a connection of its choice. */
-    @FunctionalInterface
-    private interface ControlSender {
-        CompletionStage<ControlReply> send(InetSocketAddress address, ControlRequest request, long timeoutMillis);
-    }
-
     /** Columns of a cache event: sequence number, sign, unused, segment id, cached tokens, model. */
     private static final int EVENT_SEGMENT_COLUMN = 3;
 
@@ -77,6 +73,7 @@
     private final TargetStatements statements;
     private final long timeoutMillis;
     private final long longPollMillis;
+    private final KnownOrderCounts orderCounts = new KnownOrderCounts();
 
     /**
      * Creates a client.
@@ -115,7 +112,8 @@
     @Override
     public void releaseCache(Incarnation prefillEngine, KvCacheHandle kvCache) {
         String uri = "/kv-handle/" + kvCache.handle();
-        call(prefillEngine, HttpMethod.DELETE, uri, timeoutMillis, controlHeaders(prefillEngine))
+        ControlRequest request = new ControlRequest(HttpMethod.DELETE, uri, controlHeaders(prefillEngine), Bytes.EMPTY);
+        sendOnKept(prefillEngine, request, timeoutMillis, EngineAnswerChecks.release())
                 .thenAccept(reply -> {
                     if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
                         LogEvent.of("memory_not_released")
@@ -129,20 +127,27 @@
     @Override
     public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation engine, long sinceNumber) {
         HttpHeaders headers = controlHeaders(engine).set(LONG_POLL_HEADER, longPollMillis);
-        return call(engine, HttpMethod.GET, "/kv-events?since=" + sinceNumber, longPollMillis + timeoutMillis, headers)
+        ControlRequest request = get("/kv-events?since=" + sinceNumber, headers);
+        return sendOnKept(engine, request, longPollMillis + timeoutMillis, EngineAnswerChecks.cacheEvents(sinceNumber))
                 .thenApply(reply -> parseCacheChanges(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<CacheSnapshot>> cacheSnapshot(Incarnation engine) {
-        return call(engine, HttpMethod.GET, "/kv-list", timeoutMillis, controlHeaders(engine))
+        ControlRequest request = get("/kv-list", controlHeaders(engine));
+        return sendOnKept(engine, request, timeoutMillis, EngineAnswerChecks.cacheList())
                 .thenApply(reply -> parseCacheList(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<OrderState>> orderState(Incarnation engine) {
-        return call(engine, HttpMethod.GET, "/report", timeoutMillis, controlHeaders(engine))
-                .thenApply(reply -> parseOrderState(engine, reply));
+        ControlRequest request = get("/report", controlHeaders(engine));
+        return sendOnKept(engine, request, timeoutMillis, EngineAnswerChecks.report(() -> orderCounts.known(engine)))
+                .thenApply(reply -> {
+                    Optional<OrderState> state = parseOrderState(engine, reply);
+                    state.ifPresent(reported -> orderCounts.recordReported(engine, reported.ordersCount()));
+                    return state;
+                });
     }
 
     private static Optional<OrderState> parseOrderState(Incarnation engine, ControlReply reply) {
@@ -176,8 +181,13 @@
         HttpHeaders headers =
                 controlHeaders(engine).set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         ControlRequest request = new ControlRequest(HttpMethod.POST, "/order", headers, Bytes.ofUtf8(body.toString()));
-        return send(engine, request, timeoutMillis, controlCaller::callOnOwnConnection)
-                .thenApply(EngineClient::toOrderOutcome);
+        return send(engine, address -> controlCaller.callOnOwnConnection(address, request, timeoutMillis))
+                .thenApply(reply -> {
+                    if (reply instanceof ControlReply.Answered answered && answered.status() == ACCEPTED) {
+                        orderCounts.recordAccepted(engine, order.expectedOrdersCount());
+                    }
+                    return toOrderOutcome(reply);
+                });
     }
 
     private static OrderOutcome toOrderOutcome(ControlReply reply) {
@@ -192,17 +202,21 @@
         };
     }
 
-    private CompletionStage<ControlReply> call(
-            Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers) {
-        return send(engine, new ControlRequest(method, uri, headers, Bytes.EMPTY), timeout, controlCaller::call);
+    private static ControlRequest get(String uri, HttpHeaders headers) {
+        return new ControlRequest(HttpMethod.GET, uri, headers, Bytes.EMPTY);
+    }
+
+    private CompletionStage<ControlReply> sendOnKept(
+            Incarnation engine, ControlRequest request, long timeout, AnswerCheck check) {
+        return send(engine, address -> controlCaller.call(address, request, timeout, check));
     }
 
     private CompletionStage<ControlReply> send(
-            Incarnation engine, ControlRequest request, long timeout, ControlSender sender) {
+            Incarnation engine, Function<InetSocketAddress, CompletionStage<ControlReply>> call) {
         if (statements.isResting(engine.id(), engine.startedMillis())) {
             return CompletableFuture.completedFuture(new ControlReply.Lost("engine_rests"));
         }
-        return sender.send(Addresses.of(engine.host(), engine.port()), request, timeout)
+        return call.apply(Addresses.of(engine.host(), engine.port()))
                 .thenApply(reply -> recordStatements(engine, reply));
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/ControlClient.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlClient.java
@@ -55,7 +55,24 @@
      * @return a stage that completes on the event loop, never exceptionally
      */
     public CompletionStage<ControlReply> call(InetSocketAddress address, ControlRequest call, long timeoutMillis) {
-        ControlExchange exchange = new ControlExchange(call, time, timeoutMillis);
+        return call(address, call, timeoutMillis, AnswerCheck.NONE);
+    }
+
+    /**
+     * Sends a call, on an idle connection if there is one. An answer that the check refuses counts as lost, and its
+     * connection is closed, as the next answer on it may be the one to this call. The first answer on a connection is
+     * not checked, since nothing else was asked there: a server whose state has truly gone back is heard at the next
+     * call.
+     *
+     * @param address the address of the server, not null
+     * @param call the call to send, not null
+     * @param timeoutMillis the time-out for the response, including the time to open a connection
+     * @param check examines the answer, not null
+     * @return a stage that completes on the event loop, never exceptionally
+     */
+    public CompletionStage<ControlReply> call(
+            InetSocketAddress address, ControlRequest call, long timeoutMillis, AnswerCheck check) {
+        ControlExchange exchange = new ControlExchange(call, check, time, timeoutMillis);
         ControlConnection kept = pollIdle(address);
         if (kept != null) {
             kept.send(exchange);
@@ -77,7 +94,7 @@
      */
     public CompletionStage<ControlReply> callOnOwnConnection(
             InetSocketAddress address, ControlRequest call, long timeoutMillis) {
-        ControlExchange exchange = new ControlExchange(call, time, timeoutMillis);
+        ControlExchange exchange = new ControlExchange(call, AnswerCheck.NONE, time, timeoutMillis);
         open(address, exchange, ControlConnection::close);
         return exchange.reply();
     }
--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.InetSocketAddress;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.http.Channels;
@@ -176,6 +177,11 @@
             deliverFollowedAnswer();
             return;
         }
+        Optional<String> contradiction = callsCount > 1 ? current.check().findContradiction(answer) : Optional.empty();
+        if (contradiction.isPresent()) {
+            refuseAnswer(contradiction.get());
+            return;
+        }
         ControlExchange done = current;
         ControlReply.Answered delivered = answer;
         clearCall();
--- a/src/main/java/org/dogwoodwinch/relay/ControlExchange.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlExchange.java
@@ -10,6 +10,7 @@
 final class ControlExchange {
 
     private final ControlRequest request;
+    private final AnswerCheck check;
     private final CompletableFuture<ControlReply> reply = new CompletableFuture<>();
     private final Cancellable timeout;
     private Runnable closeConnection = () -> {};
@@ -18,11 +19,13 @@
      * Creates a call that nobody has sent yet, and starts its time-out.
      *
      * @param request the request, not null
+     * @param check examines an answer on a connection that has carried another call, not null
      * @param time timers, not null
      * @param timeoutMillis the time-out for the response, including the time to open a connection
      */
-    ControlExchange(ControlRequest request, TimeSource time, long timeoutMillis) {
+    ControlExchange(ControlRequest request, AnswerCheck check, TimeSource time, long timeoutMillis) {
         this.request = Objects.requireNonNull(request, "request");
+        this.check = Objects.requireNonNull(check, "check");
         this.timeout = time.schedule(timeoutMillis, () -> {
             end(new ControlReply.Lost("timeout"));
             closeConnection.run();
@@ -33,6 +36,10 @@
         return request;
     }
 
+    AnswerCheck check() {
+        return check;
+    }
+
     /** Returns a stage that completes on the event loop, never exceptionally. */
     CompletionStage<ControlReply> reply() {
         return reply;
--- a/src/test/java/org/dogwoodwinch/platform/SecondAnswersTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/SecondAnswersTest.java
@@ -11,8 +11,11 @@
 import java.util.concurrent.CompletableFuture;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.relay.CacheChanges;
+import org.dogwoodwinch.relay.CacheSnapshot;
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.FakeControlServer;
+import org.dogwoodwinch.relay.KvCacheHandle;
 import org.dogwoodwinch.relay.OrderOutcome;
 import org.dogwoodwinch.relay.OrderState;
 import org.dogwoodwinch.relay.StageOrder;
@@ -125,6 +128,112 @@
         assertEquals(2, server.connectionsCount());
     }
 
+    private CompletableFuture<Optional<CacheChanges>> askChanges(long sinceNumber) {
+        return engines.cacheChanges(ENGINE, sinceNumber).toCompletableFuture();
+    }
+
+    private static String changes(long nextNumber, String rows) {
+        return answer(
+                "200 OK",
+                "{\"epoch\":\"x\",\"nextToken\":" + nextNumber + ",\"lost\":false,\"events\":[" + rows + "]}");
+    }
+
+    private static String row(long number) {
+        return "[" + number + ",\"+\",\"\",\"a" + number + "\",900,\"m\"]";
+    }
+
+    @Test
+    void changesOfBeforeAreNotTakenForThoseThatFollow() {
+        for (String late : List.of(
+                changes(5, row(3) + "," + row(4)),
+                changes(4, ""),
+                answer("200 OK", REPORT),
+                answer("200 OK", "{\"epoch\":\"x\",\"nextToken\":9,\"held\":[]}"),
+                answer("200 OK", ""),
+                answer("202 Accepted", "{}"))) {
+            FakeControlServer.Connection kept = keptConnection();
+            CompletableFuture<Optional<CacheChanges>> refused = askChanges(5);
+            kept.send(late);
+
+            assertEquals(Optional.empty(), refused.join(), late);
+            assertFalse(kept.isOpen(), late);
+            CompletableFuture<Optional<CacheChanges>> repeated = askChanges(5);
+            server.latest().send(changes(7, row(5) + "," + row(6)));
+            assertEquals(2, repeated.join().orElseThrow().changes().size());
+            assertTrue(server.latest().isOpen());
+            server.latest().close();
+        }
+    }
+
+    /** The sound bound: what continues is accepted on a kept connection, and what begins again on a new one. */
+    @Test
+    void changesThatContinueOrBeginAgainAreAccepted() {
+        FakeControlServer.Connection kept = keptConnection();
+        for (String own : List.of(changes(5, ""), changes(9, row(5) + "," + row(8)), changes(6, row(5)))) {
+            CompletableFuture<Optional<CacheChanges>> asked = askChanges(5);
+            kept.send(own);
+            assertTrue(asked.join().isPresent(), own);
+        }
+        assertEquals(1, server.connectionsCount());
+        kept.close();
+
+        CompletableFuture<Optional<CacheChanges>> afterRestart = askChanges(5);
+        server.latest().send(changes(1, row(0)));
+        assertEquals(1, afterRestart.join().orElseThrow().nextNumber());
+    }
+
+    @Test
+    void reportOfBeforeOrderIsNotTakenForOneAfterIt() {
+        FakeControlServer.Connection kept = keptConnection();
+        CompletableFuture<OrderOutcome> order = engines.order(ENGINE, ORDER).toCompletableFuture();
+        server.latest().send(answer("202 Accepted", "{}"));
+        assertEquals(OrderOutcome.TAKEN, order.join());
+        CompletableFuture<Optional<OrderState>> late = askState();
+        kept.send(answer("200 OK", REPORT));
+
+        assertEquals(Optional.empty(), late.join());
+        assertFalse(kept.isOpen());
+        CompletableFuture<Optional<OrderState>> own = askState();
+        server.latest().send(answer("200 OK", REPORT.replace("3", "4")));
+        assertEquals(4, own.join().orElseThrow().ordersCount());
+    }
+
+    /** The first answer on a connection proves itself: an engine whose start is not stated begins to count again. */
+    @Test
+    void reportOfRestartedEngineIsAcceptedOnNewConnection() {
+        keptConnection().close();
+        CompletableFuture<Optional<OrderState>> state = askState();
+        server.latest().send(answer("200 OK", REPORT.replace("3", "0")));
+        assertEquals(0, state.join().orElseThrow().ordersCount());
+
+        CompletableFuture<Optional<OrderState>> next = askState();
+        server.latest().send(answer("200 OK", REPORT.replace("3", "1")));
+        assertEquals(1, next.join().orElseThrow().ordersCount());
+    }
+
+    @Test
+    void answerToPollIsNotTakenForCompleteList() {
+        for (String late : List.of(changes(5, row(4)), answer("200 OK", REPORT), answer("200 OK", ""))) {
+            FakeControlServer.Connection kept = keptConnection();
+            CompletableFuture<Optional<CacheSnapshot>> list =
+                    engines.cacheSnapshot(ENGINE).toCompletableFuture();
+            kept.send(late);
+
+            assertEquals(Optional.empty(), list.join(), late);
+            assertFalse(kept.isOpen(), late);
+        }
+    }
+
+    @Test
+    void answerToPollIsNotTakenForRelease() {
+        FakeControlServer.Connection kept = keptConnection();
+        engines.releaseCache(ENGINE, new KvCacheHandle(ENGINE.address(), "h"));
+        assertTrue(kept.takeReceived().contains("DELETE /kv-handle/h "));
+        kept.send(answer("200 OK", REPORT));
+
+        assertFalse(kept.isOpen());
+    }
+
     private static final class NoStatements implements TargetStatements {
 
         @Override
