Refuse answers of the store that contradict their append

Cause: an answer to an append was believed for its status and its shape alone. If the answer to an earlier call came first on a kept connection, a record that was never written counted as written, also a claim of a lease.

Change: on a connection that has carried another call, the acknowledgement of an append at an expected end must state that end as its offset, and a refusal another end; the acknowledgement of another append must state an offset, which must not be that of the last acknowledged record of its topic. Else the outcome is unknown, and the connection is closed. The store is a sound server, so it gets no connection for each append. Reads and pages have no such check: nothing in them names their topic or first offset.

--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -12,7 +12,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -30,6 +32,7 @@
 import org.dogwoodwinch.follow.StoreCallListener;
 import org.dogwoodwinch.follow.StoreOperation;
 import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.relay.AnswerCheck;
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ControlReply;
 import org.dogwoodwinch.relay.ControlRequest;
@@ -65,6 +68,9 @@
     private final StoreCallListener callListener;
     private final List<LongConsumer> eraListeners = new ArrayList<>();
     private final List<LongConsumer> anyEraListeners = new ArrayList<>();
+    /** The position of the last record that the store acknowledged in each topic. */
+    private final Map<String, Long> lastAppends = new HashMap<>();
+
     private long latestEra = UNKNOWN_ERA;
 
     /**
@@ -140,18 +146,36 @@
      * @return the writer to the topic's only partition
      */
     public KeyedWriter writer(String topic) {
+        AnswerCheck check = answer -> StoreAnswerChecks.append(offset -> isLastAppend(topic, era(answer), offset))
+                .findContradiction(answer);
         return (key, value) -> {
-            ControlRequest call = new ControlRequest(
-                    HttpMethod.POST,
-                    partitionUri("/log-append", topic).toString(),
-                    new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
-                    encodeRecord(key, value));
+            ControlRequest call = appendRequest(partitionUri("/log-append", topic), encodeRecord(key, value));
             callListener.onCall(topic, StoreOperation.APPEND);
-            return send(call, timeoutMillis)
-                    .thenApply(reply -> reply instanceof ControlReply.Answered answered && answered.status() == OK);
+            return send(call, timeoutMillis, check).thenApply(reply -> recordAppend(topic, reply));
         };
     }
 
+    private boolean isLastAppend(String topic, long era, long offset) {
+        return Objects.equals(lastAppends.get(topic), LogPosition.of(era, offset));
+    }
+
+    /** Records the position of an acknowledged record. Returns whether the record was acknowledged. */
+    private boolean recordAppend(String topic, ControlReply reply) {
+        ConditionalLog.Appended outcome = parseAppendReply(reply);
+        if (outcome instanceof ConditionalLog.Written written) {
+            lastAppends.put(topic, written.offset());
+        }
+        return reply instanceof ControlReply.Answered answered && answered.status() == OK;
+    }
+
+    private static ControlRequest appendRequest(QueryStringEncoder uri, Bytes records) {
+        return new ControlRequest(
+                HttpMethod.POST,
+                uri.toString(),
+                new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
+                records);
+    }
+
     /**
      * Returns a log that appends a record only if the log ends at the expected offset.
      *
@@ -164,13 +188,10 @@
             uri.addParam("at", Long.toString(LogPosition.offset(endOffset)));
             ByteBuffer record = ByteBuffer.allocate(RECORD_LENGTH_BYTES + content.length());
             record.putInt(content.length()).put(content.toByteArray());
-            ControlRequest call = new ControlRequest(
-                    HttpMethod.POST,
-                    uri.toString(),
-                    new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/octet-stream"),
-                    Bytes.of(record.array()));
+            ControlRequest call = appendRequest(uri, Bytes.of(record.array()));
             callListener.onCall(topic, StoreOperation.CONDITIONAL_APPEND);
-            return send(call, timeoutMillis).thenApply(this::parseAppendReply);
+            return send(call, timeoutMillis, StoreAnswerChecks.conditionalAppend(LogPosition.offset(endOffset)))
+                    .thenApply(this::parseAppendReply);
         };
     }
 
@@ -230,11 +251,12 @@
     private CompletionStage<ControlReply> sendGet(QueryStringEncoder uri, long timeoutMillis) {
         return send(
                 new ControlRequest(HttpMethod.GET, uri.toString(), EmptyHttpHeaders.INSTANCE, Bytes.EMPTY),
-                timeoutMillis);
+                timeoutMillis,
+                AnswerCheck.NONE);
     }
 
-    private CompletionStage<ControlReply> send(ControlRequest call, long timeoutMillis) {
-        return controlCaller.call(address, call, timeoutMillis).thenApply(reply -> {
+    private CompletionStage<ControlReply> send(ControlRequest call, long timeoutMillis, AnswerCheck check) {
+        return controlCaller.call(address, call, timeoutMillis, check).thenApply(reply -> {
             if (reply instanceof ControlReply.Answered answered) {
                 statedEra(answered).ifPresent(this::observeEra);
             }
--- a/src/test/java/org/dogwoodwinch/platform/SecondAnswersTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/SecondAnswersTest.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.follow.ConditionalLog;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.relay.CacheChanges;
@@ -45,6 +47,9 @@
     private final DutyClient duties =
             new DutyClient(client, InetSocketAddress.createUnresolved("10.0.0.2", 80), TIMEOUT_MILLIS);
 
+    private final StoreClient store = new StoreClient(
+            client, InetSocketAddress.createUnresolved("10.0.0.3", 80), TIMEOUT_MILLIS, (_topic, _operation) -> {});
+
     private static String answer(String status, String body) {
         return FakeControlServer.answer(status, body);
     }
@@ -234,6 +239,72 @@
         assertFalse(kept.isOpen());
     }
 
+    private FakeControlServer.Connection keptStoreConnection() {
+        CompletableFuture<Boolean> put = put("0");
+        FakeControlServer.Connection kept = server.latest();
+        kept.send(answer("200 OK", "{\"offset\":5,\"end\":6}"));
+        assertTrue(put.join());
+        return kept;
+    }
+
+    private CompletableFuture<Boolean> put(String value) {
+        return store.writer("keyed.a")
+                .put("key", Optional.of(Bytes.ofUtf8(value)))
+                .toCompletableFuture();
+    }
+
+    private CompletableFuture<ConditionalLog.Appended> append(long expectedEnd) {
+        return store.log("orders").append(Bytes.ofUtf8("x"), expectedEnd).toCompletableFuture();
+    }
+
+    /** A claim that counts as written though another instance holds the lease lets two of them send orders. */
+    @Test
+    void answerOfBeforeIsNotTakenForAcknowledgementOfConditionalAppend() {
+        for (String late : List.of(
+                answer("200 OK", "{\"offset\":5,\"end\":6}"),
+                answer("412 Precondition Failed", "{\"end\":9}"),
+                answer("200 OK", "{\"items\":[],\"truncated\":false,\"end\":9}"),
+                answer("200 OK", "\0\0\0\0\0\0\0\u0009\0\0\0\0\0\0\0\0"),
+                answer("200 OK", ""))) {
+            FakeControlServer.Connection kept = keptStoreConnection();
+            CompletableFuture<ConditionalLog.Appended> refused = append(9);
+            kept.send(late);
+
+            assertTrue(refused.join() instanceof ConditionalLog.Unknown, late);
+            assertFalse(kept.isOpen(), late);
+        }
+    }
+
+    @Test
+    void answerOfBeforeIsNotTakenForAcknowledgementOfAppend() {
+        for (String late : List.of(
+                answer("200 OK", "{\"offset\":5,\"end\":6}"),
+                answer("200 OK", "{\"items\":[],\"truncated\":false,\"end\":9}"),
+                answer("200 OK", ""))) {
+            FakeControlServer.Connection kept = keptStoreConnection();
+            CompletableFuture<Boolean> refused = put("1");
+            kept.send(late);
+
+            assertFalse(refused.join(), late);
+            assertFalse(kept.isOpen(), late);
+        }
+    }
+
+    @Test
+    void ownAnswersToAppendsAreAcceptedOnOneConnection() {
+        FakeControlServer.Connection kept = keptStoreConnection();
+        CompletableFuture<Boolean> put = put("1");
+        kept.send(answer("200 OK", "{\"offset\":6,\"end\":7}"));
+        assertTrue(put.join());
+        CompletableFuture<ConditionalLog.Appended> written = append(9);
+        kept.send(answer("200 OK", "{\"offset\":9,\"end\":10}"));
+        assertEquals(new ConditionalLog.Written(9), written.join());
+        CompletableFuture<ConditionalLog.Appended> mismatch = append(9);
+        kept.send(answer("412 Precondition Failed", "{\"end\":10}"));
+        assertEquals(new ConditionalLog.EndOffsetMismatch(10), mismatch.join());
+        assertEquals(1, server.connectionsCount());
+    }
+
     private static final class NoStatements implements TargetStatements {
 
         @Override
