End a control call in one place

Cause: reading the diff as a newcomer: three methods ended a call each in their own way, and a call that had timed out stayed the current one until its connection was reported closed, so that a late answer without a length would have been examined and logged for it.

Change: findRefusal says why an answer is not believed, endCall keeps or closes the connection and completes the call, and a time-out forgets the call. KnownOrderCounts forgets the engines that were used least recently, as its comment says.

--- a/src/main/java/org/dogwoodwinch/platform/KnownOrderCounts.java
+++ b/src/main/java/org/dogwoodwinch/platform/KnownOrderCounts.java
@@ -15,7 +15,10 @@
     /** More than there are engines; those whose counts were used least recently are forgotten. */
     private static final int MAX_ENGINES = 8_192;
 
-    private final Map<Start, Long> counts = new LinkedHashMap<>() {
+    private static final int INITIAL_CAPACITY = 16;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<Start, Long> counts = new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
         private static final long serialVersionUID = 1;
 
         @Override
--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -47,8 +47,8 @@
 
     private final InetSocketAddress address;
     private final Consumer<ControlConnection> onIdle;
-    private Channel channel;
     private final ControlResponseDecoder decoder = new ControlResponseDecoder();
+    private Channel channel;
     private ControlExchange current;
     private ControlReply.Answered answer;
     private boolean keepAlive;
@@ -91,6 +91,13 @@
         return channel.isActive();
     }
 
+    /** Ends the connection of a call that has timed out: what still arrives is no answer to it. */
+    private void abandon() {
+        current = null;
+        answer = null;
+        close();
+    }
+
     void close() {
         Channels.close(channel);
     }
@@ -110,7 +117,7 @@
         receivedBytes = 0;
         callsCount++;
         decoder.expectAnswer();
-        exchange.recordSent(this::close);
+        exchange.recordSent(this::abandon);
         ControlRequest call = exchange.request();
         path = new QueryStringDecoder(call.uri()).rawPath();
         FullHttpRequest request = new DefaultFullHttpRequest(
@@ -173,41 +180,30 @@
         if (answer == null) {
             return;
         }
-        if (decoder.bytesAfterAnswer() > 0) {
-            deliverFollowedAnswer();
+        Optional<String> refusal = findRefusal();
+        if (refusal.isPresent()) {
+            refuseAnswer(refusal.get());
             return;
         }
-        Optional<String> contradiction = callsCount > 1 ? current.check().findContradiction(answer) : Optional.empty();
-        if (contradiction.isPresent()) {
-            refuseAnswer(contradiction.get());
-            return;
-        }
-        ControlExchange done = current;
-        ControlReply.Answered delivered = answer;
-        clearCall();
-        if (keepAlive) {
-            onIdle.accept(this);
-        } else {
-            close();
+        long bytesAfterAnswer = decoder.bytesAfterAnswer();
+        if (bytesAfterAnswer > 0) {
+            logBytesWithoutAnswer("after_answer", bytesAfterAnswer);
         }
-        done.end(delivered);
+        endCall(answer, keepAlive && bytesAfterAnswer == 0);
     }
 
     /**
-     * Delivers an answer that more bytes follow if it is the first on its connection. On a connection that has carried
-     * another call, it may be a second answer to that call, and the own answer may be what follows it.
+     * Returns why the answer is not believed. The first answer on a connection is believed, since nothing else was asked
+     * there. A later one that more bytes follow may be a second answer to an earlier call, and the own one be what
+     * follows it.
      */
-    private void deliverFollowedAnswer() {
-        if (callsCount > 1) {
-            refuseAnswer("bytes_after_answer");
-            return;
+    private Optional<String> findRefusal() {
+        if (callsCount == 1) {
+            return Optional.empty();
         }
-        logBytesWithoutAnswer("after_answer", decoder.bytesAfterAnswer());
-        ControlExchange done = current;
-        ControlReply.Answered delivered = answer;
-        clearCall();
-        Channels.close(channel);
-        done.end(delivered);
+        return decoder.bytesAfterAnswer() > 0
+                ? Optional.of("bytes_after_answer")
+                : current.check().findContradiction(answer);
     }
 
     private void refuseAnswer(String reason) {
@@ -217,34 +213,39 @@
                 .with("reason", reason)
                 .with("calls", callsCount)
                 .warn(log);
-        ControlExchange refused = current;
-        clearCall();
-        Channels.close(channel);
-        refused.end(new ControlReply.Lost(reason));
+        endCall(new ControlReply.Lost(reason), false);
     }
 
-    private void clearCall() {
+    /** Keeps or closes the connection first, since the caller may ask again at once. */
+    private void endCall(ControlReply outcome, boolean isReusable) {
+        ControlExchange ended = current;
         current = null;
         answer = null;
+        if (isReusable) {
+            onIdle.accept(this);
+        } else {
+            close();
+        }
+        ended.end(outcome);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext _context) {
-        failExchange("connection_closed");
+        failCall("connection_closed");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext _context, Throwable cause) {
-        failExchange("connection_failed: " + cause);
-        Channels.close(channel);
+        failCall("connection_failed: " + cause);
     }
 
-    private void failExchange(String reason) {
+    /** Closes the connection. An answer that was complete before is still delivered. */
+    private void failCall(String reason) {
         deliverAnswer();
-        ControlExchange lost = current;
-        clearCall();
-        if (lost != null) {
-            lost.end(new ControlReply.Lost(reason));
+        if (current == null) {
+            close();
+        } else {
+            endCall(new ControlReply.Lost(reason), false);
         }
     }
 }
