--- a/src/test/java/org/dogwoodwinch/platform/SecondAnswersTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/SecondAnswersTest.java
@@ -290,6 +290,38 @@
         }
     }
 
+    @Test
+    void beginningOfSecondAnswerDoesNotAcknowledgeAppend() {
+        String late = answer("200 OK", "{\"offset\":5,\"end\":6}");
+        String own = answer("412 Precondition Failed", "{\"end\":12}");
+        for (int cut = 0; cut <= late.length(); cut++) {
+            for (boolean oneRead : new boolean[] {true, false}) {
+                FakeControlServer.Connection kept = keptStoreConnection();
+                CompletableFuture<ConditionalLog.Appended> conditional = append(9);
+                answerWith(kept, late.substring(0, cut), own, oneRead);
+                assertFalse(conditional.join() instanceof ConditionalLog.Written, "cut at " + cut);
+                kept.close();
+
+                kept = keptStoreConnection();
+                CompletableFuture<Boolean> put = put("1");
+                answerWith(kept, late.substring(0, cut), own, oneRead);
+                assertFalse(put.join(), "cut at " + cut);
+                kept.close();
+            }
+        }
+    }
+
+    /** Sends the beginning of a second answer and the own answer, and lets the call time out if neither ended it. */
+    private void answerWith(FakeControlServer.Connection kept, String late, String own, boolean oneRead) {
+        if (oneRead) {
+            kept.send(late + own);
+        } else {
+            kept.send(late);
+            kept.send(own);
+        }
+        time.advanceMillis(TIMEOUT_MILLIS);
+    }
+
     @Test
     void ownAnswersToAppendsAreAcceptedOnOneConnection() {
         FakeControlServer.Connection kept = keptStoreConnection();
