Skip interim heads before the answers to control calls

Cause: a head such as 100 or 103 was taken for the answer, and the own answer behind it for bytes that belong to no call. The sound answers that guard calls showed it.

On the first call of a connection a head is believed as it is, also with another status line in it, as for calls: nothing else was asked there.

--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -53,6 +54,7 @@
     private ControlReply.Answered answer;
     private boolean keepAlive;
     private long receivedBytes;
+    private int interimCount;
     private int callsCount;
     private String path = "";
 
@@ -115,6 +117,7 @@
     void send(ControlExchange exchange) {
         current = exchange;
         receivedBytes = 0;
+        interimCount = 0;
         callsCount++;
         decoder.expectAnswer();
         exchange.recordSent(this::abandon);
@@ -160,8 +163,11 @@
             close();
         } else if (response.decoderResult().isFailure()) {
             refuseAnswer("garbled");
-        } else if (ResponseIdentity.of(response, WITHOUT_ID).innerStatusLine() != InnerStatusLine.NONE) {
+        } else if (callsCount > 1
+                && ResponseIdentity.of(response, WITHOUT_ID).innerStatusLine() != InnerStatusLine.NONE) {
             refuseAnswer(HeadVerdict.INNER_STATUS_LINE);
+        } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            countInterimHead();
         } else {
             Bytes body = Bytes.of(ByteBufUtil.getBytes(response.content()));
             answer = new ControlReply.Answered(response.status().code(), response.headers(), body);
@@ -169,6 +175,13 @@
         }
     }
 
+    private void countInterimHead() {
+        interimCount++;
+        if (interimCount > ReceiveLimits.MAX_INTERIM_HEADS) {
+            refuseAnswer("interim_heads");
+        }
+    }
+
     /** Delivers an answer only after all received bytes were processed, since stray bytes may follow it. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
--- a/src/main/java/org/dogwoodwinch/relay/ControlResponseDecoder.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlResponseDecoder.java
@@ -4,12 +4,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
- * Decodes one answer for each question, and drops the bytes that follow an answer.
+ * Decodes one answer for each question and the interim heads before it, and drops the bytes that follow an answer.
  *
  * <p>Failure: a server sends an answer twice, the second time not whole. The decoder keeps what has arrived of it, and
  * reads it and the answer to the next question as one.
@@ -46,10 +48,15 @@
         super.decode(context, input, output);
         // Each step of the superclass adds at most one part of a message, or a head with the end of an empty body.
         if (!output.isEmpty() && output.get(output.size() - 1) instanceof LastHttpContent) {
-            answerExpected = false;
+            answerExpected = isInterim(output.get(0));
         }
     }
 
+    /** An interim head has no body, so that its end is added with it. */
+    private static boolean isInterim(Object part) {
+        return part instanceof HttpResponse head && head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
     /** Refuses a message with both framings, since it is unknown which one the sender meant. */
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage _message) {
--- a/src/test/java/org/dogwoodwinch/relay/ControlClientTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/ControlClientTest.java
@@ -10,9 +10,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Plays servers that send bytes that belong to no answer, or an answer a second time. */
 class ControlClientTest {
@@ -127,6 +130,31 @@
         }
     }
 
+    private static Stream<SoundAnswer> soundAnswers() {
+        return Stream.of(SoundAnswer.keepingConnection(), SoundAnswer.withoutBodyAndLength())
+                .flatMap(List::stream)
+                .filter(sound -> sound.method().equals("GET"));
+    }
+
+    /** Failure: what guards against second answers refuses sound ones, or closes their connections. */
+    @ParameterizedTest
+    @MethodSource("soundAnswers")
+    void soundAnswerIsDeliveredAndItsConnectionKept(SoundAnswer sound) {
+        String text = sound.textFor("a1");
+        int step = text.length() < 1_000 ? 1 : 1_000;
+        for (int readBytes : new int[] {text.length(), step}) {
+            for (int call = 0; call < 2; call++) {
+                replies.clear();
+                ask("/a");
+                for (int from = 0; from < text.length(); from += readBytes) {
+                    server.latest().send(text.substring(from, Math.min(text.length(), from + readBytes)));
+                }
+                assertEquals(List.of(sound.status() + " " + sound.body()), replies);
+            }
+        }
+        assertEquals(1, server.connectionsCount());
+    }
+
     @Test
     void oddButLegalAnswersAreAccepted() {
         List<String> sound = List.of(
@@ -147,6 +175,15 @@
         assertEquals(1, server.connectionsCount());
     }
 
+    @Test
+    void endlessInterimHeadsEndConnection() {
+        ask("/a");
+        server.latest().send("HTTP/1.1 100 Continue\r\n\r\n".repeat(ReceiveLimits.MAX_INTERIM_HEADS + 1));
+
+        assertEquals(List.of("interim_heads"), replies);
+        assertFalse(server.latest().isOpen());
+    }
+
     @Test
     void bytesOnIdleConnectionEndIt() {
         ask("/a");
