Move the checks of control answers out of the platform's package

The checks also decide, and that package only speaks the platform's language.

Change: AnswerCheck.ofContent makes a check from the decoder that a call has anyway and a decision: CacheChanges.mayFollow, KnownOrderCounts.mayFollow (now in relay), ConditionalLog.Appended.mayAnswer and LastAppend (both in follow). The reasons are of_other_kind and of_earlier_call. A release has no check any more: nothing is decided by its answer, and the next poll refuses an answer that is one behind. The last append is kept for each writer. An append without an offset in its acknowledgement counts as unconfirmed.

--- a/src/main/java/org/dogwoodwinch/follow/ConditionalLog.java
+++ b/src/main/java/org/dogwoodwinch/follow/ConditionalLog.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.follow;
 
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.dogwoodwinch.bytes.Bytes;
 
@@ -8,7 +9,33 @@
 public interface ConditionalLog {
 
     /** The result of an append. */
-    sealed interface Appended permits Written, EndOffsetMismatch, Unknown {}
+    sealed interface Appended permits Written, EndOffsetMismatch, Unknown {
+
+        /**
+         * Returns this result if the store stated it.
+         *
+         * @return this result; empty if it is unknown
+         */
+        default Optional<Appended> ifKnown() {
+            return this instanceof Unknown ? Optional.empty() : Optional.of(this);
+        }
+
+        /**
+         * Returns whether this may be the result of an append. The results of earlier appends to a log are at other
+         * offsets.
+         *
+         * @param expectedEndOffset the required end offset of that append; its era may be an earlier one
+         * @return whether the offsets agree
+         */
+        default boolean mayAnswer(long expectedEndOffset) {
+            long expected = LogPosition.offset(expectedEndOffset);
+            if (this instanceof Written written) {
+                return LogPosition.offset(written.offset()) == expected;
+            }
+            return !(this instanceof EndOffsetMismatch mismatch)
+                    || LogPosition.offset(mismatch.endOffset()) != expected;
+        }
+    }
 
     /**
      * The record was written.
--- a/src/main/java/org/dogwoodwinch/platform/DutyClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/DutyClient.java
@@ -23,10 +23,7 @@
 import org.dogwoodwinch.usage.UsageDestination;
 import org.dogwoodwinch.usage.UsageReport;
 
-/**
- * Sends the platform the calls of which one instance at a time has the duty. Their acknowledgements do not state what
- * they acknowledge, so each call has a connection of its own.
- */
+/** Sends the platform the calls of which one instance at a time has the duty; no answer names its call. */
 public final class DutyClient implements UsageDestination, ScaleDestination {
 
     /** The platform's name of the duty to report usage. */
--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -31,6 +31,7 @@
 import org.dogwoodwinch.relay.ControlReply;
 import org.dogwoodwinch.relay.ControlRequest;
 import org.dogwoodwinch.relay.EngineControl;
+import org.dogwoodwinch.relay.KnownOrderCounts;
 import org.dogwoodwinch.relay.KvCacheHandle;
 import org.dogwoodwinch.relay.OrderOutcome;
 import org.dogwoodwinch.relay.OrderState;
@@ -39,14 +40,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/**
- * Calls the control interface of engines: KV cache state, stage orders and the release of KV caches.
- *
- * <p>Failure: an engine answers a call twice, and the second answer is taken for that to the next call. The answer to an
- * order is a status that states no order, so an order that was refused counts as accepted, and the engine gets no
- * calls until a report shows that it has not changed. Orders are rare and have a connection of their own. The answer to a release decides
- * nothing, so releases share the connections of the polls.
- */
+/** Calls the control interface of engines: KV cache state, stage orders and the release of KV caches. */
 public final class EngineClient implements EngineControl {
 
     private static final Logger log = LoggerFactory.getLogger(EngineClient.class);
@@ -112,8 +106,7 @@
     @Override
     public void releaseCache(Incarnation prefillEngine, KvCacheHandle kvCache) {
         String uri = "/kv-handle/" + kvCache.handle();
-        ControlRequest request = new ControlRequest(HttpMethod.DELETE, uri, controlHeaders(prefillEngine), Bytes.EMPTY);
-        sendOnKept(prefillEngine, request, timeoutMillis, EngineAnswerChecks.release())
+        call(prefillEngine, HttpMethod.DELETE, uri, timeoutMillis, controlHeaders(prefillEngine), AnswerCheck.NONE)
                 .thenAccept(reply -> {
                     if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
                         LogEvent.of("memory_not_released")
@@ -127,27 +120,26 @@
     @Override
     public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation engine, long sinceNumber) {
         HttpHeaders headers = controlHeaders(engine).set(LONG_POLL_HEADER, longPollMillis);
-        ControlRequest request = get("/kv-events?since=" + sinceNumber, headers);
-        return sendOnKept(engine, request, longPollMillis + timeoutMillis, EngineAnswerChecks.cacheEvents(sinceNumber))
+        String uri = "/kv-events?since=" + sinceNumber;
+        AnswerCheck check = AnswerCheck.ofContent(
+                answer -> parseCacheChanges(engine, answer), changes -> changes.mayFollow(sinceNumber));
+        return call(engine, HttpMethod.GET, uri, longPollMillis + timeoutMillis, headers, check)
                 .thenApply(reply -> parseCacheChanges(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<CacheSnapshot>> cacheSnapshot(Incarnation engine) {
-        ControlRequest request = get("/kv-list", controlHeaders(engine));
-        return sendOnKept(engine, request, timeoutMillis, EngineAnswerChecks.cacheList())
+        AnswerCheck check = AnswerCheck.ofContent(answer -> parseCacheList(engine, answer), _list -> true);
+        return call(engine, HttpMethod.GET, "/kv-list", timeoutMillis, controlHeaders(engine), check)
                 .thenApply(reply -> parseCacheList(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<OrderState>> orderState(Incarnation engine) {
-        ControlRequest request = get("/report", controlHeaders(engine));
-        return sendOnKept(engine, request, timeoutMillis, EngineAnswerChecks.report(() -> orderCounts.known(engine)))
-                .thenApply(reply -> {
-                    Optional<OrderState> state = parseOrderState(engine, reply);
-                    state.ifPresent(reported -> orderCounts.recordReported(engine, reported.ordersCount()));
-                    return state;
-                });
+        AnswerCheck check = AnswerCheck.ofContent(
+                answer -> parseOrderState(engine, answer), state -> orderCounts.mayFollow(engine, state));
+        return call(engine, HttpMethod.GET, "/report", timeoutMillis, controlHeaders(engine), check)
+                .thenApply(reply -> orderCounts.recordReported(engine, parseOrderState(engine, reply)));
     }
 
     private static Optional<OrderState> parseOrderState(Incarnation engine, ControlReply reply) {
@@ -182,12 +174,7 @@
                 controlHeaders(engine).set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         ControlRequest request = new ControlRequest(HttpMethod.POST, "/order", headers, Bytes.ofUtf8(body.toString()));
         return send(engine, address -> controlCaller.callOnOwnConnection(address, request, timeoutMillis))
-                .thenApply(reply -> {
-                    if (reply instanceof ControlReply.Answered answered && answered.status() == ACCEPTED) {
-                        orderCounts.recordAccepted(engine, order.expectedOrdersCount());
-                    }
-                    return toOrderOutcome(reply);
-                });
+                .thenApply(reply -> toOrderOutcome(orderCounts.recordAnswer(engine, order, reply)));
     }
 
     private static OrderOutcome toOrderOutcome(ControlReply reply) {
@@ -202,12 +189,9 @@
         };
     }
 
-    private static ControlRequest get(String uri, HttpHeaders headers) {
-        return new ControlRequest(HttpMethod.GET, uri, headers, Bytes.EMPTY);
-    }
-
-    private CompletionStage<ControlReply> sendOnKept(
-            Incarnation engine, ControlRequest request, long timeout, AnswerCheck check) {
+    private CompletionStage<ControlReply> call(
+            Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers, AnswerCheck check) {
+        ControlRequest request = new ControlRequest(method, uri, headers, Bytes.EMPTY);
         return send(engine, address -> controlCaller.call(address, request, timeout, check));
     }
 
@@ -261,6 +245,7 @@
         return readSequenced(engine, reply, "events")
                 .map(root -> new CacheChanges(
                         root.path("epoch").asText(),
+                        root.at("/events/0/0").asLong(root.path("nextToken").asLong()),
                         root.path("nextToken").asLong(),
                         root.path("lost").asBoolean(),
                         parseCacheRows(root.path("events"), EVENT_SEGMENT_COLUMN, EVENT_CACHED_TOKENS_COLUMN)));
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -12,9 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -27,6 +25,7 @@
 import org.dogwoodwinch.follow.KeyedRecord;
 import org.dogwoodwinch.follow.KeyedStream;
 import org.dogwoodwinch.follow.KeyedWriter;
+import org.dogwoodwinch.follow.LastAppend;
 import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
 import org.dogwoodwinch.follow.StoreCallListener;
@@ -68,9 +67,6 @@
     private final StoreCallListener callListener;
     private final List<LongConsumer> eraListeners = new ArrayList<>();
     private final List<LongConsumer> anyEraListeners = new ArrayList<>();
-    /** The position of the last record that the store acknowledged in each topic. */
-    private final Map<String, Long> lastAppends = new HashMap<>();
-
     private long latestEra = UNKNOWN_ERA;
 
     /**
@@ -146,28 +142,16 @@
      * @return the writer to the topic's only partition
      */
     public KeyedWriter writer(String topic) {
-        AnswerCheck check = answer -> StoreAnswerChecks.append(offset -> isLastAppend(topic, era(answer), offset))
-                .findContradiction(answer);
+        LastAppend last = new LastAppend();
+        AnswerCheck check =
+                AnswerCheck.ofContent(answer -> parseAppendReply(answer).ifKnown(), last::mayBeFollowedBy);
         return (key, value) -> {
             ControlRequest call = appendRequest(partitionUri("/log-append", topic), encodeRecord(key, value));
             callListener.onCall(topic, StoreOperation.APPEND);
-            return send(call, timeoutMillis, check).thenApply(reply -> recordAppend(topic, reply));
+            return send(call, timeoutMillis, check).thenApply(reply -> last.record(parseAppendReply(reply)));
         };
     }
 
-    private boolean isLastAppend(String topic, long era, long offset) {
-        return Objects.equals(lastAppends.get(topic), LogPosition.of(era, offset));
-    }
-
-    /** Records the position of an acknowledged record. Returns whether the record was acknowledged. */
-    private boolean recordAppend(String topic, ControlReply reply) {
-        ConditionalLog.Appended outcome = parseAppendReply(reply);
-        if (outcome instanceof ConditionalLog.Written written) {
-            lastAppends.put(topic, written.offset());
-        }
-        return reply instanceof ControlReply.Answered answered && answered.status() == OK;
-    }
-
     private static ControlRequest appendRequest(QueryStringEncoder uri, Bytes records) {
         return new ControlRequest(
                 HttpMethod.POST,
@@ -190,8 +174,9 @@
             record.putInt(content.length()).put(content.toByteArray());
             ControlRequest call = appendRequest(uri, Bytes.of(record.array()));
             callListener.onCall(topic, StoreOperation.CONDITIONAL_APPEND);
-            return send(call, timeoutMillis, StoreAnswerChecks.conditionalAppend(LogPosition.offset(endOffset)))
-                    .thenApply(this::parseAppendReply);
+            AnswerCheck check = AnswerCheck.ofContent(
+                    answer -> parseAppendReply(answer).ifKnown(), result -> result.mayAnswer(endOffset));
+            return send(call, timeoutMillis, check).thenApply(this::parseAppendReply);
         };
     }
 
