Decode control answers with the decoder of calls

Cause: TargetResponseDecoder now drops and reports bytes while none are expected, which ControlResponseDecoder did too.

--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -48,10 +48,10 @@
 
     private final InetSocketAddress address;
     private final Consumer<ControlConnection> onIdle;
-    private final ControlResponseDecoder decoder = new ControlResponseDecoder();
     private Channel channel;
     private ControlExchange current;
     private ControlReply.Answered answer;
+    private boolean isAnswerFollowed;
     private boolean keepAlive;
     private long receivedBytes;
     private int interimCount;
@@ -78,7 +78,10 @@
                         .addLast(
                                 new ReceiveGuard(ControlConnection.this::mayDecode),
                                 new HttpRequestEncoder(),
-                                decoder,
+                                new TargetResponseDecoder(
+                                        ControlConnection.this::isAnswerExpected,
+                                        ControlConnection.this::recordStrayBytes,
+                                        _head -> false),
                                 new HttpObjectAggregator(ReceiveLimits.MAX_CONTROL_BODY_BYTES),
                                 ControlConnection.this);
             }
@@ -119,7 +122,6 @@
         receivedBytes = 0;
         interimCount = 0;
         callsCount++;
-        decoder.expectAnswer();
         exchange.recordSent(this::abandon);
         ControlRequest call = exchange.request();
         path = new QueryStringDecoder(call.uri()).rawPath();
@@ -141,19 +143,19 @@
             return true;
         }
         if (channel.isActive()) {
-            logBytesWithoutAnswer(current == null ? "idle" : "control", receivedBytes);
+            logBytesWithoutAnswer(current == null ? "idle" : "control");
             close();
         }
         return false;
     }
 
-    private void logBytesWithoutAnswer(String kind, long bytes) {
+    private void logBytesWithoutAnswer(String kind) {
         LogEvent.of("bytes_without_answer")
                 .with("target", address)
                 .with("path", path)
                 .with("calls", callsCount)
                 .with("kind", kind)
-                .with("bytes", bytes)
+                .with("bytes", receivedBytes)
                 .warn(log);
     }
 
@@ -175,6 +177,14 @@
         }
     }
 
+    private boolean isAnswerExpected() {
+        return current != null && answer == null;
+    }
+
+    private void recordStrayBytes() {
+        isAnswerFollowed = true;
+    }
+
     private void countInterimHead() {
         interimCount++;
         if (interimCount > ReceiveLimits.MAX_INTERIM_HEADS) {
@@ -198,11 +208,10 @@
             refuseAnswer(refusal.get());
             return;
         }
-        long bytesAfterAnswer = decoder.bytesAfterAnswer();
-        if (bytesAfterAnswer > 0) {
-            logBytesWithoutAnswer("after_answer", bytesAfterAnswer);
+        if (isAnswerFollowed) {
+            logBytesWithoutAnswer("after_answer");
         }
-        endCall(answer, keepAlive && bytesAfterAnswer == 0);
+        endCall(answer, keepAlive && !isAnswerFollowed);
     }
 
     /**
@@ -214,7 +223,7 @@
         if (callsCount == 1) {
             return Optional.empty();
         }
-        return decoder.bytesAfterAnswer() > 0
+        return isAnswerFollowed
                 ? Optional.of("bytes_after_answer")
                 : current.check().findContradiction(answer);
     }
