Take the eras of the store out of its client

Which era is the latest, and who hears of it, is no matter of language.

Change: follow.StoreEras keeps the eras and their listeners; StoreClient.eras() returns it.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -213,7 +213,7 @@
                 followerPolicy,
                 loads,
                 metrics);
-        store.onNewEra(this::beginEra);
+        store.eras().onNewEra(this::beginEra);
         RateLimitShares limitShares =
                 new RateLimitShares(settings.instance().name(), fleet::assignmentMembers, time::monotonicMillis);
         TargetRateLimits limits = new TargetRateLimits(time::monotonicMillis, limitShares);
--- a/src/main/java/org/dogwoodwinch/daemon/UsageComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/UsageComponents.java
@@ -66,7 +66,7 @@
                 new UsagePlanner(windowMillis, SETTLE_MILLIS, settings.usageDueMillis()),
                 new OrderLease(CLAIM_VALIDITY_MILLIS, holdersApartMillis + SEPARATION_MARGIN_MILLIS),
                 time);
-        store.onEra(reporter::observeEra);
+        store.eras().onEra(reporter::observeEra);
     }
 
     CallStarts callStarts() {
--- a/src/main/java/org/dogwoodwinch/platform/StoreClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/StoreClient.java
@@ -17,7 +17,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
-import java.util.function.LongConsumer;
 import java.util.regex.Pattern;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.JsonTrees;
@@ -29,14 +28,12 @@
 import org.dogwoodwinch.follow.LogPosition;
 import org.dogwoodwinch.follow.ReadResult;
 import org.dogwoodwinch.follow.StoreCallListener;
+import org.dogwoodwinch.follow.StoreEras;
 import org.dogwoodwinch.follow.StoreOperation;
-import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.relay.AnswerCheck;
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ControlReply;
 import org.dogwoodwinch.relay.ControlRequest;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Reads and writes the keyed streams and logs of the platform's store. */
 public final class StoreClient {
@@ -50,8 +47,6 @@
     /** The topic in which targets register themselves. */
     public static final String TARGETS_TOPIC = "keyed.servers";
 
-    private static final Logger log = LoggerFactory.getLogger(StoreClient.class);
-    private static final long UNKNOWN_ERA = -1;
     private static final int OK = 200;
     private static final int GONE = 410;
     private static final int PRECONDITION_FAILED = 412;
@@ -65,9 +60,7 @@
     private final InetSocketAddress address;
     private final long timeoutMillis;
     private final StoreCallListener callListener;
-    private final List<LongConsumer> eraListeners = new ArrayList<>();
-    private final List<LongConsumer> anyEraListeners = new ArrayList<>();
-    private long latestEra = UNKNOWN_ERA;
+    private final StoreEras eras = new StoreEras();
 
     /**
      * Creates a client.
@@ -89,23 +82,12 @@
     }
 
     /**
-     * Registers a listener that is notified when an answer shows that the store has come back from a copy. What this
-     * system has written shortly before may be lost then.
+     * Returns the eras that the store's answers have stated.
      *
-     * @param listener receives the new era, not null
+     * @return the eras, which notify of later ones
      */
-    public void onNewEra(LongConsumer listener) {
-        eraListeners.add(Objects.requireNonNull(listener, "listener"));
-    }
-
-    /**
-     * Registers a listener that is notified of each era when an answer first states it, also of the first one that this
-     * process sees: the store may have come back from a copy before this process started.
-     *
-     * @param listener receives the era, not null
-     */
-    public void onEra(LongConsumer listener) {
-        anyEraListeners.add(Objects.requireNonNull(listener, "listener"));
+    public StoreEras eras() {
+        return eras;
     }
 
     /**
@@ -243,7 +225,7 @@
     private CompletionStage<ControlReply> send(ControlRequest call, long timeoutMillis, AnswerCheck check) {
         return controlCaller.call(address, call, timeoutMillis, check).thenApply(reply -> {
             if (reply instanceof ControlReply.Answered answered) {
-                statedEra(answered).ifPresent(this::observeEra);
+                statedEra(answered).ifPresent(eras::observe);
             }
             return reply;
         });
@@ -261,25 +243,12 @@
                 : OptionalLong.empty();
     }
 
-    private void observeEra(long era) {
-        if (era <= latestEra) {
-            return;
-        }
-        long previous = latestEra;
-        latestEra = era;
-        LogEvent.of("store_era").with("old", previous).with("new", era).info(log);
-        anyEraListeners.forEach(listener -> listener.accept(era));
-        if (previous != UNKNOWN_ERA) {
-            eraListeners.forEach(listener -> listener.accept(era));
-        }
-    }
-
     private ReadResult parsePage(ControlReply reply) {
         if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
             return toUnavailable(reply);
         }
         long era = era(answered);
-        if (era < latestEra) {
+        if (era < eras.latest()) {
             return new ReadResult.Unavailable(earlierEra(era));
         }
         try {
@@ -314,7 +283,7 @@
             return toUnavailable(reply);
         }
         long era = era(answered);
-        if (era < latestEra) {
+        if (era < eras.latest()) {
             return new ReadResult.Unavailable(earlierEra(era));
         }
         if (answered.status() == GONE || era != LogPosition.era(fromOffset)) {
@@ -324,7 +293,7 @@
     }
 
     private String earlierEra(long era) {
-        return "answer of an earlier era: " + era + ", known " + latestEra;
+        return "answer of an earlier era: " + era + ", known " + eras.latest();
     }
 
     private static ReadResult parseRecords(ByteBuffer buffer, long fromOffset) {
--- a/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
+++ b/src/test/java/org/dogwoodwinch/platform/StoreClientTest.java
@@ -68,7 +68,7 @@
                 Addresses.parse(listener.address()),
                 10_000,
                 (topic, operation) -> sentCalls.add(topic + " " + operation.label()));
-        client.onNewEra(newEras::add);
+        client.eras().onNewEra(newEras::add);
     }
 
     @AfterEach
