--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -16,18 +17,21 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.JsonTrees;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Stage;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
+import org.dogwoodwinch.relay.AnswerCheck;
 import org.dogwoodwinch.relay.CacheChanges;
 import org.dogwoodwinch.relay.CacheSnapshot;
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ControlReply;
 import org.dogwoodwinch.relay.ControlRequest;
 import org.dogwoodwinch.relay.EngineControl;
+import org.dogwoodwinch.relay.KnownOrderCounts;
 import org.dogwoodwinch.relay.KvCacheHandle;
 import org.dogwoodwinch.relay.OrderOutcome;
 import org.dogwoodwinch.relay.OrderState;
@@ -63,6 +67,7 @@
     private final TargetStatements statements;
     private final long timeoutMillis;
     private final long longPollMillis;
+    private final KnownOrderCounts orderCounts = new KnownOrderCounts();
 
     /**
      * Creates a client.
@@ -101,7 +106,7 @@
     @Override
     public void releaseCache(Incarnation prefillEngine, KvCacheHandle kvCache) {
         String uri = "/kv-handle/" + kvCache.handle();
-        call(prefillEngine, HttpMethod.DELETE, uri, timeoutMillis, controlHeaders(prefillEngine))
+        call(prefillEngine, HttpMethod.DELETE, uri, timeoutMillis, controlHeaders(prefillEngine), AnswerCheck.NONE)
                 .thenAccept(reply -> {
                     if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
                         LogEvent.of("memory_not_released")
@@ -115,20 +120,26 @@
     @Override
     public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation engine, long sinceNumber) {
         HttpHeaders headers = controlHeaders(engine).set(LONG_POLL_HEADER, longPollMillis);
-        return call(engine, HttpMethod.GET, "/kv-events?since=" + sinceNumber, longPollMillis + timeoutMillis, headers)
+        String uri = "/kv-events?since=" + sinceNumber;
+        AnswerCheck check = AnswerCheck.ofContent(
+                answer -> parseCacheChanges(engine, answer), changes -> changes.mayFollow(sinceNumber));
+        return call(engine, HttpMethod.GET, uri, longPollMillis + timeoutMillis, headers, check)
                 .thenApply(reply -> parseCacheChanges(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<CacheSnapshot>> cacheSnapshot(Incarnation engine) {
-        return call(engine, HttpMethod.GET, "/kv-list", timeoutMillis, controlHeaders(engine))
+        AnswerCheck check = AnswerCheck.ofContent(answer -> parseCacheList(engine, answer), _list -> true);
+        return call(engine, HttpMethod.GET, "/kv-list", timeoutMillis, controlHeaders(engine), check)
                 .thenApply(reply -> parseCacheList(engine, reply));
     }
 
     @Override
     public CompletionStage<Optional<OrderState>> orderState(Incarnation engine) {
-        return call(engine, HttpMethod.GET, "/report", timeoutMillis, controlHeaders(engine))
-                .thenApply(reply -> parseOrderState(engine, reply));
+        AnswerCheck check = AnswerCheck.ofContent(
+                answer -> parseOrderState(engine, answer), state -> orderCounts.mayFollow(engine, state));
+        return call(engine, HttpMethod.GET, "/report", timeoutMillis, controlHeaders(engine), check)
+                .thenApply(reply -> orderCounts.recordReported(engine, parseOrderState(engine, reply)));
     }
 
     private static Optional<OrderState> parseOrderState(Incarnation engine, ControlReply reply) {
@@ -162,7 +173,8 @@
         HttpHeaders headers =
                 controlHeaders(engine).set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
         ControlRequest request = new ControlRequest(HttpMethod.POST, "/order", headers, Bytes.ofUtf8(body.toString()));
-        return call(engine, request, timeoutMillis).thenApply(EngineClient::toOrderOutcome);
+        return send(engine, address -> controlCaller.callOnOwnConnection(address, request, timeoutMillis))
+                .thenApply(reply -> toOrderOutcome(orderCounts.recordAnswer(engine, order, reply)));
     }
 
     private static OrderOutcome toOrderOutcome(ControlReply reply) {
@@ -178,16 +190,17 @@
     }
 
     private CompletionStage<ControlReply> call(
-            Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers) {
-        return call(engine, new ControlRequest(method, uri, headers, Bytes.EMPTY), timeout);
+            Incarnation engine, HttpMethod method, String uri, long timeout, HttpHeaders headers, AnswerCheck check) {
+        ControlRequest request = new ControlRequest(method, uri, headers, Bytes.EMPTY);
+        return send(engine, address -> controlCaller.call(address, request, timeout, check));
     }
 
-    private CompletionStage<ControlReply> call(Incarnation engine, ControlRequest request, long timeout) {
+    private CompletionStage<ControlReply> send(
+            Incarnation engine, Function<InetSocketAddress, CompletionStage<ControlReply>> call) {
         if (statements.isResting(engine.id(), engine.startedMillis())) {
             return CompletableFuture.completedFuture(new ControlReply.Lost("engine_rests"));
         }
-        return controlCaller
-                .call(Addresses.of(engine.host(), engine.port()), request, timeout)
+        return call.apply(Addresses.of(engine.host(), engine.port()))
                 .thenApply(reply -> recordStatements(engine, reply));
     }
 
@@ -232,6 +245,7 @@
         return readSequenced(engine, reply, "events")
                 .map(root -> new CacheChanges(
                         root.path("epoch").asText(),
+                        root.at("/events/0/0").asLong(root.path("nextToken").asLong()),
                         root.path("nextToken").asLong(),
                         root.path("lost").asBoolean(),
                         parseCacheRows(root.path("events"), EVENT_SEGMENT_COLUMN, EVENT_CACHED_TOKENS_COLUMN)));
