Let stand-in targets send answers a second time

Cause: no stand-in could play a target that stutters.

StutteringConnection writes them on one connection, never within another answer, for calls, streams, health and control alike. StandInListener.bindStuttering does it for any handler, and PlatformStandIn.addStuttering starts such an engine or plain target. TargetStandIn records status, stamp and body of each answer by request id, gives each answer a stamp of its own, echoes Request-Id in all answers, repeats the header x-echo in bodies, and can answer 504 after a run (TIMED_OUT).

--- a/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/PlatformStandIn.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -183,6 +184,22 @@
         add(id, ENGINES, TargetTraits.DECODE, softwareVersion, faults);
     }
 
+    /**
+     * Starts an engine or a plain target that sends some of its answers a second time, beside the others.
+     *
+     * @param id its id, not null
+     * @param traits how it works; without a stage for a plain target, not null
+     * @param faults what it does wrong with a request, not null
+     * @param stutter which answers it sends a second time, not null
+     * @throws IOException if no port can be bound
+     */
+    public void addStuttering(
+            String id, TargetTraits traits, Function<StandInRequest, TargetFault> faults, Stutter stutter)
+            throws IOException {
+        String service = traits.stage().isEmpty() ? PLAIN : ENGINES;
+        bind(new Start(id, service, traits, TargetStandIn.FIRST_VERSION, faults, Optional.of(stutter)));
+    }
+
     /**
      * Lets each engine crash that begins to write an answer to a prompt with this part before its last one. It is back
      * a second later, as another start.
@@ -209,8 +226,11 @@
             String softwareVersion,
             Function<StandInRequest, TargetFault> faults)
             throws IOException {
-        Start start = new Start(id, service, traits, softwareVersion, faults);
-        start.listenAt(StandInListener.bind(transport, start.target));
+        bind(new Start(id, service, traits, softwareVersion, faults, Optional.empty()));
+    }
+
+    private void bind(Start start) throws IOException {
+        start.listenAt(StandInListener.bindEach(transport, start::newConnection));
     }
 
     /** One start of a target, which another start follows when it crashes. */
@@ -219,6 +239,7 @@
         private final TargetTraits traits;
         private final String softwareVersion;
         private final Function<StandInRequest, TargetFault> faults;
+        private final Optional<Stutter> stutter;
         private final TargetStandIn target;
         private StandInListener listener;
 
@@ -227,15 +248,22 @@
                 String service,
                 TargetTraits traits,
                 String softwareVersion,
-                Function<StandInRequest, TargetFault> faults) {
+                Function<StandInRequest, TargetFault> faults,
+                Optional<Stutter> stutter) {
             this.service = service;
             this.traits = traits;
             this.softwareVersion = softwareVersion;
             this.faults = faults;
+            this.stutter = stutter;
             this.target =
                     new TargetStandIn(id, traits, softwareVersion, time, faults, crashingParts::contains, this::crash);
         }
 
+        StandInHandler newConnection() {
+            return stutter.<StandInHandler>map(plan -> new StutteringConnection(target, plan, time))
+                    .orElse(target);
+        }
+
         void listenAt(StandInListener bound) {
             listener = bound;
             targets.add(target);
@@ -247,8 +275,9 @@
             int number = crashesCount.incrementAndGet();
             listener.crash();
             time.schedule(ENTRY_LAPSES_MILLIS, () -> store.put("keyed.servers", target.id(), ""));
-            Start next = new Start(target.id() + "-" + number, service, traits, softwareVersion, faults);
-            time.schedule(RESTART_MILLIS, () -> StandInListener.bindLater(transport, next.target, next::listenAt));
+            Start next = new Start(target.id() + "-" + number, service, traits, softwareVersion, faults, stutter);
+            time.schedule(
+                    RESTART_MILLIS, () -> StandInListener.bindLater(transport, next::newConnection, next::listenAt));
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/standin/platform/StandInListener.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StandInListener.java
@@ -29,11 +29,13 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.http.Channels;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.net.Transport;
+import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -61,8 +63,35 @@
      * @throws IOException if no port can be bound
      */
     public static StandInListener bind(Transport transport, StandInHandler handler) throws IOException {
+        return bindEach(transport, () -> handler);
+    }
+
+    /**
+     * Binds a free port of a server that sends some of its answers a second time.
+     *
+     * @param transport its sockets, not null
+     * @param handler handles the requests, not null
+     * @param stutter decides which answers are sent a second time, not null
+     * @param time delays second answers, not null
+     * @return the listener
+     * @throws IOException if no port can be bound
+     */
+    public static StandInListener bindStuttering(
+            Transport transport, StandInHandler handler, Stutter stutter, TimeSource time) throws IOException {
+        return bindEach(transport, () -> new StutteringConnection(handler, stutter, time));
+    }
+
+    /**
+     * Binds a free port where each connection has a handler of its own.
+     *
+     * @param transport its sockets, not null
+     * @param newHandler creates the handler of the requests of one connection, not null
+     * @return the listener
+     * @throws IOException if no port can be bound
+     */
+    static StandInListener bindEach(Transport transport, Supplier<StandInHandler> newHandler) throws IOException {
         ChannelGroup accepted = newGroup(transport);
-        ChannelFuture binding = startBinding(transport, handler, accepted).awaitUninterruptibly();
+        ChannelFuture binding = startBinding(transport, newHandler, accepted).awaitUninterruptibly();
         if (!binding.isSuccess()) {
             throw new IOException("cannot listen", binding.cause());
         }
@@ -73,12 +102,12 @@
      * Binds a free port from the event loop, which must not wait for it.
      *
      * @param transport its sockets, not null
-     * @param handler handles the requests, not null
+     * @param newHandler creates the handler of the requests of one connection, not null
      * @param onBound receives the listener once it listens, on the event loop, not null
      */
-    static void bindLater(Transport transport, StandInHandler handler, Consumer<StandInListener> onBound) {
+    static void bindLater(Transport transport, Supplier<StandInHandler> newHandler, Consumer<StandInListener> onBound) {
         ChannelGroup accepted = newGroup(transport);
-        startBinding(transport, handler, accepted).addListener(binding -> {
+        startBinding(transport, newHandler, accepted).addListener(binding -> {
             if (binding.isSuccess()) {
                 onBound.accept(new StandInListener(((ChannelFuture) binding).channel(), accepted));
             } else {
@@ -91,7 +120,8 @@
         return new DefaultChannelGroup(transport.eventLoopGroup().next());
     }
 
-    private static ChannelFuture startBinding(Transport transport, StandInHandler handler, ChannelGroup accepted) {
+    private static ChannelFuture startBinding(
+            Transport transport, Supplier<StandInHandler> newHandler, ChannelGroup accepted) {
         return new ServerBootstrap()
                 .group(transport.eventLoopGroup())
                 .channel(transport.serverChannelClass())
@@ -101,7 +131,8 @@
                         accepted.add(added);
                         added.pipeline()
                                 .addLast(new HttpRequestDecoder(), new HttpResponseEncoder())
-                                .addLast(new HttpObjectAggregator(MAX_BODY_BYTES), new RequestHandler(handler));
+                                .addLast(
+                                        new HttpObjectAggregator(MAX_BODY_BYTES), new RequestHandler(newHandler.get()));
                     }
                 })
                 .bind(Addresses.of(HOST, 0));
--- a/src/main/java/org/dogwoodwinch/standin/platform/StandInRequest.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StandInRequest.java
@@ -2,10 +2,12 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 import org.dogwoodwinch.bytes.Bytes;
 
 /**
@@ -66,4 +68,16 @@
     public String header(String name) {
         return headers.get(name, "");
     }
+
+    /**
+     * Returns the parts of the prompt that other requests may share.
+     *
+     * @return the ids of all parts but the last, which belongs to the request alone; none without a prompt
+     */
+    public Stream<String> sharedPromptParts() {
+        String[] entries = header("prompt-prefix").split(",", -1);
+        return Arrays.stream(entries)
+                .limit(entries.length - 1)
+                .map(entry -> entry.substring(0, Math.max(0, entry.indexOf(':'))));
+    }
 }
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetFault.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetFault.java
@@ -19,5 +19,7 @@
     /** It states that it did not run the request. */
     REJECTED,
     /** It fails with a status of its own after it ran. */
-    FAILED
+    FAILED,
+    /** It states after it ran that the request's time was over. */
+    TIMED_OUT
 }
--- a/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/TargetStandIn.java
@@ -2,24 +2,18 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
@@ -32,13 +26,15 @@
     /** The version of the software of a platform's first targets. */
     public static final String FIRST_VERSION = "v1";
 
+    /** The header of a request whose value its target repeats in the body of the answer. */
+    public static final String ECHO = "x-echo";
+
+    private static final String REQUEST_ID = "request-id";
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Map<String, String> JSON_HEADERS = Map.of("content-type", "application/json");
     private static final String LOST_TRACE = "HTTP/9 what\r\n\r\n";
 
-    /** Changes of its memory that it still tells; older ones are lost to those who ask late. */
-    private static final int EVENTS_KEPT = 64;
-
     private final String id;
     private final TargetTraits traits;
     private final String softwareVersion;
@@ -46,18 +42,16 @@
     private final Function<StandInRequest, TargetFault> faults;
     private final Predicate<String> crashingParts;
     private final Runnable onCrash;
-    private final LinkedHashMap<String, Integer> kept = new LinkedHashMap<>(16, 0.75f, true);
-    private final List<CacheEvent> events = new ArrayList<>();
+    private final PromptMemory memory;
+    private final TargetStage stage;
+    private final GivenAnswers givenAnswers = new GivenAnswers();
     private final Set<String> handles = new TreeSet<>();
-    private final Map<String, Integer> runsByRequest = new HashMap<>();
+    private final Map<String, Integer> runsByRequest = new ConcurrentHashMap<>();
     private final Set<String> ownersServed = new ConcurrentSkipListSet<>();
     private volatile boolean hasReceivedKey;
-    private String stage;
-    private long readyAtMillis;
-    private long highestFence = -1;
-    private int ordersCount;
     private int runningCount;
     private int nextHandle = 1;
+    private int stampsCount;
     private boolean leaving;
     private boolean crashed;
     private String restSeconds = "";
@@ -108,7 +102,8 @@
         this.faults = Objects.requireNonNull(faults, "faults");
         this.crashingParts = Objects.requireNonNull(crashingParts, "crashingParts");
         this.onCrash = Objects.requireNonNull(onCrash, "onCrash");
-        this.stage = traits.stage();
+        this.memory = new PromptMemory(id, traits.kvTokens());
+        this.stage = new TargetStage(traits.stage(), traits.switchMillis(), time);
     }
 
     /**
@@ -126,7 +121,7 @@
      * @return the stage's name; empty for a plain service
      */
     public String stage() {
-        return stage;
+        return stage.name();
     }
 
     /**
@@ -138,6 +133,26 @@
         return Map.copyOf(runsByRequest);
     }
 
+    /**
+     * Returns how often a request ran.
+     *
+     * @param requestId the id of the request, not null
+     * @return the runs, also those that have not ended
+     */
+    public int runsOf(String requestId) {
+        return runsByRequest.getOrDefault(requestId, 0);
+    }
+
+    /**
+     * Returns the answers to a request, but for those to calls that only read its prompt.
+     *
+     * @param requestId the id of the request, not null
+     * @return the answers in the order in which they began; empty if there are none
+     */
+    public List<GivenAnswer> answersTo(String requestId) {
+        return givenAnswers.answersTo(requestId);
+    }
+
     /**
      * Returns the owners that requests named, each once.
      *
@@ -190,7 +205,7 @@
 
     @Override
     public void handle(StandInRequest request, StandInAnswer plainAnswer) {
-        StandInAnswer answer = leaving ? new AnswerWithHeader(plainAnswer, "server-leaving", () -> "1") : plainAnswer;
+        StandInAnswer answer = withCommonHeaders(request, plainAnswer);
         String expected = request.header("expect-instance");
         if (!expected.isEmpty() && !expected.equals(id)) {
             answer.whole(421, Map.of("instance-id", "i-other"), new byte[0]);
@@ -199,9 +214,10 @@
         switch (request.path()) {
             case "/healthz" -> answer.whole(200, Map.of("instance-id", id), new byte[0]);
             case "/report" -> json(answer, report());
-            case "/kv-events" -> json(answer, cacheEvents(request));
-            case "/kv-list" -> json(answer, cacheList());
-            case "/order" -> order(request, answer);
+            case "/kv-events" ->
+                json(answer, memory.changesSince((int) request.number("since").orElse(0)));
+            case "/kv-list" -> json(answer, memory.allParts());
+            case "/order" -> stage.order(request.body(), answer);
             default -> {
                 if (request.method().equals("DELETE") && request.path().startsWith("/kv-handle/")) {
                     handles.remove(request.path().substring("/kv-handle/".length()));
@@ -213,104 +229,46 @@
         }
     }
 
+    private StandInAnswer withCommonHeaders(StandInRequest request, StandInAnswer plainAnswer) {
+        String requestId = request.header(REQUEST_ID);
+        StandInAnswer answer =
+                requestId.isEmpty() ? plainAnswer : new AnswerWithHeader(plainAnswer, REQUEST_ID, () -> requestId);
+        return leaving ? new AnswerWithHeader(answer, "server-leaving", () -> "1") : answer;
+    }
+
     private ObjectNode report() {
         ObjectNode report = JSON.createObjectNode();
-        report.put("stage", stage).put("busy", time.monotonicMillis() < readyAtMillis);
-        report.put("seq", ordersCount).put("waiting", 0).put("running", runningCount);
+        report.put("stage", stage.name()).put("busy", stage.isSwitching());
+        report.put("seq", stage.ordersCount()).put("waiting", 0).put("running", runningCount);
         report.put("kvUsed", 0).put("kvTotal", traits.kvTokens()).put("kvHandles", handles.size());
         return report;
     }
 
-    private ObjectNode cacheEvents(StandInRequest request) {
-        int since = (int) request.number("since").orElse(0);
-        int oldest = Math.max(0, events.size() - EVENTS_KEPT);
-        ObjectNode reply = JSON.createObjectNode();
-        reply.put("epoch", id).put("nextToken", events.size()).put("lost", since < oldest);
-        ArrayNode list = reply.putArray("events");
-        for (int i = Math.min(Math.max(since, oldest), events.size()); i < events.size(); i++) {
-            CacheEvent event = events.get(i);
-            list.addArray()
-                    .add(i)
-                    .add(event.tokens() > 0 ? "+" : "-")
-                    .add("")
-                    .add(event.part())
-                    .add(event.tokens())
-                    .add("m");
-        }
-        return reply;
-    }
-
-    private ObjectNode cacheList() {
-        ObjectNode reply = JSON.createObjectNode();
-        reply.put("epoch", id).put("nextToken", events.size());
-        ArrayNode held = reply.putArray("held");
-        kept.forEach((part, tokens) ->
-                held.addArray().add("").add(part).add(tokens.intValue()).add("m"));
-        return reply;
-    }
-
-    private void order(StandInRequest request, StandInAnswer answer) {
-        try {
-            ObjectNode order = (ObjectNode) JSON.readTree(request.body().toByteArray());
-            if (!order.path("fence").isNumber() || order.path("holder").asText().isEmpty()) {
-                answer.whole(400, Map.of(), new byte[0]);
-                return;
-            }
-            long fence = order.path("fence").asLong();
-            if (fence < highestFence) {
-                answer.whole(412, Map.of(), new byte[0]);
-                return;
-            }
-            highestFence = fence;
-            obey(order, answer);
-        } catch (IOException | ClassCastException e) {
-            answer.whole(400, Map.of(), String.valueOf(e.getMessage()).getBytes(StandardCharsets.UTF_8));
-        }
-    }
-
-    private void obey(ObjectNode order, StandInAnswer answer) {
-        boolean otherState = order.has("expected") && order.path("expected").asInt() != ordersCount;
-        if (otherState || time.monotonicMillis() < readyAtMillis) {
-            answer.whole(409, Map.of(), new byte[0]);
-            return;
-        }
-        String wanted = order.path("stage").asText();
-        if (wanted.equals(stage)) {
-            answer.whole(200, Map.of(), new byte[0]);
-            return;
-        }
-        ordersCount++;
-        stage = wanted;
-        readyAtMillis = time.monotonicMillis() + traits.switchMillis();
-        answer.whole(202, Map.of(), new byte[0]);
-    }
-
-    private void run(StandInRequest request, StandInAnswer answer) {
+    private void run(StandInRequest request, StandInAnswer plainAnswer) {
         callsCount.incrementAndGet();
-        String requestId = request.header("request-id");
+        String requestId = request.header(REQUEST_ID);
         if (requestId.isEmpty()) {
-            answer.whole(400, Map.of("not-run", "1"), new byte[0]);
+            plainAnswer.whole(400, Map.of("not-run", "1"), new byte[0]);
             return;
         }
+        boolean prefill = request.header("stage").equals("prefill");
+        StandInAnswer answer = prefill ? plainAnswer : givenAnswers.record(requestId, plainAnswer);
         if (!restSeconds.isEmpty()) {
-            answer.whole(503, Map.of("request-id", requestId, "not-run", "1", "retry-after", restSeconds), new byte[0]);
+            answer.whole(503, Map.of(REQUEST_ID, requestId, "not-run", "1", "retry-after", restSeconds), new byte[0]);
             return;
         }
         ownersServed.add(request.header("tenant"));
         hasReceivedKey |= !request.header("x-api-key").isEmpty();
         TargetFault fault = faults.apply(request);
-        boolean away = time.monotonicMillis() < readyAtMillis;
-        if (fault == TargetFault.REJECTED || away || runningCount >= traits.slotsCount()) {
-            answer.whole(503, Map.of("request-id", requestId, "not-run", "1"), new byte[0]);
+        if (fault == TargetFault.REJECTED || stage.isSwitching() || runningCount >= traits.slotsCount()) {
+            answer.whole(503, Map.of(REQUEST_ID, requestId, "not-run", "1"), new byte[0]);
             return;
         }
-        boolean prefill = request.header("stage").equals("prefill");
-        if (!stage.isEmpty() && prefill != stage.equals("prefill")) {
+        if (!stage.name().isEmpty() && prefill != stage.name().equals("prefill")) {
             answer.whole(421, Map.of("instance-id", id, "not-run", "1"), new byte[0]);
             return;
         }
-        String memory = request.header("kv-from");
-        boolean reads = memory.isEmpty() && !stage.isEmpty();
+        boolean reads = request.header("kv-from").isEmpty() && !stage.name().isEmpty();
         long readMillis = reads ? read(request) : traits.eventMillis();
         runningCount++;
         if (prefill) {
@@ -326,19 +284,18 @@
         String handle = id + "-" + nextHandle++;
         handles.add(handle);
         ObjectNode reply = JSON.createObjectNode().put("kvHandle", handle).put("version", 1);
-        answer.whole(200, Map.of("request-id", requestId, "content-type", "application/json"), bytes(reply));
+        answer.whole(200, Map.of(REQUEST_ID, requestId, "content-type", "application/json"), bytes(reply));
     }
 
     private void work(StandInRequest request, StandInAnswer answer, TargetFault fault) {
         if (crashed) {
             return;
         }
-        if (sharedPartsOf(request).anyMatch(crashingParts)) {
+        if (request.sharedPromptParts().anyMatch(crashingParts)) {
             crashed = true;
             onCrash.run();
             return;
         }
-        String requestId = request.header("request-id");
         switch (fault) {
             case ANSWER_LOST -> {
                 runningCount--;
@@ -348,64 +305,35 @@
                 runningCount--;
                 answer.raw(LOST_TRACE.getBytes(StandardCharsets.US_ASCII));
             }
-            case FAILED -> {
-                runningCount--;
-                answer.whole(500, head(requestId), "failed".getBytes(StandardCharsets.US_ASCII));
-            }
+            case FAILED -> fail(request, answer, 500);
+            case TIMED_OUT -> fail(request, answer, 504);
             default -> succeed(request, answer, fault);
         }
     }
 
+    private void fail(StandInRequest request, StandInAnswer answer, int status) {
+        runningCount--;
+        answer.whole(status, newHead(request), ascii("failed" + echo(request)));
+    }
+
     private void succeed(StandInRequest request, StandInAnswer answer, TargetFault fault) {
-        String requestId = request.header("request-id");
-        if (stage.isEmpty()) {
+        Map<String, String> head = newHead(request);
+        boolean unframed = fault == TargetFault.UNFRAMED || fault == TargetFault.UNFRAMED_CUT;
+        if (stage.name().isEmpty()) {
             runningCount--;
-            byte[] body = ("done " + requestId).getBytes(StandardCharsets.US_ASCII);
-            if (fault == TargetFault.UNFRAMED || fault == TargetFault.UNFRAMED_CUT) {
-                answerUnframed(requestId, answer, body, fault);
-                return;
-            }
-            if (fault == TargetFault.CUT) {
-                answer.raw(("HTTP/1.1 200 OK\r\nrequest-id: " + requestId + "\r\nserver-stamp: " + id
-                                + "\r\ncontent-length: 999\r\n\r\nhalf")
-                        .getBytes(StandardCharsets.US_ASCII));
-                answer.close();
-                return;
-            }
-            answer.whole(200, head(requestId), body);
-            if (fault == TargetFault.EXTRA_ANSWER) {
-                answer.whole(200, head(requestId), body);
-            }
+            PlainSuccess.write(head, ascii("done " + head.get(REQUEST_ID) + echo(request)), answer, fault);
             return;
         }
-        if (fault == TargetFault.UNFRAMED || fault == TargetFault.UNFRAMED_CUT) {
-            answer.beginUnframed(200, head(requestId));
+        if (unframed) {
+            answer.beginUnframed(200, head);
         } else {
-            answer.begin(200, head(requestId));
+            answer.begin(200, head);
         }
         String last = request.header("last-event-id");
-        event(answer, last.isEmpty() ? 1 : Integer.parseInt(last) + 1, fault);
+        event(answer, last.isEmpty() ? 1 : Integer.parseInt(last) + 1, echo(request), fault);
     }
 
-    private void answerUnframed(String requestId, StandInAnswer answer, byte[] body, TargetFault fault) {
-        answer.beginUnframed(200, head(requestId));
-        if (fault == TargetFault.UNFRAMED) {
-            answer.chunk(body);
-            answer.end();
-        } else {
-            answer.reset();
-        }
-    }
-
-    /** Returns the ids of all parts of a prompt but the last, which belongs to the request alone. */
-    private static Stream<String> sharedPartsOf(StandInRequest request) {
-        String[] entries = request.header("prompt-prefix").split(",", -1);
-        return Arrays.stream(entries)
-                .limit(entries.length - 1)
-                .map(entry -> entry.substring(0, Math.max(0, entry.indexOf(':'))));
-    }
-
-    private void event(StandInAnswer answer, int number, TargetFault fault) {
+    private void event(StandInAnswer answer, int number, String echo, TargetFault fault) {
         if (!answer.open()) {
             runningCount--;
             return;
@@ -413,51 +341,45 @@
         boolean breaksOff = fault == TargetFault.CUT || fault == TargetFault.UNFRAMED_CUT;
         if (breaksOff && number > traits.eventsCount() / 2) {
             runningCount--;
-            answer.chunk(("id: " + number + "\nda").getBytes(StandardCharsets.US_ASCII));
+            answer.chunk(ascii("id: " + number + "\nda"));
             answer.close();
             return;
         }
         String suffix = softwareVersion.equals(FIRST_VERSION) ? "" : " " + softwareVersion;
-        answer.chunk(("id: " + number + "\ndata: word" + number + suffix + "\n\n").getBytes(StandardCharsets.US_ASCII));
+        answer.chunk(ascii("id: " + number + "\ndata: word" + number + suffix + echo + "\n\n"));
         if (number >= traits.eventsCount()) {
             runningCount--;
             answer.end();
         } else {
-            time.schedule(traits.eventMillis(), () -> event(answer, number + 1, fault));
+            time.schedule(traits.eventMillis(), () -> event(answer, number + 1, echo, fault));
         }
     }
 
     /** How long the prompt takes, but for the parts that are kept; after it they all are. */
     private long read(StandInRequest request) {
-        String parts = request.header("prompt-prefix");
-        if (parts.isEmpty()) {
-            return traits.eventMillis();
-        }
-        long unread = 0;
-        boolean gap = false;
-        for (String entry : parts.split(",", -1)) {
-            String part = entry.substring(0, entry.indexOf(':'));
-            int tokens = Integer.parseInt(entry.substring(entry.indexOf(':') + 1));
-            gap |= !kept.containsKey(part);
-            unread += gap ? tokens : 0;
-            keep(part, tokens);
-        }
-        return traits.eventMillis() + Math.round(unread / traits.tokensPerMilli());
+        return traits.eventMillis()
+                + Math.round(memory.read(request.header("prompt-prefix")) / traits.tokensPerMilli());
     }
 
-    private void keep(String part, int tokens) {
-        if (kept.put(part, tokens) == null) {
-            events.add(new CacheEvent(part, tokens));
-        }
-        while (kept.values().stream().mapToLong(Integer::longValue).sum() > traits.kvTokens() && kept.size() > 1) {
-            String oldest = kept.keySet().iterator().next();
-            kept.remove(oldest);
-            events.add(new CacheEvent(oldest, 0));
-        }
+    /** Returns the head of another answer, whose stamp no other answer has. */
+    private Map<String, String> newHead(StandInRequest request) {
+        stampsCount++;
+        return Map.of(
+                REQUEST_ID,
+                request.header(REQUEST_ID),
+                "server-stamp",
+                id + "." + stampsCount,
+                "keep-alive",
+                "timeout=5");
     }
 
-    private Map<String, String> head(String requestId) {
-        return Map.of("request-id", requestId, "server-stamp", id + ".1", "keep-alive", "timeout=5");
+    private static String echo(StandInRequest request) {
+        String echo = request.header(ECHO);
+        return echo.isEmpty() ? "" : " " + echo;
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
     }
 
     private static void json(StandInAnswer answer, ObjectNode body) {
@@ -471,6 +393,4 @@
             throw new IllegalStateException("a tree cannot fail to be written", e);
         }
     }
-
-    private record CacheEvent(String part, int tokens) {}
 }
