Split the exchange between instances by its jobs

Cause: RelayExchange had 611 lines. It composed, sent, checked, decoded and forwarded messages, decided what goes to whom, sent state to instances that start, and ran the rounds. GossipExchange composed, decoded and delivered messages with the same lines again.

Change: RelayExchange keeps the rounds and the calls of the daemon. TopicAudiences decides which instances get an update, as a pure function of topic and role. RelayMessageReceiver processes received messages, StateSender sends state, OutboxFlush sends the queue of a round, PeerMessageSender sends one message, TransitTimes measures transit times. PeerMessageFactory, PeerMessageReader and PeerSubscriptions serve both exchanges. PeerCodec returns a sealed result instead of calling one of two consumers. The wire, the events, their fields and the metrics are as before; the line alive_not_understood names RelayMessageReceiver as its logger, since the class of the log line moved. LogSchemaTest reads the new file as well, so that its events stay checked.

--- a/src/main/java/org/dogwoodwinch/peer/GossipExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/GossipExchange.java
@@ -1,12 +1,9 @@
 package org.dogwoodwinch.peer;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -40,11 +37,9 @@
     private final PeerObserver observer;
     private final PeerCodec codec;
     private final PeerEntryStore store = new PeerEntryStore();
-    private final Map<PeerTopic, List<Consumer<PeerUpdate>>> listeners = new EnumMap<>(PeerTopic.class);
-    private final ReplayGuard replayGuard;
-    private final long startedMillis;
-    private long nextVersion = 1;
-    private long nextNumber = 1;
+    private final PeerSubscriptions subscriptions = new PeerSubscriptions();
+    private final PeerMessageReader reader;
+    private final PeerMessageFactory factory;
     private int stateRequestRoundsLeft = STATE_REQUEST_ROUNDS;
     private long nextHeartbeatMillis;
     private Cancellable roundTimer = () -> {};
@@ -73,12 +68,9 @@
         this.transport = Objects.requireNonNull(transport, "transport");
         this.members = Objects.requireNonNull(members, "members");
         this.observer = Objects.requireNonNull(observer, "observer");
-        this.replayGuard = new ReplayGuard(time);
         this.codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
-        this.startedMillis = time.wallMillis();
-        for (PeerTopic topic : PeerTopic.values()) {
-            listeners.put(topic, new CopyOnWriteArrayList<>());
-        }
+        this.reader = new PeerMessageReader(codec, time, observer);
+        this.factory = new PeerMessageFactory(settings.instance(), time);
     }
 
     /** Starts the rounds. */
@@ -98,7 +90,7 @@
      * @return the instance's name and the time of its start
      */
     public String incarnationId() {
-        return incarnationIdOf(settings.instance(), startedMillis);
+        return incarnationIdOf(settings.instance(), factory.startedMillis());
     }
 
     /**
@@ -124,15 +116,14 @@
 
     @Override
     public synchronized void publish(PeerTopic topic, String key, Bytes payload, long ttlMillis) {
-        PeerEntry entry = new PeerEntry(
-                settings.instance(), startedMillis, topic.name(), key, nextVersion++, 0, ttlMillis, payload);
+        PeerEntry entry = factory.createEntry(topic, key, payload, ttlMillis);
         int transmissions = topic == PeerTopic.CATALOGUE ? 0 : transmissionLimit();
         store.add(entry, time.monotonicMillis(), transmissions);
     }
 
     @Override
     public void subscribe(PeerTopic topic, Consumer<PeerUpdate> listener) {
-        listeners.get(topic).add(listener);
+        subscriptions.add(topic, listener);
     }
 
     /**
@@ -214,16 +205,7 @@
     }
 
     private PeerMessage message(List<PeerEntry> items, boolean requestsState) {
-        return new PeerMessage(
-                PeerMessage.VERSION,
-                settings.instance(),
-                startedMillis,
-                nextNumber++,
-                time.wallMillis(),
-                time.monotonicMillis(),
-                Optional.empty(),
-                requestsState,
-                items);
+        return factory.createMessage(items, Optional.empty(), requestsState);
     }
 
     private void send(PeerMember member, PeerMessage message) {
@@ -239,23 +221,15 @@
      * @return whether it was accepted; a connection that delivers a refused message is closed
      */
     public boolean receive(Bytes received) {
-        boolean[] accepted = new boolean[1];
-        codec.decode(
-                received,
-                message -> {
-                    observer.onReceived(received.length());
-                    accepted[0] = process(message);
-                },
-                observer::onRefused);
-        return accepted[0];
+        Optional<PeerMessage> message = reader.decode(received);
+        return message.isPresent() && process(message.get());
     }
 
     private boolean process(PeerMessage message) {
         List<PeerUpdate> updates = new ArrayList<>();
         Optional<Outgoing> reply = Optional.empty();
         synchronized (this) {
-            if (replayGuard.isReplayed(message)) {
-                observer.onRefused(PeerRefusal.REPLAYED);
+            if (reader.isReplayed(message)) {
                 return false;
             }
             message.items().forEach(entry -> accept(entry).ifPresent(updates::add));
@@ -264,7 +238,7 @@
             }
         }
         reply.ifPresent(each -> send(each.member(), each.message()));
-        updates.forEach(update -> listeners.get(update.topic()).forEach(listener -> listener.accept(update)));
+        updates.forEach(subscriptions::deliver);
         return true;
     }
 
--- a/src/main/java/org/dogwoodwinch/peer/PeerCodec.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerCodec.java
@@ -7,7 +7,6 @@
 import java.security.MessageDigest;
 import java.util.Arrays;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -122,36 +121,33 @@
                 + entry.payload().length();
     }
 
-    void decode(Bytes frameBytes, Consumer<PeerMessage> message, Consumer<PeerRefusal> refusal) {
-        DecodeResult decoded = decode(frameBytes);
-        if (decoded.refusal() == null) {
-            message.accept(decoded.message());
-        } else {
-            refusal.accept(decoded.refusal());
-        }
-    }
-
-    private DecodeResult decode(Bytes frameBytes) {
+    /**
+     * Decodes a message.
+     *
+     * @param frameBytes the encoded message, not null
+     * @return the message, or the reason why it is refused
+     */
+    DecodeResult decode(Bytes frameBytes) {
         if (frameBytes.length() > maxMessageBytes) {
-            return DecodeResult.refused(PeerRefusal.TOO_LARGE);
+            return new Refused(PeerRefusal.TOO_LARGE);
         }
         if (frameBytes.length() < AUTHENTICATION_CODE_BYTES) {
-            return DecodeResult.refused(PeerRefusal.UNAUTHENTICATED);
+            return new Refused(PeerRefusal.UNAUTHENTICATED);
         }
         byte[] frame = frameBytes.toByteArray();
         byte[] body = Arrays.copyOfRange(frame, AUTHENTICATION_CODE_BYTES, frame.length);
         if (!MessageDigest.isEqual(authenticationCode(body), Arrays.copyOf(frame, AUTHENTICATION_CODE_BYTES))) {
-            return DecodeResult.refused(PeerRefusal.UNAUTHENTICATED);
+            return new Refused(PeerRefusal.UNAUTHENTICATED);
         }
         try {
             PeerMessage message = Packing.unpack(body, PeerCodec::read);
             if (message.version() != PeerMessage.VERSION) {
-                return DecodeResult.refused(PeerRefusal.WRONG_VERSION);
+                return new Refused(PeerRefusal.WRONG_VERSION);
             }
-            return isInRange(message) ? new DecodeResult(message, null) : DecodeResult.refused(PeerRefusal.MALFORMED);
+            return isInRange(message) ? new Decoded(message) : new Refused(PeerRefusal.MALFORMED);
         } catch (IOException | RuntimeException _e) {
             // On some malformed input the decoder throws unchecked exceptions too; all of them mean the same.
-            return DecodeResult.refused(PeerRefusal.MALFORMED);
+            return new Refused(PeerRefusal.MALFORMED);
         }
     }
 
@@ -192,10 +188,20 @@
         }
     }
 
-    private record DecodeResult(PeerMessage message, PeerRefusal refusal) {
+    /** The result of decoding a received message. */
+    sealed interface DecodeResult permits Decoded, Refused {}
 
-        static DecodeResult refused(PeerRefusal refusal) {
-            return new DecodeResult(null, refusal);
-        }
-    }
+    /**
+     * An authentic and valid message.
+     *
+     * @param message the message
+     */
+    record Decoded(PeerMessage message) implements DecodeResult {}
+
+    /**
+     * A refused message.
+     *
+     * @param refusal the reason
+     */
+    record Refused(PeerRefusal refusal) implements DecodeResult {}
 }
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -1,22 +1,16 @@
 package org.dogwoodwinch.peer;
 
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.EnumMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.logging.LogEvent;
-import org.dogwoodwinch.peer.PeerOutbox.Audience;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,14 +34,9 @@
 
     private static final Logger log = LoggerFactory.getLogger(RelayExchange.class);
 
-    /**
-     * The rounds between the heartbeats of a relay, and between the messages of an instance to its relay when it has no
-     * updates: two of these messages may be lost before it counts as missing.
-     */
+    /** The rounds between the heartbeats of a relay: two of them may be lost before it counts as missing. */
     private static final int RELAY_HEARTBEAT_ROUNDS = 2;
 
-    private static final int MEMBER_HEARTBEAT_ROUNDS = 3;
-
     /** The rounds between two searches for expired entries, which are only kept for others that start. */
     private static final int EXPIRY_ROUNDS = 8;
 
@@ -56,52 +45,24 @@
     /** An instance that lacks state repeats its request with its next read. */
     private static final long STATE_REQUEST_TTL_MILLIS = 1_000;
 
-    /**
-     * The topics that relays forward within their own data centre and, if the update comes from there, to the other
-     * relays.
-     */
-    private static final Set<PeerTopic> FLEET_WIDE_TOPICS = Set.of(
-            PeerTopic.QUARANTINE,
-            PeerTopic.CRASHING_SEGMENT,
-            PeerTopic.LEAVING,
-            PeerTopic.BROKEN_TARGET,
-            PeerTopic.TARGET_LIMIT,
-            PeerTopic.TARGET_PERFORMANCE,
-            PeerTopic.TARGET_LEAVES,
-            PeerTopic.TARGETS_CUT_OFF);
-
-    /** Topics whose updates are for their recipients alone: they are neither kept for instances that start nor forwarded. */
-    private static final Set<PeerTopic> DIRECT_TOPICS = Set.of(
-            PeerTopic.STREAM_BEGIN,
-            PeerTopic.STREAM_QUESTION,
-            PeerTopic.STREAM_ANSWER,
-            PeerTopic.VERSIONS_QUESTION,
-            PeerTopic.VERSIONS_ANSWER);
-
     private static final long DIRECT_TTL_MILLIS = 1_000;
 
     private final PeerSettings settings;
     private final TimeSource time;
-    private final PeerTransport transport;
     private final Supplier<List<PeerMember>> members;
-    private final PeerObserver observer;
     private final RelayTracker relayTracker;
-    private final ReplayGuard replayGuard;
     private final ClockOffsets clockOffsets;
-    private final LateMessages lateMessages = new LateMessages();
-    private final StateTransfers stateTransfers = new StateTransfers();
-    private final PeerCodec codec;
+    private final PeerMessageFactory factory;
     private final PeerEntryStore store = new PeerEntryStore();
-    private final Map<PeerTopic, List<Consumer<PeerUpdate>>> listeners = new EnumMap<>(PeerTopic.class);
+    private final PeerSubscriptions subscriptions = new PeerSubscriptions();
     private final PeerOutbox outbox;
-    private final Set<PeerMember> pendingSnapshots = new LinkedHashSet<>();
+    private final PeerMessageSender sender;
+    private final OutboxFlush outboxFlush;
+    private final StateSender stateSender;
+    private final RelayMessageReceiver receiver;
     private final List<Runnable> roundTasks = new ArrayList<>();
-    private final long startedMillis;
-    private long nextVersion = 1;
-    private long nextNumber = 1;
     private long roundsCount;
     private int stateRequestCount;
-    private long lastRelayMessageRound;
     private boolean wasRelay;
 
     /**
@@ -121,18 +82,26 @@
             PeerObserver observer) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.time = Objects.requireNonNull(time, "time");
-        this.transport = Objects.requireNonNull(transport, "transport");
         this.members = Objects.requireNonNull(members, "members");
-        this.observer = Objects.requireNonNull(observer, "observer");
         this.relayTracker = new RelayTracker(settings, time);
-        this.replayGuard = new ReplayGuard(time);
         this.clockOffsets = new ClockOffsets(time);
+        PeerCodec codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
+        this.factory = new PeerMessageFactory(settings.instance(), time);
         this.outbox = new PeerOutbox(time, settings.bytesPerSecond(), observer::onEntryDropped);
-        this.codec = new PeerCodec(settings.secret(), settings.maxMessageBytes());
-        this.startedMillis = time.wallMillis();
-        for (PeerTopic topic : PeerTopic.values()) {
-            listeners.put(topic, new ArrayList<>());
-        }
+        this.sender = new PeerMessageSender(
+                factory, codec, clockOffsets, outbox, transport, observer, () -> roundsCount <= STATE_REQUEST_ROUNDS);
+        this.outboxFlush = new OutboxFlush(outbox, relayTracker, sender);
+        this.stateSender = new StateSender(time, store, settings.maxMessageBytes() / 2, outbox, factory, sender);
+        this.receiver = new RelayMessageReceiver(
+                settings,
+                time,
+                new PeerMessageReader(codec, time, observer),
+                new TransitTimes(settings.instance(), clockOffsets, observer),
+                relayTracker,
+                store,
+                outbox,
+                stateSender,
+                subscriptions);
     }
 
     /** Starts the rounds. */
@@ -254,7 +223,7 @@
      * @param ttlMillis the time to live of the transferred entries
      */
     public void addStateTransfer(PeerTopic topic, Supplier<Map<String, Bytes>> entries, long ttlMillis) {
-        stateTransfers.addSource(topic, entries, ttlMillis);
+        stateSender.addSource(topic, entries, ttlMillis);
     }
 
     /**
@@ -264,8 +233,7 @@
      */
     public void onConnected(PeerMember member) {
         if (isRelay() || !usesRelays()) {
-            stateTransfers.onConnected(member, roundsCount);
-            sendState(member);
+            stateSender.onConnected(member, roundsCount);
         }
     }
 
@@ -276,28 +244,19 @@
      * rejected as well.
      */
     public void requestState() {
-        List<PeerEntry> request =
-                List.of(ownEntry(PeerTopic.WANT, settings.instance(), Bytes.EMPTY, STATE_REQUEST_TTL_MILLIS));
-        send(
+        List<PeerEntry> request = List.of(
+                factory.createEntry(PeerTopic.WANT, settings.instance(), Bytes.EMPTY, STATE_REQUEST_TTL_MILLIS));
+        sender.send(
                 request,
                 isRelay()
                         ? relayTracker.inOtherDataCentres()
-                        : relayTracker.inOwnDataCentre().flatMap(relayTracker::findMember).stream()
-                                .toList());
+                        : relayTracker.ownRelayMember().stream().toList());
         List<PeerMember> localPeers = relayTracker.localPeers();
         if (!localPeers.isEmpty()) {
-            send(request, List.of(localPeers.get(stateRequestCount++ % localPeers.size())));
+            sender.send(request, List.of(localPeers.get(stateRequestCount++ % localPeers.size())));
         }
     }
 
-    /** Sends all state to a member, and returns whether there was any state of the registered topics. */
-    private boolean sendState(PeerMember member) {
-        pendingSnapshots.add(member);
-        sendPendingSnapshots();
-        return stateTransfers.forEachEntry((topic, key, payload, ttlMillis) ->
-                send(List.of(ownEntry(topic, key, payload, ttlMillis)), List.of(member)));
-    }
-
     /**
      * Sends an update to the own data centre immediately, for updates that the platform's limits depend on and that
      * cannot wait for a round.
@@ -310,10 +269,10 @@
      */
     public void publishImmediately(
             PeerTopic topic, String key, Bytes payload, long ttlMillis, boolean toOtherDataCentres) {
-        List<PeerEntry> entries = List.of(ownEntry(topic, key, payload, ttlMillis));
-        send(entries, relayTracker.localPeers());
+        List<PeerEntry> entries = List.of(factory.createEntry(topic, key, payload, ttlMillis));
+        sender.send(entries, relayTracker.localPeers());
         if (toOtherDataCentres && isRelay()) {
-            send(entries, relayTracker.inOtherDataCentres());
+            sender.send(entries, relayTracker.inOtherDataCentres());
         }
     }
 
@@ -328,60 +287,19 @@
         List<PeerMember> recipients = names.stream()
                 .flatMap(name -> relayTracker.findMember(name).stream())
                 .toList();
-        send(List.of(ownEntry(topic, "", payload, DIRECT_TTL_MILLIS)), recipients);
-    }
-
-    /**
-     * Sends the stored entries to members that have just started, one member after the other as the budget allows.
-     *
-     * <p>Load: when a whole data centre starts at once, sending everything to all members would saturate a narrow link
-     * for seconds.
-     */
-    private void sendPendingSnapshots() {
-        // A send may open a connection, which adds its member to those that wait.
-        while (!pendingSnapshots.isEmpty()) {
-            List<PeerEntry> entries = store.snapshot(time.monotonicMillis(), settings.maxMessageBytes() / 2);
-            if (!outbox.hasBudgetFor(
-                    entries.stream().mapToLong(PeerCodec::sizeOf).sum())) {
-                return;
-            }
-            PeerMember member = pendingSnapshots.iterator().next();
-            pendingSnapshots.remove(member);
-            send(entries, List.of(member));
-        }
-    }
-
-    private PeerEntry ownEntry(PeerTopic topic, String key, Bytes payload, long ttlMillis) {
-        return new PeerEntry(
-                settings.instance(), startedMillis, topic.name(), key, nextVersion++, 0, ttlMillis, payload);
+        sender.send(List.of(factory.createEntry(topic, "", payload, DIRECT_TTL_MILLIS)), recipients);
     }
 
     @Override
     public void publish(PeerTopic topic, String key, Bytes payload, long ttlMillis) {
-        PeerEntry entry = ownEntry(topic, key, payload, ttlMillis);
+        PeerEntry entry = factory.createEntry(topic, key, payload, ttlMillis);
         store.add(entry, time.monotonicMillis(), 0);
-        if (topic == PeerTopic.KEPT_PARTS) {
-            outbox.add(isRelay() || !usesRelays() ? Audience.OWN_DATA_CENTRE : Audience.OWN_RELAY, entry);
-        } else if (topic == PeerTopic.ALIVE) {
-            outbox.add(Audience.OWN_DATA_CENTRE, entry);
-            outbox.add(Audience.OTHER_RELAYS, entry);
-        } else if (topic == PeerTopic.CENTRE_LOAD) {
-            outbox.add(Audience.OTHER_RELAYS, entry);
-        } else if (topic == PeerTopic.FLEET_LOAD) {
-            outbox.add(Audience.OWN_DATA_CENTRE, entry);
-        } else if (!usesRelays()) {
-            outbox.add(Audience.ALL, entry);
-        } else if (!isRelay()) {
-            outbox.add(Audience.OWN_RELAY, entry);
-        } else if (topic != PeerTopic.LOAD) {
-            outbox.add(Audience.OWN_DATA_CENTRE, entry);
-            outbox.add(Audience.OTHER_RELAYS, entry);
-        }
+        TopicAudiences.ofPublished(topic, usesRelays(), isRelay()).forEach(audience -> outbox.add(audience, entry));
     }
 
     @Override
     public void subscribe(PeerTopic topic, Consumer<PeerUpdate> listener) {
-        listeners.get(topic).add(listener);
+        subscriptions.add(topic, listener);
     }
 
     private void runRound() {
@@ -392,7 +310,7 @@
         }
         relayTracker.expireSilentMembers();
         roundTasks.forEach(Runnable::run);
-        stateTransfers.retryPending(relayTracker::hasMessageFrom, roundsCount, this::sendState);
+        stateSender.retryPending(relayTracker::hasMessageFrom, roundsCount);
         boolean isRelay = isRelay();
         if (isRelay != wasRelay) {
             wasRelay = isRelay;
@@ -405,44 +323,11 @@
         if (isRelay && isHeartbeatRound()) {
             publishHeartbeat();
         }
-        flush(isRelay);
+        outboxFlush.run(isRelay, roundsCount);
+        stateSender.sendPendingSnapshots();
         time.schedule(settings.roundMillis(), this::runRound);
     }
 
-    private void flush(boolean isRelay) {
-        flush(Audience.ALL, relayTracker.others());
-        flush(Audience.OTHER_RELAYS, relayTracker.inOtherDataCentres());
-        if (isRelay) {
-            // These entries were queued for a relay that has since fallen silent.
-            outbox.move(Audience.OWN_RELAY, Audience.OWN_DATA_CENTRE);
-        }
-        flush(Audience.OWN_DATA_CENTRE, relayTracker.localPeers());
-        if (!isRelay) {
-            sendToOwnRelay(relayTracker.inOwnDataCentre().flatMap(relayTracker::findMember).stream()
-                    .toList());
-        }
-        sendPendingSnapshots();
-    }
-
-    private void flush(Audience audience, List<PeerMember> recipients) {
-        if (recipients.isEmpty()) {
-            outbox.clear(audience);
-            return;
-        }
-        List<PeerEntry> entries = outbox.take(audience, recipients.size());
-        if (!entries.isEmpty()) {
-            send(entries, recipients);
-        }
-    }
-
-    private void sendToOwnRelay(List<PeerMember> relay) {
-        List<PeerEntry> entries = outbox.take(Audience.OWN_RELAY, relay.size());
-        if (!entries.isEmpty() || roundsCount - lastRelayMessageRound >= MEMBER_HEARTBEAT_ROUNDS) {
-            lastRelayMessageRound = roundsCount;
-            send(entries, relay);
-        }
-    }
-
     private void publishHeartbeat() {
         if (relayTracker.localPeers().isEmpty()) {
             return;
@@ -466,33 +351,6 @@
         clockOffsets.reset();
     }
 
-    private void send(List<PeerEntry> entries, List<PeerMember> recipients) {
-        if (recipients.isEmpty()) {
-            return;
-        }
-        Bytes encoded = codec.encode(new PeerMessage(
-                PeerMessage.VERSION,
-                settings.instance(),
-                startedMillis,
-                nextNumber++,
-                time.wallMillis(),
-                time.monotonicMillis(),
-                recipients.size() == 1
-                        ? clockOffsets.offsetMillis(recipients.get(0).name())
-                        : Optional.empty(),
-                roundsCount <= STATE_REQUEST_ROUNDS,
-                entries));
-        for (PeerEntry entry : entries) {
-            PeerTopic.find(entry.topic())
-                    .ifPresent(topic -> observer.onEntrySent(topic, PeerCodec.sizeOf(entry), recipients.size()));
-        }
-        outbox.onSent((long) encoded.length() * recipients.size());
-        for (PeerMember member : recipients) {
-            observer.onSent(encoded.length());
-            transport.send(member, encoded);
-        }
-    }
-
     /**
      * Processes a message from the transport.
      *
@@ -500,112 +358,6 @@
      * @return whether it was accepted; a connection that delivers a refused message is closed
      */
     public boolean receive(Bytes received) {
-        boolean[] accepted = new boolean[1];
-        codec.decode(
-                received,
-                message -> {
-                    observer.onReceived(received.length());
-                    accepted[0] = process(message);
-                },
-                observer::onRefused);
-        return accepted[0];
-    }
-
-    private boolean process(PeerMessage message) {
-        if (replayGuard.isReplayed(message)) {
-            observer.onRefused(PeerRefusal.REPLAYED);
-            return false;
-        }
-        relayTracker.onMessageFrom(message.sender());
-        clockOffsets.onMessage(message);
-        Optional<RelayHeartbeat> heartbeat = heartbeatIn(message);
-        if (message.leadMillis().isPresent()) {
-            clockOffsets.onReportedOffset(message.sender(), message.startedMillis(), message.leadMillis());
-        } else {
-            heartbeat.ifPresent(relayHeartbeat -> clockOffsets.onReportedOffset(
-                    message.sender(), message.startedMillis(), relayHeartbeat.clockOffsetMillis(settings.instance())));
-        }
-        OptionalLong transitMillis = clockOffsets.transitMillis(message);
-        transitMillis.ifPresent(millis -> {
-            observer.onTransitTime(millis);
-            lateMessages.onMessage(message.sender(), millis);
-        });
-        for (PeerEntry entry : message.items()) {
-            accept(entry, transitMillis, message.sender(), heartbeat);
-        }
-        if (stateTransfers.isFirstStateRequest(message) && (isRelay() || !usesRelays())) {
-            // The reply requests no state itself: two starting instances would send each other everything endlessly.
-            relayTracker.findMember(message.sender()).ifPresent(pendingSnapshots::add);
-            sendPendingSnapshots();
-        }
-        return true;
-    }
-
-    /** Returns the sender's heartbeat as a relay with its clock offsets, if the message contains one. */
-    private Optional<RelayHeartbeat> heartbeatIn(PeerMessage message) {
-        for (PeerEntry entry : message.items()) {
-            if (entry.topic().equals(PeerTopic.ALIVE.name()) && entry.origin().equals(message.sender())) {
-                try {
-                    return Optional.of(RelayHeartbeat.decode(entry.payload()));
-                } catch (IOException e) {
-                    LogEvent.of("alive_not_understood")
-                            .with("peer", message.sender())
-                            .with("error", e.getMessage())
-                            .warn(log);
-                }
-            }
-        }
-        return Optional.empty();
-    }
-
-    private void accept(
-            PeerEntry received, OptionalLong transitMillis, String sender, Optional<RelayHeartbeat> heartbeat) {
-        PeerEntry entry = received.withAddedAge(transitMillis.orElse(0));
-        Optional<PeerTopic> topic = PeerTopic.find(entry.topic());
-        if (topic.isPresent() && DIRECT_TOPICS.contains(topic.get())) {
-            deliver(
-                    entry,
-                    topic.get(),
-                    transitMillis.isPresent() && entry.origin().equals(sender));
-            return;
-        }
-        if (topic.isEmpty()
-                || entry.origin().equals(settings.instance())
-                // A late entry is old but still new to this instance; its age may stem from this instance's own link.
-                || !store.add(received, time.monotonicMillis(), 0)) {
-            return;
-        }
-        if (topic.get() == PeerTopic.ALIVE) {
-            heartbeat.ifPresent(relayHeartbeat -> relayTracker.onHeartbeat(entry, relayHeartbeat, sender));
-        }
-        if (topic.get() == PeerTopic.WANT) {
-            relayTracker.findMember(sender).ifPresent(this::sendState);
-            return;
-        }
-        if (isRelay() && usesRelays()) {
-            forward(entry, topic.get(), sender);
-        }
-        deliver(entry, topic.get(), transitMillis.isPresent() && entry.origin().equals(sender));
-    }
-
-    private void deliver(PeerEntry entry, PeerTopic topic, boolean ageBounded) {
-        PeerUpdate update = new PeerUpdate(
-                entry.origin(), topic, entry.key(), entry.version(), entry.payload(), entry.ageMillis(), ageBounded);
-        listeners.get(topic).forEach(listener -> listener.accept(update));
-    }
-
-    private void forward(PeerEntry entry, PeerTopic topic, String sender) {
-        boolean fromOwnDataCentre = relayTracker
-                .findMember(sender)
-                .filter(member -> member.dataCentre().equals(settings.dataCentre()))
-                .isPresent();
-        if (FLEET_WIDE_TOPICS.contains(topic)) {
-            outbox.add(Audience.OWN_DATA_CENTRE, entry);
-            if (fromOwnDataCentre) {
-                outbox.add(Audience.OTHER_RELAYS, entry);
-            }
-        } else if (topic == PeerTopic.KEPT_PARTS && fromOwnDataCentre) {
-            outbox.add(Audience.OWN_DATA_CENTRE, entry);
-        }
+        return receiver.receive(received);
     }
 }
--- a/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
@@ -180,6 +180,11 @@
         return isRecent(relay.heartbeatMillis, timeoutRounds) ? Optional.of(relay.name) : Optional.empty();
     }
 
+    /** Returns the relay of this data centre as a listed member, unless it is this instance. */
+    Optional<PeerMember> ownRelayMember() {
+        return inOwnDataCentre().flatMap(this::findMember);
+    }
+
     /**
      * Returns the presumed relay while no heartbeat has been received yet: the first in order is given as much time as
      * a relay that falls silent.
--- a/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
+++ b/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
@@ -34,7 +34,8 @@
             "daemon/SettingsWatch.java",
             "daemon/StopSignals.java",
             "peer/MemberList.java",
-            "peer/RelayExchange.java");
+            "peer/RelayExchange.java",
+            "peer/RelayMessageReceiver.java");
     private static final Pattern EVENT = Pattern.compile("(?:LogEvent\\.of|about|logState)\\(\"([a-z_]+)\"");
     private static final Pattern FIELD = Pattern.compile("\\.with\\(\\s*\"([A-Za-z]+)\"");
     private static final Pattern METRIC = Pattern.compile("\"(dogwoodwinch_[a-z_]+)\"");
