Split the replicated stream by its jobs

Change: ReplicatedStream keeps the calls of the follower and of the exchange, and processes updates. StreamEra holds the latest known era, ReadSchedule decides from the contacts when the platform is read, RecordReads and SnapshotReads answer the two kinds of reads. DeliveredRecords records a delivered result itself. The order of all steps, the events and their fields are as before; the lines stream_era, stream_read_again and stream_told_whole name the new classes as their loggers.

--- a/src/main/java/org/dogwoodwinch/follow/DeliveredRecords.java
+++ b/src/main/java/org/dogwoodwinch/follow/DeliveredRecords.java
@@ -32,8 +32,24 @@
         coverage.recordEnd(streamEndOffset, asOfMillis);
     }
 
-    /** Adds consecutive records. */
-    void addBatch(ReadResult.Batch batch, StreamReading.Source source) {
+    /**
+     * Records the result of a read when it is delivered to the follower, so that snapshots for other instances match what
+     * the follower received.
+     *
+     * @param result the result, not null
+     * @param source where it comes from, not null
+     * @return the result
+     */
+    ReadResult addResult(ReadResult result, StreamReading.Source source) {
+        if (result instanceof ReadResult.Batch batch) {
+            addBatch(batch, source);
+        } else if (!(result instanceof ReadResult.Unavailable)) {
+            discard();
+        }
+        return result;
+    }
+
+    private void addBatch(ReadResult.Batch batch, StreamReading.Source source) {
         beginReading(source);
         batch.records().forEach(this::add);
         endOffset = Math.max(endOffset, batch.nextOffset());
@@ -56,7 +72,7 @@
     }
 
     /** Records that the follower cannot continue from these records and reads a snapshot. */
-    void discard() {
+    private void discard() {
         hasSnapshot = false;
     }
 
--- a/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
+++ b/src/main/java/org/dogwoodwinch/follow/ReplicatedStream.java
@@ -2,15 +2,10 @@
 
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
-import org.dogwoodwinch.logging.LogEvent;
-import org.dogwoodwinch.time.Cancellable;
 import org.dogwoodwinch.time.TimeSource;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * A keyed stream that one instance of a data centre reads from the platform and replicates to the others. Confined to
@@ -33,14 +28,9 @@
  * and its records, kept in the backlog, would be delivered after the snapshot of the new history. Records, updates and
  * reads of an earlier era than the latest known one are therefore discarded; positions carry the era
  * ({@link LogPosition}), so that an instance that the store turns away learns it from the others.
- *
- * <p>Failure: records that have arrived wait until the pause between two reads of the platform is over. The pause is
- * therefore kept here, before each read of the platform, and a follower reads again at once.
  */
 public final class ReplicatedStream implements KeyedStream {
 
-    private static final Logger log = LoggerFactory.getLogger(ReplicatedStream.class);
-
     /**
      * The number of records kept for followers that are one update behind; a burst of changes produces some tens of
      * records a second.
@@ -48,24 +38,17 @@
     private static final int MAX_BACKLOG_RECORDS = 256;
 
     private final String name;
-    private final KeyedStream platform;
     private final ReplicaPolicy policy;
     private final TimeSource time;
-    private final IntSupplier ownRank;
     private final Publisher publisher;
     private final StreamBacklog backlog = new StreamBacklog(MAX_BACKLOG_RECORDS);
     private final StoreAvailability availability;
     private final DeliveredRecords delivered;
     private final UpdatePublisher updates;
-    private Runnable recordsListener = () -> {};
-    private long era;
-    private long otherReaderFreshUntilMillis = Long.MIN_VALUE;
-    private long lastContactMillis = StreamCoverage.UNKNOWN_MILLIS;
-    private long nextReadMillis = Long.MIN_VALUE / 2;
-    private Optional<PendingRead> pendingRead = Optional.empty();
-    private Optional<CompletableFuture<ReadResult>> pendingSnapshotRead = Optional.empty();
-    private Optional<StreamUpdate> receivedSnapshot = Optional.empty();
-    private long snapshotReceivedMillis = StreamCoverage.UNKNOWN_MILLIS;
+    private final StreamEra era;
+    private final ReadSchedule schedule;
+    private final SnapshotReads snapshotReads;
+    private final RecordReads recordReads;
 
     /**
      * Creates a stream.
@@ -88,22 +71,36 @@
             Publisher publisher,
             Function<KeyedRecord, Object> stateFunction) {
         this.name = Objects.requireNonNull(name, "name");
-        this.platform = Objects.requireNonNull(platform, "platform");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.time = Objects.requireNonNull(time, "time");
-        this.ownRank = Objects.requireNonNull(ownRank, "ownRank");
         this.publisher = Objects.requireNonNull(publisher, "publisher");
         this.availability = new StoreAvailability(policy.maxAgeMillis(), time.monotonicMillis());
         this.delivered = new DeliveredRecords(availability);
+        this.era = new StreamEra(name, this::discardEarlierEra);
+        this.schedule = new ReadSchedule(policy, time, ownRank);
         this.updates = new UpdatePublisher(
                 name,
                 policy,
                 time,
                 backlog,
                 publisher,
-                this::isCoveredByOtherReader,
+                schedule::isCoveredByOtherReader,
                 stateFunction,
                 MAX_BACKLOG_RECORDS);
+        this.snapshotReads = new SnapshotReads(
+                name, platform, policy, time, era, delivered, this::recordContact, publisher::requestSnapshot);
+        this.recordReads = new RecordReads(
+                name,
+                platform,
+                policy,
+                time,
+                era,
+                schedule,
+                backlog,
+                delivered,
+                availability,
+                updates,
+                this::recordContact);
     }
 
     /** Sends updates and snapshot requests to other instances. */
@@ -125,53 +122,17 @@
 
     @Override
     public CompletionStage<ReadResult> readSnapshotPage(Optional<String> afterKey) {
-        CompletableFuture<ReadResult> result = new CompletableFuture<>();
-        if (afterKey.isEmpty()) {
-            pendingSnapshotRead = Optional.of(result);
-            if (receivedSnapshot.isPresent()
-                    && time.monotonicMillis() < snapshotReceivedMillis + policy.maxAgeMillis()) {
-                completeSnapshotRead(receivedSnapshot.get());
-                return result;
-            }
-        }
-        long sentMillis = time.monotonicMillis();
-        platform.readSnapshotPage(afterKey).thenAccept(read -> {
-            ReadResult page = withoutEarlierEra(read);
-            if (!(page instanceof ReadResult.Unavailable)) {
-                recordContact(sentMillis);
-            }
-            if (!result.isDone()) {
-                pendingSnapshotRead = Optional.empty();
-                if (page instanceof ReadResult.Unavailable) {
-                    publisher.requestSnapshot();
-                }
-                if (page instanceof ReadResult.Page stored) {
-                    delivered.addPage(afterKey.isEmpty(), stored, StreamReading.Source.STORE, sentMillis);
-                }
-                result.complete(page);
-            }
-        });
-        return result;
+        return snapshotReads.readPage(afterKey);
     }
 
     @Override
     public void onRecordsArrived(Runnable listener) {
-        recordsListener = Objects.requireNonNull(listener, "listener");
+        recordReads.onRecordsArrived(listener);
     }
 
     @Override
     public CompletionStage<ReadResult> read(long fromOffset, long waitMillis) {
-        if (LogPosition.era(fromOffset) < era) {
-            return CompletableFuture.completedFuture(delivered(new ReadResult.Expired(), StreamReading.Source.STORE));
-        }
-        Optional<ReadResult> known = backlog.read(fromOffset);
-        if (known.isPresent()) {
-            return CompletableFuture.completedFuture(delivered(known.get(), StreamReading.Source.UPDATE));
-        }
-        PendingRead newRead = new PendingRead(fromOffset, waitMillis);
-        pendingRead = Optional.of(newRead);
-        readWhenDue(newRead);
-        return newRead.result;
+        return recordReads.read(fromOffset, waitMillis);
     }
 
     /**
@@ -181,12 +142,11 @@
      * @param fromPredecessor whether the sender precedes this instance in the succession order
      */
     public void onUpdate(StreamUpdate update, boolean fromPredecessor) {
-        if (!isOfCurrentEra(update.nextOffset(), "peer")) {
+        if (!era.isCurrent(update.nextOffset(), "peer")) {
             return;
         }
         if (fromPredecessor) {
-            long until = time.monotonicMillis() - update.contactAgeMillis() + policy.maxAgeMillis();
-            otherReaderFreshUntilMillis = Math.max(otherReaderFreshUntilMillis, until);
+            schedule.recordOtherReader(update.contactAgeMillis());
         }
         apply(update);
     }
@@ -199,15 +159,15 @@
      * @param update the update, not null
      */
     public void onUpdateFromOtherDataCentre(StreamUpdate update) {
-        if (!isOfCurrentEra(update.nextOffset(), "peer")) {
+        if (!era.isCurrent(update.nextOffset(), "peer")) {
             return;
         }
         long currentAgeMillis = ageMillis();
         boolean ownReadsFail = currentAgeMillis < 0 || currentAgeMillis > policy.maxAgeMillis();
-        boolean isNewsTaken = update.nextOffset() > backlog.endOffset() && !isOwnReadUnderWay();
+        boolean isNewsTaken = update.nextOffset() > backlog.endOffset() && !recordReads.isOwnReadUnderWay();
         long takenFromOffset = Math.max(update.firstOffset(), backlog.endOffset());
         apply(update);
-        if (update.isSnapshot() || isCoveredByOtherReader()) {
+        if (update.isSnapshot() || schedule.isCoveredByOtherReader()) {
             return;
         }
         if (ownReadsFail) {
@@ -239,14 +199,7 @@
      *     answer
      */
     public long ageMillis() {
-        long nowMillis = time.monotonicMillis();
-        long otherReaderContactMillis = otherReaderFreshUntilMillis == Long.MIN_VALUE
-                ? StreamCoverage.UNKNOWN_MILLIS
-                : otherReaderFreshUntilMillis - policy.maxAgeMillis();
-        long lastAnyContactMillis = Math.max(lastContactMillis, otherReaderContactMillis);
-        return lastAnyContactMillis == StreamCoverage.UNKNOWN_MILLIS
-                ? -1
-                : Math.max(0, nowMillis - lastAnyContactMillis);
+        return schedule.ageMillis();
     }
 
     /**
@@ -276,36 +229,15 @@
      * @param source where it was learned, for logs, not null
      */
     public void beginEra(long newEra, String source) {
-        if (newEra <= era) {
-            return;
-        }
-        LogEvent.of("stream_era")
-                .with("stream", name)
-                .with("old", era)
-                .with("new", newEra)
-                .with("source", source)
-                .info(log);
-        era = newEra;
-        backlog.clear();
-        updates.clear();
-        otherReaderFreshUntilMillis = Long.MIN_VALUE;
-        receivedSnapshot = Optional.empty();
-        pendingRead
-                .filter(read -> LogPosition.era(read.fromOffset) < era)
-                .ifPresent(read -> complete(read, new ReadResult.Expired(), StreamReading.Source.STORE));
-    }
-
-    /** Returns whether a position belongs to the latest known era, after beginning a later one. */
-    private boolean isOfCurrentEra(long position, String source) {
-        beginEra(LogPosition.era(position), source);
-        return LogPosition.era(position) == era;
+        era.begin(newEra, source);
     }
 
-    private ReadResult withoutEarlierEra(ReadResult read) {
-        if (read instanceof ReadResult.Page page && !isOfCurrentEra(page.endOffset(), "store")) {
-            return new ReadResult.Unavailable("page of an earlier era");
-        }
-        return read;
+    private void discardEarlierEra() {
+        backlog.clear();
+        updates.clear();
+        schedule.forgetOtherReader();
+        snapshotReads.forgetReceived();
+        recordReads.endReadOfEarlierEra();
     }
 
     /**
@@ -317,7 +249,7 @@
      * @param asOfMillis a moment after which the platform wrote the answer
      */
     private void recordContact(long asOfMillis) {
-        lastContactMillis = Math.max(lastContactMillis, asOfMillis);
+        schedule.recordOwnContact(asOfMillis);
         updates.recordContact(asOfMillis);
         availability.recordContact(asOfMillis);
     }
@@ -331,176 +263,11 @@
             availability.recordContact(contactMillis);
         }
         if (update.isSnapshot()) {
-            receivedSnapshot = Optional.of(update);
-            snapshotReceivedMillis = nowMillis;
-            if (pendingSnapshotRead.isPresent()) {
-                completeSnapshotRead(update);
-            }
+            snapshotReads.onSnapshot(update, nowMillis);
             return;
         }
         backlog.add(update.records(), update.firstOffset(), update.nextOffset());
         delivered.recordEnd(update.nextOffset(), contactMillis);
-        if (pendingRead.isPresent()) {
-            completeFromBacklog(pendingRead.get());
-        } else if (backlog.read(delivered.endOffset()).isPresent()) {
-            recordsListener.run();
-        }
-    }
-
-    /**
-     * Completes a read from the backlog. A read from the platform in progress is left alone while the platform answers,
-     * since its reply is about to arrive.
-     */
-    private void completeFromBacklog(PendingRead read) {
-        if (isOwnReadUnderWay()) {
-            return;
-        }
-        Optional<ReadResult> known = backlog.read(read.fromOffset);
-        if (known.isPresent()) {
-            complete(read, known.get(), StreamReading.Source.UPDATE);
-        } else if (!read.readingPlatform && backlog.endsAfter(read.fromOffset)) {
-            read.timer.cancel();
-            readWhenDue(read);
-        }
-    }
-
-    private boolean isOwnReadUnderWay() {
-        return pendingRead.filter(read -> read.readingPlatform).isPresent()
-                && lastContactMillis > time.monotonicMillis() - policy.maxAgeMillis();
-    }
-
-    private void completeSnapshotRead(StreamUpdate update) {
-        CompletableFuture<ReadResult> snapshotRead = pendingSnapshotRead.orElseThrow();
-        pendingSnapshotRead = Optional.empty();
-        receivedSnapshot = Optional.empty();
-        ReadResult.Page page = new ReadResult.Page(update.records(), false, update.nextOffset());
-        delivered.addPage(
-                true, page, StreamReading.Source.SNAPSHOT, snapshotReceivedMillis - update.contactAgeMillis());
-        LogEvent.of("stream_told_whole")
-                .with("stream", name)
-                .with("records", update.records().size())
-                .with("offset", update.nextOffset())
-                .with("ageMillis", update.contactAgeMillis())
-                .info(log);
-        snapshotRead.complete(page);
-    }
-
-    /** Returns whether updates of another reader currently replace reads from the platform. */
-    private boolean isCoveredByOtherReader() {
-        return time.monotonicMillis() < takeoverMillis();
-    }
-
-    private long takeoverMillis() {
-        return otherReaderFreshUntilMillis == Long.MIN_VALUE
-                ? Long.MIN_VALUE
-                : otherReaderFreshUntilMillis + policy.takeoverDelayMillis(ownRank.getAsInt());
-    }
-
-    /**
-     * Reads from the platform once the pause since the last answer is over and, unless records are known to be missing, no
-     * other reader is relied on. An update that arrives earlier completes the read.
-     */
-    private void readWhenDue(PendingRead read) {
-        boolean isBehind = backlog.endsAfter(read.fromOffset);
-        long dueMillis = isBehind ? nextReadMillis : Math.max(nextReadMillis, takeoverMillis());
-        long remainingMillis = dueMillis - time.monotonicMillis();
-        if (remainingMillis > 0) {
-            read.timer = time.schedule(remainingMillis, () -> readWhenDue(read));
-        } else {
-            readPlatform(read, isBehind ? 0 : longPollMillis(read));
-        }
-    }
-
-    /**
-     * Returns how long the platform may hold a read: for so long that the contact is renewed in time for those who rely on
-     * it, and not at all if this instance has had none for a while.
-     */
-    private long longPollMillis(PendingRead read) {
-        long renewalMillis = lastContactMillis + policy.longPollMillis() + policy.readPauseMillis();
-        return Math.max(0, Math.min(read.waitMillis, renewalMillis - time.monotonicMillis()));
-    }
-
-    private void complete(PendingRead read, ReadResult result, StreamReading.Source source) {
-        read.timer.cancel();
-        pendingRead = pendingRead.filter(other -> other != read);
-        if (!read.result.isDone()) {
-            read.result.complete(delivered(result, source));
-        }
-    }
-
-    /** Reads from the platform, and once more if the answer does not arrive in time: one answer may be lost. */
-    private void readPlatform(PendingRead read, long waitMillis) {
-        read.readingPlatform = true;
-        send(read, waitMillis);
-        read.timer = time.schedule(waitMillis + policy.secondReadAfterMillis(), () -> {
-            LogEvent.of("stream_read_again")
-                    .with("stream", name)
-                    .with("offset", LogPosition.describe(read.fromOffset))
-                    .with("waitedMillis", waitMillis + policy.secondReadAfterMillis())
-                    .info(log);
-            send(read, 0);
-        });
-    }
-
-    private void send(PendingRead read, long waitMillis) {
-        long sentMillis = time.monotonicMillis();
-        read.unansweredCount++;
-        platform.read(read.fromOffset, waitMillis).thenAccept(result -> {
-            read.unansweredCount--;
-            if (LogPosition.era(read.fromOffset) < era) {
-                // The read was ended when the era began.
-                return;
-            }
-            if (result instanceof ReadResult.Batch batch) {
-                // The platform holds a read without records for the whole time.
-                processBatch(
-                        read.fromOffset, batch, sentMillis + (batch.records().isEmpty() ? waitMillis : 0));
-            } else if (result instanceof ReadResult.Expired) {
-                availability.recordContact(sentMillis);
-            } else if (read.unansweredCount > 0) {
-                return;
-            }
-            complete(read, result, StreamReading.Source.STORE);
-        });
-    }
-
-    private void processBatch(long fromOffset, ReadResult.Batch batch, long asOfMillis) {
-        delivered.recordEnd(batch.endOffset(), asOfMillis);
-        if (batch.isCut()) {
-            availability.recordContact(asOfMillis);
-            nextReadMillis = time.monotonicMillis();
-        } else {
-            recordContact(asOfMillis);
-            nextReadMillis = time.monotonicMillis() + policy.readPauseMillis();
-        }
-        backlog.add(batch.records(), fromOffset, batch.nextOffset());
-        updates.publishBatch(fromOffset, batch);
-    }
-
-    /**
-     * Records a result that is delivered to the follower, so that snapshots for other instances match what the follower
-     * received.
-     */
-    private ReadResult delivered(ReadResult result, StreamReading.Source source) {
-        if (result instanceof ReadResult.Batch batch) {
-            delivered.addBatch(batch, source);
-        } else if (!(result instanceof ReadResult.Unavailable)) {
-            delivered.discard();
-        }
-        return result;
-    }
-
-    private static final class PendingRead {
-        private final long fromOffset;
-        private final long waitMillis;
-        private final CompletableFuture<ReadResult> result = new CompletableFuture<>();
-        private Cancellable timer = () -> {};
-        private boolean readingPlatform;
-        private int unansweredCount;
-
-        PendingRead(long fromOffset, long waitMillis) {
-            this.fromOffset = fromOffset;
-            this.waitMillis = waitMillis;
-        }
+        recordReads.onBacklogExtended();
     }
 }
