Split the comparison of targets by its jobs

The sums of observations, the evidence about one incarnation and the medians of a service were nested types, of which the outer class read and wrote the fields.

Change: WeightedObservations holds the sums, PerformanceEvidence what is known of one incarnation, PerformanceMedians the medians of each service. TargetPerformance keeps the incarnations and the verdict on a target. The arithmetic and its order are as before.

--- a/src/main/java/org/dogwoodwinch/forwarding/TargetPerformance.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetPerformance.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.OptionalDouble;
 import java.util.function.ToIntFunction;
 
@@ -28,15 +27,6 @@
  */
 public final class TargetPerformance {
 
-    /** The time in which an observation loses two thirds of its weight: slowness is followed for a few seconds. */
-    private static final double HORIZON_MILLIS = 5_000;
-
-    /** The number of observations without difference that is added, so that single observations change nothing. */
-    private static final double PRIOR_WEIGHT = 2;
-
-    /** Times of equal targets differ by less on average, because their queues and prompts differ. */
-    private static final double NOISE_LOG_RATIO = Math.log(1.4);
-
     /**
      * Multiple of the median deviation of single times, divided by the root of their number, by which the mean of a
      * target has to exceed the noise: about two standard deviations of that mean. Where times vary much, more of them
@@ -44,35 +34,15 @@
      */
     private static final double DEVIATIONS = 3;
 
-    /** A single time that is reported although nothing else is known of its target. */
-    private static final double NOTABLE_LOG_RATIO = Math.log(2);
-
-    /** One call that hangs counts no more than this. */
-    private static final double MAX_LOG_RATIO = Math.log(8);
-
     /** A lower share is that of single failures. */
     private static final double NOISE_FAILURE_SHARE = 0.1;
 
     /** A single failure may be that of the call. */
     private static final double MIN_FAILURES_WEIGHT = 1.2;
 
-    /** Slowness that is shorter is over before calls are sent elsewhere. */
-    private static final long MIN_LASTING_MILLIS = 1_000;
-
-    /** A target that was slow for long is avoided after its first slow call again. */
-    private static final long LASTING_MEMORY_MILLIS = 30_000;
-
-    /** Below this, observations have no influence. */
-    private static final double FORGOTTEN_WEIGHT = 0.01;
-
-    /** Medians of a service are computed anew after this time, not for each call. */
-    private static final long MEDIAN_VALIDITY_MILLIS = 100;
-
-    private final ToIntFunction<String> targetsCount;
     private final TypicalTimes typicalTimes = new TypicalTimes();
-    private final Map<String, Evidence> evidenceById = new HashMap<>();
-    private final Map<String, MedianWindow> deviationsByService = new HashMap<>();
-    private final Map<String, Medians> mediansByService = new HashMap<>();
+    private final Map<String, PerformanceEvidence> evidenceById = new HashMap<>();
+    private final PerformanceMedians medians;
 
     /**
      * Creates an instance without observations.
@@ -81,7 +51,7 @@
      *     null
      */
     public TargetPerformance(ToIntFunction<String> targetsCount) {
-        this.targetsCount = Objects.requireNonNull(targetsCount, "targetsCount");
+        this.medians = new PerformanceMedians(targetsCount);
     }
 
     /**
@@ -100,9 +70,7 @@
         typicalTimes.record(target, kind, timePerWork);
         if (median.isPresent()) {
             double logRatio = logRatio(timePerWork, median.getAsDouble());
-            deviationsByService
-                    .computeIfAbsent(target.service(), _service -> new MedianWindow())
-                    .add(Math.abs(logRatio));
+            medians.recordDeviation(target.service(), logRatio);
             record(target, logRatio, nowMillis);
         }
     }
@@ -123,7 +91,7 @@
         }
         double logRatio = logRatio(timePerWork, median.getAsDouble());
         record(target, logRatio, nowMillis);
-        if (logRatio >= MAX_LOG_RATIO) {
+        if (logRatio >= PerformanceEvidence.MAX_LOG_RATIO) {
             recordFailure(target, false, nowMillis);
         }
     }
@@ -137,25 +105,17 @@
      * @param nowMillis monotonic milliseconds
      */
     public void recordFailure(Incarnation target, boolean byTarget, long nowMillis) {
-        Evidence evidence = evidence(target, nowMillis);
+        PerformanceEvidence evidence = evidence(target, nowMillis);
         if (evidence != null) {
-            evidence.pooled.failuresWeight += 1;
-            if (byTarget) {
-                evidence.unreported.failuresWeight += 1;
-                evidence.noteUnreported(nowMillis);
-            }
+            evidence.recordFailure(byTarget, nowMillis);
         }
     }
 
     private void record(Incarnation target, double logRatio, long nowMillis) {
-        Evidence evidence = evidence(target, nowMillis);
-        if (evidence == null) {
-            return;
+        PerformanceEvidence evidence = evidence(target, nowMillis);
+        if (evidence != null) {
+            evidence.recordTime(logRatio, nowMillis);
         }
-        evidence.addTimes(logRatio, 1, nowMillis, nowMillis);
-        evidence.unreported.logRatioSum += logRatio;
-        evidence.unreported.timesWeight += 1;
-        evidence.noteUnreported(nowMillis);
     }
 
     /**
@@ -169,18 +129,10 @@
         if (current.startedMillis() != report.startedMillis()) {
             return;
         }
-        Evidence evidence = evidence(current, nowMillis);
-        if (evidence == null) {
-            return;
+        PerformanceEvidence evidence = evidence(current, nowMillis);
+        if (evidence != null) {
+            evidence.addReport(report, nowMillis);
         }
-        double decay = decay(report.ageMillis());
-        double logRatioLimit = MAX_LOG_RATIO * report.timesWeight();
-        double logRatioSum = Math.max(-logRatioLimit, Math.min(logRatioLimit, report.logRatioSum()));
-        long lastMillis = nowMillis - report.ageMillis();
-        evidence.pooled.failuresWeight += decay * report.failuresWeight();
-        evidence.reportedWeight += decay * (report.timesWeight() + report.failuresWeight());
-        evidence.addTimes(
-                decay * logRatioSum, decay * report.timesWeight(), lastMillis - report.spanMillis(), lastMillis);
     }
 
     /**
@@ -195,7 +147,7 @@
         if (maxCount <= 0) {
             return List.of();
         }
-        List<Map.Entry<String, Evidence>> notable = evidenceById.entrySet().stream()
+        List<Map.Entry<String, PerformanceEvidence>> notable = evidenceById.entrySet().stream()
                 .filter(entry -> isNotable(entry.getValue(), nowMillis))
                 .sorted(Comparator.comparingDouble(entry -> -entry.getValue().reportPriority()))
                 .limit(maxCount)
@@ -205,16 +157,9 @@
         return reports;
     }
 
-    private boolean isNotable(Evidence evidence, long nowMillis) {
+    private static boolean isNotable(PerformanceEvidence evidence, long nowMillis) {
         evidence.age(nowMillis);
-        Observations unreported = evidence.unreported;
-        if (unreported.totalWeight() < FORGOTTEN_WEIGHT) {
-            return false;
-        }
-        return unreported.failuresWeight >= FORGOTTEN_WEIGHT
-                || Math.abs(unreported.logRatioSum) >= NOTABLE_LOG_RATIO * unreported.timesWeight
-                || evidence.reportedWeight >= FORGOTTEN_WEIGHT
-                || evidence.isLasting(nowMillis);
+        return evidence.isNotable(nowMillis);
     }
 
     /**
@@ -225,21 +170,25 @@
      * @return its standing; {@link TargetStanding#EQUAL} if it does not stand out
      */
     public TargetStanding standing(Incarnation target, long nowMillis) {
-        Evidence evidence = evidenceById.get(target.id());
-        if (evidence == null || evidence.startedMillis != target.startedMillis()) {
+        PerformanceEvidence evidence = evidenceById.get(target.id());
+        if (evidence == null || evidence.startedMillis() != target.startedMillis()) {
             return TargetStanding.EQUAL;
         }
         evidence.age(nowMillis);
-        return standing(evidence, medians(evidence.service, nowMillis), nowMillis);
+        return standing(evidence, medians.of(evidence.service(), evidenceById.values(), nowMillis), nowMillis);
     }
 
-    private static TargetStanding standing(Evidence evidence, Medians medians, long nowMillis) {
-        double logRatio = evidence.pooled.meanLogRatio(medians.logRatio);
-        double noise = NOISE_LOG_RATIO
-                + DEVIATIONS * medians.deviation / Math.sqrt(evidence.pooled.timesWeight + PRIOR_WEIGHT);
+    private static TargetStanding standing(
+            PerformanceEvidence evidence, PerformanceMedians.Medians serviceMedians, long nowMillis) {
+        WeightedObservations observations = evidence.pooled();
+        double logRatio = observations.meanLogRatio(serviceMedians.logRatio());
+        double noise = PerformanceEvidence.NOISE_LOG_RATIO
+                + DEVIATIONS
+                        * serviceMedians.deviation()
+                        / Math.sqrt(observations.timesWeight() + WeightedObservations.PRIOR_WEIGHT);
         boolean hasOwnTime = evidence.isLasting(nowMillis) && Math.abs(logRatio) >= noise;
-        double excess = evidence.pooled.failureShare() - medians.failureShare;
-        boolean fails = evidence.pooled.failuresWeight >= MIN_FAILURES_WEIGHT && excess >= NOISE_FAILURE_SHARE;
+        double excess = observations.failureShare() - serviceMedians.failureShare();
+        boolean fails = observations.failuresWeight() >= MIN_FAILURES_WEIGHT && excess >= NOISE_FAILURE_SHARE;
         return hasOwnTime || fails
                 ? new TargetStanding(hasOwnTime ? Math.exp(logRatio) : 1, fails ? excess : 0)
                 : TargetStanding.EQUAL;
@@ -253,12 +202,12 @@
      * @return the number of observations, weighted by age; zero if none are known
      */
     public double weight(String targetId, long nowMillis) {
-        Evidence evidence = evidenceById.get(targetId);
+        PerformanceEvidence evidence = evidenceById.get(targetId);
         if (evidence == null) {
             return 0;
         }
         evidence.age(nowMillis);
-        return evidence.pooled.totalWeight();
+        return evidence.pooled().totalWeight();
     }
 
     /**
@@ -269,8 +218,8 @@
      * @return milliseconds; zero if none is known
      */
     public long ageMillis(String targetId, long nowMillis) {
-        Evidence evidence = evidenceById.get(targetId);
-        return evidence == null ? 0 : nowMillis - evidence.lastObservedMillis;
+        PerformanceEvidence evidence = evidenceById.get(targetId);
+        return evidence == null ? 0 : nowMillis - evidence.lastObservedMillis();
     }
 
     /**
@@ -283,184 +232,30 @@
         Map<String, Long> startedById = new HashMap<>();
         current.forEach(target -> startedById.put(target.id(), target.startedMillis()));
         evidenceById.entrySet().removeIf(entry -> {
-            Evidence evidence = entry.getValue();
+            PerformanceEvidence evidence = entry.getValue();
             evidence.age(nowMillis);
             Long started = startedById.get(entry.getKey());
-            boolean forgotten = evidence.pooled.totalWeight() < FORGOTTEN_WEIGHT && !evidence.isLasting(nowMillis);
-            return started == null || started != evidence.startedMillis || forgotten;
+            return started == null || started != evidence.startedMillis() || evidence.isForgotten(nowMillis);
         });
     }
 
     /** Returns the evidence of an incarnation; null if a later incarnation of the same id is known. */
-    private Evidence evidence(Incarnation target, long nowMillis) {
-        Evidence known = evidenceById.get(target.id());
-        if (known != null && known.startedMillis > target.startedMillis()) {
+    private PerformanceEvidence evidence(Incarnation target, long nowMillis) {
+        PerformanceEvidence known = evidenceById.get(target.id());
+        if (known != null && known.startedMillis() > target.startedMillis()) {
             return null;
         }
-        if (known == null || known.startedMillis != target.startedMillis()) {
-            known = new Evidence(target.service(), target.startedMillis(), nowMillis);
+        if (known == null || known.startedMillis() != target.startedMillis()) {
+            known = new PerformanceEvidence(target.service(), target.startedMillis(), nowMillis);
             evidenceById.put(target.id(), known);
         }
         known.age(nowMillis);
         return known;
     }
 
-    private Medians medians(String service, long nowMillis) {
-        Medians known = mediansByService.get(service);
-        if (known == null || nowMillis - known.computedMillis >= MEDIAN_VALIDITY_MILLIS) {
-            known = computeMedians(service, nowMillis);
-            mediansByService.put(service, known);
-        }
-        return known;
-    }
-
-    /** Targets without observations count as equal to the typical one. */
-    private Medians computeMedians(String service, long nowMillis) {
-        List<Double> logRatios = new ArrayList<>();
-        List<Double> failureShares = new ArrayList<>();
-        for (Evidence evidence : evidenceById.values()) {
-            if (evidence.service.equals(service)) {
-                evidence.age(nowMillis);
-                logRatios.add(evidence.pooled.meanLogRatio(0));
-                failureShares.add(evidence.pooled.failureShare());
-            }
-        }
-        for (int i = logRatios.size(); i < targetsCount.applyAsInt(service); i++) {
-            logRatios.add(0.0);
-            failureShares.add(0.0);
-        }
-        MedianWindow deviations = deviationsByService.get(service);
-        double deviation = deviations == null ? 0 : deviations.median().orElse(0);
-        return new Medians(median(logRatios), median(failureShares), deviation, nowMillis);
-    }
-
-    private static double median(List<Double> values) {
-        return values.stream()
-                .sorted()
-                .skip((values.size() - 1) / 2)
-                .findFirst()
-                .orElse(0.0);
-    }
-
     private static double logRatio(double time, double typicalTime) {
-        return Math.max(-MAX_LOG_RATIO, Math.min(MAX_LOG_RATIO, Math.log(time / typicalTime)));
-    }
-
-    private static double decay(long elapsedMillis) {
-        return Math.exp(-Math.max(0, elapsedMillis) / HORIZON_MILLIS);
-    }
-
-    private record Medians(double logRatio, double failureShare, double deviation, long computedMillis) {}
-
-    /** Sums of observations, weighted by age. */
-    private static final class Observations {
-        private double logRatioSum;
-        private double timesWeight;
-        private double failuresWeight;
-
-        double totalWeight() {
-            return timesWeight + failuresWeight;
-        }
-
-        double meanLogRatio(double typicalLogRatio) {
-            return (logRatioSum - typicalLogRatio * timesWeight) / (timesWeight + PRIOR_WEIGHT);
-        }
-
-        double failureShare() {
-            return failuresWeight / (totalWeight() + PRIOR_WEIGHT);
-        }
-
-        void multiply(double factor) {
-            logRatioSum *= factor;
-            timesWeight *= factor;
-            failuresWeight *= factor;
-        }
-
-        void clear() {
-            multiply(0);
-        }
-    }
-
-    /** What is known of one incarnation. */
-    private static final class Evidence {
-        private final String service;
-        private final long startedMillis;
-        private final Observations pooled = new Observations();
-        private final Observations unreported = new Observations();
-        private double reportedWeight;
-        private long agedAtMillis;
-        private long lastObservedMillis;
-        private long firstUnreportedMillis;
-        private long lastUnreportedMillis;
-        private long standsOutSinceMillis = Long.MAX_VALUE;
-        private long lastingUntilMillis = Long.MIN_VALUE;
-
-        private Evidence(String service, long startedMillis, long nowMillis) {
-            this.service = service;
-            this.startedMillis = startedMillis;
-            this.agedAtMillis = nowMillis;
-            this.lastObservedMillis = nowMillis;
-        }
-
-        void age(long nowMillis) {
-            if (nowMillis > agedAtMillis) {
-                double decay = decay(nowMillis - agedAtMillis);
-                agedAtMillis = nowMillis;
-                pooled.multiply(decay);
-                unreported.multiply(decay);
-                reportedWeight *= decay;
-            }
-        }
-
-        boolean isLasting(long nowMillis) {
-            return nowMillis < lastingUntilMillis;
-        }
-
-        void addTimes(double logRatioSum, double weight, long firstMillis, long lastMillis) {
-            lastObservedMillis = Math.max(lastObservedMillis, lastMillis);
-            if (weight < FORGOTTEN_WEIGHT) {
-                return;
-            }
-            pooled.logRatioSum += logRatioSum;
-            pooled.timesWeight += weight;
-            boolean standsOut = Math.abs(logRatioSum) >= NOISE_LOG_RATIO * weight;
-            if (standsOut) {
-                standsOutSinceMillis = Math.min(standsOutSinceMillis, firstMillis);
-                if (lastMillis - standsOutSinceMillis >= MIN_LASTING_MILLIS) {
-                    lastingUntilMillis = Math.max(lastingUntilMillis, lastMillis + LASTING_MEMORY_MILLIS);
-                }
-            } else if (Math.abs(pooled.meanLogRatio(0)) < NOISE_LOG_RATIO) {
-                standsOutSinceMillis = Long.MAX_VALUE;
-                lastingUntilMillis = Long.MIN_VALUE;
-            }
-        }
-
-        /** Returns how much the unreported observations differ from what is known of the incarnation. */
-        double reportPriority() {
-            double known = pooled.meanLogRatio(0);
-            return Math.abs(unreported.logRatioSum - known * unreported.timesWeight)
-                    + MAX_LOG_RATIO * unreported.failuresWeight;
-        }
-
-        void noteUnreported(long nowMillis) {
-            if (unreported.totalWeight() <= 1 + FORGOTTEN_WEIGHT) {
-                firstUnreportedMillis = nowMillis;
-            }
-            lastUnreportedMillis = nowMillis;
-            lastObservedMillis = nowMillis;
-        }
-
-        PerformanceReport takeReport(String targetId, long nowMillis) {
-            PerformanceReport report = new PerformanceReport(
-                    targetId,
-                    startedMillis,
-                    unreported.logRatioSum,
-                    unreported.timesWeight,
-                    unreported.failuresWeight,
-                    lastUnreportedMillis - firstUnreportedMillis,
-                    nowMillis - lastUnreportedMillis);
-            unreported.clear();
-            return report;
-        }
+        return Math.max(
+                -PerformanceEvidence.MAX_LOG_RATIO,
+                Math.min(PerformanceEvidence.MAX_LOG_RATIO, Math.log(time / typicalTime)));
     }
 }
