Split the search for crashing segments by its jobs

Change: SegmentBegins keeps when answers with a segment last began, BlamedSegments keeps the evidence about blamed segments and lists those that are held back. SegmentEvidence says itself whether its segment is held back now and whether it is outdated. CrashingSegments keeps the decisions. Bounds, the order of eviction and the decisions are as before.

--- a/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/CrashingSegments.java
@@ -36,30 +36,16 @@
      */
     private static final long JOINT_TRIAL_PAUSE_MILLIS = 30_000;
 
-    /** A begin longer ago says little about a segment. Crashes are forgotten after the same time. */
-    private static final long MEMORY_MILLIS = 600_000;
-
     /** The time after which all instances and the store's record know of a lift. */
     private static final long LIFT_KNOWN_MILLIS = 5_000;
 
-    /** Some hundred shared segments for each of about a dozen engines, in about one megabyte. */
-    private static final int MAX_BEGUN_SEGMENTS = 8_192;
-
-    /** More than calls under way on the targets that crash within {@link #MEMORY_MILLIS}. */
-    private static final int MAX_BLAMED_SEGMENTS = 4_096;
-
     private final LongSupplier clockMillis;
-    private final Map<SegmentId, Begin> begins = new LinkedHashMap<>(16, 0.75f, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<SegmentId, Begin> _eldest) {
-            return size() > MAX_BEGUN_SEGMENTS;
-        }
-    };
-    private final Map<SegmentId, SegmentEvidence> blamed = new LinkedHashMap<>();
+    private final SegmentBegins begins = new SegmentBegins();
+    private final BlamedSegments blamed = new BlamedSegments();
     private final Map<SegmentId, Long> liftedAtMillis = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<SegmentId, Long> _eldest) {
-            return size() > MAX_BLAMED_SEGMENTS;
+            return size() > BlamedSegments.MAX_SEGMENTS;
         }
     };
 
@@ -85,7 +71,7 @@
         long nowMillis = clockMillis.getAsLong();
         List<SegmentId> held = segments.stream()
                 .distinct()
-                .filter(segment -> isHeldAt(segment, nowMillis))
+                .filter(segment -> blamed.isHeld(segment, nowMillis))
                 .sorted()
                 .toList();
         if (held.isEmpty()) {
@@ -95,13 +81,13 @@
         SegmentId latest = held.get(0);
         long latestDueMillis = SegmentEvidence.NEVER_MILLIS;
         for (SegmentId segment : held) {
-            long dueMillis = blamed.get(segment).trialDueMillis(minPauseMillis);
+            long dueMillis = evidenceOf(segment).trialDueMillis(minPauseMillis);
             if (dueMillis > latestDueMillis) {
                 latestDueMillis = dueMillis;
                 latest = segment;
             }
         }
-        SegmentEvidence evidence = blamed.get(latest);
+        SegmentEvidence evidence = evidenceOf(latest);
         return latestDueMillis > nowMillis
                 ? new SegmentStanding.HeldBack(latest, evidence.unclearedCount(), latestDueMillis - nowMillis)
                 : new SegmentStanding.TrialDue(latest, evidence.unclearedCount(), evidence.trialsCount() + 1);
@@ -114,7 +100,7 @@
      * @return whether calls with it are refused, except for trials
      */
     public boolean isHeldBack(SegmentId segment) {
-        return isHeldAt(segment, clockMillis.getAsLong());
+        return blamed.isHeld(segment, clockMillis.getAsLong());
     }
 
     /**
@@ -139,9 +125,8 @@
     public boolean isSuspected(Collection<SegmentId> segments) {
         return !blamed.isEmpty()
                 && segments.stream()
-                        .map(blamed::get)
-                        .anyMatch(
-                                evidence -> evidence != null && !evidence.hasBegun() && evidence.unclearedCount() > 0);
+                        .flatMap(segment -> blamed.find(segment).stream())
+                        .anyMatch(evidence -> !evidence.hasBegun() && evidence.unclearedCount() > 0);
     }
 
     /**
@@ -155,15 +140,16 @@
         long nowMillis = clockMillis.getAsLong();
         List<BegunSegment> toTell = List.of();
         for (SegmentId segment : segments) {
-            begins.computeIfAbsent(segment, _segment -> new Begin()).atMillis = nowMillis;
-            SegmentEvidence evidence = blamed.get(segment);
-            if (evidence != null) {
-                boolean wasHeld = isHeldAt(segment, nowMillis);
-                boolean othersMayHold = evidence.untoldCrashesCount() > 1;
-                evidence.recordBegin(nowMillis);
+            begins.record(segment, nowMillis);
+            Optional<SegmentEvidence> evidence = blamed.find(segment);
+            if (evidence.isPresent()) {
+                boolean wasHeld = evidence.get().isHeldAt(nowMillis);
+                boolean othersMayHold = evidence.get().untoldCrashesCount() > 1;
+                evidence.get().recordBegin(nowMillis);
                 if (wasHeld || othersMayHold) {
                     toTell = new ArrayList<>(toTell);
-                    toTell.add(new BegunSegment(segment, wasHeld, wasHeld || evidence.isBlamedHere()));
+                    toTell.add(new BegunSegment(
+                            segment, wasHeld, wasHeld || evidence.get().isBlamedHere()));
                 }
             }
         }
@@ -186,8 +172,11 @@
      * @return whether one has, here or at an instance that told of it, within the time that begins are remembered
      */
     public boolean hasBegun(SegmentId segment) {
-        SegmentEvidence known = blamed.get(segment);
-        return known == null ? clockMillis.getAsLong() - beginOf(segment) < MEMORY_MILLIS : known.hasBegun();
+        return blamed.find(segment).map(SegmentEvidence::hasBegun).orElseGet(() -> hasRecentBegin(segment));
+    }
+
+    private boolean hasRecentBegin(SegmentId segment) {
+        return clockMillis.getAsLong() - begins.lastMillis(segment) < SegmentEvidence.MEMORY_MILLIS;
     }
 
     /**
@@ -210,8 +199,9 @@
      * @return whether a begin is known here and they may count crashes before it
      */
     public boolean isBeginUntold(SegmentId segment) {
-        SegmentEvidence evidence = blamed.get(segment);
-        return evidence != null && evidence.hasBegun() && evidence.untoldCrashesCount() > 0;
+        return blamed.find(segment)
+                .filter(evidence -> evidence.hasBegun() && evidence.untoldCrashesCount() > 0)
+                .isPresent();
     }
 
     /**
@@ -222,8 +212,9 @@
      * @return whether they should be told
      */
     public boolean isBeginUnknownToOthers(SegmentId segment) {
-        SegmentEvidence evidence = blamed.get(segment);
-        return evidence != null && evidence.isBeginKnownHereOnly();
+        return blamed.find(segment)
+                .filter(SegmentEvidence::isBeginKnownHereOnly)
+                .isPresent();
     }
 
     /**
@@ -232,10 +223,7 @@
      * @param segment the segment, not null
      */
     public void recordTold(SegmentId segment) {
-        SegmentEvidence evidence = blamed.get(segment);
-        if (evidence != null) {
-            evidence.recordTold();
-        }
+        blamed.find(segment).ifPresent(SegmentEvidence::recordTold);
     }
 
     /**
@@ -246,14 +234,13 @@
      * @return whether this ends that the segment is held back
      */
     public boolean recordPeerBegin(SegmentId segment, long begunMillis) {
-        Begin begin = begins.computeIfAbsent(segment, _segment -> new Begin());
-        begin.atMillis = Math.max(begin.atMillis, begunMillis);
-        SegmentEvidence evidence = blamed.get(segment);
-        if (evidence == null) {
+        begins.recordAtPeer(segment, begunMillis);
+        Optional<SegmentEvidence> evidence = blamed.find(segment);
+        if (evidence.isEmpty()) {
             return false;
         }
         boolean wasHeld = isHeldBack(segment);
-        evidence.recordPeerBegin(begunMillis);
+        evidence.get().recordPeerBegin(begunMillis);
         return wasHeld && !isHeldBack(segment);
     }
 
@@ -286,7 +273,7 @@
         }
         List<BlamedSegment> blamedSegments = new ArrayList<>();
         lostMillisBySegment.forEach((segment, lostMillis) -> {
-            SegmentEvidence evidence = evidenceOf(segment);
+            SegmentEvidence evidence = findOrAdd(segment);
             evidence.recordCrash(targetStart, lostMillis);
             evidence.recordBlamedHere();
             blamedSegments.add(new BlamedSegment(segment, evidence.hasBegun()));
@@ -303,7 +290,7 @@
     public void recordPeerCrash(CrashReport report, long crashMillis) {
         for (BlamedSegment each : report.blamed()) {
             if (crashMillis > liftedMillis(each.segment())) {
-                SegmentEvidence evidence = evidenceOf(each.segment());
+                SegmentEvidence evidence = findOrAdd(each.segment());
                 evidence.recordCrash(report.targetStart(), crashMillis);
                 evidence.recordBegunAtPeer(each.hasBegun());
             }
@@ -318,10 +305,7 @@
      * @param atMillis when it was granted, in monotonic milliseconds of this instance
      */
     public void recordTrial(SegmentId segment, int trialNumber, long atMillis) {
-        SegmentEvidence evidence = blamed.get(segment);
-        if (evidence != null) {
-            evidence.recordTrial(trialNumber, atMillis);
-        }
+        blamed.find(segment).ifPresent(evidence -> evidence.recordTrial(trialNumber, atMillis));
     }
 
     /**
@@ -339,7 +323,7 @@
                 || beginOf(held.segment()) >= crashMillis) {
             return;
         }
-        SegmentEvidence evidence = evidenceOf(held.segment());
+        SegmentEvidence evidence = findOrAdd(held.segment());
         for (int i = 0; i < held.crashesCount() && evidence.unclearedCount() < held.crashesCount(); i++) {
             evidence.recordCrash("recorded-" + i, crashMillis);
         }
@@ -371,11 +355,7 @@
      * @return the list, in the order in which they were first blamed
      */
     public List<HeldSegment> listHeld() {
-        long nowMillis = clockMillis.getAsLong();
-        return blamed.keySet().stream()
-                .filter(segment -> isHeldAt(segment, nowMillis))
-                .map(segment -> describe(segment, nowMillis))
-                .toList();
+        return blamed.listHeld(clockMillis.getAsLong());
     }
 
     /**
@@ -385,62 +365,23 @@
      * @return the description; empty if it is not held back
      */
     public Optional<HeldSegment> findHeld(SegmentId segment) {
-        return isHeldBack(segment) ? Optional.of(describe(segment, clockMillis.getAsLong())) : Optional.empty();
-    }
-
-    private HeldSegment describe(SegmentId segment, long nowMillis) {
-        SegmentEvidence evidence = blamed.get(segment);
-        return new HeldSegment(
-                segment,
-                evidence.unclearedCount(),
-                evidence.trialsCount(),
-                nowMillis - evidence.lastCrashMillis(),
-                Math.max(0, evidence.trialDueMillis(0) - nowMillis));
-    }
-
-    private boolean isHeldAt(SegmentId segment, long nowMillis) {
-        SegmentEvidence evidence = blamed.get(segment);
-        return evidence != null
-                && evidence.isHeld()
-                && nowMillis - evidence.lastCrashMillis() < SegmentEvidence.HELD_MEMORY_MILLIS;
+        return blamed.findHeld(segment, clockMillis.getAsLong());
     }
 
     private long beginOf(SegmentId segment) {
-        Begin begin = begins.get(segment);
-        SegmentEvidence evidence = blamed.get(segment);
-        return Math.max(
-                begin == null ? SegmentEvidence.NEVER_MILLIS : begin.atMillis,
-                evidence == null ? SegmentEvidence.NEVER_MILLIS : evidence.lastBeginMillis());
+        long blamedMillis =
+                blamed.find(segment).map(SegmentEvidence::lastBeginMillis).orElse(SegmentEvidence.NEVER_MILLIS);
+        return Math.max(begins.lastMillis(segment), blamedMillis);
     }
 
-    private SegmentEvidence evidenceOf(SegmentId segment) {
-        SegmentEvidence known = blamed.get(segment);
-        if (known != null) {
-            return known;
-        }
-        removeOutdated();
-        SegmentEvidence added =
-                new SegmentEvidence(hasBegun(segment) ? beginOf(segment) : SegmentEvidence.NEVER_MILLIS);
-        blamed.put(segment, added);
-        return added;
+    private SegmentEvidence evidenceOf(SegmentId blamedSegment) {
+        return blamed.find(blamedSegment).orElseThrow();
     }
 
-    private void removeOutdated() {
-        long nowMillis = clockMillis.getAsLong();
-        blamed.values()
-                .removeIf(evidence -> nowMillis - evidence.lastCrashMillis()
-                        >= (evidence.isHeld() ? SegmentEvidence.HELD_MEMORY_MILLIS : MEMORY_MILLIS));
-        if (blamed.size() >= MAX_BLAMED_SEGMENTS) {
-            SegmentId oldest = blamed.entrySet().stream()
-                    .filter(entry -> !entry.getValue().isHeld())
-                    .map(Map.Entry::getKey)
-                    .findFirst()
-                    .orElseGet(() -> blamed.keySet().iterator().next());
-            blamed.remove(oldest);
-        }
-    }
-
-    private static final class Begin {
-        private long atMillis = SegmentEvidence.NEVER_MILLIS;
+    private SegmentEvidence findOrAdd(SegmentId segment) {
+        return blamed.find(segment).orElseGet(() -> {
+            long begunMillis = hasRecentBegin(segment) ? begins.lastMillis(segment) : SegmentEvidence.NEVER_MILLIS;
+            return blamed.add(segment, begunMillis, clockMillis.getAsLong());
+        });
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/SegmentEvidence.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/SegmentEvidence.java
@@ -12,6 +12,9 @@
     /** Stands for a time that has not come. */
     static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
+    /** A begin longer ago says little about a segment. Crashes are forgotten after the same time. */
+    static final long MEMORY_MILLIS = 600_000;
+
     /** A segment that is held back is forgotten a day after the last crash. */
     static final long HELD_MEMORY_MILLIS = 86_400_000;
 
@@ -148,4 +151,14 @@
                         Math.max(lastCrashMillis, lastTrialMillis) + TRIAL_PAUSES_MILLIS[trialsCount])
                 : lastCrashMillis + HELD_MEMORY_MILLIS;
     }
+
+    /** Returns whether calls with the segment are held back now, except for trials. */
+    boolean isHeldAt(long nowMillis) {
+        return isHeld() && nowMillis - lastCrashMillis() < HELD_MEMORY_MILLIS;
+    }
+
+    /** Returns whether the last crash is so long ago that the evidence is forgotten. */
+    boolean isOutdated(long nowMillis) {
+        return nowMillis - lastCrashMillis() >= (isHeld() ? HELD_MEMORY_MILLIS : MEMORY_MILLIS);
+    }
 }
