Split the claim store by its jobs

It decided on claims, appended batches with their retries, and read the stream with its retries, in one class.

Change: ClaimAppender appends the batches, ClaimStreamReader reads the stream, ActiveClaims holds the bounded set of acquired claims in progress. All share the store's lock as before, and callbacks still run after it is released. LogClaimStore keeps the decisions on claims.

--- a/src/main/java/org/dogwoodwinch/request/LogClaimStore.java
+++ b/src/main/java/org/dogwoodwinch/request/LogClaimStore.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -29,36 +28,19 @@
     /** The stream's name on the log. */
     public static final String STREAM_NAME = "claims";
 
-    private static final int MAX_RECORDS_PER_READ = 500;
-    private static final long READ_WAIT_MILLIS = 1_000;
-    private static final long READ_RETRY_MILLIS = 200;
-    private static final long UNKNOWN_APPEND_RETRY_MILLIS = 500;
     private static final long RETRY_AFTER_MILLIS = 1_000;
-    private static final int MAX_ACTIVE_CLAIMS = 65_536;
-    private static final int UNAVAILABLE_AFTER_FAILED_READS = 2;
 
     private final LogService logService;
     private final TimeSource time;
     private final String writerId;
     private final long claimTimeoutMillis;
-    private final long batchWindowMillis;
     private final ClaimIndex index;
     private final Predicate<String> liveWriters;
-    private final ClaimOutbox outbox;
+    private final ClaimAppender appender;
+    private final ClaimStreamReader reader;
     private final Map<String, PendingClaim> pendingClaims = new HashMap<>();
-
-    /**
-     * Key hashes of the acquired claims whose requests are in progress, by claim id. The oldest entry is evicted when
-     * the map is full, which removes service calls that were never answered.
-     */
-    private final Map<String, String> activeClaimKeys = new LinkedHashMap<>();
-
-    private long nextOffset;
+    private final ActiveClaims activeClaims = new ActiveClaims();
     private long nextClaimNumber;
-    private int consecutiveFailedReads;
-    private boolean appendInProgress;
-    private boolean flushScheduled;
-    private boolean stopped;
 
     /**
      * Creates a claim store, which reads the stream once {@link #start()} is called.
@@ -84,22 +66,30 @@
         this.time = Objects.requireNonNull(time, "time");
         this.writerId = Objects.requireNonNull(writerId, "writerId");
         this.claimTimeoutMillis = claimTimeoutMillis;
-        this.batchWindowMillis = batchWindowMillis;
         this.index = Objects.requireNonNull(index, "index");
         this.liveWriters = Objects.requireNonNull(liveWriters, "liveWriters");
-        this.outbox = new ClaimOutbox(writerId);
+        this.appender = new ClaimAppender(
+                logService,
+                time,
+                batchWindowMillis,
+                this,
+                new ClaimOutbox(writerId),
+                this::isStillNeeded,
+                this::refuseExpiring);
+        this.reader = new ClaimStreamReader(
+                logService, time, this, this::applyRecord, () -> discardAll("the claim log is unavailable"));
     }
 
     /** Starts reading the stream at its oldest retained record. */
     public void start() {
-        readNext();
+        reader.readNext();
     }
 
     /** Stops reading the stream and refuses the pending claims. */
     public void stop() {
         List<Runnable> callbacks;
         synchronized (this) {
-            stopped = true;
+            reader.stop();
             callbacks = discardAll("this instance is shutting down");
         }
         callbacks.forEach(Runnable::run);
@@ -117,7 +107,7 @@
         if (held.isPresent()) {
             return Optional.of(outcomeOf(claim, held.get()));
         }
-        if (stopped || consecutiveFailedReads >= UNAVAILABLE_AFTER_FAILED_READS) {
+        if (!reader.isAvailable()) {
             return Optional.of(new ClaimOutcome.Unavailable("the claim log is unavailable", RETRY_AFTER_MILLIS));
         }
         if (index.isFull()) {
@@ -127,13 +117,12 @@
         String claimId = writerId + "." + nextClaimNumber++;
         PendingClaim added = new PendingClaim(claim, outcome, nowMillis + claimTimeoutMillis);
         pendingClaims.put(claimId, added);
-        outbox.add(new ClaimRecord.Claimed(
+        appender.append(new ClaimRecord.Claimed(
                 claimId,
                 claim.keyHash(),
                 claim.fingerprint(),
                 claim.pointer().target(),
                 claim.pointer().attemptId()));
-        scheduleFlush(batchWindowMillis);
         time.schedule(claimTimeoutMillis, () -> timeOut(claimId));
         return Optional.empty();
     }
@@ -146,8 +135,7 @@
 
     private HeldClaim withProgress(HeldClaim claim) {
         boolean own = claim.writerId().equals(writerId);
-        return claim.withInProgress(
-                own ? activeClaimKeys.containsKey(claim.claimId()) : liveWriters.test(claim.writerId()));
+        return claim.withInProgress(own ? activeClaims.contains(claim.claimId()) : liveWriters.test(claim.writerId()));
     }
 
     private void timeOut(String claimId) {
@@ -167,8 +155,7 @@
     /** Discards a pending claim; {@link #onOwnClaim} releases it if it appears on the log later. */
     private void discardClaim(String claimId) {
         pendingClaims.remove(claimId);
-        outbox.removeQueuedClaim(claimId);
-        outbox.removeUnconfirmedClaim(claimId);
+        appender.discardClaim(claimId);
     }
 
     @Override
@@ -178,31 +165,28 @@
 
     @Override
     public synchronized void recordMove(String claimId, StreamPointer pointer) {
-        String keyHash = activeClaimKeys.get(claimId);
-        if (keyHash != null) {
-            append(new ClaimRecord.Moved(claimId, keyHash, pointer.target(), pointer.attemptId()));
-        }
+        activeClaims
+                .find(claimId)
+                .ifPresent(keyHash -> appender.append(
+                        new ClaimRecord.Moved(claimId, keyHash, pointer.target(), pointer.attemptId())));
     }
 
     @Override
     public synchronized void recordAnswer(String claimId, StoredAnswer answer) {
-        String keyHash = activeClaimKeys.remove(claimId);
-        if (keyHash != null) {
-            append(new ClaimRecord.Completed(claimId, keyHash, StoredAnswerRecord.of(answer)));
-        }
+        activeClaims
+                .remove(claimId)
+                .ifPresent(keyHash ->
+                        appender.append(new ClaimRecord.Completed(claimId, keyHash, StoredAnswerRecord.of(answer))));
     }
 
     @Override
     public synchronized void release(String claimId) {
-        String keyHash = activeClaimKeys.remove(claimId);
-        if (keyHash != null) {
-            append(new ClaimRecord.Released(claimId, keyHash));
-        }
+        activeClaims.remove(claimId).ifPresent(keyHash -> appender.append(new ClaimRecord.Released(claimId, keyHash)));
     }
 
     @Override
     public synchronized void abandon(String claimId) {
-        activeClaimKeys.remove(claimId);
+        activeClaims.remove(claimId);
     }
 
     @Override
@@ -234,64 +218,6 @@
         return index.size();
     }
 
-    private void append(ClaimRecord entry) {
-        outbox.add(entry);
-        scheduleFlush(batchWindowMillis);
-    }
-
-    private void scheduleFlush(long delayMillis) {
-        if (!flushScheduled && !appendInProgress) {
-            flushScheduled = true;
-            time.schedule(delayMillis, this::flush);
-        }
-    }
-
-    /**
-     * Appends the next batch. Only one append is in progress at a time; records that arrive in the meantime form the
-     * next batch, so that batches grow as the log slows down.
-     */
-    private void flush() {
-        ClaimBatch batch;
-        synchronized (this) {
-            flushScheduled = false;
-            if (appendInProgress || outbox.isEmpty()) {
-                return;
-            }
-            appendInProgress = true;
-            batch = outbox.takeBatch();
-        }
-        logService
-                .append(STREAM_NAME, ClaimCodec.encode(batch))
-                .whenComplete((result, fault) -> onAppended(
-                        batch,
-                        result != null
-                                ? result
-                                : new AppendResult.Unknown("append to the claims stream failed: " + fault)));
-    }
-
-    private void onAppended(ClaimBatch batch, AppendResult result) {
-        List<Runnable> callbacks = new ArrayList<>();
-        synchronized (this) {
-            appendInProgress = false;
-            long nextFlushMillis = batchWindowMillis;
-            if (!(result instanceof AppendResult.Unknown)) {
-                outbox.onResolved(batch);
-            }
-            if (result instanceof AppendResult.Refused refused) {
-                outbox.requeue(
-                        batch.records().stream().filter(this::isStillNeeded).toList());
-                nextFlushMillis = Math.max(batchWindowMillis, refused.retryAfterMillis());
-                callbacks.addAll(refuseExpiring(refused, time.monotonicMillis() + nextFlushMillis));
-            } else if (result instanceof AppendResult.Unknown) {
-                time.schedule(UNKNOWN_APPEND_RETRY_MILLIS, () -> retryUnknownAppend(batch.number()));
-            }
-            if (!outbox.isEmpty()) {
-                scheduleFlush(nextFlushMillis);
-            }
-        }
-        callbacks.forEach(Runnable::run);
-    }
-
     private boolean isStillNeeded(ClaimRecord entry) {
         return !(entry instanceof ClaimRecord.Claimed) || pendingClaims.containsKey(entry.claimId());
     }
@@ -319,60 +245,12 @@
         return callbacks;
     }
 
-    private synchronized void retryUnknownAppend(long batchNumber) {
-        outbox.requeueUnconfirmed(batchNumber);
-        if (!outbox.isEmpty()) {
-            scheduleFlush(0);
-        }
-    }
-
-    private void readNext() {
-        long fromOffset;
-        synchronized (this) {
-            if (stopped) {
-                return;
-            }
-            fromOffset = nextOffset;
-        }
-        logService
-                .read(STREAM_NAME, fromOffset, MAX_RECORDS_PER_READ, READ_WAIT_MILLIS)
-                .whenComplete((result, fault) -> onRead(
-                        result != null
-                                ? result
-                                : new ReadResult.Unavailable("read of the claims stream failed: " + fault)));
-    }
-
-    private void onRead(ReadResult result) {
-        List<Runnable> callbacks = new ArrayList<>();
-        boolean failed;
-        synchronized (this) {
-            failed = result instanceof ReadResult.Unavailable;
-            if (result instanceof ReadResult.Records records) {
-                records.records().forEach(each -> callbacks.addAll(applyRecord(each)));
-            } else if (result instanceof ReadResult.Expired expired) {
-                // Expired records are older than the key retention, which the settings keep below the log's retention.
-                nextOffset = expired.firstRetainedOffset();
-            }
-            consecutiveFailedReads = failed ? consecutiveFailedReads + 1 : 0;
-            if (consecutiveFailedReads >= UNAVAILABLE_AFTER_FAILED_READS) {
-                callbacks.addAll(discardAll("the claim log is unavailable"));
-            }
-        }
-        callbacks.forEach(Runnable::run);
-        if (failed) {
-            time.schedule(READ_RETRY_MILLIS, this::readNext);
-        } else {
-            readNext();
-        }
-    }
-
     private List<Runnable> applyRecord(LogRecord found) {
-        nextOffset = found.offset() + 1;
         List<Runnable> callbacks = new ArrayList<>();
         ClaimCodec.decode(found.payload()).ifPresent(batch -> {
             boolean own = batch.writerId().equals(writerId);
             if (own) {
-                outbox.onResolved(batch);
+                appender.onReadBack(batch);
             }
             for (ClaimRecord entry : batch.records()) {
                 index.apply(found.offset(), entry, time.monotonicMillis());
@@ -390,25 +268,22 @@
         boolean first = held.isPresent() && held.get().claim().claimId().equals(claimed.claimId());
         PendingClaim pendingClaim = pendingClaims.remove(claimed.claimId());
         if (pendingClaim == null) {
-            if (first && !activeClaimKeys.containsKey(claimed.claimId())) {
-                append(new ClaimRecord.Released(claimed.claimId(), claimed.keyHash()));
+            if (first && !activeClaims.contains(claimed.claimId())) {
+                appender.append(new ClaimRecord.Released(claimed.claimId(), claimed.keyHash()));
             }
             return Optional.empty();
         }
         if (first && nowMillis > pendingClaim.deadlineMillis()) {
             // This process was paused past the claim's timeout. Other instances may have evicted the key since then, so
             // the claim must not be used.
-            append(new ClaimRecord.Released(claimed.claimId(), claimed.keyHash()));
+            appender.append(new ClaimRecord.Released(claimed.claimId(), claimed.keyHash()));
             return Optional.of(() -> pendingClaim
                     .outcome()
                     .accept(new ClaimOutcome.Unavailable(
                             "the claim was read back from the log after its timeout", RETRY_AFTER_MILLIS)));
         }
         if (first) {
-            activeClaimKeys.put(claimed.claimId(), claimed.keyHash());
-            if (activeClaimKeys.size() > MAX_ACTIVE_CLAIMS) {
-                activeClaimKeys.remove(activeClaimKeys.keySet().iterator().next());
-            }
+            activeClaims.add(claimed.claimId(), claimed.keyHash());
             return Optional.of(() -> pendingClaim.outcome().accept(new ClaimOutcome.Acquired(claimed.claimId())));
         }
         ClaimOutcome outcome = held.map(entry -> outcomeOf(pendingClaim.claim(), entry))
