Split the stand-in engine by its jobs

Beside the engine's state and orders it kept the batch with its step times and load, the lagging cache events, and the streams of its callers. A stream that does nothing stood there and in HttpEngineClient.

Change: StandInBatch holds the sequences that wait and run, computes the steps and reports the load. CacheEventLog keeps the cache events. StandInAnswerStream is a caller's stream, NoOpAnswerStream in target/ the stream of an attempt that was never started, for both clients. EngineCost states how many tokens the KV cache holds, PrefixCache how many blocks.

--- a/src/main/java/org/dogwoodwinch/standin/EngineCost.java
+++ b/src/main/java/org/dogwoodwinch/standin/EngineCost.java
@@ -44,6 +44,15 @@
         return stepBaseMillis + promptTokens * 1_000.0 / prefillTokensPerSecond + sequences * stepPerSequenceMillis;
     }
 
+    /**
+     * Returns how many tokens the KV cache holds.
+     *
+     * @return the count
+     */
+    public long kvTotalTokens() {
+        return kvTotalBytes / kvBytesPerToken;
+    }
+
     /**
      * Returns how long moving a KV cache to another engine takes.
      *
--- a/src/main/java/org/dogwoodwinch/standin/PrefixCache.java
+++ b/src/main/java/org/dogwoodwinch/standin/PrefixCache.java
@@ -18,6 +18,8 @@
     /** Characters of a prompt in one block. */
     public static final int BLOCK_CHARACTERS = 256;
 
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
     private final int maxBlocks;
     private final LongConsumer onStored;
     private final LongConsumer onEvicted;
@@ -36,6 +38,16 @@
         this.onEvicted = onEvicted;
     }
 
+    /**
+     * Returns how many blocks the KV cache of an engine holds.
+     *
+     * @param cost the size of the KV cache, not null
+     * @return the count, at least one
+     */
+    static int maxBlocks(EngineCost cost) {
+        return (int) Math.max(1, cost.kvTotalTokens() * CHARACTERS_PER_TOKEN / BLOCK_CHARACTERS);
+    }
+
     /**
      * Returns the chain of block hashes of a prompt; a part shorter than a block at the end has none.
      *
--- a/src/main/java/org/dogwoodwinch/standin/StandInEngine.java
+++ b/src/main/java/org/dogwoodwinch/standin/StandInEngine.java
@@ -1,9 +1,5 @@
 package org.dogwoodwinch.standin;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +17,7 @@
 import org.dogwoodwinch.target.GenerateCall;
 import org.dogwoodwinch.target.KvReference;
 import org.dogwoodwinch.target.LoadReport;
+import org.dogwoodwinch.target.NoOpAnswerStream;
 import org.dogwoodwinch.target.OrderResult;
 import org.dogwoodwinch.target.TargetFailure;
 import org.dogwoodwinch.target.TargetReply;
@@ -34,31 +31,25 @@
  */
 public final class StandInEngine implements EngineClient {
 
-    private static final int CACHE_EVENTS_KEPT = 4_096;
-    private static final int CHARACTERS_PER_TOKEN = 4;
-
     private final String name;
     private final String address;
     private final StandInEngineOptions options;
     private final TimeSource time;
     private final StandInEngineObserver observer;
     private final PrefixCache cache;
-    private final Deque<StandInSequence> waiting = new ArrayDeque<>();
-    private final List<StandInSequence> running = new ArrayList<>();
+    private final StandInBatch batch;
     private final Map<String, StandInSequence> streams = new HashMap<>();
     private final LoadReportHistory reports = new LoadReportHistory();
-    private final Deque<TimedCacheEvent> cacheEvents = new ArrayDeque<>();
+    private final CacheEventLog cacheEvents;
     private EngineConfiguration configuration;
     private String appliedOrderId = "";
     private long highestFencingToken = -1;
     private long startedCount = 1;
     private long epoch;
-    private long cacheEventSequence;
     private boolean ready = true;
     private boolean down;
     private boolean leaving;
     private boolean stepping;
-    private double carriedMillis;
     private long reportLagMillis;
 
     /**
@@ -85,7 +76,10 @@
         this.reportLagMillis = options.reportLagMillis();
         this.time = Objects.requireNonNull(time, "time");
         this.observer = Objects.requireNonNull(observer, "observer");
-        this.cache = new PrefixCache(maxBlocks(options.cost()), this::recordStored, this::recordEvicted);
+        this.cacheEvents = new CacheEventLog(time::monotonicMillis, options.cacheEventLagMillis());
+        this.cache = new PrefixCache(
+                PrefixCache.maxBlocks(options.cost()), cacheEvents::recordStored, cacheEvents::recordEvicted);
+        this.batch = new StandInBatch(options.cost(), cache);
         recordLoad();
     }
 
@@ -94,9 +88,8 @@
         Objects.requireNonNull(listener, "listener");
         Optional<TargetFailure> refusal = refusalOf(call);
         if (refusal.isPresent()) {
-            long refusedEpoch = epoch;
             time.schedule(0, () -> listener.onFailure(refusal.get()));
-            return new Handle(null, refusedEpoch, listener);
+            return NoOpAnswerStream.INSTANCE;
         }
         StandInSequence sequence = new StandInSequence(call, listener);
         streams.put(call.attemptId(), sequence);
@@ -113,7 +106,7 @@
         } else {
             enqueue(sequence, epoch);
         }
-        return new Handle(sequence, epoch, listener);
+        return connect(sequence, listener);
     }
 
     @Override
@@ -124,11 +117,22 @@
                     ? new TargetFailure.NotSent("the engine is down")
                     : new TargetFailure.Refused("no such stream", false, false, 0);
             time.schedule(0, () -> listener.onFailure(failure));
-            return new Handle(null, epoch, listener);
+            return NoOpAnswerStream.INSTANCE;
         }
         sequence.attach(listener, fromSequence);
         time.schedule(0, () -> deliver(sequence));
-        return new Handle(sequence, epoch, listener);
+        return connect(sequence, listener);
+    }
+
+    private AnswerStream connect(StandInSequence sequence, AnswerListener listener) {
+        long startEpoch = epoch;
+        return new StandInAnswerStream(sequence, listener, this, () -> cancel(sequence, startEpoch));
+    }
+
+    private synchronized void cancel(StandInSequence sequence, long startEpoch) {
+        if (startEpoch == epoch) {
+            cancel(sequence.call().attemptId());
+        }
     }
 
     @Override
@@ -145,14 +149,7 @@
         if (down) {
             return failed();
         }
-        long latestMillis = time.monotonicMillis() - options.cacheEventLagMillis();
-        List<CacheEvent> found = new ArrayList<>();
-        for (TimedCacheEvent each : cacheEvents) {
-            if (each.event().sequence() > afterSequence && each.atMillis() <= latestMillis) {
-                found.add(each.event());
-            }
-        }
-        return answered(List.copyOf(found));
+        return answered(cacheEvents.after(afterSequence));
     }
 
     @Override
@@ -241,8 +238,7 @@
         StandInSequence sequence = streams.remove(attemptId);
         if (sequence != null) {
             sequence.detach();
-            waiting.remove(sequence);
-            running.remove(sequence);
+            batch.remove(sequence);
         }
     }
 
@@ -252,7 +248,7 @@
      * @return the count
      */
     public synchronized int inFlight() {
-        return waiting.size() + running.size();
+        return batch.size();
     }
 
     private Optional<TargetFailure> refusalOf(GenerateCall call) {
@@ -274,7 +270,7 @@
         if (!servesIt) {
             return Optional.of(new TargetFailure.Refused("the engine's role does not serve this", false, false, 0));
         }
-        if (waiting.size() >= options.maxWaiting()) {
+        if (batch.waitingCount() >= options.maxWaiting()) {
             return Optional.of(new TargetFailure.Refused("too many requests wait", true, false, 1_000));
         }
         return Optional.empty();
@@ -284,7 +280,7 @@
         if (startEpoch != epoch || streams.get(sequence.call().attemptId()) != sequence) {
             return;
         }
-        waiting.addLast(sequence);
+        batch.add(sequence);
         startStep();
     }
 
@@ -292,26 +288,15 @@
         if (stepping || down) {
             return;
         }
-        fillBatch();
+        batch.fill();
         recordLoad();
-        if (running.isEmpty()) {
+        if (batch.isIdle()) {
             return;
         }
         stepping = true;
-        int chunk = options.cost().prefillChunkTokens();
-        List<StandInSequence> generating = new ArrayList<>();
-        int prefilled = 0;
-        for (StandInSequence sequence : running) {
-            prefilled += sequence.prefill(chunk - prefilled);
-            if (sequence.prefillRemaining() == 0) {
-                generating.add(sequence);
-            }
-        }
-        double millis = options.cost().stepMillis(prefilled, generating.size()) + carriedMillis;
-        long wholeMillis = Math.max(1, (long) millis);
-        carriedMillis = millis - wholeMillis;
+        StandInBatch.Step step = batch.beginStep();
         long stepEpoch = epoch;
-        time.schedule(wholeMillis, () -> endStep(generating, stepEpoch));
+        time.schedule(step.millis(), () -> endStep(step.generating(), stepEpoch));
     }
 
     private synchronized void endStep(List<StandInSequence> generating, long stepEpoch) {
@@ -321,7 +306,7 @@
         stepping = false;
         for (StandInSequence sequence : generating) {
             sequence.generateToken();
-            if (sequence.isFinished() && running.remove(sequence)) {
+            if (sequence.isFinished() && batch.remove(sequence)) {
                 forgetLater(sequence);
             }
             deliver(sequence);
@@ -333,23 +318,6 @@
         sequence.deliver();
     }
 
-    private void fillBatch() {
-        while (!waiting.isEmpty() && running.size() < options.cost().maxSequences()) {
-            StandInSequence next = waiting.stream()
-                    .max(Comparator.comparingInt(sequence -> sequence.call().priority()))
-                    .orElseThrow();
-            if (!running.isEmpty() && kvTokens() + next.promptTokens() > kvTokensTotal()) {
-                return;
-            }
-            waiting.remove(next);
-            running.add(next);
-            int cachedCharacters = cache.lookUpAndStore(next.call().prompt());
-            if (next.call().kvReference().isEmpty()) {
-                next.useCached(cachedCharacters);
-            }
-        }
-    }
-
     private void forgetLater(StandInSequence sequence) {
         String attemptId = sequence.call().attemptId();
         time.schedule(options.streamKeepMillis(), () -> forget(attemptId, sequence));
@@ -395,10 +363,7 @@
     private void breakAll(String detail, boolean byOrder) {
         epoch++;
         stepping = false;
-        List<StandInSequence> broken = new ArrayList<>(running);
-        broken.addAll(waiting);
-        running.clear();
-        waiting.clear();
+        List<StandInSequence> broken = batch.removeAll();
         streams.clear();
         for (StandInSequence sequence : broken) {
             if (byOrder) {
@@ -419,57 +384,7 @@
     }
 
     private void recordLoad() {
-        long prefillTokens = 0;
-        long decodeTokens = 0;
-        for (StandInSequence sequence : running) {
-            prefillTokens += sequence.prefillRemaining();
-            decodeTokens += sequence.decodeRemaining();
-        }
-        for (StandInSequence sequence : waiting) {
-            prefillTokens += sequence.prefillRemaining();
-            decodeTokens += sequence.decodeRemaining();
-        }
-        EngineCost cost = options.cost();
-        double decodeSpeed = cost.maxSequences() * 1_000.0 / cost.stepMillis(0, cost.maxSequences());
-        reports.add(new LoadReport(
-                time.wallMillis(),
-                prefillTokens,
-                decodeTokens,
-                running.size(),
-                waiting.size(),
-                kvTokens() * cost.kvBytesPerToken(),
-                cost.kvTotalBytes(),
-                cost.prefillTokensPerSecond(),
-                decodeSpeed));
-    }
-
-    private long kvTokens() {
-        return running.stream().mapToLong(StandInSequence::contextTokens).sum();
-    }
-
-    private long kvTokensTotal() {
-        return options.cost().kvTotalBytes() / options.cost().kvBytesPerToken();
-    }
-
-    private void recordStored(long hash) {
-        recordCacheEvent(hash, true);
-    }
-
-    private void recordEvicted(long hash) {
-        recordCacheEvent(hash, false);
-    }
-
-    private void recordCacheEvent(long hash, boolean stored) {
-        CacheEvent event = new CacheEvent(++cacheEventSequence, hash, stored);
-        cacheEvents.addLast(new TimedCacheEvent(time.monotonicMillis(), event));
-        if (cacheEvents.size() > CACHE_EVENTS_KEPT) {
-            cacheEvents.removeFirst();
-        }
-    }
-
-    private static int maxBlocks(EngineCost cost) {
-        long tokens = cost.kvTotalBytes() / cost.kvBytesPerToken();
-        return (int) Math.max(1, tokens * CHARACTERS_PER_TOKEN / PrefixCache.BLOCK_CHARACTERS);
+        reports.add(batch.loadReport(time.wallMillis()));
     }
 
     private static <T> CompletionStage<TargetReply<T>> answered(T value) {
@@ -480,58 +395,4 @@
         return CompletableFuture.completedFuture(
                 new TargetReply.Failure<>(new TargetFailure.NotSent("the engine is down")));
     }
-
-    private record TimedCacheEvent(long atMillis, CacheEvent event) {}
-
-    /** A caller's handle; one of an earlier epoch or of a refused call does nothing. */
-    private final class Handle implements AnswerStream {
-
-        private final StandInSequence sequence;
-        private final long startEpoch;
-        private final AnswerListener listener;
-
-        Handle(StandInSequence sequence, long startEpoch, AnswerListener listener) {
-            this.sequence = sequence;
-            this.startEpoch = startEpoch;
-            this.listener = listener;
-        }
-
-        @Override
-        public void pauseReading() {
-            setPaused(true);
-        }
-
-        @Override
-        public void resumeReading() {
-            setPaused(false);
-        }
-
-        @Override
-        public void cancel() {
-            synchronized (StandInEngine.this) {
-                if (sequence != null && startEpoch == epoch) {
-                    StandInEngine.this.cancel(sequence.call().attemptId());
-                }
-            }
-        }
-
-        @Override
-        public void detach() {
-            synchronized (StandInEngine.this) {
-                // Another connection may have joined the stream since; it is not this one's to close.
-                if (sequence != null && sequence.listener() == listener) {
-                    sequence.detach();
-                }
-            }
-        }
-
-        private void setPaused(boolean paused) {
-            synchronized (StandInEngine.this) {
-                if (sequence != null) {
-                    sequence.setPaused(paused);
-                    deliver(sequence);
-                }
-            }
-        }
-    }
 }
--- a/src/main/java/org/dogwoodwinch/target/http/HttpEngineClient.java
+++ b/src/main/java/org/dogwoodwinch/target/http/HttpEngineClient.java
@@ -18,6 +18,7 @@
 import org.dogwoodwinch.target.GenerateCall;
 import org.dogwoodwinch.target.KvReference;
 import org.dogwoodwinch.target.LoadReport;
+import org.dogwoodwinch.target.NoOpAnswerStream;
 import org.dogwoodwinch.target.OrderResult;
 import org.dogwoodwinch.target.Target;
 import org.dogwoodwinch.target.TargetFailure;
@@ -119,7 +120,7 @@
         } catch (RuntimeException e) {
             // The client is closed or the URL is malformed. Without this, the listener would never be called.
             handler.onThrowable(e);
-            return new NoOpStream();
+            return NoOpAnswerStream.INSTANCE;
         }
         HttpEngineStream stream = new HttpEngineStream(
                 handler, exchange, () -> cancelOnEngine(attemptId), time, timeouts.silenceMillis());
@@ -140,17 +141,4 @@
                 ? new OrderResult.Refused(failure.detail())
                 : new OrderResult.Unknown(failure.detail());
     }
-
-    /** A stream that was never started; all operations do nothing. */
-    private static final class NoOpStream implements AnswerStream {
-
-        @Override
-        public void pauseReading() {}
-
-        @Override
-        public void resumeReading() {}
-
-        @Override
-        public void cancel() {}
-    }
 }
