Read the head of an answer in one place

Cause: BufferedAnswerHandler and EngineStreamHandler recorded the status, the content type and the progress of the request with the same lines.

Change: both extend AnswerHandler, which does.

Result: two runs of shared lines less.

--- a/src/main/java/org/dogwoodwinch/target/http/BufferedAnswerHandler.java
+++ b/src/main/java/org/dogwoodwinch/target/http/BufferedAnswerHandler.java
@@ -1,28 +1,19 @@
 package org.dogwoodwinch.target.http;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
-import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
-import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
-import org.asynchttpclient.HttpResponseStatus;
-import org.asynchttpclient.netty.request.NettyRequest;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.target.ServiceAnswer;
 import org.dogwoodwinch.target.TargetFailure;
 import org.dogwoodwinch.target.TargetReply;
 
 /** Buffers one answer up to a maximum size. */
-final class BufferedAnswerHandler implements AsyncHandler<Void> {
+final class BufferedAnswerHandler extends AnswerHandler {
 
-    private final SendProgress progress = new SendProgress();
     private final CompletableFuture<TargetReply<ServiceAnswer>> reply = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final int maxBodyBytes;
-    private int status;
-    private String contentType = "";
 
     /**
      * Creates a handler.
@@ -42,23 +33,6 @@
         return reply;
     }
 
-    @Override
-    public void onRequestSend(NettyRequest _request) {
-        progress.markWriteStarted();
-    }
-
-    @Override
-    public State onStatusReceived(HttpResponseStatus responseStatus) {
-        status = responseStatus.getStatusCode();
-        return State.CONTINUE;
-    }
-
-    @Override
-    public State onHeadersReceived(HttpHeaders headers) {
-        contentType = Objects.requireNonNullElse(headers.get(HttpHeaderNames.CONTENT_TYPE), "");
-        return State.CONTINUE;
-    }
-
     @Override
     public State onBodyPartReceived(HttpResponseBodyPart part) {
         byte[] bytes = part.getBodyPartBytes();
@@ -72,19 +46,19 @@
 
     @Override
     public void onThrowable(Throwable error) {
-        fail(progress.toFailure(error));
+        fail(toFailure(error));
     }
 
     @Override
     public Void onCompleted() {
-        if (status == 0) {
+        if (status() == 0) {
             fail(new TargetFailure.Broken("the response ended without a status"));
             return null;
         }
-        reply.complete(RefusalBody.parse(contentType, body.toByteArray())
+        reply.complete(RefusalBody.parse(contentType(), body.toByteArray())
                 .<TargetReply<ServiceAnswer>>map(TargetReply.Failure::new)
                 .orElseGet(() -> new TargetReply.Answer<>(
-                        new ServiceAnswer(status, contentType, Bytes.of(body.toByteArray())))));
+                        new ServiceAnswer(status(), contentType(), Bytes.of(body.toByteArray())))));
         return null;
     }
 
--- a/src/main/java/org/dogwoodwinch/target/http/EngineStreamHandler.java
+++ b/src/main/java/org/dogwoodwinch/target/http/EngineStreamHandler.java
@@ -2,17 +2,13 @@
 
 import com.fasterxml.jackson.databind.ObjectReader;
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.HttpResponseStatus;
-import org.asynchttpclient.netty.request.NettyRequest;
 import org.dogwoodwinch.target.AnswerChunk;
 import org.dogwoodwinch.target.AnswerListener;
 import org.dogwoodwinch.target.TargetFailure;
@@ -24,7 +20,7 @@
  * answer. A line of another attempt fails the stream, so that an engine or a proxy that mixes up answers cannot pass
  * one caller's text to another.
  */
-final class EngineStreamHandler implements AsyncHandler<Void> {
+final class EngineStreamHandler extends AnswerHandler {
 
     private static final ObjectReader LINE_READER = TargetJson.reader(StreamLine.class);
     private static final int OK = 200;
@@ -33,14 +29,11 @@
 
     private final String attemptId;
     private final AnswerListener listener;
-    private final SendProgress progress = new SendProgress();
     private final AtomicBoolean ended = new AtomicBoolean();
     private final LineSplitter splitter = new LineSplitter(MAX_LINE_BYTES);
     private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
     private final ReadController readController = new ReadController();
     private volatile Runnable onEnd = () -> {};
-    private int status;
-    private String contentType = "";
 
     /**
      * Creates a handler.
@@ -68,7 +61,7 @@
      * @return true if the engine may have received the attempt and has not ended it, so that it must be cancelled there
      */
     boolean cancel() {
-        return markEnded() && progress.mayHaveWritten();
+        return markEnded() && mayHaveWritten();
     }
 
     /**
@@ -117,29 +110,17 @@
         readController.detach();
     }
 
-    @Override
-    public void onRequestSend(NettyRequest _request) {
-        progress.markWriteStarted();
-    }
-
     @Override
     public State onStatusReceived(HttpResponseStatus responseStatus) {
         readController.recordData();
-        status = responseStatus.getStatusCode();
-        return State.CONTINUE;
-    }
-
-    @Override
-    public State onHeadersReceived(HttpHeaders headers) {
-        contentType = Objects.requireNonNullElse(headers.get(HttpHeaderNames.CONTENT_TYPE), "");
-        return State.CONTINUE;
+        return super.onStatusReceived(responseStatus);
     }
 
     @Override
     public State onBodyPartReceived(HttpResponseBodyPart part) {
         readController.recordData();
         byte[] bytes = part.getBodyPartBytes();
-        if (status != OK) {
+        if (status() != OK) {
             errorBody.write(bytes, 0, Math.min(bytes.length, MAX_ERROR_BODY_BYTES - errorBody.size()));
             return State.CONTINUE;
         }
@@ -152,18 +133,18 @@
 
     @Override
     public void onThrowable(Throwable error) {
-        fail(progress.toFailure(error));
+        fail(toFailure(error));
     }
 
     @Override
     public Void onCompleted() {
         readController.detach();
-        if (status == OK) {
+        if (status() == OK) {
             fail(new TargetFailure.Broken("stream ended without its final line"));
             return null;
         }
-        Optional<TargetFailure> refusal = RefusalBody.parse(contentType, errorBody.toByteArray());
-        fail(refusal.orElseGet(() -> new TargetFailure.Failed("status " + status)));
+        Optional<TargetFailure> refusal = RefusalBody.parse(contentType(), errorBody.toByteArray());
+        fail(refusal.orElseGet(() -> new TargetFailure.Failed("status " + status())));
         return null;
     }
 
