Pass the calls of a router on in one place

Cause: DrainAwareRouter and LeavingTargetReportingRouter each passed all calls of Router on to another router, also those to which they add nothing.

Change: both extend DelegatingRouter and override only what they add to.

--- a/src/main/java/org/dogwoodwinch/control/DrainAwareRouter.java
+++ b/src/main/java/org/dogwoodwinch/control/DrainAwareRouter.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.dogwoodwinch.catalogue.WorkClass;
+import org.dogwoodwinch.routing.DelegatingRouter;
 import org.dogwoodwinch.routing.Route;
 import org.dogwoodwinch.routing.RouteQuery;
 import org.dogwoodwinch.routing.Router;
@@ -18,9 +19,8 @@
  * A router that sends no new requests to targets that are out of service, and counts the requests of this instance in
  * flight on each target. Thread-safe.
  */
-public final class DrainAwareRouter implements Router {
+public final class DrainAwareRouter extends DelegatingRouter {
 
-    private final Router delegate;
     private final Supplier<Set<String>> outOfService;
     private final Map<String, SentAttempt> sentAttempts = new ConcurrentHashMap<>();
 
@@ -31,7 +31,7 @@
      * @param outOfService the targets that must not receive new requests, not null
      */
     public DrainAwareRouter(Router delegate, Supplier<Set<String>> outOfService) {
-        this.delegate = Objects.requireNonNull(delegate, "delegate");
+        super(delegate);
         this.outOfService = Objects.requireNonNull(outOfService, "outOfService");
     }
 
@@ -57,7 +57,7 @@
     public Route route(RouteQuery query) {
         Set<String> excluded = new HashSet<>(query.excludedTargets());
         excluded.addAll(outOfService.get());
-        return delegate.route(new RouteQuery(
+        return super.route(new RouteQuery(
                 query.group(),
                 query.workClass(),
                 query.prompt(),
@@ -71,30 +71,25 @@
     @Override
     public void onSent(String attemptId, Target target, RouteQuery query) {
         sentAttempts.put(attemptId, new SentAttempt(target.name(), query.workClass() == WorkClass.URGENT));
-        delegate.onSent(attemptId, target, query);
-    }
-
-    @Override
-    public void onFirstToken(String attemptId, long elapsedMillis) {
-        delegate.onFirstToken(attemptId, elapsedMillis);
+        super.onSent(attemptId, target, query);
     }
 
     @Override
     public void onCompleted(String attemptId, TokenUsage usage) {
         sentAttempts.remove(attemptId);
-        delegate.onCompleted(attemptId, usage);
+        super.onCompleted(attemptId, usage);
     }
 
     @Override
     public void onFailed(String attemptId, TargetFailure failure) {
         sentAttempts.remove(attemptId);
-        delegate.onFailed(attemptId, failure);
+        super.onFailed(attemptId, failure);
     }
 
     @Override
     public void onCancelled(String attemptId) {
         sentAttempts.remove(attemptId);
-        delegate.onCancelled(attemptId);
+        super.onCancelled(attemptId);
     }
 
     private record SentAttempt(String target, boolean urgent) {}
--- a/src/main/java/org/dogwoodwinch/daemon/LeavingTargetReportingRouter.java
+++ b/src/main/java/org/dogwoodwinch/daemon/LeavingTargetReportingRouter.java
@@ -4,7 +4,7 @@
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.Objects;
 import java.util.function.Consumer;
-import org.dogwoodwinch.routing.Route;
+import org.dogwoodwinch.routing.DelegatingRouter;
 import org.dogwoodwinch.routing.RouteQuery;
 import org.dogwoodwinch.routing.Router;
 import org.dogwoodwinch.target.Target;
@@ -15,11 +15,10 @@
  * Router decorator that reports each target that refuses an attempt because it is leaving the fleet, so that the
  * peers receive its name. Thread-safe.
  */
-final class LeavingTargetReportingRouter implements Router {
+final class LeavingTargetReportingRouter extends DelegatingRouter {
 
     private static final long MAX_TRACKED_ATTEMPTS = 100_000;
 
-    private final Router delegate;
     private final Consumer<String> leavingListener;
     private final Cache<String, String> targetByAttempt =
             Caffeine.newBuilder().maximumSize(MAX_TRACKED_ATTEMPTS).build();
@@ -31,37 +30,27 @@
      * @param leavingListener receives the name of a target that refused because it is leaving the fleet, not null
      */
     LeavingTargetReportingRouter(Router delegate, Consumer<String> leavingListener) {
-        this.delegate = Objects.requireNonNull(delegate, "delegate");
+        super(delegate);
         this.leavingListener = Objects.requireNonNull(leavingListener, "leavingListener");
     }
 
-    @Override
-    public Route route(RouteQuery query) {
-        return delegate.route(query);
-    }
-
     @Override
     public void onSent(String attemptId, Target target, RouteQuery query) {
         targetByAttempt.put(attemptId, target.name());
-        delegate.onSent(attemptId, target, query);
-    }
-
-    @Override
-    public void onFirstToken(String attemptId, long elapsedMillis) {
-        delegate.onFirstToken(attemptId, elapsedMillis);
+        super.onSent(attemptId, target, query);
     }
 
     @Override
     public void onCompleted(String attemptId, TokenUsage usage) {
         targetByAttempt.invalidate(attemptId);
-        delegate.onCompleted(attemptId, usage);
+        super.onCompleted(attemptId, usage);
     }
 
     @Override
     public void onFailed(String attemptId, TargetFailure failure) {
         String target = targetByAttempt.getIfPresent(attemptId);
         targetByAttempt.invalidate(attemptId);
-        delegate.onFailed(attemptId, failure);
+        super.onFailed(attemptId, failure);
         if (target != null && failure instanceof TargetFailure.Refused refused && refused.leaving()) {
             leavingListener.accept(target);
         }
@@ -70,6 +59,6 @@
     @Override
     public void onCancelled(String attemptId) {
         targetByAttempt.invalidate(attemptId);
-        delegate.onCancelled(attemptId);
+        super.onCancelled(attemptId);
     }
 }
