Measure the times of an answer in one place

Cause: the measurements of the direct path and of the daemon's path kept the time of the first part and of the end of an answer with the same lines.

Change: AnswerStopwatch keeps them for both.

Result: one run of shared lines less.

--- a/src/main/java/org/dogwoodwinch/measure/DaemonCaller.java
+++ b/src/main/java/org/dogwoodwinch/measure/DaemonCaller.java
@@ -88,13 +88,10 @@
 
         private final CompletableFuture<PathAnswer> answer = new CompletableFuture<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private final TimeSource time;
-        private final long startNanos;
-        private long firstNanos;
+        private final AnswerStopwatch stopwatch;
 
         Collector(TimeSource time) {
-            this.time = time;
-            this.startNanos = time.monotonicNanos();
+            this.stopwatch = new AnswerStopwatch(time);
         }
 
         @Override
@@ -109,22 +106,22 @@
 
         @Override
         public State onBodyPartReceived(HttpResponseBodyPart part) {
-            firstNanos = firstNanos == 0 ? time.monotonicNanos() - startNanos : firstNanos;
+            stopwatch.onPart();
             body.writeBytes(part.getBodyPartBytes());
             return State.CONTINUE;
         }
 
         @Override
         public void onThrowable(Throwable error) {
-            answer.complete(new PathAnswer(false, error.toString(), 0, time.monotonicNanos() - startNanos));
+            answer.complete(new PathAnswer(false, error.toString(), 0, stopwatch.elapsedNanos()));
         }
 
         @Override
         public Void onCompleted() {
-            long totalNanos = time.monotonicNanos() - startNanos;
+            long totalNanos = stopwatch.elapsedNanos();
             String events = body.toString(StandardCharsets.UTF_8);
             boolean whole = events.contains(DONE);
-            answer.complete(new PathAnswer(whole, whole ? textOf(events) : events, firstNanos, totalNanos));
+            answer.complete(new PathAnswer(whole, whole ? textOf(events) : events, stopwatch.firstNanos(), totalNanos));
             return null;
         }
 
--- a/src/main/java/org/dogwoodwinch/measure/DirectCaller.java
+++ b/src/main/java/org/dogwoodwinch/measure/DirectCaller.java
@@ -58,29 +58,26 @@
 
         private final CompletableFuture<PathAnswer> answer = new CompletableFuture<>();
         private final StringBuilder text = new StringBuilder();
-        private final TimeSource time;
-        private final long startNanos;
-        private long firstNanos;
+        private final AnswerStopwatch stopwatch;
 
         Collector(TimeSource time) {
-            this.time = time;
-            this.startNanos = time.monotonicNanos();
+            this.stopwatch = new AnswerStopwatch(time);
         }
 
         @Override
         public void onChunk(AnswerChunk chunk) {
-            firstNanos = firstNanos == 0 ? time.monotonicNanos() - startNanos : firstNanos;
+            stopwatch.onPart();
             text.append(chunk.text());
         }
 
         @Override
         public void onComplete(TokenUsage _usage, String _finishReason) {
-            answer.complete(new PathAnswer(true, text.toString(), firstNanos, time.monotonicNanos() - startNanos));
+            answer.complete(new PathAnswer(true, text.toString(), stopwatch.firstNanos(), stopwatch.elapsedNanos()));
         }
 
         @Override
         public void onFailure(TargetFailure failure) {
-            answer.complete(new PathAnswer(false, failure.toString(), 0, time.monotonicNanos() - startNanos));
+            answer.complete(new PathAnswer(false, failure.toString(), 0, stopwatch.elapsedNanos()));
         }
     }
 }
