--- a/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlConnection.java
@@ -43,7 +43,7 @@
     private static final long MAX_RECEIVED_BYTES =
             2L * ReceiveLimits.MAX_CONTROL_BODY_BYTES + ReceiveLimits.MAX_HEADER_BYTES;
 
-    /** Control answers state no request id, so the position of a status line in a head does not matter. */
+    /** Control answers state neither a request id nor a signature, so any other status line in a head counts. */
     private static final String WITHOUT_ID = "";
 
     private final InetSocketAddress address;
@@ -166,7 +166,7 @@
         } else if (response.decoderResult().isFailure()) {
             refuseAnswer("garbled");
         } else if (callsCount > 1
-                && ResponseIdentity.of(response, WITHOUT_ID).innerStatusLine() != InnerStatusLine.NONE) {
+                && ResponseIdentity.of(response, WITHOUT_ID, WITHOUT_ID).innerStatusLine() != InnerStatusLine.NONE) {
             refuseAnswer(HeadVerdict.INNER_STATUS_LINE);
         } else if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             countInterimHead();
