Take an answer that is not proved for no sign of a crash

Cause: each lost answer counted as the loss of a connection, by which a target's crash is found.

Change: a call whose answer cannot be told apart ends like one that its target failed: the target is there and goes on working. Malformed bytes still count, since a target that is killed within a head looks the same.

Evidence: callWhoseAnswerIsNotProvedIsNoSuspectWhenItsTargetIsGone fails without the change (the call is a suspect).

--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -504,6 +504,16 @@
         }
     }
 
+    @Override
+    public void onUnproved(String reason) {
+        inFlight.ifPresent(InFlightSend::recordLost);
+        releaseSend();
+        if (!done) {
+            suspicion.recordFailure();
+            onEnd(new SendOutcome.Unknown(reason));
+        }
+    }
+
     private void recordLostCall() {
         if (suspicion.recordLost(plan.target())) {
             context.crashProbe().probe(plan.target());
--- a/src/main/java/org/dogwoodwinch/relay/ResponseSink.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseSink.java
@@ -36,4 +36,14 @@
      *     false for a reused connection, which the target may have closed for being idle
      */
     void onLost(String reason, boolean connectionAborted);
+
+    /**
+     * The target sent bytes from which the response to this call cannot be told apart. It goes on working, so this is no
+     * evidence of a crash.
+     *
+     * @param reason the reason for logs and metrics, not null
+     */
+    default void onUnproved(String reason) {
+        onLost(reason, false);
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Objects;
+import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.http.Channels;
 
@@ -253,7 +254,7 @@
             return;
         }
         if (verdict instanceof HeadVerdict.Unproved unproved) {
-            failUnproved(unproved.reason(), status);
+            refuseHead(unproved.reason(), status);
             return;
         }
         ResponseAttributes attributes = callHeaders.parseResponse(response);
@@ -275,7 +276,7 @@
     private void handleInterimHead(HttpResponse response) {
         interimCount++;
         if (identity.innerStatusLine() != InnerStatusLine.NONE) {
-            failUnproved(HeadVerdict.INNER_STATUS_LINE, response.status().code());
+            refuseHead(HeadVerdict.INNER_STATUS_LINE, response.status().code());
         } else if (interimCount > ReceiveLimits.MAX_INTERIM_HEADS) {
             failEndless("interim_heads");
         }
@@ -289,10 +290,10 @@
         failCall("garbled");
     }
 
-    private void failUnproved(String reason, int status) {
+    private void refuseHead(String reason, int status) {
         log.unproved(requestId, reason, status, identity.requestIds());
         listener.repeated(this, reason);
-        failCall("answer_not_proved");
+        failUnproved("answer_not_proved");
     }
 
     private void skipResponse(String answeredId) {
@@ -300,7 +301,7 @@
         log.skipped(requestId, answeredId);
         listener.repeated(this, "answer_of_other");
         if (skippedCount > ReceiveLimits.MAX_SKIPPED_ANSWERS || !isKept) {
-            failCall("answers_of_others");
+            failUnproved("answers_of_others");
             return;
         }
         skipped = new SkippedAnswer(requestId);
@@ -310,7 +311,7 @@
     private void skipContent(HttpContent content) {
         if (skipped.holdsOwnAnswer(content)) {
             log.swallowed(requestId);
-            failCall("answer_swallowed");
+            failUnproved("answer_swallowed");
         } else if (content instanceof LastHttpContent) {
             state = State.WAITING;
         }
@@ -386,12 +387,20 @@
     }
 
     private void failCall(String reason, boolean connectionAborted) {
+        endCall(waiting -> waiting.onLost(reason, connectionAborted));
+    }
+
+    private void failUnproved(String reason) {
+        endCall(waiting -> waiting.onUnproved(reason));
+    }
+
+    private void endCall(Consumer<ResponseSink> notification) {
         ResponseSink waitingSink = sink;
         sink = null;
         failed = true;
         close();
         if (waitingSink != null) {
-            waitingSink.onLost(reason, connectionAborted);
+            notification.accept(waitingSink);
         }
     }
 
--- a/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/SuspicionsTest.java
@@ -75,6 +75,20 @@
         assertEquals(5, relay.targetConnections.size());
     }
 
+    /** Failure: callers of a target that answers twice become suspects when it is replaced, and are held back. */
+    @Test
+    void callWhoseAnswerIsNotProvedIsNoSuspectWhenItsTargetIsGone() {
+        listNewTarget();
+        relay.connectCaller().send(CRASHING_REQUEST);
+        RelayFixture.FakeTargetConnection target = relay.latestTargetConnection();
+        target.respond("HTTP/1.1 200 OHTTP/1.1 500 No\r\nRequest-Id: p1\r\nContent-Length: 0\r\n\r\n");
+
+        crashTarget(target);
+
+        assertEquals(
+                Quarantine.Status.CLEAR, relay.suspects.statusOf(fingerprint(callTo("/once/p", RelayFixture.HOST))));
+    }
+
     /** The call ran beside the one that crashed the target. Its completion on a later attempt clears the suspicion. */
     @Test
     void callRunningDuringCrashIsClearedByCompletion() {
