--- a/src/main/java/org/dogwoodwinch/relay/SkippedAnswer.java
+++ b/src/main/java/org/dogwoodwinch/relay/SkippedAnswer.java
@@ -40,8 +40,9 @@
      * @return whether a field with the id of the waiting call stands in it, so that the answer holds that call's own one
      */
     boolean holdsOwnAnswer(HttpContent content) {
-        boolean found = search.find(content.content()) | searchWithoutSpace.find(content.content());
-        return found || (content instanceof LastHttpContent last && isNamedIn(last));
+        boolean found = search.find(content.content());
+        boolean foundWithoutSpace = searchWithoutSpace.find(content.content());
+        return found || foundWithoutSpace || (content instanceof LastHttpContent last && isNamedIn(last));
     }
 
     private static ByteSequenceSearch searchFor(String text) {
