--- a/src/test/java/org/dogwoodwinch/relay/LateAnswerPlay.java
+++ b/src/test/java/org/dogwoodwinch/relay/LateAnswerPlay.java
@@ -99,6 +99,11 @@
         return new LateAnswerPlay(path, methods, late, 0, Arrival.AFTER_WRITE, 0, own, Reads.ONE);
     }
 
+    /** Returns the methods of both calls, when the second answer begins to arrive, and whether a part comes after the write. */
+    String situation() {
+        return methods + " " + arrival + (earlyBytes < cutAt ? "" : " wholly");
+    }
+
     /** Returns all that is needed to play it again. */
     String describe() {
         return path + " " + methods + " [" + late.name() + "] " + earlyBytes + "+" + (cutAt - earlyBytes) + " bytes "
