--- a/src/main/java/org/dogwoodwinch/relay/SkippedAnswer.java
+++ b/src/main/java/org/dogwoodwinch/relay/SkippedAnswer.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.relay;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
@@ -21,6 +22,9 @@
     private final ByteSequenceSearch search;
     private final ByteSequenceSearch searchWithoutSpace;
 
+    /** The last bytes so far, as many as a field with the id has behind its name. */
+    private String end = "";
+
     /**
      * Begins with the body of the answer.
      *
@@ -28,7 +32,7 @@
      */
     SkippedAnswer(String waitingId) {
         this.waitingId = Objects.requireNonNull(waitingId, "waitingId");
-        String lineEnd = waitingId.length() < MIN_DISTINCT_ID_LENGTH ? "\r\n" : "";
+        String lineEnd = waitingId.length() < MIN_DISTINCT_ID_LENGTH ? "\r" : "";
         this.search = searchFor(": " + waitingId + lineEnd);
         this.searchWithoutSpace = searchFor(":" + waitingId + lineEnd);
     }
@@ -42,7 +46,22 @@
     boolean holdsOwnAnswer(HttpContent content) {
         boolean found = search.find(content.content());
         boolean foundWithoutSpace = searchWithoutSpace.find(content.content());
-        return found || foundWithoutSpace || (content instanceof LastHttpContent last && isNamedIn(last));
+        keepEnd(content.content());
+        return found
+                || foundWithoutSpace
+                || (content instanceof LastHttpContent last && (isNamedIn(last) || endsWithId()));
+    }
+
+    private void keepEnd(ByteBuf part) {
+        int taken = Math.min(part.readableBytes(), waitingId.length() + 2);
+        String added = part.toString(part.writerIndex() - taken, taken, StandardCharsets.ISO_8859_1);
+        String joined = end + added;
+        end = joined.substring(Math.max(0, joined.length() - waitingId.length() - 2));
+    }
+
+    /** Returns whether the answer ends where the own one's id does, so that only line ends are left of that one's head. */
+    private boolean endsWithId() {
+        return end.endsWith(":" + waitingId) || end.endsWith(": " + waitingId);
     }
 
     private static ByteSequenceSearch searchFor(String text) {
