--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -10,9 +10,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Objects;
 import java.util.function.Consumer;
@@ -30,8 +28,6 @@
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
 
     private static final String TIMED_OUT = "timed out";
-    private static final int MIN_STATUS = 100;
-    private static final int MAX_STATUS = 599;
 
     private enum State {
         IDLE,
@@ -44,9 +40,9 @@
 
     private final Incarnation target;
     private final CallHeaders callHeaders;
-    private final HeadVerdict.Judge judge;
     private final TargetConnectionListener listener;
     private final CarriedCalls carried = new CarriedCalls();
+    private final ResponseHeads heads;
     private final TargetConnectionLog log;
     private Channel channel;
     private State state = State.IDLE;
@@ -55,9 +51,6 @@
     private ChannelFuture writeFuture;
     private boolean isKept;
     private boolean failed;
-    private ResponseIdentity identity;
-    private HeadVerdict verdict;
-    private boolean withoutBody;
     private boolean closedHere;
     private ResponseEnd responseEnd = ResponseEnd.CONNECTION;
     private int skippedCount;
@@ -71,7 +64,7 @@
             Incarnation target, CallHeaders callHeaders, HeadVerdict.Judge judge, TargetConnectionListener listener) {
         this.target = Objects.requireNonNull(target, "target");
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
-        this.judge = Objects.requireNonNull(judge, "judge");
+        this.heads = new ResponseHeads(callHeaders, judge, carried);
         this.listener = Objects.requireNonNull(listener, "listener");
         this.log = new TargetConnectionLog(target, carried);
     }
@@ -81,7 +74,7 @@
         return new ChannelHandler[] {
             new ReceiveGuard(this::mayDecode),
             new HttpRequestEncoder(),
-            new TargetResponseDecoder(this::expectsBytes, this::handleStrayBytes, this::isWithoutBody),
+            new TargetResponseDecoder(this::expectsBytes, this::handleStrayBytes, heads::isWithoutBody),
             this
         };
     }
@@ -131,6 +124,7 @@
         interimCount = 0;
         besideAnswerBytes = 0;
         state = State.WAITING;
+        heads.awaitResponse(requestId);
         carried.add(requestId, call.method().equals(HttpMethod.HEAD));
         writeFuture = channel.writeAndFlush(call.toRequest());
     }
@@ -190,19 +184,6 @@
         }
     }
 
-    /**
-     * Judges a head as it arrived, since the decoder then removes fields that contradict the framing, and returns whether
-     * the answered call, which may be an earlier one, asked for no body.
-     */
-    private boolean isWithoutBody(HttpResponse head) {
-        identity = callHeaders.parseIdentity(head);
-        verdict = judge.judge(head.status().code(), identity, requestId, carried.isFirst());
-        withoutBody = verdict instanceof HeadVerdict.OfOtherCall other
-                ? carried.isWithoutBody(other.requestId())
-                : carried.isWithoutBody(requestId);
-        return withoutBody;
-    }
-
     /** Fails the call as one that the target broke off, so that the target is left out for a while. */
     private void failEndless(String kind) {
         log.endless(requestId, kind, besideAnswerBytes);
@@ -245,7 +226,7 @@
 
     private void handleHead(HttpResponse response) {
         int status = response.status().code();
-        if (status < MIN_STATUS || status > MAX_STATUS || status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+        if (!ResponseHeads.isKnownStatus(status)) {
             failGarbled();
             return;
         }
@@ -253,19 +234,16 @@
             handleInterimHead(response);
             return;
         }
-        if (verdict instanceof HeadVerdict.Unproved unproved) {
+        if (heads.verdict() instanceof HeadVerdict.Unproved unproved) {
             refuseHead(unproved.reason(), status);
             return;
         }
         ResponseAttributes attributes = callHeaders.parseResponse(response);
-        responseEnd = ResponseEnd.expectedOf(response, withoutBody);
-        isKept = responseEnd != ResponseEnd.CONNECTION
-                && HttpUtil.isKeepAlive(response)
-                && !identity.requestIds().isEmpty()
-                && identity.innerStatusLine() != InnerStatusLine.BEFORE_ID;
+        responseEnd = heads.expectedEnd(response);
+        isKept = heads.allowReuse(response);
         idleLimitMillis = attributes.idleTimeoutMillis().orElse(Long.MAX_VALUE);
         listener.responseHead(attributes);
-        if (verdict instanceof HeadVerdict.OfOtherCall other) {
+        if (heads.verdict() instanceof HeadVerdict.OfOtherCall other) {
             skipResponse(other.requestId());
             return;
         }
@@ -275,7 +253,7 @@
 
     private void handleInterimHead(HttpResponse response) {
         interimCount++;
-        if (identity.innerStatusLine() != InnerStatusLine.NONE) {
+        if (heads.hasInnerStatusLine()) {
             refuseHead(HeadVerdict.INNER_STATUS_LINE, response.status().code());
         } else if (interimCount > ReceiveLimits.MAX_INTERIM_HEADS) {
             failEndless("interim_heads");
@@ -291,7 +269,7 @@
     }
 
     private void refuseHead(String reason, int status) {
-        log.unproved(requestId, reason, status, identity.requestIds());
+        log.unproved(requestId, reason, status, heads.statedIds());
         listener.repeated(this, reason);
         failUnproved("answer_not_proved");
     }
