Open connections over TCP in one place

No change of behaviour: the connectors of targets and of control calls held the same opening twice. An event loop is a group of one, so both pass the group from which a connection gets its loop.

--- a/src/main/java/org/dogwoodwinch/relay/ControlClient.java
+++ b/src/main/java/org/dogwoodwinch/relay/ControlClient.java
@@ -32,7 +32,7 @@
      * @param policy time-outs of the connections, not null
      */
     public ControlClient(Transport transport, EventLoop loop, TimeSource time, ConnectionPolicy policy) {
-        this(new TcpControlConnector(transport, loop, policy), time);
+        this(new TcpConnector(transport, loop, policy), time);
     }
 
     /**
