Pass the answers of stand-ins on in one place

No change of behaviour: three answers that wrap another one passed on what they do not change, each by itself. DelegatingAnswer does so for all of them. StutterSoakTest and LeavingTargetsTest pass.

--- a/src/main/java/org/dogwoodwinch/standin/platform/AnswerWithHeader.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/AnswerWithHeader.java
@@ -6,9 +6,8 @@
 import java.util.function.Supplier;
 
 /** Adds one header to an answer, whatever the answer is. */
-final class AnswerWithHeader implements StandInAnswer {
+final class AnswerWithHeader extends DelegatingAnswer {
 
-    private final StandInAnswer answer;
     private final String name;
     private final Supplier<String> value;
 
@@ -20,54 +19,24 @@
      * @param value supplies the header's value when the answer is written, not null
      */
     AnswerWithHeader(StandInAnswer answer, String name, Supplier<String> value) {
-        this.answer = Objects.requireNonNull(answer, "answer");
+        super(answer);
         this.name = Objects.requireNonNull(name, "name");
         this.value = Objects.requireNonNull(value, "value");
     }
 
     @Override
     public void whole(int status, Map<String, String> headers, byte[] body) {
-        answer.whole(status, withHeader(headers), body);
+        super.whole(status, withHeader(headers), body);
     }
 
     @Override
     public void begin(int status, Map<String, String> headers) {
-        answer.begin(status, withHeader(headers));
+        super.begin(status, withHeader(headers));
     }
 
     @Override
     public void beginUnframed(int status, Map<String, String> headers) {
-        answer.beginUnframed(status, withHeader(headers));
-    }
-
-    @Override
-    public void chunk(byte[] body) {
-        answer.chunk(body);
-    }
-
-    @Override
-    public void end() {
-        answer.end();
-    }
-
-    @Override
-    public void raw(byte[] bytes) {
-        answer.raw(bytes);
-    }
-
-    @Override
-    public void close() {
-        answer.close();
-    }
-
-    @Override
-    public void reset() {
-        answer.reset();
-    }
-
-    @Override
-    public boolean open() {
-        return answer.open();
+        super.beginUnframed(status, withHeader(headers));
     }
 
     private Map<String, String> withHeader(Map<String, String> headers) {
--- a/src/main/java/org/dogwoodwinch/standin/platform/RecordedAnswer.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/RecordedAnswer.java
@@ -5,9 +5,8 @@
 import java.util.function.Supplier;
 
 /** Records what is written as an answer. Bytes that are written as they are belong to no answer and are not recorded. */
-final class RecordedAnswer implements StandInAnswer {
+final class RecordedAnswer extends DelegatingAnswer {
 
-    private final StandInAnswer answer;
     private final Supplier<AnswerRecorder> newRecorder;
     private AnswerRecorder recorder = new AnswerRecorder();
 
@@ -18,7 +17,7 @@
      * @param newRecorder creates the record of an answer when it begins, not null
      */
     RecordedAnswer(StandInAnswer answer, Supplier<AnswerRecorder> newRecorder) {
-        this.answer = Objects.requireNonNull(answer, "answer");
+        super(answer);
         this.newRecorder = Objects.requireNonNull(newRecorder, "newRecorder");
     }
 
@@ -27,19 +26,19 @@
         beginRecord(status, headers);
         recorder.add(body);
         recorder.end();
-        answer.whole(status, headers, body);
+        super.whole(status, headers, body);
     }
 
     @Override
     public void begin(int status, Map<String, String> headers) {
         beginRecord(status, headers);
-        answer.begin(status, headers);
+        super.begin(status, headers);
     }
 
     @Override
     public void beginUnframed(int status, Map<String, String> headers) {
         beginRecord(status, headers);
-        answer.beginUnframed(status, headers);
+        super.beginUnframed(status, headers);
     }
 
     private void beginRecord(int status, Map<String, String> headers) {
@@ -50,32 +49,12 @@
     @Override
     public void chunk(byte[] body) {
         recorder.add(body);
-        answer.chunk(body);
+        super.chunk(body);
     }
 
     @Override
     public void end() {
         recorder.end();
-        answer.end();
-    }
-
-    @Override
-    public void raw(byte[] bytes) {
-        answer.raw(bytes);
-    }
-
-    @Override
-    public void close() {
-        answer.close();
-    }
-
-    @Override
-    public void reset() {
-        answer.reset();
-    }
-
-    @Override
-    public boolean open() {
-        return answer.open();
+        super.end();
     }
 }
--- a/src/main/java/org/dogwoodwinch/standin/platform/StutteringConnection.java
+++ b/src/main/java/org/dogwoodwinch/standin/platform/StutteringConnection.java
@@ -69,15 +69,14 @@
     }
 
     /** Writes an answer in bytes, and plans what follows it when it has ended. */
-    private final class StutteringAnswer implements StandInAnswer {
+    private final class StutteringAnswer extends DelegatingAnswer {
         private final StandInRequest request;
-        private final StandInAnswer answer;
         private final AnswerRecorder recorder = new AnswerRecorder();
         private boolean unframed;
 
         StutteringAnswer(StandInRequest request, StandInAnswer answer) {
+            super(answer);
             this.request = request;
-            this.answer = answer;
         }
 
         @Override
@@ -90,13 +89,13 @@
 
         @Override
         public void begin(int status, Map<String, String> headers) {
-            answer.raw(begin(status, headers, Map.of("transfer-encoding", "chunked")));
+            raw(begin(status, headers, Map.of("transfer-encoding", "chunked")));
         }
 
         @Override
         public void beginUnframed(int status, Map<String, String> headers) {
             unframed = true;
-            answer.raw(begin(status, headers, Map.of()));
+            raw(begin(status, headers, Map.of()));
         }
 
         private byte[] begin(int status, Map<String, String> headers, Map<String, String> framing) {
@@ -110,14 +109,14 @@
         @Override
         public void chunk(byte[] body) {
             recorder.add(body);
-            answer.raw(unframed ? body : AnswerBytes.chunk(body));
+            raw(unframed ? body : AnswerBytes.chunk(body));
         }
 
         @Override
         public void end() {
             if (unframed) {
                 answering = false;
-                answer.close();
+                close();
             } else {
                 finish(AnswerBytes.lastChunk());
             }
@@ -130,14 +129,11 @@
             Optional<SecondAnswer> second = stutter.after(request, recorder.given());
             boolean isInSameWrite =
                     second.isPresent() && second.get().timing() == SecondAnswer.Timing.WITH_FIRST_ANSWER;
-            answer.raw(
-                    isInSameWrite
-                            ? AnswerBytes.join(lastBytes, second.get().bytes().toByteArray())
-                            : lastBytes);
+            raw(isInSameWrite ? AnswerBytes.join(lastBytes, second.get().bytes().toByteArray()) : lastBytes);
             if (isInSameWrite && second.get().closesAfter()) {
-                answer.close();
+                close();
             }
-            sendAll(afterThisAnswer, answer);
+            sendAll(afterThisAnswer, this);
             second.ifPresent(this::plan);
         }
 
@@ -153,30 +149,10 @@
                         if (answering) {
                             afterThisAnswer.add(second);
                         } else {
-                            send(second, answer);
+                            send(second, this);
                         }
                     });
             }
         }
-
-        @Override
-        public void raw(byte[] bytes) {
-            answer.raw(bytes);
-        }
-
-        @Override
-        public void close() {
-            answer.close();
-        }
-
-        @Override
-        public void reset() {
-            answer.reset();
-        }
-
-        @Override
-        public boolean open() {
-            return answer.open();
-        }
     }
 }
