Decode the answer to a poll of an engine once

No change of behaviour. On a kept connection an answer was decoded for its check and again for the caller, also a whole list of cached segments. AnswerDecoder keeps the content of the one answer of a call for both.

--- a/src/main/java/org/dogwoodwinch/platform/EngineClient.java
+++ b/src/main/java/org/dogwoodwinch/platform/EngineClient.java
@@ -25,6 +25,7 @@
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Addresses;
 import org.dogwoodwinch.relay.AnswerCheck;
+import org.dogwoodwinch.relay.AnswerDecoder;
 import org.dogwoodwinch.relay.CacheChanges;
 import org.dogwoodwinch.relay.CacheSnapshot;
 import org.dogwoodwinch.relay.ControlClient;
@@ -121,29 +122,30 @@
     public CompletionStage<Optional<CacheChanges>> cacheChanges(Incarnation engine, long sinceNumber) {
         HttpHeaders headers = controlHeaders(engine).set(LONG_POLL_HEADER, longPollMillis);
         String uri = "/kv-events?since=" + sinceNumber;
-        AnswerCheck check = AnswerCheck.ofContent(
-                answer -> parseCacheChanges(engine, answer), changes -> changes.mayFollow(sinceNumber));
+        AnswerDecoder<CacheChanges> decoder = new AnswerDecoder<>(answer -> parseCacheChanges(engine, answer));
+        AnswerCheck check = decoder.checkedBy(changes -> changes.mayFollow(sinceNumber));
         return call(engine, HttpMethod.GET, uri, longPollMillis + timeoutMillis, headers, check)
-                .thenApply(reply -> parseCacheChanges(engine, reply));
+                .thenApply(decoder::decode);
     }
 
     @Override
     public CompletionStage<Optional<CacheSnapshot>> cacheSnapshot(Incarnation engine) {
-        AnswerCheck check = AnswerCheck.ofContent(answer -> parseCacheList(engine, answer), _list -> true);
+        AnswerDecoder<CacheSnapshot> decoder = new AnswerDecoder<>(answer -> parseCacheList(engine, answer));
+        AnswerCheck check = decoder.checkedBy(_list -> true);
         return call(engine, HttpMethod.GET, "/kv-list", timeoutMillis, controlHeaders(engine), check)
-                .thenApply(reply -> parseCacheList(engine, reply));
+                .thenApply(decoder::decode);
     }
 
     @Override
     public CompletionStage<Optional<OrderState>> orderState(Incarnation engine) {
-        AnswerCheck check = AnswerCheck.ofContent(
-                answer -> parseOrderState(engine, answer), state -> orderCounts.mayFollow(engine, state));
+        AnswerDecoder<OrderState> decoder = new AnswerDecoder<>(answer -> parseOrderState(engine, answer));
+        AnswerCheck check = decoder.checkedBy(state -> orderCounts.mayFollow(engine, state));
         return call(engine, HttpMethod.GET, "/report", timeoutMillis, controlHeaders(engine), check)
-                .thenApply(reply -> orderCounts.recordReported(engine, parseOrderState(engine, reply)));
+                .thenApply(reply -> orderCounts.recordReported(engine, decoder.decode(reply)));
     }
 
-    private static Optional<OrderState> parseOrderState(Incarnation engine, ControlReply reply) {
-        Optional<JsonNode> report = readBody(engine, reply)
+    private static Optional<OrderState> parseOrderState(Incarnation engine, ControlReply.Answered answered) {
+        Optional<JsonNode> report = readBody(engine, answered)
                 .filter(root -> root.path("seq").isIntegralNumber()
                         && root.path("busy").isBoolean()
                         && root.path("stage").isTextual());
@@ -241,8 +243,8 @@
     }
 
     /** Ignores an answer without sequence number or epoch, since it cannot be ordered against earlier answers. */
-    private static Optional<CacheChanges> parseCacheChanges(Incarnation engine, ControlReply reply) {
-        return readSequenced(engine, reply, "events")
+    private static Optional<CacheChanges> parseCacheChanges(Incarnation engine, ControlReply.Answered answered) {
+        return readSequenced(engine, answered, "events")
                 .map(root -> new CacheChanges(
                         root.path("epoch").asText(),
                         root.at("/events/0/0").asLong(root.path("nextToken").asLong()),
@@ -251,16 +253,17 @@
                         parseCacheRows(root.path("events"), EVENT_SEGMENT_COLUMN, EVENT_CACHED_TOKENS_COLUMN)));
     }
 
-    private static Optional<CacheSnapshot> parseCacheList(Incarnation engine, ControlReply reply) {
-        return readSequenced(engine, reply, "held")
+    private static Optional<CacheSnapshot> parseCacheList(Incarnation engine, ControlReply.Answered answered) {
+        return readSequenced(engine, answered, "held")
                 .map(root -> new CacheSnapshot(
                         root.path("epoch").asText(),
                         root.path("nextToken").asLong(),
                         parseCacheRows(root.path("held"), LIST_SEGMENT_COLUMN, LIST_CACHED_TOKENS_COLUMN)));
     }
 
-    private static Optional<JsonNode> readSequenced(Incarnation engine, ControlReply reply, String rowsField) {
-        Optional<JsonNode> root = readBody(engine, reply);
+    private static Optional<JsonNode> readSequenced(
+            Incarnation engine, ControlReply.Answered answered, String rowsField) {
+        Optional<JsonNode> root = readBody(engine, answered);
         Optional<JsonNode> complete = root.filter(node -> node.path("nextToken").canConvertToLong()
                 && node.path("nextToken").isIntegralNumber()
                 && node.path("epoch").isValueNode()
@@ -300,8 +303,8 @@
     }
 
     /** Ignores answers of another incarnation; accepts the answer if either start time is unknown. */
-    private static Optional<JsonNode> readBody(Incarnation engine, ControlReply reply) {
-        if (!(reply instanceof ControlReply.Answered answered) || answered.status() != OK) {
+    private static Optional<JsonNode> readBody(Incarnation engine, ControlReply.Answered answered) {
+        if (answered.status() != OK) {
             return Optional.empty();
         }
         try {
