End the process when its event loop has ended

Callers saw: an instance that answers nobody any more, neither the callers of kept connections nor the balancer, and stays so for good, because its process runs on and is not started again.

Cause: all work runs on one event loop. An error that is no exception of a handler, such as a full heap in the loop itself, ends its thread. The process waits for a signal whose handling would have to run on that thread.

Change: EventLoopWatch ends the process with exit code 5 and one log line when the event loops have ended. The platform starts it again within seconds. A heap that is full within one handler does not end the loop, so this costs no call that could still be answered.

--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -41,7 +41,8 @@
             "1:invalid settings",
             "2:invalid command line",
             "3:a listener could not be bound, or the secret or a TLS file could not be read",
-            "4:stopped with unfinished requests: the drain time limit was reached or a second signal was received"
+            "4:stopped with unfinished requests: the drain time limit was reached or a second signal was received",
+            "5:the event loop ended, for example after the heap was full"
         })
 public final class DaemonMain implements Callable<Integer> {
 
@@ -49,6 +50,7 @@
     private static final int EXIT_INVALID_SETTINGS = 1;
     private static final int EXIT_START_FAILED = 3;
     private static final int EXIT_REQUESTS_UNFINISHED = 4;
+    private static final int EXIT_EVENT_LOOPS_ENDED = 5;
     private static final int TIMER_THREADS = 2;
     private static final String SETTINGS_OPTION = "--settings";
 
@@ -118,8 +120,12 @@
     }
 
     private static int runForwardingDaemon(ForwardingSettings settings, Path file) {
-        ForwardingDaemon daemon =
-                new ForwardingDaemon(settings, Transport.start(1), RandomSource.XO_RO_SHI_RO_128_PP.create());
+        Transport transport = Transport.start(1);
+        new EventLoopWatch(
+                        transport.eventLoopGroup().terminationFuture(),
+                        () -> Runtime.getRuntime().halt(EXIT_EVENT_LOOPS_ENDED))
+                .start();
+        ForwardingDaemon daemon = new ForwardingDaemon(settings, transport, RandomSource.XO_RO_SHI_RO_128_PP.create());
         try {
             daemon.start();
         } catch (IOException e) {
