Take no full link for a cut from all targets

What callers saw: in a data centre whose links were full, instances passed their calls on to neighbours that were as starved, though every target was within reach.

Cause: TargetIsolation takes targets that do not answer a probe in time for a cut. On a full link nothing answers in time. The verdict passes calls on, which fills the same links, and it ended only when all probes of a round were answered.

Change: beside each round of probes, LinkProbe opens connections to one near and one far instance and closes them at once. A cut leaves the links to other instances alone, so one of them opens or is refused quickly; on a full link none does within 250 ms. TargetIsolation receives this as LinkDelay. On a slow link a round without an answer decides nothing: earlier failures are dropped, the round is repeated, and the failures are no evidence of crashed targets. A cut on a slow link ends when any target answers. Without other instances the decision is as before. targets_probed logs the delay.

TargetIsolationTest passes the new argument; its checks are unchanged.

--- a/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
@@ -20,7 +20,9 @@
  *
  * <p>Calls only raise the suspicion: several targets fail one after the other, or several calls wait while no target
  * sends anything. A rack that crashed, a service that is down and engines that compute for long look the same, so
- * connections to other targets decide. None is opened while nothing is suspected.
+ * connections to other targets decide. None is opened while nothing is suspected. If this instance's own link is slow, a
+ * target that does not answer in time proves nothing, and the probes are repeated until the link is free or a target
+ * answers.
  */
 public final class TargetIsolation {
 
@@ -57,6 +59,9 @@
     private boolean probing;
     private boolean isolated;
 
+    /** Whether the own link was slow during the last round of probes, and no target answered. */
+    private boolean undecided;
+
     /** What a round of probes changed. */
     public enum Change {
         /** Nothing. */
@@ -81,12 +86,22 @@
     /**
      * Returns whether this instance is cut off from all targets.
      *
-     * @return true from when enough targets and rounds of probes have failed until all probes of a round are answered
+     * @return true from when enough targets and rounds of probes have failed until all probes of a round are answered,
+     *     or one of them on a slow link
      */
     public boolean isIsolated() {
         return isolated;
     }
 
+    /**
+     * Returns whether connections to targets fail, though only because this instance's own link is slow.
+     *
+     * @return true from when no probe of a round was answered on a slow link until the next round
+     */
+    public boolean isUndecided() {
+        return undecided;
+    }
+
     /**
      * Returns the number of different targets that failed recently without a sign of life since.
      *
@@ -176,10 +191,10 @@
      * {@link #recordProbes}.
      *
      * @param nowMillis monotonic milliseconds
-     * @return true while this instance is cut off or suspects it, at intervals
+     * @return true while this instance is cut off, suspects it or cannot tell, at intervals
      */
     public boolean isProbeDue(long nowMillis) {
-        return !probing && nowMillis >= nextProbeMillis && (isolated || isSuspicious(nowMillis));
+        return !probing && nowMillis >= nextProbeMillis && (isolated || undecided || isSuspicious(nowMillis));
     }
 
     private boolean isSuspicious(long nowMillis) {
@@ -230,15 +245,17 @@
      *
      * @param answered the targets to which a connection was opened, not null
      * @param failed the other targets that were probed, not null
+     * @param delay the delay of this instance's own link during the round, not null
      * @param nowMillis monotonic milliseconds
      * @return what it changed
      */
-    public Change recordProbes(Set<String> answered, Set<String> failed, long nowMillis) {
+    public Change recordProbes(Set<String> answered, Set<String> failed, LinkDelay delay, long nowMillis) {
         probing = false;
+        undecided = false;
         answered.forEach(failedAtMillis::remove);
         failed.forEach(id -> failedAtMillis.put(id, nowMillis));
         if (isolated) {
-            return recordProbesWhileIsolated(answered, failed, nowMillis);
+            return recordProbesWhileIsolated(answered, failed, delay, nowMillis);
         }
         if (!answered.isEmpty() || failed.isEmpty()) {
             failedRoundsCount = 0;
@@ -247,6 +264,13 @@
             nextProbeMillis = nowMillis + PROBE_PAUSE_MILLIS;
             return Change.NONE;
         }
+        if (delay.isSlow()) {
+            undecided = true;
+            failedRoundsCount = 0;
+            failedAtMillis.clear();
+            nextProbeMillis = nowMillis + PROBE_INTERVAL_MILLIS;
+            return Change.NONE;
+        }
         failedRoundsCount++;
         nextProbeMillis = nowMillis + PROBE_INTERVAL_MILLIS / 2;
         isolated = haveAllFailed(nowMillis);
@@ -259,9 +283,11 @@
                 || (failedRoundsCount >= MIN_FAILED_ROUNDS && failedCount >= MIN_FAILED_TARGETS);
     }
 
-    private Change recordProbesWhileIsolated(Set<String> answered, Set<String> failed, long nowMillis) {
+    private Change recordProbesWhileIsolated(
+            Set<String> answered, Set<String> failed, LinkDelay delay, long nowMillis) {
         nextProbeMillis = nowMillis + PROBE_INTERVAL_MILLIS;
-        if (answered.isEmpty() || !failed.isEmpty()) {
+        // On a slow link, some probes fail without a cut, and the calls that are passed on keep the link slow.
+        if (answered.isEmpty() || (!failed.isEmpty() && !delay.isSlow())) {
             return Change.NONE;
         }
         isolated = false;
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -144,7 +144,8 @@
                 callQueue,
                 report,
                 decisions.sharingInstancesCount());
-        this.isolationWatch = links.watch(decisions.targets(), this::probe, context.connections()::closeIdle);
+        this.isolationWatch = links.watch(
+                decisions.targets(), this::probe, neighbourCalls.linkProbe(), context.connections()::closeIdle);
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/relay/IsolationWatch.java
+++ b/src/main/java/org/dogwoodwinch/relay/IsolationWatch.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.dogwoodwinch.forwarding.Incarnation;
+import org.dogwoodwinch.forwarding.LinkDelay;
 import org.dogwoodwinch.forwarding.TargetIsolation;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.time.TimeSource;
@@ -42,6 +43,7 @@
     private final TargetIsolation isolation;
     private final Supplier<List<Incarnation>> targets;
     private final Prober prober;
+    private final LinkProbe linkProbe;
     private final TimeSource time;
     private final Consumer<Boolean> onChange;
     private long isolatedSinceMillis;
@@ -52,6 +54,7 @@
      * @param isolation decides, not null
      * @param targets supplies the targets that may be probed, not null
      * @param prober opens connections, not null
+     * @param linkProbe measures the delay of the own link beside each round, not null
      * @param time clock and timers of the event loop, not null
      * @param onChange told when this instance is cut off, and when no longer, not null
      */
@@ -59,11 +62,13 @@
             TargetIsolation isolation,
             Supplier<List<Incarnation>> targets,
             Prober prober,
+            LinkProbe linkProbe,
             TimeSource time,
             Consumer<Boolean> onChange) {
         this.isolation = Objects.requireNonNull(isolation, "isolation");
         this.targets = Objects.requireNonNull(targets, "targets");
         this.prober = Objects.requireNonNull(prober, "prober");
+        this.linkProbe = Objects.requireNonNull(linkProbe, "linkProbe");
         this.time = Objects.requireNonNull(time, "time");
         this.onChange = Objects.requireNonNull(onChange, "onChange");
     }
@@ -83,16 +88,19 @@
         }
     }
 
-    private void handleResult(Set<String> answered, Set<String> failed) {
+    private void handleResult(Set<String> answered, Set<String> failed, LinkDelay delay) {
         long nowMillis = time.monotonicMillis();
         int failedTargetsCount = isolation.failedTargetsCount(nowMillis);
         long silentMillis = isolation.silentMillis(nowMillis);
-        TargetIsolation.Change change = isolation.recordProbes(answered, failed, nowMillis);
+        TargetIsolation.Change change = isolation.recordProbes(answered, failed, delay, nowMillis);
         LogEvent.of("targets_probed")
                 .with("answered", answered)
                 .with("failed", failed)
                 .with("failedTargets", failedTargetsCount)
                 .with("silentMillis", silentMillis)
+                .with("linkDelayMillis", delay.shortestMillis().orElse(-1))
+                .with("linkProbes", delay.startedCount())
+                .with("linkSlow", delay.isSlow())
                 .with("isolated", isolation.isIsolated())
                 .info(log);
         if (change == TargetIsolation.Change.BEGAN) {
@@ -110,13 +118,18 @@
         }
     }
 
-    /** One round of probes, which ends when all have ended, at the latest at their time-out. */
+    /**
+     * One round of probes. It ends when all have ended and the delay of the own link is known or too long, at the latest
+     * at their time-out.
+     */
     private final class Round {
 
         private final List<Incarnation> chosen;
         private final List<String> probedIds = new ArrayList<>();
         private final Set<String> answered = new HashSet<>();
         private final Set<String> failed = new HashSet<>();
+        private LinkProbe.Measurement link;
+        private boolean linkDecided;
         private boolean started;
         private boolean ended;
 
@@ -126,12 +139,20 @@
 
         void begin() {
             time.schedule(PROBE_TIMEOUT_MILLIS, this::end);
+            time.schedule(LinkDelay.SLOW_MILLIS + 1, this::decideLink);
+            link = linkProbe.start(this::decideLink);
             for (Incarnation target : chosen) {
                 if (prober.probe(target, connected -> recordOutcome(target.id(), connected))) {
                     probedIds.add(target.id());
                 }
             }
             started = true;
+            linkDecided |= link.delay().startedCount() == 0;
+            endIfComplete();
+        }
+
+        private void decideLink() {
+            linkDecided = true;
             endIfComplete();
         }
 
@@ -141,7 +162,7 @@
         }
 
         private void endIfComplete() {
-            if (started && answered.size() + failed.size() >= probedIds.size()) {
+            if (started && linkDecided && answered.size() + failed.size() >= probedIds.size()) {
                 end();
             }
         }
@@ -152,7 +173,7 @@
             }
             ended = true;
             probedIds.stream().filter(id -> !answered.contains(id)).forEach(failed::add);
-            handleResult(Set.copyOf(answered), Set.copyOf(failed));
+            handleResult(Set.copyOf(answered), Set.copyOf(failed), link.delay());
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -33,6 +33,7 @@
 
     private final Neighbours neighbours;
     private final NeighbourChooser chooser;
+    private final LinkProbe linkProbe;
     private final BooleanSupplier isIsolated;
     private final CallHeaders callHeaders;
     private final TimeSource time;
@@ -54,6 +55,7 @@
         this.callHeaders = Objects.requireNonNull(callHeaders, "callHeaders");
         this.time = Objects.requireNonNull(time, "time");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.linkProbe = new LinkProbe(neighbours, random, time);
         this.connections = new TargetConnectionPool(
                 neighbours.connector(),
                 callHeaders,
@@ -65,6 +67,11 @@
                 (_neighbour, _attributes) -> {});
     }
 
+    /** Returns what measures the delay of this instance's own link. */
+    LinkProbe linkProbe() {
+        return linkProbe;
+    }
+
     /** Returns whether calls of callers are passed on now: this instance is cut off, and another one is not. */
     boolean arePassedOn() {
         return isIsolated.getAsBoolean() && canTakeOver();
@@ -176,7 +183,8 @@
                 .info(log);
     }
 
-    private static Incarnation asTarget(Neighbour neighbour) {
+    /** Returns a neighbour as a destination of connections. */
+    static Incarnation asTarget(Neighbour neighbour) {
         return new Incarnation(
                 neighbour.name(),
                 "",
--- a/src/main/java/org/dogwoodwinch/relay/TargetLinkGuard.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetLinkGuard.java
@@ -60,8 +60,12 @@
     }
 
     /** Returns a watch over the connections of a pool. */
-    IsolationWatch watch(Supplier<List<Incarnation>> targets, IsolationWatch.Prober prober, Runnable closeIdle) {
-        return new IsolationWatch(isolation, targets, prober, time, isolated -> {
+    IsolationWatch watch(
+            Supplier<List<Incarnation>> targets,
+            IsolationWatch.Prober prober,
+            LinkProbe linkProbe,
+            Runnable closeIdle) {
+        return new IsolationWatch(isolation, targets, prober, linkProbe, time, isolated -> {
             if (isolated) {
                 // Connections that were open during a cut may be dead without a sign.
                 closeIdle.run();
@@ -92,7 +96,7 @@
         isolation.recordFailure(targetId, time.monotonicMillis());
         report.targetUnreachable(targetId, health.recordUnreachable(targetId), "connect_failed");
         time.schedule(CRASH_EVIDENCE_DELAY_MILLIS, () -> {
-            if (!isolation.isIsolated()) {
+            if (!isolation.isIsolated() && !isolation.isUndecided()) {
                 suspicions.handleTargetLost(targetId);
             }
         });
--- a/src/test/java/org/dogwoodwinch/forwarding/TargetIsolationTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/TargetIsolationTest.java
@@ -30,7 +30,8 @@
                 .map(Incarnation::id)
                 .toList());
         assertEquals(2, ids.size());
-        return isolation.recordProbes(answered ? ids : Set.of(), answered ? Set.of() : ids, nowMillis);
+        return isolation.recordProbes(
+                answered ? ids : Set.of(), answered ? Set.of() : ids, LinkDelay.NOT_MEASURED, nowMillis);
     }
 
     /** Guards against an instance that refuses all calls though only it is cut off. */
@@ -73,7 +74,7 @@
         assertTrue(isolation.isProbeDue(100));
         assertTrue(isolation.startProbes(TARGETS, 100).stream()
                 .noneMatch(target -> target.id().compareTo("t3") < 0));
-        assertEquals(Change.NONE, isolation.recordProbes(Set.of("t4"), Set.of("t5"), 101));
+        assertEquals(Change.NONE, isolation.recordProbes(Set.of("t4"), Set.of("t5"), LinkDelay.NOT_MEASURED, 101));
         assertFalse(isolation.isIsolated());
         assertEquals(0, isolation.failedTargetsCount(101));
     }
@@ -120,7 +121,7 @@
         assertTrue(isolation.isProbeDue(612));
         isolation.startProbes(TARGETS, 612);
         assertFalse(isolation.isProbeDue(1_200));
-        assertEquals(Change.NONE, isolation.recordProbes(Set.of("t1"), Set.of("t2"), 700));
+        assertEquals(Change.NONE, isolation.recordProbes(Set.of("t1"), Set.of("t2"), LinkDelay.NOT_MEASURED, 700));
         assertFalse(isolation.isProbeDue(1_199));
         assertEquals(Change.ENDED, probe(1_200, true));
         assertFalse(isolation.isIsolated());
@@ -141,7 +142,7 @@
     void onlyTargetOfAFleetCanBeCutOff() {
         TargetIsolation single = new TargetIsolation(() -> 1, RandomSource.XO_RO_SHI_RO_128_PP.create(1));
         assertEquals(1, single.startProbes(TARGETS.subList(0, 1), 5).size());
-        assertEquals(Change.BEGAN, single.recordProbes(Set.of(), Set.of("t0"), 5));
+        assertEquals(Change.BEGAN, single.recordProbes(Set.of(), Set.of("t0"), LinkDelay.NOT_MEASURED, 5));
     }
 
     /** Guards against a sound instance that believes itself cut off because seven of 41 targets crash at once. */
@@ -162,7 +163,7 @@
                             .map(Incarnation::id)
                             .collect(Collectors.partitioningBy(
                                     id -> Integer.parseInt(id.substring(1)) < 7, Collectors.toSet()));
-                    watched.recordProbes(probed.get(false), probed.get(true), nowMillis);
+                    watched.recordProbes(probed.get(false), probed.get(true), LinkDelay.NOT_MEASURED, nowMillis);
                 }
             }
             cutsCount += watched.isIsolated() ? 1 : 0;
@@ -183,7 +184,7 @@
                 Map<Boolean, Set<String>> probed = watched.startProbes(TARGETS, nowMillis).stream()
                         .map(Incarnation::id)
                         .collect(Collectors.partitioningBy(silent::contains, Collectors.toSet()));
-                watched.recordProbes(probed.get(false), probed.get(true), nowMillis);
+                watched.recordProbes(probed.get(false), probed.get(true), LinkDelay.NOT_MEASURED, nowMillis);
             }
             assertFalse(watched.isIsolated());
         }
--- a/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
+++ b/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
@@ -41,7 +41,11 @@
     }
 
     void add(String name, RelayFixture instance) {
-        neighbours.add(new Neighbour(name, "10.9.9.9", 7_000, "dc-1"));
+        add(name, instance, "dc-1");
+    }
+
+    void add(String name, RelayFixture instance, String dataCentre) {
+        neighbours.add(new Neighbour(name, "10.9.9.9", 7_000, dataCentre));
         instances.put(name, instance);
         acceptors.put(name, new TakenOverCalls(instance.service, instance.time));
     }
