Answer every open call before the process ends

Callers saw: with calls under way at the end of the grace time, the connection closed without any answer, so they could not tell whether the call had run.

Cause: GracefulStop counted the calls that were left half a second before the kill and completed; nothing answered or closed them, and the exit of the process dropped their sockets. Calls that were passed on before anything was done for them here were in no list at all. Last writes that never completed, or failed, kept a process without calls for ever, since only their success completed the stop.

Change: ActiveCall.onInstanceStop() ends a call in whatever stage it is: 503 with Retry-After where it has not run, 502 where it may have run, a begun response is aborted as at its deadline, and a call that was taken over and not written goes back to the instance that passed it on, which tries another one. OpenCalls holds all open calls, also those passed on from the start, ends them and logs call_ended_by_stop for each. GracefulStop ends them at the same moment as before (500 ms before the kill), then waits until the callers' connections have closed after their writes and the last writes are done, at the latest until 100 ms before the kill. Where notReadyMillis exceeds the grace time, calls are ended all the same. The line "stopped" is logged at the end of this, so its "open" is what the exit cuts. The same end of a call that no target serves stood three times in CallRelay and twice in NeighbourRelay; now once each.

In the virtual-time tests every stage gets its answer: waiting for a connection, prefill, origin of a stream, trial of a segment, queue, sent, part of an answer, begun stream, sent again, passed on (waiting, sent, answering), taken over (not sent, sent), read after the end.

--- a/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
+++ b/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
@@ -1,36 +1,55 @@
 package org.dogwoodwinch.daemon;
 
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
-import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.logging.LogEvent;
+import org.dogwoodwinch.relay.DrainableService;
 import org.dogwoodwinch.settings.ForwardingSettings.GraceSettings;
 import org.dogwoodwinch.time.TimeSource;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Lets the calls in progress finish before the process ends: the instance reports not ready first, then accepts no
  * connections, and ends with its last call or shortly before the platform kills it. Confined to one event loop.
+ *
+ * <p>Failure: the process exits with calls under way or with answers that the sockets have not taken yet, and their
+ * callers receive nothing. So the calls that are left are ended with an answer, and the stop completes only when the
+ * connections that carry the answers have closed, or at the last moment before the kill.
  */
 final class GracefulStop {
 
+    private static final Logger log = LoggerFactory.getLogger(GracefulStop.class);
+
     private static final long DRAIN_CHECK_INTERVAL_MILLIS = 20;
 
-    /** Calls that have not finished are closed in an orderly way this long before the platform kills the process. */
+    /**
+     * Calls that have not finished are ended this long before the platform kills the process. Most of it is for their
+     * answers, which a slow connection does not take at once.
+     */
     private static final long FORCED_CLOSE_LEAD_MILLIS = 500;
 
+    /** The process exits this long before the platform kills it, whatever is still to be written. */
+    private static final long EXIT_LEAD_MILLIS = 100;
+
     /**
-     * Calls that wait for capacity are refused this long before the calls under way are closed, since most calls that are
+     * Calls that wait for capacity are refused this long before the calls under way are ended, since most calls that are
      * sent later would be cut off.
      */
     private static final long REFUSAL_LEAD_MILLIS = 1_500;
 
-    private final ForwardingService service;
+    private final DrainableService service;
     private final Supplier<GraceSettings> settings;
     private final Supplier<CompletionStage<Boolean>> lastWrites;
     private final TimeSource time;
     private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
+    private Optional<CompletableFuture<Boolean>> writes = Optional.empty();
     private long requestedAtMillis;
+    private boolean forciblyClosed;
+    private int unfinishedCount;
 
     /**
      * Creates a stop that has not begun.
@@ -41,7 +60,7 @@
      * @param time the clock and timers, not null
      */
     GracefulStop(
-            ForwardingService service,
+            DrainableService service,
             Supplier<GraceSettings> settings,
             Supplier<CompletionStage<Boolean>> lastWrites,
             TimeSource time) {
@@ -70,30 +89,52 @@
 
     private void check() {
         long elapsedMillis = time.monotonicMillis() - requestedAtMillis;
-        if (elapsedMillis >= settings.get().notReadyMillis()) {
+        long graceMillis = settings.get().graceMillis();
+        long forcedCloseMillis = graceMillis - FORCED_CLOSE_LEAD_MILLIS;
+        if (elapsedMillis >= Math.min(settings.get().notReadyMillis(), forcedCloseMillis)) {
             service.stopAccepting();
-            long forcedCloseMillis = settings.get().graceMillis() - FORCED_CLOSE_LEAD_MILLIS;
             if (elapsedMillis >= forcedCloseMillis - REFUSAL_LEAD_MILLIS) {
                 service.refuseWaitingCalls();
             }
-            boolean graceElapsed = elapsedMillis >= forcedCloseMillis;
-            boolean drained = service.openCallsCount() == 0 && service.callerConnectionsCount() == 0;
-            if (graceElapsed || drained) {
-                service.logState("stopped");
-                finish(graceElapsed);
+            if (elapsedMillis >= forcedCloseMillis) {
+                closeForcibly();
+            }
+            boolean isDrained = service.openCallsCount() == 0 && service.callerConnectionsCount() == 0;
+            if (isDrained) {
+                beginLastWrites();
+            }
+            if ((isDrained && areLastWritesDone()) || elapsedMillis >= graceMillis - EXIT_LEAD_MILLIS) {
+                finish();
                 return;
             }
         }
         time.schedule(DRAIN_CHECK_INTERVAL_MILLIS, this::check);
     }
 
-    /** Waits for the last writes only while the platform does not yet kill the process. */
-    private void finish(boolean graceElapsed) {
-        CompletionStage<Boolean> writes = lastWrites.get();
-        if (graceElapsed) {
-            stopped.complete(service.openCallsCount());
-        } else {
-            writes.thenRun(() -> stopped.complete(service.openCallsCount()));
+    private void closeForcibly() {
+        if (!forciblyClosed) {
+            forciblyClosed = true;
+            unfinishedCount = service.endOpenCalls();
+            beginLastWrites();
+        }
+    }
+
+    private void beginLastWrites() {
+        if (writes.isEmpty()) {
+            writes = Optional.of(lastWrites.get().toCompletableFuture());
+        }
+    }
+
+    private boolean areLastWritesDone() {
+        return writes.map(CompletableFuture::isDone).orElse(false);
+    }
+
+    /** Ends the stop, also without the last writes: a store that never answers must not keep the process. */
+    private void finish() {
+        if (!areLastWritesDone()) {
+            LogEvent.of("last_writes_unfinished").warn(log);
         }
+        service.logState("stopped");
+        stopped.complete(unfinishedCount);
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallPassing.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallPassing.java
@@ -1,6 +1,7 @@
 package org.dogwoodwinch.relay;
 
 import java.util.Objects;
+import java.util.Optional;
 import org.dogwoodwinch.forwarding.NextStep;
 
 /**
@@ -104,13 +105,32 @@
         if (refusal == Refusal.PASS_ON) {
             passOn(PassReason.NO_CONNECTION, refuse.retryAfterMillis());
         } else if (refusal == Refusal.NOT_TAKEN_OVER) {
-            onLeave.run();
-            LocalResponses.sendNotTakenOver(caller, TargetConnectionPool.CONNECTIONS_IN_USE);
-            onDone.run();
+            returnCall(TargetConnectionPool.CONNECTIONS_IN_USE);
         }
         return refusal != Refusal.FINAL;
     }
 
+    /**
+     * Returns how the call ends when this instance has to. The instance that passed it on tries another one if nothing
+     * was written to a target.
+     */
+    StoppedCall.Ending endingAtStop(boolean isBegun, boolean mayHaveRun) {
+        return routed.takenOver() && !attempts.isWritten()
+                ? StoppedCall.Ending.NOT_TAKEN_OVER
+                : StoppedCall.Ending.of(isBegun, mayHaveRun);
+    }
+
+    /**
+     * Tells the instance that passed the call on that it was not taken over, which ends the call here.
+     *
+     * @param reason the reason for its log, not null
+     */
+    void returnCall(String reason) {
+        onLeave.run();
+        LocalResponses.sendNotTakenOver(caller, reason);
+        onDone.run();
+    }
+
     private Refusal judgeRefusal() {
         if (attempts.isWritten()) {
             return Refusal.FINAL;
@@ -144,4 +164,9 @@
     public void onCallerWritable() {
         passedOn.onCallerWritable();
     }
+
+    @Override
+    public Optional<StoppedCall> onInstanceStop() {
+        return passedOn.onInstanceStop();
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -6,7 +6,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.dogwoodwinch.forwarding.CallOwner;
 import org.dogwoodwinch.forwarding.CallProgress;
 import org.dogwoodwinch.forwarding.ForwardingPlan;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -25,10 +24,11 @@
  */
 final class CallRelay implements ResponseSink, ActiveCall {
 
+    private static final String NOT_RUN = "not run";
+
     private final RelayContext context;
     private final IncomingCall call;
     private final CallAttributes attributes;
-    private final Optional<CallOwner> owner;
     private final ServiceRoute route;
     private final ServiceEntry service;
     private final long configVersion;
@@ -64,7 +64,6 @@
         this.context = Objects.requireNonNull(context, "context");
         this.call = routed.call();
         this.attributes = routed.attributes();
-        this.owner = routed.owner();
         this.route = routed.route();
         this.service = routed.service();
         this.onDone = Objects.requireNonNull(onDone, "onDone");
@@ -74,7 +73,7 @@
         this.queued = context.queue().placeOf(routed, deadlineMillis, suspicion.fingerprint());
         this.continuity = new StreamContinuity(context.streamOrigins(), routed, this::reportFirstEvent);
         this.configVersion = routed.configVersion();
-        this.startRecorder = new CallStartRecorder(context.callStarts(), owner, route.kind(), context.time());
+        this.startRecorder = new CallStartRecorder(context.callStarts(), routed.owner(), route.kind(), context.time());
         this.retries = new CallRetries(context, routed, suspicion, attempts);
         this.requests = new CallRequests(context, routed);
         this.targets = new CallTargets(context, routed, attempts, suspicion, continuity);
@@ -103,18 +102,12 @@
     /** Ends the call because it must not be written to a target. */
     private void refuse(CallSuspicion.Refusal refusal) {
         context.report().heldBack(this, refusal);
-        if (attempts.mayHaveRun()) {
-            answer.fail(LocalResponses.BAD_GATEWAY);
-        } else {
-            answer.refuse(refusal.reason(), refusal.retryAfterMillis());
-        }
-        finish();
+        endUnserved(LocalResponses.BAD_GATEWAY, refusal.reason(), refusal.retryAfterMillis());
     }
 
     /** Ends the call because it cannot be served before its caller leaves. */
     private void refuseQueued(long retryAfterMillis) {
-        answer.refuse("not run: no capacity in time", retryAfterMillis);
-        finish();
+        endUnserved(LocalResponses.BAD_GATEWAY, "not run: no capacity in time", retryAfterMillis);
     }
 
     /**
@@ -141,10 +134,8 @@
         if (origin instanceof StreamOrigin.Known) {
             chooseAndSend();
         } else {
-            answer.refuse(
-                    "not run: the begin of the stream is not known",
-                    context.retryPolicy().retryAfterMillis());
-            finish();
+            endUnserved(
+                    LocalResponses.BAD_GATEWAY, "not run: the begin of the stream is not known", retryAfterMillis());
         }
     }
 
@@ -166,6 +157,21 @@
         }
     }
 
+    @Override
+    public Optional<StoppedCall> onInstanceStop() {
+        if (done) {
+            return passing.onInstanceStop();
+        }
+        StoppedCall.Ending ending = passing.endingAtStop(answer.isBegun(), mayHaveRun());
+        StoppedCall stopped = new StoppedCall(requestId(), stage(), ending, ageMillis());
+        if (ending == StoppedCall.Ending.NOT_TAKEN_OVER) {
+            passing.returnCall(LocalResponses.STOPPING);
+        } else {
+            endUnserved(LocalResponses.BAD_GATEWAY, NOT_RUN, retryAfterMillis());
+        }
+        return Optional.of(stopped);
+    }
+
     String requestId() {
         return attributes.requestId().orElse("");
     }
@@ -223,15 +229,11 @@
     }
 
     long ageMillis() {
-        return nowMillis() - call.arrivalMillis();
-    }
-
-    private long nowMillis() {
-        return context.time().monotonicMillis();
+        return context.time().monotonicMillis() - call.arrivalMillis();
     }
 
     private long remainingMillis() {
-        return deadlineMillis - nowMillis();
+        return deadlineMillis - context.time().monotonicMillis();
     }
 
     private void chooseAndSend() {
@@ -365,7 +367,8 @@
         Optional<Prompt> promptToPrefill = prefill.cacheHandle().isPresent() ? Optional.empty() : attributes.prompt();
         InFlightSend started = InFlightSend.start(context, plan.target(), promptToPrefill, plan.prefillWork());
         inFlight = Optional.of(started);
-        context.report().sent(requestId(), plan.target(), plan.prefillWork(), started.aheadTokens(), sendPurpose());
+        SendPurpose purpose = sendsCount() > 0 ? SendPurpose.REPEAT : SendPurpose.RUN;
+        context.report().sent(requestId(), plan.target(), plan.prefillWork(), started.aheadTokens(), purpose);
         suspicion.recordSent(plan.target());
         queued.recordSent();
         OutboundCall outbound = requests.forRun(plan, prefill.cacheHandle(), eventFramer.lastEventId());
@@ -382,10 +385,6 @@
         }
     }
 
-    private SendPurpose sendPurpose() {
-        return sendsCount() > 0 ? SendPurpose.REPEAT : SendPurpose.RUN;
-    }
-
     @Override
     public void onHead(ResponseAttributes responseAttributes, HttpHeaders headers) {
         answer.onHead(responseAttributes, headers);
@@ -469,7 +468,11 @@
     }
 
     private void handleSuccess(ResponseEnd end) {
-        ResponseVerdict verdict = judge(end);
+        // The platform states that a plain body without a length and without chunks is complete at an orderly close.
+        ResponseVerdict verdict =
+                route.kind() == RouteKind.STREAM && !call.method().equals(HttpMethod.HEAD)
+                        ? ResponseVerdict.ofEvents(end, eventFramer.isInsideEvent(), eventFramer.eventsCount())
+                        : ResponseVerdict.COMPLETE;
         context.report().responseEnded(this, end, verdict, eventFramer.eventsCount());
         if (verdict != ResponseVerdict.COMPLETE) {
             recordLostCall();
@@ -485,14 +488,6 @@
         finish();
     }
 
-    private ResponseVerdict judge(ResponseEnd end) {
-        boolean hasEvents = route.kind() == RouteKind.STREAM && !call.method().equals(HttpMethod.HEAD);
-        // The platform states that a plain body without a length and without chunks is complete at an orderly close.
-        return hasEvents
-                ? ResponseVerdict.ofEvents(end, eventFramer.isInsideEvent(), eventFramer.eventsCount())
-                : ResponseVerdict.COMPLETE;
-    }
-
     @Override
     public void onLost(String reason, boolean connectionAborted) {
         inFlight.ifPresent(InFlightSend::recordLost);
@@ -559,7 +554,7 @@
 
     private void end(SendOutcome outcome, NextStep step) {
         if (step instanceof NextStep.Refuse refuse) {
-            answer.refuse("not run", refuse.retryAfterMillis());
+            answer.refuse(NOT_RUN, refuse.retryAfterMillis());
         } else if (step instanceof NextStep.RelayFailure && outcome instanceof SendOutcome.RanAndFailed) {
             answer.relayFailure();
         } else {
@@ -598,16 +593,24 @@
         if (done) {
             return;
         }
-        boolean mayHaveRun = attempts.mayHaveRun() || inFlight.isPresent();
-        context.report().deadlineExceeded(this, mayHaveRun);
-        if (mayHaveRun) {
-            answer.fail(LocalResponses.GATEWAY_TIMEOUT);
-        } else {
-            answer.refuse("not run", context.retryPolicy().retryAfterMillis());
-        }
+        context.report().deadlineExceeded(this, mayHaveRun());
+        endUnserved(LocalResponses.GATEWAY_TIMEOUT, NOT_RUN, retryAfterMillis());
+    }
+
+    private boolean mayHaveRun() {
+        return attempts.mayHaveRun() || inFlight.isPresent();
+    }
+
+    /** Ends the call with the status if it may have run, and with a refusal that gives the reason if it has not. */
+    private void endUnserved(int status, String reason, long retryAfterMillis) {
+        answer.endUnserved(mayHaveRun(), status, reason, retryAfterMillis);
         finish();
     }
 
+    private long retryAfterMillis() {
+        return context.retryPolicy().retryAfterMillis();
+    }
+
     private void releaseSend() {
         inFlight.ifPresent(InFlightSend::end);
         inFlight = Optional.empty();
--- a/src/main/java/org/dogwoodwinch/relay/CallerAnswer.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerAnswer.java
@@ -142,6 +142,15 @@
         }
     }
 
+    /** Ends a call that no target serves: fails one that may have run, and refuses any other one. */
+    void endUnserved(boolean mayHaveRun, int status, String reason, long retryAfterMillis) {
+        if (mayHaveRun) {
+            fail(status);
+        } else {
+            refuse(reason, retryAfterMillis);
+        }
+    }
+
     /** Fails a call that may have run. */
     void fail(int status) {
         if (begun) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collections;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -34,7 +33,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Forwards callers' requests to targets by the configuration in force. Confined to one event loop. */
-public final class ForwardingService implements RequestHandler, TargetEvents {
+public final class ForwardingService implements RequestHandler, TargetEvents, DrainableService {
 
     private static final Logger log = LoggerFactory.getLogger(ForwardingService.class);
 
@@ -58,8 +57,7 @@
     private final ForwardingMetrics metrics;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
-    private final Set<CallRelay> openRelays = new LinkedHashSet<>();
-    private int openCallsCount;
+    private final OpenCalls openCalls = new OpenCalls();
     private Optional<RouteTable> routeTable = Optional.empty();
     private boolean draining;
     private boolean accepting = true;
@@ -335,7 +333,7 @@
     /** Passes on the calls that wait for targets from which nothing has arrived since the cut began. */
     private void passOnWaitingCalls(boolean isolated) {
         if (isolated && isolation.isSilent(time.monotonicMillis())) {
-            List.copyOf(openRelays).forEach(CallRelay::passOnWaiting);
+            openCalls.passOnWaiting();
         }
     }
 
@@ -368,18 +366,19 @@
         context.connections().removeTarget(targetId);
     }
 
-    /** Starts draining: from now on, responses ask callers to close their connections. */
+    @Override
     public void startDraining() {
         draining = true;
     }
 
     /**
-     * Stops accepting connections and closes idle ones; later requests on the remaining connections are refused.
+     * {@inheritDoc}
      *
      * <p>Failure: the load balancer keeps sending callers to this instance while few instances of its data centre are
      * ready, and callers keep their connections open. A call accepted shortly before the process has to exit would be
      * cut off while it runs.
      */
+    @Override
     public void stopAccepting() {
         if (accepting) {
             accepting = false;
@@ -390,10 +389,11 @@
     }
 
     /**
-     * Refuses the calls that wait for capacity, so that their callers return to other instances.
+     * {@inheritDoc}
      *
      * <p>Failure: a call is sent shortly before the process has to exit, and is cut off while it runs.
      */
+    @Override
     public void refuseWaitingCalls() {
         callQueue.refuseAll();
     }
@@ -408,19 +408,22 @@
     }
 
     /**
-     * Returns the number of calls under way.
+     * {@inheritDoc}
      *
-     * @return the calls without a complete response
+     * <p>Failure: the process exits with calls under way, whose callers receive nothing and do not learn whether they may
+     * send their calls again.
      */
+    @Override
+    public int endOpenCalls() {
+        return openCalls.endAll();
+    }
+
+    @Override
     public int openCallsCount() {
-        return openCallsCount;
+        return openCalls.count();
     }
 
-    /**
-     * Returns the number of connections from callers.
-     *
-     * @return the open connections
-     */
+    @Override
     public int callerConnectionsCount() {
         return listener.map(CallerListener::connectionsCount).orElse(0);
     }
@@ -474,7 +477,7 @@
 
     private Optional<String> obstacleToTakeOver() {
         if (!accepting) {
-            return Optional.of("stopping");
+            return Optional.of(LocalResponses.STOPPING);
         }
         if (routeTable.isEmpty()) {
             return Optional.of("no_configuration");
@@ -486,7 +489,7 @@
             IncomingCall call, CallerResponse caller, Runnable onDone, boolean takenOver, boolean counted) {
         CallAttributes attributes = callHeaders.parseCall(call.headers());
         if (!accepting) {
-            return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "stopping");
+            return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, LocalResponses.STOPPING);
         }
         if (routeTable.isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "no configuration yet");
@@ -501,15 +504,10 @@
         }
         Optional<ApiKey> key = callHeaders.takeApiKey(call.headers());
         if (!takenOver && neighbourCalls.arePassedOn()) {
-            openCallsCount++;
-            return neighbourCalls.passOn(
-                    new PassedOnCall(call, key, attributes, route.get(), PassReason.CUT_OFF, false, false, () -> false),
-                    caller,
-                    context.retryPolicy().retryAfterMillis(),
-                    () -> {
-                        openCallsCount--;
-                        onDone.run();
-                    });
+            PassedOnCall passedOn =
+                    new PassedOnCall(call, key, attributes, route.get(), PassReason.CUT_OFF, false, false, () -> false);
+            long retryAfterMillis = context.retryPolicy().retryAfterMillis();
+            return openCalls.passOn(ended -> neighbourCalls.passOn(passedOn, caller, retryAfterMillis, ended), onDone);
         }
         CallerIdentity identity = current.identify(route.get(), key);
         if (identity instanceof CallerIdentity.Rejected rejected) {
@@ -523,7 +521,7 @@
         }
         RoutedCall routed = new RoutedCall(
                 call, key, attributes, owner, route.get(), service.get(), current.version(), takenOver, counted);
-        return begin(routed, caller, onDone);
+        return openCalls.forward(ended -> new CallRelay(context, routed, caller, ended), onDone);
     }
 
     /**
@@ -540,18 +538,6 @@
         return route.chooseService(RendezvousHash.score(streamId, route.name()));
     }
 
-    private ActiveCall begin(RoutedCall routed, CallerResponse caller, Runnable onDone) {
-        CallRelay relay = new CallRelay(context, routed, caller, ended -> {
-            openCallsCount--;
-            openRelays.remove(ended);
-            onDone.run();
-        });
-        openCallsCount++;
-        openRelays.add(relay);
-        relay.start();
-        return relay;
-    }
-
     private ActiveCall refuse(
             CallAttributes attributes, CallerResponse caller, Runnable onDone, int status, String reason) {
         report.refusedBeforeRouting(attributes.requestId().orElse(""), status, reason);
@@ -565,14 +551,10 @@
         return ActiveCall.NONE;
     }
 
-    /**
-     * Logs the numbers of calls and connections and the version of the configuration.
-     *
-     * @param event the name of the log event, not null
-     */
+    @Override
     public void logState(String event) {
         LogEvent.of(event)
-                .with("open", openCallsCount)
+                .with("open", openCallsCount())
                 .with("callers", callerConnectionsCount())
                 .with("version", routeTable.map(RouteTable::version).orElse(-1L))
                 .info(log);
--- a/src/main/java/org/dogwoodwinch/relay/LocalResponses.java
+++ b/src/main/java/org/dogwoodwinch/relay/LocalResponses.java
@@ -20,6 +20,9 @@
     static final int UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
 
+    /** The reason of refusals by an instance that takes no new calls because it ends. */
+    static final String STOPPING = "stopping";
+
     /** Marks the refusal of a call that another instance passed on and that a third one may take over. */
     private static final AsciiString NOT_TAKEN_OVER = AsciiString.cached("x-dogwoodwinch-not-taken-over");
 
--- a/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourRelay.java
@@ -221,6 +221,25 @@
         }
     }
 
+    @Override
+    public Optional<StoppedCall> onInstanceStop() {
+        if (state == State.DONE) {
+            return Optional.empty();
+        }
+        StoppedCall stopped = new StoppedCall(
+                call.requestId(), stage(), StoppedCall.Ending.of(state == State.STREAMING, mayHaveRun), ageMillis());
+        endUnserved(LocalResponses.BAD_GATEWAY);
+        finish("instance_stop");
+        return Optional.of(stopped);
+    }
+
+    private String stage() {
+        if (state == State.STREAMING) {
+            return "passed_on_answering";
+        }
+        return connection == null ? "passed_on_not_sent" : "passed_on_sent";
+    }
+
     /** Ends a call that no instance takes over. */
     private void giveUp() {
         neighbours.recordGivenUp(call.requestId(), ageMillis());
@@ -240,14 +259,18 @@
         if (state == State.DONE) {
             return;
         }
+        endUnserved(LocalResponses.GATEWAY_TIMEOUT);
+        finish("deadline");
+    }
+
+    private void endUnserved(int status) {
         if (state == State.STREAMING) {
             caller.abortResponse();
         } else if (mayHaveRun) {
-            sendMayHaveRun(LocalResponses.GATEWAY_TIMEOUT);
+            sendMayHaveRun(status);
         } else {
             LocalResponses.sendRetryable(caller, LocalResponses.UNAVAILABLE, "not run", retryAfterMillis);
         }
-        finish("deadline");
     }
 
     /** Ends the attempt at the current instance. */
