Refuse waiting calls at a stop by the time that they take

Callers saw: a call that waited for capacity while its instance stopped was sent to a target with less time left than calls of its route take, and was cut off; and one that takes some milliseconds was refused although it would have ended.

Cause: all waiting calls were refused at one moment, 1.5 s before the calls under way are ended, whatever they take.

Change: from the begin of the stop on, a waiting call is refused once the mean time to the end of calls on its route (ServiceTimes) is no less than what is left; 1.5 s stands for a route without an observed answer. What waits until the forced close is refused there.

CallQueueTest and GracefulStopTest play both sides. waitingCallsAreRefusedBeforeInstanceEnds calls the renamed method with the 1.5 s that GracefulStop used, and checks what it did. Mutant: with all waiting calls refused, waitingCallIsRefusedOnceItIsExpectedToOutlastTheInstance fails. Not measured on a site. Not covered: a call that is released at once on its arrival while the instance is still not ready, and one that is sent again late.

--- a/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
+++ b/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
@@ -35,12 +35,6 @@
     /** The process exits this long before the platform kills it, whatever is still to be written. */
     private static final long EXIT_LEAD_MILLIS = 100;
 
-    /**
-     * Calls that wait for capacity are refused this long before the calls under way are ended, since most calls that are
-     * sent later would be cut off.
-     */
-    private static final long REFUSAL_LEAD_MILLIS = 1_500;
-
     private final DrainableService service;
     private final Supplier<GraceSettings> settings;
     private final Supplier<CompletionStage<Boolean>> lastWrites;
@@ -91,11 +85,9 @@
         long elapsedMillis = time.monotonicMillis() - requestedAtMillis;
         long graceMillis = settings.get().graceMillis();
         long forcedCloseMillis = graceMillis - FORCED_CLOSE_LEAD_MILLIS;
+        service.refuseUnfinishableCalls(forcedCloseMillis - elapsedMillis);
         if (elapsedMillis >= Math.min(settings.get().notReadyMillis(), forcedCloseMillis)) {
             service.stopAccepting();
-            if (elapsedMillis >= forcedCloseMillis - REFUSAL_LEAD_MILLIS) {
-                service.refuseWaitingCalls();
-            }
             if (elapsedMillis >= forcedCloseMillis) {
                 closeForcibly();
             }
--- a/src/main/java/org/dogwoodwinch/relay/CallQueue.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallQueue.java
@@ -41,9 +41,9 @@
         return new QueuedCall(queue, routed, deadlineMillis, fingerprint);
     }
 
-    /** Refuses all waiting calls, since the instance is about to end. */
-    void refuseAll() {
-        queuesByService.values().forEach(ServiceCallQueue::refuseAll);
+    /** Refuses the waiting calls that are not expected to end before the instance ends its calls. */
+    void refuseUnfinishable(long remainingMillis) {
+        queuesByService.values().forEach(queue -> queue.refuseUnfinishable(remainingMillis));
     }
 
     int waitingCount() {
--- a/src/main/java/org/dogwoodwinch/relay/DrainableService.java
+++ b/src/main/java/org/dogwoodwinch/relay/DrainableService.java
@@ -9,8 +9,13 @@
     /** Stops accepting connections and closes idle ones; later requests on the remaining connections are refused. */
     void stopAccepting();
 
-    /** Refuses the calls that wait for capacity, so that their callers return to other instances. */
-    void refuseWaitingCalls();
+    /**
+     * Refuses the calls that wait for capacity and are not expected to end in time, so that their callers return to other
+     * instances.
+     *
+     * @param remainingMillis the time after which the calls under way are ended
+     */
+    void refuseUnfinishableCalls(long remainingMillis);
 
     /**
      * Ends all calls under way with an answer. Nothing is written to a target afterwards.
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -394,8 +394,8 @@
      * <p>Failure: a call is sent shortly before the process has to exit, and is cut off while it runs.
      */
     @Override
-    public void refuseWaitingCalls() {
-        callQueue.refuseAll();
+    public void refuseUnfinishableCalls(long remainingMillis) {
+        callQueue.refuseUnfinishable(remainingMillis);
     }
 
     /** Returns the number of calls that wait for capacity. */
--- a/src/main/java/org/dogwoodwinch/relay/ServiceCallQueue.java
+++ b/src/main/java/org/dogwoodwinch/relay/ServiceCallQueue.java
@@ -31,6 +31,9 @@
     /** Interval at which waiting calls follow loads, targets and rests, none of which report their changes here. */
     private static final long TICK_MILLIS = 25;
 
+    /** The time that a call is expected to take while no answer on its route was observed. */
+    private static final long UNOBSERVED_COMPLETION_MILLIS = 1_500;
+
     private final String serviceName;
     private final CallQueue.Dependencies dependencies;
     private final OwnerShares shares = new OwnerShares();
@@ -111,10 +114,16 @@
         }
     }
 
-    /** Refuses all waiting calls, since the instance is about to end. */
-    void refuseAll() {
+    /**
+     * Refuses the waiting calls that are not expected to end in time.
+     *
+     * @param remainingMillis the time after which the instance ends its calls
+     */
+    void refuseUnfinishable(long remainingMillis) {
         for (QueuedCall call : List.copyOf(callsById.values())) {
-            if (queue.remove(call.waiting(), nowMillis())) {
+            long observedMillis = times.completionMillis(call.route().name());
+            long expectedMillis = observedMillis > 0 ? observedMillis : UNOBSERVED_COMPLETION_MILLIS;
+            if (expectedMillis >= remainingMillis && queue.remove(call.waiting(), nowMillis())) {
                 refuse(call, call.waiting(), RefusalReason.STOPPING, 0);
             }
         }
--- a/src/test/java/org/dogwoodwinch/daemon/GracefulStopTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/GracefulStopTest.java
@@ -53,6 +53,17 @@
         assertEquals(0, stopped.getNow(-1));
     }
 
+    /** Failure: a call that waits is sent so late that it is cut off. */
+    @Test
+    void waitingCallsAreJudgedByTheTimeThatIsLeftFromTheBegin() {
+        service.openCount = 1;
+        CompletableFuture<Integer> stopped = start();
+        time.advanceMillis(20);
+        assertFalse(stopped.isDone());
+
+        assertEquals(List.of(7_500L, 7_480L), service.remainingMillisAtRefusals);
+    }
+
     /** Failure: the process exits while answers are still on their way to the sockets. */
     @Test
     void stopWaitsUntilTheConnectionsOfEndedCallsHaveClosed() {
@@ -126,6 +137,7 @@
     private static final class FakeService implements DrainableService {
 
         private final List<Integer> endedCounts = new ArrayList<>();
+        private final List<Long> remainingMillisAtRefusals = new ArrayList<>();
         private final List<String> states = new ArrayList<>();
         private int openCount;
         private int callersCount;
@@ -141,7 +153,9 @@
         public void stopAccepting() {}
 
         @Override
-        public void refuseWaitingCalls() {}
+        public void refuseUnfinishableCalls(long remainingMillis) {
+            remainingMillisAtRefusals.add(remainingMillis);
+        }
 
         @Override
         public int endOpenCalls() {
--- a/src/test/java/org/dogwoodwinch/relay/CallQueueTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CallQueueTest.java
@@ -116,7 +116,7 @@
             waiting.add(send("w" + i, KEY));
         }
         relay.service.startDraining();
-        relay.service.refuseWaitingCalls();
+        relay.service.refuseUnfinishableCalls(1_500);
 
         waiting.forEach(caller -> {
             String received = caller.takeReceived();
@@ -127,6 +127,21 @@
         assertEquals(SLOTS_COUNT, relay.targetConnections.size());
     }
 
+    /** Guards against waiting calls that are cut off by the end of the instance, or refused though they would end in time. */
+    @Test
+    void waitingCallIsRefusedOnceItIsExpectedToOutlastTheInstance() {
+        send("o1", KEY);
+        relay.time.advanceMillis(300);
+        relay.latestTargetConnection().respond(RelayFixture.successResponse("o1", "observed"));
+        fillSlots();
+        RelayFixture.FakeCaller waiting = send("w1", KEY);
+
+        relay.service.refuseUnfinishableCalls(301);
+        assertEquals("", waiting.takeReceived());
+        relay.service.refuseUnfinishableCalls(300);
+        assertTrue(waiting.takeReceived().startsWith("HTTP/1.1 503 "));
+    }
+
     /** Guards against calls that are held after their callers have left. */
     @Test
     void waitingCallIsAnsweredByItsDeadlineAndNeverSent() {
