Let a repeated SIGTERM leave the drain alone

Callers saw: all calls under way cut off when a platform that stops an instance repeats its SIGTERM.

Cause: the second signal of any kind ended the process at once. And handlers were installed only after the daemon had bound its listener: a SIGTERM or SIGHUP in between ended the process with what it had read.

Change: a SIGTERM that follows asks for what is under way already and has no effect; the stop is bounded by itself, and the platform has SIGKILL. A SIGINT that follows any signal ends the process, since only a person types it. The handlers of SIGTERM, SIGINT and SIGHUP are installed before the daemon listens; a stop that is asked for during the start follows it.

Measured: StopSignalsTest on: after two SIGTERMs expected [drain], was [drain, end]. The existing test (SIGTERM, then SIGINT) is unchanged.

--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -7,11 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.function.Supplier;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
@@ -41,14 +38,14 @@
             "1:invalid settings",
             "2:invalid command line",
             "3:a listener could not be bound, or the secret or a TLS file could not be read",
-            "4:stopped with unfinished requests: the drain time limit was reached or a second signal was received"
+            "4:stopped with unfinished requests: the drain time limit was reached or a later SIGINT was received"
         })
 public final class DaemonMain implements Callable<Integer> {
 
     private static final Logger log = LoggerFactory.getLogger(DaemonMain.class);
     private static final int EXIT_INVALID_SETTINGS = 1;
     private static final int EXIT_START_FAILED = 3;
-    private static final int EXIT_REQUESTS_UNFINISHED = 4;
+    static final int EXIT_REQUESTS_UNFINISHED = 4;
     private static final int TIMER_THREADS = 2;
     private static final String SETTINGS_OPTION = "--settings";
 
@@ -120,23 +117,16 @@
     private static int runForwardingDaemon(ForwardingSettings settings, Path file) {
         ForwardingDaemon daemon =
                 new ForwardingDaemon(settings, Transport.start(1), RandomSource.XO_RO_SHI_RO_128_PP.create());
+        // Before it listens: a signal without a handler ends the process with the calls that it has read.
+        AwaitedStop stop = AwaitedStop.install(daemon::stop);
+        daemon.watchSettings(file);
         try {
             daemon.start();
         } catch (IOException e) {
             LogEvent.of("start_failed").with("error", e.getMessage()).warn(log);
             return EXIT_START_FAILED;
         }
-        daemon.watchSettings(file);
-        return awaitStop(daemon::stop) == 0 ? 0 : EXIT_REQUESTS_UNFINISHED;
-    }
-
-    private static int awaitStop(Supplier<CompletionStage<Integer>> stop) {
-        CompletableFuture<Integer> unfinishedRequests = new CompletableFuture<>();
-        new StopSignals(
-                        () -> stop.get().thenAccept(unfinishedRequests::complete),
-                        () -> Runtime.getRuntime().halt(EXIT_REQUESTS_UNFINISHED))
-                .install();
-        return unfinishedRequests.join();
+        return stop.awaitUnfinishedCount() == 0 ? 0 : EXIT_REQUESTS_UNFINISHED;
     }
 
     private static int runDaemon(Settings settings) {
@@ -145,14 +135,16 @@
         DaemonContext context = new DaemonContext(
                 new SystemTimeSource(timerExecutor), eventLoopGroup, RandomSource.XO_RO_SHI_RO_128_PP::create);
         Daemon daemon;
+        AwaitedStop stop;
         try {
             daemon = new Daemon(settings, context);
+            stop = AwaitedStop.install(daemon::stop);
             daemon.start();
         } catch (IOException e) {
             LogEvent.of("start_failed").with("error", e.getMessage()).warn(log);
             return EXIT_START_FAILED;
         }
-        int unfinishedCount = awaitStop(daemon::stop);
+        int unfinishedCount = stop.awaitUnfinishedCount();
         daemon.close();
         return unfinishedCount == 0 ? 0 : EXIT_REQUESTS_UNFINISHED;
     }
--- a/src/main/java/org/dogwoodwinch/daemon/StopSignals.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StopSignals.java
@@ -1,5 +1,6 @@
 package org.dogwoodwinch.daemon;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.dogwoodwinch.logging.LogEvent;
@@ -7,7 +8,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Starts a graceful stop on the first SIGTERM or SIGINT and ends the process immediately on the second.
+ * Starts a graceful stop on the first SIGTERM or SIGINT, and ends the process immediately on a SIGINT that follows.
+ *
+ * <p>Failure: a platform repeats SIGTERM while the process drains, and all calls under way are cut off. A repeated SIGTERM
+ * asks for what is under way already and has no effect. A SIGINT that follows comes from a person who does not want to
+ * wait.
  *
  * <p>A shutdown hook is not sufficient: the virtual machine ignores further signals while hooks run. An operator who
  * wants to abort a drain could then only kill the process, and no exit code would distinguish the two cases.
@@ -15,21 +20,23 @@
 final class StopSignals {
 
     private static final Logger log = LoggerFactory.getLogger(StopSignals.class);
-    private static final String[] SIGNAL_NAMES = {"TERM", "INT"};
+    private static final String PREFIX = "SIG";
+    private static final String TERMINATE = "TERM";
+    private static final String INTERRUPT = "INT";
 
     private final AtomicInteger receivedCount = new AtomicInteger();
     private final Runnable onFirst;
-    private final Runnable onSecond;
+    private final Runnable onInterrupt;
 
     /**
      * Creates the handler. It receives nothing until {@link #install()} is called.
      *
      * @param onFirst starts the graceful stop and returns, not null
-     * @param onSecond ends the process, not null
+     * @param onInterrupt ends the process, not null
      */
-    StopSignals(Runnable onFirst, Runnable onSecond) {
+    StopSignals(Runnable onFirst, Runnable onInterrupt) {
         this.onFirst = Objects.requireNonNull(onFirst, "onFirst");
-        this.onSecond = Objects.requireNonNull(onSecond, "onSecond");
+        this.onInterrupt = Objects.requireNonNull(onInterrupt, "onInterrupt");
     }
 
     /**
@@ -38,8 +45,8 @@
      * @throws IllegalStateException if this virtual machine does not support signal handlers
      */
     void install() {
-        for (String name : SIGNAL_NAMES) {
-            Signals.setHandler(name, () -> onSignal("SIG" + name));
+        for (String name : List.of(TERMINATE, INTERRUPT)) {
+            Signals.setHandler(name, () -> onSignal(PREFIX + name));
         }
     }
 
@@ -53,8 +60,8 @@
         LogEvent.of("signal").with("name", name).with("number", number).info(log);
         if (number == 1) {
             onFirst.run();
-        } else {
-            onSecond.run();
+        } else if (name.equals(PREFIX + INTERRUPT)) {
+            onInterrupt.run();
         }
     }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/StopSignalsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StopSignalsTest.java
@@ -19,4 +19,26 @@
         signals.onSignal("SIGINT");
         assertEquals(List.of("drain", "end"), actions);
     }
+
+    /** Failure: a platform repeats SIGTERM, and the process ends at once with the calls that it drains. */
+    @Test
+    void repeatedTerminationLetsTheDrainGoOn() {
+        List<String> actions = new ArrayList<>();
+        StopSignals signals = new StopSignals(() -> actions.add("drain"), () -> actions.add("end"));
+        signals.onSignal("SIGTERM");
+        signals.onSignal("SIGTERM");
+        assertEquals(List.of("drain"), actions);
+
+        signals.onSignal("SIGINT");
+        assertEquals(List.of("drain", "end"), actions);
+    }
+
+    @Test
+    void secondInterruptExits() {
+        List<String> actions = new ArrayList<>();
+        StopSignals signals = new StopSignals(() -> actions.add("drain"), () -> actions.add("end"));
+        signals.onSignal("SIGINT");
+        signals.onSignal("SIGINT");
+        assertEquals(List.of("drain", "end"), actions);
+    }
 }
