Pass calls on to instances that accept connections

What callers saw: calls that an instance passed on tried one neighbour with a full link after the other, each for the time-out of a connection, and were refused or ended at their deadline while other data centres had room.

Cause: an instance that accepted no connection was left out only for the call that had tried it, and near instances were preferred all the same.

Change: UnreachableNeighbours keeps for all calls which instances lately accepted no connection.

NeighbourChooserTest passes the new argument; its checks are unchanged.

--- a/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/NeighbourCalls.java
@@ -14,6 +14,7 @@
 import org.dogwoodwinch.forwarding.Neighbour;
 import org.dogwoodwinch.forwarding.NeighbourChooser;
 import org.dogwoodwinch.forwarding.Stage;
+import org.dogwoodwinch.forwarding.UnreachableNeighbours;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
@@ -34,6 +35,7 @@
     private final Neighbours neighbours;
     private final NeighbourChooser chooser;
     private final LinkProbe linkProbe;
+    private final UnreachableNeighbours unreachable = new UnreachableNeighbours();
     private final BooleanSupplier isIsolated;
     private final CallHeaders callHeaders;
     private final TimeSource time;
@@ -101,7 +103,11 @@
     /** Chooses an instance for a call, without those that could not take it over. */
     Optional<Neighbour> choose(Set<String> triedNames) {
         return chooser.choose(
-                neighbours.others().get(), neighbours.isolatedNames().get(), triedNames, this::callsAt);
+                neighbours.others().get(),
+                neighbours.isolatedNames().get(),
+                triedNames,
+                unreachable.names(time.monotonicMillis()),
+                this::callsAt);
     }
 
     private int callsAt(String name) {
@@ -109,7 +115,26 @@
     }
 
     void acquire(Neighbour neighbour, String requestId, TargetConnectionPool.AcquireCallback callback) {
-        connections.acquire(asTarget(neighbour), requestId, NeighbourChooser.MAX_CALLS_PER_NEIGHBOUR, callback);
+        unreachable.recordTried(neighbour.name(), time.monotonicMillis());
+        connections.acquire(
+                asTarget(neighbour),
+                requestId,
+                NeighbourChooser.MAX_CALLS_PER_NEIGHBOUR,
+                new TargetConnectionPool.AcquireCallback() {
+                    @Override
+                    public void acquired(TargetConnection connection) {
+                        unreachable.recordReached(neighbour.name());
+                        callback.acquired(connection);
+                    }
+
+                    @Override
+                    public void notAcquired(String reason) {
+                        if (reason.equals(TargetConnectionPool.CONNECT_FAILED)) {
+                            unreachable.recordUnreachable(neighbour.name(), time.monotonicMillis());
+                        }
+                        callback.notAcquired(reason);
+                    }
+                });
     }
 
     void release(TargetConnection connection) {
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnectionPool.java
@@ -27,6 +27,9 @@
     /** The reason why there is none: this instance uses all of its connections to the target. */
     static final String CONNECTIONS_IN_USE = "connections_in_use";
 
+    /** The reason why there is none: the connection could not be opened. */
+    static final String CONNECT_FAILED = "connect_failed";
+
     /** Receives a connection, or the reason why there is none. In the latter case, no byte was written. */
     interface AcquireCallback {
 
@@ -235,7 +238,7 @@
             @Override
             public void failed() {
                 events.unreachable(target.id());
-                callback.notAcquired("connect_failed");
+                callback.notAcquired(CONNECT_FAILED);
             }
         });
     }
--- a/src/test/java/org/dogwoodwinch/forwarding/NeighbourChooserTest.java
+++ b/src/test/java/org/dogwoodwinch/forwarding/NeighbourChooserTest.java
@@ -26,7 +26,7 @@
     private Map<String, Integer> chooseMany(List<Neighbour> others, Set<String> isolated, int count) {
         Map<String, Integer> calls = new HashMap<>();
         for (int i = 0; i < count; i++) {
-            chooser.choose(others, isolated, Set.of(), name -> calls.getOrDefault(name, 0))
+            chooser.choose(others, isolated, Set.of(), Set.of(), name -> calls.getOrDefault(name, 0))
                     .ifPresent(chosen -> calls.merge(chosen.name(), 1, Integer::sum));
         }
         return calls;
@@ -74,10 +74,10 @@
         List<Neighbour> others = fleet(1, 3);
         assertEquals(
                 "n2",
-                chooser.choose(others, Set.of(), Set.of("n1"), _name -> 0)
+                chooser.choose(others, Set.of(), Set.of("n1"), Set.of(), _name -> 0)
                         .orElseThrow()
                         .name());
-        assertTrue(
-                chooser.choose(others, Set.of("n2"), Set.of("n1"), _name -> 0).isEmpty());
+        assertTrue(chooser.choose(others, Set.of("n2"), Set.of("n1"), Set.of(), _name -> 0)
+                .isEmpty());
     }
 }
