Complete late connections before the deadline of stopped calls in their tests

InstanceStopTest let the connection of an ended call open after the call's deadline, which alone kept it from being written.

--- a/src/test/java/org/dogwoodwinch/relay/InstanceStopTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/InstanceStopTest.java
@@ -78,8 +78,8 @@
         RelayFixture.FakeCaller caller = send("/safe/x");
         end(relay);
 
-        assertNotRun(caller);
         assertNothingMoreIsWritten(relay);
+        assertNotRun(caller);
     }
 
     @Test
@@ -179,8 +179,8 @@
         relay.latestTargetConnection().reset();
         end(relay);
 
-        assertMayHaveRun(caller);
         assertNothingMoreIsWritten(relay);
+        assertMayHaveRun(caller);
     }
 
     /** Failure: a request that is read after the end of the calls goes to a target, or stays without an answer. */
