Answer each request that was read before its connection closes

What callers saw: a request that lay in the socket when an idle kept connection was closed (stop, idle time-out) was read in the lingering second and dropped; so were pipelined requests read behind a response with Connection: close. An exception of our own code closed the connection under a call, or, thrown for a queued request, left its caller waiting for ever.

Cause: CallerConnection closed in six places, none of which knew what was open; the FIN went out before the kernel's bytes were read, and bytes were read whole after it.

Change: one close method. An idle connection closes once it was quiet (1.5 s at a stop: a first request behind 1.8 MB on a link of 10 Mbit/s) and after one more pass of reads. From the decision on single bytes are read, only to see the caller's own close. At a stop the response to the last request that was read carries the close. CallerListener.closeAll ends what is left at the end of a stop. LogSchemaTest reads the new metrics file too (stricter).

--- a/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
@@ -1,35 +1,21 @@
 package org.dogwoodwinch.relay;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Objects;
-import org.dogwoodwinch.bytes.Bytes;
+import java.util.Optional;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.http.Channels;
 import org.dogwoodwinch.http.LingeringClose;
@@ -44,8 +30,10 @@
  * order of arrival, and writes the responses.
  *
  * <p>It keeps reading while a call is under way, since that is the only way to detect that the caller has disconnected.
+ * A request that was read gets a response, or its caller has left: the connection closes behind the response to the last
+ * one, and nothing is read once it has decided to close.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerResponse {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements RequestExchange.Connection {
 
     private static final Logger log = LoggerFactory.getLogger(CallerConnection.class);
 
@@ -58,55 +46,123 @@
      */
     private static final long TIMEOUT_CHECK_MILLIS = 250;
 
-    /** Values of the socket option for closing: drop unsent bytes and reset, or send them in the background. */
-    private static final int RESET_ON_CLOSE = 0;
+    /** Between a task and a timer that it sets, the event loop reads what the kernel has received. */
+    private static final long LAST_READ_MILLIS = 1;
 
-    private static final int ORDERLY_CLOSE = -1;
-
-    /** A complete request, or the reason why no more requests are read from the connection. */
-    private sealed interface Received {
-        record Request(IncomingCall call, boolean keepAlive, boolean http10) implements Received {}
-
-        record Unreadable(int status, String reason) implements Received {}
+    /** Why the connection closes. */
+    private enum Close {
+        /** Everything that was read is answered. */
+        ANSWERED,
+        /** A request cannot be read, and neither can what follows it. */
+        UNREADABLE,
+        /** A begun response is broken off. */
+        ABORTED,
+        /** The connection broke. */
+        BROKEN
     }
 
     private final RequestHandler handler;
     private final TimeSource time;
     private final CallerLimits limits;
-    private final Deque<Received> queue = new ArrayDeque<>();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final RequestReader reader;
+    private final ReceiveLimiter receiveLimiter = new ReceiveLimiter();
+    private final Deque<ReceivedRequest> queue = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private Channel channel;
     private Cancellable timeoutCheck;
-    private HttpRequest pendingHead;
     private long requestStartMillis = -1;
     private long idleSinceMillis;
     private boolean unreadable;
-    private int reservedBytes;
-    private Received.Request current;
-    private ActiveCall activeCall = ActiveCall.NONE;
-    private boolean closing;
+    private boolean lastRequestRead;
+    private boolean lastReadAwaited;
+    private Optional<RequestExchange> current = Optional.empty();
+    private Optional<Close> close = Optional.empty();
 
     CallerConnection(RequestHandler handler, TimeSource time, CallerLimits limits) {
         this.handler = Objects.requireNonNull(handler, "handler");
         this.time = Objects.requireNonNull(time, "time");
         this.limits = Objects.requireNonNull(limits, "limits");
+        this.reader = new RequestReader(handler.bodyMemory(), limits);
     }
 
     /** Returns whether the request under way asks for a response without a body. */
     boolean answersHeadRequest() {
-        return current != null && current.call().method().equals(HttpMethod.HEAD);
+        return current.map(RequestExchange::isHeadRequest).orElse(false);
     }
 
-    /** Returns whether no request is being read, queued or under way. */
-    boolean isIdle() {
-        return current == null && queue.isEmpty() && requestStartMillis < 0;
+    private boolean isQuiet(long quietMillis) {
+        return current.isEmpty()
+                && queue.isEmpty()
+                && requestStartMillis < 0
+                && time.monotonicMillis() - idleSinceMillis >= quietMillis;
     }
 
-    /** Closes the connection after pending writes, so that a response under way still arrives. */
+    /**
+     * Closes the connection if no request is being read, queued or under way and none was for some time. What the kernel
+     * has received by now is read first.
+     *
+     * <p>Failure: a request arrives while the event loop is busy, the connection is closed, and its caller cannot know
+     * whether it ran.
+     *
+     * @param quietMillis the time since the last request, or since the connection was opened
+     */
+    void closeIfQuiet(long quietMillis) {
+        if (close.isPresent() || lastReadAwaited || !isQuiet(quietMillis)) {
+            return;
+        }
+        lastReadAwaited = true;
+        time.schedule(LAST_READ_MILLIS, () -> {
+            lastReadAwaited = false;
+            if (isQuiet(quietMillis)) {
+                close(Close.ANSWERED);
+            }
+        });
+    }
+
+    /**
+     * Closes the connection in an orderly way. A request under way gets an error response, or is broken off if its response
+     * has begun; those that are queued go to the handler, and the connection closes behind the last response.
+     */
     void close() {
-        if (!closing) {
-            closeGracefully();
+        endRequests(UnansweredRequest.Cause.STOP);
+    }
+
+    private void endRequests(UnansweredRequest.Cause cause) {
+        if (close.isEmpty()) {
+            stopReading();
+        }
+        current.ifPresent(exchange -> exchange.fail(cause));
+        closeIfAllAnswered();
+    }
+
+    /** Reads no further request; what is read only shows whether the caller has left. */
+    private void stopReading() {
+        lastRequestRead = true;
+        channel.config().setAutoRead(receiveLimiter.limit());
+    }
+
+    private void closeIfAllAnswered() {
+        if (lastRequestRead && current.isEmpty() && queue.isEmpty()) {
+            close(Close.ANSWERED);
+        }
+    }
+
+    /** Closes the connection; no other code does. */
+    private void close(Close reason) {
+        if (!channel.isActive() || (close.isPresent() && reason != Close.ABORTED && reason != Close.BROKEN)) {
+            return;
+        }
+        close = Optional.of(reason);
+        if (reason == Close.UNREADABLE) {
+            // The rest of the request is thrown away, since unread bytes would reset the connection.
+            channel.config().setAutoRead(true);
+        } else if (!lastRequestRead) {
+            stopReading();
+        }
+        if (reason == Close.ANSWERED || reason == Close.UNREADABLE) {
+            LingeringClose.afterWrites(context, time);
+        } else {
+            Channels.close(channel);
         }
     }
 
@@ -114,6 +170,7 @@
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         channel = added.channel();
+        channel.config().setRecvByteBufAllocator(receiveLimiter);
         if (channel.isActive()) {
             begin();
         }
@@ -132,61 +189,42 @@
         }
     }
 
+    /** Returns whether received bytes may belong to a request that gets a response. */
+    boolean readsRequests() {
+        return !lastRequestRead || unreadable;
+    }
+
     /** Records the arrival of bytes that are not decoded yet. */
     void bytesArrived() {
         if (requestStartMillis < 0) {
             requestStartMillis = time.monotonicMillis();
         }
+        if (!readsRequests()) {
+            channel.config().setAutoRead(false);
+        }
     }
 
     @Override
     public void channelRead(ChannelHandlerContext _context, Object message) {
         try {
-            if (unreadable) {
-                return;
-            }
-            if (message instanceof HttpRequest request) {
-                handleHead(request);
+            if (message instanceof HttpRequest request && !unreadable) {
+                reader.readHead(request).ifPresentOrElse(this::unreadable, () -> expectBody(request));
             }
             if (message instanceof HttpContent content && !unreadable) {
-                handleContent(content);
+                reader.readContent(content).ifPresent(this::unreadable);
+                if (!unreadable && reader.isComplete(content)) {
+                    ReceivedRequest.Complete complete = reader.take(requestStartMillis);
+                    requestStartMillis = time.monotonicMillis();
+                    received(complete);
+                }
             }
         } finally {
             ReferenceCountUtil.release(message);
         }
     }
 
-    @Override
-    public void channelReadComplete(ChannelHandlerContext _context) {
-        // All received bytes belonged to complete requests, so no request is being read.
-        if (pendingHead == null && !unreadable && isDecoderEmpty()) {
-            requestStartMillis = -1;
-        }
-    }
-
-    private boolean isDecoderEmpty() {
-        StrictRequestDecoder decoder = context.pipeline().get(StrictRequestDecoder.class);
-        return decoder == null || !decoder.hasBufferedBytes();
-    }
-
-    private void handleHead(HttpRequest request) {
-        if (request.decoderResult().isFailure()) {
-            Throwable cause = request.decoderResult().cause();
-            boolean tooLong = cause instanceof TooLongFrameException;
-            unreadable(tooLong ? LocalResponses.HEADERS_TOO_LARGE : LocalResponses.BAD_REQUEST, "malformed head");
-            return;
-        }
-        if (!RequestValidator.isWellFormed(request)) {
-            unreadable(LocalResponses.BAD_REQUEST, "malformed request");
-            return;
-        }
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            unreadable(LocalResponses.TOO_LARGE, "body too large");
-            return;
-        }
-        pendingHead = request;
-        body.reset();
-        if (HttpUtil.is100ContinueExpected(request) && current == null) {
+    private void expectBody(HttpRequest request) {
+        if (HttpUtil.is100ContinueExpected(request) && current.isEmpty()) {
             Channels.writeAndFlush(
                     channel,
                     new DefaultFullHttpResponse(
@@ -194,59 +232,36 @@
         }
     }
 
-    private void handleContent(HttpContent content) {
-        if (content.decoderResult().isFailure()) {
-            unreadable(LocalResponses.BAD_REQUEST, "malformed body");
-            return;
-        }
-        ByteBuf bytes = content.content();
-        if (body.size() + bytes.readableBytes() > limits.maxBodyBytes()) {
-            unreadable(LocalResponses.TOO_LARGE, "body too large");
-            return;
-        }
-        if (!handler.bodyMemory().tryReserve(bytes.readableBytes())) {
-            unreadable(LocalResponses.UNAVAILABLE, "too many large requests");
-            return;
-        }
-        reservedBytes += bytes.readableBytes();
-        try {
-            bytes.getBytes(bytes.readerIndex(), body, bytes.readableBytes());
-        } catch (IOException e) {
-            throw new IllegalStateException("writing to a byte array failed", e);
-        }
-        if (content instanceof LastHttpContent) {
-            completeRequest();
+    @Override
+    public void channelReadComplete(ChannelHandlerContext _context) {
+        // All received bytes belonged to complete requests, so no request is being read.
+        if (!isReadingRequest() && !unreadable) {
+            requestStartMillis = -1;
         }
     }
 
-    private void completeRequest() {
-        HttpRequest request = pendingHead;
-        pendingHead = null;
-        IncomingCall call = new IncomingCall(
-                request.method(),
-                request.uri(),
-                request.headers(),
-                Bytes.of(body.toByteArray()),
-                HttpUtil.isContentLengthSet(request) || HttpUtil.isTransferEncodingChunked(request),
-                requestStartMillis);
-        body.reset();
-        requestStartMillis = time.monotonicMillis();
-        received(new Received.Request(
-                call, HttpUtil.isKeepAlive(request), request.protocolVersion().equals(HttpVersion.HTTP_1_0)));
+    /** Returns whether a part of a request was read behind the complete ones. */
+    private boolean isReadingRequest() {
+        StrictRequestDecoder decoder = context.pipeline().get(StrictRequestDecoder.class);
+        return reader.isInBody() || (decoder != null && decoder.hasBufferedBytes());
     }
 
     /**
      * Rejects a request that cannot be read. Whatever follows it on the connection cannot be interpreted, so the error
      * response is sent after those of earlier requests and the connection is closed.
      */
-    private void unreadable(int status, String reason) {
+    private void unreadable(ReceivedRequest.Unreadable problem) {
         unreadable = true;
-        pendingHead = null;
-        handler.recordRefusal(status, reason);
-        received(new Received.Unreadable(status, reason));
+        reader.abandon();
+        handler.recordRefusal(problem.status(), problem.reason());
+        received(problem);
     }
 
-    private void received(Received next) {
+    private void received(ReceivedRequest next) {
+        if (close.isPresent()) {
+            drop(next, UnansweredRequest.Cause.DROPPED_AT_CLOSE);
+            return;
+        }
         queue.addLast(next);
         if (queue.size() >= MAX_QUEUED) {
             channel.config().setAutoRead(false);
@@ -254,162 +269,112 @@
         serveNext();
     }
 
+    private void drop(ReceivedRequest dropped, UnansweredRequest.Cause cause) {
+        if (dropped instanceof ReceivedRequest.Complete complete) {
+            handler.recordUnanswered(new UnansweredRequest(complete.call(), cause, false));
+        }
+    }
+
     private void serveNext() {
-        if (current != null || closing || queue.isEmpty()) {
+        if (current.isPresent() || close.isPresent() || queue.isEmpty()) {
             return;
         }
-        Received next = queue.pollFirst();
-        if (!channel.config().isAutoRead()) {
+        ReceivedRequest next = queue.pollFirst();
+        if (!lastRequestRead && !channel.config().isAutoRead()) {
             channel.config().setAutoRead(true);
         }
-        if (next instanceof Received.Unreadable problem) {
+        if (next instanceof ReceivedRequest.Unreadable problem) {
             answerUnreadable(problem);
             return;
         }
-        current = (Received.Request) next;
-        ActiveCall taken = handler.handle(current.call(), this, this::callDone);
-        if (current != null) {
-            activeCall = taken;
-        }
-    }
-
-    private void answerUnreadable(Received.Unreadable problem) {
-        closing = true;
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(problem.status()),
-                Unpooled.wrappedBuffer(Bytes.ofUtf8(problem.reason()).toByteArray()));
-        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        HttpUtil.setContentLength(response, response.content().readableBytes());
-        Channels.write(channel, response);
-        closeGracefully();
-    }
-
-    private void closeGracefully() {
-        closing = true;
-        LingeringClose.afterWrites(context, time);
-    }
-
-    private void callDone() {
-        activeCall = ActiveCall.NONE;
-        release(current.call().body().length());
-        current = null;
-        idleSinceMillis = time.monotonicMillis();
-        if (channel.isActive() && !closing) {
-            // Deferred: a nested call would deepen the stack with each refused request that a caller pipelines.
-            channel.eventLoop().execute(this::serveNext);
-        }
+        RequestExchange exchange = new RequestExchange((ReceivedRequest.Complete) next, channel, handler, this);
+        current = Optional.of(exchange);
+        exchange.start();
     }
 
-    private void release(int bytes) {
-        reservedBytes -= bytes;
-        handler.bodyMemory().release(bytes);
-    }
-
-    private boolean closesAfterAnswer() {
-        return !current.keepAlive() || current.http10() || handler.draining();
+    private void answerUnreadable(ReceivedRequest.Unreadable problem) {
+        Channels.write(channel, LocalResponses.beforeClose(problem.status(), problem.reason()));
+        close(Close.UNREADABLE);
     }
 
+    /** {@inheritDoc} Requests that were read behind the current one have to be answered before. */
     @Override
-    public void sendResponse(int status, HttpHeaders headers, Bytes content) {
-        boolean close = closesAfterAnswer();
-        FullHttpResponse response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status),
-                Unpooled.wrappedBuffer(content.toByteArray()),
-                headers,
-                EmptyHttpHeaders.INSTANCE);
-        boolean bodyless = status == HttpResponseStatus.NO_CONTENT.code()
-                || status == HttpResponseStatus.NOT_MODIFIED.code()
-                || answersHeadRequest();
-        if (!bodyless) {
-            HttpUtil.setContentLength(response, content.length());
-        }
-        if (close) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        }
-        Channels.writeAndFlush(channel, response);
-        if (close) {
-            closeGracefully();
-        }
+    public boolean closesAfterResponse() {
+        boolean moreFollows = !queue.isEmpty() || (!lastRequestRead && isReadingRequest());
+        return (lastRequestRead || handler.draining()) && !moreFollows;
     }
 
     @Override
-    public void beginResponse(int status, HttpHeaders headers) {
-        HttpResponse response =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        if (current.http10()) {
-            setResetOnClose(true);
-        } else {
-            HttpUtil.setTransferEncodingChunked(response, true);
-        }
-        if (closesAfterAnswer()) {
-            closing = true;
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    public void onCloseAnnounced() {
+        if (receiveLimiter.isInUse()) {
+            stopReading();
         }
-        Channels.write(channel, response);
     }
 
     @Override
-    public void writeBody(ByteBuf chunk) {
-        Channels.writeAndFlush(channel, new DefaultHttpContent(chunk));
-    }
-
-    /**
-     * Sets whether any close of the connection, also the one at the end of this process, resets it. To a caller of
-     * HTTP/1.0 an orderly close is the end of the body, so a response that was broken off would look complete.
-     */
-    private void setResetOnClose(boolean reset) {
-        channel.config().setOption(ChannelOption.SO_LINGER, reset ? RESET_ON_CLOSE : ORDERLY_CLOSE);
+    public void closeAfterResponse() {
+        close(Close.ANSWERED);
     }
 
     @Override
-    public void endResponse() {
-        if (current.http10()) {
-            setResetOnClose(false);
-        }
-        Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
-        if (closing) {
-            closeGracefully();
-        }
+    public void abort() {
+        close(Close.ABORTED);
     }
 
     @Override
-    public void abortResponse() {
-        closing = true;
-        Channels.close(channel);
+    public void onEnd(RequestExchange exchange) {
+        reader.release(exchange.call());
+        current = Optional.empty();
+        idleSinceMillis = time.monotonicMillis();
+        recordIfUnanswered(exchange);
+        if (channel.isActive() && close.isEmpty()) {
+            // Deferred: a nested call would deepen the stack with each refused request that a caller pipelines.
+            channel.eventLoop().execute(this::serveNext);
+        }
     }
 
-    @Override
-    public boolean isWritable() {
-        return channel.isWritable();
+    private void recordIfUnanswered(RequestExchange exchange) {
+        if (!exchange.isAnswered()) {
+            handler.recordUnanswered(exchange.unanswered(UnansweredRequest.Cause.CALLER));
+        }
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext _context) {
         if (channel.isWritable()) {
-            activeCall.onCallerWritable();
+            current.ifPresent(RequestExchange::onWritable);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext _context) {
         timeoutCheck.cancel();
+        boolean closedHere = close.isPresent() && close.get() != Close.BROKEN;
+        queue.forEach(dropped ->
+                drop(dropped, closedHere ? UnansweredRequest.Cause.DROPPED_AT_CLOSE : UnansweredRequest.Cause.CALLER));
         queue.clear();
-        ActiveCall closedCall = activeCall;
-        activeCall = ActiveCall.NONE;
-        closing = true;
-        closedCall.onCallerClosed();
+        current.ifPresent(RequestExchange::cancel);
         // The call released its own body when it ended; the rest belongs to requests that were queued or being read.
-        release(reservedBytes);
+        reader.releaseAll();
     }
 
+    /**
+     * Ends what is under way. An error of the socket means that the caller has left; any other one is a fault of this
+     * instance, for which requests that were read get error responses.
+     */
     @Override
     public void exceptionCaught(ChannelHandlerContext _context, Throwable cause) {
-        if (current != null) {
+        if (current.isPresent()) {
             LogEvent.of("caller_connection_failed").with("error", cause).info(log);
         }
-        Channels.close(channel);
+        if (cause instanceof IOException) {
+            close(Close.BROKEN);
+            return;
+        }
+        if (reader.isInBody() && close.isEmpty()) {
+            unreadable(new ReceivedRequest.Unreadable(LocalResponses.UNAVAILABLE, "not run: it could not be read"));
+        }
+        endRequests(UnansweredRequest.Cause.OWN_ERROR);
     }
 
     private void checkTimeouts() {
@@ -417,16 +382,15 @@
             return;
         }
         long nowMillis = time.monotonicMillis();
-        boolean headLate = pendingHead == null
+        boolean headLate = !reader.isInBody()
                 && requestStartMillis >= 0
-                && current == null
+                && current.isEmpty()
                 && queue.isEmpty()
                 && nowMillis - requestStartMillis > limits.headerTimeoutMillis();
-        boolean idleLate = isIdle() && nowMillis - idleSinceMillis > limits.idleTimeoutMillis();
         if (headLate && !unreadable) {
-            unreadable(LocalResponses.REQUEST_TIMEOUT, "head took too long");
-        } else if (idleLate) {
-            close();
+            unreadable(new ReceivedRequest.Unreadable(LocalResponses.REQUEST_TIMEOUT, "head took too long"));
+        } else {
+            closeIfQuiet(limits.idleTimeoutMillis());
         }
         timeoutCheck = time.schedule(TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
     }
--- a/src/main/java/org/dogwoodwinch/relay/CallerListener.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerListener.java
@@ -24,6 +24,12 @@
      */
     private static final int BACKLOG = 1_024;
 
+    /**
+     * Time without a request after which a stop closes a connection. The first request on a new connection arrives within
+     * it, also behind 1.8 MB that wait before a link of 10 Mbit/s.
+     */
+    private static final long QUIET_MILLIS = 1_500;
+
     private final Transport transport;
     private final RequestHandler handler;
     private final TimeSource time;
@@ -66,6 +72,10 @@
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
 
+    /**
+     * Returns the number of open connections. One that closes in an orderly way counts until its caller has closed it too,
+     * for at most a second after the last byte was passed to the kernel.
+     */
     int connectionsCount() {
         return connections.size();
     }
@@ -75,13 +85,20 @@
         Channels.close(listener);
     }
 
-    /** Closes connections without a request that is being read, queued or under way. */
+    /**
+     * Closes connections without a request that is being read, queued or under way, and without one for some time; younger
+     * ones are closed by a later call.
+     */
     void closeIdle() {
-        for (CallerConnection connection : List.copyOf(connections.values())) {
-            if (connection.isIdle()) {
-                connection.close();
-            }
-        }
+        List.copyOf(connections.values()).forEach(connection -> connection.closeIfQuiet(QUIET_MILLIS));
+    }
+
+    /**
+     * Closes all connections in an orderly way at the end of a stop. Requests under way get an error response, or are broken
+     * off if their response has begun; queued ones go to the handler, which refuses them.
+     */
+    void closeAll() {
+        List.copyOf(connections.values()).forEach(CallerConnection::close);
     }
 
     private void accept(Channel channel) {
--- a/src/main/java/org/dogwoodwinch/relay/CallerPipeline.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerPipeline.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.time.TimeSource;
 
@@ -31,7 +32,10 @@
         return connection;
     }
 
-    /** Records the arrival of the first byte of a request, from which its deadline is counted. */
+    /**
+     * Records the arrival of the first byte of a request, from which its deadline is counted. Drops what arrives while the
+     * connection closes: the decoder would ask for more bytes until it has a whole request.
+     */
     private static final class ArrivalRecorder extends ChannelInboundHandlerAdapter {
         private final CallerConnection connection;
 
@@ -42,7 +46,18 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             connection.bytesArrived();
-            context.fireChannelRead(message);
+            if (connection.readsRequests()) {
+                context.fireChannelRead(message);
+            } else {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (connection.readsRequests()) {
+                context.fireChannelReadComplete();
+            }
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -27,7 +27,7 @@
     private final Counter answers;
     private final Counter refusals;
     private final Counter failedSends;
-    private final Counter callerDisconnects;
+    private final RequestEndMetrics requestEnds;
     private final Counter connections;
     private final Counter repeatedAnswers;
     private final Counter retries;
@@ -85,8 +85,7 @@
                 "known",
                 "reason",
                 "next");
-        this.callerDisconnects = counter(
-                "dogwoodwinch_forwarded_callers_gone_total", "Callers that left before their answer's end.", "kind");
+        this.requestEnds = new RequestEndMetrics(registry);
         this.connections = counter("dogwoodwinch_target_connections_opened_total", "Connections opened to targets.");
         this.repeatedAnswers = counter(
                 "dogwoodwinch_target_answers_repeated_total",
@@ -434,8 +433,8 @@
         failedSends.labelValues(known, reason, next).inc();
     }
 
-    void callerDisconnected(String kind) {
-        callerDisconnects.labelValues(kind).inc();
+    RequestEndMetrics requestEnds() {
+        return requestEnds;
     }
 
     void answerRepeated(String reason) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -56,6 +56,7 @@
     private final NeighbourCalls neighbourCalls;
     private final CallQueue callQueue;
     private final ForwardingMetrics metrics;
+    private final UnansweredRequests unansweredRequests;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
     private final Set<CallRelay> openRelays = new LinkedHashSet<>();
@@ -92,6 +93,7 @@
         this.time = Objects.requireNonNull(time, "time");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests(), decisions.entriesAge(), time);
+        this.unansweredRequests = new UnansweredRequests(metrics.requestEnds(), callHeaders, time);
         this.isolation = new TargetIsolation(() -> decisions.targets().get().size(), random);
         this.health = decisions.health();
         this.statements = decisions.statements();
@@ -445,6 +447,11 @@
         report.refusedBeforeRouting("", status, reason);
     }
 
+    @Override
+    public void recordUnanswered(UnansweredRequest ended) {
+        unansweredRequests.record(ended);
+    }
+
     @Override
     public ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone) {
         return handle(call, caller, onDone, false, false);
--- a/src/main/java/org/dogwoodwinch/relay/LocalResponses.java
+++ b/src/main/java/org/dogwoodwinch/relay/LocalResponses.java
@@ -1,8 +1,15 @@
 package org.dogwoodwinch.relay;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
 import java.util.Locale;
 import org.dogwoodwinch.bytes.Bytes;
@@ -54,6 +61,17 @@
         return headers.contains(NOT_TAKEN_OVER);
     }
 
+    /** Returns a response to a request that cannot be read; the connection closes behind it. */
+    static FullHttpResponse beforeClose(int status, String reason) {
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(Bytes.ofUtf8(reason).toByteArray()));
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        HttpUtil.setContentLength(response, response.content().readableBytes());
+        return response;
+    }
+
     private static HttpHeaders textHeaders() {
         return new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
     }
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -271,7 +271,7 @@
 
     @Override
     public void callerDisconnected(CallRelay call) {
-        metrics.callerDisconnected(routeKind(call));
+        metrics.requestEnds().callerDisconnected(routeKind(call));
         callEvent("caller_gone", call).info(log);
     }
 
--- a/src/main/java/org/dogwoodwinch/relay/RequestHandler.java
+++ b/src/main/java/org/dogwoodwinch/relay/RequestHandler.java
@@ -44,4 +44,11 @@
      * @param reason the reason of the refusal, not null
      */
     void recordRefusal(int status, String reason);
+
+    /**
+     * Records a request that was read whole and ended without a complete response.
+     *
+     * @param ended the request and who ended it, not null
+     */
+    void recordUnanswered(UnansweredRequest ended);
 }
--- a/src/main/java/org/dogwoodwinch/relay/TakenOverCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/TakenOverCalls.java
@@ -58,4 +58,9 @@
     public void recordRefusal(int status, String reason) {
         service.recordRefusal(status, reason);
     }
+
+    @Override
+    public void recordUnanswered(UnansweredRequest ended) {
+        service.recordUnanswered(ended);
+    }
 }
--- a/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
+++ b/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
@@ -84,7 +84,10 @@
     @Test
     void everyMetricIsListed() throws IOException {
         String page = Files.readString(Path.of("docs/metrics.md"));
-        Set<String> metrics = find(METRIC, Files.readString(MAIN.resolve("relay/ForwardingMetrics.java")));
+        Set<String> metrics = find(
+                METRIC,
+                Files.readString(MAIN.resolve("relay/ForwardingMetrics.java"))
+                        + Files.readString(MAIN.resolve("relay/RequestEndMetrics.java")));
         metrics.removeIf(name -> page.contains("`" + name + "`"));
         assertEquals(Set.of(), metrics);
     }
