--- a/src/test/java/org/dogwoodwinch/relay/KeptConnectionCloseTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/KeptConnectionCloseTest.java
@@ -51,6 +51,7 @@
             callers.add(caller);
             exchange(caller);
         }
+        awaitReads();
     }
 
     @AfterEach
