--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -55,6 +55,7 @@
     private final NeighbourCalls neighbourCalls;
     private final CallQueue callQueue;
     private final ForwardingMetrics metrics;
+    private final UnansweredRequests unansweredRequests;
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
     private final OpenCalls openCalls = new OpenCalls();
@@ -90,6 +91,7 @@
         this.time = Objects.requireNonNull(time, "time");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         this.report = new LoggingReport(metrics, decisions.limits(), decisions.rests(), decisions.entriesAge(), time);
+        this.unansweredRequests = new UnansweredRequests(metrics.requestEnds(), callHeaders, time);
         this.isolation = new TargetIsolation(() -> decisions.targets().get().size(), random);
         this.health = decisions.health();
         this.statements = decisions.statements();
@@ -449,6 +451,11 @@
         report.refusedBeforeRouting("", status, reason);
     }
 
+    @Override
+    public void recordUnanswered(UnansweredRequest ended) {
+        unansweredRequests.record(ended);
+    }
+
     @Override
     public ActiveCall handle(IncomingCall call, CallerResponse caller, Runnable onDone) {
         return handle(call, caller, onDone, false, false);
