Hand the role of relay over at a stop, one candidate after the other

Cause: candidates waited one round for each rank, up to three, so that all from rank 4 on took over at the same moment; ranks counted instances that were down or stopping; and an instance that had told the store that it leaves received no messages any more, considered its relay failed and became the relay for the rest of its process.

Change: an instance that stops tells its peers itself (topic INSTANCE_LEAVES, repeated every third round until the process ends, not forwarded; a process that doesn't know the topic ignores the entry). It comes last in the succession order, whose next candidate takes over at once; the process that follows under the same name, which a later start distinguishes, counts again. A relay that stops acts until its successor's heartbeat, at most four rounds. Others wait two rounds for each live predecessor, known from the heartbeats of the last 30 rounds, without a common moment, and a new relay sends its heartbeat in its first round.

Open: a process that starts acts as relay in its first round, and the state that a new relay sends to each connection isn't paced: up to 390,000 bytes in a second on a link of 10 Mbit/s, as before.

--- a/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
+++ b/src/main/java/org/dogwoodwinch/daemon/FleetExchange.java
@@ -231,8 +231,9 @@
         members.announceAgain();
     }
 
-    /** Stops announcing this instance. */
+    /** Stops announcing this instance, and lets another one take over its tasks for the others. */
     void leave() {
+        exchange.leave();
         members.leave();
     }
 
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -51,6 +51,9 @@
     /** The heartbeat of a relay: the instances of its data centre that it receives messages from. */
     ALIVE,
 
+    /** The process of an instance stops: it takes over no task of its data centre any more. */
+    INSTANCE_LEAVES,
+
     /** A request of an instance without state for all state that its relay has. */
     WANT,
 
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -37,6 +37,9 @@
     /** The rounds between the heartbeats of a relay: two of them may be lost before it counts as missing. */
     private static final int RELAY_HEARTBEAT_ROUNDS = 2;
 
+    /** The rounds between two statements that this process stops: two of them may be lost, or a recipient may start. */
+    private static final int LEAVE_NOTICE_ROUNDS = 3;
+
     /** The rounds between two searches for expired entries, which are only kept for others that start. */
     private static final int EXPIRY_ROUNDS = 8;
 
@@ -290,6 +293,26 @@
         sender.send(List.of(factory.createEntry(topic, "", payload, DIRECT_TTL_MILLIS)), recipients);
     }
 
+    /**
+     * Tells the others that this process stops, so that another instance becomes the relay at once if this is it, and
+     * none of them waits for this one to take over.
+     */
+    public void leave() {
+        relayTracker.leave();
+        sendLeaveNotice();
+    }
+
+    private void sendLeaveNotice() {
+        if (usesRelays()) {
+            List<PeerEntry> notice = List.of(factory.createEntry(
+                    PeerTopic.INSTANCE_LEAVES, settings.instance(), Bytes.EMPTY, DIRECT_TTL_MILLIS));
+            sender.send(notice, relayTracker.localPeers());
+            if (isRelay()) {
+                sender.send(notice, relayTracker.inOtherDataCentres());
+            }
+        }
+    }
+
     @Override
     public void publish(PeerTopic topic, String key, Bytes payload, long ttlMillis) {
         PeerEntry entry = factory.createEntry(topic, key, payload, ttlMillis);
@@ -312,7 +335,8 @@
         roundTasks.forEach(Runnable::run);
         stateSender.retryPending(relayTracker::hasMessageFrom, roundsCount);
         boolean isRelay = isRelay();
-        if (isRelay != wasRelay) {
+        boolean hasChanged = isRelay != wasRelay;
+        if (hasChanged) {
             wasRelay = isRelay;
             LogEvent.of("relay_changed")
                     .with("acting", isRelay)
@@ -320,9 +344,12 @@
                     .with("rank", relayTracker.ownRank())
                     .info(log);
         }
-        if (isRelay && isHeartbeatRound()) {
+        if (isRelay && (hasChanged || isHeartbeatRound())) {
             publishHeartbeat();
         }
+        if (relayTracker.isLeaving() && roundsCount % LEAVE_NOTICE_ROUNDS == 0) {
+            sendLeaveNotice();
+        }
         outboxFlush.run(isRelay, roundsCount);
         stateSender.sendPendingSnapshots();
         time.schedule(settings.roundMillis(), this::runRound);
--- a/src/main/java/org/dogwoodwinch/peer/RelayMessageReceiver.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayMessageReceiver.java
@@ -77,7 +77,7 @@
         if (reader.isReplayed(message)) {
             return false;
         }
-        relayTracker.onMessageFrom(message.sender());
+        relayTracker.onMessageFrom(message.sender(), message.startedMillis());
         transitTimes.recordArrival(message);
         Optional<RelayHeartbeat> heartbeat = heartbeatIn(message);
         OptionalLong transitMillis = transitTimes.measure(message, heartbeat);
@@ -113,6 +113,10 @@
             PeerEntry received, OptionalLong transitMillis, String sender, Optional<RelayHeartbeat> heartbeat) {
         PeerEntry entry = received.withAddedAge(transitMillis.orElse(0));
         Optional<PeerTopic> topic = PeerTopic.find(entry.topic());
+        if (topic.isPresent() && topic.get() == PeerTopic.INSTANCE_LEAVES) {
+            relayTracker.onLeave(entry.origin(), entry.startedMillis());
+            return;
+        }
         if (topic.isPresent() && TopicAudiences.isDirect(topic.get())) {
             deliver(
                     entry,
--- a/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayTracker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.dogwoodwinch.time.TimeSource;
@@ -27,16 +28,19 @@
     private static final int RELAY_TIMEOUT_ROUNDS = 7;
 
     /**
-     * The additional rounds that each further instance in the succession order waits, so that they take over one after
-     * the other.
+     * The additional rounds that an instance waits for each live one that precedes it, so that they take over one after
+     * the other: one until the predecessor's next round, and one for its first heartbeat to arrive.
      */
-    private static final int STAGGER_ROUNDS = 1;
+    private static final int STAGGER_ROUNDS = 2;
 
     /**
-     * The position from which the delay no longer grows, so that successive failures of relays do not add up to
-     * seconds.
+     * The rounds for which an instance counts as a candidate after a relay has last reported it: a new relay reports
+     * the others only after each of them has sent it a message.
      */
-    private static final int MAX_STAGGERS = 3;
+    private static final int CANDIDATE_ROUNDS = 30;
+
+    /** The rounds for which a relay that stops still acts while it has not received its successor's heartbeat. */
+    private static final int HANDOVER_ROUNDS = 4;
 
     /**
      * The rounds without a message after which an instance is assigned no tasks; longer than a pause or a lost packet.
@@ -45,6 +49,7 @@
 
     private final PeerSettings settings;
     private final TimeSource time;
+    private final RelayCandidates candidates = new RelayCandidates();
     private final SuccessionOrder succession;
     private final TaskAssignment taskAssignment;
     private final Map<String, Long> lastMessageMillis = new HashMap<>();
@@ -57,11 +62,16 @@
     private final Map<String, PeerMember> othersByName = new HashMap<>();
     private final Map<String, PeerMember> firstByOtherDataCentre = new HashMap<>();
     private int ownRank;
+    private int staggerRounds;
+    private boolean leaving;
+    private boolean wasRelayBeforeLeaving;
+    private long leavingSinceMillis = Long.MIN_VALUE;
 
     RelayTracker(PeerSettings settings, TimeSource time) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.time = Objects.requireNonNull(time, "time");
-        this.succession = new SuccessionOrder(settings.dataCentre(), settings.instance(), settings.linkMbps());
+        this.succession =
+                new SuccessionOrder(settings.dataCentre(), settings.instance(), settings.linkMbps(), this::isLeaving);
         this.taskAssignment = new TaskAssignment(succession);
     }
 
@@ -80,6 +90,7 @@
             others = List.copyOf(members);
             deriveOrder();
         }
+        deriveStagger();
         taskAssignment.updateMembers(aliveMembers());
     }
 
@@ -100,6 +111,59 @@
         ownRank = succession.ownRank(localPeers);
     }
 
+    /** Counts the live predecessors that may take over first; the relay whose heartbeats stop is not one of them. */
+    private void deriveStagger() {
+        Relay relay = relays.get(settings.dataCentre());
+        boolean isRelayKnown = relay != null && succession.isPredecessor(relay.name);
+        int precedingCount = 0;
+        for (PeerMember member : localPeers) {
+            if (succession.isPredecessor(member.name())
+                    && isCandidate(member.name())
+                    && !(isRelayKnown && member.name().equals(relay.name))) {
+                precedingCount++;
+            }
+        }
+        // While no relay is known, the first in order is presumed to be it.
+        boolean isRelayCounted = !isRelayKnown && (relay == null || !isLeaving(relay.name));
+        staggerRounds = STAGGER_ROUNDS * Math.max(0, isRelayCounted ? precedingCount - 1 : precedingCount);
+    }
+
+    private boolean isCandidate(String name) {
+        return candidates.isReported(name)
+                || lastMessageMillis.containsKey(name)
+                || isRecent(firstRoundMillis, CANDIDATE_ROUNDS);
+    }
+
+    private boolean isLeaving(String name) {
+        return name.equals(settings.instance()) ? leaving : candidates.isLeaving(name);
+    }
+
+    /**
+     * Lets this instance pass the role on, or not take it over any more, because its process stops.
+     *
+     * <p>Failure: the others no longer list an instance that stops, and send it no messages. It considered their relay
+     * failed, and sent to all of them until its process ended.
+     */
+    void leave() {
+        wasRelayBeforeLeaving = isRelay();
+        leaving = true;
+        leavingSinceMillis = time.monotonicMillis();
+        deriveOrder();
+        deriveStagger();
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Records that a process of another instance stops. */
+    void onLeave(String name, long startedMillis) {
+        if (candidates.onLeave(name, startedMillis, time.monotonicMillis())) {
+            deriveOrder();
+            deriveStagger();
+        }
+    }
+
     private PeerMember earlierInOrder(PeerMember first, PeerMember member) {
         return succession.isPredecessor(member.dataCentre(), member.name(), first.name()) ? member : first;
     }
@@ -113,6 +177,10 @@
     void expireSilentMembers() {
         long oldestMillis = oldestRecentMessageMillis();
         lastMessageMillis.values().removeIf(atMillis -> atMillis <= oldestMillis);
+        long oldestReportMillis = time.monotonicMillis() - CANDIDATE_ROUNDS * settings.roundMillis();
+        if (candidates.expire(oldestMillis, oldestReportMillis)) {
+            deriveOrder();
+        }
     }
 
     /** Read once for all members, since the clock would otherwise be read for each of them in each round. */
@@ -172,12 +240,32 @@
 
     /** Returns the relay of this data centre, unless it is this instance. */
     Optional<String> inOwnDataCentre() {
-        int timeoutRounds = RELAY_TIMEOUT_ROUNDS + STAGGER_ROUNDS * Math.min(MAX_STAGGERS, Math.max(0, ownRank - 1));
         Relay relay = relays.get(settings.dataCentre());
-        if (relay == null || !succession.isPredecessor(relay.name)) {
+        if (leaving) {
+            return relayWhileLeaving(relay);
+        }
+        int timeoutRounds = RELAY_TIMEOUT_ROUNDS + staggerRounds;
+        if (relay == null) {
             return presumedRelay(timeoutRounds);
         }
-        return isRecent(relay.heartbeatMillis, timeoutRounds) ? Optional.of(relay.name) : Optional.empty();
+        if (succession.isPredecessor(relay.name)) {
+            return isRecent(relay.heartbeatMillis, timeoutRounds) ? Optional.of(relay.name) : Optional.empty();
+        }
+        OptionalLong relayLeavesMillis = candidates.leavingSinceMillis(relay.name);
+        if (relayLeavesMillis.isPresent() && isRecent(relayLeavesMillis.getAsLong(), staggerRounds)) {
+            return Optional.of(relay.name);
+        }
+        return presumedRelay(timeoutRounds);
+    }
+
+    private Optional<String> relayWhileLeaving(Relay relay) {
+        boolean hasSuccessor = relay != null && relay.heartbeatMillis >= leavingSinceMillis;
+        if (wasRelayBeforeLeaving && !hasSuccessor && isRecent(leavingSinceMillis, HANDOVER_ROUNDS)) {
+            return Optional.empty();
+        }
+        return relay != null && isRecent(relay.heartbeatMillis, RELAY_TIMEOUT_ROUNDS)
+                ? Optional.of(relay.name)
+                : succession.first(settings.dataCentre(), localPeers).map(PeerMember::name);
     }
 
     /** Returns the relay of this data centre as a listed member, unless it is this instance. */
@@ -221,8 +309,11 @@
         return member != null && member.dataCentre().equals(dataCentre);
     }
 
-    /** Records that an instance sent a message. */
-    void onMessageFrom(String name) {
+    /** Records that a process of an instance sent a message. */
+    void onMessageFrom(String name, long startedMillis) {
+        if (candidates.onMessage(name, startedMillis)) {
+            deriveOrder();
+        }
         lastMessageMillis.put(name, time.monotonicMillis());
     }
 
@@ -284,6 +375,8 @@
             reportedAlive =
                     heartbeat.names().stream().filter(this::inOwnDataCentre).collect(Collectors.toUnmodifiableSet());
             reportedAliveMillis = time.monotonicMillis();
+            candidates.onReport(reportedAlive, reportedAliveMillis);
+            deriveStagger();
         }
     }
 
--- a/src/main/java/org/dogwoodwinch/peer/SuccessionOrder.java
+++ b/src/main/java/org/dogwoodwinch/peer/SuccessionOrder.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.dogwoodwinch.forwarding.RendezvousHash;
 
 /**
@@ -13,12 +14,13 @@
  * computes the same order from the members' announcements. Not thread-safe.
  *
  * <p>Failure: the messages that one instance sends for a whole data centre take most of a narrow link, and its calls
- * wait behind them. Instances with the highest bandwidth therefore come first.
+ * wait behind them. Instances with the highest bandwidth therefore come first, and those that stop come last.
  */
 public final class SuccessionOrder {
 
     private final String dataCentre;
     private final String ownName;
+    private final Predicate<String> isLeaving;
     private final Map<String, Double> linksMbps = new HashMap<>();
     private final Map<String, Map<String, Double>> scoresByDataCentre = new HashMap<>();
 
@@ -30,8 +32,21 @@
      * @param ownLinkMbps the bandwidth of its link, in megabits per second; zero if unknown
      */
     public SuccessionOrder(String dataCentre, String ownName, double ownLinkMbps) {
+        this(dataCentre, ownName, ownLinkMbps, _name -> false);
+    }
+
+    /**
+     * Creates an order in which instances that stop come last.
+     *
+     * @param dataCentre this instance's data centre, not null
+     * @param ownName this instance's name, not null
+     * @param ownLinkMbps the bandwidth of its link, in megabits per second; zero if unknown
+     * @param isLeaving returns whether an instance stops, by its name, not null
+     */
+    SuccessionOrder(String dataCentre, String ownName, double ownLinkMbps, Predicate<String> isLeaving) {
         this.dataCentre = Objects.requireNonNull(dataCentre, "dataCentre");
         this.ownName = Objects.requireNonNull(ownName, "ownName");
+        this.isLeaving = Objects.requireNonNull(isLeaving, "isLeaving");
         linksMbps.put(ownName, ownLinkMbps);
     }
 
@@ -128,6 +143,10 @@
 
     /** Compares the names of instances of a data centre; the greater one comes first in the succession order. */
     private int compare(String dataCentre, String name, String otherName) {
+        int byPresence = Boolean.compare(!isLeaving.test(name), !isLeaving.test(otherName));
+        if (byPresence != 0) {
+            return byPresence;
+        }
         int byLink = Double.compare(linksMbps.getOrDefault(name, 0.0), linksMbps.getOrDefault(otherName, 0.0));
         return byLink != 0 ? byLink : Double.compare(score(dataCentre, name), score(dataCentre, otherName));
     }
--- a/src/main/java/org/dogwoodwinch/peer/TopicAudiences.java
+++ b/src/main/java/org/dogwoodwinch/peer/TopicAudiences.java
@@ -22,6 +22,7 @@
             PeerTopic.TARGETS_CUT_OFF);
 
     private static final Set<PeerTopic> DIRECT_TOPICS = Set.of(
+            PeerTopic.INSTANCE_LEAVES,
             PeerTopic.STREAM_BEGIN,
             PeerTopic.STREAM_QUESTION,
             PeerTopic.STREAM_ANSWER,
