--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -344,7 +344,9 @@
                     .with("rank", relayTracker.ownRank())
                     .info(log);
         }
-        if (isRelay && (hasChanged || isHeartbeatRound())) {
+        // In its first round each instance of a fleet that starts at once may count as the relay.
+        boolean takesOver = hasChanged && roundsCount > 1;
+        if (isRelay && (takesOver || isHeartbeatRound())) {
             publishHeartbeat();
         }
         if (relayTracker.isLeaving() && roundsCount % LEAVE_NOTICE_ROUNDS == 0) {
