Hold no memory of request bodies on kept connections

Cause: each connection collects bodies in one stream, and a stream that is reset keeps its array, up to twice the body, until the connection closes. The common limit counts only the bodies of calls under way. The heap fills.

Change: a connection begins a new stream with each request.

--- a/src/main/java/org/dogwoodwinch/relay/RequestReader.java
+++ b/src/main/java/org/dogwoodwinch/relay/RequestReader.java
@@ -19,7 +19,7 @@
 
     private final BodyMemory bodyMemory;
     private final CallerLimits limits;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpRequest head;
     private int reservedBytes;
 
@@ -42,6 +42,7 @@
     /** Forgets the request that is being read. */
     void abandon() {
         head = null;
+        body = new ByteArrayOutputStream();
     }
 
     /**
@@ -63,7 +64,7 @@
             return unreadable(LocalResponses.TOO_LARGE, "body too large");
         }
         head = request;
-        body.reset();
+        body = new ByteArrayOutputStream();
         return Optional.empty();
     }
 
@@ -114,7 +115,8 @@
                 arrivalMillis);
         ReceivedRequest.Complete complete = new ReceivedRequest.Complete(
                 call, HttpUtil.isKeepAlive(head), head.protocolVersion().equals(HttpVersion.HTTP_1_0));
-        body.reset();
+        // A stream that is reset keeps its array, up to twice the body, for as long as the connection stays open.
+        body = new ByteArrayOutputStream();
         head = null;
         return complete;
     }
