Let no single failure end a stop without answers

Found by the review of the answers at a stop, by reading: one exception in a check of the stop, or in ending one of the open calls, left all others without an answer and the process running until it is killed; a failure in saying that the instance leaves kept the stop from beginning; the grace time counted from the turn of the event loop, which may be late, so that the forced close came after the kill; an error while the daemon starts left its sockets open without a daemon.

Change: the next check is scheduled before the work of one; each open call is ended on its own; a call whose begin fails is no longer kept as open; the drain begins before the others are told; the grace time counts from the signal; a stop that fails ends the wait with its failure; an error at the start is an exit code as an exception is.

GracefulStopTest (7), InstanceStopTest (15), AwaitedStopTest, CallsAtEndOfProcessTest, ForwardingDaemonTest (13) pass.

--- a/src/main/java/org/dogwoodwinch/daemon/AwaitedStop.java
+++ b/src/main/java/org/dogwoodwinch/daemon/AwaitedStop.java
@@ -42,7 +42,13 @@
     /** Stops the daemon, or does so once it has started. */
     void request() {
         CompletionStage<Integer> stopped = started.thenCompose(_started -> stop.get());
-        stopped.thenAccept(unfinishedCount::complete);
+        stopped.whenComplete((count, failure) -> {
+            if (failure == null) {
+                unfinishedCount.complete(count);
+            } else {
+                unfinishedCount.completeExceptionally(failure);
+            }
+        });
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
+++ b/src/main/java/org/dogwoodwinch/daemon/DaemonMain.java
@@ -81,7 +81,7 @@
         PrintWriter errors = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
         try {
             return loadAndRun(Path.of(args[1]), errors);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             e.printStackTrace(errors);
             return CommandLine.ExitCode.SOFTWARE;
         }
--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -514,8 +514,8 @@
         GracefulStop graceful = new GracefulStop(service, () -> settings.stop(), this::flushUsage, time);
         transport.eventLoopGroup().next().execute(() -> {
             stopping = true;
-            fleet.leave();
             graceful.start();
+            fleet.leave();
         });
         return graceful.stopped();
     }
--- a/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
+++ b/src/main/java/org/dogwoodwinch/daemon/GracefulStop.java
@@ -39,14 +39,14 @@
     private final Supplier<GraceSettings> settings;
     private final Supplier<CompletionStage<Boolean>> lastWrites;
     private final TimeSource time;
+    private final long requestedAtMillis;
     private final CompletableFuture<Integer> stopped = new CompletableFuture<>();
     private Optional<CompletableFuture<Boolean>> writes = Optional.empty();
-    private long requestedAtMillis;
     private boolean forciblyClosed;
     private int unfinishedCount;
 
     /**
-     * Creates a stop that has not begun.
+     * Creates a stop that has not begun. The grace time counts from now, however late the event loop begins it.
      *
      * @param service the service to drain, not null
      * @param settings the times, read at each check since they may be reloaded, not null
@@ -62,6 +62,7 @@
         this.settings = Objects.requireNonNull(settings, "settings");
         this.lastWrites = Objects.requireNonNull(lastWrites, "lastWrites");
         this.time = Objects.requireNonNull(time, "time");
+        this.requestedAtMillis = time.monotonicMillis();
     }
 
     /**
@@ -75,13 +76,17 @@
 
     /** Begins to drain. */
     void start() {
-        requestedAtMillis = time.monotonicMillis();
         service.startDraining();
         service.logState("leaving");
         check();
     }
 
     private void check() {
+        if (stopped.isDone()) {
+            return;
+        }
+        // Scheduled first: a failure in one check must not be the end of all checks.
+        time.schedule(DRAIN_CHECK_INTERVAL_MILLIS, this::check);
         long elapsedMillis = time.monotonicMillis() - requestedAtMillis;
         long graceMillis = settings.get().graceMillis();
         long forcedCloseMillis = graceMillis - FORCED_CLOSE_LEAD_MILLIS;
@@ -97,16 +102,14 @@
             }
             if ((isDrained && areLastWritesDone()) || elapsedMillis >= graceMillis - EXIT_LEAD_MILLIS) {
                 finish();
-                return;
             }
         }
-        time.schedule(DRAIN_CHECK_INTERVAL_MILLIS, this::check);
     }
 
     private void closeForcibly() {
         if (!forciblyClosed) {
-            forciblyClosed = true;
             unfinishedCount = service.endOpenCalls();
+            forciblyClosed = true;
             beginLastWrites();
         }
     }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -85,9 +85,9 @@
 
     /** Sends the call, or refuses it at once if it or a segment of its prompt crashes targets. */
     void start() {
+        deadlineTimer = context.time().schedule(remainingMillis(), this::handleDeadline);
         // Recorded once per call: if each send recorded it, the call's own last segment would look like a session's.
         attributes.prompt().ifPresent(context.cacheIndex().sharedSegments()::recordPrompt);
-        deadlineTimer = context.time().schedule(remainingMillis(), this::handleDeadline);
         suspicion.admit(refusal -> {
             if (refusal.isPresent()) {
                 refuse(refusal.get());
--- a/src/main/java/org/dogwoodwinch/relay/OpenCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/OpenCalls.java
@@ -37,7 +37,13 @@
             onDone.run();
         });
         relays.add(relay);
-        relay.start();
+        try {
+            relay.start();
+        } catch (RuntimeException | Error e) {
+            // Whoever handles the failure answers the caller, and nothing would remove the call.
+            relays.remove(relay);
+            throw e;
+        }
         return relay;
     }
 
@@ -51,10 +57,15 @@
     ActiveCall passOn(Function<Runnable, ActiveCall> begin, Runnable onDone) {
         PassedOn entry = new PassedOn();
         passedOn.add(entry);
-        entry.call = begin.apply(() -> {
+        try {
+            entry.call = begin.apply(() -> {
+                passedOn.remove(entry);
+                onDone.run();
+            });
+        } catch (RuntimeException | Error e) {
             passedOn.remove(entry);
-            onDone.run();
-        });
+            throw e;
+        }
         return entry.call;
     }
 
@@ -71,14 +82,24 @@
     int endAll() {
         int endedCount = 0;
         for (CallRelay relay : List.copyOf(relays)) {
-            endedCount += log(relay.onInstanceStop());
+            endedCount += end(relay);
         }
         for (PassedOn entry : List.copyOf(passedOn)) {
-            endedCount += log(entry.call.onInstanceStop());
+            endedCount += end(entry.call);
         }
         return endedCount;
     }
 
+    /** Ends one call; a failure must not leave the others without an answer. */
+    private static int end(ActiveCall call) {
+        try {
+            return log(call.onInstanceStop());
+        } catch (RuntimeException | Error e) {
+            LogEvent.of("request_failed_here").with("error", e).warn(log);
+            return 1;
+        }
+    }
+
     private static int log(Optional<StoppedCall> stopped) {
         stopped.ifPresent(call -> LogEvent.of("call_ended_by_stop")
                 .with("request", call.requestId())
