Go on with periodic tasks after a failure in one turn

One exception ended them for the life of the process: no heartbeat, no message, no cut found or ended. An error left no line in the log.

Change: the next turn is scheduled first; a round of probes that cannot measure the own link still ends; EventLoopTime logs errors as it does exceptions.

RelaySuccessionTest (7), SlowLinkTest (4), RelayBandwidthTest (2), ChokedLinksTest (9), CutOffInstanceTest (4) and CutOffSoakTest pass.

--- a/src/main/java/org/dogwoodwinch/net/EventLoopTime.java
+++ b/src/main/java/org/dogwoodwinch/net/EventLoopTime.java
@@ -48,7 +48,7 @@
     private static void runLoggingFailure(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LogEvent.of("timer_failed").with("error", e).warn(log);
             throw e;
         }
--- a/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
+++ b/src/main/java/org/dogwoodwinch/peer/RelayExchange.java
@@ -326,6 +326,8 @@
     }
 
     private void runRound() {
+        // Scheduled first: a failure in one round must not be the end of all rounds.
+        time.schedule(settings.roundMillis(), this::runRound);
         roundsCount++;
         relayTracker.updateMembers(members.get());
         if (roundsCount % EXPIRY_ROUNDS == 0) {
@@ -354,7 +356,6 @@
         }
         outboxFlush.run(isRelay, roundsCount);
         stateSender.sendPendingSnapshots();
-        time.schedule(settings.roundMillis(), this::runRound);
     }
 
     private void publishHeartbeat() {
--- a/src/main/java/org/dogwoodwinch/relay/IsolationWatch.java
+++ b/src/main/java/org/dogwoodwinch/relay/IsolationWatch.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -76,8 +77,8 @@
     /** Starts the checks. */
     void start() {
         time.schedule(CHECK_INTERVAL_MILLIS, () -> {
-            check();
             start();
+            check();
         });
     }
 
@@ -128,7 +129,7 @@
         private final List<String> probedIds = new ArrayList<>();
         private final Set<String> answered = new HashSet<>();
         private final Set<String> failed = new HashSet<>();
-        private LinkProbe.Measurement link;
+        private Optional<LinkProbe.Measurement> link = Optional.empty();
         private boolean linkDecided;
         private boolean started;
         private boolean ended;
@@ -140,14 +141,14 @@
         void begin() {
             time.schedule(PROBE_TIMEOUT_MILLIS, this::end);
             time.schedule(LinkDelay.SLOW_MILLIS + 1, this::decideLink);
-            link = linkProbe.start(this::decideLink);
+            link = Optional.of(linkProbe.start(this::decideLink));
             for (Incarnation target : chosen) {
                 if (prober.probe(target, connected -> recordOutcome(target.id(), connected))) {
                     probedIds.add(target.id());
                 }
             }
             started = true;
-            linkDecided |= link.delay().startedCount() == 0;
+            linkDecided |= delay().startedCount() == 0;
             endIfComplete();
         }
 
@@ -173,7 +174,11 @@
             }
             ended = true;
             probedIds.stream().filter(id -> !answered.contains(id)).forEach(failed::add);
-            handleResult(Set.copyOf(answered), Set.copyOf(failed), link.delay());
+            handleResult(Set.copyOf(answered), Set.copyOf(failed), delay());
+        }
+
+        private LinkDelay delay() {
+            return link.map(LinkProbe.Measurement::delay).orElse(LinkDelay.NOT_MEASURED);
         }
     }
 }
