Close the connections of callers at the end of a stop

Callers saw: at the forced close of a stop, connections that were not quiet for long enough, and requests that were being read, were dropped by the exit of the process.

Change: after the open calls have been ended, quiet connections close, and 20 ms later all that are left; what the kernel had received until then is read and refused.

--- a/src/main/java/org/dogwoodwinch/relay/CallerListener.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerListener.java
@@ -30,6 +30,9 @@
      */
     private static final long QUIET_MILLIS = 1_500;
 
+    /** At the end of a stop, requests that the kernel has received are still read, and refused, for this long. */
+    private static final long LAST_READS_MILLIS = 20;
+
     private final Transport transport;
     private final RequestHandler handler;
     private final TimeSource time;
@@ -98,7 +101,8 @@
      * off if their response has begun; queued ones go to the handler, which refuses them.
      */
     void closeAll() {
-        List.copyOf(connections.values()).forEach(CallerConnection::close);
+        List.copyOf(connections.values()).forEach(connection -> connection.closeIfQuiet(0));
+        time.schedule(LAST_READS_MILLIS, () -> List.copyOf(connections.values()).forEach(CallerConnection::close));
     }
 
     private void accept(Channel channel) {
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -418,7 +418,9 @@
      */
     @Override
     public int endOpenCalls() {
-        return openCalls.endAll();
+        int endedCount = openCalls.endAll();
+        listener.ifPresent(CallerListener::closeAll);
+        return endedCount;
     }
 
     @Override
