Break off a response of which a part could not be written

Found by the review, by reading: a write that fails on an open connection, as memory for it cannot be allocated, was only logged. A response that was never sent counted as answered, and a stream went on behind the missing part and looked complete.

Change: a failed write on an open connection closes it and counts as closed without an answer by an own error.

Evidence: responseWithPartThatCouldNotBeWrittenIsBrokenOff lets one write of a stream fail; without the change its first check fails, as the connection stays open (by reading: the failure was only logged).

--- a/src/main/java/org/dogwoodwinch/relay/RequestExchange.java
+++ b/src/main/java/org/dogwoodwinch/relay/RequestExchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -21,7 +22,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwinch.bytes.Bytes;
-import org.dogwoodwinch.http.Channels;
 import org.dogwoodwinch.logging.LogEvent;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -204,7 +204,7 @@
         if (close) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        Channels.writeAndFlush(channel, response);
+        watch(channel.writeAndFlush(response));
         if (close) {
             connection.closeAfterResponse();
         }
@@ -228,7 +228,7 @@
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             connection.onCloseAnnounced();
         }
-        Channels.write(channel, response);
+        watch(channel.write(response));
     }
 
     @Override
@@ -237,7 +237,7 @@
             chunk.release();
             return;
         }
-        Channels.writeAndFlush(channel, new DefaultHttpContent(chunk));
+        watch(channel.writeAndFlush(new DefaultHttpContent(chunk)));
     }
 
     /**
@@ -257,7 +257,7 @@
         if (request.http10()) {
             setResetOnClose(false);
         }
-        Channels.writeAndFlush(channel, LastHttpContent.EMPTY_LAST_CONTENT);
+        watch(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
         if (closesAtEnd) {
             connection.closeAfterResponse();
         }
@@ -277,6 +277,31 @@
         connection.abort();
     }
 
+    /**
+     * Breaks the connection off if a part of the response could not be written although the connection is open.
+     *
+     * <p>Failure: memory for a part cannot be allocated, only that part is missing, and the response looks complete.
+     */
+    private void watch(ChannelFuture written) {
+        if (!written.isDone() || !written.isSuccess()) {
+            written.addListener(done -> {
+                if (!done.isSuccess() && channel.isActive()) {
+                    onWriteFailed(done.cause());
+                }
+            });
+        }
+    }
+
+    private void onWriteFailed(Throwable cause) {
+        LogEvent.of("request_failed_here").with("error", cause).warn(log);
+        state = State.ABORTED;
+        abortCause = Optional.of(UnansweredRequest.Cause.OWN_ERROR);
+        if (ended) {
+            handler.recordUnanswered(unanswered(UnansweredRequest.Cause.OWN_ERROR));
+        }
+        connection.abort();
+    }
+
     @Override
     public boolean isWritable() {
         return channel.isWritable();
--- a/src/test/java/org/dogwoodwinch/relay/CallerFailureTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/CallerFailureTest.java
@@ -6,12 +6,17 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.dogwoodwinch.relay.UnansweredRequest.Cause;
 import org.dogwoodwinch.time.VirtualTimeSource;
 import org.junit.jupiter.api.Test;
@@ -43,6 +48,11 @@
                 onDone.run();
             }
 
+            @Override
+            public Optional<StoppedCall> onInstanceStop() {
+                return Optional.empty();
+            }
+
             @Override
             public void onCallerWritable() {
                 throw new IllegalStateException("broken callback");
@@ -95,6 +105,31 @@
         assertBodyMemoryIsFree();
     }
 
+    /** Failure: memory for one part of a stream cannot be allocated, and the rest of the stream looks complete. */
+    @Test
+    void responseWithPartThatCouldNotBeWrittenIsBrokenOff() {
+        handler.behaviour = this::take;
+        send("a1");
+        CallerResponse caller = callers.get(0);
+        caller.beginResponse(200, new DefaultHttpHeaders());
+        channel.pipeline().addFirst("full", new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext _context, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                promise.setFailure(new IllegalStateException("no memory"));
+            }
+        });
+
+        caller.writeBody(Unpooled.copiedBuffer("lost part", StandardCharsets.ISO_8859_1));
+
+        assertFalse(channel.isActive());
+        caller.endResponse();
+        assertEquals(0, count("0\r\n\r\n", takeReceived()));
+        assertEquals(
+                UnansweredRequest.Cause.OWN_ERROR, handler.unanswered.get(0).cause());
+        assertBodyMemoryIsFree();
+    }
+
     /** Failure: the second request's handler fails outside the reading of bytes, and its caller waits for ever. */
     @Test
     void queuedRequestWhoseHandlerFailsIsAnswered() {
@@ -196,6 +231,11 @@
                 throw new IllegalStateException("broken callback");
             }
 
+            @Override
+            public Optional<StoppedCall> onInstanceStop() {
+                return Optional.empty();
+            }
+
             @Override
             public void onCallerWritable() {}
         };
