Keep what quick rounds have shown when a slow one follows

Found by the review, by reading: a round of probes on a slow link dropped all failures and rounds before it, so that a real cut beside a dead or late other instance was found only after two quick rounds in a row.

Change: a slow round forgets the failures of its own targets only.

Evidence: ChokedLinksTest (9, no verdict on full links, cuts found in the times as before), TargetIsolationTest (11), CutOffSoakTest and CutOffInstanceTest pass.

--- a/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/TargetIsolation.java
@@ -266,8 +266,7 @@
         }
         if (delay.isSlow()) {
             undecided = true;
-            failedRoundsCount = 0;
-            failedAtMillis.clear();
+            failed.forEach(failedAtMillis::remove);
             nextProbeMillis = nowMillis + PROBE_INTERVAL_MILLIS;
             return Change.NONE;
         }
