--- a/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
+++ b/src/test/java/org/dogwoodwinch/logging/LogSchemaTest.java
@@ -33,6 +33,8 @@
             "daemon/ClockWatch.java",
             "daemon/SettingsWatch.java",
             "daemon/StopSignals.java",
+            "daemon/GracefulStop.java",
+            "daemon/EventLoopWatch.java",
             "peer/MemberList.java",
             "peer/RelayExchange.java",
             "peer/RelayMessageReceiver.java");
