State truly whether a request without an answer was passed on

The count of sends leaves out the one under way. The line asks now whether anything was written to a target or the call was left to another instance. No test of its own.

--- a/src/main/java/org/dogwoodwinch/relay/CallPassing.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallPassing.java
@@ -62,6 +62,11 @@
         this.onDone = Objects.requireNonNull(onDone, "onDone");
     }
 
+    /** Returns whether the call was left to another instance that a relay of this one passes it to. */
+    boolean isPassedOn() {
+        return passedOn != ActiveCall.NONE;
+    }
+
     private boolean isCutOff() {
         return !routed.takenOver() && context.neighbours().arePassedOn();
     }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -224,6 +224,11 @@
         return inFlight.map(InFlightSend::ageMillis).orElse(-1L);
     }
 
+    /** Returns whether a target or another instance may have received the call. */
+    boolean isSentOn() {
+        return attempts.isWritten() || passing.isPassedOn();
+    }
+
     int sendsCount() {
         return attempts.sendsCount();
     }
--- a/src/main/java/org/dogwoodwinch/relay/RequestExchange.java
+++ b/src/main/java/org/dogwoodwinch/relay/RequestExchange.java
@@ -106,7 +106,7 @@
      * @return the request with its cause
      */
     UnansweredRequest unanswered(UnansweredRequest.Cause otherwise) {
-        boolean unsent = activeCall instanceof CallRelay relay && relay.sendsCount() == 0;
+        boolean unsent = activeCall instanceof CallRelay relay && !relay.isSentOn();
         return new UnansweredRequest(call(), abortCause.orElse(otherwise), handed && !unsent);
     }
 
