--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 4 to 6, with the JDK alone. The programs of the project come from the build of the
+# Builds the stand-ins of the cases 4 to 7, with the JDK alone. The programs of the project come from the build of the
 # deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/src-2/stand/AllKilled.java
+++ b/review/src-2/stand/AllKilled.java
@@ -10,7 +10,7 @@
     private AllKilled() {}
 
     public static void main(String[] args) throws Exception {
-        Site.run(args, AllKilled::run);
+        Site.run(args, 3, AllKilled::run);
     }
 
     private static int run(Site site, Record record, boolean trouble) throws Exception {
--- a/review/src-2/stand/Site.java
+++ b/review/src-2/stand/Site.java
@@ -5,7 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** What the cases with streams share: a store, engines and three machines of the system in two zones. */
+/** What the cases with streams share: a store, engines and machines of the system in two zones. */
 public final class Site {
     /** What a case does; returns its exit code. */
     public interface Case {
@@ -21,21 +21,23 @@
     private final Record record;
     private final List<Daemon> machines;
 
-    private Site(Path folder, Record record) throws IOException {
+    private Site(Path folder, Record record, int machinesCount) throws IOException {
         this.store = new Store();
         this.record = record;
-        this.machines = List.of(
-                new Daemon(folder, "front-gent-1", "gent", store),
-                new Daemon(folder, "front-gent-2", "gent", store),
-                new Daemon(folder, "front-antw-1", "antw", store));
+        List<Daemon> all = new ArrayList<>();
+        for (int i = 0; i < machinesCount; i++) {
+            String zone = i % 2 == 0 ? "gent" : "antw";
+            all.add(new Daemon(folder, "front-" + zone + "-" + (1 + i / 2), zone, store));
+        }
+        this.machines = List.copyOf(all);
     }
 
     /** Runs a case with the arguments FILE-OF-THE-RECORD FOLDER; TROUBLE=0 leaves its disruption out. */
-    public static void run(String[] args, Case what) throws Exception {
+    public static void run(String[] args, int machinesCount, Case what) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int code = 2;
         try (Record record = new Record(Path.of(args[0]))) {
-            code = what.run(new Site(Path.of(args[1]), record), record, trouble);
+            code = what.run(new Site(Path.of(args[1]), record, machinesCount), record, trouble);
         } catch (IOException e) {
             e.printStackTrace();
         }
--- a/review/src-2/stand/Streams.java
+++ b/review/src-2/stand/Streams.java
@@ -61,7 +61,7 @@
         record.add("broken", "all", "connections of the streams, by their clients");
     }
 
-    /** Takes the broken streams up, in turn at each of some machines, and begins as many new ones beside them. */
+    /** Takes the broken streams up, each at the machine after its own, and begins as many new ones beside them. */
     public void takeUpAt(List<Daemon> machines) throws InterruptedException {
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < running.size(); i++) {
--- a/review/src-2/stand/WeightsMoved.java
+++ b/review/src-2/stand/WeightsMoved.java
@@ -10,7 +10,7 @@
     private WeightsMoved() {}
 
     public static void main(String[] args) throws Exception {
-        Site.run(args, WeightsMoved::run);
+        Site.run(args, 3, WeightsMoved::run);
     }
 
     private static String split(int stable, int canary) {
