Review: pick a machine's ports together, and show the end of its log if it does not become ready

In a fresh clone case 5 once could not run (exit 2): one of thirty machines did not become ready. The cause is not proved; two of its ports may have been the same.

--- a/review/src-2/stand/Daemon.java
+++ b/review/src-2/stand/Daemon.java
@@ -39,9 +39,10 @@
             long pid = ProcessHandle.current().pid();
             ip = "127." + (1 + pid / 200 % 200) + "." + (1 + pid % 200) + "." + ALL.size();
         }
-        front = freePort();
-        ready = freePort();
-        Files.writeString(settings, settings(zone, store, freePort(), freePort()));
+        List<Integer> ports = freePorts(4);
+        front = ports.get(0);
+        ready = ports.get(1);
+        Files.writeString(settings, settings(zone, store, ports.get(2), ports.get(3)));
     }
 
     /** The template of the deploy file, filled in with the figures of the site gvn-boekingen. */
@@ -72,9 +73,18 @@
                 .formatted(name, zone, ip, front, ip, ready, ip, metrics, store.address(), ip, peers);
     }
 
-    private int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
-            return socket.getLocalPort();
+    /** Returns so many free ports of this machine's address, each another one. */
+    private List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets.add(new ServerSocket(0, 1, InetAddress.getByName(ip)));
+            }
+            return sockets.stream().map(ServerSocket::getLocalPort).toList();
+        } finally {
+            for (ServerSocket each : sockets) {
+                each.close();
+            }
         }
     }
 
@@ -117,7 +127,9 @@
             }
             Threads.pause(50);
         }
-        throw new IOException(name + " did not become ready");
+        List<String> lines = Files.readAllLines(folder.resolve(name + "." + starts + ".log"));
+        lines.subList(Math.max(0, lines.size() - 5), lines.size()).forEach(System.err::println);
+        throw new IOException(name + " did not become ready, runs: " + process.isAlive());
     }
 
     public boolean isReady() {
