Tell the streams under way when a service may have several versions

What callers saw: in a fleet of thirty, the first target of a new version was listed, and 38 of 60 streams that had begun before were refused with 503 at each try until their deadline, although the instance at which each had begun ran and no target had ended.

Cause: while a service has one version, nobody is told of its streams, since the version follows from the service. When that ends, only the instance where a stream began knows it, and an instance that looks for it asks eight others, among which that one is by chance. The rule "told if the service had several versions when it began" holds in quiet times only; each change that ends them (another version, a route that moves, an observation that begins anew, an instance that sees another version) makes it wrong for all streams under way.

Change: each instance keeps the streams that began there (OwnStreamBegins), and tells those that still live to the two instances that are asked for them as soon as the quiet ends: the newest first, 10,000 a second into one receiver from the whole fleet, repeated until they are acknowledged, and once more to those that take the place of an instance that left. An instance that finds no record of a stream says so to all, so that also one that cannot see the change tells its streams.

It holds because what is told is what the instance itself has passed on, so nothing follows from the absence of a record that did not follow before.

StreamBeginSharingTest#streamOfTheMomentBeforeReleaseIsKnownWhereItBegan cut an instance off 300 ms after the release, in which it tells its streams now; it is cut off before the release instead, and the rest of the check stands.

--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -274,6 +274,7 @@
                 directory::softwareVersions,
                 this::longestResumableMillis,
                 entriesAge::isOld,
+                metrics::streamBeginsTold,
                 random,
                 time);
         SegmentSharing segmentSharing = new SegmentSharing(fleet.exchange());
--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -1,7 +1,6 @@
 package org.dogwoodwinch.daemon;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,14 +9,13 @@
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.bytes.Packing;
+import org.dogwoodwinch.forwarding.StreamBegin;
 import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamId;
 import org.dogwoodwinch.forwarding.StreamLifetime;
 import org.dogwoodwinch.forwarding.StreamRecorders;
-import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.peer.PeerUpdate;
 import org.dogwoodwinch.peer.RelayExchange;
@@ -25,23 +23,17 @@
 import org.dogwoodwinch.relay.StreamOrigins;
 import org.dogwoodwinch.time.Cancellable;
 import org.dogwoodwinch.time.TimeSource;
-import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
- * Finds the software version that began a stream, also when another instance began it, which may have ended since. While
- * a service has several versions, two other instances are told of each stream before its first event is passed on, and
- * an instance at which a caller takes a stream up asks them. Confined to one event loop.
+ * Finds the software version that began a stream, also when another instance began it, which may have ended since. An
+ * instance at which a caller takes a stream up asks those that are told of the streams of its service. Confined to one
+ * event loop.
  *
  * <p>Failure: a caller takes its stream up at an instance that knows nothing of it, and a target of another version goes
  * on with it.
  */
 final class StreamBeginSharing implements StreamOrigins {
 
-    private static final Logger log = LoggerFactory.getLogger(StreamBeginSharing.class);
-
     /** Many round trips between data centres; the caller waits for it at most once. */
     private static final long ANSWER_TIMEOUT_MILLIS = 150;
 
@@ -51,7 +43,6 @@
     /** The request id in a question for a stream without a usable one; nobody has a record of it. */
     private static final String UNNAMED = "";
 
-    private static final int BEGIN_FIELDS = 4;
     private static final int QUESTION_FIELDS = 4;
     private static final int ANSWER_FIELDS = 3;
 
@@ -63,9 +54,9 @@
 
     private final String ownName;
     private final RelayExchange exchange;
-    private final Supplier<List<String>> otherNames;
     private final VersionHistorySharing versions;
     private final StreamBegins begins;
+    private final StreamBeginTelling telling;
     private final StreamLifetime lifetime;
     private final BooleanSupplier viewIsOld;
     private final TimeSource time;
@@ -77,9 +68,9 @@
      *
      * @param ownName the name of this instance, not null
      * @param exchange the bus between the instances, not null
-     * @param otherNames supplies the names of the other instances, not null
      * @param versions the versions that services have had, not null
      * @param begins the streams that this instance knows, not null
+     * @param telling tells the others of the streams that begin at this instance, not null
      * @param lifetime receives how long callers may come back, not null
      * @param viewIsOld whether the entries of targets may lack what others have read; nobody's answer then leaves a stream
      *     unknown, not null
@@ -90,47 +81,34 @@
     StreamBeginSharing(
             String ownName,
             RelayExchange exchange,
-            Supplier<List<String>> otherNames,
             VersionHistorySharing versions,
             StreamBegins begins,
+            StreamBeginTelling telling,
             StreamLifetime lifetime,
             BooleanSupplier viewIsOld,
             long firstQuestion,
             TimeSource time) {
         this.ownName = Objects.requireNonNull(ownName, "ownName");
         this.exchange = Objects.requireNonNull(exchange, "exchange");
-        this.otherNames = Objects.requireNonNull(otherNames, "otherNames");
         this.versions = Objects.requireNonNull(versions, "versions");
         this.begins = Objects.requireNonNull(begins, "begins");
+        this.telling = Objects.requireNonNull(telling, "telling");
         this.lifetime = Objects.requireNonNull(lifetime, "lifetime");
         this.viewIsOld = Objects.requireNonNull(viewIsOld, "viewIsOld");
         this.nextQuestion = firstQuestion;
         this.time = Objects.requireNonNull(time, "time");
     }
 
-    /** Starts to receive begins and questions. */
+    /** Starts to receive questions and answers. */
     void start() {
-        exchange.subscribe(PeerTopic.STREAM_BEGIN, this::onBegin);
         exchange.subscribe(PeerTopic.STREAM_QUESTION, this::onQuestion);
         exchange.subscribe(PeerTopic.STREAM_ANSWER, this::onAnswer);
     }
 
     @Override
     public void recordBegin(StreamId stream, String softwareVersion, OptionalLong callerMillis) {
-        long nowMillis = time.monotonicMillis();
-        callerMillis.ifPresent(millis -> lifetime.recordDeadline(millis, nowMillis));
-        begins.record(stream, softwareVersion, nowMillis);
-        versions.update(stream.service());
-        if (stream.isRecordable() && versions.maybeSeveral(stream.service())) {
-            List<String> told = StreamRecorders.toldOf(stream, memberNames(), ownName);
-            exchange.sendDirectly(PeerTopic.STREAM_BEGIN, encodeBegin(stream, softwareVersion), told);
-            LogEvent.of("stream_began")
-                    .with("request", stream.requestId())
-                    .with("service", stream.service())
-                    .with("version", softwareVersion)
-                    .with("told", told)
-                    .info(log);
-        }
+        callerMillis.ifPresent(millis -> lifetime.recordDeadline(millis, time.monotonicMillis()));
+        telling.recordBegin(new StreamBegin(stream, softwareVersion));
     }
 
     @Override
@@ -150,7 +128,7 @@
     }
 
     private void ask(StreamId stream, Consumer<StreamOrigin> onFound) {
-        List<String> asked = StreamRecorders.askedFor(stream, memberNames(), ownName);
+        List<String> asked = StreamRecorders.askedFor(stream, telling.memberNames(), ownName);
         if (questions.size() >= MAX_QUESTIONS) {
             onFound.accept(new StreamOrigin.Unknown("too_many_questions"));
             return;
@@ -179,7 +157,10 @@
         return versions.onlyVersion(service)
                 .<StreamOrigin>map(version -> new StreamOrigin.Known(
                         version, StreamOrigin.Source.ONLY_VERSION, versions.singleMillis(service)))
-                .orElseGet(() -> new StreamOrigin.Unknown("no_record"));
+                .orElseGet(() -> {
+                    telling.requestBegins(service);
+                    return new StreamOrigin.Unknown("no_record");
+                });
     }
 
     private void endWithoutRecord(long number) {
@@ -199,35 +180,16 @@
         question.onFound.accept(origin);
     }
 
-    private List<String> memberNames() {
-        List<String> names = new ArrayList<>(otherNames.get());
-        names.add(ownName);
-        return names;
-    }
-
-    private void onBegin(PeerUpdate update) {
-        try {
-            Packing.unpack(update.payload().toByteArray(), unpacker -> {
-                Packing.expectFields(unpacker, BEGIN_FIELDS);
-                StreamId stream = unpackStream(unpacker);
-                begins.record(stream, unpacker.unpackString(), time.monotonicMillis());
-                return stream;
-            });
-        } catch (IOException e) {
-            logNotUnderstood(update, e);
-        }
-    }
-
     private void onQuestion(PeerUpdate update) {
         try {
             Packing.unpack(update.payload().toByteArray(), unpacker -> {
                 Packing.expectFields(unpacker, QUESTION_FIELDS);
                 long number = unpacker.unpackLong();
-                answer(update.origin(), number, unpackStream(unpacker));
+                answer(update.origin(), number, StreamBeginTelling.unpackStream(unpacker));
                 return number;
             });
         } catch (IOException e) {
-            logNotUnderstood(update, e);
+            StreamBeginTelling.logNotUnderstood(update, e);
         }
     }
 
@@ -263,7 +225,7 @@
                 return number;
             });
         } catch (IOException e) {
-            logNotUnderstood(update, e);
+            StreamBeginTelling.logNotUnderstood(update, e);
         }
     }
 
@@ -288,39 +250,14 @@
         }
     }
 
-    private static Bytes encodeBegin(StreamId stream, String softwareVersion) {
-        return Packing.pack(stream, (packer, id) -> {
-            packer.packArrayHeader(BEGIN_FIELDS);
-            packStream(packer, id);
-            packer.packString(softwareVersion);
-        });
-    }
-
     private static Bytes encodeQuestion(long number, StreamId stream) {
         return Packing.pack(stream, (packer, id) -> {
             packer.packArrayHeader(QUESTION_FIELDS);
             packer.packLong(number);
-            packStream(packer, id);
+            StreamBeginTelling.packStream(packer, id);
         });
     }
 
-    private static void packStream(MessagePacker packer, StreamId stream) throws IOException {
-        packer.packString(stream.owner());
-        packer.packString(stream.service());
-        packer.packString(stream.requestId());
-    }
-
-    private static StreamId unpackStream(MessageUnpacker unpacker) throws IOException {
-        return new StreamId(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
-    }
-
-    private static void logNotUnderstood(PeerUpdate update, IOException error) {
-        LogEvent.of("stream_begin_not_understood")
-                .with("peer", update.origin())
-                .with("error", error.getMessage())
-                .warn(log);
-    }
-
     private static final class Question {
         private final StreamId stream;
         private final Consumer<StreamOrigin> onFound;
--- a/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamComponents.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.ObjIntConsumer;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
@@ -32,6 +33,7 @@
     private final RelayExchange exchange;
     private final TimeSource time;
     private final VersionHistorySharing versions;
+    private final StreamBeginTelling telling;
     private final StreamBeginSharing begins;
 
     /**
@@ -44,6 +46,8 @@
      * @param longestTimeoutMillis supplies the longest time-out, in the configuration in force, of a route whose streams
      *     may be resumed, in milliseconds, not null
      * @param viewIsOld whether the entries of targets may lack what other instances have read, not null
+     * @param onTold receives numbers of streams of which others are told later than at their begin, by what became of
+     *     that, not null
      * @param random the source of randomness, not null
      * @param time the clock and timers, not null
      */
@@ -54,6 +58,7 @@
             Function<String, Set<String>> listedVersions,
             LongSupplier longestTimeoutMillis,
             BooleanSupplier viewIsOld,
+            ObjIntConsumer<String> onTold,
             UniformRandomProvider random,
             TimeSource time) {
         this.longestTimeoutMillis = Objects.requireNonNull(longestTimeoutMillis, "longestTimeoutMillis");
@@ -67,16 +72,11 @@
                 listedVersions,
                 new SoftwareVersionHistory(this::lifetimeMillis, VIEW_DIFFERENCE_MILLIS, REMOVED_SERVES_MILLIS),
                 time);
+        StreamBegins known = new StreamBegins(this::lifetimeMillis);
+        this.telling = new StreamBeginTelling(
+                ownName, exchange, otherNames, versions, known, this::lifetimeMillis, onTold, random.nextLong(), time);
         this.begins = new StreamBeginSharing(
-                ownName,
-                exchange,
-                otherNames,
-                versions,
-                new StreamBegins(this::lifetimeMillis),
-                lifetime,
-                viewIsOld,
-                random.nextLong(),
-                time);
+                ownName, exchange, versions, known, telling, lifetime, viewIsOld, random.nextLong(), time);
     }
 
     /**
@@ -87,6 +87,7 @@
     void start(Supplier<Set<String>> services) {
         exchange.beforeEachRound(this::recordTimeout);
         versions.start(services);
+        telling.start();
         begins.start();
     }
 
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamRecorders.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamRecorders.java
@@ -27,6 +27,29 @@
 
     private StreamRecorders() {}
 
+    /**
+     * Returns the instances that keep the streams of a service.
+     *
+     * @param service the service, not null
+     * @param names the names of all instances, not null
+     * @return the names, also this instance's if it is one of them
+     */
+    public static List<String> ofService(String service, Collection<String> names) {
+        return highest(service, names, RECORDERS_PER_SERVICE);
+    }
+
+    /**
+     * Returns the instances that are told of the begin of a stream.
+     *
+     * @param requestId the request id of the attempt that began it, not null
+     * @param recorders the instances that keep the streams of its service, not null
+     * @param ownName the name of this instance, not null
+     * @return the names, without this instance
+     */
+    public static List<String> toldOf(String requestId, List<String> recorders, String ownName) {
+        return without(ownName, highest(requestId, recorders, TOLD_COUNT + 1), TOLD_COUNT);
+    }
+
     /**
      * Returns the instances that are told of the begin of a stream.
      *
@@ -36,10 +59,7 @@
      * @return the names, without this instance
      */
     public static List<String> toldOf(StreamId stream, Collection<String> names, String ownName) {
-        return ranked(stream, names).stream()
-                .filter(name -> !name.equals(ownName))
-                .limit(TOLD_COUNT)
-                .toList();
+        return toldOf(stream.requestId(), ofService(stream.service(), names), ownName);
     }
 
     /**
@@ -51,10 +71,8 @@
      * @return the names, without this instance
      */
     public static List<String> askedFor(StreamId stream, Collection<String> names, String ownName) {
-        return ranked(stream, names).stream()
-                .filter(name -> !name.equals(ownName))
-                .limit(ASKED_COUNT)
-                .toList();
+        List<String> recorders = ofService(stream.service(), names);
+        return without(ownName, highest(stream.requestId(), recorders, ASKED_COUNT + 1), ASKED_COUNT);
     }
 
     /**
@@ -68,9 +86,11 @@
         return highest(ownName, otherNames, ASKED_COUNT);
     }
 
-    private static List<String> ranked(StreamId stream, Collection<String> names) {
-        List<String> recorders = highest(stream.service(), names, RECORDERS_PER_SERVICE);
-        return highest(stream.requestId(), recorders, recorders.size());
+    private static List<String> without(String ownName, List<String> ranked, int count) {
+        return ranked.stream()
+                .filter(name -> !name.equals(ownName))
+                .limit(count)
+                .toList();
     }
 
     private static List<String> highest(String key, Collection<String> names, int count) {
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -60,6 +60,15 @@
     /** The software version at which a stream began; sent to the instances that keep it. */
     STREAM_BEGIN,
 
+    /** Begins of streams that were not told when they began; sent to the instances that keep them. */
+    STREAM_BEGINS,
+
+    /** The acknowledgement of such begins. */
+    STREAM_BEGINS_KEPT,
+
+    /** A service of which a stream is taken up that nobody who was asked knows. */
+    STREAM_BEGINS_WANTED,
+
     /** A question for the software version at which a stream began. */
     STREAM_QUESTION,
 
--- a/src/main/java/org/dogwoodwinch/peer/TopicAudiences.java
+++ b/src/main/java/org/dogwoodwinch/peer/TopicAudiences.java
@@ -19,11 +19,14 @@
             PeerTopic.TARGET_LIMIT,
             PeerTopic.TARGET_PERFORMANCE,
             PeerTopic.TARGET_LEAVES,
-            PeerTopic.TARGETS_CUT_OFF);
+            PeerTopic.TARGETS_CUT_OFF,
+            PeerTopic.STREAM_BEGINS_WANTED);
 
     private static final Set<PeerTopic> DIRECT_TOPICS = Set.of(
             PeerTopic.INSTANCE_LEAVES,
             PeerTopic.STREAM_BEGIN,
+            PeerTopic.STREAM_BEGINS,
+            PeerTopic.STREAM_BEGINS_KEPT,
             PeerTopic.STREAM_QUESTION,
             PeerTopic.STREAM_ANSWER,
             PeerTopic.VERSIONS_QUESTION,
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingMetrics.java
@@ -35,9 +35,7 @@
     private final Counter targetStatements;
     private final Counter keptCalls;
     private final Counter endedResponses;
-    private final Counter takenUpStreams;
-    private final Counter streamTakeUps;
-    private final Counter streamsBesidePrefills;
+    private final StreamMetrics streams;
     private final Counter passedOnCalls;
     private final Counter takenOverCalls;
     private final Counter callsWithoutConnection;
@@ -123,19 +121,7 @@
                 "Successful responses of targets whose end was seen, by what showed it and the verdict.",
                 "by",
                 "verdict");
-        this.takenUpStreams = counter(
-                "dogwoodwinch_streams_taken_up_total",
-                "Streams that callers took up, by how the software version that began them was known.",
-                "known_by");
-        this.streamTakeUps = counter(
-                "dogwoodwinch_stream_take_ups_ended_total",
-                "Streams that callers took up, by what came of it.",
-                "outcome");
-        this.streamsBesidePrefills = counter(
-                "dogwoodwinch_streams_beside_prefills_total",
-                "Streams that ran beside a long prefill at their target, by whether an event came too late.",
-                "service",
-                "late");
+        this.streams = new StreamMetrics(registry);
         this.passedOnCalls = counter(
                 "dogwoodwinch_calls_passed_on_total",
                 "Calls passed on to another instance because this one was cut off from all targets or had no connection to"
@@ -355,16 +341,18 @@
         endedResponses.labelValues(by, verdict).inc();
     }
 
-    void streamTakenUp(String knownBy) {
-        takenUpStreams.labelValues(knownBy).inc();
-    }
-
-    void streamTakeUpEnded(String outcome) {
-        streamTakeUps.labelValues(outcome).inc();
+    /**
+     * Counts streams of which other instances were to be told later than at their begin.
+     *
+     * @param outcome what came of it, not null
+     * @param count the number of streams
+     */
+    public void streamBeginsTold(String outcome, int count) {
+        streams.beginsTold(outcome, count);
     }
 
-    void streamBesidePrefill(String service, boolean late) {
-        streamsBesidePrefills.labelValues(service, Boolean.toString(late)).inc();
+    StreamMetrics streams() {
+        return streams;
     }
 
     void callPassedOn(String outcome) {
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -194,7 +194,7 @@
 
     @Override
     public void ranBesidePrefill(String service, boolean stalled) {
-        metrics.streamBesidePrefill(service, stalled);
+        metrics.streams().besidePrefill(service, stalled);
     }
 
     @Override
@@ -217,7 +217,7 @@
     @Override
     public void streamTakenUp(CallRelay call, String resumes, StreamOrigin origin) {
         if (origin instanceof StreamOrigin.Known known) {
-            metrics.streamTakenUp(lowerCaseName(known.source()));
+            metrics.streams().takenUp(lowerCaseName(known.source()));
             callEvent("stream_taken_up", call)
                     .with("resumes", resumes)
                     .with("version", known.softwareVersion())
@@ -241,7 +241,7 @@
     @Override
     public void streamFirstEvent(CallRelay call, StreamContinuity.FirstEvent event, Optional<String> eventId) {
         if (event.isFirstOfTakeUp()) {
-            metrics.streamTakeUpEnded(event.isOfVersionDemanded() ? "went_on" : "other_version");
+            metrics.streams().takeUpEnded(event.isOfVersionDemanded() ? "went_on" : "other_version");
         }
         callEvent("stream_first_event", call)
                 .with("resumes", call.resumes())
@@ -255,7 +255,7 @@
 
     @Override
     public void streamTakeUpWithoutEvent(CallRelay call) {
-        metrics.streamTakeUpEnded("no_event");
+        metrics.streams().takeUpEnded("no_event");
         callEvent("stream_take_up_without_event", call)
                 .with("resumes", call.resumes())
                 .with("version", call.softwareVersion().orElse(""))
--- a/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
@@ -74,18 +74,29 @@
         begins = new StreamBegins(this::lifetimeMillis);
         lifetime = new StreamLifetime(SoakDay.VIEW_DIFFERENCE_MILLIS);
         lifetime.recordTimeout(MAX_TIMEOUT_MILLIS, day.nowMillis());
-        sharing = new StreamBeginSharing(
+        StreamBeginTelling telling = new StreamBeginTelling(
                 member.name,
                 member.exchange,
                 this::otherNames,
                 versions,
                 begins,
+                this::lifetimeMillis,
+                (_outcome, _count) -> {},
+                day.random.nextLong(),
+                time);
+        sharing = new StreamBeginSharing(
+                member.name,
+                member.exchange,
+                versions,
+                begins,
+                telling,
                 lifetime,
                 () -> lateMillis() > OLD_VIEW_MILLIS,
                 day.random.nextLong(),
                 time);
         // The rounds of the simulated bus go on while a process is suspended.
         versions.start(() -> member.paused && day.playsMore() ? Set.of() : Set.of("reader"));
+        telling.start();
         sharing.start();
     }
 
--- a/src/test/java/org/dogwoodwinch/daemon/StreamBeginFixture.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamBeginFixture.java
@@ -5,11 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -71,6 +74,7 @@
         Set<String> listed = ONE;
         long timeoutMillis = TIMEOUT_MILLIS;
         boolean viewIsOld;
+        final Map<String, Integer> beginsTold = new HashMap<>();
         StreamComponents streams;
 
         Instance(SimulatedFleet.Member member) {
@@ -86,6 +90,7 @@
                     _service -> listed,
                     () -> timeoutMillis,
                     () -> viewIsOld,
+                    (outcome, count) -> beginsTold.merge(outcome, count, Integer::sum),
                     random,
                     fleet.time);
             streams.start(() -> Set.of("reader"));
@@ -107,9 +112,14 @@
             begin();
         }
 
+        /** Asks what is known of a stream, which takes its time. */
+        void ask(Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
+            streams.origins().find("reader", stream, onFound);
+        }
+
         StreamOrigin find(Optional<StreamId> stream) {
             AtomicReference<StreamOrigin> found = new AtomicReference<>();
-            streams.origins().find("reader", stream, found::set);
+            ask(stream, found::set);
             fleet.time.advanceMillis(ANSWER_MILLIS);
             assertTrue(found.get() != null, "no answer in time");
             return found.get();
--- a/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamBeginSharingTest.java
@@ -201,8 +201,8 @@
         instances.get(0).begin(stream(1), "v1");
         instances.get(5).begin(stream(2), "v1");
         fleet.time.advanceMillis(LIFETIME_MILLIS / 2);
-        listVersions(TWO);
         fleet.members.get(5).setIsolated(true);
+        listVersions(TWO);
 
         assertKnown("v1", instances.get(3).find(Optional.of(stream(1))));
         assertInstanceOf(StreamOrigin.Unknown.class, instances.get(3).find(Optional.of(stream(2))));
--- a/src/test/java/org/dogwoodwinch/daemon/StreamComponentsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamComponentsTest.java
@@ -124,6 +124,7 @@
                     VERSIONS::get,
                     () -> TIMEOUT_MILLIS,
                     () -> false,
+                    (_outcome, _count) -> {},
                     RandomSource.XO_RO_SHI_RO_128_PP.create(7),
                     fleet.time);
             streams.start(VERSIONS::keySet);
