Let the record of a stream decide its service, not the weights in force

What callers saw: a configuration moved most of a route's weight between two services that it went on to name. Of 30 streams that were taken up 23 were refused with 503 (other_service) until their deadline; all targets were well.

Cause: a call was routed before the begin of its stream was searched. On a route to several services the request id and the weights now in force chose the service, and a record of another one then counted as a contradiction. The hash was the same at every instance, so no retry helped. The rule "the service follows from the id and the weights" holds only while both are those under which the stream began; a route that is renamed or split broke it as well.

Change: the begin is searched first (OriginSearch), among all services to which the route leads (StreamTakeUp), and the call is routed by what is found: to the recorded service, if the route in force gives it a share, else it is refused as not run. The weights choose a service only without a record, where a move within a stream's lifetime still leaves no only version; a route whose streams may not be resumed, which leaves the service to chance, has none then. An instance that is asked for another service than the one it recorded sends its record before its answer, which older programs read as a contradiction as before. A route never chooses a service of weight 0, also not by a rounding error.

EndOfQuietTest plays the move at 6, 30 and 90 instances.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginSharing.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -21,13 +22,14 @@
 import org.dogwoodwinch.peer.RelayExchange;
 import org.dogwoodwinch.relay.StreamOrigin;
 import org.dogwoodwinch.relay.StreamOrigins;
+import org.dogwoodwinch.relay.StreamTakeUp;
 import org.dogwoodwinch.time.Cancellable;
 import org.dogwoodwinch.time.TimeSource;
 
 /**
- * Finds the software version that began a stream, also when another instance began it, which may have ended since. An
- * instance at which a caller takes a stream up asks those that are told of the streams of its service. Confined to one
- * event loop.
+ * Finds the service and the software version that began a stream, also when another instance began it, which may have
+ * ended since. An instance at which a caller takes a stream up asks those that are told of the streams of the services to
+ * which the route leads. Confined to one event loop.
  *
  * <p>Failure: a caller takes its stream up at an instance that knows nothing of it, and a target of another version goes
  * on with it.
@@ -47,8 +49,8 @@
     private static final int ANSWER_FIELDS = 3;
 
     /**
-     * The age in an answer without a version, if the id is recorded but says nothing about the version. An older program
-     * takes it for an answer without a record.
+     * The age in an answer without a version, if the id is recorded at another service than the one that was asked for, or
+     * says nothing.
      */
     private static final long CONTRADICTED_AGE_MILLIS = -1;
 
@@ -112,55 +114,86 @@
     }
 
     @Override
-    public void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
-        versions.update(service);
-        // Without an id, the others are still asked which versions they see.
-        StreamId named = stream.filter(StreamId::isRecordable).orElseGet(() -> new StreamId("", service, UNNAMED));
-        Optional<StreamOrigin> recorded = begins.find(named, time.monotonicMillis())
-                .map(begin -> new StreamOrigin.Known(
-                        begin.softwareVersion(), StreamOrigin.Source.RECORDED, begin.ageMillis()));
-        if (recorded.isPresent()) {
-            onFound.accept(recorded.get());
-            return;
+    public void find(StreamTakeUp takeUp, Consumer<StreamOrigin> onFound) {
+        takeUp.services().forEach(versions::update);
+        recordOf(takeUp, StreamOrigin.Source.RECORDED).ifPresentOrElse(onFound, () -> ask(takeUp, onFound));
+    }
+
+    /**
+     * Returns what the records of this instance say of a stream; empty if there is none of it. The record decides about
+     * the service, since the route may have led elsewhere when the stream began.
+     */
+    private Optional<StreamOrigin> recordOf(StreamTakeUp takeUp, StreamOrigin.Source source) {
+        String requestId = requestIdOf(takeUp);
+        if (begins.isAmbiguous(takeUp.owner(), requestId)) {
+            return Optional.of(new StreamOrigin.Unknown("ambiguous"));
         }
-        begins.contradiction(named)
-                .ifPresentOrElse(reason -> onFound.accept(new StreamOrigin.Unknown(reason)), () -> ask(named, onFound));
+        return begins.find(takeUp.owner(), requestId, time.monotonicMillis())
+                .map(begin -> takeUp.services().contains(begin.service())
+                        ? new StreamOrigin.Known(begin.service(), begin.softwareVersion(), source, begin.ageMillis())
+                        : new StreamOrigin.Unknown("other_service"));
     }
 
-    private void ask(StreamId stream, Consumer<StreamOrigin> onFound) {
-        List<String> asked = StreamRecorders.askedFor(stream, telling.memberNames(), ownName);
+    private static String requestIdOf(StreamTakeUp takeUp) {
+        return takeUp.requestId().filter(StreamId::isRecordable).orElse(UNNAMED);
+    }
+
+    private void ask(StreamTakeUp takeUp, Consumer<StreamOrigin> onFound) {
         if (questions.size() >= MAX_QUESTIONS) {
             onFound.accept(new StreamOrigin.Unknown("too_many_questions"));
             return;
         }
-        if (asked.isEmpty()) {
-            onFound.accept(withoutRecord(stream.service()));
+        Map<String, String> serviceByAsked = askedFor(takeUp);
+        if (serviceByAsked.isEmpty()) {
+            onFound.accept(withoutRecord(takeUp));
             return;
         }
         long number = nextQuestion++;
-        Question question = new Question(stream, onFound, asked.size());
+        Question question = new Question(takeUp, serviceByAsked, onFound);
         questions.put(number, question);
         question.timeout = time.schedule(ANSWER_TIMEOUT_MILLIS, () -> endWithoutRecord(number));
-        exchange.sendDirectly(PeerTopic.STREAM_QUESTION, encodeQuestion(number, stream), asked);
+        for (String service : takeUp.services()) {
+            List<String> asked = serviceByAsked.entrySet().stream()
+                    .filter(entry -> entry.getValue().equals(service))
+                    .map(Map.Entry::getKey)
+                    .toList();
+            StreamId stream = new StreamId(takeUp.owner(), service, requestIdOf(takeUp));
+            exchange.sendDirectly(PeerTopic.STREAM_QUESTION, encodeQuestion(number, stream), asked);
+        }
+    }
+
+    /**
+     * Returns the instances that are told of the streams of the services at which the stream may have begun, each with the
+     * service that it is asked for. Without an id, the others are still asked which versions they see.
+     */
+    private Map<String, String> askedFor(StreamTakeUp takeUp) {
+        List<String> names = telling.memberNames();
+        Map<String, String> serviceByAsked = new LinkedHashMap<>();
+        for (String service : takeUp.services()) {
+            StreamId stream = new StreamId(takeUp.owner(), service, requestIdOf(takeUp));
+            StreamRecorders.askedFor(stream, names, ownName).forEach(name -> serviceByAsked.putIfAbsent(name, service));
+        }
+        return serviceByAsked;
     }
 
     /**
      * Returns what follows when no record of a stream is found. An instance that hears nothing of the others may have
      * missed a release too, so it does not know that there was none.
      */
-    private StreamOrigin withoutRecord(String service) {
+    private StreamOrigin withoutRecord(StreamTakeUp takeUp) {
         // A release may have been seen while the others were asked.
-        versions.update(service);
+        takeUp.services().forEach(versions::update);
         if (!exchange.hearsOthers()) {
             return new StreamOrigin.Unknown("cut_off");
         }
-        return versions.onlyVersion(service)
-                .<StreamOrigin>map(version -> new StreamOrigin.Known(
-                        version, StreamOrigin.Source.ONLY_VERSION, versions.singleMillis(service)))
-                .orElseGet(() -> {
-                    telling.requestBegins(service);
-                    return new StreamOrigin.Unknown("no_record");
-                });
+        Optional<StreamOrigin> only = takeUp.serviceWithoutRecord()
+                .flatMap(service -> versions.onlyVersion(service)
+                        .map(version -> new StreamOrigin.Known(
+                                service, version, StreamOrigin.Source.ONLY_VERSION, versions.singleMillis(service))));
+        if (only.isEmpty() && !requestIdOf(takeUp).equals(UNNAMED)) {
+            takeUp.services().forEach(telling::requestBegins);
+        }
+        return only.orElseGet(() -> new StreamOrigin.Unknown("no_record"));
     }
 
     private void endWithoutRecord(long number) {
@@ -169,7 +202,7 @@
             end(
                     number,
                     question.isAnswered || !viewIsOld.getAsBoolean()
-                            ? withoutRecord(question.stream.service())
+                            ? withoutRecord(question.takeUp)
                             : new StreamOrigin.Unknown("old_view"));
         }
     }
@@ -194,21 +227,28 @@
     }
 
     private void answer(String asker, long number, StreamId stream) {
-        Optional<StreamBegins.KnownBegin> begin = begins.find(stream, time.monotonicMillis());
-        long ageWithoutBeginMillis = begins.contradiction(stream).isPresent() ? CONTRADICTED_AGE_MILLIS : 0;
-        if (begin.isEmpty()) {
-            // Sent first, because the asker decides with the last answer.
+        Optional<StreamBegins.KnownBegin> known =
+                begins.find(stream.owner(), stream.requestId(), time.monotonicMillis());
+        Optional<StreamBegins.KnownBegin> begin =
+                known.filter(each -> each.service().equals(stream.service()));
+        boolean isContradicted = known.isPresent() || begins.isAmbiguous(stream.owner(), stream.requestId());
+        // What comes beside the answer is sent first, because the asker decides with the last answer.
+        if (begin.isEmpty() && known.isPresent()) {
+            StreamId recorded = new StreamId(stream.owner(), known.get().service(), stream.requestId());
+            telling.tell(new StreamBegin(recorded, known.get().softwareVersion()), List.of(asker));
+        } else if (!isContradicted) {
             versions.tell(asker, List.of(stream.service()));
         }
-        Bytes payload = Packing.pack(begin, (packer, known) -> {
+        Bytes payload = Packing.pack(begin, (packer, found) -> {
             packer.packArrayHeader(ANSWER_FIELDS);
             packer.packLong(number);
-            if (known.isPresent()) {
-                packer.packString(known.get().softwareVersion());
+            if (found.isPresent()) {
+                packer.packString(found.get().softwareVersion());
             } else {
                 packer.packNil();
             }
-            packer.packLong(known.map(StreamBegins.KnownBegin::ageMillis).orElse(ageWithoutBeginMillis));
+            packer.packLong(
+                    found.map(StreamBegins.KnownBegin::ageMillis).orElse(isContradicted ? CONTRADICTED_AGE_MILLIS : 0));
         });
         exchange.sendDirectly(PeerTopic.STREAM_ANSWER, payload, List.of(asker));
     }
@@ -221,7 +261,7 @@
                 Optional<String> softwareVersion =
                         unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(unpacker.unpackString());
                 long ageMillis = unpacker.unpackLong();
-                onAnswer(number, softwareVersion, ageMillis);
+                onAnswer(number, update.origin(), softwareVersion, ageMillis);
                 return number;
             });
         } catch (IOException e) {
@@ -229,18 +269,21 @@
         }
     }
 
-    private void onAnswer(long number, Optional<String> softwareVersion, long ageMillis) {
+    private void onAnswer(long number, String origin, Optional<String> softwareVersion, long ageMillis) {
         Question question = questions.get(number);
-        if (question == null) {
+        String service = question == null ? null : question.serviceByAsked.get(origin);
+        if (service == null) {
             return;
         }
-        if (softwareVersion.isPresent()) {
-            begins.record(question.stream, softwareVersion.get(), time.monotonicMillis());
-            end(number, new StreamOrigin.Known(softwareVersion.get(), StreamOrigin.Source.ASKED, ageMillis));
-            return;
-        }
-        if (ageMillis == CONTRADICTED_AGE_MILLIS) {
-            end(number, new StreamOrigin.Unknown("contradicted"));
+        StreamTakeUp takeUp = question.takeUp;
+        softwareVersion.ifPresent(version -> begins.record(
+                new StreamId(takeUp.owner(), service, requestIdOf(takeUp)), version, time.monotonicMillis()));
+        if (softwareVersion.isPresent() || ageMillis == CONTRADICTED_AGE_MILLIS) {
+            // Whoever has a record of another service has sent it before the answer.
+            end(
+                    number,
+                    recordOf(takeUp, StreamOrigin.Source.ASKED)
+                            .orElseGet(() -> new StreamOrigin.Unknown("contradicted")));
             return;
         }
         question.openCount--;
@@ -259,16 +302,18 @@
     }
 
     private static final class Question {
-        private final StreamId stream;
+        private final StreamTakeUp takeUp;
+        private final Map<String, String> serviceByAsked;
         private final Consumer<StreamOrigin> onFound;
         private int openCount;
         private boolean isAnswered;
         private Cancellable timeout;
 
-        Question(StreamId stream, Consumer<StreamOrigin> onFound, int openCount) {
-            this.stream = stream;
+        Question(StreamTakeUp takeUp, Map<String, String> serviceByAsked, Consumer<StreamOrigin> onFound) {
+            this.takeUp = takeUp;
+            this.serviceByAsked = serviceByAsked;
             this.onFound = onFound;
-            this.openCount = openCount;
+            this.openCount = serviceByAsked.size();
         }
     }
 }
--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginTelling.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginTelling.java
@@ -128,7 +128,7 @@
         List<String> told = isTold ? StreamRecorders.toldOf(stream, memberNames(), ownName) : List.of();
         own.record(begin, told, time.monotonicMillis());
         if (isTold) {
-            exchange.sendDirectly(PeerTopic.STREAM_BEGIN, encodeBegin(begin), told);
+            tell(begin, told);
             LogEvent.of("stream_began")
                     .with("request", stream.requestId())
                     .with("service", stream.service())
@@ -138,6 +138,16 @@
         }
     }
 
+    /**
+     * Tells others of a stream at once.
+     *
+     * @param begin the stream and its version, not null
+     * @param names the instances, not null
+     */
+    void tell(StreamBegin begin, List<String> names) {
+        exchange.sendDirectly(PeerTopic.STREAM_BEGIN, encodeBegin(begin), names);
+    }
+
     /**
      * Asks all instances to tell their streams of a service, because one is taken up that nobody who was asked knows.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/RouteMoves.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/RouteMoves.java
@@ -51,8 +51,8 @@
 
     /** Among several services, the id of a stream and the name of the route decide; without resumption, chance does. */
     private static boolean choosesAlike(ServiceRoute before, ServiceRoute now) {
-        List<WeightedService> shares = sharesOf(now);
-        return shares.equals(sharesOf(before))
+        List<WeightedService> shares = now.shares();
+        return shares.equals(before.shares())
                 && (shares.size() == 1
                         || (before.resumable()
                                 && now.resumable()
@@ -60,19 +60,6 @@
     }
 
     private static Set<String> servicesOf(ServiceRoute route) {
-        return sharesOf(route).stream().map(WeightedService::service).collect(Collectors.toUnmodifiableSet());
-    }
-
-    /** Returns the services that get calls, with their shares of all calls. */
-    private static List<WeightedService> sharesOf(ServiceRoute route) {
-        List<WeightedService> all = route.services();
-        double total = all.stream().mapToDouble(WeightedService::weight).sum();
-        if (total == 0) {
-            return List.of(new WeightedService(all.get(all.size() - 1).service(), 1));
-        }
-        return all.stream()
-                .filter(each -> each.weight() > 0)
-                .map(each -> new WeightedService(each.service(), each.weight() / total))
-                .toList();
+        return route.shares().stream().map(WeightedService::service).collect(Collectors.toUnmodifiableSet());
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/ServiceRoute.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/ServiceRoute.java
@@ -61,6 +61,32 @@
         return kind == RouteKind.REPEATABLE || (kind == RouteKind.STREAM && resumable);
     }
 
+    /**
+     * Returns the services that get calls, with their shares of all calls.
+     *
+     * @return the services in their order, with shares that add up to one
+     */
+    public List<WeightedService> shares() {
+        double total = services.stream().mapToDouble(WeightedService::weight).sum();
+        if (total == 0) {
+            return List.of(new WeightedService(services.get(services.size() - 1).service(), 1));
+        }
+        return services.stream()
+                .filter(each -> each.weight() > 0)
+                .map(each -> new WeightedService(each.service(), each.weight() / total))
+                .toList();
+    }
+
+    /**
+     * Returns whether calls of this route may run at a service.
+     *
+     * @param service the service's name, not null
+     * @return whether the service gets a share of the calls
+     */
+    public boolean leadsTo(String service) {
+        return shares().stream().anyMatch(each -> each.service().equals(service));
+    }
+
     /**
      * Chooses the service for one call in proportion to the weights.
      *
@@ -70,12 +96,16 @@
     public String chooseService(double uniform) {
         double total = services.stream().mapToDouble(WeightedService::weight).sum();
         double remainingWeight = uniform * total;
+        String chosen = services.get(services.size() - 1).service();
         for (WeightedService candidate : services) {
-            remainingWeight -= candidate.weight();
-            if (remainingWeight < 0) {
-                return candidate.service();
+            if (candidate.weight() > 0) {
+                chosen = candidate.service();
+                remainingWeight -= candidate.weight();
+                if (remainingWeight < 0) {
+                    return chosen;
+                }
             }
         }
-        return services.get(services.size() - 1).service();
+        return chosen;
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamBegins.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamBegins.java
@@ -48,27 +48,30 @@
     }
 
     /**
-     * Returns the version at which a stream began.
+     * Returns where a stream began.
      *
-     * @param stream the stream, not null
+     * @param owner the name of the owner on whose behalf it runs; empty if it has none, not null
+     * @param requestId the request id of the attempt that began it, not null
      * @param nowMillis the monotonic time
-     * @return the version and its age; empty if it is not known, or not known for certain
+     * @return the service, the version and the age; empty if they are not known, or not known for certain
      */
-    public Optional<KnownBegin> find(StreamId stream, long nowMillis) {
+    public Optional<KnownBegin> find(String owner, String requestId, long nowMillis) {
         expire(nowMillis);
-        return Optional.ofNullable(begins.get(Key.of(stream)))
-                .filter(begin -> begin.contradiction(stream).isEmpty())
-                .map(begin -> new KnownBegin(begin.softwareVersion, nowMillis - begin.recordedMillis));
+        return Optional.ofNullable(begins.get(new Key(owner, requestId)))
+                .filter(begin -> !begin.ambiguous)
+                .map(begin -> new KnownBegin(begin.service, begin.softwareVersion, nowMillis - begin.recordedMillis));
     }
 
     /**
-     * Returns why the id of a stream says nothing about its version, although a begin is recorded under it.
+     * Returns whether an id says nothing, although begins are recorded under it, because they differ.
      *
-     * @param stream the stream, not null
-     * @return the reason for logs; empty if there is no such record
+     * @param owner the name of the owner; empty if there is none, not null
+     * @param requestId the request id, not null
+     * @return whether streams of the owner began under it at several versions or services
      */
-    public Optional<String> contradiction(StreamId stream) {
-        return Optional.ofNullable(begins.get(Key.of(stream))).flatMap(begin -> begin.contradiction(stream));
+    public boolean isAmbiguous(String owner, String requestId) {
+        Begin begin = begins.get(new Key(owner, requestId));
+        return begin != null && begin.ambiguous;
     }
 
     private void expire(long nowMillis) {
@@ -84,14 +87,15 @@
     }
 
     /**
-     * The version at which a stream began.
+     * Where a stream began.
      *
+     * @param service the service, not null
      * @param softwareVersion the version, not null
      * @param ageMillis the time since it was recorded, in milliseconds
      */
-    public record KnownBegin(String softwareVersion, long ageMillis) {}
+    public record KnownBegin(String service, String softwareVersion, long ageMillis) {}
 
-    /** A caller names its stream by the id alone; the service is that to which its route leads now. */
+    /** A caller names its stream by the id alone; its route may lead to another service now. */
     private record Key(String owner, String requestId) {
         static Key of(StreamId stream) {
             return new Key(stream.owner(), stream.requestId());
@@ -102,12 +106,5 @@
         boolean isAt(String otherService, String otherVersion) {
             return !ambiguous && service.equals(otherService) && softwareVersion.equals(otherVersion);
         }
-
-        Optional<String> contradiction(StreamId stream) {
-            if (ambiguous) {
-                return Optional.of("ambiguous");
-            }
-            return service.equals(stream.service()) ? Optional.empty() : Optional.of("other_service");
-        }
     }
 }
--- a/src/main/java/org/dogwoodwinch/forwarding/StreamId.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/StreamId.java
@@ -28,6 +28,16 @@
      * @return false if its request id is empty or too long
      */
     public boolean isRecordable() {
+        return isRecordable(requestId);
+    }
+
+    /**
+     * Returns whether the begin of a stream with a request id can be recorded.
+     *
+     * @param requestId the request id, not null
+     * @return false if it is empty or too long
+     */
+    public static boolean isRecordable(String requestId) {
         return !requestId.isEmpty() && requestId.length() <= MAX_REQUEST_ID_LENGTH;
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/CallRelay.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallRelay.java
@@ -24,13 +24,15 @@
  */
 final class CallRelay implements ResponseSink, ActiveCall {
 
-    private static final String NOT_RUN = "not run";
+    /** The reason of an answer to a call that has not run. */
+    static final String NOT_RUN = "not run";
 
     private final RelayContext context;
     private final IncomingCall call;
     private final CallAttributes attributes;
     private final ServiceRoute route;
     private final ServiceEntry service;
+    private final Optional<StreamOrigin.Known> origin;
     private final long configVersion;
     private final long deadlineMillis;
     private final CallSuspicion suspicion;
@@ -66,6 +68,7 @@
         this.attributes = routed.attributes();
         this.route = routed.route();
         this.service = routed.service();
+        this.origin = routed.origin();
         this.onDone = Objects.requireNonNull(onDone, "onDone");
         this.deadlineMillis = call.deadlineMillis(route, attributes);
         this.eventFramer = new EventFramer(attributes.lastEventId());
@@ -91,8 +94,9 @@
         suspicion.admit(refusal -> {
             if (refusal.isPresent()) {
                 refuse(refusal.get());
-            } else if (continuity.takesUpStream()) {
-                continuity.findOrigin(this::handleOrigin);
+            } else if (origin.isPresent()) {
+                context.report().streamTakenUp(this, origin.get());
+                chooseAndSend();
             } else {
                 queued.awaitCapacity(this::chooseAndSend, this::refuseQueued);
             }
@@ -122,23 +126,6 @@
         return refusal.isPresent();
     }
 
-    /**
-     * Takes up a caller's stream, or refuses that where it is not known which software version began it. The call has
-     * not run then.
-     */
-    private void handleOrigin(StreamOrigin origin) {
-        if (done) {
-            return;
-        }
-        context.report().streamTakenUp(this, resumes(), origin);
-        if (origin instanceof StreamOrigin.Known) {
-            chooseAndSend();
-        } else {
-            endUnserved(
-                    LocalResponses.BAD_GATEWAY, "not run: the begin of the stream is not known", retryAfterMillis());
-        }
-    }
-
     @Override
     public void onCallerClosed() {
         passing.onCallerClosed();
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -18,7 +18,6 @@
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.forwarding.EngineTraits;
 import org.dogwoodwinch.forwarding.Incarnation;
-import org.dogwoodwinch.forwarding.RendezvousHash;
 import org.dogwoodwinch.forwarding.RouteTable;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
@@ -524,30 +523,34 @@
             return refuse(attributes, caller, onDone, LocalResponses.UNAUTHORIZED, rejected.reason());
         }
         Optional<CallOwner> owner = ((CallerIdentity.Accepted) identity).owner();
-        String serviceName = chooseService(route.get(), attributes);
-        Optional<ServiceEntry> service = current.service(serviceName);
+        IdentifiedCall identified =
+                new IdentifiedCall(call, key, attributes, owner, route.get(), current.version(), takenOver, counted);
+        if (!identified.takesUpStream()) {
+            String serviceName = identified.chooseService(random.nextDouble());
+            return forward(identified, current.service(serviceName), Optional.empty(), caller, onDone);
+        }
+        return openCalls.search(onEnd -> new OriginSearch(
+                identified,
+                caller,
+                context,
+                origin -> forward(identified, current.service(origin.service()), Optional.of(origin), caller, onDone),
+                onEnd,
+                onDone));
+    }
+
+    private ActiveCall forward(
+            IdentifiedCall identified,
+            Optional<ServiceEntry> service,
+            Optional<StreamOrigin.Known> origin,
+            CallerResponse caller,
+            Runnable onDone) {
         if (service.isEmpty()) {
-            return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "unknown service");
+            return refuse(identified.attributes(), caller, onDone, LocalResponses.UNAVAILABLE, "unknown service");
         }
-        RoutedCall routed = new RoutedCall(
-                call, key, attributes, owner, route.get(), service.get(), current.version(), takenOver, counted);
+        RoutedCall routed = identified.at(service.get(), origin);
         return openCalls.forward(ended -> new CallRelay(context, routed, caller, ended), onDone);
     }
 
-    /**
-     * Chooses the service for one call. A stream that a caller takes up gets the one that began it, which follows from
-     * the request id of the attempt that began it.
-     */
-    private String chooseService(ServiceRoute route, CallAttributes attributes) {
-        if (route.services().size() == 1 || !route.resumable()) {
-            return route.chooseService(random.nextDouble());
-        }
-        String streamId = attributes.lastEventId().isPresent()
-                ? attributes.resumes().orElse("")
-                : attributes.requestId().orElseThrow();
-        return route.chooseService(RendezvousHash.score(streamId, route.name()));
-    }
-
     private ActiveCall refuse(
             CallAttributes attributes, CallerResponse caller, Runnable onDone, int status, String reason) {
         report.refusedBeforeRouting(attributes.requestId().orElse(""), status, reason);
--- a/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/LoggingReport.java
@@ -215,27 +215,27 @@
     }
 
     @Override
-    public void streamTakenUp(CallRelay call, String resumes, StreamOrigin origin) {
-        if (origin instanceof StreamOrigin.Known known) {
-            metrics.streams().takenUp(lowerCaseName(known.source()));
-            callEvent("stream_taken_up", call)
-                    .with("resumes", resumes)
-                    .with("version", known.softwareVersion())
-                    .with("knownBy", lowerCaseName(known.source()))
-                    .with("recordMillis", known.ageMillis())
-                    .with("lastEventId", shortened(call.namedLastEventId()))
-                    .with("configVersion", call.configVersion())
-                    .info(log);
-        } else {
-            String reason = ((StreamOrigin.Unknown) origin).reason();
-            metrics.refused(LocalResponses.UNAVAILABLE, "stream_" + reason);
-            callEvent("stream_not_taken_up", call)
-                    .with("resumes", resumes)
-                    .with("reason", reason)
-                    .with("lastEventId", shortened(call.namedLastEventId()))
-                    .with("configVersion", call.configVersion())
-                    .info(log);
-        }
+    public void streamTakenUp(CallRelay call, StreamOrigin.Known origin) {
+        metrics.streams().takenUp(lowerCaseName(origin.source()));
+        callEvent("stream_taken_up", call)
+                .with("resumes", call.resumes())
+                .with("version", origin.softwareVersion())
+                .with("knownBy", lowerCaseName(origin.source()))
+                .with("recordMillis", origin.ageMillis())
+                .with("lastEventId", shortened(call.namedLastEventId()))
+                .with("configVersion", call.configVersion())
+                .info(log);
+    }
+
+    @Override
+    public void streamNotTakenUp(IdentifiedCall call, String reason) {
+        metrics.refused(LocalResponses.UNAVAILABLE, "stream_" + reason);
+        callEvent("stream_not_taken_up", call)
+                .with("resumes", call.resumes())
+                .with("reason", reason)
+                .with("lastEventId", shortened(call.attributes().lastEventId()))
+                .with("configVersion", call.configVersion())
+                .info(log);
     }
 
     @Override
@@ -275,6 +275,25 @@
         callEvent("caller_gone", call).info(log);
     }
 
+    @Override
+    public void callerDisconnected(IdentifiedCall call) {
+        metrics.requestEnds().callerDisconnected(lowerCaseName(call.route().kind()));
+        callEvent("caller_gone", call).info(log);
+    }
+
+    /** Returns a line about a call that has no service yet, and was not sent. */
+    private LogEvent callEvent(String event, IdentifiedCall call) {
+        return LogEvent.of(event)
+                .with("request", call.requestId())
+                .with("route", call.route().name())
+                .with("service", "")
+                .with("target", "")
+                .with("sends", 0)
+                .with("stage", "not_sent")
+                .with("sentMillis", -1)
+                .with("ageMillis", time.monotonicMillis() - call.call().arrivalMillis());
+    }
+
     private static LogEvent callEvent(String event, CallRelay call) {
         return LogEvent.of(event)
                 .with("request", call.requestId())
--- a/src/main/java/org/dogwoodwinch/relay/OpenCalls.java
+++ b/src/main/java/org/dogwoodwinch/relay/OpenCalls.java
@@ -17,11 +17,12 @@
     private static final Logger log = LoggerFactory.getLogger(OpenCalls.class);
 
     private final Set<CallRelay> relays = new LinkedHashSet<>();
+    private final Set<OriginSearch> searches = new LinkedHashSet<>();
     private final Set<PassedOn> passedOn = new LinkedHashSet<>();
 
     /** Returns the number of calls without a complete response. */
     int count() {
-        return relays.size() + passedOn.size();
+        return relays.size() + searches.size() + passedOn.size();
     }
 
     /**
@@ -47,6 +48,25 @@
         return relay;
     }
 
+    /**
+     * Starts to search the begin of a stream that a call takes up.
+     *
+     * @param searchFor creates the search, given what it runs at its end, not null
+     * @return the call under way
+     */
+    ActiveCall search(Function<Runnable, OriginSearch> searchFor) {
+        OriginSearch[] entry = new OriginSearch[1];
+        entry[0] = searchFor.apply(() -> searches.remove(entry[0]));
+        searches.add(entry[0]);
+        try {
+            entry[0].start();
+        } catch (RuntimeException | Error e) {
+            searches.remove(entry[0]);
+            throw e;
+        }
+        return entry[0];
+    }
+
     /**
      * Passes a call on to another instance before anything was done for it here.
      *
@@ -84,6 +104,9 @@
         for (CallRelay relay : List.copyOf(relays)) {
             endedCount += end(relay);
         }
+        for (OriginSearch search : List.copyOf(searches)) {
+            endedCount += end(search);
+        }
         for (PassedOn entry : List.copyOf(passedOn)) {
             endedCount += end(entry.call);
         }
--- a/src/main/java/org/dogwoodwinch/relay/RelayReport.java
+++ b/src/main/java/org/dogwoodwinch/relay/RelayReport.java
@@ -73,13 +73,20 @@
     void responseEnded(CallRelay call, ResponseEnd end, ResponseVerdict verdict, int eventsCount);
 
     /**
-     * A caller takes up a stream; without a known origin, the call is refused.
+     * A caller takes up a stream.
      *
      * @param call the call, not null
-     * @param resumes the id of the stream as the caller names it; empty if it names none, not null
-     * @param origin what is known of the software version that began the stream, not null
+     * @param origin the service and the software version that began the stream, not null
      */
-    void streamTakenUp(CallRelay call, String resumes, StreamOrigin origin);
+    void streamTakenUp(CallRelay call, StreamOrigin.Known origin);
+
+    /**
+     * A caller takes up a stream whose begin is not known, and is refused.
+     *
+     * @param call the call, not null
+     * @param reason why the begin is not known, not null
+     */
+    void streamNotTakenUp(IdentifiedCall call, String reason);
 
     /**
      * The first event of a target's response to a call whose stream can be taken up, or is taken up, is about to be
@@ -96,4 +103,7 @@
 
     /** The caller disconnected before the end of the response. */
     void callerDisconnected(CallRelay call);
+
+    /** The caller disconnected before the call had a service. */
+    void callerDisconnected(IdentifiedCall call);
 }
--- a/src/main/java/org/dogwoodwinch/relay/RoutedCall.java
+++ b/src/main/java/org/dogwoodwinch/relay/RoutedCall.java
@@ -16,6 +16,7 @@
  * @param owner the owner of the call; empty if the route or the configuration needs none
  * @param route the route that matches the request, not null
  * @param service the service chosen for it, not null
+ * @param origin the begin of the stream that the call takes up; empty if it takes none up
  * @param configVersion the version of the configuration that decided
  * @param takenOver whether another instance passed the call on to this one, so that it is not passed on again
  * @param counted whether the retry budget of another instance has counted it as a request
@@ -27,6 +28,7 @@
         Optional<CallOwner> owner,
         ServiceRoute route,
         ServiceEntry service,
+        Optional<StreamOrigin.Known> origin,
         long configVersion,
         boolean takenOver,
         boolean counted) {
@@ -38,5 +40,6 @@
         Objects.requireNonNull(owner, "owner");
         Objects.requireNonNull(route, "route");
         Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(origin, "origin");
     }
 }
--- a/src/main/java/org/dogwoodwinch/relay/StreamContinuity.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamContinuity.java
@@ -5,7 +5,6 @@
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.CallOwner;
 import org.dogwoodwinch.forwarding.Incarnation;
-import org.dogwoodwinch.forwarding.RouteKind;
 import org.dogwoodwinch.forwarding.StreamId;
 
 /**
@@ -19,15 +18,13 @@
 
     private final StreamOrigins origins;
     private final CallAttributes attributes;
-    private final boolean isStream;
     private final boolean isResumable;
     private final String service;
     private final String owner;
     private final Consumer<FirstEvent> onFirstEvent;
-    private Optional<String> softwareVersion = Optional.empty();
-
+    private final boolean isTakenUp;
+    private Optional<String> softwareVersion;
     private Optional<String> lastEventId = Optional.empty();
-    private boolean isTakenUp;
     private boolean hasEvent;
     private boolean hasEventOfSend;
 
@@ -43,15 +40,11 @@
         this.onFirstEvent = Objects.requireNonNull(onFirstEvent, "onFirstEvent");
         this.origins = Objects.requireNonNull(origins, "origins");
         this.attributes = call.attributes();
-        this.isStream = call.route().kind() == RouteKind.STREAM;
         this.isResumable = call.route().resumable();
         this.service = call.service().name();
         this.owner = call.owner().map(CallOwner::name).orElse("");
-    }
-
-    /** Returns whether the caller takes up a stream of which it has received an event. */
-    boolean takesUpStream() {
-        return isStream && attributes.lastEventId().isPresent();
+        this.isTakenUp = call.origin().isPresent();
+        this.softwareVersion = call.origin().map(StreamOrigin.Known::softwareVersion);
     }
 
     /** Returns whether the call takes up a stream whose version is known, and has brought no event of it. */
@@ -64,17 +57,6 @@
         return softwareVersion;
     }
 
-    /** Finds the version that began the stream that the caller takes up. */
-    void findOrigin(Consumer<StreamOrigin> onFound) {
-        origins.find(service, attributes.resumes().map(this::streamOf), origin -> {
-            if (origin instanceof StreamOrigin.Known known) {
-                softwareVersion = Optional.of(known.softwareVersion());
-                isTakenUp = true;
-            }
-            onFound.accept(origin);
-        });
-    }
-
     /** Records that the call is sent to a target, which goes on after the given event if there is one. */
     void beginSend(Optional<String> newLastEventId) {
         lastEventId = newLastEventId;
--- a/src/main/java/org/dogwoodwinch/relay/StreamOrigin.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamOrigin.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 
-/** What is known of the software version that began a stream. */
+/** What is known of the service and the software version that began a stream. */
 public sealed interface StreamOrigin {
 
     /** How the version is known. */
@@ -16,23 +16,25 @@
     }
 
     /**
-     * The version is known.
+     * The service and the version are known, and the stream may go on there.
      *
+     * @param service the service, not null
      * @param softwareVersion the version, not null
      * @param source how it is known, not null
      * @param ageMillis the age of a record; without a record, for how long the service is known to have had no other
      *     version; in milliseconds
      */
-    record Known(String softwareVersion, Source source, long ageMillis) implements StreamOrigin {
+    record Known(String service, String softwareVersion, Source source, long ageMillis) implements StreamOrigin {
         /** Validates the components. */
         public Known {
+            Objects.requireNonNull(service, "service");
             Objects.requireNonNull(softwareVersion, "softwareVersion");
             Objects.requireNonNull(source, "source");
         }
     }
 
     /**
-     * The version is not known, so no target can be told to be one of it.
+     * The service or the version is not known, or the stream may not go on there, so the call can be sent to no target.
      *
      * @param reason the reason for logs and metrics, not null
      */
--- a/src/main/java/org/dogwoodwinch/relay/StreamOrigins.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamOrigins.java
@@ -1,6 +1,5 @@
 package org.dogwoodwinch.relay;
 
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.StreamId;
@@ -19,12 +18,11 @@
     void recordBegin(StreamId stream, String softwareVersion, OptionalLong callerMillis);
 
     /**
-     * Finds the version that began a stream which a caller takes up. The answer comes within a bounded time, at once if
-     * no other instance has to be asked.
+     * Finds the service and the version that began a stream which a caller takes up. The answer comes within a bounded
+     * time, at once if no other instance has to be asked.
      *
-     * @param service the service whose target began the stream, not null
-     * @param stream the stream; empty if the caller names none
+     * @param takeUp the stream, and where it may go on, not null
      * @param onFound receives what is known, exactly once, not null
      */
-    void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound);
+    void find(StreamTakeUp takeUp, Consumer<StreamOrigin> onFound);
 }
--- a/src/test/java/org/dogwoodwinch/daemon/DoubtfulStreamOriginTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/DoubtfulStreamOriginTest.java
@@ -117,7 +117,7 @@
         long endMillis =
                 fleet.time.monotonicMillis() + StreamComponents.REMOVED_SERVES_MILLIS + LIFETIME_MILLIS + 1_000;
         for (int i = 0; fleet.time.monotonicMillis() < endMillis; i++) {
-            instances.get(i % 6).streams.origins().find("reader", Optional.of(stream(i)), _origin -> {});
+            instances.get(i % 6).ask(Optional.of(stream(i)), _origin -> {});
             fleet.time.advanceMillis(20);
         }
 
@@ -156,7 +156,7 @@
         fleet.time.advanceMillis(1_000);
 
         AtomicReference<StreamOrigin> found = new AtomicReference<>();
-        asker.streams.origins().find("reader", Optional.of(stream(2)), found::set);
+        asker.ask(Optional.of(stream(2)), found::set);
         fleet.members.get(1).setPaused(false);
         fleet.time.advanceMillis(ANSWER_MILLIS);
 
--- a/src/test/java/org/dogwoodwinch/daemon/EndOfQuietTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/EndOfQuietTest.java
@@ -10,8 +10,10 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.dogwoodwinch.bytes.Bytes;
+import org.dogwoodwinch.forwarding.StreamId;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.relay.StreamOrigin;
+import org.dogwoodwinch.relay.StreamTakeUp;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -124,6 +126,37 @@
         assertAllGoOn(takeUpAll());
     }
 
+    /** Failure: weights move, and who takes a stream up asks for it at the service that follows from the weights now. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 30, 90})
+    void streamsGoOnAtTheServiceThatBeganThemAfterWeightsHaveMoved(int instancesCount) {
+        startWithStreams(instancesCount);
+        List<String> services = List.of("reader", "writer");
+        List<String> newest = List.of("writer", "reader");
+        for (int i = 0; i < instancesCount; i++) {
+            instances.get(i).begin(new StreamId("owner", services.get(i % 2), "w" + i), "v1");
+        }
+        instances.forEach(each -> each.streams.onRoutesMoved(Set.copyOf(services), 2));
+        fleet.time.advanceMillis(CLIENT_MILLIS);
+
+        List<StreamOrigin> found = new ArrayList<>();
+        for (int i = 0; i < instancesCount; i++) {
+            String presumed = newest.get(i % 2);
+            StreamTakeUp takeUp = new StreamTakeUp(
+                    "owner", Optional.of("w" + i), List.of(presumed, services.get(i % 2)), Optional.of(presumed));
+            instances.get((i + 1) % instancesCount).streams.origins().find(takeUp, found::add);
+        }
+        fleet.time.advanceMillis(ANSWER_MILLIS);
+
+        assertAllGoOn(found);
+        List<String> foundServices = found.stream()
+                .map(origin -> ((StreamOrigin.Known) origin).service())
+                .sorted()
+                .toList();
+        assertEquals(instancesCount / 2, foundServices.indexOf("writer"));
+        assertEquals(instancesCount, foundServices.size());
+    }
+
     /** Failure: an instance that is cut off from the store sees no release, and tells nobody of the streams it begins. */
     @Test
     void streamsOfInstanceThatSeesOneVersionOnlyGoOnWithinClientsTime() {
--- a/src/test/java/org/dogwoodwinch/daemon/SoakDay.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakDay.java
@@ -331,7 +331,7 @@
                 }
             });
         }
-        instance.sharing.find("reader", Optional.of(stream.id), origin -> {
+        instance.sharing.find(StreamBeginFixture.takeUpAt("reader", Optional.of(stream.id)), origin -> {
             isAnswered[0] = true;
             if (!(origin instanceof StreamOrigin.Known known)) {
                 onRefused(stream, instance, isStable, origin);
--- a/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
@@ -235,7 +235,8 @@
 
     /** Returns whether this instance is in touch and can tell the version of a stream from a record. */
     boolean hasRecord(StreamId id) {
-        return !isDisrupted && begins.find(id, day.nowMillis()).isPresent();
+        return !isDisrupted
+                && begins.find(id.owner(), id.requestId(), day.nowMillis()).isPresent();
     }
 
     /** Returns whether this instance is in touch and has run since before a stream began. */
--- a/src/test/java/org/dogwoodwinch/daemon/StreamBeginFixture.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamBeginFixture.java
@@ -19,6 +19,7 @@
 import org.dogwoodwinch.forwarding.StreamId;
 import org.dogwoodwinch.forwarding.StreamRecorders;
 import org.dogwoodwinch.relay.StreamOrigin;
+import org.dogwoodwinch.relay.StreamTakeUp;
 
 /** A simulated fleet whose instances share the begins of streams and what they have observed of versions. */
 abstract class StreamBeginFixture {
@@ -54,6 +55,15 @@
         return new StreamId("owner", "reader", "a" + number);
     }
 
+    /** Returns the take-up of a stream whose route leads to one service. */
+    static StreamTakeUp takeUpAt(String service, Optional<StreamId> stream) {
+        return new StreamTakeUp(
+                stream.map(StreamId::owner).orElse(""),
+                stream.map(StreamId::requestId),
+                List.of(service),
+                Optional.of(service));
+    }
+
     static void assertKnown(String version, StreamOrigin origin) {
         assertEquals(version, assertInstanceOf(StreamOrigin.Known.class, origin).softwareVersion());
     }
@@ -114,7 +124,7 @@
 
         /** Asks what is known of a stream, which takes its time. */
         void ask(Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
-            streams.origins().find("reader", stream, onFound);
+            streams.origins().find(takeUpAt("reader", stream), onFound);
         }
 
         StreamOrigin find(Optional<StreamId> stream) {
--- a/src/test/java/org/dogwoodwinch/daemon/StreamComponentsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamComponentsTest.java
@@ -165,7 +165,7 @@
 
         private StreamOrigin find(String service, Optional<StreamId> stream) {
             AtomicReference<StreamOrigin> found = new AtomicReference<>();
-            streams.origins().find(service, stream, found::set);
+            streams.origins().find(StreamBeginFixture.takeUpAt(service, stream), found::set);
             fleet.time.advanceMillis(ANSWER_MILLIS);
             assertTrue(found.get() != null, "no answer in time");
             return found.get();
--- a/src/test/java/org/dogwoodwinch/relay/InstanceStopTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/InstanceStopTest.java
@@ -108,7 +108,7 @@
         end(relay);
 
         assertNotRun(caller);
-        waiting.forEach(each -> each.accept(new StreamOrigin.Known("v1", StreamOrigin.Source.ASKED, 0)));
+        waiting.forEach(each -> each.accept(new StreamOrigin.Known("desk", "v1", StreamOrigin.Source.ASKED, 0)));
         assertEquals("", caller.takeReceived());
         assertEquals(List.of(), relay.targetConnections);
     }
@@ -321,7 +321,7 @@
         public void recordBegin(StreamId stream, String softwareVersion, OptionalLong callerMillis) {}
 
         @Override
-        public void find(String serviceName, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
+        public void find(StreamTakeUp _takeUp, Consumer<StreamOrigin> onFound) {
             waiting.add(onFound);
         }
     }
--- a/src/test/java/org/dogwoodwinch/relay/LocalStreamOrigins.java
+++ b/src/test/java/org/dogwoodwinch/relay/LocalStreamOrigins.java
@@ -18,9 +18,14 @@
     }
 
     @Override
-    public void find(String _service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
-        onFound.accept(stream.map(versions::get)
-                .<StreamOrigin>map(version -> new StreamOrigin.Known(version, StreamOrigin.Source.RECORDED, 0))
-                .orElseGet(() -> new StreamOrigin.Unknown("no_record")));
+    public void find(StreamTakeUp takeUp, Consumer<StreamOrigin> onFound) {
+        Optional<StreamOrigin> found = takeUp.services().stream()
+                .map(service ->
+                        new StreamId(takeUp.owner(), service, takeUp.requestId().orElse("")))
+                .filter(versions::containsKey)
+                .<StreamOrigin>map(stream ->
+                        new StreamOrigin.Known(stream.service(), versions.get(stream), StreamOrigin.Source.RECORDED, 0))
+                .findFirst();
+        onFound.accept(found.orElseGet(() -> new StreamOrigin.Unknown("no_record")));
     }
 }
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -198,9 +198,8 @@
                             }
 
                             @Override
-                            public void find(
-                                    String serviceName, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
-                                streamOriginsDelegate.find(serviceName, stream, onFound);
+                            public void find(StreamTakeUp takeUp, Consumer<StreamOrigin> onFound) {
+                                streamOriginsDelegate.find(takeUp, onFound);
                             }
                         },
                         new TargetEntriesAge(() -> 0, 2_000, 1_800),
--- a/src/test/java/org/dogwoodwinch/relay/StreamContinuityTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/StreamContinuityTest.java
@@ -192,7 +192,7 @@
         RelayFixture.FakeCaller caller = relay.connectCaller().send(takeUp("b1", "a1", "4"));
 
         caller.disconnect();
-        late.onFound.accept(new StreamOrigin.Known("v1", StreamOrigin.Source.ASKED, 5));
+        late.onFound.accept(new StreamOrigin.Known("desk", "v1", StreamOrigin.Source.ASKED, 5));
 
         assertEquals(0, relay.targetConnections.size());
         assertEquals(0, relay.service.openCallsCount());
@@ -203,7 +203,7 @@
         public void recordBegin(StreamId _stream, String _softwareVersion, OptionalLong _callerMillis) {}
 
         @Override
-        public void find(String _service, Optional<StreamId> _stream, Consumer<StreamOrigin> onFound) {
+        public void find(StreamTakeUp _takeUp, Consumer<StreamOrigin> onFound) {
             onFound.accept(new StreamOrigin.Unknown("no_record"));
         }
     }
@@ -215,7 +215,7 @@
         public void recordBegin(StreamId _stream, String _softwareVersion, OptionalLong _callerMillis) {}
 
         @Override
-        public void find(String _service, Optional<StreamId> _stream, Consumer<StreamOrigin> onFoundLater) {
+        public void find(StreamTakeUp _takeUp, Consumer<StreamOrigin> onFoundLater) {
             onFound = onFoundLater;
         }
     }
--- a/src/test/java/org/dogwoodwinch/relay/StreamLogsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/StreamLogsTest.java
@@ -8,7 +8,6 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.dogwoodwinch.forwarding.Incarnation;
@@ -146,7 +145,7 @@
             public void recordBegin(StreamId _stream, String _softwareVersion, OptionalLong _callerMillis) {}
 
             @Override
-            public void find(String _service, Optional<StreamId> _stream, Consumer<StreamOrigin> onFound) {
+            public void find(StreamTakeUp _takeUp, Consumer<StreamOrigin> onFound) {
                 onFound.accept(new StreamOrigin.Unknown("no_record"));
             }
         };
--- a/src/test/java/org/dogwoodwinch/relay/TakenUpStreamTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/TakenUpStreamTest.java
@@ -293,17 +293,17 @@
         assertSentTo(sound, "old0");
     }
 
-    /** Knows that the stream a1 of the service that is asked for began at v1, and no other stream. */
+    /** Knows that the stream a1 began at v1 of the service that is asked for, and no other stream. */
     private static final class BeganAtOldVersion implements StreamOrigins {
         @Override
         public void recordBegin(StreamId _stream, String _softwareVersion, OptionalLong _callerMillis) {}
 
         @Override
-        public void find(String service, Optional<StreamId> stream, Consumer<StreamOrigin> onFound) {
-            boolean isKnown = stream.equals(Optional.of(new StreamId("", service, "a1")));
+        public void find(StreamTakeUp takeUp, Consumer<StreamOrigin> onFound) {
+            boolean isKnown = takeUp.owner().isEmpty() && takeUp.requestId().equals(Optional.of("a1"));
             onFound.accept(
                     isKnown
-                            ? new StreamOrigin.Known("v1", StreamOrigin.Source.RECORDED, 0)
+                            ? new StreamOrigin.Known(takeUp.services().get(0), "v1", StreamOrigin.Source.RECORDED, 0)
                             : new StreamOrigin.Unknown("no_record"));
         }
     }
