Learn of a moved route from the instances that are asked for a stream

Cause: an instance that had not read the newest configuration took up a stream that began under it. The two answers of the instances that kept its record were lost, and the service that followed from the old weights had had one version for long. That is the rule "the service follows from the weights" once more, at an instance that cannot know that they have moved.

Change: whoever is asked and has no record states with its answer which services routes have lately been moved to, and how long ago; the asker counts that as a change at that time. A statement that arrives late, or after the lifetime of a stream, is no news, so that instances do not prolong a move by passing it to and fro.

An instance that hears nobody now also tells its begins again until they are acknowledged; a stream that began in a cut was lost before.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginTelling.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginTelling.java
@@ -126,7 +126,8 @@
         versions.update(stream.service());
         boolean isTold = stream.isRecordable() && isTold(stream.service());
         List<String> told = isTold ? StreamRecorders.toldOf(stream, memberNames(), ownName) : List.of();
-        own.record(begin, told, time.monotonicMillis());
+        // An instance that hears nobody may be cut off, so it tells its streams again until they are acknowledged.
+        own.record(begin, exchange.hearsOthers() ? told : List.of(), time.monotonicMillis());
         if (isTold) {
             tell(begin, told);
             LogEvent.of("stream_began")
--- a/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
+++ b/src/main/java/org/dogwoodwinch/daemon/VersionHistorySharing.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -47,6 +49,9 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 5_000;
 
+    /** A message that is on its way for longer is discarded. */
+    private static final long MAX_TRANSIT_MILLIS = 1_000;
+
     private static final int STATEMENT_FIELDS = 3;
 
     private final String ownName;
@@ -91,6 +96,7 @@
     void start(Supplier<Set<String>> services) {
         exchange.subscribe(PeerTopic.VERSIONS_QUESTION, this::onQuestion);
         exchange.subscribe(PeerTopic.VERSIONS_ANSWER, this::onAnswer);
+        exchange.subscribe(PeerTopic.ROUTES_MOVED, this::onRoutesMoved);
         exchange.beforeEachRound(() -> {
             services.get().forEach(this::update);
             askForPast(services.get());
@@ -176,6 +182,43 @@
                     statements, (packer, all) -> Packing.writeAll(packer, all, VersionHistorySharing::writeStatement));
             exchange.sendDirectly(PeerTopic.VERSIONS_ANSWER, payload, List.of(name));
         }
+        tellMoves(name, services);
+    }
+
+    /**
+     * Tells another instance of routes that have moved.
+     *
+     * <p>Failure: an instance that has not read the newest configuration takes up a stream that began under it, and the answer
+     * of the one that keeps its record is lost. The service that follows from the old weights has had one version for long,
+     * and goes on with a stream of another service.
+     */
+    private void tellMoves(String name, Collection<String> services) {
+        // A statement that arrives after the lifetime of a stream would count as news, and be passed to and fro.
+        long arrivesMillis = time.monotonicMillis() + MAX_TRANSIT_MILLIS;
+        Map<String, Long> movedAgoMillis = new TreeMap<>();
+        services.forEach(service -> history.movedAgoMillis(service, arrivesMillis)
+                .ifPresent(agoMillis -> movedAgoMillis.put(service, agoMillis - MAX_TRANSIT_MILLIS)));
+        if (!movedAgoMillis.isEmpty()) {
+            exchange.sendDirectly(
+                    PeerTopic.ROUTES_MOVED, Packing.pack(movedAgoMillis, Packing::writeNumbers), List.of(name));
+        }
+    }
+
+    private void onRoutesMoved(PeerUpdate update) {
+        try {
+            long nowMillis = time.monotonicMillis();
+            Packing.unpack(update.payload().toByteArray(), Packing::readNumbers).forEach((service, agoMillis) -> {
+                if (history.considerMove(service, nowMillis - Math.max(0, agoMillis), MAX_TRANSIT_MILLIS)) {
+                    LogEvent.of("stream_routes_moved_heard")
+                            .with("service", service)
+                            .with("movedAgoMillis", agoMillis)
+                            .with("peer", update.origin())
+                            .info(log);
+                }
+            });
+        } catch (IOException e) {
+            logNotUnderstood(update, e);
+        }
     }
 
     /** Returns one statement for each version; none of several versions vouches for a past. */
--- a/src/main/java/org/dogwoodwinch/forwarding/ServiceRoute.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/ServiceRoute.java
@@ -87,6 +87,17 @@
         return shares().stream().anyMatch(each -> each.service().equals(service));
     }
 
+    /**
+     * Chooses the service of a stream from the request id of the attempt that begins it, so that all instances choose
+     * alike as long as the route does not change.
+     *
+     * @param requestId the request id, not null
+     * @return the service's name
+     */
+    public String chooseServiceOf(String requestId) {
+        return chooseService(RendezvousHash.score(requestId, name));
+    }
+
     /**
      * Chooses the service for one call in proportion to the weights.
      *
--- a/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/SoftwareVersionHistory.java
@@ -75,11 +75,44 @@
      * those of this service. Counts as a change of its versions, also if none is known yet.
      *
      * @param service the service to which they lead now, not null
+     * @param movedMillis the monotonic time of the move
+     */
+    public void recordMove(String service, long movedMillis) {
+        Versions versions = versionsByService.computeIfAbsent(service, _service -> new Versions(Set.of(), movedMillis));
+        versions.movedMillis = Math.max(versions.movedMillis, movedMillis);
+        versions.singleFromMillis = Math.max(versions.singleFromMillis, movedMillis);
+    }
+
+    /**
+     * Considers that another instance has read of a move. Its time counts only if this instance does not know of the move,
+     * since a statement that is passed to and fro would prolong it by its transit time.
+     *
+     * @param service the service to which streams are led now, not null
+     * @param movedMillis the monotonic time of the move, or up to the longest transit time later
+     * @param maxTransitMillis the longest transit time of a statement, in milliseconds
+     * @return whether this instance did not know of the move
+     */
+    public boolean considerMove(String service, long movedMillis, long maxTransitMillis) {
+        Versions versions = versionsByService.get(service);
+        boolean isNews = versions == null || movedMillis - versions.movedMillis > maxTransitMillis;
+        if (isNews) {
+            recordMove(service, movedMillis);
+        }
+        return isNews;
+    }
+
+    /**
+     * Returns how long ago a configuration led streams to a service that may have begun at another one.
+     *
+     * @param service the service, not null
      * @param nowMillis the monotonic time
+     * @return the time since the last move, in milliseconds; empty if it is longer ago than a stream lives
      */
-    public void recordMove(String service, long nowMillis) {
-        Versions versions = versionsByService.computeIfAbsent(service, _service -> new Versions(Set.of(), nowMillis));
-        versions.singleFromMillis = Math.max(versions.singleFromMillis, nowMillis);
+    public OptionalLong movedAgoMillis(String service, long nowMillis) {
+        Versions versions = versionsByService.get(service);
+        return versions == null || nowMillis - versions.movedMillis > lifetimeMillis.getAsLong()
+                ? OptionalLong.empty()
+                : OptionalLong.of(nowMillis - versions.movedMillis);
     }
 
     /**
@@ -208,6 +241,8 @@
         /** When no target of an earlier version serves any more. */
         private long singleFromMillis = NEVER;
 
+        private long movedMillis = NEVER;
+
         Versions(Set<String> listed, long nowMillis) {
             this.current = Set.copyOf(listed);
             this.observedSinceMillis = nowMillis;
--- a/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
+++ b/src/main/java/org/dogwoodwinch/peer/PeerTopic.java
@@ -79,7 +79,10 @@
     VERSIONS_QUESTION,
 
     /** The answer to such a question. */
-    VERSIONS_ANSWER;
+    VERSIONS_ANSWER,
+
+    /** Services to which a configuration has lately led streams that may have begun at others; sent with such answers. */
+    ROUTES_MOVED;
 
     /**
      * Returns the topic with a name.
--- a/src/main/java/org/dogwoodwinch/peer/TopicAudiences.java
+++ b/src/main/java/org/dogwoodwinch/peer/TopicAudiences.java
@@ -30,7 +30,8 @@
             PeerTopic.STREAM_QUESTION,
             PeerTopic.STREAM_ANSWER,
             PeerTopic.VERSIONS_QUESTION,
-            PeerTopic.VERSIONS_ANSWER);
+            PeerTopic.VERSIONS_ANSWER,
+            PeerTopic.ROUTES_MOVED);
 
     private static final List<Audience> RELAY_AUDIENCES = List.of(Audience.OWN_DATA_CENTRE, Audience.OTHER_RELAYS);
 
--- a/src/main/java/org/dogwoodwinch/relay/IdentifiedCall.java
+++ b/src/main/java/org/dogwoodwinch/relay/IdentifiedCall.java
@@ -1,12 +1,9 @@
 package org.dogwoodwinch.relay;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import org.dogwoodwinch.forwarding.ApiKey;
 import org.dogwoodwinch.forwarding.CallOwner;
-import org.dogwoodwinch.forwarding.RendezvousHash;
 import org.dogwoodwinch.forwarding.RouteKind;
 import org.dogwoodwinch.forwarding.ServiceEntry;
 import org.dogwoodwinch.forwarding.ServiceRoute;
@@ -63,26 +60,12 @@
      */
     String chooseService(double uniform) {
         boolean isById = route.resumable() && route.services().size() > 1;
-        return route.chooseService(isById ? RendezvousHash.score(requestId(), route.name()) : uniform);
+        return isById ? route.chooseServiceOf(requestId()) : route.chooseService(uniform);
     }
 
     /** Returns which stream the caller takes up, and where it may go on. */
     StreamTakeUp takeUp() {
-        Optional<String> presumed = serviceWithoutRecord();
-        List<String> services = new ArrayList<>(presumed.stream().toList());
-        route.services().stream()
-                .filter(each -> route.leadsTo(each.service()) && !services.contains(each.service()))
-                .forEach(each -> services.add(each.service()));
-        return new StreamTakeUp(owner.map(CallOwner::name).orElse(""), attributes.resumes(), services, presumed);
-    }
-
-    private Optional<String> serviceWithoutRecord() {
-        if (route.shares().size() == 1) {
-            return Optional.of(route.shares().get(0).service());
-        }
-        return route.resumable()
-                ? Optional.of(route.chooseService(RendezvousHash.score(resumes(), route.name())))
-                : Optional.empty();
+        return StreamTakeUp.on(route, owner.map(CallOwner::name).orElse(""), attributes.resumes());
     }
 
     /**
--- a/src/main/java/org/dogwoodwinch/relay/StreamTakeUp.java
+++ b/src/main/java/org/dogwoodwinch/relay/StreamTakeUp.java
@@ -3,6 +3,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.stream.Stream;
+import org.dogwoodwinch.forwarding.ServiceRoute;
+import org.dogwoodwinch.forwarding.WeightedService;
 
 /**
  * A stream that a caller takes up, and where the configuration in force allows it to go on.
@@ -33,4 +36,23 @@
             throw new IllegalArgumentException("the route does not lead to " + serviceWithoutRecord.get());
         }
     }
+
+    /**
+     * Returns the take-up of a stream on a route.
+     *
+     * @param route the route in force, not null
+     * @param owner the name of the owner on whose behalf the call runs; empty if it has none, not null
+     * @param requestId the request id of the attempt that began the stream; empty if the caller names none, not null
+     * @return the take-up, with the service that follows from the route first
+     */
+    public static StreamTakeUp on(ServiceRoute route, String owner, Optional<String> requestId) {
+        List<String> services =
+                route.shares().stream().map(WeightedService::service).distinct().toList();
+        Optional<String> presumed = services.size() == 1
+                ? Optional.of(services.get(0))
+                : requestId.filter(_id -> route.resumable()).map(route::chooseServiceOf);
+        List<String> presumedFirst =
+                Stream.concat(presumed.stream(), services.stream()).distinct().toList();
+        return new StreamTakeUp(owner, requestId, presumedFirst, presumed);
+    }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/EndOfQuietTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/EndOfQuietTest.java
@@ -157,6 +157,22 @@
         assertEquals(instancesCount, foundServices.size());
     }
 
+    /** Failure: who has not read that weights moved finds no record, and takes the service of the old weights for granted. */
+    @ParameterizedTest
+    @ValueSource(ints = {6, 30, 90})
+    void instanceThatHasNotReadThatWeightsMovedLearnsOfItFromThoseItAsks(int instancesCount) {
+        startWithStreams(instancesCount);
+        instances.subList(1, instancesCount).forEach(each -> each.streams.onRoutesMoved(Set.of("reader", "writer"), 2));
+        StreamTakeUp lost =
+                new StreamTakeUp("owner", Optional.of("lost"), List.of("reader", "writer"), Optional.of("reader"));
+
+        List<StreamOrigin> found = new ArrayList<>();
+        instances.get(0).streams.origins().find(lost, found::add);
+        fleet.time.advanceMillis(ANSWER_MILLIS);
+
+        assertEquals(List.of(new StreamOrigin.Unknown("no_record")), found);
+    }
+
     /** Failure: an instance that is cut off from the store sees no release, and tells nobody of the streams it begins. */
     @Test
     void streamsOfInstanceThatSeesOneVersionOnlyGoOnWithinClientsTime() {
@@ -170,6 +186,22 @@
         assertKnown("v1", instances.get(18).find(Optional.of(stream(0))));
     }
 
+    /** Failure: an instance tells of its streams while it is cut off, and nobody knows them when it is back. */
+    @Test
+    void streamsThatBeganWhileAnInstanceWasCutOffGoOnOnceItIsBack() {
+        startWithStreams(30);
+        beginRelease();
+        fleet.members.get(0).setIsolated(true);
+        fleet.time.advanceMillis(LIFETIME_MILLIS);
+        instances.get(0).begin(stream(1_000), "v1");
+        fleet.time.advanceMillis(CLIENT_MILLIS);
+        fleet.members.get(0).setIsolated(false);
+        fleet.time.advanceMillis(3 * CLIENT_MILLIS);
+
+        assertKnown("v1", instances.get(17).find(Optional.of(stream(1_000))));
+        assertKnown("v1", instances.get(18).find(Optional.of(stream(1_000))));
+    }
+
     /** Failure: the instances that were to keep a stream leave, and those that take their places know nothing of it. */
     @Test
     void instancesThatTakeThePlaceOfOthersAreToldToo() {
--- a/src/test/java/org/dogwoodwinch/daemon/SoakDay.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakDay.java
@@ -13,6 +13,7 @@
 import org.dogwoodwinch.forwarding.StreamId;
 import org.dogwoodwinch.peer.PeerTopic;
 import org.dogwoodwinch.relay.StreamOrigin;
+import org.dogwoodwinch.relay.StreamTakeUp;
 
 /** A day with releases and disruptions, on which callers take up broken streams at any instance. */
 final class SoakDay {
@@ -20,18 +21,16 @@
     /** The time by which the views of two instances may differ. */
     static final long VIEW_DIFFERENCE_MILLIS = 3_000;
 
-    private static final long STEP_MILLIS = 10;
+    static final long STEP_MILLIS = 10;
     private static final long DAY_MILLIS = 40_000;
     private static final long DRAIN_MILLIS = 3_000;
+
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final long[] TIMEOUTS_MILLIS = {1_000, 2_000, 5_000, 10_000};
 
     /** The time after a disruption of an instance from which its callers must be served. */
     private static final long STABLE_MILLIS = 3_000;
 
-    /** The time between the replacements of two targets in a release of all. */
-    private static final long REPLACEMENT_MILLIS = 150;
-
     private static final long CALLER_PAUSE_MILLIS = 200;
     private static final long ANSWER_MILLIS = 200;
     private static final int MAX_REFUSALS = 3;
@@ -40,26 +39,30 @@
     final UniformRandomProvider random;
     final SimulatedFleet fleet;
     final SoakResult result;
+    final SoakRoute route;
     long timeoutMillis = TIMEOUT_MILLIS;
     private final Set<SoakDisturbance> disturbances;
-    private final long startMillis;
+    final long startMillis;
     private final List<SoakInstance> instances = new ArrayList<>();
-    private final List<SoakTarget> targets = new ArrayList<>();
+    final List<SoakTarget> targets = new ArrayList<>();
     private final List<SoakStream> running = new ArrayList<>();
-    private final boolean releasesAllAtOnce;
-    private int versionsCount = 1;
+    private final SoakReleases releases;
     private long powerLostMillis = Long.MIN_VALUE;
     private int streamsCount;
 
     SoakDay(int instancesCount, int seed, Set<SoakDisturbance> disturbances) {
         this.result = new SoakResult(instancesCount + " instances, seed " + seed + ", " + disturbances);
         this.disturbances = Set.copyOf(disturbances);
-        this.releasesAllAtOnce = disturbances.isEmpty() ? seed % 2 == 0 : seed % 3 != 0;
+        this.releases = new SoakReleases(this, disturbances.isEmpty() ? seed % 2 == 0 : seed % 3 != 0);
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         this.fleet = new SimulatedFleet(instancesCount, 3, seed);
         this.startMillis = nowMillis() + 3_000;
-        for (int i = 0; i < 8; i++) {
-            targets.add(new SoakTarget("v1", 0));
+        this.route = new SoakRoute(
+                this, plays(SoakDisturbance.MOVED_WEIGHTS) ? List.of("reader", "writer") : List.of("reader"));
+        for (String service : route.services) {
+            for (int i = 0; i < 8; i++) {
+                targets.add(new SoakTarget(service, "v1", 0));
+            }
         }
         fleet.members.forEach(member -> instances.add(new SoakInstance(this, member)));
         if (plays(SoakDisturbance.LOST_MESSAGES)) {
@@ -99,11 +102,7 @@
         while (nowMillis() < startMillis + DAY_MILLIS + DRAIN_MILLIS) {
             instances.forEach(SoakInstance::readOn);
             if (nowMillis() < startMillis + DAY_MILLIS) {
-                if (releasesAllAtOnce) {
-                    releaseAll();
-                } else {
-                    release();
-                }
+                releases.change();
                 crashTarget();
                 disruptInstances();
                 losePower();
@@ -117,56 +116,13 @@
         return result;
     }
 
-    /** Replaces a target by one of another version, a new one at times; the new one is listed first. */
-    private void release() {
-        if (random.nextInt(100) != 0) {
-            return;
-        }
-        if (random.nextInt(5) == 0) {
-            versionsCount++;
-        }
-        int oldest = Math.max(1, versionsCount - 2);
-        targets.add(new SoakTarget("v" + (oldest + random.nextInt(versionsCount - oldest + 1)), nowMillis()));
-        listedAt(nowMillis()).get(0).removeAt(nowMillis() + 1_000, servesOnMillis());
-    }
-
-    /** Replaces all targets, one after the other, and often all or most instances lose power as the release ends. */
-    private void releaseAll() {
-        if (random.nextInt(1_200) != 0) {
-            return;
-        }
-        String version = "v" + ++versionsCount;
-        List<SoakTarget> replaced = listedAt(nowMillis());
-        for (int i = 0; i < replaced.size(); i++) {
-            SoakTarget leaving = replaced.get(i);
-            fleet.time.schedule(i * REPLACEMENT_MILLIS, () -> {
-                targets.add(new SoakTarget(version, nowMillis()));
-                if (!leaving.isRemovedBefore(nowMillis())) {
-                    leaving.removeAt(nowMillis(), servesOnMillis());
-                }
-            });
-        }
-        if (random.nextBoolean()) {
-            long endsMillis = replaced.size() * REPLACEMENT_MILLIS;
-            fleet.time.schedule(endsMillis + random.nextInt(1_000), this::losePowerOfMany);
-        }
-    }
-
-    /** Returns for how long a target serves on after its entry was removed, at times for many seconds. */
-    private long servesOnMillis() {
-        if (!playsMore()) {
-            return 0;
-        }
-        return random.nextInt(random.nextBoolean() ? 2_000 : 12_000);
-    }
-
     private void losePower() {
         if (random.nextInt(2_500) == 0) {
             losePowerOfMany();
         }
     }
 
-    private void losePowerOfMany() {
+    void losePowerOfMany() {
         loseAnyPower();
         if (plays(SoakDisturbance.SINGLE_SURVIVORS_AND_SECOND_LOSSES)) {
             fleet.time.schedule(1_300 + random.nextInt(4_000), this::loseAnyPower);
@@ -191,14 +147,15 @@
 
     private void crashTarget() {
         List<SoakTarget> listed = listedAt(nowMillis());
-        if (random.nextInt(150) == 0 && listed.size() > 6) {
+        if (random.nextInt(150) == 0 && listed.size() > 6 * route.services.size()) {
             SoakTarget crashed = listed.get(random.nextInt(listed.size()));
             crashed.removeAt(nowMillis(), 0);
             running.stream().filter(each -> crashed.equals(each.target)).forEach(each -> {
                 each.breaks = true;
                 each.endsMillis = nowMillis();
             });
-            fleet.time.schedule(1_500, () -> targets.add(new SoakTarget(crashed.version, nowMillis())));
+            fleet.time.schedule(
+                    1_500, () -> targets.add(new SoakTarget(crashed.service, crashed.version, nowMillis())));
         }
     }
 
@@ -206,6 +163,12 @@
         return targets.stream().filter(each -> each.isListedAt(millis)).toList();
     }
 
+    List<SoakTarget> listedOf(String service) {
+        return listedAt(nowMillis()).stream()
+                .filter(each -> each.service.equals(service))
+                .toList();
+    }
+
     private void disruptInstances() {
         if (random.nextInt(120) != 0) {
             return;
@@ -252,16 +215,18 @@
     }
 
     private void beginStream(SoakInstance instance) {
-        Optional<SoakTarget> target = instance.choose(Optional.empty());
+        String requestId = "s" + streamsCount++;
+        String service = instance.route().chooseServiceOf(requestId);
+        Optional<SoakTarget> target = instance.choose(service, Optional.empty());
         result.wantedCount++;
         if (target.isPresent()) {
             result.begunCount++;
-            StreamId id = new StreamId("owner", "reader", "s" + streamsCount++);
+            StreamId id = new StreamId("owner", service, requestId);
             long deadlineMillis = playsMore() ? nowMillis() + instance.timeoutMillis : Long.MAX_VALUE;
             SoakStream stream = new SoakStream(id, target.get().version, nowMillis(), deadlineMillis);
             instance.recordBegin(stream);
             stream.trace
-                    .append("began " + now() + " at " + instance.describe())
+                    .append("began " + now() + " at " + instance.describe(service))
                     .append(", told " + instance.toldOf(id));
             run(stream, instance, target.get());
         }
@@ -316,9 +281,12 @@
         }
         SoakInstance instance = anyInstance();
         boolean isStable = !instance.isDisrupted && nowMillis() - instance.calmSinceMillis >= STABLE_MILLIS;
+        StreamTakeUp takeUp = StreamTakeUp.on(instance.route(), stream.id.owner(), Optional.of(stream.id.requestId()));
+        String service = stream.id.service();
         boolean isJudged = isStable
                 && stream.beganMillis > powerLostMillis
-                && listedAt(nowMillis()).stream()
+                && takeUp.services().contains(service)
+                && listedOf(service).stream()
                                 .filter(each -> each.version.equals(stream.version))
                                 .count()
                         >= 2;
@@ -331,30 +299,34 @@
                 }
             });
         }
-        instance.sharing.find(StreamBeginFixture.takeUpAt("reader", Optional.of(stream.id)), origin -> {
+        instance.sharing.find(takeUp, origin -> {
             isAnswered[0] = true;
             if (!(origin instanceof StreamOrigin.Known known)) {
                 onRefused(stream, instance, isStable, origin);
                 return;
             }
-            instance.choose(Optional.of(known.softwareVersion())).ifPresent(target -> {
-                stream.trace.append("; taken up " + now() + " at " + instance.describe() + " by " + known);
-                result.countBySource(known.source());
-                if (!target.version.equals(stream.version)) {
-                    result.addJoined(describe(stream));
-                }
-                result.goneOnCount += isJudged ? 1 : 0;
-                run(stream, instance, target);
-            });
+            instance.choose(known.service(), Optional.of(known.softwareVersion()))
+                    .ifPresent(target -> {
+                        stream.trace.append(
+                                "; taken up " + now() + " at " + instance.describe(service) + " by " + known);
+                        result.countBySource(known.source());
+                        boolean isAllowed = takeUp.services().contains(target.service);
+                        if (!isAllowed || !target.service.equals(service) || !target.version.equals(stream.version)) {
+                            result.addJoined(describe(stream));
+                        }
+                        result.goneOnCount += isJudged ? 1 : 0;
+                        run(stream, instance, target);
+                    });
         });
     }
 
     private void onRefused(SoakStream stream, SoakInstance instance, boolean isStable, StreamOrigin origin) {
         result.refusedCount++;
-        stream.trace.append("; refused " + now() + " at " + instance.describe() + " for " + origin);
-        if (isStable && instances.stream().anyMatch(each -> each.hasRecord(stream.id))) {
+        stream.trace.append("; refused " + now() + " at " + instance.describe(stream.id.service()) + " for " + origin);
+        boolean isAllowed = instance.route().leadsTo(stream.id.service());
+        if (isStable && isAllowed && instances.stream().anyMatch(each -> each.hasRecord(stream.id))) {
             result.addRefusedDespiteRecord(describe(stream));
-        } else if (isStable && isOnlyVersion(stream)) {
+        } else if (isStable && isAllowed && isOnlyVersion(stream)) {
             result.addRefusedDespiteObserver(describe(stream));
         }
         if (playsMore() && ++stream.refusalsCount < MAX_REFUSALS) {
@@ -366,13 +338,14 @@
     private boolean isOnlyVersion(SoakStream stream) {
         long sinceMillis = nowMillis() - timeoutMillis - 2 * VIEW_DIFFERENCE_MILLIS;
         return targets.stream()
-                        .filter(each -> each.isListedWithin(sinceMillis, nowMillis()))
+                        .filter(each -> each.service.equals(stream.id.service())
+                                && each.isListedWithin(sinceMillis, nowMillis()))
                         .allMatch(each -> each.version.equals(stream.version))
                 && instances.stream().anyMatch(each -> each.hasRunSince(sinceMillis));
     }
 
     private String describe(SoakStream stream) {
-        return stream.id.requestId() + " of " + stream.version + " after "
+        return stream.id.requestId() + " of " + stream.id.service() + " " + stream.version + " after "
                 + (nowMillis() - stream.beganMillis) + " ms: " + stream.trace + "; lost power last "
                 + (powerLostMillis < 0 ? "-" : seconds(powerLostMillis, startMillis)) + "; recorded now by "
                 + instances.stream()
@@ -388,7 +361,7 @@
         Set<String> previous = Set.of();
         for (long millis = nowMillis() - TRACED_PAST_MILLIS; millis <= nowMillis(); millis += STEP_MILLIS) {
             Set<String> listed = new TreeSet<>();
-            listedAt(millis).forEach(each -> listed.add(each.version));
+            listedAt(millis).forEach(each -> listed.add(each.service + " " + each.version));
             if (!listed.equals(previous)) {
                 text.append(listed + " from " + seconds(millis, startMillis) + " ");
                 previous = listed;
--- a/src/test/java/org/dogwoodwinch/daemon/SoakDisturbance.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakDisturbance.java
@@ -17,5 +17,10 @@
     /** An instance is cut from all others and the store for up to 12 s, serves on, and is killed or joins again. */
     LONG_CUTS,
     /** Configurations change the time-out of the callers' requests, and with it the lifetime of a stream. */
-    CHANGED_TIMEOUTS
+    CHANGED_TIMEOUTS,
+    /**
+     * Two services share the streams of a route, and configurations move its weights. The day begins quietly, until a
+     * release begins and the weights move at about the same time.
+     */
+    MOVED_WEIGHTS
 }
--- a/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakInstance.java
@@ -6,6 +6,9 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
+import org.dogwoodwinch.forwarding.RouteMoves;
+import org.dogwoodwinch.forwarding.RouteTable;
+import org.dogwoodwinch.forwarding.ServiceRoute;
 import org.dogwoodwinch.forwarding.SoftwareVersionHistory;
 import org.dogwoodwinch.forwarding.StreamBegins;
 import org.dogwoodwinch.forwarding.StreamId;
@@ -49,6 +52,7 @@
     private long viewedMillis;
     private long readsOnMillis;
     private boolean mayBeVeryLate;
+    private RouteTable table;
 
     SoakInstance(SoakDay day, SimulatedFleet.Member member) {
         this.day = day;
@@ -61,13 +65,14 @@
     private void start() {
         timeoutMillis = day.timeoutMillis;
         startedMillis = day.nowMillis();
+        table = day.route.at(day.nowMillis() - viewDelayMillis);
         process = new SoakProcessTime(member);
         TimeSource time = day.playsMore() ? process : day.fleet.time;
         versions = new VersionHistorySharing(
                 member.name,
                 member.exchange,
                 this::otherNames,
-                _service -> versionsInView(),
+                this::versionsInView,
                 new SoftwareVersionHistory(
                         this::lifetimeMillis, SoakDay.VIEW_DIFFERENCE_MILLIS, StreamComponents.REMOVED_SERVES_MILLIS),
                 time);
@@ -95,7 +100,7 @@
                 day.random.nextLong(),
                 time);
         // The rounds of the simulated bus go on while a process is suspended.
-        versions.start(() -> member.paused && day.playsMore() ? Set.of() : Set.of("reader"));
+        versions.start(() -> member.paused && day.playsMore() ? Set.of() : Set.copyOf(day.route.services));
         telling.start();
         sharing.start();
     }
@@ -133,6 +138,20 @@
             viewedMillis = Math.max(viewedMillis, nowMillis - viewDelayMillis);
             mayBeVeryLate = false;
         }
+        day.route.next(table.version(), nowMillis - viewDelayMillis).ifPresent(this::configure);
+    }
+
+    private void configure(RouteTable next) {
+        Set<String> moved = RouteMoves.servicesOfMovedStreams(table, next);
+        table = next;
+        if (!moved.isEmpty()) {
+            versions.onRoutesMoved(moved, next.version());
+        }
+    }
+
+    /** Returns the route of the streams as this instance knows it. */
+    ServiceRoute route() {
+        return SoakRoute.routeOf(table);
     }
 
     /** Lets the view stand still for a while. */
@@ -144,13 +163,17 @@
         return day.listedAt(day.playsMore() ? viewedMillis : day.nowMillis() - viewDelayMillis);
     }
 
-    private Set<String> versionsInView() {
-        return view().stream().map(each -> each.version).collect(Collectors.toSet());
+    private Set<String> versionsInView(String service) {
+        return view().stream()
+                .filter(each -> each.service.equals(service))
+                .map(each -> each.version)
+                .collect(Collectors.toSet());
     }
 
-    /** Chooses a target that this instance knows and that still serves. */
-    Optional<SoakTarget> choose(Optional<String> version) {
+    /** Chooses a target of a service that this instance knows and that still serves. */
+    Optional<SoakTarget> choose(String service, Optional<String> version) {
         List<SoakTarget> usable = view().stream()
+                .filter(each -> each.service.equals(service))
                 .filter(each -> each.isServingAt(day.nowMillis()))
                 .filter(each -> version.isEmpty() || version.get().equals(each.version))
                 .toList();
@@ -247,17 +270,17 @@
     /** Returns the instances that are told of the begin of a stream. */
     List<String> toldOf(StreamId id) {
         List<String> names = day.fleet.members.stream().map(other -> other.name).toList();
-        return versions.maybeSeveral("reader") ? StreamRecorders.toldOf(id, names, member.name) : List.of();
+        return versions.maybeSeveral(id.service()) ? StreamRecorders.toldOf(id, names, member.name) : List.of();
     }
 
-    String describe() {
+    String describe(String service) {
         String state = (isCutFromStore ? " cut from the store" : "")
                 + (member.dropsReceived ? " cut from the others" : "")
                 + (isDown ? " down" : "")
                 + (member.exchange.hearsOthers() ? "" : " hears nobody");
         long nowMillis = day.nowMillis();
-        return member.name + state + " (view " + new TreeSet<>(versionsInView()) + " late by " + lateMillis()
-                + " ms, observed " + versions.singleMillis("reader") + " ms, up " + (nowMillis - startedMillis)
+        return member.name + state + " (view " + new TreeSet<>(versionsInView(service)) + " late by " + lateMillis()
+                + " ms, observed " + versions.singleMillis(service) + " ms, up " + (nowMillis - startedMillis)
                 + " ms, calm for " + (isDisrupted ? 0 : nowMillis - calmSinceMillis) + " ms, lifetime "
                 + lifetimeMillis() + " ms)";
     }
--- a/src/test/java/org/dogwoodwinch/daemon/SoakTarget.java
+++ b/src/test/java/org/dogwoodwinch/daemon/SoakTarget.java
@@ -3,12 +3,14 @@
 /** A target of one software version, which may serve on after its entry was removed. */
 final class SoakTarget {
 
+    final String service;
     final String version;
     private final long listedMillis;
     private long removedMillis = Long.MAX_VALUE;
     private long exitsMillis = Long.MAX_VALUE;
 
-    SoakTarget(String version, long listedMillis) {
+    SoakTarget(String service, String version, long listedMillis) {
+        this.service = service;
         this.version = version;
         this.listedMillis = listedMillis;
     }
--- a/src/test/java/org/dogwoodwinch/daemon/StreamVersionsSoakTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/StreamVersionsSoakTest.java
@@ -63,9 +63,19 @@
         play(Set.of(SoakDisturbance.LOST_MESSAGES), new Setup(6, 11));
     }
 
+    @Test
+    void streamsGoOnWhereTheyBeganWhenWeightsMoveAndReleasesBeginAfterAQuietTime() {
+        play(Set.of(SoakDisturbance.MOVED_WEIGHTS), new Setup(30, 1), new Setup(30, 2), new Setup(30, 3));
+    }
+
+    @Test
+    void streamsGoOnWhereTheyBeganWhenTheBeginsThatAreToldAfterwardsAreLost() {
+        Set<SoakDisturbance> disturbances = Set.of(SoakDisturbance.MOVED_WEIGHTS, SoakDisturbance.LOST_MESSAGES);
+        playAll(disturbances, List.of(new Setup(6, 1), new Setup(30, 1), new Setup(30, 2), new Setup(48, 1)));
+    }
+
     private static void play(Set<SoakDisturbance> disturbances, Setup... further) {
         int seeds = Integer.getInteger("soak.seeds", DEFAULT_SEEDS);
-        int onlyInstancesCount = Integer.getInteger("soak.instances", 0);
         List<Setup> setups = new ArrayList<>();
         for (int instancesCount : INSTANCES_COUNTS) {
             for (int seed = 1; seed <= seeds; seed++) {
@@ -73,6 +83,11 @@
             }
         }
         setups.addAll(List.of(further));
+        playAll(disturbances, setups);
+    }
+
+    private static void playAll(Set<SoakDisturbance> disturbances, List<Setup> setups) {
+        int onlyInstancesCount = Integer.getInteger("soak.instances", 0);
         List<String> failures = setups.stream()
                 .filter(setup -> onlyInstancesCount == 0 || onlyInstancesCount == setup.instancesCount())
                 .distinct()
