Refuse answers whose status is not three digits of the protocol

What callers saw: an answer that began with "HTTP/1.1 0200 OK" reached the caller as a success with the target's stamp, and the same held for 00200 and +200. A control answer with status 000, 099, 600 or 999 counted as an answer.

Cause: the decoder reads the status as a number, and only connections of calls asked afterwards whether that number is one of the protocol; the text was judged nowhere, and control connections judged nothing.

Change: TargetResponseDecoder, which decodes the answers of targets, engines' control interfaces, the store and other instances, takes three digits from 100 to 599 and nothing else. Anything else is an answer that cannot be read: 502 if the call may have run, another target where it may run twice, a lost control call; the connection ends.

--- a/src/main/java/org/dogwoodwinch/relay/ResponseHeads.java
+++ b/src/main/java/org/dogwoodwinch/relay/ResponseHeads.java
@@ -1,7 +1,6 @@
 package org.dogwoodwinch.relay;
 
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.List;
 import java.util.Objects;
@@ -9,9 +8,6 @@
 /** Judges the heads that arrive on a connection against the calls that it has carried. */
 final class ResponseHeads {
 
-    private static final int MIN_STATUS = 100;
-    private static final int MAX_STATUS = 599;
-
     private final CallHeaders callHeaders;
     private final HeadVerdict.Judge judge;
     private final CarriedCalls carried;
@@ -58,11 +54,6 @@
         return identity.innerStatusLine() != InnerStatusLine.NONE;
     }
 
-    /** Returns whether a status may stand in a head: one of the protocol, but none that switches protocols, as nobody asks for it. */
-    static boolean isKnownStatus(int status) {
-        return status >= MIN_STATUS && status <= MAX_STATUS && status != HttpResponseStatus.SWITCHING_PROTOCOLS.code();
-    }
-
     /** Returns what will show that the response has ended whose head was judged last. */
     ResponseEnd expectedEnd(HttpResponse head) {
         return ResponseEnd.expectedOf(head, withoutBody);
--- a/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Objects;
@@ -226,7 +227,8 @@
 
     private void handleHead(HttpResponse response) {
         int status = response.status().code();
-        if (!ResponseHeads.isKnownStatus(status)) {
+        if (status == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            // Nobody asks for another protocol.
             failGarbled();
             return;
         }
--- a/src/main/java/org/dogwoodwinch/relay/TargetResponseDecoder.java
+++ b/src/main/java/org/dogwoodwinch/relay/TargetResponseDecoder.java
@@ -11,6 +11,7 @@
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 
 /**
  * Decodes responses of targets, including those without a body whatever their headers state, as for HEAD requests.
@@ -22,6 +23,7 @@
 final class TargetResponseDecoder extends HttpResponseDecoder {
 
     private static final int MAX_CHUNK_BYTES = 65_536;
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
 
     private final BooleanSupplier expectsBytes;
     private final Runnable onStrayBytes;
@@ -56,9 +58,17 @@
         }
     }
 
-    /** Refuses other versions: the text before a status line would else become a part of its protocol's name. */
+    /**
+     * Refuses other versions, since the text before a status line would else become a part of its protocol's name, and
+     * statuses that are not three digits of the protocol.
+     *
+     * <p>Failure: the status is read as a number, and 0200 passes for 200, or 000 for the answer to a control call.
+     */
     @Override
     protected HttpMessage createMessage(String[] initialLine) {
+        if (!STATUS.matcher(initialLine[1]).matches()) {
+            throw new IllegalArgumentException("not a status: " + initialLine[1]);
+        }
         HttpMessage message = super.createMessage(initialLine);
         HttpVersion version = message.protocolVersion();
         if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
--- a/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
+++ b/src/test/java/org/dogwoodwinch/relay/NeighbourLinks.java
@@ -1,16 +1,19 @@
 package org.dogwoodwinch.relay;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.Neighbour;
 
@@ -29,6 +32,9 @@
     /** What this instance told the others about itself. */
     final List<Boolean> toldIsolation = new ArrayList<>();
 
+    /** Changes what the other instances answer. */
+    UnaryOperator<String> rewrite = UnaryOperator.identity();
+
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
     private final List<Neighbour> neighbours = new ArrayList<>();
@@ -76,7 +82,7 @@
         while (progress) {
             progress = false;
             for (Link link : List.copyOf(links)) {
-                progress |= link.deliver();
+                progress |= link.deliver(rewrite);
             }
         }
     }
@@ -92,9 +98,9 @@
 
     private record Link(EmbeddedChannel local, EmbeddedChannel remote) {
 
-        boolean deliver() {
-            boolean sent = move(local, remote);
-            boolean progress = move(remote, local) || sent;
+        boolean deliver(UnaryOperator<String> rewrite) {
+            boolean sent = move(local, remote, UnaryOperator.identity());
+            boolean progress = move(remote, local, rewrite) || sent;
             if (local.isActive() != remote.isActive()) {
                 local.close().syncUninterruptibly();
                 remote.close().syncUninterruptibly();
@@ -103,16 +109,16 @@
             return progress;
         }
 
-        private static boolean move(EmbeddedChannel from, EmbeddedChannel to) {
+        private static boolean move(EmbeddedChannel from, EmbeddedChannel to, UnaryOperator<String> rewrite) {
             from.runPendingTasks();
             boolean moved = false;
             ByteBuf bytes = from.readOutbound();
             while (bytes != null) {
                 moved = true;
+                String text = rewrite.apply(bytes.toString(StandardCharsets.ISO_8859_1));
+                bytes.release();
                 if (to.isActive()) {
-                    to.writeInbound(bytes);
-                } else {
-                    bytes.release();
+                    to.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
                 }
                 bytes = from.readOutbound();
             }
