Bound each request by the limits in force when it begins

What callers saw: maxBodyBytes was raised, and on each of 24 connections that were open before every larger request got 413, for as long as its caller kept the connection; callers do not repeat a request after a 413.

Cause: the limits on what a caller may send were read once, when a connection was accepted, and kept for its whole life: the body's, the head's, and both time-outs, also those of connections from before the first configuration and between instances.

Change: they are read as the first byte of a request arrives, or as the connection becomes idle. A time-out is the longer of the one in force then and now, so that a caller which goes by the earlier one is not cut off.

--- a/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
@@ -16,6 +16,7 @@
 import java.util.Deque;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.ToLongFunction;
 import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.http.Channels;
 import org.dogwoodwinch.http.LingeringClose;
@@ -63,10 +64,13 @@
 
     private final RequestHandler handler;
     private final TimeSource time;
-    private final CallerLimits limits;
     private final RequestReader reader;
     private final ReceiveLimiter receiveLimiter = new ReceiveLimiter();
     private final Deque<ReceivedRequest> queue = new ArrayDeque<>();
+
+    /** The limits in force when the request that is being read, or the idle time, has begun. */
+    private CallerLimits limitsAtStart;
+
     private ChannelHandlerContext context;
     private Channel channel;
     private Cancellable timeoutCheck;
@@ -78,11 +82,11 @@
     private Optional<RequestExchange> current = Optional.empty();
     private Optional<Close> close = Optional.empty();
 
-    CallerConnection(RequestHandler handler, TimeSource time, CallerLimits limits) {
+    CallerConnection(RequestHandler handler, TimeSource time) {
         this.handler = Objects.requireNonNull(handler, "handler");
         this.time = Objects.requireNonNull(time, "time");
-        this.limits = Objects.requireNonNull(limits, "limits");
-        this.reader = new RequestReader(handler.bodyMemory(), limits);
+        this.reader = new RequestReader(handler.bodyMemory(), () -> limitsAtStart);
+        this.limitsAtStart = handler.limits();
     }
 
     /** Returns whether the request under way asks for a response without a body. */
@@ -194,14 +198,21 @@
         return !lastRequestRead || unreadable;
     }
 
-    /** Records the arrival of bytes that are not decoded yet. */
-    void bytesArrived() {
-        if (requestStartMillis < 0) {
+    /**
+     * Records the arrival of bytes that are not decoded yet.
+     *
+     * @return whether a request begins with them
+     */
+    boolean bytesArrived() {
+        boolean beginsRequest = requestStartMillis < 0;
+        if (beginsRequest) {
             requestStartMillis = time.monotonicMillis();
+            limitsAtStart = handler.limits();
         }
         if (!readsRequests()) {
             channel.config().setAutoRead(false);
         }
+        return beginsRequest;
     }
 
     @Override
@@ -326,6 +337,7 @@
         reader.release(exchange.call());
         current = Optional.empty();
         idleSinceMillis = time.monotonicMillis();
+        limitsAtStart = handler.limits();
         recordIfUnanswered(exchange);
         if (channel.isActive() && close.isEmpty()) {
             // Deferred: a nested call would deepen the stack with each refused request that a caller pipelines.
@@ -386,12 +398,17 @@
                 && requestStartMillis >= 0
                 && current.isEmpty()
                 && queue.isEmpty()
-                && nowMillis - requestStartMillis > limits.headerTimeoutMillis();
+                && nowMillis - requestStartMillis > longest(CallerLimits::headerTimeoutMillis);
         if (headLate && !unreadable) {
             unreadable(new ReceivedRequest.Unreadable(LocalResponses.REQUEST_TIMEOUT, "head took too long"));
         } else {
-            closeIfQuiet(limits.idleTimeoutMillis());
+            closeIfQuiet(longest(CallerLimits::idleTimeoutMillis));
         }
         timeoutCheck = time.schedule(TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
     }
+
+    /** Returns a time limit for what has begun: a caller may still go by the limits of that time, or by those in force. */
+    private long longest(ToLongFunction<CallerLimits> limit) {
+        return Math.max(limit.applyAsLong(limitsAtStart), limit.applyAsLong(handler.limits()));
+    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/RequestReader.java
+++ b/src/main/java/org/dogwoodwinch/relay/RequestReader.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.dogwoodwinch.bytes.Bytes;
 import org.dogwoodwinch.forwarding.CallerLimits;
 
@@ -18,18 +19,19 @@
 final class RequestReader {
 
     private final BodyMemory bodyMemory;
-    private final CallerLimits limits;
+    private final Supplier<CallerLimits> limits;
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpRequest head;
+    private int maxBodyBytes;
     private int reservedBytes;
 
     /**
      * Creates a reader.
      *
      * @param bodyMemory the common limit of all request bodies, not null
-     * @param limits the limits of each request, not null
+     * @param limits supplies the limits in force when the request that is being read has begun, not null
      */
-    RequestReader(BodyMemory bodyMemory, CallerLimits limits) {
+    RequestReader(BodyMemory bodyMemory, Supplier<CallerLimits> limits) {
         this.bodyMemory = Objects.requireNonNull(bodyMemory, "bodyMemory");
         this.limits = Objects.requireNonNull(limits, "limits");
     }
@@ -60,7 +62,8 @@
         if (!RequestValidator.isWellFormed(request)) {
             return unreadable(LocalResponses.BAD_REQUEST, "malformed request");
         }
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+        maxBodyBytes = limits.get().maxBodyBytes();
+        if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
             return unreadable(LocalResponses.TOO_LARGE, "body too large");
         }
         head = request;
@@ -79,7 +82,7 @@
             return unreadable(LocalResponses.BAD_REQUEST, "malformed body");
         }
         ByteBuf bytes = content.content();
-        if (body.size() + bytes.readableBytes() > limits.maxBodyBytes()) {
+        if (body.size() + bytes.readableBytes() > maxBodyBytes) {
             return unreadable(LocalResponses.TOO_LARGE, "body too large");
         }
         if (!bodyMemory.tryReserve(bytes.readableBytes())) {
--- a/src/main/java/org/dogwoodwinch/relay/StrictRequestDecoder.java
+++ b/src/main/java/org/dogwoodwinch/relay/StrictRequestDecoder.java
@@ -21,6 +21,7 @@
 
     private static final int MAX_CHUNK_BYTES = 65_536;
 
+    private final int maxHeaderBytes;
     private boolean inHead = true;
     private boolean atLineStart;
     private boolean hasFoldedLine;
@@ -35,6 +36,12 @@
                 .setAllowDuplicateContentLengths(false)
                 .setStrictLineParsing(true)
                 .setUseRfc9112TransferEncoding(true));
+        this.maxHeaderBytes = limits.maxHeaderBytes();
+    }
+
+    /** Returns the maximum size of a request line and header block. */
+    int maxHeaderBytes() {
+        return maxHeaderBytes;
     }
 
     /**
--- a/src/test/java/org/dogwoodwinch/relay/RequestReaderTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/RequestReaderTest.java
@@ -29,7 +29,7 @@
         ByteBuf body = Unpooled.wrappedBuffer(new byte[BODY_BYTES]);
         List<RequestReader> keptReaders = new ArrayList<>();
         for (int i = 0; i < CONNECTIONS_COUNT; i++) {
-            RequestReader reader = new RequestReader(bodyMemory, CallerLimits.DEFAULT);
+            RequestReader reader = new RequestReader(bodyMemory, () -> CallerLimits.DEFAULT);
             HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/once/a");
             head.headers().set("host", "desk.example").set("content-length", BODY_BYTES);
             assertEquals(Optional.empty(), reader.readHead(head));
