--- a/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
+++ b/src/main/java/org/dogwoodwinch/daemon/ForwardingDaemon.java
@@ -56,6 +56,7 @@
 import org.dogwoodwinch.relay.ControlClient;
 import org.dogwoodwinch.relay.ForwardingMetrics;
 import org.dogwoodwinch.relay.ForwardingService;
+import org.dogwoodwinch.relay.InstancePages;
 import org.dogwoodwinch.relay.NeighbourConnector;
 import org.dogwoodwinch.relay.Neighbours;
 import org.dogwoodwinch.relay.RelayDecisions;
@@ -342,7 +343,7 @@
                         isolationSharing::isolatedNames,
                         isolationSharing::set),
                 metrics);
-        streams.start(service::modelServices);
+        streams.start(service.routes()::modelServices);
         fleet.acceptCalls(new TakenOverCalls(service, time)::accept);
         this.configuration = new StreamFollower(
                 fleet.streams()
@@ -351,7 +352,7 @@
                                 store.keyed(StoreClient.OPERATOR_TOPIC),
                                 polling.configurationReplica()),
                 followerPolicy,
-                new ConfigurationReader(service::configure, metrics, streams::onRoutesMoved),
+                new ConfigurationReader(service.routes()::configure, metrics, streams::onRoutesMoved),
                 time,
                 random);
         this.clockWatch =
@@ -370,8 +371,8 @@
                         settings.instance().name(),
                         directory,
                         loads,
-                        service::modelServices,
-                        service::stageChangeMillis,
+                        service.routes()::modelServices,
+                        service.routes()::stageChangeMillis,
                         _service -> new StagePlanner(StagePlanPolicy.DEFAULT, rates),
                         fleet.exchange()::isRelay,
                         () -> fleet.exchange().isFleetTaskAssignedToSelf(StageOrders.TOPIC),
@@ -396,7 +397,7 @@
                         settings,
                         () -> fleet.exchange().isFleetTaskAssignedToSelf(ScaleOrders.TOPIC),
                         new ScaleOrders.Observed(
-                                service::scaledServices,
+                                service.routes()::scaledServices,
                                 targetsReader::hasReadSnapshot,
                                 directory::readyTargets,
                                 directory::all,
@@ -414,9 +415,9 @@
      * @throws IOException if a listener cannot be bound
      */
     public void start() throws IOException {
-        readyListener = ForwardingService.listenReady(
+        readyListener = InstancePages.listenReady(
                 transport, parseAddress(settings.forwarding().readyListen()), this::isReady);
-        metricsListener = ForwardingService.listenMetrics(
+        metricsListener = InstancePages.listenMetrics(
                 transport,
                 parseAddress(settings.forwarding().metricsListen()),
                 metrics,
@@ -527,7 +528,7 @@
 
     private List<Incarnation> activeModelEngines() {
         return activeTargets().stream()
-                .filter(target -> service.servesModel(target.service()))
+                .filter(target -> service.routes().servesModel(target.service()))
                 .toList();
     }
 
@@ -552,15 +553,15 @@
     }
 
     private List<ServiceRoute> streamRoutes(String serviceName) {
-        return service.streamRoutes(serviceName);
+        return service.routes().streamRoutes(serviceName);
     }
 
     private long longestResumableMillis() {
-        return service.longestResumableMillis();
+        return service.routes().longestResumableMillis();
     }
 
     private boolean isReady() {
-        return !stopping && service.isConfigured() && targetsReader.hasReadSnapshot();
+        return !stopping && service.routes().isConfigured() && targetsReader.hasReadSnapshot();
     }
 
     private CompletionStage<Boolean> flushUsage() {
--- a/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
+++ b/src/main/java/org/dogwoodwinch/relay/CallerConnection.java
@@ -16,8 +16,6 @@
 import java.util.Deque;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.function.ToLongFunction;
-import org.dogwoodwinch.forwarding.CallerLimits;
 import org.dogwoodwinch.http.Channels;
 import org.dogwoodwinch.http.LingeringClose;
 import org.dogwoodwinch.logging.LogEvent;
@@ -64,18 +62,14 @@
 
     private final RequestHandler handler;
     private final TimeSource time;
+    private final CallerTimes times;
     private final RequestReader reader;
     private final ReceiveLimiter receiveLimiter = new ReceiveLimiter();
     private final Deque<ReceivedRequest> queue = new ArrayDeque<>();
 
-    /** The limits in force when the request that is being read, or the idle time, has begun. */
-    private CallerLimits limitsAtStart;
-
     private ChannelHandlerContext context;
     private Channel channel;
     private Cancellable timeoutCheck;
-    private long requestStartMillis = -1;
-    private long idleSinceMillis;
     private boolean unreadable;
     private boolean lastRequestRead;
     private boolean lastReadAwaited;
@@ -85,8 +79,8 @@
     CallerConnection(RequestHandler handler, TimeSource time) {
         this.handler = Objects.requireNonNull(handler, "handler");
         this.time = Objects.requireNonNull(time, "time");
-        this.reader = new RequestReader(handler.bodyMemory(), () -> limitsAtStart);
-        this.limitsAtStart = handler.limits();
+        this.times = new CallerTimes(handler::limits, time);
+        this.reader = new RequestReader(handler.bodyMemory(), times::limitsAtStart);
     }
 
     /** Returns whether the request under way asks for a response without a body. */
@@ -95,10 +89,7 @@
     }
 
     private boolean isQuiet(long quietMillis) {
-        return current.isEmpty()
-                && queue.isEmpty()
-                && requestStartMillis < 0
-                && time.monotonicMillis() - idleSinceMillis >= quietMillis;
+        return current.isEmpty() && queue.isEmpty() && times.isIdleFor(quietMillis);
     }
 
     /**
@@ -188,7 +179,7 @@
     /** Begins once, as a connection of another instance is active before it turns out to carry calls. */
     private void begin() {
         if (timeoutCheck == null) {
-            idleSinceMillis = time.monotonicMillis();
+            times.beginIdle();
             timeoutCheck = time.schedule(TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
         }
     }
@@ -204,10 +195,9 @@
      * @return whether a request begins with them
      */
     boolean bytesArrived() {
-        boolean beginsRequest = requestStartMillis < 0;
+        boolean beginsRequest = !times.isRequestBegun();
         if (beginsRequest) {
-            requestStartMillis = time.monotonicMillis();
-            limitsAtStart = handler.limits();
+            times.beginRequest();
         }
         if (!readsRequests()) {
             channel.config().setAutoRead(false);
@@ -224,8 +214,8 @@
             if (message instanceof HttpContent content && !unreadable) {
                 reader.readContent(content).ifPresent(this::unreadable);
                 if (!unreadable && reader.isComplete(content)) {
-                    ReceivedRequest.Complete complete = reader.take(requestStartMillis);
-                    requestStartMillis = time.monotonicMillis();
+                    ReceivedRequest.Complete complete = reader.take(times.requestStartMillis());
+                    times.beginNextRequest();
                     received(complete);
                 }
             }
@@ -247,7 +237,7 @@
     public void channelReadComplete(ChannelHandlerContext _context) {
         // All received bytes belonged to complete requests, so no request is being read.
         if (!isReadingRequest() && !unreadable) {
-            requestStartMillis = -1;
+            times.endRequest();
         }
     }
 
@@ -336,8 +326,7 @@
     public void onEnd(RequestExchange exchange) {
         reader.release(exchange.call());
         current = Optional.empty();
-        idleSinceMillis = time.monotonicMillis();
-        limitsAtStart = handler.limits();
+        times.beginIdle();
         recordIfUnanswered(exchange);
         if (channel.isActive() && close.isEmpty()) {
             // Deferred: a nested call would deepen the stack with each refused request that a caller pipelines.
@@ -393,22 +382,12 @@
         if (!channel.isActive()) {
             return;
         }
-        long nowMillis = time.monotonicMillis();
-        boolean headLate = !reader.isInBody()
-                && requestStartMillis >= 0
-                && current.isEmpty()
-                && queue.isEmpty()
-                && nowMillis - requestStartMillis > longest(CallerLimits::headerTimeoutMillis);
+        boolean headLate = !reader.isInBody() && current.isEmpty() && queue.isEmpty() && times.isHeadLate();
         if (headLate && !unreadable) {
             unreadable(new ReceivedRequest.Unreadable(LocalResponses.REQUEST_TIMEOUT, "head took too long"));
         } else {
-            closeIfQuiet(longest(CallerLimits::idleTimeoutMillis));
+            closeIfQuiet(times.idleTimeoutMillis());
         }
         timeoutCheck = time.schedule(TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
     }
-
-    /** Returns a time limit for what has begun: a caller may still go by the limits of that time, or by those in force. */
-    private long longest(ToLongFunction<CallerLimits> limit) {
-        return Math.max(limit.applyAsLong(limitsAtStart), limit.applyAsLong(handler.limits()));
-    }
 }
--- a/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
+++ b/src/main/java/org/dogwoodwinch/relay/ForwardingService.java
@@ -1,22 +1,15 @@
 package org.dogwoodwinch.relay;
 
-import io.netty.channel.Channel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Collections;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
-import java.util.SortedMap;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.dogwoodwinch.forwarding.ApiKey;
 import org.dogwoodwinch.forwarding.CallOwner;
 import org.dogwoodwinch.forwarding.CallerIdentity;
 import org.dogwoodwinch.forwarding.CallerLimits;
-import org.dogwoodwinch.forwarding.EngineTraits;
 import org.dogwoodwinch.forwarding.Incarnation;
 import org.dogwoodwinch.forwarding.RouteTable;
 import org.dogwoodwinch.forwarding.ServiceEntry;
@@ -25,8 +18,6 @@
 import org.dogwoodwinch.forwarding.TargetIsolation;
 import org.dogwoodwinch.logging.LogEvent;
 import org.dogwoodwinch.net.Transport;
-import org.dogwoodwinch.request.QuarantineEndpoint;
-import org.dogwoodwinch.scaling.ScalingLimits;
 import org.dogwoodwinch.time.TimeSource;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -58,7 +49,7 @@
     private Optional<CallerListener> listener = Optional.empty();
     private final BodyMemory bodyMemory = new BodyMemory(MAX_BODY_MEMORY_BYTES);
     private final OpenCalls openCalls = new OpenCalls();
-    private Optional<RouteTable> routeTable = Optional.empty();
+    private final RoutesInForce routes = new RoutesInForce();
     private boolean draining;
     private boolean accepting = true;
 
@@ -170,130 +161,12 @@
     }
 
     /**
-     * Serves readiness checks such as those of the load balancer.
+     * Returns the configuration in force.
      *
-     * @param transport the socket transport, not null
-     * @param address the address to listen on, not null
-     * @param ready supplies whether the instance is ready, evaluated on each request, not null
-     * @return the listening channel
-     * @throws IOException if the address cannot be bound
-     */
-    public static Channel listenReady(Transport transport, InetSocketAddress address, Supplier<Boolean> ready)
-            throws IOException {
-        return PageListener.bind(transport, address, _request -> {
-            boolean now = ready.get();
-            return new PageListener.Page(
-                    now ? 200 : LocalResponses.UNAVAILABLE, "text/plain", now ? "ready" : "not ready");
-        });
-    }
-
-    /**
-     * Serves metrics in the Prometheus text format, and the operators' pages of the quarantine.
-     *
-     * @param transport the socket transport, not null
-     * @param address the address to listen on, not null
-     * @param metrics the metrics to serve, not null
-     * @param quarantine lists and lifts what is held back, called on the event loop, not null
-     * @return the listening channel
-     * @throws IOException if the address cannot be bound
-     */
-    public static Channel listenMetrics(
-            Transport transport, InetSocketAddress address, ForwardingMetrics metrics, QuarantineEndpoint quarantine)
-            throws IOException {
-        return PageListener.bind(transport, address, request -> {
-            if (!request.path().startsWith(QuarantineEndpoint.LIST_PATH)) {
-                return new PageListener.Page(200, "text/plain; version=0.0.4", metrics.text());
-            }
-            QuarantineEndpoint.Response response = quarantine.handle(request.method(), request.path(), request.body());
-            return new PageListener.Page(response.status(), "application/json", response.body());
-        });
-    }
-
-    /**
-     * Applies a configuration unless its version is older than or equal to that of the current one.
-     *
-     * @param newTable the configuration to apply, not null
-     * @return whether the configuration was applied
-     */
-    public boolean configure(RouteTable newTable) {
-        if (routeTable.isPresent() && routeTable.get().version() >= newTable.version()) {
-            return false;
-        }
-        routeTable = Optional.of(newTable);
-        return true;
-    }
-
-    /**
-     * Returns whether a service's targets are model engines.
-     *
-     * @param serviceName the service's name, not null
-     * @return true for a model service; false for other and unknown services
-     */
-    public boolean servesModel(String serviceName) {
-        return routeTable
-                .flatMap(current -> current.service(serviceName))
-                .flatMap(ServiceEntry::engine)
-                .isPresent();
-    }
-
-    /**
-     * Returns the services whose targets are model engines.
-     *
-     * @return the names in the configuration in force
-     */
-    public Set<String> modelServices() {
-        return routeTable.map(RouteTable::modelServices).orElseGet(Set::of);
-    }
-
-    /**
-     * Returns the services whose engines are ordered.
-     *
-     * @return the limits by the name of the service, from the configuration in force; empty before the first one
-     */
-    public SortedMap<String, ScalingLimits> scaledServices() {
-        return routeTable.map(RouteTable::scaledServices).orElseGet(Collections::emptySortedMap);
-    }
-
-    /**
-     * Returns the longest time for which a caller may take up a stream after its begin.
-     *
-     * @return milliseconds, the longest time-out of a route whose streams may be resumed; zero without such a route
-     */
-    public long longestResumableMillis() {
-        return routeTable.map(RouteTable::longestResumableMillis).orElse(0L);
-    }
-
-    /**
-     * Returns the routes whose streams run at a service.
-     *
-     * @param serviceName the service's name, not null
-     * @return the routes in the configuration in force; the same list while that is the same
-     */
-    public List<ServiceRoute> streamRoutes(String serviceName) {
-        return routeTable.map(current -> current.streamRoutes(serviceName)).orElseGet(List::of);
-    }
-
-    /**
-     * Returns how long an engine is unavailable during a stage change.
-     *
-     * @param serviceName the service's name, not null
-     * @return milliseconds from the configuration in force; zero if it states none
-     */
-    public long stageChangeMillis(String serviceName) {
-        return routeTable
-                .flatMap(current -> current.service(serviceName))
-                .flatMap(ServiceEntry::engine)
-                .map(EngineTraits::stageChangeMillis)
-                .orElse(0L);
-    }
-
-    /**
-     * Returns whether a configuration is in force.
-     *
-     * @return false before the first configuration was applied
+     * @return the configuration, which a newer one may replace
      */
-    public boolean isConfigured() {
-        return routeTable.isPresent();
+    public RoutesInForce routes() {
+        return routes;
     }
 
     @Override
@@ -340,7 +213,7 @@
     }
 
     private boolean probe(Incarnation target, Consumer<Boolean> onOutcome) {
-        return routeTable
+        return routes.current()
                 .flatMap(current -> current.service(target.service()))
                 .map(service -> context.connections().probe(target, context.connectionsPerTarget(service), onOutcome))
                 .orElse(false);
@@ -434,7 +307,7 @@
 
     @Override
     public CallerLimits limits() {
-        return routeTable.map(RouteTable::limits).orElse(CallerLimits.DEFAULT);
+        return routes.limits();
     }
 
     @Override
@@ -488,7 +361,7 @@
         if (!accepting) {
             return Optional.of(LocalResponses.STOPPING);
         }
-        if (routeTable.isEmpty()) {
+        if (!routes.isConfigured()) {
             return Optional.of("no_configuration");
         }
         return isolation.isIsolated() ? Optional.of("cut_off_from_targets") : Optional.empty();
@@ -500,10 +373,10 @@
         if (!accepting) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, LocalResponses.STOPPING);
         }
-        if (routeTable.isEmpty()) {
+        if (!routes.isConfigured()) {
             return refuse(attributes, caller, onDone, LocalResponses.UNAVAILABLE, "no configuration yet");
         }
-        RouteTable current = routeTable.get();
+        RouteTable current = routes.current().orElseThrow();
         Optional<ServiceRoute> route = current.findRoute(call.headers().get("host"), call.uri());
         if (route.isEmpty()) {
             return refuse(attributes, caller, onDone, LocalResponses.NOT_FOUND, "no route");
@@ -569,7 +442,7 @@
         LogEvent.of(event)
                 .with("open", openCallsCount())
                 .with("callers", callerConnectionsCount())
-                .with("version", routeTable.map(RouteTable::version).orElse(-1L))
+                .with("version", routes.current().map(RouteTable::version).orElse(-1L))
                 .info(log);
     }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/EarlyAnswerOverSocketsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/EarlyAnswerOverSocketsTest.java
@@ -6,9 +6,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -45,7 +42,7 @@
         DaemonSockets.shutDown(platformLoop);
     }
 
-    private void add(EarlyTarget target) {
+    private void add(SocketTarget target) {
         platformLoop
                 .eventLoopGroup()
                 .next()
@@ -87,8 +84,9 @@
     })
     void earlyAnswerThatIsResetNeverLooksComplete(
             String path, String version, int bodyBytes, int readBytes, int partBytes) throws IOException {
-        try (EarlyTarget target = new EarlyTarget(readBytes, partBytes)) {
-            add(target);
+        EarlyTarget target = new EarlyTarget(readBytes, partBytes);
+        try (SocketTarget sockets = new SocketTarget(RECEIVE_BUFFER_BYTES, target)) {
+            add(sockets);
             ForwardingDaemon daemon = new ForwardingDaemon(
                     DaemonSockets.createSettings("n1", platform, "\"retries\":{\"ratio\":4}"),
                     daemonLoop,
@@ -111,59 +109,32 @@
     }
 
     /** Answers each request with the beginning of an answer as soon as it has read a part of it, and resets. */
-    private static final class EarlyTarget implements AutoCloseable {
+    private static final class EarlyTarget implements SocketTarget.Behaviour {
 
-        private final ServerSocket listener = new ServerSocket();
         private final AtomicInteger answersCount = new AtomicInteger();
         private final int readBytes;
         private final int partBytes;
 
-        EarlyTarget(int readBytes, int partBytes) throws IOException {
+        EarlyTarget(int readBytes, int partBytes) {
             this.readBytes = readBytes;
             this.partBytes = partBytes;
-            listener.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            startThread(this::accept);
         }
 
-        String entry(String service) {
-            return "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + listener.getLocalPort()
-                    + "\",\"zone\":\"dc-1\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\"}";
-        }
-
-        private static void startThread(Runnable task) {
-            Thread thread = new Thread(task, "early-target");
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void accept() {
-            try {
-                while (!listener.isClosed()) {
-                    Socket socket = listener.accept();
-                    startThread(() -> answer(socket));
-                }
-            } catch (IOException e) {
-                // The listener was closed.
-            }
-        }
-
-        private void answer(Socket socket) {
-            try (socket) {
-                InputStream input = socket.getInputStream();
-                String head = readHead(input);
-                input.readNBytes(readBytes);
-                String id = head.replaceAll("(?is).*\r\nrequest-id: ([^\r]*)\r\n.*", "$1");
-                OutputStream output = socket.getOutputStream();
-                output.write(("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s-" + id + "\r\n\r\n")
-                        .getBytes(StandardCharsets.ISO_8859_1));
-                output.write("id: 1\ndata: part\n\n".repeat(partBytes / 18).getBytes(StandardCharsets.ISO_8859_1));
-                output.flush();
-                answersCount.incrementAndGet();
-                socket.setSoLinger(true, 0);
-            } catch (IOException e) {
-                // The other side has closed the connection.
-            }
+        @Override
+        public void serve(Socket socket) throws IOException {
+            InputStream input = socket.getInputStream();
+            String head = readHead(input);
+            input.readNBytes(readBytes);
+            String id = head.replaceAll("(?is).*\r\nrequest-id: ([^\r]*)\r\n.*", "$1");
+            String event = "id: 1\ndata: part\n\n";
+            String answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nServer-Stamp: s-" + id + "\r\n\r\n"
+                    + event.repeat(partBytes / event.length());
+            OutputStream output = socket.getOutputStream();
+            output.write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            output.flush();
+            answersCount.incrementAndGet();
+            // The close resets the connection.
+            socket.setSoLinger(true, 0);
         }
 
         private static String readHead(InputStream input) throws IOException {
@@ -177,10 +148,5 @@
             }
             return head.toString();
         }
-
-        @Override
-        public void close() throws IOException {
-            listener.close();
-        }
     }
 }
--- a/src/test/java/org/dogwoodwinch/daemon/EndlessBytesOverSocketsTest.java
+++ b/src/test/java/org/dogwoodwinch/daemon/EndlessBytesOverSocketsTest.java
@@ -4,12 +4,8 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.commons.rng.simple.RandomSource;
 import org.dogwoodwinch.net.EventLoopTime;
@@ -62,11 +58,12 @@
             })
     void callersAreAnsweredBesideTargetThatSendsEndlessBytes(String endless) throws IOException {
         int split = endless.indexOf('|');
-        try (EndlessTarget target = new EndlessTarget(endless.substring(0, split), endless.substring(split + 1))) {
+        EndlessTarget target = new EndlessTarget(endless.substring(0, split), endless.substring(split + 1));
+        try (SocketTarget sockets = new SocketTarget(0, target)) {
             platformLoop
                     .eventLoopGroup()
                     .next()
-                    .submit(() -> platform.store().put("keyed.servers", "i-p3", target.entry()))
+                    .submit(() -> platform.store().put("keyed.servers", "i-p3", sockets.entry("desk")))
                     .syncUninterruptibly();
             ForwardingDaemon daemon = new ForwardingDaemon(
                     DaemonSockets.createSettings("n1", platform, "\"retries\":{\"ratio\":4}"),
@@ -88,71 +85,32 @@
     }
 
     /** Sends the same bytes on each connection until the other side closes it. */
-    private static final class EndlessTarget implements AutoCloseable {
+    private static final class EndlessTarget implements SocketTarget.Behaviour {
 
         private final byte[] head;
         private final byte[] pieces;
-        private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final Set<Socket> open = ConcurrentHashMap.newKeySet();
         private final AtomicLong connectionsCount = new AtomicLong();
         private final AtomicLong longestBytes = new AtomicLong();
 
-        EndlessTarget(String head, String piece) throws IOException {
+        EndlessTarget(String head, String piece) {
             this.head = head.getBytes(StandardCharsets.ISO_8859_1);
             this.pieces = piece.repeat(4_096 / piece.length()).getBytes(StandardCharsets.ISO_8859_1);
-            startThread(this::accept);
         }
 
-        String entry() {
-            return "{\"service\":\"desk\",\"address\":\"127.0.0.1:" + listener.getLocalPort()
-                    + "\",\"zone\":\"dc-1\",\"version\":\"v1\",\"slots\":64,\"state\":\"ready\"}";
-        }
-
-        private static void startThread(Runnable task) {
-            Thread thread = new Thread(task, "endless-target");
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void accept() {
-            try {
-                while (!listener.isClosed()) {
-                    Socket socket = listener.accept();
-                    open.add(socket);
-                    startThread(() -> send(socket));
-                }
-            } catch (IOException e) {
-                // The listener was closed.
-            }
-        }
-
-        private void send(Socket socket) {
+        @Override
+        public void serve(Socket socket) throws IOException {
             long sent = 0;
-            try (socket) {
-                socket.setSendBufferSize(65_536);
-                if (socket.getInputStream().read() < 0) {
-                    return;
-                }
-                connectionsCount.incrementAndGet();
-                OutputStream output = socket.getOutputStream();
-                output.write(head);
-                while (true) {
-                    output.write(pieces);
-                    sent += pieces.length;
-                    longestBytes.accumulateAndGet(sent, Math::max);
-                }
-            } catch (IOException e) {
-                // The other side has closed the connection.
-            } finally {
-                open.remove(socket);
+            socket.setSendBufferSize(65_536);
+            if (socket.getInputStream().read() < 0) {
+                return;
             }
-        }
-
-        @Override
-        public void close() throws IOException {
-            listener.close();
-            for (Socket socket : open) {
-                socket.close();
+            connectionsCount.incrementAndGet();
+            OutputStream output = socket.getOutputStream();
+            output.write(head);
+            while (true) {
+                output.write(pieces);
+                sent += pieces.length;
+                longestBytes.accumulateAndGet(sent, Math::max);
             }
         }
     }
--- a/src/test/java/org/dogwoodwinch/relay/ChangedLimitsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/ChangedLimitsTest.java
@@ -39,12 +39,14 @@
                 1,
                 false,
                 List.of(new WeightedService("desk", 1)));
-        relay.service.configure(new RouteTable(
-                ++version,
-                List.of(route),
-                List.of(new ServiceEntry("desk", 96, Optional.empty())),
-                limits,
-                Optional.empty()));
+        relay.service
+                .routes()
+                .configure(new RouteTable(
+                        ++version,
+                        List.of(route),
+                        List.of(new ServiceEntry("desk", 96, Optional.empty())),
+                        limits,
+                        Optional.empty()));
     }
 
     private static String request(String id, String fields, String body) {
--- a/src/test/java/org/dogwoodwinch/relay/MovedWeightsTest.java
+++ b/src/test/java/org/dogwoodwinch/relay/MovedWeightsTest.java
@@ -56,12 +56,16 @@
     }
 
     private void configure(ServiceRoute... routes) {
-        relay.service.configure(new RouteTable(
-                ++configVersion,
-                List.of(routes),
-                List.of(new ServiceEntry("old", 96, Optional.empty()), new ServiceEntry("new", 96, Optional.empty())),
-                RelayFixture.CALLER_LIMITS,
-                ownerKeys));
+        relay.service
+                .routes()
+                .configure(new RouteTable(
+                        ++configVersion,
+                        List.of(routes),
+                        List.of(
+                                new ServiceEntry("old", 96, Optional.empty()),
+                                new ServiceEntry("new", 96, Optional.empty())),
+                        RelayFixture.CALLER_LIMITS,
+                        ownerKeys));
     }
 
     private void configureWeights(double old, double other) {
--- a/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
+++ b/src/test/java/org/dogwoodwinch/relay/RelayFixture.java
@@ -214,23 +214,24 @@
      * engines. Only /open/ needs no key. Each call applies a newer version.
      */
     RelayFixture withRoutes() {
-        service.configure(new RouteTable(
-                nextVersion++,
-                List.of(
-                        route("/safe/", RouteKind.REPEATABLE, false, 2, "desk", CALL_TIMEOUT_MILLIS),
-                        route("/once/", RouteKind.ONCE, false, 1, "desk", CALL_TIMEOUT_MILLIS),
-                        route("/stream/", RouteKind.STREAM, false, 1, "desk", STREAM_TIMEOUT_MILLIS),
-                        route("/resume/", RouteKind.STREAM, true, 2, "desk", STREAM_TIMEOUT_MILLIS),
-                        publicRoute("/open/", "desk"),
-                        route("/model/", RouteKind.STREAM, false, 1, "reader", STREAM_TIMEOUT_MILLIS)),
-                List.of(
-                        new ServiceEntry("desk", 96, Optional.empty()),
-                        new ServiceEntry(
-                                "reader",
-                                360,
-                                Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000, 3_000)))),
-                CALLER_LIMITS,
-                ownerKeys));
+        service.routes()
+                .configure(new RouteTable(
+                        nextVersion++,
+                        List.of(
+                                route("/safe/", RouteKind.REPEATABLE, false, 2, "desk", CALL_TIMEOUT_MILLIS),
+                                route("/once/", RouteKind.ONCE, false, 1, "desk", CALL_TIMEOUT_MILLIS),
+                                route("/stream/", RouteKind.STREAM, false, 1, "desk", STREAM_TIMEOUT_MILLIS),
+                                route("/resume/", RouteKind.STREAM, true, 2, "desk", STREAM_TIMEOUT_MILLIS),
+                                publicRoute("/open/", "desk"),
+                                route("/model/", RouteKind.STREAM, false, 1, "reader", STREAM_TIMEOUT_MILLIS)),
+                        List.of(
+                                new ServiceEntry("desk", 96, Optional.empty()),
+                                new ServiceEntry(
+                                        "reader",
+                                        360,
+                                        Optional.of(new EngineTraits(64, 400_000, 18_000, 370_000, 5_000, 3_000)))),
+                        CALLER_LIMITS,
+                        ownerKeys));
         return this;
     }
 
@@ -302,7 +303,7 @@
     }
 
     private List<ServiceRoute> streamRoutes(String serviceName) {
-        return service.streamRoutes(serviceName);
+        return service.routes().streamRoutes(serviceName);
     }
 
     private static ServiceRoute route(
