Look at no names of instances while nothing is to be told

A round with one version everywhere copied the names of all instances, ten times a second at the target size 480 of them, to find nothing to tell.

--- a/src/main/java/org/dogwoodwinch/daemon/StreamBeginTelling.java
+++ b/src/main/java/org/dogwoodwinch/daemon/StreamBeginTelling.java
@@ -183,7 +183,7 @@
         Set<String> ownServices = own.services();
         ownServices.forEach(versions::update);
         Set<String> told = ownServices.stream().filter(this::isTold).collect(Collectors.toUnmodifiableSet());
-        List<OwnStreamBegins.Batch> due = own.takeDue(told, memberNames(), time.monotonicMillis());
+        List<OwnStreamBegins.Batch> due = own.takeDue(told, this::memberNames, time.monotonicMillis());
         int count = 0;
         for (OwnStreamBegins.Batch batch : due) {
             exchange.sendDirectly(PeerTopic.STREAM_BEGINS, encodeBatch(batch), List.of(batch.name()));
--- a/src/main/java/org/dogwoodwinch/forwarding/OwnStreamBegins.java
+++ b/src/main/java/org/dogwoodwinch/forwarding/OwnStreamBegins.java
@@ -13,6 +13,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * The streams that began at this instance, and which of the instances that keep the streams of a service have been told
@@ -123,21 +124,25 @@
      * Takes the batches that are to be sent now.
      *
      * @param toldServices the services of which the others have to know the streams, not null
-     * @param memberNames the names of all instances, also of this one, not null
+     * @param memberNames supplies the names of all instances, also of this one, not null
      * @param nowMillis the monotonic time, later with each call
      * @return the batches, possibly none
      */
-    public List<Batch> takeDue(Set<String> toldServices, Collection<String> memberNames, long nowMillis) {
+    public List<Batch> takeDue(
+            Set<String> toldServices, Supplier<? extends Collection<String>> memberNames, long nowMillis) {
+        long elapsedMillis = Math.min(nowMillis - lastTakenMillis, MILLIS_PER_SECOND);
+        lastTakenMillis = nowMillis;
+        if (toldServices.isEmpty() && services.isEmpty()) {
+            return List.of();
+        }
         expire(nowMillis);
-        Set<String> members = Set.copyOf(memberNames);
+        Set<String> members = Set.copyOf(memberNames.get());
         if (isChanged || !services.equals(toldServices) || !names.equals(members)) {
             isChanged = false;
             services = Set.copyOf(toldServices);
             names = members;
             beginAnew();
         }
-        long elapsedMillis = Math.min(nowMillis - lastTakenMillis, MILLIS_PER_SECOND);
-        lastTakenMillis = nowMillis;
         List<Batch> due = new ArrayList<>();
         long remaining = repeat(sendableWithin(elapsedMillis), nowMillis, due);
         takeUntold(remaining, nowMillis, due);
